--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,242 @@
+// Package config holds the configuration that operators submit: pools of
+// upstreams, models, client accounts and policies. A Config is immutable once
+// parsed; every process holds the same one, by version.
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"time"
+)
+
+// PoolKind tells what stands behind a pool.
+type PoolKind string
+
+// The kinds of pools.
+const (
+	KindEngine  PoolKind = "engine"
+	KindService PoolKind = "service"
+)
+
+// Pool is a set of upstreams that can do the same work.
+type Pool struct {
+	Name      string     `yaml:"name"`
+	Kind      PoolKind   `yaml:"kind"`
+	Policy    string     `yaml:"policy,omitempty"`
+	Upstreams []Upstream `yaml:"upstreams"`
+	// Repeatable lists the methods of a service pool that may be run twice.
+	Repeatable []string `yaml:"repeatable,omitempty"`
+}
+
+// Upstream is one engine or plain service with a sidecar beside it.
+type Upstream struct {
+	Name         string `yaml:"name"`
+	Zone         string `yaml:"zone"`
+	ChecksOrders bool   `yaml:"checks_orders,omitempty"`
+}
+
+// Model maps a name that callers use to a pool and what is loaded there.
+type Model struct {
+	Name    string `yaml:"name"`
+	Pool    string `yaml:"pool"`
+	Base    string `yaml:"base,omitempty"`
+	Adapter string `yaml:"adapter,omitempty"`
+	Version string `yaml:"version,omitempty"`
+}
+
+// Account is a client account. Keys are SHA-256 hashes in hexadecimal.
+type Account struct {
+	Name        string   `yaml:"name"`
+	KeyHashes   []string `yaml:"key_hashes"`
+	Weight      float64  `yaml:"weight,omitempty"`
+	Concurrency int      `yaml:"concurrency,omitempty"`
+}
+
+// Policy is a set of short CEL programs. An empty one stands for the default.
+type Policy struct {
+	Name    string `yaml:"name"`
+	Class   string `yaml:"class,omitempty"`
+	Rank    string `yaml:"rank,omitempty"`
+	Admit   string `yaml:"admit,omitempty"`
+	GiveWay string `yaml:"give_way,omitempty"`
+}
+
+// document is the file as operators write it.
+type document struct {
+	Pools    []Pool    `yaml:"pools"`
+	Models   []Model   `yaml:"models"`
+	Accounts []Account `yaml:"accounts"`
+	Policies []Policy  `yaml:"policies,omitempty"`
+}
+
+// Config is a checked configuration with its indexes.
+type Config struct {
+	source   []byte
+	hash     string
+	doc      document
+	pools    map[string]*Pool
+	models   map[string]*Model
+	accounts map[string]*Account
+	policies map[string]*Policy
+	byKey    map[string]*Account
+	poolOf   map[string]*Pool
+}
+
+// Source returns the text the configuration was parsed from.
+func (c *Config) Source() []byte { return c.source }
+
+// Hash returns the SHA-256 of the source in hexadecimal.
+func (c *Config) Hash() string { return c.hash }
+
+// Pools returns all pools in the order of the file.
+func (c *Config) Pools() []Pool { return c.doc.Pools }
+
+// Models returns all models in the order of the file.
+func (c *Config) Models() []Model { return c.doc.Models }
+
+// Accounts returns all client accounts in the order of the file.
+func (c *Config) Accounts() []Account { return c.doc.Accounts }
+
+// Pool returns the pool called name.
+func (c *Config) Pool(name string) (*Pool, bool) { p, ok := c.pools[name]; return p, ok }
+
+// Model returns the model called name.
+func (c *Config) Model(name string) (*Model, bool) { m, ok := c.models[name]; return m, ok }
+
+// Account returns the client account called name.
+func (c *Config) Account(name string) (*Account, bool) { a, ok := c.accounts[name]; return a, ok }
+
+// Policy returns the policy called name.
+func (c *Config) Policy(name string) (*Policy, bool) { p, ok := c.policies[name]; return p, ok }
+
+// PoolOf returns the pool of the upstream called name.
+func (c *Config) PoolOf(upstream string) (*Pool, bool) { p, ok := c.poolOf[upstream]; return p, ok }
+
+// Zones returns the zones that upstreams are declared in, sorted.
+func (c *Config) Zones() []string {
+	var zones []string
+	for _, p := range c.doc.Pools {
+		for _, u := range p.Upstreams {
+			zones = append(zones, u.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// AccountOfKey returns the account that owns a client API key. The key is
+// hashed before it is looked up, and the hash compared in constant time.
+func (c *Config) AccountOfKey(key string) (*Account, bool) {
+	h := HashKey(key)
+	a, ok := c.byKey[h]
+	if !ok {
+		return nil, false
+	}
+	for _, known := range a.KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(known), []byte(h)) == 1 {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
+// HashKey returns the form in which a client API key is stored.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// RepeatableMethod reports whether a call with the method may run twice.
+func (p *Pool) RepeatableMethod(method string) bool { return slices.Contains(p.Repeatable, method) }
+
+// Upstream returns the pool's upstream called name.
+func (p *Pool) Upstream(name string) (Upstream, bool) {
+	for _, u := range p.Upstreams {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
+// Version numbers configurations; a process never goes to a lower one.
+type Version int64
+
+// Mark orders what a process knows of the configuration: a higher version is
+// higher, and so is the same version once it is known to be in force
+// everywhere.
+type Mark int64
+
+// MarkOf returns the mark of a version.
+func MarkOf(v Version, accepted bool) Mark {
+	m := Mark(v) * 2
+	if accepted {
+		m++
+	}
+	return m
+}
+
+// Version returns the version the mark stands for.
+func (m Mark) Version() Version { return Version(m / 2) }
+
+// Active is a configuration in force.
+type Active struct {
+	version    Version
+	accepted   bool
+	homesSince time.Time
+	cfg        *Config
+}
+
+// NewActive returns cfg as version v. homesSince is the time from which no
+// process can have run calls under another distribution of keys over upstreams.
+// accepted is set when the version is known to be in force everywhere.
+func NewActive(cfg *Config, v Version, accepted bool, homesSince time.Time) *Active {
+	return &Active{version: v, accepted: accepted, homesSince: homesSince, cfg: cfg}
+}
+
+// Mark returns the mark of what is in force, 0 if nothing is.
+func (a *Active) Mark() Mark {
+	if a == nil {
+		return 0
+	}
+	return MarkOf(a.version, a.accepted)
+}
+
+// Version returns the version in force, 0 if none is.
+func (a *Active) Version() Version {
+	if a == nil {
+		return 0
+	}
+	return a.version
+}
+
+// Accepted reports whether the version is known to be in force everywhere.
+func (a *Active) Accepted() bool { return a != nil && a.accepted }
+
+// Config returns the configuration in force.
+func (a *Active) Config() *Config { return a.cfg }
+
+// HomesSince returns the time from which keys have the homes they have now.
+func (a *Active) HomesSince() time.Time { return a.homesSince }
+
+// SameHomes reports whether every caller's key has the same home in both
+// configurations.
+func SameHomes(a, b *Config) bool {
+	return slices.Equal(homeNames(a), homeNames(b))
+}
+
+func homeNames(c *Config) []string {
+	var names []string
+	for _, p := range c.doc.Pools {
+		if p.Kind != KindService {
+			continue
+		}
+		for _, u := range p.Upstreams {
+			names = append(names, p.Name+"/"+u.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,226 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// ErrInvalid is wrapped by every error about the content of a configuration.
+var ErrInvalid = errors.New("invalid configuration")
+
+// Fault is one thing wrong with a configuration file.
+type Fault struct {
+	file  string
+	line  int
+	field string
+	text  string
+}
+
+// Error returns file, line, field and what is wrong.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.file, f.line, f.field, f.text)
+}
+
+// Faults is every thing wrong with a configuration file.
+type Faults []Fault
+
+// Error returns one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap makes errors.Is(err, ErrInvalid) true.
+func (f Faults) Unwrap() error { return ErrInvalid }
+
+const (
+	maxAccounts  = 100_000
+	maxNameBytes = 64
+)
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+
+// Parse reads and checks a configuration; file names it in errors. The error
+// is a Faults value that lists everything found.
+func Parse(file string, source []byte) (*Config, error) {
+	c := &Config{source: source}
+	if err := yaml.UnmarshalWithOptions(source, &c.doc, yaml.Strict()); err != nil {
+		return nil, syntaxFaults(file, err)
+	}
+	root, err := parser.ParseBytes(source, 0)
+	if err != nil {
+		return nil, syntaxFaults(file, err)
+	}
+	sum := sha256.Sum256(source)
+	c.hash = hex.EncodeToString(sum[:])
+	k := &checker{file: file, root: root}
+	c.index()
+	k.check(c)
+	if len(k.faults) > 0 {
+		return nil, k.faults
+	}
+	return c, nil
+}
+
+func syntaxFaults(file string, err error) error {
+	f := Fault{file: file, field: "syntax", text: err.Error()}
+	var y yaml.Error
+	if errors.As(err, &y) {
+		f.text = y.GetMessage()
+		if tok := y.GetToken(); tok != nil {
+			f.line = tok.Position.Line
+			f.field = tok.Value
+		}
+	}
+	return Faults{f}
+}
+
+func (c *Config) index() {
+	c.pools = map[string]*Pool{}
+	c.models = map[string]*Model{}
+	c.accounts = map[string]*Account{}
+	c.policies = map[string]*Policy{}
+	c.byKey = map[string]*Account{}
+	c.poolOf = map[string]*Pool{}
+	for i := range c.doc.Pools {
+		p := &c.doc.Pools[i]
+		c.pools[p.Name] = p
+		for _, u := range p.Upstreams {
+			c.poolOf[u.Name] = p
+		}
+	}
+	for i := range c.doc.Models {
+		c.models[c.doc.Models[i].Name] = &c.doc.Models[i]
+	}
+	for i := range c.doc.Accounts {
+		a := &c.doc.Accounts[i]
+		c.accounts[a.Name] = a
+		for _, h := range a.KeyHashes {
+			c.byKey[h] = a
+		}
+	}
+	for i := range c.doc.Policies {
+		c.policies[c.doc.Policies[i].Name] = &c.doc.Policies[i]
+	}
+}
+
+type checker struct {
+	file   string
+	root   *ast.File
+	faults Faults
+}
+
+func (k *checker) fault(path, format string, args ...any) {
+	f := Fault{file: k.file, field: strings.TrimPrefix(path, "$."), text: fmt.Sprintf(format, args...)}
+	if p, err := yaml.PathString(path); err == nil {
+		if n, err := p.FilterFile(k.root); err == nil {
+			f.line = n.GetToken().Position.Line
+		}
+	}
+	k.faults = append(k.faults, f)
+}
+
+func (k *checker) check(c *Config) {
+	k.pools(c)
+	k.models(c)
+	k.accounts(c)
+	k.policies(c)
+	slices.SortStableFunc(k.faults, func(a, b Fault) int { return a.line - b.line })
+}
+
+func (k *checker) name(path, name string, seen map[string]bool) {
+	switch {
+	case len(name) > maxNameBytes || !nameForm.MatchString(name):
+		k.fault(path, "name %q must match %s and have at most %d bytes", name, nameForm, maxNameBytes)
+	case seen[name]:
+		k.fault(path, "name %q is used twice", name)
+	}
+	seen[name] = true
+}
+
+func (k *checker) pools(c *Config) {
+	if len(c.doc.Pools) == 0 {
+		k.fault("$.pools", "at least one pool is needed")
+	}
+	names, upstreams := map[string]bool{}, map[string]bool{}
+	for i, p := range c.doc.Pools {
+		path := fmt.Sprintf("$.pools[%d]", i)
+		k.name(path+".name", p.Name, names)
+		if p.Kind != KindEngine && p.Kind != KindService {
+			k.fault(path+".kind", "kind %q must be %q or %q", p.Kind, KindEngine, KindService)
+		}
+		if p.Policy != "" && c.policies[p.Policy] == nil {
+			k.fault(path+".policy", "policy %q is not declared", p.Policy)
+		}
+		if len(p.Upstreams) == 0 {
+			k.fault(path+".upstreams", "pool %q has no upstream", p.Name)
+		}
+		for j, u := range p.Upstreams {
+			at := fmt.Sprintf("%s.upstreams[%d]", path, j)
+			k.name(at+".name", u.Name, upstreams)
+			if u.Zone == "" {
+				k.fault(at+".name", "upstream %q has no zone", u.Name)
+			}
+		}
+	}
+}
+
+func (k *checker) models(c *Config) {
+	names := map[string]bool{}
+	for i, m := range c.doc.Models {
+		path := fmt.Sprintf("$.models[%d]", i)
+		k.name(path+".name", m.Name, names)
+		p := c.pools[m.Pool]
+		if p == nil {
+			k.fault(path+".pool", "pool %q is not declared", m.Pool)
+		} else if p.Kind != KindEngine {
+			k.fault(path+".pool", "pool %q is no engine pool", m.Pool)
+		}
+	}
+}
+
+func (k *checker) accounts(c *Config) {
+	if len(c.doc.Accounts) > maxAccounts {
+		k.fault("$.accounts", "%d accounts are more than %d", len(c.doc.Accounts), maxAccounts)
+	}
+	names, keys := map[string]bool{}, map[string]bool{}
+	for i, a := range c.doc.Accounts {
+		path := fmt.Sprintf("$.accounts[%d]", i)
+		k.name(path+".name", a.Name, names)
+		if a.Weight < 0 {
+			k.fault(path+".weight", "weight %v is negative", a.Weight)
+		}
+		if a.Concurrency < 0 {
+			k.fault(path+".concurrency", "concurrency %d is negative", a.Concurrency)
+		}
+		for j, h := range a.KeyHashes {
+			at := fmt.Sprintf("%s.key_hashes[%d]", path, j)
+			if b, err := hex.DecodeString(h); err != nil || len(b) != sha256.Size {
+				k.fault(at, "%q is no SHA-256 in hexadecimal", h)
+			}
+			if keys[h] {
+				k.fault(at, "key hash is used twice")
+			}
+			keys[h] = true
+		}
+	}
+}
+
+func (k *checker) policies(c *Config) {
+	names := map[string]bool{}
+	for i, p := range c.doc.Policies {
+		k.name(fmt.Sprintf("$.policies[%d].name", i), p.Name, names)
+	}
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,54 @@
+package ctl
+
+import (
+	"fmt"
+	"net/http"
+)
+
+type statusCommand struct{}
+
+type peerStatus struct {
+	VM          string  `json:"vm"`
+	Zone        string  `json:"zone"`
+	Address     string  `json:"address"`
+	Role        string  `json:"role"`
+	Upstream    string  `json:"upstream,omitempty"`
+	Incarnation string  `json:"incarnation"`
+	State       string  `json:"state"`
+	Version     int64   `json:"version"`
+	Running     int     `json:"running"`
+	Waiting     int     `json:"waiting"`
+	Paused      int     `json:"paused"`
+	UsedPart    float64 `json:"used_part"`
+}
+
+type statusBody struct {
+	Process  string       `json:"process"`
+	Zone     string       `json:"zone"`
+	Version  int64        `json:"version"`
+	Accepted bool         `json:"accepted"`
+	Peers    []peerStatus `json:"peers"`
+}
+
+func (*statusCommand) run(env *environment) error {
+	var b statusBody
+	if err := env.api.call(http.MethodGet, "/status", nil, &b); err != nil {
+		return err
+	}
+	if env.json {
+		return env.printJSON(b)
+	}
+	state := "accepted"
+	if !b.Accepted {
+		state = "not known to be in force everywhere"
+	}
+	if _, err := fmt.Fprintf(env.stdout, "seen by %s in zone %s: version %d, %s\n", b.Process, b.Zone, b.Version, state); err != nil {
+		return err
+	}
+	rows := make([][]any, 0, len(b.Peers))
+	for _, p := range b.Peers {
+		rows = append(rows, []any{p.VM, p.Zone, p.Role, p.Upstream, p.State, p.Version, p.Running, p.Waiting, p.Paused, 100 * p.UsedPart})
+	}
+	return env.table("VM\tZONE\tROLE\tUPSTREAM\tSTATE\tVERSION\tRUNNING\tWAITING\tPAUSED\tMEMORY", rows,
+		"%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.0f%%")
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/sparshore/sparshore/internal/commandline"
+	"github.com/sparshore/sparshore/internal/version"
+)
+
+type arguments struct {
+	Entry   *EntrySettings   `arg:"subcommand:entry" help:"serve callers and operators"`
+	Sidecar *SidecarSettings `arg:"subcommand:sidecar" help:"guard one upstream"`
+}
+
+// Description is printed in the help text.
+func (arguments) Description() string {
+	return "sparshored serves streamed model answers from crowded engines.\n"
+}
+
+// Version is printed by --version.
+func (arguments) Version() string { return "sparshored " + version.String() }
+
+// Main runs the daemon and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	_, code, done := commandline.Parse("sparshored", &a, args, stdout, stderr)
+	if done {
+		return code
+	}
+	var err error
+	if a.Entry != nil {
+		err = RunEntry(context.Background(), *a.Entry, stderr)
+	} else {
+		err = RunSidecar(context.Background(), *a.Sidecar, stderr)
+	}
+	switch {
+	case err == nil:
+		return commandline.ExitOK
+	case errors.Is(err, ErrSettings):
+		_, _ = fmt.Fprintf(stderr, "sparshored: %v\n", err)
+		return commandline.ExitUsage
+	default:
+		_, _ = fmt.Fprintf(stderr, "sparshored: %v\n", err)
+		return commandline.ExitFailure
+	}
+}
--- /dev/null
+++ b/internal/daemon/node.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/internal/membership"
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/rollout"
+	"github.com/sparshore/sparshore/internal/timeline"
+)
+
+// The names under which services find each other.
+const (
+	serviceNode    kernel.Name = "node"
+	serviceMembers kernel.Name = "membership"
+	serviceRollout kernel.Name = "rollout"
+	servicePeers   kernel.Name = "peers"
+	serviceHTTP    kernel.Name = "http"
+	serviceEntry   kernel.Name = "entry"
+	serviceSidecar kernel.Name = "sidecar"
+)
+
+const (
+	startLimit      = 2 * time.Minute
+	stopSlack       = 5 * time.Second
+	incarnationSize = 6
+)
+
+// node is what all roles have: an identity, the platform's clients, a recorder
+// and metrics. Its context ends when the process stops.
+type node struct {
+	settings Common
+	identity membership.Identity
+	rec      *events.Recorder
+	reg      *prometheus.Registry
+	table    *platform.Table
+	objects  *platform.Objects
+	vms      *platform.VMs
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// now reads the wall clock without the monotonic part: a monotonic clock may
+// stand still while a VM is suspended.
+func now() time.Time { return time.Now().Round(0) }
+
+func newNode(c Common, role membership.Role, upstream string, logs io.Writer) *node {
+	incarnation := newIncarnation()
+	log := newLogger(logs).WithValues("process", c.Name, "incarnation", incarnation)
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	creds := platform.Credentials{Key: c.AccessKey, Secret: c.SecretKey}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{
+		settings: c,
+		identity: membership.NewIdentity(c.Name, role, c.Zone, upstream, incarnation, now()),
+		rec:      events.New(log, c.Name, incarnation, c.TimelineSize, now),
+		reg:      reg,
+		table:    platform.NewTable(c.TableURL, c.TableName, creds),
+		objects:  platform.NewObjects(c.ObjectsURL, c.Bucket, creds),
+		vms:      platform.NewVMs(c.VMsURL),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+	platform.Count(n.table, n.objects, n.vms, reg)
+	return n
+}
+
+func newIncarnation() string {
+	b := make([]byte, incarnationSize)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+func newLogger(w io.Writer) logr.Logger {
+	return funcr.NewJSON(func(line string) { _, _ = io.WriteString(w, line+"\n") }, funcr.Options{LogTimestamp: true})
+}
+
+func (n *node) timing() membership.Timing {
+	return membership.Timing{
+		List:      n.settings.VMsEvery,
+		Heartbeat: n.settings.Heartbeat,
+		Suspect:   n.settings.SuspectAfter,
+		Lost:      n.settings.LostAfter,
+	}
+}
+
+// nodeService registers the node; it is the first to start and the last to
+// stop.
+func nodeService(n *node) kernel.Service {
+	return kernel.Service{
+		Name:  serviceNode,
+		Build: func(*kernel.Registry) (any, error) { return n, nil },
+		Stop: func(context.Context, *kernel.Registry) error {
+			n.cancel()
+			n.rec.Note(events.ProcessStopped, "")
+			return nil
+		},
+	}
+}
+
+// peerService listens for other processes.
+func peerService(n *node, methods func(r *kernel.Registry) (peer.Methods, error), onOpen func(r *kernel.Registry) func(*peer.Conn)) kernel.Service {
+	return kernel.Service{
+		Name: servicePeers,
+		Build: func(r *kernel.Registry) (any, error) {
+			m, err := methods(r)
+			if err != nil {
+				return nil, err
+			}
+			l, err := net.Listen("tcp", n.settings.PeerListen)
+			if err != nil {
+				return nil, fmt.Errorf("--peer-listen: %w", err)
+			}
+			return peer.NewServer(l, m, onOpen(r)), nil
+		},
+		Start: func(_ context.Context, r *kernel.Registry) error {
+			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
+			if err != nil {
+				return err
+			}
+			s.Start()
+			return nil
+		},
+		Stop: func(_ context.Context, r *kernel.Registry) error {
+			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
+			if err != nil {
+				return err
+			}
+			s.Close()
+			return nil
+		},
+	}
+}
+
+// callerSendBuffer bounds what a socket to a caller can hold, so that a lost
+// entry takes no more with it than sidecars keep for a resume.
+const callerSendBuffer = 32 << 10
+
+// httpService serves a handler.
+func httpService(n *node, handler func(r *kernel.Registry) (http.Handler, error)) kernel.Service {
+	return kernel.Service{
+		Name: serviceHTTP,
+		Build: func(r *kernel.Registry) (any, error) {
+			h, err := handler(r)
+			if err != nil {
+				return nil, err
+			}
+			return &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, ConnState: limitSendBuffer}, nil
+		},
+		Start: func(_ context.Context, r *kernel.Registry) error {
+			s, err := kernel.Lookup[*http.Server](r, serviceHTTP)
+			if err != nil {
+				return err
+			}
+			l, err := net.Listen("tcp", n.settings.HTTPListen)
+			if err != nil {
+				return fmt.Errorf("--http-listen: %w", err)
+			}
+			go func() { _ = s.Serve(l) }()
+			n.rec.Note(events.ProcessStarted, "", "http", l.Addr(), "role", n.identity.Role())
+			return nil
+		},
+		Stop: func(ctx context.Context, r *kernel.Registry) error {
+			s, err := kernel.Lookup[*http.Server](r, serviceHTTP)
+			if err != nil {
+				return err
+			}
+			if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+				return err
+			}
+			return s.Close()
+		},
+	}
+}
+
+func limitSendBuffer(c net.Conn, s http.ConnState) {
+	if tcp, ok := c.(*net.TCPConn); ok && s == http.StateNew {
+		_ = tcp.SetWriteBuffer(callerSendBuffer)
+	}
+}
+
+func baseMethods(n *node, self *membership.Self, store *rollout.Store) peer.Methods {
+	m := peer.Methods{}
+	maps.Copy(m, self.Methods())
+	maps.Copy(m, store.Methods())
+	maps.Copy(m, timeline.Methods(n.rec))
+	return m
+}
+
+// runUntilStop runs f in the background until the process stops.
+func (n *node) runUntilStop(f func(ctx context.Context)) { go f(n.ctx) }
+
+func limits(c Common) kernel.Limits {
+	return kernel.Limits{Start: startLimit, Stop: c.StopWithin + stopSlack}
+}
--- /dev/null
+++ b/internal/daemon/sidecar.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/decision"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/internal/lease"
+	"github.com/sparshore/sparshore/internal/membership"
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/rollout"
+	"github.com/sparshore/sparshore/internal/sidecar"
+)
+
+// RunSidecar runs a sidecar until it is told to stop.
+func RunSidecar(ctx context.Context, s SidecarSettings, logs io.Writer) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	n := newNode(s.Common, membership.RoleSidecar, s.Upstream, logs)
+	b := &sidecarBuilder{node: n, settings: s}
+	b.build()
+	return kernel.Run(ctx, limits(s.Common), []kernel.Service{
+		nodeService(n),
+		b.rolloutService(),
+		peerService(n, b.methods, func(*kernel.Registry) func(*peer.Conn) { return b.server.Open }),
+		httpService(n, b.handler),
+		b.sidecarService(),
+	})
+}
+
+// sidecarBuilder holds the parts of a sidecar while the kernel puts them
+// together.
+type sidecarBuilder struct {
+	node     *node
+	settings SidecarSettings
+
+	store  *rollout.Store
+	coord  *rollout.Coordinator
+	self   *membership.Self
+	lease  *lease.Lease
+	server *sidecar.Server
+}
+
+func (b *sidecarBuilder) build() {
+	n, s := b.node, b.settings
+	b.store = rollout.NewStore(n.settings.Name, n.settings.Zone, n.rec)
+	b.self = &membership.Self{Identity: n.identity, Recorder: n.rec, Status: b.status, Behind: b.behind}
+	none := func() []rollout.Target { return nil }
+	b.coord = rollout.NewCoordinator(b.store, n.table, n.objects, none, n.rec, rollout.DefaultDeadlines(), now)
+	b.lease = lease.New(n.table, s.Upstream, n.identity.Incarnation(), lease.Settings{Term: s.LeaseTerm, Skew: s.Skew}, now)
+	b.server = sidecar.New(sidecar.Settings{
+		Upstream: s.Upstream,
+		URL:      s.UpstreamURL,
+		Decision: decision.Settings{
+			Blocks: s.Blocks, BlockTokens: s.BlockTokens, MaxBatch: s.MaxBatch, TokenGap: s.TokenGap, Risk: s.Risk,
+		},
+		Grace: s.Grace, Kept: s.Kept, UnackedBytes: s.UnackedBytes, RetainedBytes: s.RetainedBytes,
+		CallWindow: s.CallWindow, AnswerBytes: s.AnswerBytes, Skew: s.Skew, CallTimeout: s.CallTimeout,
+	}, n.identity, b.lease, n.rec, sidecar.NewMetrics(n.reg), b.store.Active, now)
+}
+
+func (b *sidecarBuilder) status() membership.Status {
+	return membership.Status{Leaving: b.server.Draining(), Mark: b.store.Mark(), Load: b.server.Load()}
+}
+
+func (b *sidecarBuilder) behind(c *peer.Conn, _ config.Mark) { _ = b.store.CatchUp(b.node.ctx, c) }
+
+func (b *sidecarBuilder) methods(*kernel.Registry) (peer.Methods, error) {
+	m := baseMethods(b.node, b.self, b.store)
+	maps.Copy(m, b.server.Methods())
+	return m, nil
+}
+
+func (b *sidecarBuilder) handler(*kernel.Registry) (http.Handler, error) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(b.node.reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if b.server.Draining() || b.store.Active() == nil {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	return mux, nil
+}
+
+const (
+	leaseTries   = 3
+	configPause  = 500 * time.Millisecond
+	leaseRetry   = 2 * time.Second
+	releaseLimit = 2 * time.Second
+)
+
+// rolloutService reads the head once; later versions come from entries.
+func (b *sidecarBuilder) rolloutService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceRollout,
+		Build: func(*kernel.Registry) (any, error) { return b.store, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			b.node.runUntilStop(b.firstConfig)
+			return nil
+		},
+	}
+}
+
+// firstConfig reads the head until the table answers or an entry has brought a
+// configuration.
+func (b *sidecarBuilder) firstConfig(ctx context.Context) {
+	for b.coord.Refresh(ctx) != nil && b.store.Active() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(configPause + rand.N(configPause)):
+		}
+	}
+}
+
+// keepLease renews the lease well before its deadline; after an error it tries
+// again soon, with the times spread at random.
+func (b *sidecarBuilder) keepLease(ctx context.Context) {
+	held := false
+	for {
+		err := b.lease.Renew(ctx)
+		valid := b.lease.Valid()
+		switch {
+		case valid && !held:
+			b.node.rec.Note(events.LeaseAcquired, "", "fence", b.lease.Fence())
+		case !valid && held:
+			b.node.rec.Note(events.LeaseLost, "", "error", err)
+		}
+		held = valid
+		pause := b.settings.LeaseTerm / leaseTries
+		if err != nil {
+			pause = min(pause, leaseRetry)
+			if !errors.Is(err, lease.ErrHeld) {
+				b.node.rec.Note(events.PlatformFailed, "", "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause/2 + rand.N(pause/2)):
+		}
+	}
+}
+
+func (b *sidecarBuilder) sidecarService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceSidecar,
+		Build: func(*kernel.Registry) (any, error) { return b.server, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			b.node.runUntilStop(b.server.Run)
+			b.node.runUntilStop(b.keepLease)
+			return nil
+		},
+		Stop: b.stop,
+	}
+}
+
+// stop takes no new work at once, tells the entries, and finishes what is in
+// flight before anything it needs goes away.
+func (b *sidecarBuilder) stop(ctx context.Context, r *kernel.Registry) error {
+	n := b.node
+	deadline := now().Add(n.settings.StopWithin)
+	n.rec.Note(events.ProcessStopping, "", "deadline", deadline.Format(time.RFC3339))
+	b.server.Drain("stop")
+	if s, err := kernel.Lookup[*peer.Server](r, servicePeers); err == nil {
+		membership.AnnounceLeaving(ctx, s)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if !b.server.Idle(ctx) {
+		n.rec.Note(events.DrainTooShort, "")
+		return nil
+	}
+	releaseCtx, cancelRelease := context.WithTimeout(context.WithoutCancel(ctx), releaseLimit)
+	defer cancelRelease()
+	if err := b.lease.Release(releaseCtx); err == nil {
+		n.rec.Note(events.LeaseReleased, "")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decision/lengths.go
@@ -0,0 +1,113 @@
+package decision
+
+import "math"
+
+// binsPerOctave sets how finely output lengths are told apart: two bins for
+// each doubling.
+const (
+	binsPerOctave = 2
+	maxOctaves    = 17
+	binCount      = binsPerOctave * maxOctaves
+)
+
+// priorExposure is the weight of the prior in each bin, in streams. The prior
+// is a hazard under which half of the streams that reach n tokens reach 2n.
+const priorExposure = 4.0
+
+// halfLife is the number of finished streams after which an observation
+// counts half.
+const halfLife = 2000.0
+
+// Lengths is an online estimate of how many output tokens a generation will
+// have: a survival curve over bins of geometrically growing width. Running
+// streams count as exposure while they run, so long streams that have not
+// ended yet are not overlooked.
+type Lengths struct {
+	exposure [binCount]float64
+	ended    [binCount]float64
+	// logSurvival[i] is the log of the probability to get past bins 0..i-1.
+	logSurvival [binCount + 1]float64
+	scale       float64
+}
+
+// NewLengths returns an estimate that knows only the prior.
+func NewLengths() *Lengths {
+	l := &Lengths{scale: 1}
+	l.refresh(0)
+	return l
+}
+
+// binOf returns the bin in which output token n lies.
+func binOf(n int) int {
+	if n < 1 {
+		return 0
+	}
+	return min(int(binsPerOctave*math.Log2(float64(n))), binCount-1)
+}
+
+var binStart = func() [binCount + 1]float64 {
+	var s [binCount + 1]float64
+	for i := range s {
+		s[i] = math.Pow(2, float64(i)/binsPerOctave)
+	}
+	return s
+}()
+
+// Entered notes that a stream reached the bin of output token n.
+func (l *Lengths) entered(bin int) { l.exposure[bin] += l.scale }
+
+// finished notes that a stream ended in bin. Older observations fade.
+func (l *Lengths) finished(bin int) {
+	l.ended[bin] += l.scale
+	l.scale *= math.Exp2(1 / halfLife)
+	if l.scale > 1e6 {
+		l.rescale()
+	}
+	l.refresh(0)
+}
+
+func (l *Lengths) rescale() {
+	for i := range l.exposure {
+		l.exposure[i] /= l.scale
+		l.ended[i] /= l.scale
+	}
+	l.scale = 1
+}
+
+func (l *Lengths) refresh(from int) {
+	priorHazard := 1 - math.Pow(0.5, 1.0/binsPerOctave)
+	for i := from; i < binCount; i++ {
+		prior := priorExposure * l.scale
+		hazard := (l.ended[i] + prior*priorHazard) / (l.exposure[i] + prior)
+		hazard = min(max(hazard, 0.001), 0.999)
+		l.logSurvival[i+1] = l.logSurvival[i] + math.Log1p(-hazard)
+	}
+}
+
+// logSurvivalAt interpolates the log survival at output token n.
+func (l *Lengths) logSurvivalAt(n int) float64 {
+	if n < 1 {
+		return 0
+	}
+	i := binOf(n)
+	part := (float64(n) - binStart[i]) / (binStart[i+1] - binStart[i])
+	return l.logSurvival[i] + min(part, 1)*(l.logSurvival[i+1]-l.logSurvival[i])
+}
+
+// Survive returns the probability that a stream with n output tokens has at
+// least k more.
+func (l *Lengths) Survive(n, k int) float64 {
+	return math.Exp(l.logSurvivalAt(n+k) - l.logSurvivalAt(n))
+}
+
+// Expect returns the expected number of further output tokens at n, cut off
+// at limit.
+func (l *Lengths) Expect(n, limit int) float64 {
+	total := 0.0
+	for k := 0; k < limit; {
+		step := max(1, (n+k)/4)
+		total += float64(min(step, limit-k)) * l.Survive(n, k+step/2)
+		k += step
+	}
+	return total
+}
--- /dev/null
+++ b/internal/decision/rates.go
@@ -0,0 +1,106 @@
+package decision
+
+import (
+	"math"
+	"time"
+)
+
+// shares keeps start-time fair queueing over client accounts: each request
+// gets a virtual start time, and an account that had much gets a later one.
+type shares struct {
+	virtual float64
+	spent   map[string]float64
+}
+
+func newShares() shares { return shares{spent: map[string]float64{}} }
+
+const assumedTokens = 200.0
+
+func (s *shares) arrive(account string, weight float64) float64 {
+	v := max(s.virtual, s.spent[account])
+	s.spent[account] = v + assumedTokens/weight
+	return v
+}
+
+func (s *shares) start(virtual float64) { s.virtual = max(s.virtual, virtual) }
+
+// charge replaces the assumed cost of a request by its real one, in tokens.
+func (s *shares) charge(account string, weight float64, tokens int) {
+	s.spent[account] += (float64(tokens) - assumedTokens) / weight
+	if s.spent[account] <= s.virtual && len(s.spent) > maxIdleAccounts {
+		delete(s.spent, account)
+	}
+}
+
+const maxIdleAccounts = 4096
+
+// stepModel learns how the time of a decode step grows with the batch: a
+// least-squares line with fading memory.
+type stepModel struct {
+	n, x, y, xx, xy float64
+}
+
+const stepFade = 0.995
+
+// Step notes that a decode step with the given number of streams took d.
+func (s *Scheduler) Step(batch int, d time.Duration) { s.steps.add(float64(batch), d.Seconds()) }
+
+func (m *stepModel) add(x, y float64) {
+	m.n = m.n*stepFade + 1
+	m.x = m.x*stepFade + x
+	m.y = m.y*stepFade + y
+	m.xx = m.xx*stepFade + x*x
+	m.xy = m.xy*stepFade + x*y
+}
+
+const (
+	minStepSamples = 20
+	noLimit        = math.MaxInt32
+)
+
+// limit returns the largest batch whose step is expected to take at most gap.
+func (m *stepModel) limit(gap time.Duration) int {
+	spread := m.n*m.xx - m.x*m.x
+	if m.n < minStepSamples || spread < 1e-6*m.xx*m.n {
+		return noLimit
+	}
+	slope := (m.n*m.xy - m.x*m.y) / spread
+	base := (m.y - slope*m.x) / m.n
+	if slope <= 1e-9 {
+		return noLimit
+	}
+	return max(1, int((gap.Seconds()-base)/slope))
+}
+
+// startRate estimates how soon a place in the queue comes up, from the times
+// between recent starts.
+type startRate struct {
+	last time.Time
+	gap  float64
+}
+
+const startSmoothing = 0.1
+
+func (r *startRate) started(now time.Time) {
+	if !r.last.IsZero() {
+		d := now.Sub(r.last).Seconds()
+		r.gap += startSmoothing * (d - r.gap)
+	}
+	r.last = now
+}
+
+// wait returns the expected time until the given place in the queue starts.
+func (r *startRate) wait(place int) time.Duration {
+	if r.last.IsZero() {
+		return 0
+	}
+	return time.Duration(r.gap * float64(place) * float64(time.Second))
+}
+
+// Wait returns the expected time until a request that arrives now starts.
+func (s *Scheduler) Wait() time.Duration {
+	if len(s.waiting) == 0 {
+		return 0
+	}
+	return s.rate.wait(len(s.waiting) + 1)
+}
--- /dev/null
+++ b/internal/events/catalogue.go
@@ -0,0 +1,127 @@
+package events
+
+// ID is the number of an event kind. Numbers are never reused.
+type ID int
+
+// The event kinds. docs/EVENTS.md lists them for operators; a test compares
+// that page with the catalogue.
+const (
+	ProcessStarted     ID = 100
+	ProcessStopping    ID = 101
+	ProcessStopped     ID = 102
+	PeerConnected      ID = 110
+	PeerLost           ID = 111
+	PeerLeaving        ID = 112
+	PeerSuspected      ID = 113
+	VMListFailed       ID = 114
+	RequestReceived    ID = 200
+	RequestRouted      ID = 201
+	RequestRefused     ID = 202
+	RequestRetried     ID = 203
+	RequestEnded       ID = 204
+	StreamResumed      ID = 205
+	StreamCut          ID = 206
+	CallerGone         ID = 207
+	GenerationQueued   ID = 300
+	GenerationAdmitted ID = 301
+	GenerationPaused   ID = 302
+	GenerationResumed  ID = 303
+	GenerationEnded    ID = 304
+	FrameDropped       ID = 305
+	PolicyFailed       ID = 306
+	CallStarted        ID = 400
+	CallDone           ID = 401
+	CallRefused        ID = 402
+	CallSettled        ID = 403
+	LeaseAcquired      ID = 410
+	LeaseLost          ID = 411
+	LeaseReleased      ID = 412
+	DrainStarted       ID = 420
+	DrainTooShort      ID = 421
+	ChangeSubmitted    ID = 500
+	ChangeStaged       ID = 501
+	ChangeRefused      ID = 502
+	ChangeCommitted    ID = 503
+	ChangeInForce      ID = 504
+	ChangeAccepted     ID = 505
+	ConfigActivated    ID = 506
+	ConfigStale        ID = 507
+	PlatformFailed     ID = 600
+)
+
+// Kind describes one event kind.
+type Kind struct {
+	id   ID
+	name string
+	text string
+}
+
+// ID returns the event number.
+func (k Kind) ID() ID { return k.id }
+
+// Name returns the short name that logs and the time line print.
+func (k Kind) Name() string { return k.name }
+
+// Text returns the one-line explanation for operators.
+func (k Kind) Text() string { return k.text }
+
+var catalogue = []Kind{
+	{ProcessStarted, "process-started", "A process finished its start and serves."},
+	{ProcessStopping, "process-stopping", "A process was told to stop and takes no new work."},
+	{ProcessStopped, "process-stopped", "A process ended its planned stop."},
+	{PeerConnected, "peer-connected", "A connection to a sidecar was made and its greeting checked."},
+	{PeerLost, "peer-lost", "A connection to a sidecar ended or stopped answering heartbeats."},
+	{PeerLeaving, "peer-leaving", "An upstream is leaving and gets no new work."},
+	{PeerSuspected, "peer-suspected", "A sidecar missed a heartbeat but its connection is open."},
+	{VMListFailed, "vm-list-failed", "The VM list could not be read; the last one known stays in use."},
+	{RequestReceived, "request-received", "An entry accepted a caller's request."},
+	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
+	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
+	{RequestRetried, "request-retried", "A request that provably did not run is tried on another upstream."},
+	{RequestEnded, "request-ended", "A caller received the last byte of its answer."},
+	{StreamResumed, "stream-resumed", "A caller went on with a stream at the next offset."},
+	{StreamCut, "stream-cut", "A stream ended before it was whole, and the caller was told where and why."},
+	{CallerGone, "caller-gone", "A caller's connection closed before its answer was whole."},
+	{GenerationQueued, "generation-queued", "A sidecar holds a generation until memory allows it."},
+	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
+	{GenerationPaused, "generation-paused", "A generation gave way to others and keeps its place."},
+	{GenerationResumed, "generation-resumed", "A paused generation runs again."},
+	{GenerationEnded, "generation-ended", "A generation has its last token or a stated reason for having none."},
+	{FrameDropped, "frame-dropped", "A frame from another generation, incarnation or offset was dropped."},
+	{PolicyFailed, "policy-failed", "A policy failed at run time and its stated default was used."},
+	{CallStarted, "call-started", "A call was recorded as started, before its first byte went to the upstream."},
+	{CallDone, "call-done", "A call's answer was kept for later questions about it."},
+	{CallRefused, "call-refused", "A call was refused and its identifier can never run here."},
+	{CallSettled, "call-settled", "A question about a call was answered."},
+	{LeaseAcquired, "lease-acquired", "A sidecar may run calls that carry a caller's key."},
+	{LeaseLost, "lease-lost", "A sidecar's lease ran out; calls with a caller's key are refused."},
+	{LeaseReleased, "lease-released", "A sidecar gave its lease back in a planned stop."},
+	{DrainStarted, "drain-started", "An upstream takes no new work and finishes what it has."},
+	{DrainTooShort, "drain-too-short", "A planned stop reached its deadline with requests in flight."},
+	{ChangeSubmitted, "change-submitted", "An operator submitted a configuration change."},
+	{ChangeStaged, "change-staged", "A process validated a candidate configuration and holds it, inert."},
+	{ChangeRefused, "change-refused", "A configuration change was refused and is in force nowhere."},
+	{ChangeCommitted, "change-committed", "A configuration change is the stored head."},
+	{ChangeInForce, "change-in-force", "A process runs a committed configuration."},
+	{ChangeAccepted, "change-accepted", "A configuration change is in force at every process."},
+	{ConfigActivated, "config-activated", "A process went to a higher configuration version."},
+	{ConfigStale, "config-stale", "A process was offered a version that is not higher than its own."},
+	{PlatformFailed, "platform-failed", "A call to a platform store failed; it is tried again with back-off."},
+}
+
+var byID = func() map[ID]Kind {
+	m := make(map[ID]Kind, len(catalogue))
+	for _, k := range catalogue {
+		m[k.id] = k
+	}
+	return m
+}()
+
+// Catalogue returns all event kinds in order of their numbers.
+func Catalogue() []Kind { return append([]Kind(nil), catalogue...) }
+
+// KindOf returns the kind with number id, and false if there is none.
+func KindOf(id ID) (Kind, bool) {
+	k, ok := byID[id]
+	return k, ok
+}
--- /dev/null
+++ b/internal/events/recorder.go
@@ -0,0 +1,138 @@
+// Package events records what a process does as numbered events: each goes to
+// the structured log and to a bounded ring from which the time line over all
+// processes is gathered.
+package events
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Stamp is a hybrid logical clock reading: wall time in nanoseconds since the
+// Unix epoch and a counter that orders events of the same reading.
+type Stamp struct {
+	Wall  int64  `json:"wall"`
+	Logic uint32 `json:"logic"`
+}
+
+// Before reports whether s comes before o.
+func (s Stamp) Before(o Stamp) bool {
+	if s.Wall != o.Wall {
+		return s.Wall < o.Wall
+	}
+	return s.Logic < o.Logic
+}
+
+// Entry is one recorded event.
+type Entry struct {
+	Stamp       Stamp             `json:"stamp"`
+	Process     string            `json:"process"`
+	Incarnation string            `json:"incarnation"`
+	Event       ID                `json:"event"`
+	Name        string            `json:"name"`
+	Request     string            `json:"request,omitempty"`
+	Fields      map[string]string `json:"fields,omitempty"`
+}
+
+// Recorder writes events to a log and keeps the newest of them.
+type Recorder struct {
+	log         logr.Logger
+	process     string
+	incarnation string
+	now         func() time.Time
+
+	mu   sync.Mutex
+	last Stamp
+	ring []Entry
+	next int
+}
+
+// New returns a Recorder for the named process that keeps at most size events.
+func New(log logr.Logger, process, incarnation string, size int, now func() time.Time) *Recorder {
+	return &Recorder{
+		log:         log,
+		process:     process,
+		incarnation: incarnation,
+		now:         now,
+		ring:        make([]Entry, 0, size),
+	}
+}
+
+// Nop returns a Recorder that keeps a few events and logs nothing, for tests.
+func Nop() *Recorder { return New(logr.Discard(), "test", "0", 256, time.Now) }
+
+// Note records one event. request may be empty; kv are alternating names and
+// values, as in logr.
+func (r *Recorder) Note(id ID, request string, kv ...any) {
+	kind := byID[id]
+	r.log.Info(kind.name, append([]any{"event", int(id), "request", request}, kv...)...)
+	e := Entry{Process: r.process, Incarnation: r.incarnation, Event: id, Name: kind.name, Request: request, Fields: fields(kv)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Stamp = r.tick()
+	r.keep(e)
+}
+
+// Observe moves the logical clock past a stamp received from another process.
+func (r *Recorder) Observe(s Stamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last.Before(s) {
+		r.last = s
+	}
+}
+
+// Now returns a fresh stamp to send along with a message.
+func (r *Recorder) Now() Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tick()
+}
+
+// Select returns the kept events of one request, or all if request is empty,
+// oldest first.
+func (r *Recorder) Select(request string) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Entry, 0, len(r.ring))
+	for i := range r.ring {
+		e := r.ring[(r.next+i)%len(r.ring)]
+		if request == "" || e.Request == request {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (r *Recorder) tick() Stamp {
+	wall := r.now().UnixNano()
+	if wall > r.last.Wall {
+		r.last = Stamp{Wall: wall}
+	} else {
+		r.last.Logic++
+	}
+	return r.last
+}
+
+func (r *Recorder) keep(e Entry) {
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, e)
+		return
+	}
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % len(r.ring)
+}
+
+func fields(kv []any) map[string]string {
+	if len(kv) < 2 {
+		return nil
+	}
+	m := make(map[string]string, len(kv)/2)
+	for i := 0; i+1 < len(kv); i += 2 {
+		m[fmt.Sprint(kv[i])] = fmt.Sprint(kv[i+1])
+	}
+	return m
+}
--- /dev/null
+++ b/internal/membership/identity.go
@@ -0,0 +1,150 @@
+// Package membership knows the processes of the system: who they are, how to
+// reach them, and which are leaving, suspected or lost. Peers come from the
+// platform's VM list; liveness is seen on the connections to them.
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/peer"
+)
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleSidecar Role = "sidecar"
+)
+
+// Load is a sidecar's word on its upstream, as of a time.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Paused  int `json:"paused"`
+	// UsedPart is the part of KV memory in use, from 0 to 1.
+	UsedPart float64 `json:"used_part"`
+	// WaitMS is the expected wait of a new request in milliseconds.
+	WaitMS int64 `json:"wait_ms"`
+	// At is when the sidecar read it.
+	At time.Time `json:"at"`
+}
+
+// Identity is what a process says of itself.
+type Identity struct {
+	process     string
+	role        Role
+	zone        string
+	upstream    string
+	incarnation string
+	started     time.Time
+}
+
+// NewIdentity returns the identity of a process; upstream is empty for an
+// entry.
+func NewIdentity(process string, role Role, zone, upstream, incarnation string, started time.Time) Identity {
+	return Identity{process: process, role: role, zone: zone, upstream: upstream, incarnation: incarnation, started: started}
+}
+
+// Process returns the process's name.
+func (i Identity) Process() string { return i.process }
+
+// Role returns what the process does.
+func (i Identity) Role() Role { return i.role }
+
+// Zone returns the availability zone.
+func (i Identity) Zone() string { return i.zone }
+
+// Upstream returns the upstream beside which a sidecar runs.
+func (i Identity) Upstream() string { return i.upstream }
+
+// Incarnation returns the identifier that is new at every start.
+func (i Identity) Incarnation() string { return i.incarnation }
+
+// Started returns when the process started, by its own clock.
+func (i Identity) Started() time.Time { return i.started }
+
+// Status is the part of a process's word that changes.
+type Status struct {
+	Leaving bool
+	Mark    config.Mark
+	Load    Load
+}
+
+// Self answers heartbeats for the own process. Status and Behind are seams:
+// Status is read for each answer, Behind is called when a peer shows a higher
+// configuration mark.
+type Self struct {
+	Identity Identity
+	Recorder *events.Recorder
+	Status   func() Status
+	Behind   func(c *peer.Conn, m config.Mark)
+}
+
+const (
+	methodHello = "member.hello"
+	methodPing  = "member.ping"
+	methodLeave = "member.leaving"
+)
+
+type helloResult struct {
+	Process     string    `json:"process"`
+	Role        Role      `json:"role"`
+	Zone        string    `json:"zone"`
+	Upstream    string    `json:"upstream,omitempty"`
+	Incarnation string    `json:"incarnation"`
+	Started     time.Time `json:"started"`
+}
+
+type pingParams struct {
+	Mark  config.Mark  `json:"m"`
+	Stamp events.Stamp `json:"t"`
+}
+
+type pingResult struct {
+	Mark    config.Mark  `json:"m"`
+	Leaving bool         `json:"leaving,omitempty"`
+	Load    Load         `json:"load"`
+	Stamp   events.Stamp `json:"t"`
+}
+
+// Methods returns the handlers that answer for the own process.
+func (s *Self) Methods() peer.Methods {
+	return peer.Methods{
+		methodHello: s.hello,
+		methodPing:  s.ping,
+	}
+}
+
+func (s *Self) hello(context.Context, *peer.Conn, json.RawMessage) (any, error) {
+	i := s.Identity
+	return helloResult{
+		Process: i.process, Role: i.role, Zone: i.zone, Upstream: i.upstream,
+		Incarnation: i.incarnation, Started: i.started,
+	}, nil
+}
+
+func (s *Self) ping(_ context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
+	var p pingParams
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("ping: %w", err)
+	}
+	s.Recorder.Observe(p.Stamp)
+	st := s.Status()
+	if p.Mark > st.Mark && s.Behind != nil {
+		go s.Behind(c, p.Mark)
+	}
+	return pingResult{Mark: st.Mark, Leaving: st.Leaving, Load: st.Load, Stamp: s.Recorder.Now()}, nil
+}
+
+// AnnounceLeaving tells all connected peers at once that the own process takes
+// no new work.
+func AnnounceLeaving(ctx context.Context, server *peer.Server) {
+	server.Broadcast(ctx, methodLeave, struct{}{})
+}
--- /dev/null
+++ b/internal/membership/set.go
@@ -0,0 +1,339 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// Timing are the periods of the membership loops.
+type Timing struct {
+	// List is the time between reads of the VM list.
+	List time.Duration
+	// Heartbeat is the time between pings on a connection.
+	Heartbeat time.Duration
+	// Suspect is how long a ping may stay unanswered before the peer gets no
+	// new work.
+	Suspect time.Duration
+	// Lost is how long before its connection is closed.
+	Lost time.Duration
+}
+
+// DefaultTiming returns the periods used unless a setting says otherwise.
+func DefaultTiming() Timing {
+	return Timing{List: time.Second, Heartbeat: 500 * time.Millisecond, Suspect: time.Second, Lost: 3 * time.Second}
+}
+
+// Peer is one process seen from this one.
+type Peer struct {
+	address string
+
+	mu        sync.Mutex
+	identity  Identity
+	conn      *peer.Conn
+	leaving   bool
+	suspected bool
+	load      Load
+	mark      config.Mark
+	vm        platform.VM
+}
+
+// Address returns where the peer listens.
+func (p *Peer) Address() string { return p.address }
+
+// VMName returns the name under which the platform lists the peer's VM.
+func (p *Peer) VMName() string { return p.vm.Name() }
+
+// VMZone returns the zone the platform lists for the peer's VM.
+func (p *Peer) VMZone() string { return p.vm.Zone() }
+
+// Identity returns what the peer said of itself; it is zero before the first
+// contact.
+func (p *Peer) Identity() Identity {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.identity
+}
+
+// Conn returns the open connection, or nil.
+func (p *Peer) Conn() *peer.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn
+}
+
+// Usable reports whether the peer may get new work.
+func (p *Peer) Usable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn != nil && !p.leaving && !p.suspected && !p.vm.Leaving()
+}
+
+// Leaving reports whether the peer or the platform said that it leaves.
+func (p *Peer) Leaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving || p.vm.Leaving()
+}
+
+// Load returns the newest load the peer reported.
+func (p *Peer) Load() Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.load
+}
+
+// SetLoad takes a newer load, from a reply.
+func (p *Peer) SetLoad(l Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.At.After(p.load.At) {
+		p.load = l
+	}
+}
+
+// Mark returns the configuration mark the peer last reported.
+func (p *Peer) Mark() config.Mark {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mark
+}
+
+// Set is the processes known to this one.
+type Set struct {
+	self    *Self
+	vms     *platform.VMs
+	timing  Timing
+	methods peer.Methods
+	// OnConnect may be set before Run; it is called with each new connection.
+	OnConnect func(p *Peer, c *peer.Conn)
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+	// listedAt is when the VM list was last read.
+	listedAt time.Time
+	wg       sync.WaitGroup
+}
+
+// NewSet returns an empty set. methods answer what peers send over the
+// connections that this process opens.
+func NewSet(self *Self, vms *platform.VMs, timing Timing, methods peer.Methods) *Set {
+	s := &Set{self: self, vms: vms, timing: timing, peers: map[string]*Peer{}}
+	s.methods = maps.Clone(methods)
+	if s.methods == nil {
+		s.methods = peer.Methods{}
+	}
+	maps.Copy(s.methods, self.Methods())
+	s.methods[methodLeave] = s.peerLeaves
+	return s
+}
+
+// Run reads the VM list and keeps connections to all processes on it until ctx
+// ends.
+func (s *Set) Run(ctx context.Context) {
+	tick := time.NewTicker(s.timing.List)
+	defer tick.Stop()
+	for {
+		s.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			s.wg.Wait()
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *Set) refresh(ctx context.Context) {
+	vms, err := s.vms.List(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.self.Recorder.Note(events.VMListFailed, "", "error", err)
+		}
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listedAt = time.Now()
+	seen := map[string]bool{}
+	for _, vm := range vms {
+		seen[vm.Address()] = true
+		s.learn(ctx, vm)
+	}
+	for addr, p := range s.peers {
+		if !seen[addr] {
+			delete(s.peers, addr)
+			p.close()
+		}
+	}
+}
+
+func (s *Set) learn(ctx context.Context, vm platform.VM) {
+	p, ok := s.peers[vm.Address()]
+	if !ok {
+		p = &Peer{address: vm.Address(), vm: vm}
+		s.peers[vm.Address()] = p
+		s.wg.Go(func() { s.keep(ctx, p) })
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if vm.Leaving() && !p.vm.Leaving() {
+		s.self.Recorder.Note(events.PeerLeaving, "", "peer", vm.Name(), "source", "vm-list")
+	}
+	p.vm = vm
+}
+
+func (p *Peer) close() {
+	if c := p.Conn(); c != nil {
+		c.Close()
+	}
+}
+
+// keep holds a connection to p while it is on the list.
+func (s *Set) keep(ctx context.Context, p *Peer) {
+	for ctx.Err() == nil && s.listed(p) {
+		if err := s.connect(ctx, p); err == nil {
+			s.watch(ctx, p)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(s.timing.Heartbeat):
+		}
+	}
+	p.close()
+}
+
+func (s *Set) listed(p *Peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers[p.address] == p
+}
+
+func (s *Set) connect(ctx context.Context, p *Peer) error {
+	c, err := peer.Dial(ctx, p.address, s.methods)
+	if err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, s.timing.Lost)
+	defer cancel()
+	var h helloResult
+	if err := c.Call(callCtx, methodHello, struct{}{}, &h); err != nil {
+		c.Close()
+		return err
+	}
+	c.Attach(peerKey{}, p)
+	p.mu.Lock()
+	if p.identity.incarnation != h.Incarnation {
+		p.leaving = false
+	}
+	p.identity = NewIdentity(h.Process, h.Role, h.Zone, h.Upstream, h.Incarnation, h.Started)
+	p.conn, p.suspected = c, false
+	p.mu.Unlock()
+	s.self.Recorder.Note(events.PeerConnected, "", "peer", h.Process, "incarnation", h.Incarnation)
+	if s.OnConnect != nil {
+		s.OnConnect(p, c)
+	}
+	return nil
+}
+
+type peerKey struct{}
+
+// watch pings until the connection ends or stays silent too long.
+func (s *Set) watch(ctx context.Context, p *Peer) {
+	c := p.Conn()
+	for s.beat(ctx, p, c) {
+		select {
+		case <-ctx.Done():
+		case <-c.Done():
+		case <-time.After(s.timing.Heartbeat):
+			continue
+		}
+		break
+	}
+	c.Close()
+	p.mu.Lock()
+	p.conn = nil
+	p.mu.Unlock()
+	if ctx.Err() == nil {
+		s.self.Recorder.Note(events.PeerLost, "", "peer", p.Identity().Process())
+	}
+}
+
+// beat sends one ping. It returns false when the connection is to be given up.
+func (s *Set) beat(ctx context.Context, p *Peer, c *peer.Conn) bool {
+	suspect := time.AfterFunc(s.timing.Suspect, func() { s.suspect(p) })
+	defer suspect.Stop()
+	callCtx, cancel := context.WithTimeout(ctx, s.timing.Lost)
+	defer cancel()
+	var r pingResult
+	mark := s.self.Status().Mark
+	if err := c.Call(callCtx, methodPing, pingParams{Mark: mark, Stamp: s.self.Recorder.Now()}, &r); err != nil {
+		return false
+	}
+	s.self.Recorder.Observe(r.Stamp)
+	if r.Mark > mark && s.self.Behind != nil {
+		go s.self.Behind(c, r.Mark)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspected = false
+	p.leaving = p.leaving || r.Leaving
+	p.mark = r.Mark
+	if r.Load.At.After(p.load.At) {
+		p.load = r.Load
+	}
+	return true
+}
+
+func (s *Set) suspect(p *Peer) {
+	p.mu.Lock()
+	p.suspected = true
+	p.mu.Unlock()
+	s.self.Recorder.Note(events.PeerSuspected, "", "peer", p.Identity().Process())
+}
+
+func (s *Set) peerLeaves(_ context.Context, c *peer.Conn, _ json.RawMessage) (any, error) {
+	p, ok := c.Attached(peerKey{}).(*Peer)
+	if !ok {
+		return nil, nil
+	}
+	p.mu.Lock()
+	p.leaving = true
+	p.mu.Unlock()
+	s.self.Recorder.Note(events.PeerLeaving, "", "peer", p.Identity().Process(), "source", "peer")
+	return nil, nil
+}
+
+// Peers returns all listed peers, by address.
+func (s *Set) Peers() []*Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := slices.Collect(maps.Values(s.peers))
+	slices.SortFunc(out, func(a, b *Peer) int { return strings.Compare(a.address, b.address) })
+	return out
+}
+
+// Upstream returns the peer beside the named upstream: of several that claim
+// it, the one that started last.
+func (s *Set) Upstream(name string) (*Peer, bool) {
+	var best *Peer
+	for _, p := range s.Peers() {
+		i := p.Identity()
+		if i.upstream != name || p.Conn() == nil {
+			continue
+		}
+		if best == nil || i.started.After(best.Identity().started) {
+			best = p
+		}
+	}
+	return best, best != nil
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,151 @@
+// Package peer carries JSON-RPC between the processes of the system: one TCP
+// connection per pair that talks, length-framed, calls in both directions, and
+// notifications handled in the order in which they were sent.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// ErrLost is returned when the connection ended before an answer came. The
+// other side may or may not have acted.
+var ErrLost = errors.New("connection lost")
+
+// ErrUnreachable is returned when no connection could be made, so that nothing
+// was sent.
+var ErrUnreachable = errors.New("peer unreachable")
+
+// ErrRefused is returned when the other side answered with an error.
+var ErrRefused = errors.New("peer refused the message")
+
+// Handler answers one method. Its result is ignored for notifications.
+type Handler func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
+
+// Methods maps method names to their handlers.
+type Methods map[string]Handler
+
+// Conn is one connection to a peer.
+type Conn struct {
+	rpc    *jsonrpc2.Conn
+	remote string
+	mu     sync.Mutex
+	values map[any]any
+}
+
+const dialTimeout = time.Second
+
+// Dial connects to addr. The methods answer what the other side sends.
+func Dial(ctx context.Context, addr string, methods Methods) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+	}
+	return newConn(nc, methods), nil
+}
+
+func newConn(nc net.Conn, methods Methods) *Conn {
+	c := &Conn{remote: nc.RemoteAddr().String(), values: map[any]any{}}
+	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &dispatcher{conn: c, methods: methods}, jsonrpc2.SetLogger(silent{}))
+	return c
+}
+
+// Call sends a request and decodes its answer into result.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	err := c.rpc.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return fmt.Errorf("%w: %s: %s", ErrRefused, method, answered.Message)
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("%s: %w", method, ctx.Err())
+	}
+	return fmt.Errorf("%w: %s: %v", ErrLost, method, err)
+}
+
+// Notify sends a message that has no answer.
+func (c *Conn) Notify(ctx context.Context, method string, params any) error {
+	if err := c.rpc.Notify(ctx, method, params); err != nil {
+		return fmt.Errorf("%w: %s: %v", ErrLost, method, err)
+	}
+	return nil
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the connection.
+func (c *Conn) Close() { _ = c.rpc.Close() }
+
+// Remote returns the other side's network address.
+func (c *Conn) Remote() string { return c.remote }
+
+// Attach keeps a value with the connection, under a key of the caller's own type.
+func (c *Conn) Attach(key, value any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values[key] = value
+}
+
+// Attached returns the value kept under key, or nil.
+func (c *Conn) Attached(key any) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.values[key]
+}
+
+type dispatcher struct {
+	conn    *Conn
+	methods Methods
+}
+
+// Handle answers calls concurrently and notifications in order.
+func (d *dispatcher) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	d.conn.mu.Lock()
+	ready := d.conn.rpc != nil
+	d.conn.mu.Unlock()
+	h, ok := d.methods[req.Method]
+	if !ok || !ready {
+		if !req.Notif {
+			_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method})
+		}
+		return
+	}
+	params := json.RawMessage("null")
+	if req.Params != nil {
+		params = *req.Params
+	}
+	if req.Notif {
+		_, _ = h(ctx, d.conn, params)
+		return
+	}
+	go d.answer(ctx, rpc, req, h, params)
+}
+
+func (d *dispatcher) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, h Handler, params json.RawMessage) {
+	result, err := h(ctx, d.conn, params)
+	if err != nil {
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
+		return
+	}
+	_ = rpc.Reply(ctx, req.ID, result)
+}
+
+type silent struct{}
+
+// Printf drops the library's own messages: lost connections are events of ours.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Server accepts connections from peers.
+type Server struct {
+	listener net.Listener
+	methods  Methods
+	onOpen   func(*Conn)
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+	done  sync.WaitGroup
+}
+
+// NewServer returns a Server on l. onOpen may be nil; it is called for each
+// new connection.
+func NewServer(l net.Listener, methods Methods, onOpen func(*Conn)) *Server {
+	return &Server{listener: l, methods: methods, onOpen: onOpen, conns: map[*Conn]struct{}{}}
+}
+
+// Addr returns the address the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Start accepts connections until Close.
+func (s *Server) Start() { s.done.Go(s.accept) }
+
+func (s *Server) accept() {
+	for {
+		nc, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		c := newConn(nc, s.methods)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		if s.onOpen != nil {
+			s.onOpen(c)
+		}
+		s.done.Go(func() { s.forget(c) })
+	}
+}
+
+func (s *Server) forget(c *Conn) {
+	<-c.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Broadcast notifies every connected peer; a peer that cannot be written to is
+// closed.
+func (s *Server) Broadcast(ctx context.Context, method string, params any) {
+	for _, c := range s.Conns() {
+		if err := c.Notify(ctx, method, params); err != nil {
+			c.Close()
+		}
+	}
+}
+
+// Conns returns the open connections.
+func (s *Server) Conns() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	for _, c := range s.Conns() {
+		c.Close()
+	}
+	s.done.Wait()
+}
--- /dev/null
+++ b/internal/platform/vms.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// VMState is the platform's word on a VM.
+type VMState string
+
+// The states of a VM in the list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one row of the VM list.
+type VM struct {
+	name    string
+	zone    string
+	address string
+	state   VMState
+}
+
+// NewVM returns a row of the VM list.
+func NewVM(name, zone, address string, state VMState) VM {
+	return VM{name: name, zone: zone, address: address, state: state}
+}
+
+// Name returns the VM's name.
+func (v VM) Name() string { return v.name }
+
+// Zone returns the availability zone.
+func (v VM) Zone() string { return v.zone }
+
+// Address returns where the system's process on the VM listens for peers.
+func (v VM) Address() string { return v.address }
+
+// Leaving reports whether the platform will take the VM away.
+func (v VM) Leaving() bool { return v.state == VMLeaving }
+
+// VMs is the platform's lagging list of VMs.
+type VMs struct {
+	// List returns the VMs as the platform last saw them.
+	List func(ctx context.Context) ([]VM, error)
+}
+
+type vmRow struct {
+	Name    string  `json:"name"`
+	Zone    string  `json:"zone"`
+	Address string  `json:"address"`
+	State   VMState `json:"state"`
+}
+
+type vmPage struct {
+	VMs []vmRow `json:"vms"`
+}
+
+// NewVMs returns the list served at endpoint.
+func NewVMs(endpoint string) *VMs {
+	client := &http.Client{Timeout: callTimeout}
+	url := strings.TrimSuffix(endpoint, "/") + "/v1/vms"
+	return &VMs{List: func(ctx context.Context) ([]VM, error) { return listVMs(ctx, client, url) }}
+}
+
+func listVMs(ctx context.Context, client *http.Client, url string) ([]VM, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("vm list: %w", err)
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("vm list: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("vm list: status %d", resp.StatusCode)
+	}
+	var page vmPage
+	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+		return nil, fmt.Errorf("vm list: %w", err)
+	}
+	out := make([]VM, 0, len(page.VMs))
+	for _, v := range page.VMs {
+		out = append(out, NewVM(v.Name, v.Zone, v.Address, v.State))
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/rollout/follow.go
@@ -0,0 +1,79 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// Refresh reads the head and takes it if it is higher than what is in force.
+func (c *Coordinator) Refresh(ctx context.Context) error {
+	h, _, err := c.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if h.Version == 0 || config.MarkOf(h.Version, h.Accepted) <= c.store.Mark() {
+		return nil
+	}
+	if c.store.takeStaged(h) {
+		return nil
+	}
+	source, err := c.objects.Get(ctx, h.Hash)
+	if err != nil {
+		return fmt.Errorf("content of version %d: %w", h.Version, err)
+	}
+	return c.store.takeSource(h, source)
+}
+
+// Follow keeps up with the head and finishes changes whose coordinator died
+// after the commit, until ctx ends. The period is spread at random so that
+// processes do not read at the same time.
+func (c *Coordinator) Follow(ctx context.Context, period time.Duration) {
+	for {
+		if c.Refresh(ctx) == nil {
+			c.finish(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(period/2 + rand.N(period)):
+		}
+	}
+}
+
+// finish confirms a committed head that nobody has confirmed.
+func (c *Coordinator) finish(ctx context.Context) {
+	c.store.mu.Lock()
+	h := c.store.head
+	c.store.mu.Unlock()
+	if h.Version > 0 && !h.Accepted {
+		c.confirm(ctx, h)
+	}
+}
+
+// Status returns what the table knows of a change.
+func (c *Coordinator) Status(ctx context.Context, id string) (Outcome, error) {
+	h, _, err := c.readHead(ctx)
+	if err != nil {
+		return Outcome{}, err
+	}
+	if h.Change == id && h.Accepted {
+		return Outcome{state: Accepted, version: h.Version}, nil
+	}
+	if h.Change == id {
+		return Outcome{state: Committed, version: h.Version}, nil
+	}
+	_, err = c.table.Get(ctx, platform.Key{Group: changeGroup, Name: id})
+	if errors.Is(err, platform.ErrNotFound) {
+		return Outcome{state: InDoubt, version: h.Version, reasons: []string{"not committed so far"}}, nil
+	}
+	if err != nil {
+		return Outcome{}, err
+	}
+	return Outcome{state: Committed, version: h.Version, reasons: []string{"a later version replaced it"}}, nil
+}
--- /dev/null
+++ b/internal/sidecar/server.go
@@ -0,0 +1,482 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/decision"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/lease"
+	"github.com/sparshore/sparshore/internal/membership"
+	"github.com/sparshore/sparshore/internal/peer"
+)
+
+// Settings are the fixed numbers of one sidecar.
+type Settings struct {
+	// Upstream is the upstream's name in the configuration.
+	Upstream string
+	// URL is where the upstream listens.
+	URL string
+	// Decision describes the engine; unused beside a plain service.
+	Decision decision.Settings
+	// Grace is how long a generation without a caller is kept.
+	Grace time.Duration
+	// Kept is how long the end of a stream can be asked for again.
+	Kept time.Duration
+	// UnackedBytes and RetainedBytes bound the buffer of one stream.
+	UnackedBytes  int
+	RetainedBytes int
+	// CallWindow is how long a call identifier is remembered.
+	CallWindow time.Duration
+	// AnswerBytes bounds the kept answers of all calls.
+	AnswerBytes int
+	// Skew bounds how much two clocks differ.
+	Skew time.Duration
+	// CallTimeout bounds one call to a plain service.
+	CallTimeout time.Duration
+}
+
+// Server is the part of the sidecar that entries talk to.
+type Server struct {
+	settings Settings
+	identity membership.Identity
+	rec      *events.Recorder
+	met      *Metrics
+	active   func() *config.Active
+	now      func() time.Time
+	lease    *lease.Lease
+	runner   *runner
+	book     *callBook
+	service  *serviceLink
+
+	draining atomic.Bool
+	serial   atomic.Int64
+	inFlight sync.WaitGroup
+
+	mu          sync.Mutex
+	generations map[string]*generation
+}
+
+// New returns a Server. active is the configuration in force, now the wall
+// clock.
+func New(settings Settings, identity membership.Identity, l *lease.Lease, rec *events.Recorder, met *Metrics, active func() *config.Active, now func() time.Time) *Server {
+	link := newEngineLink(settings.URL, l.Fence)
+	return &Server{
+		settings:    settings,
+		identity:    identity,
+		rec:         rec,
+		met:         met,
+		active:      active,
+		now:         now,
+		lease:       l,
+		runner:      newRunner(link, settings.Decision, rec, met, now),
+		book:        newCallBook(settings.CallWindow, settings.AnswerBytes, now),
+		service:     newServiceLink(settings.URL, l.Fence),
+		generations: map[string]*generation{},
+	}
+}
+
+// Methods returns the handlers for entries.
+func (s *Server) Methods() peer.Methods {
+	return peer.Methods{
+		methodGenerate: s.generate,
+		methodResume:   s.resume,
+		methodAck:      s.ack,
+		methodCancel:   s.cancel,
+		methodInvoke:   s.invoke,
+		methodSettle:   s.settle,
+		methodDrain:    s.drainOrder,
+	}
+}
+
+// Run drives the periodic work until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	go s.sweepLoop(ctx)
+	s.runner.run(ctx, s.isEngine)
+}
+
+func (s *Server) isEngine() bool {
+	active := s.active()
+	if active == nil {
+		return false
+	}
+	pool, ok := active.Config().PoolOf(s.settings.Upstream)
+	return ok && pool.Kind == config.KindEngine
+}
+
+// Draining reports whether the sidecar takes no new work.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Drain takes no new work from now on.
+func (s *Server) Drain(by string) {
+	if s.draining.CompareAndSwap(false, true) {
+		s.rec.Note(events.DrainStarted, "", "by", by)
+	}
+}
+
+// Idle waits until nothing is in flight; it returns false if ctx ends first.
+func (s *Server) Idle(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		s.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return s.delivered(ctx)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const deliveredPoll = 20 * time.Millisecond
+
+// delivered waits until every held stream has its last token acknowledged.
+func (s *Server) delivered(ctx context.Context) bool {
+	for {
+		if s.undelivered() == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(deliveredPoll):
+		}
+	}
+}
+
+func (s *Server) undelivered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, g := range s.generations {
+		g.mu.Lock()
+		if g.holder != nil && g.acked < g.first+int64(len(g.choices))-1 {
+			n++
+		}
+		g.mu.Unlock()
+	}
+	return n
+}
+
+// Load returns the load for heartbeats and replies.
+func (s *Server) Load() membership.Load { return s.runner.load() }
+
+func (s *Server) drainOrder(_ context.Context, _ *peer.Conn, raw json.RawMessage) (any, error) {
+	var p drainParams
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("drain: %w", err)
+	}
+	s.Drain(p.By)
+	return struct{}{}, nil
+}
+
+// errParams is wrapped when a message cannot be read.
+var errParams = errors.New("malformed message")
+
+func (s *Server) generate(ctx context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
+	var p generateParams
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("%w: generate: %v", errParams, err)
+	}
+	s.rec.Observe(p.Stamp)
+	if r := s.refuseAtOnce(p); r != nil {
+		return s.refused(p.Request, r), nil
+	}
+	s.inFlight.Add(1)
+	if s.draining.Load() {
+		s.inFlight.Done()
+		return s.refused(p.Request, &refusal{Reason: "leaving", Elsewhere: true}), nil
+	}
+	id := generationID(s.settings.Upstream, s.identity.Incarnation(), s.serial.Add(1))
+	g := newGeneration(id, p.Request, p.Account, bufferLimits{unacked: s.settings.UnackedBytes, retained: s.settings.RetainedBytes})
+	d := &delivery{sub: p.Sub}
+	g.attach(d, 0)
+	s.hold(c, g, d)
+	act, r := s.queue(c, g, p)
+	if r != nil {
+		s.inFlight.Done()
+		s.forget(c, g, d)
+		return s.refused(p.Request, r), nil
+	}
+	s.rec.Note(events.GenerationAdmitted, p.Request, "generation", id, "reason", act.Reason())
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	g.mu.Lock()
+	g.cancel = cancel
+	late := g.end != nil
+	g.mu.Unlock()
+	if late {
+		cancel()
+	}
+	go func() {
+		defer s.inFlight.Done()
+		defer cancel()
+		s.runner.stream(runCtx, g, p)
+		end, _ := g.ended()
+		s.met.generations.WithLabelValues(endLabel(end)).Inc()
+		s.met.tokens.Add(float64(end.Output))
+	}()
+	go s.deliver(c, g, d)
+	return generateResult{Generation: id, Load: s.Load(), Stamp: s.rec.Now()}, nil
+}
+
+func endLabel(e *endNote) string {
+	if e.Whole {
+		return "whole"
+	}
+	return e.Reason
+}
+
+func (s *Server) refused(request string, r *refusal) generateResult {
+	s.rec.Note(events.RequestRefused, request, "reason", r.Reason)
+	return generateResult{Refused: r, Load: s.Load(), Stamp: s.rec.Now()}
+}
+
+func (s *Server) refuseAtOnce(p generateParams) *refusal {
+	switch {
+	case s.draining.Load():
+		return &refusal{Reason: "leaving", Elsewhere: true}
+	case p.Incarnation != "" && p.Incarnation != s.identity.Incarnation():
+		return &refusal{Reason: "another incarnation", Elsewhere: true}
+	case s.active() == nil:
+		return &refusal{Reason: "no configuration yet", Elsewhere: true}
+	case p.StartBy > 0 && s.now().UnixMilli() >= p.StartBy:
+		return &refusal{Reason: "deadline has passed"}
+	default:
+		return nil
+	}
+}
+
+// queue waits for the decision. A caller that goes away leaves the queue.
+func (s *Server) queue(c *peer.Conn, g *generation, p generateParams) (decision.Action, *refusal) {
+	s.rec.Note(events.GenerationQueued, p.Request, "generation", g.id)
+	gone := make(chan struct{})
+	g.mu.Lock()
+	g.cancel = sync.OnceFunc(func() { close(gone) })
+	g.mu.Unlock()
+	decided := s.runner.arrive(s.request(g, p))
+	select {
+	case a := <-decided:
+		if a.Kind() == decision.Refuse {
+			return a, &refusal{Reason: a.Reason(), RetryAt: a.RetryAt().UnixMilli(), Elsewhere: true}
+		}
+		if end, _ := g.ended(); end != nil {
+			s.runner.leave(g.id, false)
+			return a, &refusal{Reason: end.Reason}
+		}
+		return a, nil
+	case <-gone:
+		s.runner.leave(g.id, false)
+		return decision.Action{}, &refusal{Reason: reasonCancelled}
+	case <-c.Done():
+		s.runner.leave(g.id, false)
+		return decision.Action{}, &refusal{Reason: reasonDetached}
+	}
+}
+
+func (s *Server) request(g *generation, p generateParams) decision.Request {
+	r := decision.Request{
+		ID:        g.id,
+		Account:   p.Account,
+		Class:     p.Model,
+		Prompt:    p.Prompt,
+		MaxTokens: p.MaxTokens,
+	}
+	if p.StartBy > 0 {
+		r.StartBy = time.UnixMilli(p.StartBy)
+	}
+	if a, ok := s.active().Config().Account(p.Account); ok {
+		r.Weight = a.Weight
+	}
+	return r
+}
+
+type connKey struct{}
+
+// connStreams are the deliveries of one connection by subscription number.
+type connStreams struct {
+	mu   sync.Mutex
+	subs map[int64]heldStream
+}
+
+type heldStream struct {
+	g *generation
+	d *delivery
+}
+
+// Open prepares a new connection from an entry; it is to be called for each.
+func (s *Server) Open(c *peer.Conn) {
+	c.Attach(connKey{}, &connStreams{subs: map[int64]heldStream{}})
+	go func() {
+		<-c.Done()
+		s.connLost(c)
+	}()
+}
+
+func streamsOf(c *peer.Conn) *connStreams {
+	cs, _ := c.Attached(connKey{}).(*connStreams)
+	return cs
+}
+
+func (s *Server) hold(c *peer.Conn, g *generation, d *delivery) {
+	s.mu.Lock()
+	s.generations[g.id] = g
+	s.mu.Unlock()
+	cs := streamsOf(c)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.subs[d.sub] = heldStream{g: g, d: d}
+}
+
+func (s *Server) forget(c *peer.Conn, g *generation, d *delivery) {
+	s.mu.Lock()
+	delete(s.generations, g.id)
+	s.mu.Unlock()
+	s.release(c, d)
+}
+
+func (s *Server) release(c *peer.Conn, d *delivery) {
+	cs := streamsOf(c)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	delete(cs.subs, d.sub)
+}
+
+func lookup(c *peer.Conn, sub int64) (heldStream, bool) {
+	cs := streamsOf(c)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	h, ok := cs.subs[sub]
+	return h, ok
+}
+
+func (s *Server) connLost(c *peer.Conn) {
+	cs := streamsOf(c)
+	cs.mu.Lock()
+	lost := make([]heldStream, 0, len(cs.subs))
+	for _, h := range cs.subs {
+		lost = append(lost, h)
+	}
+	cs.mu.Unlock()
+	for _, h := range lost {
+		s.detach(h)
+	}
+}
+
+// detach starts the time in which a caller may come back.
+func (s *Server) detach(h heldStream) {
+	if !h.g.detach(h.d) {
+		return
+	}
+	time.AfterFunc(s.settings.Grace, func() {
+		if !h.g.held() {
+			h.g.finishOnce(false, reasonDetached)
+		}
+	})
+}
+
+// deliver sends frames to one entry until the stream's end or a newer receiver.
+func (s *Server) deliver(c *peer.Conn, g *generation, d *delivery) {
+	for {
+		note, wait, ok := g.frame(d)
+		if !ok {
+			return
+		}
+		if note == nil {
+			select {
+			case <-wait:
+			case <-c.Done():
+				return
+			}
+			continue
+		}
+		if err := c.Notify(context.Background(), methodTokens, note); err != nil {
+			return
+		}
+		if note.End != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) ack(_ context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
+	var p ackNote
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("%w: ack: %v", errParams, err)
+	}
+	if h, ok := lookup(c, p.Sub); ok {
+		h.g.ack(h.d, p.Upto)
+	}
+	return nil, nil
+}
+
+func (s *Server) cancel(_ context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
+	var p cancelNote
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("%w: cancel: %v", errParams, err)
+	}
+	if h, ok := lookup(c, p.Sub); ok && h.g.detach(h.d) {
+		s.release(c, h.d)
+		h.g.finishOnce(false, reasonCancelled)
+	}
+	return nil, nil
+}
+
+// ErrNoGeneration is returned to a caller that asks for a stream which is not
+// kept here, or not from that offset on.
+var ErrNoGeneration = errors.New("no such generation or offset")
+
+func (s *Server) resume(_ context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
+	var p resumeParams
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("%w: resume: %v", errParams, err)
+	}
+	s.mu.Lock()
+	g, ok := s.generations[p.Generation]
+	s.mu.Unlock()
+	if !ok || g.account != p.Account {
+		return nil, ErrNoGeneration
+	}
+	d := &delivery{sub: p.Sub}
+	s.hold(c, g, d)
+	if !g.attach(d, p.After) {
+		s.release(c, d)
+		return nil, ErrNoGeneration
+	}
+	s.rec.Note(events.StreamResumed, g.request, "generation", g.id, "after", p.After)
+	go s.deliver(c, g, d)
+	return generateResult{Generation: g.id, Load: s.Load(), Stamp: s.rec.Now()}, nil
+}
+
+const generationSweep = time.Second
+
+// sweepLoop forgets ended generations when nobody can ask for them any more.
+func (s *Server) sweepLoop(ctx context.Context) {
+	tick := time.NewTicker(generationSweep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.sweep()
+		}
+	}
+}
+
+func (s *Server) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, g := range s.generations {
+		end, at := g.ended()
+		if end != nil && time.Since(at) > s.settings.Kept {
+			delete(s.generations, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/main.go
@@ -0,0 +1,103 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/commandline"
+	"github.com/sparshore/sparshore/internal/enginemodel"
+	"github.com/sparshore/sparshore/internal/version"
+)
+
+type engineCommand struct {
+	Listen       string        `arg:"--listen,required" help:"address to listen on"`
+	Speed        float64       `arg:"--speed" default:"1" help:"times as fast as real time"`
+	Blocks       int           `arg:"--blocks" default:"2000" help:"KV blocks"`
+	LoadLag      time.Duration `arg:"--load-lag" default:"500ms" help:"age of the load page"`
+	ChecksOrders bool          `arg:"--checks-orders" help:"refuse orders with an old fencing token"`
+	Seed         uint64        `arg:"--seed" default:"1" help:"seed of the output lengths"`
+}
+
+type listenCommand struct {
+	Listen string `arg:"--listen,required" help:"address to listen on"`
+}
+
+type relayCommand struct {
+	Listen  string `arg:"--listen,required" help:"address to listen on"`
+	Control string `arg:"--control,required" help:"address of the relay's control page"`
+	To      string `arg:"--to,required" help:"address to pass connections on to"`
+}
+
+type arguments struct {
+	Engine   *engineCommand `arg:"subcommand:engine" help:"a model engine"`
+	Service  *listenCommand `arg:"subcommand:service" help:"a plain service"`
+	Platform *listenCommand `arg:"subcommand:platform" help:"table store, object store and VM list"`
+	Relay    *relayCommand  `arg:"subcommand:relay" help:"a TCP relay that can be cut"`
+}
+
+// Description is printed in the help text.
+func (arguments) Description() string {
+	return "sparshore-standin runs stand-ins for tests and the demo.\n"
+}
+
+// Version is printed by --version.
+func (arguments) Version() string { return "sparshore-standin " + version.String() }
+
+// Main runs a stand-in and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	_, code, done := commandline.Parse("sparshore-standin", &a, args, stdout, stderr)
+	if done {
+		return code
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, a); err != nil {
+		_, _ = fmt.Fprintf(stderr, "sparshore-standin: %v\n", err)
+		return commandline.ExitFailure
+	}
+	return commandline.ExitOK
+}
+
+func run(ctx context.Context, a arguments) error {
+	switch {
+	case a.Engine != nil:
+		model := enginemodel.DefaultSettings()
+		model.Blocks = a.Engine.Blocks
+		e := NewEngine(EngineSettings{
+			Model: model, Speed: a.Engine.Speed, LoadLag: a.Engine.LoadLag,
+			ChecksOrders: a.Engine.ChecksOrders, Seed: a.Engine.Seed,
+		})
+		go e.Run(ctx)
+		return serve(ctx, a.Engine.Listen, e.Handler())
+	case a.Service != nil:
+		return serve(ctx, a.Service.Listen, NewService().Handler())
+	case a.Relay != nil:
+		r, err := NewRelay(a.Relay.Listen, a.Relay.To)
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		return serve(ctx, a.Relay.Control, r.Handler())
+	default:
+		return serve(ctx, a.Platform.Listen, NewPlatform(time.Now).Handler())
+	}
+}
+
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	s := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() {
+		<-ctx.Done()
+		_ = s.Close()
+	}()
+	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,208 @@
+// Package standin holds small stand-ins for the systems around this one, for
+// tests and the demo: the platform's stores and VM list, a model engine and a
+// plain service. They speak the published protocols over loopback and can be
+// told to fail.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Platform is a stand-in for the table store, object store and VM list.
+type Platform struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	faults  platformFaults
+	items   map[string]map[string]dynamoItem
+	objects map[string][]byte
+	vms     map[string]vmChange
+	counts  map[string]int
+}
+
+// platformFaults is what the platform was told to do wrong.
+type platformFaults struct {
+	// Outage refuses all calls to the stores.
+	Outage bool `json:"outage"`
+	// VMOutage refuses the VM list.
+	VMOutage bool `json:"vm_outage"`
+	// DelayMS makes every call slow.
+	DelayMS int `json:"delay_ms"`
+	// LoseReplies is the number of writes that take effect and get no reply.
+	LoseReplies int `json:"lose_replies"`
+	// VMLagMS is how late a change of a VM is listed.
+	VMLagMS int `json:"vm_lag_ms"`
+}
+
+type vmChange struct {
+	Name      string `json:"name"`
+	Zone      string `json:"zone"`
+	Address   string `json:"address"`
+	State     string `json:"state"`
+	visibleAt time.Time
+	before    *vmChange
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform(now func() time.Time) *Platform {
+	return &Platform{
+		now:     now,
+		items:   map[string]map[string]dynamoItem{},
+		objects: map[string][]byte{},
+		vms:     map[string]vmChange{},
+		counts:  map[string]int{},
+	}
+}
+
+// Handler serves all of the platform on one address.
+func (p *Platform) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/control/faults", p.setFaults).Methods(http.MethodPut)
+	r.HandleFunc("/control/vms", p.setVM).Methods(http.MethodPut)
+	r.HandleFunc("/control/counts", p.getCounts).Methods(http.MethodGet)
+	r.HandleFunc("/v1/vms", p.listVMs).Methods(http.MethodGet)
+	r.HandleFunc("/", p.dynamo).Methods(http.MethodPost)
+	r.PathPrefix("/").HandlerFunc(p.s3)
+	return r
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f platformFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+func (p *Platform) setVM(w http.ResponseWriter, r *http.Request) {
+	var v vmChange
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v.visibleAt = p.now().Add(time.Duration(p.faults.VMLagMS) * time.Millisecond)
+	if old, ok := p.vms[v.Name]; ok {
+		old.before = nil
+		v.before = &old
+	}
+	p.vms[v.Name] = v
+}
+
+func (p *Platform) getCounts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	writeJSON(w, p.counts)
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts["vm_list"]++
+	if p.faults.VMOutage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	out := []vmChange{}
+	for _, v := range p.vms {
+		if p.now().Before(v.visibleAt) {
+			if v.before == nil {
+				continue
+			}
+			v = *v.before
+		}
+		if v.State != "gone" {
+			out = append(out, v)
+		}
+	}
+	slices.SortFunc(out, func(a, b vmChange) int { return strings.Compare(a.Name, b.Name) })
+	writeJSON(w, map[string]any{"vms": out})
+}
+
+// admit applies the faults that come before a call's effect. It reports
+// whether the call may go on.
+func (p *Platform) admit(w http.ResponseWriter, kind string) bool {
+	p.mu.Lock()
+	f := p.faults
+	p.counts[kind]++
+	p.mu.Unlock()
+	if f.DelayMS > 0 {
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+	}
+	if f.Outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// loseReply reports whether this write's reply is to be lost, and drops the
+// connection if so.
+func (p *Platform) loseReply(w http.ResponseWriter) bool {
+	p.mu.Lock()
+	lose := p.faults.LoseReplies > 0
+	if lose {
+		p.faults.LoseReplies--
+	}
+	p.mu.Unlock()
+	if !lose {
+		return false
+	}
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			_ = c.Close()
+		}
+	}
+	return true
+}
+
+func (p *Platform) s3(w http.ResponseWriter, r *http.Request) {
+	if !p.admit(w, "s3_"+strings.ToLower(r.Method)) {
+		return
+	}
+	switch r.Method {
+	case http.MethodPut:
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.mu.Lock()
+		p.objects[r.URL.Path] = body
+		p.mu.Unlock()
+		if !p.loseReply(w) {
+			w.WriteHeader(http.StatusOK)
+		}
+	case http.MethodGet:
+		p.mu.Lock()
+		body, ok := p.objects[r.URL.Path]
+		p.mu.Unlock()
+		if !ok {
+			w.Header().Set("Content-Type", "application/xml")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = fmt.Fprint(w, `<?xml version="1.0"?><Error><Code>NoSuchKey</Code><Message>no such key</Message></Error>`)
+			return
+		}
+		_, _ = w.Write(body)
+	default:
+		http.Error(w, "not in the used subset", http.StatusNotImplemented)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,80 @@
+// Package timeline gathers the recorded events of all processes into one
+// ordered list.
+package timeline
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/membership"
+	"github.com/sparshore/sparshore/internal/peer"
+)
+
+const methodSelect = "timeline.select"
+
+type selectParams struct {
+	Request string `json:"request"`
+}
+
+type selectResult struct {
+	Events []events.Entry `json:"events"`
+}
+
+// Methods returns the handler that answers for the own process.
+func Methods(rec *events.Recorder) peer.Methods {
+	return peer.Methods{
+		methodSelect: func(_ context.Context, _ *peer.Conn, raw json.RawMessage) (any, error) {
+			var p selectParams
+			if err := json.Unmarshal(raw, &p); err != nil {
+				return nil, fmt.Errorf("timeline: %w", err)
+			}
+			return selectResult{Events: rec.Select(p.Request)}, nil
+		},
+	}
+}
+
+// Gather asks every process on the VM list for its events about a request, or
+// for all if request is empty. It names the processes that did not answer.
+func Gather(ctx context.Context, set *membership.Set, request string) (all []events.Entry, unreachable []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, p := range set.Peers() {
+		wg.Go(func() {
+			got, err := ask(ctx, p, request)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreachable = append(unreachable, p.VMName())
+				return
+			}
+			all = append(all, got...)
+		})
+	}
+	wg.Wait()
+	slices.SortStableFunc(all, func(a, b events.Entry) int {
+		if a.Stamp.Before(b.Stamp) {
+			return -1
+		}
+		if b.Stamp.Before(a.Stamp) {
+			return 1
+		}
+		return 0
+	})
+	return all, unreachable
+}
+
+func ask(ctx context.Context, p *membership.Peer, request string) ([]events.Entry, error) {
+	c := p.Conn()
+	if c == nil {
+		return nil, fmt.Errorf("%w: %s", peer.ErrUnreachable, p.Address())
+	}
+	var r selectResult
+	if err := c.Call(ctx, methodSelect, selectParams{Request: request}, &r); err != nil {
+		return nil, err
+	}
+	return r.Events, nil
+}
