--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -109,6 +109,10 @@
 func DefaultDeadlines() Deadlines { return Deadlines{Stage: 8 * time.Second, Confirm: 8 * time.Second} }
 
 const (
+	// noEarlierHomes is the time from which the homes of the first version
+	// hold: there were none before.
+	noEarlierHomes = 1
+
 	headGroup   = "config"
 	headName    = "head"
 	changeGroup = "change"
@@ -182,7 +186,7 @@
 	}
 	next := head{Version: h.Version + 1, Hash: cfg.Hash(), Change: ch.ID, By: ch.By, HomesSince: h.HomesSince}
 	if h.Version == 0 {
-		next.HomesSince = c.now().UnixMilli()
+		next.HomesSince = noEarlierHomes
 	} else if active := c.store.Active(); active.Version() != h.Version || !config.SameHomes(active.Config(), cfg) {
 		next.HomesSince = 0
 	}
--- /dev/null
+++ b/internal/scenario/callers_test.go
@@ -0,0 +1,171 @@
+package scenario
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// answer is what one caller received of one stream, over reconnections.
+type answer struct {
+	mu      sync.Mutex
+	lastID  string
+	tokens  []string
+	end     string
+	cutAt   string
+	status  int
+	outcome string
+	retry   string
+	took    time.Duration
+	done    chan struct{}
+	stop    context.CancelFunc
+}
+
+func newAnswer() *answer { return &answer{done: make(chan struct{})} }
+
+func (a *answer) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.tokens)
+}
+
+// ask sends a streamed request, or goes on with the one a already has.
+func (a *answer) ask(url string, out int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	a.mu.Lock()
+	a.stop, a.end = cancel, ""
+	a.mu.Unlock()
+	began := time.Now()
+	defer func() { a.took = time.Since(began) }()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"out=%d"}]}`, modelName, out)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	if a.lastID != "" {
+		r.Header.Set("Last-Event-ID", a.lastID)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		a.finish("broken")
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.mu.Lock()
+	a.status, a.outcome, a.retry = resp.StatusCode, resp.Header.Get("Sparshore-Outcome"), resp.Header.Get("Retry-After")
+	a.mu.Unlock()
+	if resp.StatusCode != http.StatusOK {
+		a.finish("refused")
+		return
+	}
+	a.finish(a.read(resp.Body))
+}
+
+func (a *answer) finish(end string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.end = end
+}
+
+func (a *answer) read(body io.Reader) string {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch {
+		case name == "id":
+			a.mu.Lock()
+			a.lastID = value
+			a.mu.Unlock()
+		case name == "data" && value == "[DONE]":
+			return "whole"
+		case name == "data" && strings.Contains(value, `"error"`):
+			a.cutAt = value
+			return "cut"
+		case name == "data":
+			if t, ok := content(value); ok {
+				a.mu.Lock()
+				a.tokens = append(a.tokens, t)
+				a.mu.Unlock()
+			}
+		}
+	}
+	return "broken"
+}
+
+// content finds the token in a chunk. The stand-in's tokens need no escapes.
+func content(chunk string) (string, bool) {
+	_, rest, ok := strings.Cut(chunk, `"content":"`)
+	if !ok {
+		return "", false
+	}
+	text, _, _ := strings.Cut(rest, `"`)
+	return strings.TrimSpace(text), true
+}
+
+// check judges what the caller received: one generation, each token once, in
+// order, none left out.
+func (a *answer) check() error {
+	tag := ""
+	for i, t := range a.tokens {
+		g, n, _ := strings.Cut(t, ".")
+		if tag != "" && g != tag {
+			return fmt.Errorf("token %d is of generation %s, not %s", i+1, g, tag)
+		}
+		tag = g
+		if n != strconv.Itoa(i+1) {
+			return fmt.Errorf("token %d came as number %s", i+1, n)
+		}
+	}
+	return nil
+}
+
+// call is one request to the plain service and its answer.
+type call struct {
+	status  int
+	outcome string
+	id      string
+	retry   string
+	err     error
+	done    chan struct{}
+}
+
+// file sends a call that may not be repeated.
+func file(ctx context.Context, url, key string) *call {
+	return send(ctx, http.MethodPost, url+"/services/ledger/tallies", key)
+}
+
+// settle asks what became of a call.
+func settle(ctx context.Context, url, key string) *call {
+	return send(ctx, http.MethodGet, url+"/services/ledger/_calls/"+key, "")
+}
+
+func send(ctx context.Context, method, url, key string) *call {
+	c := &call{done: make(chan struct{})}
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(`{"row":1}`))
+	if err != nil {
+		c.err = err
+		return c
+	}
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		c.err = err
+		return c
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	c.status, c.outcome = resp.StatusCode, resp.Header.Get("Sparshore-Outcome")
+	c.id, c.retry = resp.Header.Get("Sparshore-Call"), resp.Header.Get("Retry-After")
+	return c
+}
--- /dev/null
+++ b/internal/scenario/cluster_test.go
@@ -0,0 +1,367 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/standin"
+)
+
+const (
+	apiKey    = "scenario-key"
+	opToken   = "scenario-operator"
+	patience  = 20 * time.Second
+	poll      = 20 * time.Millisecond
+	modelName = "bins"
+)
+
+// process is one program of the deployment.
+type process struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	peer string
+	http string
+	done chan struct{}
+}
+
+// cluster is a deployment of separate processes on loopback. Engines, services
+// and the platform are stand-ins inside the test process, so that what they
+// counted can be read without asking the system.
+type cluster struct {
+	dir      string
+	platform *standin.Platform
+	stores   string
+	mu       sync.Mutex
+	procs    map[string]*process
+	relays   map[string]*standin.Relay
+	engines  map[string]*standin.Engine
+	services map[string]string
+	urls     map[string]string
+	cancel   context.CancelFunc
+	ctx      context.Context
+	env      []string
+	closers  []func()
+}
+
+func newCluster(dir string, env ...string) (*cluster, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{
+		dir: dir, platform: standin.NewPlatform(time.Now), procs: map[string]*process{},
+		relays: map[string]*standin.Relay{}, engines: map[string]*standin.Engine{},
+		services: map[string]string{}, urls: map[string]string{}, ctx: ctx, cancel: cancel, env: env,
+	}
+	url, err := c.serve(c.platform.Handler())
+	c.stores = url
+	return c, err
+}
+
+// serve runs a stand-in's handler on a loopback port.
+func (c *cluster) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }()
+	c.closers = append(c.closers, func() { _ = s.Close() })
+	return "http://" + l.Addr().String(), nil
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// close ends everything the cluster started.
+func (c *cluster) close() {
+	c.mu.Lock()
+	procs := make([]*process, 0, len(c.procs))
+	for _, p := range c.procs {
+		procs = append(procs, p)
+	}
+	c.mu.Unlock()
+	for _, p := range procs {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.done
+	}
+	c.cancel()
+	for _, r := range c.relays {
+		r.Close()
+	}
+	for _, f := range c.closers {
+		f()
+	}
+}
+
+func (c *cluster) common(name, zone, peer, http string) []string {
+	args := []string{
+		"--name", name, "--zone", zone, "--peer-listen", peer, "--http-listen", http,
+		"--table-url", c.stores, "--objects-url", c.stores, "--vms-url", c.stores,
+		"--vms-every", "200ms", "--config-every", "500ms", "--heartbeat", "200ms",
+	}
+	return args
+}
+
+func (c *cluster) launch(p *process) error {
+	log, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	p.cmd = exec.Command("sparshored", p.args...)
+	p.cmd.Env = append(os.Environ(), "SPARSHORE_OPERATORS=op="+config.HashKey(opToken))
+	p.cmd.Env = append(p.cmd.Env, c.env...)
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go func() {
+		_ = p.cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.procs[p.name] = p
+	return nil
+}
+
+// start runs a process and lists its VM behind a relay that can be cut.
+func (c *cluster) start(name, zone string, role []string) error {
+	peer, err := freePort()
+	if err != nil {
+		return err
+	}
+	web, err := freePort()
+	if err != nil {
+		return err
+	}
+	args := append([]string{role[0]}, c.common(name, zone, peer, web)...)
+	p := &process{name: name, args: append(args, role[1:]...), peer: peer, http: "http://" + web}
+	if err := c.launch(p); err != nil {
+		return err
+	}
+	relay, err := standin.NewRelay("127.0.0.1:0", peer)
+	if err != nil {
+		return err
+	}
+	c.relays[name] = relay
+	c.listVM(name, zone, "live")
+	return waitFor(func() error { return get(p.http + "/livez") })
+}
+
+func (c *cluster) listVM(name, zone, state string) {
+	c.control(c.stores+"/control/vms", map[string]string{"name": name, "zone": zone, "address": c.relays[name].Addr(), "state": state})
+}
+
+// control tells a stand-in something.
+func (c *cluster) control(url string, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	r, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(b))
+	if err != nil {
+		panic(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		panic(err)
+	}
+	_ = resp.Body.Close()
+}
+
+func (c *cluster) startEngine(name, zone string, speed float64) error {
+	settings := standin.EngineSettings{Model: engineSize(), Speed: speed, LoadLag: 200 * time.Millisecond, Seed: 1}
+	e := standin.NewEngine(settings)
+	go e.Run(c.ctx)
+	url, err := c.serve(e.Handler())
+	if err != nil {
+		return err
+	}
+	c.engines[name], c.urls[name] = e, url
+	return c.start(name, zone, []string{"sidecar", "--upstream", name, "--upstream-url", url})
+}
+
+func (c *cluster) startService(name, zone string) error {
+	url, err := c.serve(standin.NewService().Handler())
+	if err != nil {
+		return err
+	}
+	c.services[name], c.urls[name] = url, url
+	return c.start(name, zone, []string{"sidecar", "--upstream", name, "--upstream-url", url})
+}
+
+func (c *cluster) startEntry(name, zone string) error {
+	return c.start(name, zone, []string{"entry"})
+}
+
+// restart runs a killed process again, as a new incarnation at the same place.
+func (c *cluster) restart(name string) error {
+	p := c.proc(name)
+	<-p.done
+	if err := c.launch(p); err != nil {
+		return err
+	}
+	return waitFor(func() error { return get(p.http + "/livez") })
+}
+
+func (c *cluster) proc(name string) *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.procs[name]
+}
+
+func (c *cluster) signal(name string, s syscall.Signal) error {
+	p := c.proc(name)
+	if p == nil {
+		return fmt.Errorf("no process %q", name)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+func (c *cluster) exited(name string) bool {
+	select {
+	case <-c.proc(name).done:
+		return true
+	default:
+		return false
+	}
+}
+
+// runs returns how often each call ran, by the services' own counts.
+func (c *cluster) runs() (map[string]int, error) {
+	total := map[string]int{}
+	for _, url := range c.services {
+		resp, err := http.Get(url + "/control/runs")
+		if err != nil {
+			return nil, err
+		}
+		one := map[string]int{}
+		err = json.NewDecoder(resp.Body).Decode(&one)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		for id, n := range one {
+			total[strings.TrimPrefix(id, "demo/")] += n
+		}
+	}
+	return total, nil
+}
+
+// counts returns what an engine counted.
+func (c *cluster) counts(engine string) (map[string]int, error) {
+	resp, err := http.Get(c.urls[engine] + "/control/counts")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := map[string]int{}
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
+
+// ready waits until all entries serve with all listed sidecars connected.
+func (c *cluster) ready(entries ...string) error {
+	for _, name := range entries {
+		err := waitFor(func() error {
+			if err := get(c.proc(name).http + "/readyz"); err != nil {
+				return err
+			}
+			return c.allUp(name)
+		})
+		if err != nil {
+			return fmt.Errorf("entry %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+var errNotUp = errors.New("not all processes are up")
+
+type statusPage struct {
+	Version  int64 `json:"version"`
+	Accepted bool  `json:"accepted"`
+	Peers    []struct {
+		VM      string `json:"vm"`
+		State   string `json:"state"`
+		Version int64  `json:"version"`
+	} `json:"peers"`
+}
+
+func (c *cluster) status(entry string) (statusPage, error) {
+	var s statusPage
+	r, err := http.NewRequest(http.MethodGet, c.proc(entry).http+"/admin/v1/status", nil)
+	if err != nil {
+		return s, err
+	}
+	r.Header.Set("Authorization", "Bearer "+opToken)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+func (c *cluster) allUp(entry string) error {
+	s, err := c.status(entry)
+	if err != nil {
+		return err
+	}
+	if len(s.Peers) < len(c.relays) {
+		return errNotUp
+	}
+	for _, p := range s.Peers {
+		if p.State != "up" || p.Version != s.Version {
+			return fmt.Errorf("%w: %s is %s at version %d of %d", errNotUp, p.VM, p.State, p.Version, s.Version)
+		}
+	}
+	return nil
+}
+
+func get(url string) error {
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// waitFor tries f until it succeeds. The limit is generous: no verdict hangs
+// on how fast the machine is.
+func waitFor(f func() error) error {
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(poll)
+	}
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -217,8 +217,6 @@
 	now := s.now()
 	issued, dated := id.Issued()
 	switch {
-	case !dated && s.lease.First():
-		return invokeResult{}, true
 	case !dated && now.After(safeFrom.Add(s.settings.CallWindow)):
 		return invokeResult{}, true
 	case !dated:
@@ -237,7 +235,10 @@
 // safeFrom is the time from which no other upstream or incarnation can have
 // been the home of a key that has its home here.
 func (s *Server) safeFrom(active *config.Active) time.Time {
-	from := s.lease.Since()
+	var from time.Time
+	if !s.lease.First() {
+		from = s.lease.Since()
+	}
 	if active.HomesSince().After(from) {
 		return active.HomesSince()
 	}
