perf: admit by short-horizon risk and estimate the wait from backlog only

Cause: the first version lost goodput and refused too many. Its risk looked 4,096 tokens ahead, where later admissions can still be held back, and its wait estimate took quiet times for slow ones.

Change: horizons 16, 32 and 64, 2.5 standard deviations, resume at one; wait from starts under backlog, given up at 0.6 of it. Baselines and oracle now have the same 20 s of patience as the decision (they had 25 s).

--- a/internal/bench/contender.go
+++ b/internal/bench/contender.go
@@ -173,4 +173,4 @@
 }
 
 // defaultRisk is the sidecar's default setting.
-const defaultRisk = 1
+const defaultRisk = 2.5
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -43,6 +43,7 @@
 	first       *hdrhistogram.Histogram
 	stall       [kinds]*hdrhistogram.Histogram
 	stallSum    time.Duration
+	refusal     *hdrhistogram.Histogram
 	preemptions int
 	requests    int
 	refused     int
@@ -58,7 +59,7 @@
 
 func newSample() *sample {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMax, histogramDigits) }
-	s := &sample{gap: h(), first: h()}
+	s := &sample{gap: h(), first: h(), refusal: h()}
 	for k := range s.stall {
 		s.stall[k] = h()
 	}
@@ -127,7 +128,7 @@
 func (s *simulation) giveUp() {
 	kept := s.open[:0]
 	for _, f := range s.open {
-		late := f.tokens == 0 && s.now-f.at > startWithin+firstTokenSlack
+		late := f.tokens == 0 && s.now-f.at > startWithin
 		if late && !f.ended {
 			s.refuse(f)
 			s.c.drop(f.id)
@@ -140,12 +141,10 @@
 	s.open = kept
 }
 
-// firstTokenSlack is the time a started request has for its first token.
-const firstTokenSlack = 5 * time.Second
-
 func (s *simulation) refuse(f *flight) {
 	f.ended, f.refused = true, true
 	s.out.refused++
+	_ = s.out.refusal.RecordValue((s.now - f.at).Microseconds())
 }
 
 func (s *simulation) carryOut() {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -37,7 +37,9 @@
 	Goodput           float64 `json:"goodput_tokens_per_s"`
 	GoodputSpread     float64 `json:"goodput_spread"`
 	Refused           float64 `json:"refused_percent"`
-	Lost              float64 `json:"lost_percent"`
+	// RefusedAfter is the median time until a refusal.
+	RefusedAfter float64 `json:"refused_after_ms_p50"`
+	Lost         float64 `json:"lost_percent"`
 }
 
 // cell is one trace at one load with one fault.
@@ -88,6 +90,7 @@
 		for k := range s.stall {
 			total.stall[k].Merge(s.stall[k])
 		}
+		total.refusal.Merge(s.refusal)
 		total.stallSum += s.stallSum
 		total.requests += s.requests
 		total.refused += s.refused
@@ -107,8 +110,9 @@
 		StallPerRequest: float64(total.stallSum.Milliseconds()) / float64(total.requests),
 		GapP50:          ms(total.gap, p50), GapP95: ms(total.gap, p95), GapP99: ms(total.gap, p99),
 		FirstP50: ms(total.first, p50), FirstP99: ms(total.first, p99),
-		Refused: percent * float64(total.refused) / float64(total.requests),
-		Lost:    percent * float64(total.lost) / float64(total.requests),
+		Refused:      percent * float64(total.refused) / float64(total.requests),
+		RefusedAfter: ms(total.refusal, p50),
+		Lost:         percent * float64(total.lost) / float64(total.requests),
 	}
 	r.Preemptions, r.PreemptionsSpread = meanAndSpread(preempt)
 	r.Goodput, r.GoodputSpread = meanAndSpread(good)
@@ -151,11 +155,11 @@
 // Print writes rows as an aligned table.
 func Print(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "trace\tload\tfault\tcontender\tpreempt/1000\tstall p50\tstall p99\tstall ms/req\tgap p50\tgap p95\tgap p99\tfirst p50\tfirst p99\tgoodput\trefused %\tlost %\t")
+	_, _ = fmt.Fprintln(t, "trace\tload\tfault\tcontender\tpreempt/1000\tstall p50\tstall p99\tstall ms/req\tgap p50\tgap p95\tgap p99\tfirst p50\tfirst p99\tgoodput\trefused %\tafter\tlost %\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(t, "%s\t%.1f\t%s\t%s\t%.1f±%.1f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f±%.0f\t%.1f\t%.1f\t\n",
+		_, _ = fmt.Fprintf(t, "%s\t%.1f\t%s\t%s\t%.1f±%.1f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f±%.0f\t%.1f\t%.0f\t%.1f\t\n",
 			r.Trace, r.Load, r.Fault, r.Contender, r.Preemptions, r.PreemptionsSpread, r.StallP50, r.StallP99, r.StallPerRequest,
-			r.GapP50, r.GapP95, r.GapP99, r.FirstP50, r.FirstP99, r.Goodput, r.GoodputSpread, r.Refused, r.Lost)
+			r.GapP50, r.GapP95, r.GapP99, r.FirstP50, r.FirstP99, r.Goodput, r.GoodputSpread, r.Refused, r.RefusedAfter, r.Lost)
 	}
 	return t.Flush()
 }
--- a/internal/decision/choose.go
+++ b/internal/decision/choose.go
@@ -10,7 +10,13 @@
 const (
 	// resumePart is the part of the memory that may be foreseen in use when a
 	// paused stream comes back; above it the pause goes on.
-	resumePart = 0.92
+	resumePart = 0.97
+	// resumeRisk is less than the risk at admission: a paused stream stalls
+	// its caller, a waiting one does not yet.
+	resumeRisk = 1
+	// hopeless is the part of the expected wait that must exceed the time left
+	// before a request is given up: the expectation errs on either side.
+	hopeless = 0.6
 	// pausePenalty multiplies the cost of pausing a stream for each time it
 	// gave way before, so that it is never the same one over and over.
 	pausePenalty = 4.0
@@ -83,7 +89,7 @@
 		st := s.paused[0]
 		f.add(s, st)
 		alone := len(s.running) == 0
-		if !alone && (!s.fits(&f, part) || !s.hasRoom(st)) {
+		if !alone && (!s.fits(&f, resumeRisk, part) || !s.hasRoom(st)) {
 			return
 		}
 		s.enter(st, running)
@@ -95,9 +101,16 @@
 	return s.Used()+s.soonNeeded()+s.blocks(st.tokens()+reserveSteps) <= s.settings.Blocks
 }
 
-// admit starts waiting requests, in order, while the risk of running out of
-// memory stays within bounds. While a stream is paused nobody new goes first.
+// admit starts waiting requests and keeps count of how fast the backlog moves.
 func (s *Scheduler) admit() {
+	s.rate.observe(s.now(), s.backlog)
+	s.startWaiting()
+	s.backlog = len(s.waiting) > 0
+}
+
+// startWaiting starts requests in order while the risk of running out of memory
+// stays within bounds. While a stream is paused nobody new goes first.
+func (s *Scheduler) startWaiting() {
 	if len(s.waiting) == 0 || len(s.paused) > 0 {
 		return
 	}
@@ -107,10 +120,10 @@
 		st := s.waiting[0]
 		f.add(s, st)
 		alone := len(s.running) == 0
-		if !alone && (!s.fits(&f, 1) || !s.hasRoom(st)) {
+		if !alone && (!s.fits(&f, s.settings.Risk, 1) || !s.hasRoom(st)) {
 			return
 		}
-		s.rate.started(s.now())
+		s.rate.started()
 		s.enter(st, running)
 		s.shares.start(st.virtual)
 		s.act(Admit, st, "fits")
@@ -147,8 +160,9 @@
 	for i := 0; i < len(s.waiting); {
 		st := s.waiting[i]
 		wait := s.rate.wait(i + 1)
-		hopeless := !s.settings.NoRefusal && now.Add(wait).After(st.req.StartBy)
-		if st.req.StartBy.IsZero() || (!hopeless && now.Before(st.req.StartBy)) {
+		late := now.Add(time.Duration(hopeless * float64(wait))).After(st.req.StartBy)
+		givenUp := late && !s.settings.NoRefusal
+		if st.req.StartBy.IsZero() || (!givenUp && now.Before(st.req.StartBy)) {
 			i++
 			continue
 		}
--- a/internal/decision/memory.go
+++ b/internal/decision/memory.go
@@ -6,8 +6,10 @@
 )
 
 // horizons are the numbers of further output tokens at which the memory in use
-// is foreseen.
-var horizons = [...]int{16, 64, 256, 1024, 4096}
+// is foreseen. Admission stops as memory fills, so only the growth that cannot
+// be held back any more counts: longer horizons cost goodput and spare no
+// pauses (docs/DECISIONS.md, decision 8).
+var horizons = [...]int{16, 32, 64}
 
 const (
 	historySize = 64
@@ -70,11 +72,12 @@
 	return f
 }
 
-// fits reports whether the memory foreseen stays within part of the capacity.
-func (s *Scheduler) fits(f *foreseen, part float64) bool {
+// fits reports whether the memory foreseen, with risk standard deviations on
+// top, stays within part of the capacity.
+func (s *Scheduler) fits(f *foreseen, risk, part float64) bool {
 	limit := float64(s.settings.Blocks)*part - s.bias
 	for i := range horizons {
-		if f.mean[i]+s.settings.Risk*math.Sqrt(f.variance[i]) > limit {
+		if f.mean[i]+risk*math.Sqrt(f.variance[i]) > limit {
 			return false
 		}
 	}
--- a/internal/decision/rates.go
+++ b/internal/decision/rates.go
@@ -72,29 +72,42 @@
 	return max(1, int((gap.Seconds()-base)/slope))
 }
 
-// startRate estimates how soon a place in the queue comes up, from the times
-// between recent starts.
+// startRate estimates how soon a place in the queue comes up, from the starts
+// while there was a backlog. Starts without a backlog tell how fast requests
+// came, not how fast they could have been served.
 type startRate struct {
-	last time.Time
-	gap  float64
+	last   time.Time
+	busy   float64
+	starts float64
 }
 
-const startSmoothing = 0.1
+const (
+	// startFade is the time, in seconds of backlog, after which a start counts
+	// about a third.
+	startFade = 20
+	// minBacklog is the backlog in seconds before anything is said.
+	minBacklog = 2
+)
 
-func (r *startRate) started(now time.Time) {
-	if !r.last.IsZero() {
+// observe takes the time since the last call into account.
+func (r *startRate) observe(now time.Time, backlog bool) {
+	if backlog && !r.last.IsZero() {
 		d := now.Sub(r.last).Seconds()
-		r.gap += startSmoothing * (d - r.gap)
+		fade := math.Exp(-d / startFade)
+		r.busy = r.busy*fade + d
+		r.starts *= fade
 	}
 	r.last = now
 }
 
+func (r *startRate) started() { r.starts++ }
+
 // wait returns the expected time until the given place in the queue starts.
 func (r *startRate) wait(place int) time.Duration {
-	if r.last.IsZero() {
+	if r.busy < minBacklog {
 		return 0
 	}
-	return time.Duration(r.gap * float64(place) * float64(time.Second))
+	return time.Duration(float64(place) * r.busy / (r.starts + 1) * float64(time.Second))
 }
 
 // Wait returns the expected time until a request that arrives now starts.
--- a/internal/decision/scheduler.go
+++ b/internal/decision/scheduler.go
@@ -143,6 +143,7 @@
 	shares  shares
 	steps   stepModel
 	rate    startRate
+	backlog bool
 	actions []Action
 }
 
