--- a/internal/bench/contender.go
+++ b/internal/bench/contender.go
@@ -146,7 +146,7 @@
 // decided is the decision of the product, as the sidecar uses it.
 func decided(name string, change func(s *decision.Settings)) maker {
 	return maker{name, func(e enginemodel.Settings, now func() time.Time) *contender {
-		s := decision.Settings{Blocks: e.Blocks, BlockTokens: e.BlockTokens, MaxBatch: e.MaxBatch, TokenGap: wantedGap, Risk: defaultRisk}
+		s := decision.Settings{Blocks: e.Blocks, BlockTokens: e.BlockTokens, MaxBatch: e.MaxBatch, TokenGap: wantedGap, Risk: decision.DefaultRisk}
 		if change != nil {
 			change(&s)
 		}
@@ -171,6 +171,3 @@
 		}
 	}}
 }
-
-// defaultRisk is the sidecar's default setting.
-const defaultRisk = 2.5
--- a/internal/bench/suite.go
+++ b/internal/bench/suite.go
@@ -60,7 +60,7 @@
 		seeds = tuningSeeds
 	}
 	var jobs []job
-	for _, shape := range []traceShape{bedtime(), picking()} {
+	for _, shape := range []traceShape{bedtime(), picking(), lookups()} {
 		rate := capacity(shape)
 		_, _ = fmt.Fprintf(w, "%s: capacity %.1f requests/s\n", shape.name, rate)
 		for _, load := range loads {
@@ -70,7 +70,7 @@
 				jobs = append(jobs, job{m, c})
 			}
 		}
-		if o.Faults {
+		if o.Faults && shape.name != lookups().name {
 			jobs = append(jobs, faultJobs(shape, rate)...)
 		}
 	}
@@ -86,7 +86,6 @@
 	return append(out,
 		decided("-fairness", func(s *decision.Settings) { s.NoFairness = true }),
 		decided("-victim", func(s *decision.Settings) { s.NoVictimChoice = true }),
-		decided("-hysteresis", func(s *decision.Settings) { s.NoHysteresis = true }),
 		decided("-refusal", func(s *decision.Settings) { s.NoRefusal = true }),
 		decided("-gap", func(s *decision.Settings) { s.TokenGap = 0 }),
 		decided("-risk", func(s *decision.Settings) { s.Risk = 0 }),
--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -38,6 +38,8 @@
 	shortOutput, longOutput float64
 	shortSpread, longSpread float64
 	longPart                float64
+	// prompt is the median of prompt tokens.
+	prompt float64
 	// peak is how much the rate in the middle exceeds the mean.
 	peak float64
 }
@@ -45,16 +47,21 @@
 // bedtime is Binday Lane's evening: a burst of one-line answers with some route
 // summaries among them.
 func bedtime() traceShape {
-	return traceShape{name: "bedtime", shortOutput: 40, shortSpread: 0.6, longOutput: 900, longSpread: 0.8, longPart: 0.1, peak: 2}
+	return traceShape{name: "bedtime", prompt: 250, shortOutput: 40, shortSpread: 0.6, longOutput: 900, longSpread: 0.8, longPart: 0.1, peak: 2}
 }
 
 // picking is Kirjaamo's day: dictated row notes with day summaries among them.
 func picking() traceShape {
-	return traceShape{name: "picking", shortOutput: 120, shortSpread: 0.5, longOutput: 1500, longSpread: 0.9, longPart: 0.2, peak: 1.2}
+	return traceShape{name: "picking", prompt: 250, shortOutput: 120, shortSpread: 0.5, longOutput: 1500, longSpread: 0.9, longPart: 0.2, peak: 1.2}
+}
+
+// lookups is reminder lookups alone: so short that not memory but the time
+// between tokens bounds the batch.
+func lookups() traceShape {
+	return traceShape{name: "lookups", prompt: 20, shortOutput: 60, shortSpread: 0.3, longOutput: 60, longSpread: 0.3, peak: 1.5}
 }
 
 const (
-	promptMedian  = 250
 	promptSpread  = 0.5
 	maxPrompt     = 2000
 	maxOutput     = 8192
@@ -91,7 +98,7 @@
 
 func (s traceShape) one(rng *rand.Rand, n int, at time.Duration) arrival {
 	a := arrival{id: number(n), at: at, claimed: claimedTokens, account: number(rng.IntN(10))}
-	a.prompt = clamp(logNormal(rng, promptMedian, promptSpread), 1, maxPrompt)
+	a.prompt = clamp(logNormal(rng, s.prompt, promptSpread), 1, maxPrompt)
 	median, spread := s.shortOutput, s.shortSpread
 	if rng.Float64() < s.longPart {
 		a.kind, median, spread = long, s.longOutput, s.longSpread
--- a/internal/ctl/policy.go
+++ b/internal/ctl/policy.go
@@ -122,7 +122,7 @@
 // still.
 func explain(cfg *config.Config, pol *policy.Policy, f sampleFile) []explanation {
 	at := time.Unix(0, 0)
-	sched := decision.New(decision.Settings{Blocks: f.Engine.Blocks, BlockTokens: f.Engine.BlockTokens, Risk: 2.5}, func() time.Time { return at })
+	sched := decision.New(decision.Settings{Blocks: f.Engine.Blocks, BlockTokens: f.Engine.BlockTokens, Risk: decision.DefaultRisk}, func() time.Time { return at })
 	for i, s := range f.Engine.Running {
 		id := fmt.Sprintf("running-%d", i)
 		sched.Arrive(decision.Request{ID: id, Class: s.Model, Prompt: s.Prompt})
--- a/internal/decision/choose.go
+++ b/internal/decision/choose.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// resumePart is the part of the memory that may be foreseen in use when a
-	// paused stream comes back; above it the pause goes on.
-	resumePart = 0.97
 	// resumeRisk is less than the risk at admission: a paused stream stalls
 	// its caller, a waiting one does not yet.
 	resumeRisk = 1
@@ -80,16 +77,12 @@
 	if len(s.paused) == 0 {
 		return
 	}
-	part := resumePart
-	if s.settings.NoHysteresis {
-		part = 1
-	}
 	f := s.foresee()
 	for len(s.paused) > 0 && s.batchAllows() {
 		st := s.paused[0]
 		f.add(s, st)
 		alone := len(s.running) == 0
-		if !alone && (!s.fits(&f, resumeRisk, part) || !s.hasRoom(st)) {
+		if !alone && (!s.fits(&f, resumeRisk) || !s.hasRoom(st)) {
 			return
 		}
 		s.enter(st, running)
@@ -120,7 +113,7 @@
 		st := s.waiting[0]
 		f.add(s, st)
 		alone := len(s.running) == 0
-		if !alone && (!s.fits(&f, s.settings.Risk, 1) || !s.hasRoom(st)) {
+		if !alone && (!s.fits(&f, s.settings.Risk) || !s.hasRoom(st)) {
 			return
 		}
 		s.rate.started()
@@ -136,7 +129,7 @@
 			return c
 		}
 		if !s.settings.NoFairness {
-			if c := cmp.Compare(a.virtual, b.virtual); c != 0 {
+			if c := cmp.Compare(turn(a.virtual), turn(b.virtual)); c != 0 {
 				return c
 			}
 		}
--- a/internal/decision/memory.go
+++ b/internal/decision/memory.go
@@ -73,9 +73,9 @@
 }
 
 // fits reports whether the memory foreseen, with risk standard deviations on
-// top, stays within part of the capacity.
-func (s *Scheduler) fits(f *foreseen, risk, part float64) bool {
-	limit := float64(s.settings.Blocks)*part - s.bias
+// top, stays within the capacity.
+func (s *Scheduler) fits(f *foreseen, risk float64) bool {
+	limit := float64(s.settings.Blocks) - s.bias
 	for i := range horizons {
 		if f.mean[i]+risk*math.Sqrt(f.variance[i]) > limit {
 			return false
--- a/internal/decision/rates.go
+++ b/internal/decision/rates.go
@@ -14,7 +14,16 @@
 
 func newShares() shares { return shares{spent: map[string]float64{}} }
 
-const assumedTokens = 200.0
+const (
+	assumedTokens = 200.0
+	// fairGrain is how many tokens over weight an account may be ahead of
+	// another before the order of arrival gives way to fairness. A finer grain
+	// makes some wait long and others not at all, and more give up.
+	fairGrain = 2000.0
+)
+
+// turn is the coarse virtual start time by which the queue is ordered.
+func turn(virtual float64) float64 { return math.Floor(virtual / fairGrain) }
 
 func (s *shares) arrive(account string, weight float64) float64 {
 	v := max(s.virtual, s.spent[account])
@@ -35,12 +44,22 @@
 const maxIdleAccounts = 4096
 
 // stepModel learns how the time of a decode step grows with the batch: a
-// least-squares line with fading memory.
+// least-squares line with fading memory. While the batch hardly changes the line
+// cannot be told from noise; then the last good slope is kept and only the
+// line's height follows.
 type stepModel struct {
 	n, x, y, xx, xy float64
+	slope           float64
 }
 
-const stepFade = 0.995
+const (
+	stepFade       = 0.995
+	minStepSamples = 20
+	// minBatchSpread is the standard deviation of the batch, relative to its
+	// mean, from which the slope can be told.
+	minBatchSpread = 0.1
+	noLimit        = math.MaxInt32
+)
 
 // Step notes that a decode step with the given number of streams took d.
 func (s *Scheduler) Step(batch int, d time.Duration) { s.steps.add(float64(batch), d.Seconds()) }
@@ -51,25 +70,21 @@
 	m.y = m.y*stepFade + y
 	m.xx = m.xx*stepFade + x*x
 	m.xy = m.xy*stepFade + x*y
+	spread := m.n*m.xx - m.x*m.x
+	if m.n < minStepSamples || spread < minBatchSpread*minBatchSpread*m.x*m.x {
+		return
+	}
+	if slope := (m.n*m.xy - m.x*m.y) / spread; slope > 0 {
+		m.slope = slope
+	}
 }
 
-const (
-	minStepSamples = 20
-	noLimit        = math.MaxInt32
-)
-
 // limit returns the largest batch whose step is expected to take at most gap.
 func (m *stepModel) limit(gap time.Duration) int {
-	spread := m.n*m.xx - m.x*m.x
-	if m.n < minStepSamples || spread < 1e-6*m.xx*m.n {
-		return noLimit
-	}
-	slope := (m.n*m.xy - m.x*m.y) / spread
-	base := (m.y - slope*m.x) / m.n
-	if slope <= 1e-9 {
+	if m.slope <= 0 {
 		return noLimit
 	}
-	return max(1, int((gap.Seconds()-base)/slope))
+	return max(1, int((m.x+(gap.Seconds()*m.n-m.y)/m.slope)/m.n))
 }
 
 // startRate estimates how soon a place in the queue comes up, from the starts
--- a/internal/decision/scheduler.go
+++ b/internal/decision/scheduler.go
@@ -86,12 +86,14 @@
 	NoFairness bool
 	// NoVictimChoice makes the newest stream give way.
 	NoVictimChoice bool
-	// NoHysteresis resumes paused streams as soon as they fit at all.
-	NoHysteresis bool
 	// NoRefusal lets hopeless requests wait until StartBy has passed.
 	NoRefusal bool
 }
 
+// DefaultRisk is the risk setting chosen on the tuning seeds of the bench; see
+// docs/DECISIONS.md, decision 8.
+const DefaultRisk = 3
+
 type state int
 
 const (
