--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -258,7 +258,7 @@
 }
 
 // silence is how long an answer may take before the peer is probed.
-const silence = 200 * time.Millisecond
+const silence = 150 * time.Millisecond
 
 // watch probes a peer whose answer is awaited and ends the context once it is
 // suspected, so that the request moves on while the wait is still short.
--- a/internal/scenario/measure_test.go
+++ b/internal/scenario/measure_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -263,3 +264,45 @@
 	t.Logf("%-10s preemptions engine %d, pauses %d; stall p99 %.0f ms, sum %.1f s; gap p50/p99 %.1f/%.1f ms; first p50/p99 %.0f/%.0f ms; whole %d refused %d; %.0f tokens/s",
 		name, counts["preemptions"], counts["order_pause"], r.StallP99, r.StallSum, r.GapP50, r.GapP99, r.FirstP50, r.FirstP99, r.Whole, r.Refused, float64(r.Tokens)/r.Seconds)
 }
+
+// TestMeasureFailover freezes or kills an upstream and measures how long a
+// request that goes there first needs for its first token. The heartbeat is as
+// slow as in a deployment of the target size, so only probes on use can tell.
+func TestMeasureFailover(t *testing.T) {
+	needMeasure(t)
+	c, err := newCluster(t.TempDir(), "SPARSHORE_PINGS=0.05")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.close)
+	entries, err := c.deploy(1, 2, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.apply(entries[0], 0, c.configText()); err != nil {
+		t.Fatal(err)
+	}
+	if err := waitFor(func() error { return get(c.proc(entries[0]).http + "/readyz") }); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	var took []time.Duration
+	// More in a row would use up the pool's retry budget, which saves up ten.
+	for n := range 9 {
+		// The entry prefers its own zone, where eng-1 is.
+		if err := c.signal("eng-1", syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		a := newAnswer()
+		a.ask(c.proc(entries[0]).http, 1)
+		if err := c.signal("eng-1", syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		if a.end != "whole" {
+			t.Fatalf("request %d ended %s", n, a.end)
+		}
+		took = append(took, a.took)
+		time.Sleep(4 * time.Second)
+	}
+	t.Logf("9 requests to a frozen upstream, whole answer of one token: p50 %v max %v", quantile(took, 0.5), quantile(took, 1))
+}
