fix: idle engine connections end after a burst; steady ports in scenarios

Cause: TestBadInput found 5 files and 11 goroutines more at a sidecar than before 5 overlapping callers hung up: their streams had ended whole within the grace time and left idle connections to the engine, which were kept for good. And one run of the scenarios failed to start a process: its port, free a moment before, had gone to an outgoing connection.

Ruled out: a leak of streams (the engine counted none running).

Change: idle connections end after 5 s; processes' ports come from below the kernel's range for outgoing connections. Dead code and repeated set-up in the scenarios are taken out.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -124,18 +124,6 @@
 // PoolOf returns the pool of the upstream called name.
 func (c *Config) PoolOf(upstream string) (*Pool, bool) { p, ok := c.poolOf[upstream]; return p, ok }
 
-// Zones returns the zones that upstreams are declared in, sorted.
-func (c *Config) Zones() []string {
-	var zones []string
-	for _, p := range c.doc.Pools {
-		for _, u := range p.Upstreams {
-			zones = append(zones, u.Zone)
-		}
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
-
 // AccountOfKey returns the account that owns a client API key. The key is
 // hashed before it is looked up, and the hash compared in constant time.
 func (c *Config) AccountOfKey(key string) (*Account, bool) {
--- a/internal/decision/choose.go
+++ b/internal/decision/choose.go
@@ -18,11 +18,9 @@
 	// gave way before, so that it is never the same one over and over.
 	pausePenalty = 4.0
 	// reserveSteps is how many decode steps ahead memory must be free.
-	reserveSteps = 4
-	// longestQueueScan bounds how many waiting requests one decision looks at.
-	longestQueueScan = 32
-	minRetryAfter    = time.Second
-	maxRetryAfter    = 2 * time.Minute
+	reserveSteps  = 4
+	minRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Minute
 )
 
 // giveWay pauses streams before the engine runs out of memory and must choose
--- a/internal/decision/lengths.go
+++ b/internal/decision/lengths.go
@@ -33,7 +33,7 @@
 // NewLengths returns an estimate that knows only the prior.
 func NewLengths() *Lengths {
 	l := &Lengths{scale: 1}
-	l.refresh(0)
+	l.refresh()
 	return l
 }
 
@@ -53,7 +53,7 @@
 	return s
 }()
 
-// Entered notes that a stream reached the bin of output token n.
+// entered notes that a stream reached the bin of output token n.
 func (l *Lengths) entered(bin int) { l.exposure[bin] += l.scale }
 
 // finished notes that a stream ended in bin. Older observations fade.
@@ -63,7 +63,7 @@
 	if l.scale > 1e6 {
 		l.rescale()
 	}
-	l.refresh(0)
+	l.refresh()
 }
 
 func (l *Lengths) rescale() {
@@ -74,9 +74,10 @@
 	l.scale = 1
 }
 
-func (l *Lengths) refresh(from int) {
+// refresh computes the survival curve from the hazards of all bins.
+func (l *Lengths) refresh() {
 	priorHazard := 1 - math.Pow(0.5, 1.0/binsPerOctave)
-	for i := from; i < binCount; i++ {
+	for i := range binCount {
 		prior := priorExposure * l.scale
 		hazard := (l.ended[i] + prior*priorHazard) / (l.exposure[i] + prior)
 		hazard = min(max(hazard, 0.001), 0.999)
@@ -99,15 +100,3 @@
 func (l *Lengths) Survive(n, k int) float64 {
 	return math.Exp(l.logSurvivalAt(n+k) - l.logSurvivalAt(n))
 }
-
-// Expect returns the expected number of further output tokens at n, cut off
-// at limit.
-func (l *Lengths) Expect(n, limit int) float64 {
-	total := 0.0
-	for k := 0; k < limit; {
-		step := max(1, (n+k)/4)
-		total += float64(min(step, limit-k)) * l.Survive(n, k+step/2)
-		k += step
-	}
-	return total
-}
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -69,7 +69,6 @@
 	generated int
 	toCompute int
 	blocks    int
-	paused    bool
 }
 
 func (q *seq) tokens() int { return q.job.Prompt + q.generated }
@@ -184,7 +183,6 @@
 		return ErrUnknown
 	}
 	e.remove(q)
-	q.paused = true
 	e.paused[id] = q
 	return nil
 }
@@ -196,7 +194,6 @@
 		return ErrUnknown
 	}
 	delete(e.paused, id)
-	q.paused = false
 	e.enqueue(q)
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -306,7 +307,7 @@
 // readBody reads at most the allowed size of a caller's body.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apiError) {
 	body := http.MaxBytesReader(w, r.Body, e.settings.MaxBody)
-	b, err := readAll(body)
+	b, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -97,5 +96,3 @@
 func (e *Entry) notAllowed(w http.ResponseWriter, _ *http.Request) {
 	writeError(w, errMethod, sidecar.NotRun, time.Time{}, e.now())
 }
-
-func readAll(r io.Reader) ([]byte, error) { return io.ReadAll(r) }
--- a/internal/membership/set.go
+++ b/internal/membership/set.go
@@ -123,11 +123,8 @@
 	vms     *platform.VMs
 	timing  Timing
 	methods peer.Methods
-	// OnConnect may be set before Run; it is called with each new connection.
-	OnConnect func(p *Peer, c *peer.Conn)
-
-	mu    sync.Mutex
-	peers map[string]*Peer
+	mu      sync.Mutex
+	peers   map[string]*Peer
 	// runCtx ends the connections; it is set by Run.
 	runCtx context.Context
 	wg     sync.WaitGroup
@@ -254,9 +251,6 @@
 	p.conn, p.suspected = c, false
 	p.mu.Unlock()
 	s.self.Recorder.Note(events.PeerConnected, "", "peer", h.Process, "incarnation", h.Incarnation)
-	if s.OnConnect != nil {
-		s.OnConnect(p, c)
-	}
 	return nil
 }
 
--- a/internal/scenario/badinput_test.go
+++ b/internal/scenario/badinput_test.go
@@ -16,21 +16,7 @@
 // reached an engine or service, and that goroutines and file descriptors of the
 // processes return to their level.
 func TestBadInput(t *testing.T) {
-	c, err := newCluster(t.TempDir(), "SPARSHORE_MAX_BODY=4096")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.close)
-	entries, err := c.deploy(1, 1, 1, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply(entries[0], 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready(entries...); err != nil {
-		t.Fatal(err)
-	}
+	c, entries := deployed(t, 1, 1, 1, 1, "SPARSHORE_MAX_BODY=4096")
 	good := `{"model":"bins","messages":[{"role":"user","content":"out=3"}]}`
 	tests := []struct {
 		name   string
--- a/internal/scenario/capacity_test.go
+++ b/internal/scenario/capacity_test.go
@@ -249,18 +249,11 @@
 	var x, size, heap, parse, yaml []float64
 	for _, n := range []int{1000, 6000, 12000, 24000, 47000} {
 		text := []byte(largeConfig(base, n))
-		began := time.Now()
-		written, err := config.Parse("capacity", text)
-		yamlTook := time.Since(began)
-		if err != nil {
-			t.Fatal(err)
-		}
-		form := string(written.Canonical())
-		written = nil
+		form, yamlTook := canonicalForm(t, text)
 		runtime.GC()
 		var m0, m1 runtime.MemStats
 		runtime.ReadMemStats(&m0)
-		began = time.Now()
+		began := time.Now()
 		cfg, err := config.ParseCanonical([]byte(form))
 		took := time.Since(began)
 		if err != nil {
@@ -283,6 +276,17 @@
 	t.Logf("parse ms per account of what was written: %v", fit(x, yaml))
 }
 
+// canonicalForm parses what an operator wrote and tells how long that took.
+func canonicalForm(t *testing.T, text []byte) (string, time.Duration) {
+	t.Helper()
+	began := time.Now()
+	c, err := config.Parse("capacity", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(c.Canonical()), time.Since(began)
+}
+
 // TestCapacityChange measures the bytes that one change of one account moves to
 // each process, against the size of the configuration.
 func TestCapacityChange(t *testing.T) {
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -53,21 +53,7 @@
 // TestChaos runs a seeded mix of failures under load and judges every promise
 // from what callers received and services counted.
 func TestChaos(t *testing.T) {
-	c, err := newCluster(t.TempDir(), "SPARSHORE_SKEW=50ms", "SPARSHORE_LEASE_TERM=2s", "SPARSHORE_RESUME_WITHIN=3s", "SPARSHORE_START_WITHIN=15s", "SPARSHORE_CALL_WITHIN=5s", "SPARSHORE_STOP_WITHIN=10s")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.close)
-	entries, err := c.deploy(2, 2, 2, 2)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply(entries[0], 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready(entries...); err != nil {
-		t.Fatal(err)
-	}
+	c, entries := deployed(t, 2, 2, 2, 2, "SPARSHORE_SKEW=50ms", "SPARSHORE_LEASE_TERM=2s", "SPARSHORE_RESUME_WITHIN=3s", "SPARSHORE_START_WITHIN=15s", "SPARSHORE_CALL_WITHIN=5s", "SPARSHORE_STOP_WITHIN=10s")
 	y := &tally{counts: map[string]int{}, told: map[string]string{}}
 	rng := rand.New(rand.NewPCG(*chaosSeed, 7))
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -14,7 +14,9 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/config"
@@ -70,6 +72,53 @@
 	return c, err
 }
 
+// deployed is a cluster with its configuration accepted and all processes up;
+// it ends with the test.
+func deployed(t *testing.T, entries, engines, services, speed int, env ...string) (*cluster, []string) {
+	t.Helper()
+	c, err := newCluster(t.TempDir(), env...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.close)
+	names, err := c.deploy(entries, engines, services, speed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.configured(t, names)
+	return c, names
+}
+
+// configured brings the configuration of what runs into force.
+func (c *cluster) configured(t *testing.T, entries []string) {
+	t.Helper()
+	if err := c.apply(entries[0], 0, c.configText()); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.ready(entries...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// withEngine is a cluster of one entry before one engine of the given kind.
+func withEngine(t *testing.T, settings standin.EngineSettings, env ...string) (*cluster, string) {
+	t.Helper()
+	c, err := newCluster(t.TempDir(), env...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.close)
+	url, err := c.startEngineWith("eng-1", "a", settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.startEntry("entry-1", "a"); err != nil {
+		t.Fatal(err)
+	}
+	c.configured(t, []string{"entry-1"})
+	return c, url
+}
+
 // serve runs a stand-in's handler on a loopback port.
 func (c *cluster) serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -82,13 +131,30 @@
 	return "http://" + l.Addr().String(), nil
 }
 
+// Ports for processes come from below the range that the kernel gives to
+// outgoing connections: a port that was free a moment ago stays free. Test
+// processes that run at the same time start at different places.
+const (
+	firstPort = 15_000
+	portCount = 15_000
+	portStep  = 500
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * portStep) }
+
+var errNoPort = errors.New("no free port")
+
 func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portCount {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errNoPort
 }
 
 // close ends everything the cluster started.
@@ -197,15 +263,23 @@
 }
 
 func (c *cluster) startEngine(name, zone string, speed float64) error {
-	settings := standin.EngineSettings{Model: engineSize(), Speed: speed, LoadLag: 200 * time.Millisecond, Seed: 1}
+	_, err := c.startEngineWith(name, zone, standin.EngineSettings{
+		Model: engineSize(), Speed: speed, LoadLag: 200 * time.Millisecond, Seed: 1,
+	})
+	return err
+}
+
+// startEngineWith starts an engine of the given kind and its sidecar, and
+// returns the engine's own address.
+func (c *cluster) startEngineWith(name, zone string, settings standin.EngineSettings) (string, error) {
 	e := standin.NewEngine(settings)
 	go e.Run(c.ctx)
 	url, err := c.serve(e.Handler())
 	if err != nil {
-		return err
+		return "", err
 	}
 	c.engines[name], c.urls[name] = e, url
-	return c.start(name, zone, []string{"sidecar", "--upstream", name, "--upstream-url", url})
+	return url, c.start(name, zone, []string{"sidecar", "--upstream", name, "--upstream-url", url})
 }
 
 func (c *cluster) startService(name, zone string) error {
--- a/internal/scenario/measure_test.go
+++ b/internal/scenario/measure_test.go
@@ -39,21 +39,7 @@
 // zones, ten engines, four services, three entries.
 func TestMeasureRollout(t *testing.T) {
 	needMeasure(t)
-	c, err := newCluster(t.TempDir(), "SPARSHORE_VMS_EVERY=1s", "SPARSHORE_CONFIG_EVERY=5s")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.close)
-	entries, err := c.deploy(3, 10, 4, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply(entries[0], 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready(entries...); err != nil {
-		t.Fatal(err)
-	}
+	c, entries := deployed(t, 3, 10, 4, 1, "SPARSHORE_VMS_EVERY=1s", "SPARSHORE_CONFIG_EVERY=5s")
 	var took []time.Duration
 	for n := range 100 {
 		file := filepath.Join(c.dir, "change.yaml")
@@ -74,21 +60,7 @@
 // list and measures how soon it has the version in force after healing.
 func TestMeasureRejoin(t *testing.T) {
 	needMeasure(t)
-	c, err := newCluster(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.close)
-	entries, err := c.deploy(1, 2, 0, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply(entries[0], 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready(entries...); err != nil {
-		t.Fatal(err)
-	}
+	c, entries := deployed(t, 1, 2, 0, 1)
 	var took []time.Duration
 	for n := range 10 {
 		c.relays["eng-2"].Cut(true)
@@ -132,7 +104,7 @@
 func TestMeasurePath(t *testing.T) {
 	needMeasure(t)
 	for _, streams := range []int{1, 32, 256} {
-		measurePath(t, streams)
+		t.Run(fmt.Sprint(streams), func(t *testing.T) { measurePath(t, streams) })
 	}
 }
 
@@ -144,30 +116,7 @@
 
 func measurePath(t *testing.T, streams int) {
 	t.Helper()
-	c, err := newCluster(t.TempDir(), "SPARSHORE_TOKEN_GAP=0s", "SPARSHORE_BLOCKS=1000000", "SPARSHORE_MAX_BATCH=1024")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
-	e := standin.NewEngine(fastEngine())
-	go e.Run(c.ctx)
-	url, err := c.serve(e.Handler())
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.engines["eng-1"], c.urls["eng-1"] = e, url
-	if err := c.start("eng-1", "a", []string{"sidecar", "--upstream", "eng-1", "--upstream-url", url}); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.startEntry("entry-1", "a"); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply("entry-1", 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready("entry-1"); err != nil {
-		t.Fatal(err)
-	}
+	c, url := withEngine(t, fastEngine(), "SPARSHORE_TOKEN_GAP=0s", "SPARSHORE_BLOCKS=1000000", "SPARSHORE_MAX_BATCH=1024")
 	entry, side := c.proc("entry-1").cmd.Process.Pid, c.proc("eng-1").cmd.Process.Pid
 	o := loadgen.Options{Key: apiKey, Model: modelName, Requests: streams, Rate: float64(streams) * 2, Prompt: 64, Output: 300, MaxOutput: 300, Within: time.Minute}
 	run := func(address string) loadgen.Report {
@@ -218,38 +167,16 @@
 		{"cap-40", []string{"SPARSHORE_BLOCKS=1000000", "SPARSHORE_TOKEN_GAP=0s", "SPARSHORE_MAX_BATCH=40"}},
 	}
 	for _, k := range contenders {
-		measureContender(t, k.name, k.settings)
+		t.Run(k.name, func(t *testing.T) { measureContender(t, k.name, k.settings) })
 	}
 }
 
 func measureContender(t *testing.T, name string, settings []string) {
 	t.Helper()
-	c, err := newCluster(t.TempDir(), append(settings, "SPARSHORE_START_WITHIN=7s")...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
 	model := enginemodel.DefaultSettings()
 	model.Blocks = 600
-	e := standin.NewEngine(standin.EngineSettings{Model: model, Speed: 3, LoadLag: 500 * time.Millisecond, Seed: 1})
-	go e.Run(c.ctx)
-	url, err := c.serve(e.Handler())
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.engines["eng-1"], c.urls["eng-1"] = e, url
-	if err := c.start("eng-1", "a", []string{"sidecar", "--upstream", "eng-1", "--upstream-url", url}); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.startEntry("entry-1", "a"); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply("entry-1", 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready("entry-1"); err != nil {
-		t.Fatal(err)
-	}
+	engine := standin.EngineSettings{Model: model, Speed: 3, LoadLag: 500 * time.Millisecond, Seed: 1}
+	c, _ := withEngine(t, engine, append(settings, "SPARSHORE_START_WITHIN=7s")...)
 	r, err := loadgen.Run(context.Background(), loadgen.Options{
 		URLs: []string{c.proc("entry-1").http}, Key: apiKey, Model: modelName, Requests: 1000, Rate: 36,
 		Seed: 5, Prompt: 64, Output: 60, Spread: 1.2, MaxOutput: 4096, Within: 2 * time.Minute,
--- a/internal/scenario/openai_test.go
+++ b/internal/scenario/openai_test.go
@@ -12,21 +12,7 @@
 // TestUnmodifiedOpenAIClient uses the public client library with nothing but
 // base URL and key set.
 func TestUnmodifiedOpenAIClient(t *testing.T) {
-	c, err := newCluster(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.close)
-	entries, err := c.deploy(1, 1, 0, 4)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.apply(entries[0], 0, c.configText()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.ready(entries...); err != nil {
-		t.Fatal(err)
-	}
+	c, entries := deployed(t, 1, 1, 0, 4)
 	client := openai.NewClient(option.WithBaseURL(c.proc(entries[0]).http+"/v1"), option.WithAPIKey(apiKey), option.WithMaxRetries(0))
 	ctx := t.Context()
 	params := openai.ChatCompletionNewParams{
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -30,7 +30,10 @@
 func newEngineLink(base string, fence func() int64) *engineLink {
 	// Small buffers: there is a connection for each stream, and a token is
 	// about a hundred bytes.
-	transport := &http.Transport{MaxIdleConnsPerHost: 512, ReadBufferSize: streamBuffer, WriteBufferSize: streamBuffer}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 512, IdleConnTimeout: idleConnection,
+		ReadBufferSize: streamBuffer, WriteBufferSize: streamBuffer,
+	}
 	return &engineLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence}
 }
 
@@ -76,6 +79,8 @@
 const (
 	maxEngineLine = 1 << 20
 	streamBuffer  = 1 << 10
+	// idleConnection is how long a connection is kept after a burst.
+	idleConnection = 5 * time.Second
 )
 
 // errMalformed is returned for bytes that are no event of an OpenAI stream.
