fix: count what is in flight without a WaitGroup; zone status

Cause: entries and sidecars waited in a planned stop on a sync.WaitGroup to which requests were still added, which its documentation rules out.

Ruled out: taking no request after the drain began; an entry must still serve what the balancer sends before it notices.

--- a/internal/ctl/completion.go
+++ b/internal/ctl/completion.go
@@ -5,10 +5,11 @@
 type completionCommand struct{}
 
 const bashCompletion = `_sparshorectl() {
-  local words="config policy status drain timeline change load hash-key completion version"
+  local words="config policy status zone drain timeline change load hash-key completion version"
   case "${COMP_WORDS[COMP_CWORD-1]}" in
     config) words="check apply show diff" ;;
     policy) words="check explain" ;;
+    zone) words="status" ;;
     --output) words="table json" ;;
     check|apply|diff|explain) COMPREPLY=($(compgen -f -- "${COMP_WORDS[COMP_CWORD]}")); return ;;
   esac
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -29,6 +29,7 @@
 	Config     *configCommand     `arg:"subcommand:config" help:"check, apply, show or compare configurations"`
 	Policy     *policyCommand     `arg:"subcommand:policy" help:"check policies, or explain them on sample requests"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show all processes and what is in force"`
+	Zone       *zoneCommand       `arg:"subcommand:zone" help:"show zones"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"give an upstream no new work"`
 	Timeline   *timelineCommand   `arg:"subcommand:timeline" help:"show the events of all processes in order"`
 	Change     *changeCommand     `arg:"subcommand:change" help:"show where a configuration change stands"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/inflight"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/rollout"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -65,7 +66,7 @@
 	draining atomic.Bool
 	joined   atomic.Bool
 	serial   atomic.Int64
-	inFlight sync.WaitGroup
+	inFlight inflight.Counter
 
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget
@@ -151,17 +152,7 @@
 
 // Idle waits until no request is in flight; it returns false if ctx ends first.
 func (e *Entry) Idle(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		e.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return e.inFlight.Idle(ctx)
 }
 
 // callerRequest is a request whose account is known.
@@ -179,8 +170,8 @@
 // caller checks the client API key and the account's concurrency.
 func (e *Entry) caller(h callerHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		e.inFlight.Add(1)
-		defer e.inFlight.Done()
+		e.inFlight.Enter()
+		defer e.inFlight.Leave()
 		id := e.identity.Incarnation() + "-" + strconv.FormatInt(e.serial.Add(1), 10)
 		w.Header().Set(headerRequest, id)
 		active := e.inForce()
--- /dev/null
+++ b/internal/inflight/inflight_test.go
@@ -0,0 +1,46 @@
+package inflight
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestIdleWhileOthersComeAndGo waits while work still comes.
+func TestIdleWhileOthersComeAndGo(t *testing.T) {
+	var c Counter
+	var workers sync.WaitGroup
+	for range 8 {
+		workers.Go(func() {
+			for range 20_000 {
+				c.Enter()
+				c.Leave()
+			}
+		})
+	}
+	for range 50 {
+		c.Idle(t.Context())
+	}
+	workers.Wait()
+	if !c.Idle(t.Context()) {
+		t.Error("not idle after all left")
+	}
+}
+
+func TestIdleGivesUpAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Counter
+		c.Enter()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if c.Idle(ctx) {
+			t.Error("idle with one in flight")
+		}
+		c.Leave()
+		if !c.Idle(t.Context()) {
+			t.Error("not idle with none in flight")
+		}
+	})
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/decision"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/inflight"
 	"github.com/sparshore/sparshore/internal/lease"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/peer"
@@ -62,7 +63,7 @@
 
 	draining atomic.Bool
 	serial   atomic.Int64
-	inFlight sync.WaitGroup
+	inFlight inflight.Counter
 
 	mu          sync.Mutex
 	generations map[string]*generation
@@ -127,17 +128,7 @@
 
 // Idle waits until nothing is in flight; it returns false if ctx ends first.
 func (s *Server) Idle(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		s.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return s.delivered(ctx)
-	case <-ctx.Done():
-		return false
-	}
+	return s.inFlight.Idle(ctx) && s.delivered(ctx)
 }
 
 const deliveredPoll = 20 * time.Millisecond
@@ -197,9 +188,9 @@
 	if r := s.refuseAtOnce(p); r != nil {
 		return s.refused(p.Request, r), nil
 	}
-	s.inFlight.Add(1)
+	s.inFlight.Enter()
 	if s.draining.Load() {
-		s.inFlight.Done()
+		s.inFlight.Leave()
 		return s.refused(p.Request, &refusal{Reason: "leaving", Elsewhere: true}), nil
 	}
 	id := generationID(s.settings.Upstream, s.identity.Incarnation(), s.serial.Add(1))
@@ -209,7 +200,7 @@
 	s.hold(c, g, d)
 	act, r := s.queue(c, g, p)
 	if r != nil {
-		s.inFlight.Done()
+		s.inFlight.Leave()
 		s.forget(c, g, d)
 		return s.refused(p.Request, r), nil
 	}
@@ -223,7 +214,7 @@
 		cancel()
 	}
 	go func() {
-		defer s.inFlight.Done()
+		defer s.inFlight.Leave()
 		defer cancel()
 		s.runner.stream(runCtx, g, p)
 		end, _ := g.ended()
