fix: let go of delivered streams, cancel those that nobody takes

Cause, found by reading: a stream that had been delivered stayed with its connection, with all its tokens, for as long as the connection lived. And a generation whose entry gave up while the sidecar stood still (the cancel overtakes the request) ran to its end on the engine for nobody.

Change: the last acknowledgement of an ended stream releases it; an entry that gets frames of an unknown stream answers with a cancel.

Ruled out: releasing at the last frame sent; acknowledgements come after it and a planned stop waits for them.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -233,6 +233,11 @@
 	c.mu.Lock()
 	s, ok := c.streams[n.Sub]
 	c.mu.Unlock()
+	if !ok && n.End == nil {
+		// Nobody waits for this stream any more: the request was given up
+		// before the sidecar had it.
+		go func() { _ = conn.Notify(context.Background(), methodCancel, cancelNote{Sub: n.Sub}) }()
+	}
 	if !ok || s.conn != conn || !s.take(n) {
 		c.dropped.Add(1)
 		c.rec.Note(events.FrameDropped, "", "generation", n.Generation, "first", n.First)
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"errors"
+	"net"
 	"testing"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/peer"
 )
 
 // FuzzReadChunks feeds the reader of an engine's stream: whatever comes, a
@@ -27,6 +29,23 @@
 	})
 }
 
+// closedConn is a connection that has ended: frames of unknown streams are
+// answered on it, to nobody.
+func closedConn(t *testing.T) *peer.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	c, err := peer.Dial(t.Context(), l.Addr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	return c
+}
+
 // FuzzTokensFrame feeds frames to an entry's stream: only the next offset of
 // its own generation is ever taken.
 func FuzzTokensFrame(f *testing.F) {
@@ -36,9 +55,10 @@
 	f.Add([]byte(`[]`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		c := NewClient(events.Nop())
-		s := c.newStream(nil, 0)
+		conn := closedConn(t)
+		s := c.newStream(conn, 0)
 		s.named("g")
-		_, _ = c.tokens(t.Context(), nil, raw)
+		_, _ = c.tokens(t.Context(), conn, raw)
 		if p, ok := s.ready(); ok && len(p.Choices()) > 0 && p.First() != 1 {
 			t.Fatalf("took offset %d first", p.First())
 		}
--- a/internal/sidecar/generation.go
+++ b/internal/sidecar/generation.go
@@ -108,12 +108,13 @@
 }
 
 // ack notes that the caller's socket has taken everything up to offset upto,
-// and drops what no longer has to be kept.
-func (g *generation) ack(d *delivery, upto int64) {
+// and drops what no longer has to be kept. It reports whether the generation
+// has ended and all of it was taken.
+func (g *generation) ack(d *delivery, upto int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.holder != d {
-		return
+		return false
 	}
 	last := g.first + int64(len(g.choices)) - 1
 	for upto = min(upto, last); g.acked < upto; g.acked++ {
@@ -130,6 +131,7 @@
 		g.choices = append([]json.RawMessage(nil), g.choices[drop:]...)
 		g.first += int64(drop)
 	}
+	return g.end != nil && g.acked == last
 }
 
 // delivery is one entry's connection to a generation.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -463,8 +463,11 @@
 	if err := json.Unmarshal(raw, &p); err != nil {
 		return nil, fmt.Errorf("%w: ack: %v", errParams, err)
 	}
-	if h, ok := lookup(c, p.Sub); ok {
-		h.g.ack(h.d, p.Upto)
+	if h, ok := lookup(c, p.Sub); ok && h.g.ack(h.d, p.Upto) {
+		// All of it was delivered: the connection lets go of it, and it is
+		// kept only as long as a caller may ask for its end again.
+		h.g.detach(h.d)
+		s.release(c, h.d)
 	}
 	return nil, nil
 }
