test: scenarios wait for what they mean and not for a time

Cause: three scripts paused for a fixed time until a call had started or a lease was held; on a slow machine their verdict could change.

Change: logged and ran wait for the event or the service's own count; deploy waits for the leases.

--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -92,6 +92,8 @@
 			"state":    cmdState,
 			"race":     cmdRace,
 			"timeline": cmdTimeline,
+			"logged":   cmdLogged,
+			"ran":      cmdRan,
 			"pause":    cmdPause,
 		},
 	})
@@ -135,6 +137,9 @@
 	check(ts, err)
 	check(ts, c.apply(w.entries[0], 0, c.configText()))
 	check(ts, c.ready(w.entries...))
+	for name := range c.services {
+		check(ts, c.logged(name, "lease-acquired", 1))
+	}
 }
 
 // environment returns the settings among a script's arguments.
@@ -418,6 +423,21 @@
 	}
 }
 
+// ran KEY N: waits until the services have run the call N times.
+func cmdRan(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	check(ts, waitFor(func() error {
+		runs, err := w.cluster.runs()
+		if err != nil {
+			return err
+		}
+		if got := strconv.Itoa(runs[w.key(args[0])]); got != args[1] {
+			return fmt.Errorf("call %s ran %s times, want %s", args[0], got, args[1])
+		}
+		return nil
+	}))
+}
+
 // fault UPSTREAM name=value...: tells an engine or service to go wrong.
 func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
 	c := worldOf(ts).cluster
@@ -483,6 +503,27 @@
 	}))
 }
 
+// logged NAME EVENT N: waits until a process has logged an event N times, over
+// all its incarnations.
+func cmdLogged(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[2])
+	check(ts, err)
+	check(ts, worldOf(ts).cluster.logged(args[0], args[1], want))
+}
+
+func (c *cluster) logged(name, event string, times int) error {
+	return waitFor(func() error {
+		b, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
+		if err != nil {
+			return err
+		}
+		if n := strings.Count(string(b), `"msg":"`+event+`"`); n < times {
+			return fmt.Errorf("%s logged %s %d of %d times", name, event, n, times)
+		}
+		return nil
+	})
+}
+
 // pause DURATION: lets time pass for a fault to take hold; no verdict hangs on
 // its length.
 func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
