--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -5,6 +5,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -69,6 +72,7 @@
 	stop()
 	faults.Wait()
 	c.judge(y)
+	c.crashes(y)
 	t.Logf("seed %d: %v", *chaosSeed, y.counts)
 	for _, b := range y.breaches {
 		t.Errorf("breach: %s", b)
@@ -99,6 +103,22 @@
 	}
 }
 
+// crashes looks for processes that ended by a fault of their own.
+func (c *cluster) crashes(y *tally) {
+	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, file := range logs {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			y.breach("%v", err)
+		}
+		for _, mark := range []string{"panic: ", "fatal error: ", "DATA RACE"} {
+			if i := strings.Index(string(b), mark); i >= 0 {
+				y.breach("%s: %.2000s", filepath.Base(file), b[i:])
+			}
+		}
+	}
+}
+
 func (c *cluster) caller(rng *rand.Rand, entries []string, y *tally) {
 	if rng.IntN(2) == 0 {
 		c.streamCaller(rng, entries, y)
