--- /dev/null
+++ b/internal/belief/follower.go
@@ -0,0 +1,151 @@
+// Package belief keeps what a process believes about a table of the store
+// together with how old that belief is: the store's version and the steady time
+// at which it was last confirmed to be the newest.
+package belief
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// Settings are the fixed numbers of a Follower.
+type Settings struct {
+	// Table is the table followed.
+	Table string
+	// Wait is how long the store holds a call for changes. It bounds how often
+	// the belief is confirmed while nothing changes.
+	Wait time.Duration
+	// Slack is the time beyond Wait after which a call is given up.
+	Slack time.Duration
+	// PauseLeast and PauseMost bound the back-off after failed calls.
+	PauseLeast time.Duration
+	PauseMost  time.Duration
+	// SettleFor is how long after an outage the rows may still be incomplete:
+	// rows that lapsed while the store was away need time to come back.
+	SettleFor time.Duration
+}
+
+// Follower follows one table of the store.
+type Follower struct {
+	settings Settings
+	store    *platform.Store
+	apply    func(s platform.Snapshot, full bool)
+	confirm  func(at time.Time)
+	rec      *events.Recorder
+	now      func() time.Time
+	sleep    func(ctx context.Context, d time.Duration)
+
+	mu        sync.Mutex
+	version   int64
+	synced    bool
+	confirmed time.Time
+	failures  int
+	settled   time.Time
+}
+
+// New returns a Follower that hands each answer to apply, where full marks one
+// that holds the whole table, and then tells confirm the steady time for which
+// all that was applied is known to be the newest.
+func New(settings Settings, store *platform.Store, apply func(s platform.Snapshot, full bool), confirm func(at time.Time), rec *events.Recorder, now func() time.Time) *Follower {
+	return &Follower{settings: settings, store: store, apply: apply, confirm: confirm, rec: rec, now: now, sleep: sleep}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Confirmed returns the steady time at which the belief was last known to be
+// the newest; the zero time if it never was.
+func (f *Follower) Confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// Settled returns the time from which missing rows are to be taken as gone. It
+// lies in the future for a while after an outage; during one it is zero and ok
+// is false.
+func (f *Follower) Settled() (at time.Time, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settled, f.failures == 0
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.failed(ctx, err)
+		}
+	}
+}
+
+// step makes one call and takes over its answer. What the answer says was true
+// at some moment after the call was sent, so that moment confirms the belief.
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.now()
+	ctx, cancel := context.WithDeadline(ctx, sent.Add(f.settings.Wait+f.settings.Slack))
+	defer cancel()
+	full := !f.synced
+	var s platform.Snapshot
+	var err error
+	if full {
+		s, err = f.store.List(ctx, f.settings.Table)
+	} else {
+		s, err = f.store.Changes(ctx, f.settings.Table, f.version, f.settings.Wait)
+	}
+	if errors.Is(err, platform.ErrHistoryGone) {
+		f.synced = false
+		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.succeeded(s, sent)
+	if full || len(s.Records) > 0 {
+		f.apply(s, full)
+	}
+	f.mu.Lock()
+	f.confirmed = sent
+	f.mu.Unlock()
+	f.confirm(sent)
+	return nil
+}
+
+func (f *Follower) succeeded(s platform.Snapshot, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failures > 0 {
+		f.settled = f.now().Add(f.settings.SettleFor)
+		f.rec.Note(events.StoreRegained, "", "table", f.settings.Table, "version", s.Version, "failures", f.failures, "unconfirmed-for", f.now().Sub(f.confirmed))
+	}
+	f.failures = 0
+	f.synced = true
+	f.version = max(f.version, s.Version)
+}
+
+// failed notes the first failure of a row of them and backs off.
+func (f *Follower) failed(ctx context.Context, err error) {
+	f.mu.Lock()
+	f.failures++
+	n := f.failures
+	since := f.confirmed
+	f.mu.Unlock()
+	if n == 1 {
+		f.rec.Note(events.StoreLost, "", "table", f.settings.Table, "version", f.version, "confirmed-before", f.now().Sub(since), "error", err)
+	}
+	most := min(f.settings.PauseLeast<<min(n-1, 16), f.settings.PauseMost)
+	f.sleep(ctx, most/2+time.Duration(rand.Int64N(int64(most/2)+1)))
+}
--- /dev/null
+++ b/internal/belief/routes.go
@@ -0,0 +1,93 @@
+package belief
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// Routes is the belief about the operator's route table. Its version never goes
+// down, and each confirmation carries the steady time for which it holds.
+type Routes struct {
+	decode func(value []byte) (*routetable.Table, error)
+	row    string
+	rec    *events.Recorder
+	now    func() time.Time
+
+	mu        sync.Mutex
+	table     *routetable.Table
+	source    []byte
+	confirmed time.Time
+}
+
+// NewRoutes returns an empty belief; row names the row that holds the table.
+func NewRoutes(row string, decode func(value []byte) (*routetable.Table, error), rec *events.Recorder, now func() time.Time) *Routes {
+	return &Routes{decode: decode, row: row, rec: rec, now: now}
+}
+
+// Current returns the table in force here, nil if none is known, and the steady
+// time at which it was last known to be the newest.
+func (r *Routes) Current() (*routetable.Table, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table, r.confirmed
+}
+
+// Source returns the stored form of the table in force, for other processes.
+func (r *Routes) Source() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source
+}
+
+// Apply takes over the store's answer.
+func (r *Routes) Apply(s platform.Snapshot, _ bool) {
+	for _, rec := range s.Records {
+		if rec.Name == r.row && !rec.Gone {
+			r.Offer(rec.Value, "store")
+		}
+	}
+}
+
+// Offer takes over a stored table if it is newer than the one in force. One
+// that cannot be used is refused and the last good one stays.
+func (r *Routes) Offer(value []byte, source string) {
+	table, err := r.decode(value)
+	if err != nil {
+		r.rec.Note(events.RoutesRejected, "", "source", source, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table != nil && table.Version() <= r.table.Version() {
+		return
+	}
+	before := routetable.Version(0)
+	if r.table != nil {
+		before = r.table.Version()
+	}
+	r.table, r.source = table, value
+	r.rec.Note(events.RoutesLoaded, "", "source", source, "version", table.Version(), "before", before)
+}
+
+// Confirm notes that the table of a version was the newest at a steady time.
+// It is ignored when another version is in force here.
+func (r *Routes) Confirm(v routetable.Version, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table != nil && r.table.Version() == v && at.After(r.confirmed) {
+		r.confirmed = at
+	}
+}
+
+// ConfirmCurrent notes that whatever is in force was the newest at a steady time.
+func (r *Routes) ConfirmCurrent(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table != nil && at.After(r.confirmed) {
+		r.confirmed = at
+	}
+}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,399 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/directory"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gateway"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/logline"
+	product "github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/platform"
+)
+
+// The names under which the gateway's services find each other.
+const (
+	serviceGateway   kernel.Name = "gateway"
+	serviceFollow    kernel.Name = "follow"
+	serviceGossip    kernel.Name = "gossip"
+	serviceCallers   kernel.Name = "callers"
+	serviceReadiness kernel.Name = "readiness"
+	serviceMetrics   kernel.Name = "metrics"
+	serviceLog       kernel.Name = "log"
+)
+
+// The fixed times of a gateway.
+const (
+	// followWait is how long the store holds a call for changes. It sets how old
+	// a confirmation gets, against the price of calls.
+	followWait = time.Second
+	// followSlack covers the way to the store and a late answer.
+	followSlack = 700 * time.Millisecond
+	// followPauseLeast and followPauseMost bound the back-off.
+	followPauseLeast = 50 * time.Millisecond
+	followPauseMost  = 500 * time.Millisecond
+	// settleFor is how long after an outage lapsed upstreams have to come back:
+	// the platform's operators state about two seconds.
+	settleFor = 2200 * time.Millisecond
+	// trustMargin is taken off the key bound: the store's feed may be silent for
+	// up to a second while changes are made.
+	trustMargin = 1200 * time.Millisecond
+	// gossipEvery makes load of others at most a few requests old.
+	gossipEvery = 200 * time.Millisecond
+	// gossipForget is some lost messages in a row.
+	gossipForget = 1500 * time.Millisecond
+	// directoryEvery bounds how late a new entry learns of the others.
+	directoryEvery = 3 * time.Second
+	// directoryCall bounds one call for the list of entries.
+	directoryCall = 1500 * time.Millisecond
+	// sweepEvery is the pause between looks at lapsed upstreams and idle connections.
+	sweepEvery = 250 * time.Millisecond
+	// dialWithin bounds a new connection to an upstream: some round trips between zones.
+	dialWithin = 400 * time.Millisecond
+	// idleUnknown and idleMargin keep requests from crossing an upstream's close.
+	idleUnknown = 300 * time.Millisecond
+	idleMargin  = 700 * time.Millisecond
+	// silentAfter ends connections to upstreams whose VM stopped acknowledging.
+	silentAfter = 3 * time.Second
+	// callerIdle is how long an idle caller's connection is kept.
+	callerIdle = 75 * time.Second
+	// callerHeader bounds the time a caller has to send the headers.
+	callerHeader = 10 * time.Second
+	// readyPause is how long a stopping gateway still takes new connections: the
+	// balancer asks each second and believes the second refusal.
+	readyPause = 2500 * time.Millisecond
+	// stopSpare is left of the time to stop when requests in flight are given up.
+	stopSpare = 500 * time.Millisecond
+	// retryShare keeps a little of the allowed attempts unused, for windows that
+	// entries see differently.
+	retryShare = 0.85
+	// logQueue is a second's worth of lines.
+	logQueue = 512
+	// tableEntries is the table in which entries list themselves.
+	tableEntries = "entries"
+)
+
+// RunGateway runs a gateway until it is told to stop.
+func RunGateway(ctx context.Context, s GatewaySettings, logs io.Writer) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	b := newGatewayBuilder(s, logs)
+	return kernel.Run(ctx, kernel.Limits{Start: startLimit, Stop: s.StopWithin}, []kernel.Service{
+		b.logService(),
+		b.metricsService(),
+		b.followService(),
+		b.gossipService(),
+		b.readinessService(),
+		b.callerService(),
+		b.gatewayService(),
+	})
+}
+
+// gatewayBuilder holds the parts of a gateway.
+type gatewayBuilder struct {
+	settings GatewaySettings
+	lines    *logline.Writer
+	rec      *events.Recorder
+	reg      *prometheus.Registry
+	store    *product.Store
+	routes   *belief.Routes
+	fleet    *fleet.Set
+	pool     *link.Pool
+	gateway  *gateway.Gateway
+	tables   *belief.Follower
+	members  *belief.Follower
+	gossip   *gossip.Node
+	listed   int
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
+	b := &gatewayBuilder{settings: s, reg: prometheus.NewRegistry()}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	b.lines = logline.New(logline.Settings{Lines: s.LogLines, Queue: logQueue}, logs, time.Now)
+	incarnation := newIncarnation()
+	log := newLogger(b.lines).WithValues("process", s.Name, "incarnation", incarnation)
+	b.rec = events.New(log, s.Name, incarnation, s.TimelineSize, time.Now)
+	b.reg.MustRegister(collectors.NewGoCollector())
+	b.store = platform.NewStore(s.Store, storeClient())
+	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
+	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
+	proto := platform.NewProtocol()
+	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, IDHeader: proto.IDHeader}, dialer(), time.Now)
+	b.gateway = gateway.New(gateway.Settings{
+		Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin,
+		RetryRatio: s.RetryRatio * retryShare, RetryExtra: s.RetryExtra * retryShare, RetryWindow: s.RetryWindow,
+	}, b.routes, b.fleet, b.pool, proto, b.rec, b.reg, time.Now)
+	b.tables = belief.New(followSettings(platform.TableRoutes), b.store, b.routes.Apply, b.routes.ConfirmCurrent, b.rec, time.Now)
+	b.members = belief.New(followSettings(platform.TableUpstreams), b.store, b.applyUpstreams, func(time.Time) {}, b.rec, time.Now)
+	return b
+}
+
+func followSettings(table string) belief.Settings {
+	return belief.Settings{
+		Table: table, Wait: followWait, Slack: followSlack,
+		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor,
+	}
+}
+
+// storeClient keeps few connections: one for each table followed and one for
+// other calls.
+func storeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialWithin}).DialContext,
+		MaxIdleConnsPerHost: 3,
+		DisableCompression:  true,
+	}}
+}
+
+// dialer opens connections that end when the other VM goes silent.
+func dialer() func(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silentAfter / 3, Interval: silentAfter / 3, Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentAfter.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp4", address) }
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall lacks.
+const tcpUserTimeout = 18
+
+// applyUpstreams hands the rows of upstreams to the fleet.
+func (b *gatewayBuilder) applyUpstreams(s product.Snapshot, full bool) {
+	var records []fleet.Record
+	var gone []string
+	for _, row := range s.Records {
+		if row.Gone {
+			gone = append(gone, row.Name)
+			continue
+		}
+		r, err := platform.DecodeUpstream(row.Name, row.Value)
+		if err != nil {
+			b.rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
+			continue
+		}
+		records = append(records, r)
+	}
+	settled, _ := b.members.Settled()
+	b.fleet.Update(records, gone, full, settled)
+}
+
+func (b *gatewayBuilder) logService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceLog,
+		Build: func(*kernel.Registry) (any, error) { return b.rec, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			go b.countDropped()
+			go b.watchReload()
+			return nil
+		},
+		Stop: func(context.Context, *kernel.Registry) error {
+			b.cancel()
+			b.rec.Note(events.ProcessStopped, "")
+			return nil
+		},
+	}
+}
+
+// countDropped tells once a second how many lines were left out.
+func (b *gatewayBuilder) countDropped() {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+			if n := b.lines.Dropped(); n > 0 {
+				b.rec.Note(events.LinesDropped, "", "lines", n)
+			}
+		}
+	}
+}
+
+// watchReload answers SIGHUP. Settings are flags and environment variables, so
+// a change of them takes a restart; what changes while a process runs is in the
+// store.
+func (b *gatewayBuilder) watchReload() {
+	sigs := make(chan os.Signal, 1)
+	signal.Notify(sigs, syscall.SIGHUP)
+	defer signal.Stop(sigs)
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-sigs:
+			b.rec.Note(events.SettingsReread, "", "taken-over", "none", "settings", b.settings.String())
+		}
+	}
+}
+
+func (b *gatewayBuilder) metricsService() kernel.Service {
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader})
+}
+
+func (b *gatewayBuilder) readinessService() kernel.Service {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.PathReady, b.gateway.Ready).Methods(http.MethodGet)
+	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+}
+
+func (b *gatewayBuilder) callerService() kernel.Service {
+	return b.listenService(serviceCallers, "--listen", b.settings.Listen, &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+}
+
+// listenService serves HTTP at an address.
+func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server) kernel.Service {
+	return kernel.Service{
+		Name:  name,
+		Build: func(*kernel.Registry) (any, error) { return s, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			l, err := net.Listen("tcp4", address)
+			if err != nil {
+				return fmt.Errorf("%s: %w", flag, err)
+			}
+			go func() { _ = s.Serve(l) }()
+			return nil
+		},
+		Stop: func(ctx context.Context, _ *kernel.Registry) error {
+			if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+				return err
+			}
+			return s.Close()
+		},
+	}
+}
+
+func (b *gatewayBuilder) followService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceFollow,
+		Build: func(*kernel.Registry) (any, error) { return b.routes, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			go b.tables.Run(b.ctx)
+			go b.members.Run(b.ctx)
+			go b.sweep()
+			return nil
+		},
+	}
+}
+
+func (b *gatewayBuilder) sweep() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+			b.fleet.Sweep()
+			b.pool.Sweep()
+		}
+	}
+}
+
+func (b *gatewayBuilder) gossipService() kernel.Service {
+	return kernel.Service{
+		Name: serviceGossip,
+		Build: func(*kernel.Registry) (any, error) {
+			conn, err := net.ListenPacket("udp4", b.settings.GossipListen)
+			if err != nil {
+				return nil, fmt.Errorf("--gossip-listen: %w", err)
+			}
+			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Every: gossipEvery, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
+			return b.gossip, nil
+		},
+		Start: func(context.Context, *kernel.Registry) error {
+			d := directory.New(directory.Settings{
+				Table: tableEntries, Name: b.settings.Name, Address: b.settings.GossipListen,
+				Every: directoryEvery, CallWithin: directoryCall,
+			}, b.store, b.found, b.rec, time.Now)
+			go b.gossip.Run(b.ctx)
+			go d.Run(b.ctx)
+			return nil
+		},
+	}
+}
+
+// found takes over the list of entries.
+func (b *gatewayBuilder) found(addresses map[string]string) {
+	b.gossip.Know(addresses)
+	b.gateway.Peers(b.gossip.Peers(), len(addresses))
+}
+
+// ownState is what this gateway tells the others.
+func (b *gatewayBuilder) ownState() gossip.State {
+	s := gossip.State{Loads: b.gateway.Load(), Leaving: b.fleet.Leaving()}
+	table, confirmed := b.routes.Current()
+	if table != nil {
+		s.Routes, s.Confirmed = table.Version(), confirmed
+	}
+	return s
+}
+
+// peerState takes over what another gateway told.
+func (b *gatewayBuilder) peerState(from string, s gossip.State) {
+	b.gateway.PeerLoad(from, s.Loads)
+	for _, id := range s.Leaving {
+		b.fleet.MarkLeaving(id, from)
+	}
+	if !s.Confirmed.IsZero() {
+		b.routes.Confirm(s.Routes, s.Confirmed)
+	}
+}
+
+// gatewayService is the last to start, so its stop comes first: callers in
+// flight are served before anything they need goes away.
+func (b *gatewayBuilder) gatewayService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceGateway,
+		Build: func(*kernel.Registry) (any, error) { return b.gateway, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			b.rec.Note(events.ProcessStarted, "", "role", "gateway", "listen", b.settings.Listen, "settings", b.settings.String())
+			return nil
+		},
+		Stop: b.drain,
+	}
+}
+
+// drain lets the balancer notice, then waits for the requests in flight.
+func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
+	deadline := time.Now().Add(b.settings.StopWithin - stopSpare)
+	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin)
+	b.gateway.Drain()
+	time.Sleep(min(readyPause, b.settings.StopWithin/3))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if !b.gateway.Idle(ctx) {
+		b.rec.Note(events.DrainTooShort, "")
+	}
+	return nil
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -14,6 +14,7 @@
 type arguments struct {
 	Entry   *EntrySettings   `arg:"subcommand:entry" help:"serve callers and operators"`
 	Sidecar *SidecarSettings `arg:"subcommand:sidecar" help:"guard one upstream"`
+	Gateway *GatewaySettings `arg:"subcommand:gateway" help:"serve callers over a route table kept in the platform's store"`
 }
 
 // Description is printed in the help text.
@@ -37,9 +38,12 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	var err error
-	if a.Entry != nil {
+	switch {
+	case a.Entry != nil:
 		err = RunEntry(context.Background(), *a.Entry, stderr)
-	} else {
+	case a.Gateway != nil:
+		err = RunGateway(context.Background(), *a.Gateway, stdout)
+	default:
 		err = RunSidecar(context.Background(), *a.Sidecar, stderr)
 	}
 	switch {
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,137 @@
+// Package directory keeps the list of entries in the store, so that they find
+// each other. Each entry renews its own row; rows that are no longer renewed are
+// ignored and, after a while, removed by whoever sees them.
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// Settings are the fixed numbers of a Directory.
+type Settings struct {
+	// Table is the table that holds the rows.
+	Table string
+	// Name and Address are the own entry's.
+	Name    string
+	Address string
+	// Every is the time between two reads; every third one renews the own row.
+	Every time.Duration
+	// CallWithin bounds one call to the store.
+	CallWithin time.Duration
+}
+
+const (
+	// renewEach is the number of reads between two renewals.
+	renewEach = 3
+	// staleAfter is the number of missed renewals after which a row is ignored.
+	staleAfter = 3
+	// removeAfter is the number of missed renewals after which a row is removed.
+	removeAfter = 10
+)
+
+// row is what an entry writes about itself.
+type row struct {
+	Address string `json:"address"`
+	// RenewedMS is the store's steady clock, as the writer last read it.
+	RenewedMS int64 `json:"renewed_ms"`
+}
+
+// Directory keeps one entry's row and reads the others'.
+type Directory struct {
+	settings Settings
+	store    *platform.Store
+	found    func(addresses map[string]string)
+	rec      *events.Recorder
+	now      func() time.Time
+
+	clock   time.Duration
+	clockAt time.Time
+	failing bool
+}
+
+// New returns a Directory that tells found the addresses of all entries, by name.
+func New(settings Settings, store *platform.Store, found func(addresses map[string]string), rec *events.Recorder, now func() time.Time) *Directory {
+	return &Directory{settings: settings, store: store, found: found, rec: rec, now: now}
+}
+
+// Run renews and reads until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		d.note(d.read(ctx))
+		if n%renewEach == 0 && !d.clockAt.IsZero() {
+			d.note(d.renew(ctx))
+		}
+		pause := d.settings.Every/2 + time.Duration(rand.Int64N(int64(d.settings.Every)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	d.leave()
+}
+
+func (d *Directory) note(err error) {
+	if (err != nil) != d.failing {
+		d.failing = err != nil
+		if err != nil {
+			d.rec.Note(events.RegisterFailed, "", "error", err)
+		}
+	}
+}
+
+func (d *Directory) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.CallWithin)
+	defer cancel()
+	clock := d.clock + d.now().Sub(d.clockAt)
+	value, err := json.Marshal(row{Address: d.settings.Address, RenewedMS: clock.Milliseconds()})
+	if err != nil {
+		return err
+	}
+	return d.store.Put(ctx, d.settings.Table, d.settings.Name, value)
+}
+
+// leave takes the own row away in a planned stop; if that fails, the row goes
+// stale.
+func (d *Directory) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.CallWithin)
+	defer cancel()
+	d.note(d.store.Remove(ctx, d.settings.Table, d.settings.Name))
+}
+
+func (d *Directory) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.CallWithin)
+	defer cancel()
+	s, err := d.store.List(ctx, d.settings.Table)
+	if err != nil {
+		return err
+	}
+	d.clock, d.clockAt = s.Clock, d.now()
+	renewal := renewEach * d.settings.Every
+	addresses := make(map[string]string, len(s.Records))
+	var old []string
+	for _, r := range s.Records {
+		var v row
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			d.rec.Note(events.RegisterFailed, "", "row", r.Name, "error", err)
+			continue
+		}
+		age := s.Clock - time.Duration(v.RenewedMS)*time.Millisecond
+		switch {
+		case age > removeAfter*renewal:
+			old = append(old, r.Name)
+		case age <= staleAfter*renewal:
+			addresses[r.Name] = v.Address
+		}
+	}
+	d.found(addresses)
+	if len(old) == 0 {
+		return nil
+	}
+	return d.store.Remove(ctx, d.settings.Table, old...)
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -9,11 +9,23 @@
 	ProcessStarted     ID = 100
 	ProcessStopping    ID = 101
 	ProcessStopped     ID = 102
+	SettingsReread     ID = 103
+	LinesDropped       ID = 104
 	PeerConnected      ID = 110
 	PeerLost           ID = 111
 	PeerLeaving        ID = 112
 	PeerSuspected      ID = 113
 	VMListFailed       ID = 114
+	UpstreamJoined     ID = 120
+	UpstreamBack       ID = 121
+	UpstreamLeaving    ID = 122
+	UpstreamLapsed     ID = 123
+	UpstreamGone       ID = 124
+	UpstreamAvoided    ID = 125
+	UpstreamRejected   ID = 126
+	EntryHeard         ID = 130
+	EntrySilent        ID = 131
+	GossipRejected     ID = 132
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -22,6 +34,12 @@
 	StreamResumed      ID = 205
 	StreamCut          ID = 206
 	CallerGone         ID = 207
+	HedgeSent          ID = 208
+	StreamMoveStarted  ID = 210
+	StreamMoved        ID = 211
+	StreamMoveFailed   ID = 212
+	StreamRestored     ID = 213
+	AnswerRejected     ID = 214
 	GenerationQueued   ID = 300
 	GenerationAdmitted ID = 301
 	GenerationPaused   ID = 302
@@ -46,7 +64,15 @@
 	ChangeAccepted     ID = 505
 	ConfigActivated    ID = 506
 	ConfigStale        ID = 507
+	RoutesLoaded       ID = 510
+	RoutesRejected     ID = 511
+	RoutesUnconfirmed  ID = 512
+	RoutesConfirmed    ID = 513
 	PlatformFailed     ID = 600
+	StoreLost          ID = 601
+	StoreRegained      ID = 602
+	StoreHistoryGone   ID = 603
+	RegisterFailed     ID = 604
 )
 
 // Kind describes one event kind.
@@ -69,11 +95,23 @@
 	{ProcessStarted, "process-started", "A process finished its start and serves."},
 	{ProcessStopping, "process-stopping", "A process was told to stop and takes no new work."},
 	{ProcessStopped, "process-stopped", "A process ended its planned stop."},
+	{SettingsReread, "settings-reread", "A process was told that its settings changed, and says which of them it took over."},
+	{LinesDropped, "lines-dropped", "More lines were written than the bound allows; it tells how many were left out."},
 	{PeerConnected, "peer-connected", "A connection to a sidecar was made and its greeting checked."},
 	{PeerLost, "peer-lost", "A connection to a sidecar ended or stopped answering heartbeats."},
 	{PeerLeaving, "peer-leaving", "An upstream is leaving and gets no new work."},
 	{PeerSuspected, "peer-suspected", "A sidecar missed a heartbeat but its connection is open."},
 	{VMListFailed, "vm-list-failed", "The VM list could not be read; the last one known stays in use."},
+	{UpstreamJoined, "upstream-joined", "An entry saw a new upstream in the store."},
+	{UpstreamBack, "upstream-back", "An upstream that had lapsed around an outage of the store is there again."},
+	{UpstreamLeaving, "upstream-leaving", "An upstream gets no new work from now on, and its streams are moved."},
+	{UpstreamLapsed, "upstream-lapsed", "An upstream vanished around an outage of the store and has time to come back."},
+	{UpstreamGone, "upstream-gone", "An upstream that left is forgotten."},
+	{UpstreamAvoided, "upstream-avoided", "An upstream failed a connection and is avoided while others can serve."},
+	{UpstreamRejected, "upstream-rejected", "The record of an upstream cannot be used."},
+	{EntryHeard, "entry-heard", "An entry hears from another one, for the first time or again."},
+	{EntrySilent, "entry-silent", "An entry no longer hears from another one; its load no longer counts."},
+	{GossipRejected, "gossip-rejected", "A message of another entry cannot be used."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
@@ -82,6 +120,12 @@
 	{StreamResumed, "stream-resumed", "A caller went on with a stream at the next offset."},
 	{StreamCut, "stream-cut", "A stream ended before it was whole, and the caller was told where and why."},
 	{CallerGone, "caller-gone", "A caller's connection closed before its answer was whole."},
+	{HedgeSent, "hedge-sent", "A slow request that may run twice was sent to a second upstream as well."},
+	{StreamMoveStarted, "stream-move-started", "The memory of a running generation is being copied to another engine."},
+	{StreamMoved, "stream-moved", "A running generation goes on at the engine that holds the copy of its memory."},
+	{StreamMoveFailed, "stream-move-failed", "A running generation could not be moved; it goes on where it is, or is lost with its engine."},
+	{StreamRestored, "stream-restored", "A stream whose engine was lost goes on at another one."},
+	{AnswerRejected, "answer-rejected", "An upstream's answer was not passed on, for the reason given."},
 	{GenerationQueued, "generation-queued", "A sidecar holds a generation until memory allows it."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation gave way to others and keeps its place."},
@@ -106,7 +150,15 @@
 	{ChangeAccepted, "change-accepted", "A configuration change is in force at every process."},
 	{ConfigActivated, "config-activated", "A process went to a higher configuration version."},
 	{ConfigStale, "config-stale", "A process was offered a version that is not higher than its own."},
+	{RoutesLoaded, "routes-loaded", "An entry went to a newer route table."},
+	{RoutesRejected, "routes-rejected", "A route table cannot be used; the last good one stays in force."},
+	{RoutesUnconfirmed, "routes-unconfirmed", "The route table was not confirmed for so long that requests with keys are refused."},
+	{RoutesConfirmed, "routes-confirmed", "The route table is confirmed again and requests with keys are served."},
 	{PlatformFailed, "platform-failed", "A call to a platform store failed; it is tried again with back-off."},
+	{StoreLost, "store-lost", "A call that follows a table of the store failed; the last known rows stay in use."},
+	{StoreRegained, "store-regained", "The store answers again."},
+	{StoreHistoryGone, "store-history-gone", "The store dropped the changes since the last answer; the table is read anew."},
+	{RegisterFailed, "register-failed", "An entry could not write or read the list of entries."},
 }
 
 var byID = func() map[ID]Kind {
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// maxSends bounds the upstreams that one request is offered to when each states
+// that it did not run it.
+const maxSends = 3
+
+// hedgeShare is the part of a route's objective after which a request that may
+// run twice goes to a second upstream: the answer then still comes in time.
+const hedgeShare = 0.45
+
+// hedgeReserve is the part of the retry budget that hedges leave for retries
+// after failures.
+const hedgeReserve = 0.5
+
+// maxBuffered bounds in bytes the answer that is held back until it is whole;
+// a longer one is refused as broken.
+const maxBuffered = 8 << 20
+
+// result is how one attempt of a plain call ended.
+type result struct {
+	upstream string
+	status   int
+	header   http.Header
+	body     []byte
+	verdict  protocol.Verdict
+	err      error
+}
+
+// usable reports whether there is an answer and it can be passed on.
+func (r result) usable() bool { return r.status != 0 && r.err == nil && r.verdict == protocol.Ran }
+
+// good reports whether nothing better can be had from another upstream.
+func (r result) good() bool {
+	return r.usable() && r.status < http.StatusInternalServerError
+}
+
+// mayHaveRun reports whether the upstream may have run the request.
+func (r result) mayHaveRun() bool {
+	if r.err != nil {
+		return !errors.Is(r.err, link.ErrNotSent)
+	}
+	return r.verdict == protocol.Ran
+}
+
+// serveCall serves a request for a plain service.
+func (g *Gateway) serveCall(ctx context.Context, rq *request) {
+	c := &callRun{g: g, rq: rq, tried: map[string]bool{}, results: make(chan result, maxSends+1)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	last, ok := c.run(ctx)
+	switch {
+	case ok && last.usable():
+		g.passOn(rq, last)
+	case ok && last.err != nil:
+		g.giveUp(ctx, rq, "the upstream's answer did not come: "+last.err.Error())
+	case len(c.tried) == 0:
+		g.refuse(rq, http.StatusServiceUnavailable, "no upstream", backNoUpstream)
+	default:
+		g.giveUp(ctx, rq, "no upstream answered")
+	}
+}
+
+// callRun is a plain call while it is tried.
+type callRun struct {
+	g       *Gateway
+	rq      *request
+	tried   map[string]bool
+	running int
+	results chan result
+	hedged  bool
+}
+
+// run tries upstreams until one gives a good answer or no more may be tried. It
+// returns the best answer there was.
+func (c *callRun) run(ctx context.Context) (best result, ok bool) {
+	if !c.launch(ctx, "first") {
+		return result{}, false
+	}
+	hedge := time.NewTimer(time.Duration(hedgeShare * float64(c.rq.route.Objective)))
+	defer hedge.Stop()
+	for {
+		select {
+		case r := <-c.results:
+			c.running--
+			c.rq.sent = c.rq.sent || r.mayHaveRun()
+			if r.good() {
+				return r, true
+			}
+			if !best.usable() {
+				best = r
+			}
+			if !c.again(ctx, r) && c.running == 0 {
+				return best, true
+			}
+		case <-hedge.C:
+			c.hedge(ctx)
+		case <-ctx.Done():
+			c.rq.sent = c.rq.sent || c.running > 0
+			return result{err: ctx.Err()}, true
+		}
+	}
+}
+
+// again starts another attempt after one that failed, if that is allowed.
+func (c *callRun) again(ctx context.Context, r result) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if r.mayHaveRun() && (!c.rq.route.Repeats() || c.rq.tries >= c.rq.route.MaxAttempts) {
+		return false
+	}
+	if len(c.tried) >= maxSends || !c.g.budget(c.rq.service.Name).Repeat(0) {
+		return false
+	}
+	return c.launch(ctx, "retry")
+}
+
+// hedge sends a slow request to a second upstream as well.
+func (c *callRun) hedge(ctx context.Context) {
+	if !c.rq.route.Repeats() || c.rq.tries >= c.rq.route.MaxAttempts || c.running == 0 {
+		return
+	}
+	if !c.g.budget(c.rq.service.Name).Repeat(hedgeReserve) {
+		return
+	}
+	if c.launch(ctx, "hedge") {
+		c.g.rec.Note(events.HedgeSent, c.rq.call.ID, "after", c.g.now().Sub(c.rq.start))
+	}
+}
+
+// launch sends the request to the best upstream that has not had it.
+func (c *callRun) launch(ctx context.Context, reason string) bool {
+	u, ok := c.g.choosePlain(c.rq.service.Name, c.tried)
+	if !ok {
+		return false
+	}
+	c.tried[u.ID] = true
+	c.running++
+	c.rq.tries++
+	c.g.met.tried(reason)
+	load := c.g.ledger.total(u.ID)
+	c.g.rec.Note(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "upstream", u.ID, "why", reason,
+		"running", load.Running, "failure-rate", u.FailureRate(), "routes", c.rq.table.Version(), "routes-age", c.rq.age)
+	claim := c.g.ledger.take(u.ID, gossip.Load{Running: 1})
+	go func() {
+		defer claim.release()
+		r := c.g.tryCall(ctx, c.rq, u)
+		c.g.noteCall(ctx, r)
+		c.results <- r
+	}()
+	return true
+}
+
+// tryCall sends the request once and reads the whole answer.
+func (g *Gateway) tryCall(ctx context.Context, rq *request, u fleet.Upstream) result {
+	req := g.proto.Forward(&rq.call, rq.attempt(u.ID), g.now())
+	req.Body = rq.body
+	a, err := g.link.Do(ctx, u.Address, req)
+	if err != nil {
+		return result{upstream: u.ID, err: err}
+	}
+	defer a.Close()
+	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header)}
+	r.body, r.err = io.ReadAll(io.LimitReader(a, maxBuffered+1))
+	switch {
+	case r.err != nil:
+	case len(r.body) > maxBuffered:
+		r.err = errAnswerTooLong
+	case a.Header.Get(g.proto.IDHeader) != rq.call.ID:
+		r.err = errOtherAnswer
+	case r.verdict == protocol.Ran && !g.proto.Complete(a.Status, a.Header):
+		r.err = errNoProof
+	}
+	if r.err != nil {
+		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err)
+	}
+	return r
+}
+
+// The reasons for which an upstream's answer is not passed on.
+var (
+	errAnswerTooLong = errors.New("answer is too long")
+	errOtherAnswer   = errors.New("answer names another request")
+	errNoProof       = errors.New("answer is not the upstream's own body")
+)
+
+// noteCall tells the fleet how an upstream served. An attempt that was given up
+// tells nothing about its upstream.
+func (g *Gateway) noteCall(ctx context.Context, r result) {
+	switch {
+	case r.err != nil && ctx.Err() != nil:
+	case r.err != nil:
+		g.fleet.Note(r.upstream, fleet.Broken)
+	case r.verdict == protocol.NotRun:
+		g.fleet.Note(r.upstream, fleet.Busy)
+	case r.verdict == protocol.WrongUpstream:
+		g.fleet.MarkLeaving(r.upstream, "another upstream has its address")
+	case r.status >= http.StatusInternalServerError:
+		g.fleet.Note(r.upstream, fleet.Failed)
+	default:
+		g.fleet.Note(r.upstream, fleet.Served)
+	}
+}
+
+// passOn gives the caller an upstream's answer unchanged.
+func (g *Gateway) passOn(rq *request, r result) {
+	h := rq.w.Header()
+	g.proto.PassHeader(r.header, h)
+	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	rq.w.WriteHeader(r.status)
+	_, err := rq.w.Write(r.body)
+	took := g.now().Sub(rq.start)
+	g.met.ended(strconv.Itoa(r.status))
+	g.met.answered(took)
+	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.tries, "took", took, "bytes", len(r.body), "delivered", err == nil)
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// The weights by which an upstream is chosen. They are in parts of a request
+// slot for plain services and in tokens of KV memory for engines.
+const (
+	// failureCost makes an upstream that fails half of its requests look as
+	// loaded as one with two more requests.
+	failureCost = 4.0
+	// otherZoneCost is the price of bytes between zones, well under one request.
+	otherZoneCost = 0.3
+	// tieNoise keeps entries that see the same load from all choosing the same.
+	tieNoise = 0.2
+	// avoidedCost puts upstreams that are avoided behind all others.
+	avoidedCost = 1e6
+
+	// engineFailureTokens, engineColdTokens, engineZoneTokens and
+	// engineNoiseTokens do the same for engines; a usual generation takes some
+	// 4,000 tokens of memory.
+	engineFailureTokens = 30000.0
+	engineColdTokens    = 6000.0
+	engineZoneTokens    = 150.0
+	engineNoiseTokens   = 400.0
+	// prefillWeight is what an unread prompt token counts beside a stored one:
+	// it delays the first token of whatever comes after.
+	prefillWeight = 1.5
+	// overflowWeight is what a token beyond the memory counts: it preempts.
+	overflowWeight = 20.0
+	// memoryUse is the part of the memory that is filled before an engine counts
+	// as full; the rest is room for lengths that were guessed too low.
+	memoryUse = 0.94
+)
+
+// choosePlain returns the best upstream of a plain service that is not excluded.
+func (g *Gateway) choosePlain(service string, exclude map[string]bool) (fleet.Upstream, bool) {
+	return best(g.fleet.Of(service), exclude, func(u fleet.Upstream) float64 {
+		load := g.ledger.total(u.ID)
+		cost := float64(load.Running)/float64(max(u.Slots, 1))*float64(slotsUnit) + failureCost*u.FailureRate()
+		if u.Zone != g.settings.Zone {
+			cost += otherZoneCost
+		}
+		if g.now().Before(u.AvoidUntil()) {
+			cost += avoidedCost
+		}
+		return cost + tieNoise*rand.Float64()
+	})
+}
+
+// slotsUnit is the number of slots at which one more request costs exactly one.
+const slotsUnit = 6
+
+// chooseEngine returns the best engine for need more tokens of memory.
+func (g *Gateway) chooseEngine(s *routetable.Service, need int, exclude map[string]bool) (fleet.Upstream, bool) {
+	return best(g.fleet.Of(s.Name), exclude, func(u fleet.Upstream) float64 {
+		return g.engineCost(s.Engine, u, need)
+	})
+}
+
+func (g *Gateway) engineCost(e *routetable.Engine, u fleet.Upstream, need int) float64 {
+	load := g.ledger.total(u.ID)
+	now := g.now()
+	cost := float64(load.Tokens) + prefillWeight*float64(load.Prefill) + engineFailureTokens*u.FailureRate()
+	if over := float64(load.Tokens+need) - memoryUse*float64(e.MemoryTokens); over > 0 {
+		cost += overflowWeight * over
+	}
+	if load.Running >= e.Slots {
+		cost += float64(e.MemoryTokens)
+	}
+	if now.Before(u.ColdUntil()) {
+		cost += engineColdTokens
+	}
+	if u.Zone != g.settings.Zone {
+		cost += engineZoneTokens
+	}
+	if now.Before(u.AvoidUntil()) {
+		cost += avoidedCost
+	}
+	return cost + engineNoiseTokens*rand.Float64()
+}
+
+func best(list []fleet.Upstream, exclude map[string]bool, cost func(fleet.Upstream) float64) (fleet.Upstream, bool) {
+	var chosen fleet.Upstream
+	least := math.Inf(1)
+	for _, u := range list {
+		if exclude[u.ID] {
+			continue
+		}
+		if c := cost(u); c < least {
+			chosen, least = u, c
+		}
+	}
+	return chosen, !math.IsInf(least, 1)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,136 @@
+// Package gateway serves callers over a route table: it checks who they are,
+// chooses a service and an upstream, relays the answer, moves running
+// generations away from engines that leave, and says plainly what became of
+// each request. How requests are spelled on the wire is left to a
+// protocol.Protocol.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/inflight"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routing"
+)
+
+// Settings are the fixed numbers of a Gateway.
+type Settings struct {
+	// Zone is the availability zone the entry runs in.
+	Zone string
+	// RoutesTrusted is how long a route table may go unconfirmed before requests
+	// with keys are refused: a key may have been revoked meanwhile.
+	RoutesTrusted time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound the attempts beyond the first
+	// to the upstreams of one service, over all entries.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	settings Settings
+	routes   *belief.Routes
+	fleet    *fleet.Set
+	link     *link.Pool
+	proto    protocol.Protocol
+	rec      *events.Recorder
+	met      *metrics
+	now      func() time.Time
+	ledger   *ledger
+	inFlight inflight.Counter
+	draining atomic.Bool
+	trusted  atomic.Bool
+
+	mu      sync.Mutex
+	entries int
+	budgets map[string]*routing.Window
+	streams map[string]map[*stream]bool
+	moving  map[string]bool
+}
+
+// New returns a Gateway.
+func New(settings Settings, routes *belief.Routes, set *fleet.Set, pool *link.Pool, proto protocol.Protocol, rec *events.Recorder, reg prometheus.Registerer, now func() time.Time) *Gateway {
+	return &Gateway{
+		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
+		met: newMetrics(reg), now: now, ledger: newLedger(), entries: 1,
+		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{},
+	}
+}
+
+// Ready tells the balancer whether to send callers here.
+func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case g.draining.Load():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case !g.routesTrusted():
+		http.Error(w, "no confirmed routes", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+// Drain tells the balancer to send nothing new; what comes all the same is
+// still served.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Idle waits until no request is in flight; it returns false if ctx ends first.
+func (g *Gateway) Idle(ctx context.Context) bool { return g.inFlight.Idle(ctx) }
+
+// routesTrusted reports whether the route table is known and young enough to
+// serve requests with keys by it, and notes each change of that.
+func (g *Gateway) routesTrusted() bool {
+	table, confirmed := g.routes.Current()
+	age := g.now().Sub(confirmed)
+	ok := table != nil && age < g.settings.RoutesTrusted
+	if g.trusted.Swap(ok) != ok {
+		id := events.RoutesConfirmed
+		if !ok {
+			id = events.RoutesUnconfirmed
+		}
+		g.rec.Note(id, "", "age", age, "bound", g.settings.RoutesTrusted)
+	}
+	return ok
+}
+
+// Load returns what this entry has in flight, by upstream.
+func (g *Gateway) Load() map[string]gossip.Load { return g.ledger.snapshot() }
+
+// PeerLoad takes over what another entry has in flight.
+func (g *Gateway) PeerLoad(name string, loads map[string]gossip.Load) { g.ledger.setPeer(name, loads) }
+
+// Peers sets which other entries are heard; the load of all others is forgotten
+// and the retry budget is shared among those present.
+func (g *Gateway) Peers(peers map[string]gossip.Peer, registered int) {
+	g.ledger.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.entries = max(len(peers)+1, registered, 1)
+	for _, b := range g.budgets {
+		b.Entries(g.entries)
+	}
+}
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(service string) *routing.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b, ok := g.budgets[service]
+	if !ok {
+		b = routing.NewWindow(g.settings.RetryRatio, g.settings.RetryExtra, g.settings.RetryWindow, g.now)
+		b.Entries(g.entries)
+		g.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the gateway's counters and histograms.
+type metrics struct {
+	refusals *prometheus.CounterVec
+	answers  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	moves    *prometheus.CounterVec
+	answer   prometheus.Histogram
+	first    prometheus.Histogram
+	gap      prometheus.Histogram
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_refusals_total", Help: "Final answers of the system's own, by status."}, []string{"status"}),
+		answers:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_answers_total", Help: "Requests by how they ended."}, []string{"end"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_attempts_total", Help: "Requests sent to upstreams, by reason."}, []string{"reason"}),
+		moves:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
+		answer:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the whole answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
+		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
+		gap:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+	}
+	reg.MustRegister(m.refusals, m.answers, m.attempts, m.moves, m.answer, m.first, m.gap)
+	return m
+}
+
+func (m *metrics) refused(status int)       { m.refusals.WithLabelValues(strconv.Itoa(status)).Inc() }
+func (m *metrics) ended(end string)         { m.answers.WithLabelValues(end).Inc() }
+func (m *metrics) tried(reason string)      { m.attempts.WithLabelValues(reason).Inc() }
+func (m *metrics) moved(result string)      { m.moves.WithLabelValues(result).Inc() }
+func (m *metrics) answered(d time.Duration) { m.answer.Observe(d.Seconds()) }
+func (m *metrics) began(d time.Duration)    { m.first.Observe(d.Seconds()) }
+func (m *metrics) paused(d time.Duration)   { m.gap.Observe(d.Seconds()) }
--- /dev/null
+++ b/internal/gateway/move.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+const (
+	// moveTargets bounds the engines that are tried for one generation.
+	moveTargets = 3
+	// copyWithin bounds one order to copy; engines are given up to a few seconds
+	// of notice, so a longer copy comes too late.
+	copyWithin = 4 * time.Second
+	// orderPause is the wait before an order is repeated that found another one
+	// under way.
+	orderPause = 30 * time.Millisecond
+	// maxOrderAnswer bounds in bytes the answer to an order.
+	maxOrderAnswer = 64 << 10
+)
+
+// register makes a stream known at an engine, for moves.
+func (g *Gateway) register(s *stream, upstream string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.streams[upstream] == nil {
+		g.streams[upstream] = map[*stream]bool{}
+	}
+	g.streams[upstream][s] = false
+}
+
+func (g *Gateway) unregister(s *stream, upstream string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.streams[upstream], s)
+	if len(g.streams[upstream]) == 0 {
+		delete(g.streams, upstream)
+	}
+}
+
+// startedAt is called when a stream's first event came: if its engine leaves
+// already, it has to be moved.
+func (g *Gateway) startedAt(s *stream) {
+	if u, ok := g.fleet.Get(s.at.ID); ok && u.State() == fleet.Leaving {
+		g.Evacuate(u.ID)
+	}
+}
+
+// Evacuate moves the generations that run at an engine to others. Engines copy
+// one memory after another, so this entry orders one copy at a time from each.
+func (g *Gateway) Evacuate(upstream string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.moving[upstream] || len(g.streams[upstream]) == 0 {
+		return
+	}
+	g.moving[upstream] = true
+	go g.evacuate(upstream)
+}
+
+func (g *Gateway) evacuate(upstream string) {
+	for {
+		s := g.nextToMove(upstream)
+		if s == nil {
+			return
+		}
+		g.move(s)
+	}
+}
+
+// nextToMove returns the stream at an engine that would lose most, and marks
+// it; nil ends the evacuation.
+func (g *Gateway) nextToMove(upstream string) *stream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var next *stream
+	for s, tried := range g.streams[upstream] {
+		if !tried && s.movable() && (next == nil || s.remaining() > next.remaining()) {
+			next = s
+		}
+	}
+	if next == nil {
+		delete(g.moving, upstream)
+		return nil
+	}
+	g.streams[upstream][next] = true
+	return next
+}
+
+// movable reports whether the generation has begun and its engine can move it.
+func (s *stream) movable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events > 0 && s.rq.service.Engine.Moves
+}
+
+// remaining is the most output in tokens that may still come.
+func (s *stream) remaining() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rq.call.MaxOutput - s.events*s.rq.service.Engine.EventTokens
+}
+
+// move copies a generation's memory to another engine while it runs, then stops
+// it and copies the rest. The relay goes on at the copy when the answer breaks.
+func (g *Gateway) move(s *stream) {
+	ctx, cancel := context.WithDeadline(s.rq.caller, s.rq.deadline)
+	defer cancel()
+	s.mu.Lock()
+	from := s.at
+	s.mu.Unlock()
+	exclude := map[string]bool{from.ID: true}
+	for range moveTargets {
+		target, ok := g.chooseTarget(s, from, exclude)
+		if !ok {
+			g.moveFailed(s, from, "no engine can take it")
+			return
+		}
+		exclude[target.ID] = true
+		again := g.moveTo(ctx, s, from, target)
+		if !again {
+			return
+		}
+	}
+	g.moveFailed(s, from, "no engine had room")
+}
+
+func (g *Gateway) moveFailed(s *stream, from fleet.Upstream, why string) {
+	g.met.moved("failed")
+	g.rec.Note(events.StreamMoveFailed, s.rq.call.ID, "from", from.ID, "why", why)
+}
+
+// chooseTarget returns the engine with most room; copies within a zone take half
+// the time of others.
+func (g *Gateway) chooseTarget(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
+	engine := s.rq.service.Engine
+	return best(g.fleet.Of(s.rq.service.Name), exclude, func(u fleet.Upstream) float64 {
+		cost := g.engineCost(engine, u, s.need())
+		if u.Zone != from.Zone {
+			cost += otherZoneCopyTokens
+		}
+		return cost
+	})
+}
+
+// otherZoneCopyTokens is the advantage of a target in the same zone, in tokens
+// of load: about one generation.
+const otherZoneCopyTokens = 4000.0
+
+// moveTo moves a generation to one engine; again asks for another target.
+func (g *Gateway) moveTo(ctx context.Context, s *stream, from, target fleet.Upstream) (again bool) {
+	claim := g.ledger.take(target.ID, gossip.Load{Running: 1, Tokens: s.need()})
+	defer claim.release()
+	began := g.now()
+	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "events", s.events, "need", s.need())
+	r := g.orderCopy(ctx, s, from, target, false)
+	switch r.Outcome {
+	case protocol.Copied:
+	case protocol.NoRoom:
+		g.fleet.Note(target.ID, fleet.Busy)
+		return true
+	case protocol.NoSuchRun:
+		g.met.moved("ended")
+		return false
+	default:
+		g.moveFailed(s, from, "the first copy failed")
+		return false
+	}
+	done, ok := s.stopFor(from, r, target)
+	if !ok {
+		g.met.moved("ended")
+		return false
+	}
+	defer close(done)
+	last := g.orderCopy(ctx, s, from, target, true)
+	copied := g.now().Sub(began)
+	switch last.Outcome {
+	case protocol.Copied:
+		s.setCopy(from, last, target)
+		g.met.moved("moved")
+	case protocol.NoRoom:
+		// The engine has stopped the generation and keeps its memory.
+		s.setCopy(from, last, from)
+		g.moveFailed(s, from, "no room for the rest")
+	default:
+		g.moveFailed(s, from, "the second copy failed")
+	}
+	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "handle", last.Handle, "copied-in", copied, "outcome", int(last.Outcome))
+	return false
+}
+
+// stopFor notes that the generation is about to be stopped. From then on the
+// relay waits for done when the answer breaks. It fails when the relay has moved
+// on meanwhile.
+func (s *stream) stopFor(from fleet.Upstream, r protocol.CopyResult, target fleet.Upstream) (done chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.at.ID != from.ID || s.handover != nil {
+		return nil, false
+	}
+	s.handover = make(chan struct{})
+	s.copy = &protocol.Copy{Source: from.Address, Handle: r.Handle}
+	s.copyAt = target
+	return s.handover, true
+}
+
+func (s *stream) setCopy(from fleet.Upstream, r protocol.CopyResult, at fleet.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Handle == "" {
+		return
+	}
+	s.copy = &protocol.Copy{Source: from.Address, Handle: r.Handle}
+	s.copyAt = at
+}
+
+// orderCopy orders one copy and waits for it.
+func (g *Gateway) orderCopy(ctx context.Context, s *stream, from, target fleet.Upstream, last bool) protocol.CopyResult {
+	ctx, cancel := context.WithTimeout(ctx, copyWithin)
+	defer cancel()
+	for {
+		r, err := g.order(ctx, from.Address, g.proto.Copy(s.rq.call.ID, target.Address, last))
+		if err != nil {
+			g.rec.Note(events.StreamMoveFailed, s.rq.call.ID, "from", from.ID, "to", target.ID, "last", last, "error", err)
+			return protocol.CopyResult{Outcome: protocol.CopyFailed}
+		}
+		if r.Outcome != protocol.CopyUnderWay {
+			return r
+		}
+		select {
+		case <-ctx.Done():
+			return r
+		case <-time.After(orderPause):
+		}
+	}
+}
+
+var errOrderAnswer = errors.New("answer to an order is too long")
+
+func (g *Gateway) order(ctx context.Context, address string, req link.Request) (protocol.CopyResult, error) {
+	a, err := g.link.Do(ctx, address, req)
+	if err != nil {
+		return protocol.CopyResult{}, err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(io.LimitReader(a, maxOrderAnswer))
+	if err != nil {
+		return protocol.CopyResult{}, err
+	}
+	if len(body) == maxOrderAnswer {
+		return protocol.CopyResult{}, errOrderAnswer
+	}
+	return g.proto.CopyResult(a.Status, body), nil
+}
+
+// Streams returns the engines at which streams of this entry run.
+func (g *Gateway) Streams() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]string, 0, len(g.streams))
+	for id := range g.streams {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// request is a caller's request while it is served.
+type request struct {
+	call    protocol.Call
+	body    []byte
+	table   *routetable.Table
+	age     time.Duration
+	route   *routetable.Route
+	service *routetable.Service
+	account string
+	rank    int
+	start   time.Time
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	// caller ends when the caller goes away.
+	caller context.Context
+	w      http.ResponseWriter
+	// sent is set once an upstream may have seen the request.
+	sent  bool
+	tries int
+}
+
+// The times after which a refused caller may come back.
+const (
+	// backUnready is for an entry that knows no routes or may not trust them:
+	// another entry can serve at once.
+	backUnready = 300 * time.Millisecond
+	// backNoUpstream is about the time in which a new upstream appears.
+	backNoUpstream = 500 * time.Millisecond
+	// backBusy is about the time in which a crowded upstream ends some requests.
+	backBusy = 250 * time.Millisecond
+	// defaultTimeout serves requests without a stated time limit on routes without one.
+	defaultTimeout = time.Minute
+)
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Enter()
+	defer g.inFlight.Leave()
+	now := g.now()
+	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), w: w}
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !g.admit(rq, r) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+	defer cancel()
+	g.budget(rq.service.Name).Request()
+	if rq.service.Engine != nil {
+		g.generate(ctx, rq)
+		return
+	}
+	g.serveCall(ctx, rq)
+}
+
+// admit finds route, account and service, and reads the body. It answers and
+// returns false if the request cannot be served.
+func (g *Gateway) admit(rq *request, r *http.Request) bool {
+	trusted := g.routesTrusted()
+	var confirmed time.Time
+	rq.table, confirmed = g.routes.Current()
+	if rq.table == nil {
+		g.refuse(rq, http.StatusServiceUnavailable, "no routes are known yet", backUnready)
+		return false
+	}
+	rq.age = rq.start.Sub(confirmed)
+	path, _, _ := strings.Cut(rq.call.Target, "?")
+	route, ok := rq.table.Match(rq.call.Host, path)
+	switch {
+	case !ok && !trusted:
+		g.refuse(rq, http.StatusServiceUnavailable, "the routes are not confirmed", backUnready)
+		return false
+	case !ok:
+		g.refuse(rq, http.StatusNotFound, "no route", 0)
+		return false
+	}
+	rq.route = route
+	if !g.authenticate(rq, trusted) {
+		return false
+	}
+	name := route.Pick(rand.Float64())
+	rq.service, ok = rq.table.Service(name)
+	if !ok {
+		g.refuse(rq, http.StatusServiceUnavailable, "route names an unknown service", backNoUpstream)
+		return false
+	}
+	rq.deadline = deadlineOf(rq)
+	return g.readBody(rq, r)
+}
+
+func deadlineOf(rq *request) time.Time {
+	timeout := rq.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	d := rq.start.Add(timeout)
+	if !rq.call.Deadline.IsZero() && rq.call.Deadline.Before(d) {
+		return rq.call.Deadline
+	}
+	return d
+}
+
+// authenticate finds the account. A key is only judged by a table that is known
+// to be new enough.
+func (g *Gateway) authenticate(rq *request, trusted bool) bool {
+	rq.rank = rq.route.Priority
+	if !rq.table.NeedsKey(rq.route) {
+		return true
+	}
+	if !trusted {
+		g.refuse(rq, http.StatusServiceUnavailable, "the keys are not confirmed", backUnready)
+		return false
+	}
+	account, ok := rq.table.AccountOf(rq.call.Key)
+	if !ok {
+		g.refuse(rq, http.StatusUnauthorized, "no account holds this key", 0)
+		return false
+	}
+	rq.account = account.Name
+	return true
+}
+
+// readBody reads the whole body, so that it can be sent more than once and a
+// caller's pace does not hold a place at an upstream.
+func (g *Gateway) readBody(rq *request, r *http.Request) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		g.refuse(rq, http.StatusRequestEntityTooLarge, "body is too large", 0)
+		return false
+	case err != nil:
+		g.rec.Note(events.CallerGone, rq.call.ID, "while", "sending the body", "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	rq.body = body
+	return true
+}
+
+// refuse gives the final answer of the system's own. Statuses that promise that
+// a request has not run are only for requests no upstream can have run.
+func (g *Gateway) refuse(rq *request, status int, reason string, back time.Duration) {
+	now := g.now()
+	f := protocol.Refusal{Status: status, Reason: reason}
+	if back > 0 {
+		f.ComeBack = now.Add(back)
+	}
+	version := routetable.Version(0)
+	if rq.table != nil {
+		version = rq.table.Version()
+	}
+	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "routes", version, "routes-age", rq.age, "back-in", back, "after", now.Sub(rq.start), "sent", rq.sent)
+	g.met.refused(status)
+	g.proto.Refuse(rq.w, &rq.call, f, now)
+}
+
+// giveUp answers a request that got no answer from an upstream: unsent requests
+// may come back, others may have run.
+func (g *Gateway) giveUp(ctx context.Context, rq *request, reason string) {
+	if rq.caller.Err() != nil {
+		g.rec.Note(events.CallerGone, rq.call.ID, "while", "waiting", "sent", rq.sent, "after", g.now().Sub(rq.start))
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case !rq.sent:
+		g.refuse(rq, http.StatusServiceUnavailable, reason, backBusy)
+	case ctx.Err() != nil:
+		g.refuse(rq, http.StatusGatewayTimeout, reason, 0)
+	default:
+		g.refuse(rq, http.StatusBadGateway, reason, 0)
+	}
+}
+
+// attempt returns what an upstream is told about a request.
+func (rq *request) attempt(upstream string) protocol.Attempt {
+	return protocol.Attempt{
+		Upstream: upstream, Account: rq.account, Deadline: rq.deadline, Priority: min(max(rq.rank, 0), lowestRank),
+		Generation: rq.service.Engine != nil,
+	}
+}
+
+// lowestRank is the least urgent priority an engine knows.
+const lowestRank = 9
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,368 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// stream is a generation while it is relayed.
+type stream struct {
+	g  *Gateway
+	rq *request
+	// began is set once the head of the answer is on its way to the caller.
+	began bool
+	flush func() error
+
+	mu sync.Mutex
+	// at is the engine that runs the generation.
+	at fleet.Upstream
+	// lastEvent and events tell how far the caller has the answer.
+	lastEvent string
+	events    int
+	claim     *claim
+	// copy is the newest copy of the memory, with the engine that holds it.
+	copy   *protocol.Copy
+	copyAt fleet.Upstream
+	// handover is open while the generation is being stopped for a move; it is
+	// closed when copy tells where to go on.
+	handover chan struct{}
+	ended    bool
+}
+
+// step is one attempt of a generation: where it runs and from what it goes on.
+type step struct {
+	at   fleet.Upstream
+	from *protocol.Copy
+	why  string
+}
+
+// outcome is how one attempt ended.
+type outcome int
+
+const (
+	// streamWhole: the caller has the whole answer.
+	streamWhole outcome = iota
+	// streamUnrun: the engine did not run the attempt.
+	streamUnrun
+	// streamBroken: the attempt ended before its answer was whole.
+	streamBroken
+	// streamFailed: the engine answered with a failure.
+	streamFailed
+)
+
+// generate serves a request for a model engine.
+func (g *Gateway) generate(ctx context.Context, rq *request) {
+	s := &stream{g: g, rq: rq, flush: http.NewResponseController(rq.w).Flush, lastEvent: rq.call.LastEvent}
+	defer s.end()
+	exclude := map[string]bool{}
+	next, ok := s.place(exclude)
+	if !ok {
+		g.refuse(rq, http.StatusServiceUnavailable, "no engine", backNoUpstream)
+		return
+	}
+	for ok {
+		var o outcome
+		o, ok = s.attempt(ctx, next)
+		switch o {
+		case streamWhole, streamFailed:
+			return
+		case streamUnrun:
+			exclude[next.at.ID] = true
+			next, ok = s.afterUnrun(ctx, next, exclude)
+		case streamBroken:
+			exclude[next.at.ID] = true
+			next, ok = s.afterBreak(ctx, exclude)
+		}
+	}
+	s.lost(ctx)
+}
+
+// need is the KV memory that the generation is expected to take in the end, in
+// tokens.
+func (s *stream) need() int {
+	return s.rq.call.Prompt + expectedOutput(&s.rq.call)
+}
+
+// hintMargin covers that a caller's guess of the length is right only in half
+// of the cases.
+const hintMargin = 1.25
+
+func expectedOutput(c *protocol.Call) int {
+	if c.Hint > 0 {
+		return min(int(hintMargin*float64(c.Hint)), max(c.MaxOutput, 1))
+	}
+	return c.MaxOutput / 2
+}
+
+// place chooses the engine for a new generation.
+func (s *stream) place(exclude map[string]bool) (step, bool) {
+	u, ok := s.g.chooseEngine(s.rq.service, s.need(), exclude)
+	return step{at: u, why: "first"}, ok
+}
+
+// afterUnrun chooses where to go after an engine refused an attempt unrun.
+func (s *stream) afterUnrun(ctx context.Context, last step, exclude map[string]bool) (step, bool) {
+	if last.from != nil {
+		// A copy serves once; the refusal tells that it is not there.
+		s.mu.Lock()
+		s.copy = nil
+		s.mu.Unlock()
+		return s.afterBreak(ctx, exclude)
+	}
+	if ctx.Err() != nil || s.rq.tries >= maxSends || !s.g.budget(s.rq.service.Name).Repeat(0) {
+		return step{}, false
+	}
+	next, ok := s.place(exclude)
+	next.why = "refused unrun"
+	return next, ok
+}
+
+// handoverWithin bounds the wait for an order that has stopped the generation;
+// copying a whole memory between zones takes less than half a second.
+const handoverWithin = 2 * time.Second
+
+// afterBreak chooses where a generation goes on whose answer broke off: at the
+// copy of its memory, or anew where the route allows that.
+func (s *stream) afterBreak(ctx context.Context, exclude map[string]bool) (step, bool) {
+	s.waitHandover(ctx)
+	s.mu.Lock()
+	from, at := s.copy, s.copyAt
+	s.copy = nil
+	s.mu.Unlock()
+	if ctx.Err() != nil {
+		return step{}, false
+	}
+	budget := s.g.budget(s.rq.service.Name)
+	if from != nil && budget.Repeat(0) {
+		return step{at: at, from: from, why: "copy"}, true
+	}
+	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !budget.Repeat(0) {
+		return step{}, false
+	}
+	next, ok := s.place(exclude)
+	next.why = "resumed"
+	return next, ok
+}
+
+func (s *stream) waitHandover(ctx context.Context) {
+	s.mu.Lock()
+	wait := s.handover
+	s.mu.Unlock()
+	if wait == nil {
+		return
+	}
+	t := time.NewTimer(handoverWithin)
+	defer t.Stop()
+	select {
+	case <-wait:
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// attempt sends the generation to an engine and relays its answer.
+func (s *stream) attempt(ctx context.Context, st step) (outcome, bool) {
+	g, rq := s.g, s.rq
+	a := rq.attempt(st.at.ID)
+	a.From = st.from
+	if st.from != nil || s.began {
+		a.LastEvent = s.lastEvent
+	}
+	req := g.proto.Forward(&rq.call, a, g.now())
+	req.Body = rq.body
+	rq.tries++
+	g.met.tried(st.why)
+	load := g.ledger.total(st.at.ID)
+	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "upstream", st.at.ID, "why", st.why,
+		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens,
+		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.age)
+	s.enter(st)
+	defer s.leave()
+	sent := g.now()
+	answer, err := g.link.Do(ctx, st.at.Address, req)
+	if err != nil {
+		return s.noAnswer(ctx, st, err), true
+	}
+	defer answer.Close()
+	switch g.proto.Verdict(answer.Status, answer.Header) {
+	case protocol.NotRun:
+		g.fleet.Note(st.at.ID, fleet.Busy)
+		g.rec.Note(events.RequestRetried, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "why", "the engine did not run it")
+		return streamUnrun, true
+	case protocol.WrongUpstream:
+		g.fleet.MarkLeaving(st.at.ID, "another upstream has its address")
+		return streamUnrun, true
+	case protocol.Ran:
+	}
+	rq.sent = true
+	if answer.Status != http.StatusOK {
+		return s.failed(ctx, st, answer), true
+	}
+	if answer.Header.Get(g.proto.IDHeader) != rq.call.ID || !g.proto.Complete(answer.Status, answer.Header) {
+		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errOtherAnswer)
+		return streamBroken, true
+	}
+	return s.relay(ctx, st, answer, sent), true
+}
+
+// noAnswer handles an attempt without the head of an answer.
+func (s *stream) noAnswer(ctx context.Context, st step, err error) outcome {
+	if ctx.Err() == nil {
+		s.g.fleet.Note(st.at.ID, fleet.Broken)
+	}
+	s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err)
+	if errors.Is(err, link.ErrNotSent) {
+		return streamUnrun
+	}
+	s.rq.sent = true
+	return streamBroken
+}
+
+// failed handles an engine's own failure. Before the first event it is passed
+// on; after it, the answer cannot become a failure any more.
+func (s *stream) failed(ctx context.Context, st step, answer *link.Answer) outcome {
+	s.g.fleet.Note(st.at.ID, fleet.Failed)
+	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered))
+	again := s.rq.route.Repeats() && s.rq.tries < s.rq.route.MaxAttempts && answer.Status >= http.StatusInternalServerError
+	if s.began || err != nil || again && ctx.Err() == nil {
+		return streamBroken
+	}
+	s.g.passOn(s.rq, result{upstream: st.at.ID, status: answer.Status, header: answer.Header, body: body})
+	return streamFailed
+}
+
+// relay passes events on as they come until the answer ends.
+func (s *stream) relay(ctx context.Context, st step, answer *link.Answer, sent time.Time) outcome {
+	r := newEventReader(answer)
+	first := true
+	for {
+		b, err := r.next()
+		if err != nil {
+			return s.broke(ctx, st, answer, b, err)
+		}
+		id, n := lastEventID(b)
+		if first {
+			s.firstEvent(st, answer, sent)
+			first = false
+		}
+		if _, werr := s.rq.w.Write(b); werr != nil || s.flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		s.advance(id, n)
+	}
+}
+
+// firstEvent notes the start of an attempt's events, and sends the head of the
+// answer with the very first.
+func (s *stream) firstEvent(st step, answer *link.Answer, sent time.Time) {
+	g, now := s.g, s.g.now()
+	g.fleet.Note(st.at.ID, fleet.Served)
+	if st.from != nil {
+		g.met.paused(now.Sub(sent))
+		g.rec.Note(events.StreamMoved, s.rq.call.ID, "to", st.at.ID, "after-event", s.lastEvent, "gap", now.Sub(sent))
+	}
+	if s.began {
+		return
+	}
+	s.began = true
+	g.proto.PassHeader(answer.Header, s.rq.w.Header())
+	s.rq.w.WriteHeader(answer.Status)
+	g.met.began(now.Sub(s.rq.start))
+}
+
+// broke handles the end of an attempt's answer: whole, or broken off.
+func (s *stream) broke(ctx context.Context, st step, answer *link.Answer, rest []byte, err error) outcome {
+	if err == io.EOF && answer.Framed && len(rest) == 0 && s.began {
+		now := s.g.now()
+		s.g.met.ended("stream")
+		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.tries, "took", now.Sub(s.rq.start), "events", s.events)
+		return streamWhole
+	}
+	s.mu.Lock()
+	moving := s.handover != nil
+	s.mu.Unlock()
+	if !moving {
+		if ctx.Err() == nil {
+			s.g.fleet.Note(st.at.ID, fleet.Broken)
+		}
+		s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err, "after-event", s.lastEvent, "events", s.events, "framed", answer.Framed, "rest", strconv.Itoa(len(rest)))
+	}
+	return streamBroken
+}
+
+// lost ends a request whose generation cannot go on.
+func (s *stream) lost(ctx context.Context) {
+	if !s.began {
+		s.g.giveUp(ctx, s.rq, "the generation did not start")
+		return
+	}
+	why := "its engine was lost"
+	switch {
+	case s.rq.caller.Err() != nil:
+		why = "the caller left"
+	case ctx.Err() != nil:
+		why = "its time was over"
+	}
+	s.g.met.ended("cut")
+	s.g.rec.Note(events.StreamCut, s.rq.call.ID, "why", why, "upstream", s.at.ID, "after-event", s.lastEvent, "events", s.events, "took", s.g.now().Sub(s.rq.start))
+	// The caller must see that the answer is not whole.
+	panic(http.ErrAbortHandler)
+}
+
+// enter registers the stream with the engine that is to run it.
+func (s *stream) enter(st step) {
+	s.mu.Lock()
+	s.at = st.at
+	prefill := s.rq.call.Prompt
+	if st.from != nil {
+		prefill = 0
+	}
+	s.claim = s.g.ledger.take(st.at.ID, gossip.Load{Running: 1, Tokens: s.need(), Prefill: prefill})
+	s.handover = nil
+	s.mu.Unlock()
+	s.g.register(s, st.at.ID)
+}
+
+// leave undoes enter.
+func (s *stream) leave() {
+	s.mu.Lock()
+	s.claim.release()
+	id := s.at.ID
+	s.mu.Unlock()
+	s.g.unregister(s, id)
+}
+
+func (s *stream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
+
+// advance notes events that were passed on.
+func (s *stream) advance(id string, n int) {
+	s.mu.Lock()
+	first := s.events == 0
+	s.events += n
+	if id != "" {
+		s.lastEvent = id
+	}
+	made := s.events * s.rq.service.Engine.EventTokens
+	tokens := max(s.need(), s.rq.call.Prompt+made+s.rq.service.Engine.EventTokens)
+	claim := s.claim
+	s.mu.Unlock()
+	claim.change(gossip.Load{Running: 1, Tokens: tokens})
+	if first {
+		s.g.startedAt(s)
+	}
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,234 @@
+// Package gossip lets the entries of a deployment tell each other, by small
+// datagrams some times a second, what each has sent to which upstream, which
+// upstreams leave, and how old each one's route table is. Every message holds
+// the whole state of its sender, so a lost one only costs freshness.
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// Load is what one entry has in flight at one upstream.
+type Load struct {
+	// Running counts requests.
+	Running int
+	// Tokens is the KV memory that they are expected to take, in tokens.
+	Tokens int
+	// Prefill is the part of the prompts not read yet, in tokens.
+	Prefill int
+}
+
+// State is what an entry tells the others.
+type State struct {
+	// Routes is the version of its route table.
+	Routes routetable.Version
+	// Confirmed is the steady time at which that version was known to be the
+	// newest; zero if it never was.
+	Confirmed time.Time
+	// Loads are by upstream.
+	Loads map[string]Load
+	// Leaving are upstreams known to leave.
+	Leaving []string
+}
+
+// Peer is what is known of another entry.
+type Peer struct {
+	Address string
+	State   State
+	// Heard is when the newest message came.
+	Heard time.Time
+}
+
+// message is the datagram. Times are steady and only mean something to the
+// process that made them.
+type message struct {
+	From string `json:"from"`
+	// Sent is the sender's steady time in nanoseconds.
+	Sent int64 `json:"sent"`
+	// Echo is the newest Sent that the sender had from the receiver. It proves
+	// that the message is younger than that moment, however long it lay in a
+	// buffer.
+	Echo int64 `json:"echo"`
+	// AgeMS is the time since the route table was confirmed, -1 for never.
+	AgeMS   int64               `json:"age_ms"`
+	Routes  int64               `json:"routes"`
+	Loads   map[string]wireLoad `json:"loads,omitempty"`
+	Leaving []string            `json:"leaving,omitempty"`
+}
+
+type wireLoad [3]int
+
+// Settings are the fixed numbers of a Node.
+type Settings struct {
+	// Name is unique in the deployment.
+	Name string
+	// Every is the time between two messages to one peer.
+	Every time.Duration
+	// Forget is the silence after which a peer's state is no longer used.
+	Forget time.Duration
+}
+
+// Node speaks for one entry.
+type Node struct {
+	settings Settings
+	conn     net.PacketConn
+	collect  func() State
+	heard    func(from string, s State)
+	rec      *events.Recorder
+	now      func() time.Time
+	start    time.Time
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	Peer
+	addr  net.Addr
+	echo  int64
+	lost  bool
+	known bool
+}
+
+// New returns a Node. collect gives the own state; heard gets each peer's.
+func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), rec *events.Recorder, now func() time.Time) *Node {
+	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, rec: rec, now: now, start: now(), peers: map[string]*peer{}}
+}
+
+// Know makes the addresses of the other entries known, by name; those not in
+// the list and silent are forgotten.
+func (n *Node) Know(addresses map[string]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, address := range addresses {
+		if name == n.settings.Name {
+			continue
+		}
+		addr, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
+			continue
+		}
+		p, ok := n.peers[name]
+		if !ok {
+			p = &peer{lost: true}
+			n.peers[name] = p
+		}
+		p.addr, p.Address, p.known = addr, address, true
+	}
+	for name, p := range n.peers {
+		if _, listed := addresses[name]; !listed && p.lost {
+			delete(n.peers, name)
+		}
+	}
+}
+
+// Peers returns the entries heard lately.
+func (n *Node) Peers() map[string]Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]Peer, len(n.peers))
+	for name, p := range n.peers {
+		if !p.lost {
+			out[name] = p.Peer
+		}
+	}
+	return out
+}
+
+// Run sends and receives until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
+	defer stop()
+	go n.receive(ctx)
+	t := time.NewTicker(n.settings.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.send()
+		}
+	}
+}
+
+func (n *Node) send() {
+	s := n.collect()
+	now := n.now()
+	m := message{From: n.settings.Name, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving}
+	if !s.Confirmed.IsZero() {
+		m.AgeMS = now.Sub(s.Confirmed).Milliseconds() + 1
+	}
+	m.Loads = make(map[string]wireLoad, len(s.Loads))
+	for id, l := range s.Loads {
+		m.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, p := range n.peers {
+		if !p.lost && now.Sub(p.Heard) > n.settings.Forget {
+			p.lost = true
+			n.rec.Note(events.EntrySilent, "", "peer", name, "heard-before", now.Sub(p.Heard))
+		}
+		m.Echo = p.echo
+		b, err := json.Marshal(m)
+		if err != nil {
+			n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
+			continue
+		}
+		// A datagram that cannot be sent is as good as a lost one; the peer's
+		// silence is what is noted.
+		_, _ = n.conn.WriteTo(b, p.addr)
+	}
+}
+
+// maxDatagram is the largest datagram over IPv4 in bytes.
+const maxDatagram = 65507
+
+func (n *Node) receive(ctx context.Context) {
+	b := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, addr, err := n.conn.ReadFrom(b)
+		if err != nil {
+			continue
+		}
+		var m message
+		if err := json.Unmarshal(b[:size], &m); err != nil || m.From == "" {
+			n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
+			continue
+		}
+		n.take(m, addr)
+	}
+}
+
+// take stores a peer's state. Its confirmation holds for the time of the echo,
+// less the age that the peer gave: both bounds lie on the safe side.
+func (n *Node) take(m message, addr net.Addr) {
+	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Loads: make(map[string]Load, len(m.Loads))}
+	for id, l := range m.Loads {
+		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
+	}
+	if m.AgeMS >= 0 && m.Echo > 0 {
+		s.Confirmed = n.start.Add(time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond)
+	}
+	n.mu.Lock()
+	p, ok := n.peers[m.From]
+	if !ok {
+		p = &peer{lost: true}
+		n.peers[m.From] = p
+	}
+	if p.lost {
+		n.rec.Note(events.EntryHeard, "", "peer", m.From, "routes", m.Routes)
+	}
+	p.lost, p.addr, p.Address, p.Heard, p.echo, p.State = false, addr, addr.String(), n.now(), m.Sent, s
+	n.mu.Unlock()
+	n.heard(m.From, s)
+}
--- /dev/null
+++ b/internal/routetable/table.go
@@ -0,0 +1,201 @@
+// Package routetable holds the operator's routes: which service answers which
+// requests, who may send them, and within which bounds.
+package routetable
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Version numbers route tables; a higher one replaces a lower one.
+type Version int64
+
+// Kind tells what may be done with the requests of a route.
+type Kind int
+
+// The kinds of route.
+const (
+	// Repeatable requests may run more than once.
+	Repeatable Kind = iota
+	// Once marks requests that may run at most once for each attempt of the caller.
+	Once
+	// Stream marks generations, whose answers are series of events.
+	Stream
+)
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	// Weight is relative to the other shares of the route.
+	Weight int
+}
+
+// Route tells where requests for a host and path go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout bounds the time the operator wants a request held.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or the first event of a
+	// stream, serves the caller fully.
+	Objective time.Duration
+	// GapObjective is the longest pause between two events that serves the
+	// caller fully; 0 if the route has none.
+	GapObjective time.Duration
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+	// Shares are the services that answer, by weight.
+	Shares []Share
+	// MaxAttempts bounds the upstreams one request may be sent to.
+	MaxAttempts int
+	// Public routes need no client API key.
+	Public bool
+	// Resumable streams may go on at another upstream after their last event.
+	Resumable bool
+}
+
+// Repeats reports whether a request of the route may run more than once.
+func (r *Route) Repeats() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many generations run at once.
+	Slots int
+	// MemoryTokens is the KV memory of one engine in tokens.
+	MemoryTokens int
+	// TokenBytes is the size of one token's KV memory in bytes.
+	TokenBytes int
+	// LinkBitsPerSecond is the bandwidth for copies of KV memory.
+	LinkBitsPerSecond float64
+	// Moves tells that a running generation's memory can be moved.
+	Moves bool
+	// Backups tells that a running generation's memory can be kept at a second engine.
+	Backups bool
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+}
+
+// Service is a group of upstreams that answer alike.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections of all callers to one upstream.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderWithin is the time a caller has to send the headers.
+	HeaderWithin time.Duration
+	// IdleWithin is how long an idle connection of a caller is kept.
+	IdleWithin time.Duration
+}
+
+// Account is a client account with its API keys.
+type Account struct {
+	Name     string
+	Keys     []string
+	Priority int
+}
+
+// Table is one version of the operator's routes with its indexes.
+type Table struct {
+	version  Version
+	byHost   map[string][]*Route
+	services map[string]*Service
+	limits   Limits
+	byKey    map[string]*Account
+	accounts int
+}
+
+// New returns a table of the given parts.
+func New(version Version, routes []Route, services []Service, limits Limits, accounts []Account) *Table {
+	t := &Table{
+		version: version, limits: limits, accounts: len(accounts),
+		byHost: map[string][]*Route{}, services: map[string]*Service{}, byKey: map[string]*Account{},
+	}
+	for i := range routes {
+		r := &routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range services {
+		t.services[services[i].Name] = &services[i]
+	}
+	for i := range accounts {
+		for _, k := range accounts[i].Keys {
+			t.byKey[k] = &accounts[i]
+		}
+	}
+	return t
+}
+
+// Version returns the table's version.
+func (t *Table) Version() Version { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns the service called name.
+func (t *Table) Service(name string) (*Service, bool) { s, ok := t.services[name]; return s, ok }
+
+// NeedsKey reports whether requests of a route must carry an API key.
+func (t *Table) NeedsKey(r *Route) bool { return t.accounts > 0 && !r.Public }
+
+// AccountOf returns the account that holds an API key.
+func (t *Table) AccountOf(key string) (*Account, bool) {
+	if key == "" {
+		return nil, false
+	}
+	a, ok := t.byKey[key]
+	return a, ok
+}
+
+// Match returns the route for a host and path: the one with the longest prefix.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	list, ok := t.byHost[host]
+	if !ok {
+		name, _, found := strings.Cut(host, ":")
+		if !found {
+			return nil, false
+		}
+		list = t.byHost[name]
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Pick returns the service for a request; roll is uniform in [0, 1).
+func (r *Route) Pick(roll float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(s.Weight, 0)
+	}
+	left := roll * float64(total)
+	for _, s := range r.Shares {
+		left -= float64(max(s.Weight, 0))
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
