--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -82,7 +82,7 @@
 	// balancer asks each second and believes the second refusal.
 	readyPause = 2500 * time.Millisecond
 	// stopSpare is left of the time to stop when requests in flight are given up.
-	stopSpare = 500 * time.Millisecond
+	stopSpare = 250 * time.Millisecond
 	// retryShare keeps a little of the allowed attempts unused, for windows that
 	// entries see differently.
 	retryShare = 0.85
@@ -120,6 +120,7 @@
 	fleet    *fleet.Set
 	pool     *link.Pool
 	gateway  *gateway.Gateway
+	callers  *http.Server
 	tables   *belief.Follower
 	members  *belief.Follower
 	gossip   *gossip.Node
@@ -179,7 +180,9 @@
 			return errors.Join(err, failed)
 		},
 	}
-	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp4", address) }
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp4", address)
+	}
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall lacks.
@@ -268,7 +271,8 @@
 }
 
 func (b *gatewayBuilder) callerService() kernel.Service {
-	return b.listenService(serviceCallers, "--listen", b.settings.Listen, &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
+	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
 }
 
 // listenService serves HTTP at an address.
@@ -388,12 +392,13 @@
 func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
 	deadline := time.Now().Add(b.settings.StopWithin - stopSpare)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin)
-	b.gateway.Drain()
+	b.gateway.Drain(deadline)
 	time.Sleep(min(readyPause, b.settings.StopWithin/3))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if !b.gateway.Idle(ctx) {
-		b.rec.Note(events.DrainTooShort, "")
+	// Shutdown takes no new connections, closes idle ones and waits for the rest.
+	if err := b.callers.Shutdown(ctx); err != nil {
+		b.rec.Note(events.DrainTooShort, "", "error", err)
 	}
-	return nil
+	return b.callers.Close()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,8 +50,11 @@
 	now      func() time.Time
 	ledger   *ledger
 	inFlight inflight.Counter
-	draining atomic.Bool
-	trusted  atomic.Bool
+	// stopBy is when requests in flight are given up in a planned stop, as
+	// nanoseconds of Unix time; 0 while none is under way.
+	stopBy  atomic.Int64
+	pace    pace
+	trusted atomic.Bool
 
 	mu      sync.Mutex
 	entries int
@@ -72,7 +75,7 @@
 // Ready tells the balancer whether to send callers here.
 func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
 	switch {
-	case g.draining.Load():
+	case g.stopBy.Load() != 0:
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	case !g.routesTrusted():
 		http.Error(w, "no confirmed routes", http.StatusServiceUnavailable)
@@ -81,9 +84,16 @@
 	}
 }
 
-// Drain tells the balancer to send nothing new; what comes all the same is
-// still served.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain tells the balancer to send nothing new. What comes all the same is
+// served if it can be expected to end before the deadline.
+func (g *Gateway) Drain(deadline time.Time) { g.stopBy.Store(deadline.UnixNano()) }
+
+// stopsBefore reports whether a planned stop would give a request up that takes
+// a time from now.
+func (g *Gateway) stopsBefore(d time.Duration) bool {
+	by := g.stopBy.Load()
+	return by != 0 && g.now().Add(d).After(time.Unix(0, by))
+}
 
 // Idle waits until no request is in flight; it returns false if ctx ends first.
 func (g *Gateway) Idle(ctx context.Context) bool { return g.inFlight.Idle(ctx) }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -44,6 +44,10 @@
 	backNoUpstream = 500 * time.Millisecond
 	// backBusy is about the time in which a crowded upstream ends some requests.
 	backBusy = 250 * time.Millisecond
+	// backStopping is for an entry that stops: another one can serve at once.
+	backStopping = 50 * time.Millisecond
+	// plainTime is time enough for nearly all calls to plain services.
+	plainTime = 500 * time.Millisecond
 	// defaultTimeout serves requests without a stated time limit on routes without one.
 	defaultTimeout = time.Minute
 )
@@ -54,7 +58,7 @@
 	defer g.inFlight.Leave()
 	now := g.now()
 	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), w: w}
-	if g.draining.Load() {
+	if g.stopBy.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if !g.admit(rq, r) {
@@ -102,9 +106,21 @@
 		return false
 	}
 	rq.deadline = deadlineOf(rq)
+	if g.stopsBefore(g.expected(rq)) {
+		g.refuse(rq, http.StatusServiceUnavailable, "this entry stops before the request would end", backStopping)
+		return false
+	}
 	return g.readBody(rq, r)
 }
 
+// expected is how long a request is expected to take.
+func (g *Gateway) expected(rq *request) time.Duration {
+	if rq.service.Engine == nil {
+		return plainTime
+	}
+	return g.pace.expected(expectedOutput(&rq.call), rq.service.Engine.EventTokens)
+}
+
 func deadlineOf(rq *request) time.Time {
 	timeout := rq.route.Timeout
 	if timeout <= 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,8 @@
 	// began is set once the head of the answer is on its way to the caller.
 	began bool
 	flush func() error
+	// firstIn is the time to the first event.
+	firstIn time.Duration
 
 	mu sync.Mutex
 	// at is the engine that runs the generation.
@@ -278,7 +280,8 @@
 	s.began = true
 	g.proto.PassHeader(answer.Header, s.rq.w.Header())
 	s.rq.w.WriteHeader(answer.Status)
-	g.met.began(now.Sub(s.rq.start))
+	s.firstIn = now.Sub(s.rq.start)
+	g.met.began(s.firstIn)
 }
 
 // broke handles the end of an attempt's answer: whole, or broken off.
@@ -286,6 +289,7 @@
 	if err == io.EOF && answer.Framed && len(rest) == 0 && s.began {
 		now := s.g.now()
 		s.g.met.ended("stream")
+		s.g.pace.note(s.firstIn, now.Sub(s.rq.start), s.events)
 		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.tries, "took", now.Sub(s.rq.start), "events", s.events)
 		return streamWhole
 	}
