--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,11 @@
 	flush func() error
 	// firstIn is the time to the first event.
 	firstIn time.Duration
+	// pausedFor is the longest pause between two events so far, which ended at
+	// pausedAt; lastAt is when the last event was passed on.
+	pausedFor time.Duration
+	pausedAt  int
+	lastAt    time.Time
 
 	mu sync.Mutex
 	// at is the engine that runs the generation.
@@ -262,9 +267,19 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.advance(id, n)
+		s.notePause()
 	}
 }
 
+// notePause keeps the longest pause between events.
+func (s *stream) notePause() {
+	now := s.g.now()
+	if !s.lastAt.IsZero() && now.Sub(s.lastAt) > s.pausedFor {
+		s.pausedFor, s.pausedAt = now.Sub(s.lastAt), s.events
+	}
+	s.lastAt = now
+}
+
 // firstEvent notes the start of an attempt's events, and sends the head of the
 // answer with the very first.
 func (s *stream) firstEvent(st step, answer *link.Answer, sent time.Time) {
@@ -290,7 +305,8 @@
 		now := s.g.now()
 		s.g.met.ended("stream")
 		s.g.pace.note(s.firstIn, now.Sub(s.rq.start), s.events)
-		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.tries, "took", now.Sub(s.rq.start), "events", s.events)
+		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.tries, "took", now.Sub(s.rq.start), "events", s.events,
+			"first-in", s.firstIn, "longest-pause", s.pausedFor, "pause-at", s.pausedAt)
 		return streamWhole
 	}
 	s.mu.Lock()
