perf: confirmations by the store's clock; other entries learn of placements at once

Causes: (1) entries that read the same 200 ms old load sent prompts to the same new engine, first events over 1.4 s; (2) a held call confirmed the routes only for the time it was sent, so requests with keys were refused two seconds into an outage of the store; (3) while the store is away nobody told of engines that leave, and their streams were cut. Ruled out: slow engines (first events of lone prompts take under 0.5 s).

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -37,6 +37,7 @@
 	store    *platform.Store
 	apply    func(s platform.Snapshot, full bool)
 	confirm  func(at time.Time)
+	lost     func()
 	rec      *events.Recorder
 	now      func() time.Time
 	sleep    func(ctx context.Context, d time.Duration)
@@ -47,13 +48,16 @@
 	confirmed time.Time
 	failures  int
 	settled   time.Time
+	interrupt context.CancelFunc
+	anchor    anchor
 }
 
 // New returns a Follower that hands each answer to apply, where full marks one
 // that holds the whole table, and then tells confirm the steady time for which
-// all that was applied is known to be the newest.
-func New(settings Settings, store *platform.Store, apply func(s platform.Snapshot, full bool), confirm func(at time.Time), rec *events.Recorder, now func() time.Time) *Follower {
-	return &Follower{settings: settings, store: store, apply: apply, confirm: confirm, rec: rec, now: now, sleep: sleep}
+// all that was applied is known to be the newest. It calls lost when the store
+// stops answering.
+func New(settings Settings, store *platform.Store, apply func(s platform.Snapshot, full bool), confirm func(at time.Time), lost func(), rec *events.Recorder, now func() time.Time) *Follower {
+	return &Follower{settings: settings, store: store, apply: apply, confirm: confirm, lost: lost, rec: rec, now: now, sleep: sleep}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -82,6 +86,16 @@
 	return f.settled, f.failures == 0
 }
 
+// Interrupt ends the call under way, which counts as failed. It is for when
+// another sign says that the store does not answer.
+func (f *Follower) Interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -91,12 +105,15 @@
 	}
 }
 
-// step makes one call and takes over its answer. What the answer says was true
-// at some moment after the call was sent, so that moment confirms the belief.
+// step makes one call and takes over its answer, which confirms the belief for
+// the moment at which the store made it.
 func (f *Follower) step(ctx context.Context) error {
 	sent := f.now()
 	ctx, cancel := context.WithDeadline(ctx, sent.Add(f.settings.Wait+f.settings.Slack))
 	defer cancel()
+	f.mu.Lock()
+	f.interrupt = cancel
+	f.mu.Unlock()
 	full := !f.synced
 	var s platform.Snapshot
 	var err error
@@ -118,9 +135,10 @@
 		f.apply(s, full)
 	}
 	f.mu.Lock()
-	f.confirmed = sent
+	made := f.anchor.note(s.Clock, sent, f.now())
+	f.confirmed = made
 	f.mu.Unlock()
-	f.confirm(sent)
+	f.confirm(made)
 	return nil
 }
 
@@ -145,6 +163,7 @@
 	f.mu.Unlock()
 	if n == 1 {
 		f.rec.Note(events.StoreLost, "", "table", f.settings.Table, "version", f.version, "confirmed-before", f.now().Sub(since), "error", err)
+		f.lost()
 	}
 	most := min(f.settings.PauseLeast<<min(n-1, 16), f.settings.PauseMost)
 	f.sleep(ctx, most/2+time.Duration(rand.Int64N(int64(most/2)+1)))
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -43,9 +43,11 @@
 
 // The fixed times of a gateway.
 const (
-	// followWait is how long the store holds a call for changes. It sets how old
-	// a confirmation gets, against the price of calls.
-	followWait = time.Second
+	// routesWait is how long the store holds a call for a change of the routes.
+	// It sets how old a confirmation gets, against the price of calls.
+	routesWait = 1400 * time.Millisecond
+	// upstreamsWait is the same for upstreams, which need no confirmation.
+	upstreamsWait = 5 * time.Second
 	// followSlack covers the way to the store and a late answer.
 	followSlack = 700 * time.Millisecond
 	// followPauseLeast and followPauseMost bound the back-off.
@@ -59,10 +61,12 @@
 	trustMargin = 1200 * time.Millisecond
 	// gossipEvery makes load of others at most a few requests old.
 	gossipEvery = 200 * time.Millisecond
+	// gossipLeast lets a burst of placements share a message.
+	gossipLeast = 10 * time.Millisecond
 	// gossipForget is some lost messages in a row.
 	gossipForget = 1500 * time.Millisecond
 	// directoryEvery bounds how late a new entry learns of the others.
-	directoryEvery = 3 * time.Second
+	directoryEvery = 5 * time.Second
 	// directoryCall bounds one call for the list of entries.
 	directoryCall = 1500 * time.Millisecond
 	// sweepEvery is the pause between looks at lapsed upstreams and idle connections.
@@ -145,15 +149,15 @@
 	b.gateway = gateway.New(gateway.Settings{
 		Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin,
 		RetryRatio: s.RetryRatio * retryShare, RetryExtra: s.RetryExtra * retryShare, RetryWindow: s.RetryWindow,
-	}, b.routes, b.fleet, b.pool, proto, b.rec, b.reg, time.Now)
-	b.tables = belief.New(followSettings(platform.TableRoutes), b.store, b.routes.Apply, b.routes.ConfirmCurrent, b.rec, time.Now)
-	b.members = belief.New(followSettings(platform.TableUpstreams), b.store, b.applyUpstreams, func(time.Time) {}, b.rec, time.Now)
+	}, b.routes, b.fleet, b.pool, proto, func() { b.gossip.Nudge() }, b.rec, b.reg, time.Now)
+	b.tables = belief.New(followSettings(platform.TableRoutes, routesWait), b.store, b.routes.Apply, b.routes.ConfirmCurrent, func() { b.members.Interrupt() }, b.rec, time.Now)
+	b.members = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.store, b.applyUpstreams, func(time.Time) {}, func() {}, b.rec, time.Now)
 	return b
 }
 
-func followSettings(table string) belief.Settings {
+func followSettings(table string, wait time.Duration) belief.Settings {
 	return belief.Settings{
-		Table: table, Wait: followWait, Slack: followSlack,
+		Table: table, Wait: wait, Slack: followSlack,
 		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor,
 	}
 }
@@ -320,6 +324,9 @@
 		case <-t.C:
 			b.fleet.Sweep()
 			b.pool.Sweep()
+			if _, ok := b.members.Settled(); !ok {
+				b.gateway.InquireAll(b.ctx)
+			}
 		}
 	}
 }
@@ -332,7 +339,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("--gossip-listen: %w", err)
 			}
-			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Every: gossipEvery, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
+			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Every: gossipEvery, Least: gossipLeast, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
 			return b.gossip, nil
 		},
 		Start: func(context.Context, *kernel.Registry) error {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -23,6 +23,7 @@
 	UpstreamGone       ID = 124
 	UpstreamAvoided    ID = 125
 	UpstreamRejected   ID = 126
+	UpstreamAsked      ID = 127
 	EntryHeard         ID = 130
 	EntrySilent        ID = 131
 	GossipRejected     ID = 132
@@ -109,6 +110,7 @@
 	{UpstreamGone, "upstream-gone", "An upstream that left is forgotten."},
 	{UpstreamAvoided, "upstream-avoided", "An upstream failed a connection and is avoided while others can serve."},
 	{UpstreamRejected, "upstream-rejected", "The record of an upstream cannot be used."},
+	{UpstreamAsked, "upstream-asked", "An entry asked an engine for its state, because the store could not tell it."},
 	{EntryHeard, "entry-heard", "An entry hears from another one, for the first time or again."},
 	{EntrySilent, "entry-silent", "An entry no longer hears from another one; its load no longer counts."},
 	{GossipRejected, "gossip-rejected", "A message of another entry cannot be used."},
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -29,8 +29,9 @@
 	engineZoneTokens    = 150.0
 	engineNoiseTokens   = 400.0
 	// prefillWeight is what an unread prompt token counts beside a stored one:
-	// it delays the first token of whatever comes after.
-	prefillWeight = 1.5
+	// it delays the first token of whatever comes after, and four prompts in a
+	// row use up the objective.
+	prefillWeight = 4.0
 	// overflowWeight is what a token beyond the memory counts: it preempts.
 	overflowWeight = 20.0
 	// memoryUse is the part of the memory that is filled before an engine counts
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,14 +61,20 @@
 	budgets map[string]*routing.Window
 	streams map[string]map[*stream]bool
 	moving  map[string]bool
+	// inquired tells when each engine was last asked for its state.
+	inquired map[string]time.Time
+	// nudge tells the other entries soon what this one has in flight.
+	nudge func()
 }
 
-// New returns a Gateway.
-func New(settings Settings, routes *belief.Routes, set *fleet.Set, pool *link.Pool, proto protocol.Protocol, rec *events.Recorder, reg prometheus.Registerer, now func() time.Time) *Gateway {
+// New returns a Gateway. It calls nudge when other entries should soon learn
+// what it has in flight.
+func New(settings Settings, routes *belief.Routes, set *fleet.Set, pool *link.Pool, proto protocol.Protocol, nudge func(), rec *events.Recorder, reg prometheus.Registerer, now func() time.Time) *Gateway {
 	return &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg), now: now, ledger: newLedger(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{},
+		inquired: map[string]time.Time{}, nudge: nudge,
 	}
 }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -151,8 +151,9 @@
 }
 
 // otherZoneCopyTokens is the advantage of a target in the same zone, in tokens
-// of load: about one generation.
-const otherZoneCopyTokens = 4000.0
+// of load: a copy between zones takes twice as long, and an engine that leaves
+// has time for few of them. Three generations' load weighs as much.
+const otherZoneCopyTokens = 12000.0
 
 // moveTo moves a generation to one engine; again asks for another target.
 func (g *Gateway) moveTo(ctx context.Context, s *stream, from, target fleet.Upstream) (again bool) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -262,7 +262,7 @@
 
 // relay passes events on as they come until the answer ends.
 func (s *stream) relay(ctx context.Context, st step, answer *link.Answer, sent time.Time) outcome {
-	r := newEventReader(answer)
+	g, r := s.g, newEventReader(answer)
 	first := true
 	for {
 		b, err := r.next()
@@ -273,6 +273,9 @@
 		if first {
 			s.firstEvent(st, answer, sent)
 			first = false
+			if answer.Closing() {
+				go g.inquire(ctx, st.at, "it closes its connection")
+			}
 		}
 		if _, werr := s.rq.w.Write(b); werr != nil || s.flush() != nil {
 			panic(http.ErrAbortHandler)
@@ -365,6 +368,7 @@
 	s.claim = s.g.ledger.take(st.at.ID, gossip.Load{Running: 1, Tokens: s.need(), Prefill: prefill})
 	s.mu.Unlock()
 	s.g.register(s, st.at.ID)
+	s.g.nudge()
 }
 
 // leave undoes enter.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -69,8 +69,10 @@
 type Settings struct {
 	// Name is unique in the deployment.
 	Name string
-	// Every is the time between two messages to one peer.
+	// Every is the time between two messages to one peer while nothing happens.
 	Every time.Duration
+	// Least is the least time between two messages to one peer.
+	Least time.Duration
 	// Forget is the silence after which a peer's state is no longer used.
 	Forget time.Duration
 }
@@ -84,6 +86,7 @@
 	rec      *events.Recorder
 	now      func() time.Time
 	start    time.Time
+	nudge    chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -99,7 +102,7 @@
 
 // New returns a Node. collect gives the own state; heard gets each peer's.
 func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), rec *events.Recorder, now func() time.Time) *Node {
-	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, rec: rec, now: now, start: now(), peers: map[string]*peer{}}
+	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, rec: rec, now: now, start: now(), nudge: make(chan struct{}, 1), peers: map[string]*peer{}}
 }
 
 // Know makes the addresses of the other entries known, by name; those not in
@@ -143,20 +146,38 @@
 	return out
 }
 
+// Nudge asks for a message soon, because the own state changed in a way that
+// others should act on.
+func (n *Node) Nudge() {
+	select {
+	case n.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // Run sends and receives until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
 	defer stop()
 	go n.receive(ctx)
-	t := time.NewTicker(n.settings.Every)
+	t := time.NewTimer(n.settings.Every)
 	defer t.Stop()
+	var sent time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.nudge:
+			// A message sent a moment ago may lack the change: another follows.
+			if wait := n.settings.Least - n.now().Sub(sent); wait > 0 {
+				t.Reset(wait)
+				continue
+			}
 		case <-t.C:
-			n.send()
 		}
+		n.send()
+		sent = n.now()
+		t.Reset(n.settings.Every)
 	}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -283,6 +283,10 @@
 	return n, err
 }
 
+// Closing reports whether the upstream said that it closes the connection after
+// this answer.
+func (a *Answer) Closing() bool { return a.close }
+
 // ReadWithin bounds the time of the next reads of the body; the zero time
 // removes the bound.
 func (a *Answer) ReadWithin(deadline time.Time) error { return a.conn.SetReadDeadline(deadline) }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -141,6 +141,10 @@
 	Copy func(call, target string, last bool) link.Request
 	// CopyResult decodes the answer to such an order.
 	CopyResult func(status int, body []byte) CopyResult
+	// Report returns the question for an engine's state.
+	Report func() link.Request
+	// Leaving decodes the answer: whether the engine is about to leave.
+	Leaving func(status int, body []byte) (leaving bool, err error)
 	// Discard returns the order to free a copy, sent to its source.
 	Discard func(handle string) link.Request
 }
