--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -76,14 +76,15 @@
 	}
 }
 
-// nextToMove returns the stream at an engine that would lose most, and marks
-// it; nil ends the evacuation.
+// nextToMove returns the stream at an engine that has made most, and marks it;
+// nil ends the evacuation. What a stream has made is lost with it, and the longer
+// one runs, the longer it can be expected to become.
 func (g *Gateway) nextToMove(upstream string) *stream {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var next *stream
 	for s, tried := range g.streams[upstream] {
-		if !tried && s.movable() && (next == nil || s.remaining() > next.remaining()) {
+		if !tried && s.movable() && (next == nil || s.made() > next.made()) {
 			next = s
 		}
 	}
@@ -102,11 +103,11 @@
 	return s.events > 0 && s.rq.service.Engine.Moves
 }
 
-// remaining is the most output in tokens that may still come.
-func (s *stream) remaining() int {
+// made is the number of events that the caller has.
+func (s *stream) made() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rq.call.MaxOutput - s.events*s.rq.service.Engine.EventTokens
+	return s.events
 }
 
 // move copies a generation's memory to another engine while it runs, then stops
@@ -159,7 +160,7 @@
 func (g *Gateway) moveTo(ctx context.Context, s *stream, from, target fleet.Upstream) (again bool) {
 	claim := g.ledger.take(target.ID, gossip.Load{Running: 1, Tokens: s.need()})
 	defer claim.release()
-	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "running-with-remaining", s.remaining(), "need", s.need())
+	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "events", s.made(), "need", s.need())
 	r := g.orderCopy(ctx, s, from, target, false)
 	switch r.Outcome {
 	case protocol.Copied:
