fix: an echo of an earlier life of an entry confirms nothing

Ruled out: clocks that step (only steady time is used) and buffers of frozen processes (test added, passed before). Test: TestEchoOfAnEarlierLife failed first.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -116,30 +116,32 @@
 // gatewayBuilder holds the parts of a gateway.
 type gatewayBuilder struct {
 	settings GatewaySettings
-	lines    *logline.Writer
-	rec      *events.Recorder
-	reg      *prometheus.Registry
-	store    *product.Store
-	routes   *belief.Routes
-	fleet    *fleet.Set
-	pool     *link.Pool
-	gateway  *gateway.Gateway
-	callers  *http.Server
-	tables   *belief.Follower
-	members  *belief.Follower
-	gossip   *gossip.Node
-	listed   int
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// life tells the starts of this process apart.
+	life    string
+	lines   *logline.Writer
+	rec     *events.Recorder
+	reg     *prometheus.Registry
+	store   *product.Store
+	routes  *belief.Routes
+	fleet   *fleet.Set
+	pool    *link.Pool
+	gateway *gateway.Gateway
+	callers *http.Server
+	tables  *belief.Follower
+	members *belief.Follower
+	gossip  *gossip.Node
+	listed  int
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
 	b := &gatewayBuilder{settings: s, reg: prometheus.NewRegistry()}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.lines = logline.New(logline.Settings{Lines: s.LogLines, Queue: logQueue}, logs, time.Now)
-	incarnation := newIncarnation()
-	log := newLogger(b.lines).WithValues("process", s.Name, "incarnation", incarnation)
-	b.rec = events.New(log, s.Name, incarnation, s.TimelineSize, time.Now)
+	b.life = newIncarnation()
+	log := newLogger(b.lines).WithValues("process", s.Name, "incarnation", b.life)
+	b.rec = events.New(log, s.Name, b.life, s.TimelineSize, time.Now)
 	b.reg.MustRegister(collectors.NewGoCollector())
 	b.store = platform.NewStore(s.Store, storeClient())
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
@@ -339,7 +341,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("--gossip-listen: %w", err)
 			}
-			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Every: gossipEvery, Least: gossipLeast, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
+			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Life: b.life, Every: gossipEvery, Least: gossipLeast, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
 			return b.gossip, nil
 		},
 		Start: func(context.Context, *kernel.Registry) error {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -50,12 +50,15 @@
 // process that made them.
 type message struct {
 	From string `json:"from"`
+	// Life tells the starts of the sender apart.
+	Life string `json:"life"`
 	// Sent is the sender's steady time in nanoseconds.
 	Sent int64 `json:"sent"`
 	// Echo is the newest Sent that the sender had from the receiver. It proves
 	// that the message is younger than that moment, however long it lay in a
-	// buffer.
-	Echo int64 `json:"echo"`
+	// buffer. EchoLife is the receiver's life that Echo belongs to.
+	Echo     int64  `json:"echo"`
+	EchoLife string `json:"echo_life"`
 	// AgeMS is the time since the route table was confirmed, -1 for never.
 	AgeMS   int64               `json:"age_ms"`
 	Routes  int64               `json:"routes"`
@@ -69,6 +72,8 @@
 type Settings struct {
 	// Name is unique in the deployment.
 	Name string
+	// Life is different for each start of the process.
+	Life string
 	// Every is the time between two messages to one peer while nothing happens.
 	Every time.Duration
 	// Least is the least time between two messages to one peer.
@@ -96,6 +101,7 @@
 	Peer
 	addr  net.Addr
 	echo  int64
+	life  string
 	lost  bool
 	known bool
 }
@@ -184,7 +190,7 @@
 func (n *Node) send() {
 	s := n.collect()
 	now := n.now()
-	m := message{From: n.settings.Name, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving}
+	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving}
 	if !s.Confirmed.IsZero() {
 		m.AgeMS = now.Sub(s.Confirmed).Milliseconds() + 1
 	}
@@ -199,7 +205,7 @@
 			p.lost = true
 			n.rec.Note(events.EntrySilent, "", "peer", name, "heard-before", now.Sub(p.Heard))
 		}
-		m.Echo = p.echo
+		m.Echo, m.EchoLife = p.echo, p.life
 		b, err := json.Marshal(m)
 		if err != nil {
 			n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
@@ -221,13 +227,17 @@
 		if err != nil {
 			continue
 		}
-		var m message
-		if err := json.Unmarshal(b[:size], &m); err != nil || m.From == "" {
-			n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
-			continue
-		}
-		n.take(m, addr)
+		n.receiveDatagram(b[:size], addr)
+	}
+}
+
+func (n *Node) receiveDatagram(b []byte, addr net.Addr) {
+	var m message
+	if err := json.Unmarshal(b, &m); err != nil || m.From == "" {
+		n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
+		return
 	}
+	n.take(m, addr)
 }
 
 // take stores a peer's state. Its confirmation holds for the time of the echo,
@@ -237,7 +247,7 @@
 	for id, l := range m.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
 	}
-	if m.AgeMS >= 0 && m.Echo > 0 {
+	if m.AgeMS >= 0 && m.Echo > 0 && m.EchoLife == n.settings.Life {
 		s.Confirmed = n.start.Add(time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond)
 	}
 	n.mu.Lock()
@@ -249,7 +259,7 @@
 	if p.lost {
 		n.rec.Note(events.EntryHeard, "", "peer", m.From, "routes", m.Routes)
 	}
-	p.lost, p.addr, p.Address, p.Heard, p.echo, p.State = false, addr, addr.String(), n.now(), m.Sent, s
+	p.lost, p.addr, p.Address, p.Heard, p.echo, p.life, p.State = false, addr, addr.String(), n.now(), m.Sent, m.Life, s
 	n.mu.Unlock()
 	n.heard(m.From, s)
 }
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,106 @@
+package gossip
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// clock is a steady clock that tests move.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+// wire keeps what a node sends.
+type wire struct {
+	net.PacketConn
+	sent [][]byte
+}
+
+func (w *wire) WriteTo(b []byte, _ net.Addr) (int, error) {
+	w.sent = append(w.sent, append([]byte(nil), b...))
+	return len(b), nil
+}
+
+// node is one entry with what it heard last.
+type node struct {
+	*Node
+	wire  *wire
+	heard State
+	state State
+}
+
+func newNode(c *clock, name, life string) *node {
+	n := &node{wire: &wire{}}
+	n.Node = New(Settings{Name: name, Life: life, Every: time.Second, Forget: 3 * time.Second}, n.wire,
+		func() State { return n.state }, func(_ string, s State) { n.heard = s }, events.Nop(), c.now)
+	return n
+}
+
+// say delivers one message from a to b.
+func say(t *testing.T, a, b *node) {
+	t.Helper()
+	a.Know(map[string]string{b.settings.Name: "127.0.0.1:9"})
+	a.wire.sent = nil
+	a.send()
+	if len(a.wire.sent) != 1 {
+		t.Fatalf("%s sent %d messages, want 1", a.settings.Name, len(a.wire.sent))
+	}
+	b.receiveDatagram(a.wire.sent[0], &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9})
+}
+
+func TestConfirmationIsNeverTooYoung(t *testing.T) {
+	c := &clock{at: time.Now()}
+	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+	confirmed := c.at
+	b.state = State{Routes: 7, Confirmed: confirmed}
+	c.at = c.at.Add(400 * time.Millisecond)
+	say(t, a, b)
+	c.at = c.at.Add(100 * time.Millisecond)
+	say(t, b, a)
+	if a.heard.Routes != routetable.Version(7) {
+		t.Fatalf("heard of version %d, want 7", a.heard.Routes)
+	}
+	if a.heard.Confirmed.IsZero() || a.heard.Confirmed.After(confirmed) {
+		t.Errorf("confirmed %s after it was, want not after", a.heard.Confirmed.Sub(confirmed))
+	}
+	if late := confirmed.Sub(a.heard.Confirmed); late > 150*time.Millisecond {
+		t.Errorf("confirmed %s before it was, want at most the time since the echoed message", late)
+	}
+}
+
+// A message that lay in a buffer while this process was stopped must not count
+// as fresh: its echo is as old as it is.
+func TestMessageThatLayInABuffer(t *testing.T) {
+	c := &clock{at: time.Now()}
+	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+	say(t, a, b)
+	b.state = State{Routes: 7, Confirmed: c.at}
+	b.Know(map[string]string{"a": "127.0.0.1:9"})
+	b.send()
+	old := b.wire.sent[len(b.wire.sent)-1]
+	sent := c.at
+	c.at = c.at.Add(time.Minute)
+	a.receiveDatagram(old, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9})
+	if a.heard.Confirmed.After(sent) {
+		t.Errorf("confirmed %s after the message was sent", a.heard.Confirmed.Sub(sent))
+	}
+}
+
+// After a restart the steady clock of the process counts from another moment,
+// so an echo of the earlier life says nothing about the present one.
+func TestEchoOfAnEarlierLife(t *testing.T) {
+	c := &clock{at: time.Now()}
+	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+	c.at = c.at.Add(30 * time.Second)
+	say(t, a, b)
+	b.state = State{Routes: 7, Confirmed: c.at}
+	restarted := newNode(c, "a", "2")
+	say(t, b, restarted)
+	if !restarted.heard.Confirmed.IsZero() {
+		t.Errorf("confirmed at %s after the start, want not at all", restarted.heard.Confirmed.Sub(c.at))
+	}
+}
