feat: entries follow the store through two of them

An entry that the store turned away refused keyed requests although others knew the routes to be fresh. Now two entries follow the store and pass on, by JSON-RPC, what it told them with its age; an entry asks the store itself when neither answers, and the entry with the freshest answer when the store does not.

--- a/internal/belief/anchor.go
+++ b/internal/belief/anchor.go
@@ -1,6 +1,43 @@
 package belief
 
-import "time"
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// Anchored returns a store whose answers tell, in this process's steady time,
+// when they were made.
+func Anchored(store *platform.Store, now func() time.Time) *platform.Store {
+	var mu sync.Mutex
+	var a anchor
+	note := func(s platform.Snapshot, sent time.Time) platform.Snapshot {
+		mu.Lock()
+		defer mu.Unlock()
+		s.Made = a.note(s.Clock, sent, now())
+		return s
+	}
+	out := *store
+	out.List = func(ctx context.Context, table string) (platform.Snapshot, error) {
+		sent := now()
+		s, err := store.List(ctx, table)
+		if err != nil {
+			return s, err
+		}
+		return note(s, sent), nil
+	}
+	out.Changes = func(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
+		sent := now()
+		s, err := store.Changes(ctx, table, after, wait)
+		if err != nil {
+			return s, err
+		}
+		return note(s, sent), nil
+	}
+	return &out
+}
 
 // anchor relates the store's steady clock to the process's. A call that the
 // store holds for changes is answered long after it was sent; the store's clock
--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -29,6 +29,9 @@
 	// SettleFor is how long after an outage the rows may still be incomplete:
 	// rows that lapsed while the store was away need time to come back.
 	SettleFor time.Duration
+	// Gather is the pause after an answer with changes: those that come close
+	// together share a call.
+	Gather time.Duration
 }
 
 // Follower follows one table of the store.
@@ -49,7 +52,6 @@
 	failures  int
 	settled   time.Time
 	interrupt context.CancelFunc
-	anchor    anchor
 }
 
 // New returns a Follower that hands each answer to apply, where full marks one
@@ -133,9 +135,13 @@
 	f.succeeded(s, sent)
 	if full || len(s.Records) > 0 {
 		f.apply(s, full)
+		defer f.sleep(ctx, f.settings.Gather)
+	}
+	made := s.Made
+	if made.IsZero() {
+		made = sent
 	}
 	f.mu.Lock()
-	made := f.anchor.note(s.Clock, sent, f.now())
 	f.confirmed = made
 	f.mu.Unlock()
 	f.confirm(made)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -26,7 +26,9 @@
 	"github.com/sparshore/sparshore/internal/kernel"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/logline"
+	"github.com/sparshore/sparshore/internal/peer"
 	product "github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/relay"
 	"github.com/sparshore/sparshore/platform"
 )
 
@@ -53,6 +55,20 @@
 	// followPauseLeast and followPauseMost bound the back-off.
 	followPauseLeast = 50 * time.Millisecond
 	followPauseMost  = 500 * time.Millisecond
+	// followGather joins changes that come close together in one call.
+	followGather = 40 * time.Millisecond
+	// delegates is the number of entries that follow the store for all others:
+	// one more than may be lost at a time without asking the store again.
+	delegates = 2
+	// relayWait and relaySlack bound how late the silence of a delegate is
+	// noticed; an engine that leaves gives notice of some 1.5 s.
+	relayWait  = 500 * time.Millisecond
+	relaySlack = 250 * time.Millisecond
+	// relayStale is beyond the age of what a delegate knows in steady state, and
+	// under the age to which routes are trusted.
+	relayStale = 2500 * time.Millisecond
+	// relayAvoid is some tries' worth of following the store instead.
+	relayAvoid = 3 * time.Second
 	// settleFor is how long after an outage lapsed upstreams have to come back:
 	// the platform's operators state about two seconds.
 	settleFor = 2200 * time.Millisecond
@@ -66,7 +82,7 @@
 	// gossipForget is some lost messages in a row.
 	gossipForget = 1500 * time.Millisecond
 	// directoryEvery bounds how late a new entry learns of the others.
-	directoryEvery = 5 * time.Second
+	directoryEvery = 10 * time.Second
 	// directoryCall bounds one call for the list of entries.
 	directoryCall = 1500 * time.Millisecond
 	// sweepEvery is the pause between looks at lapsed upstreams and idle connections.
@@ -105,8 +121,9 @@
 	return kernel.Run(ctx, kernel.Limits{Start: startLimit, Stop: s.StopWithin}, []kernel.Service{
 		b.logService(),
 		b.metricsService(),
-		b.followService(),
+		b.relayService(),
 		b.gossipService(),
+		b.followService(),
 		b.readinessService(),
 		b.callerService(),
 		b.gatewayService(),
@@ -122,6 +139,8 @@
 	rec     *events.Recorder
 	reg     *prometheus.Registry
 	store   *product.Store
+	log     *relay.Log
+	source  *relay.Store
 	routes  *belief.Routes
 	fleet   *fleet.Set
 	pool    *link.Pool
@@ -143,7 +162,12 @@
 	log := newLogger(b.lines).WithValues("process", s.Name, "incarnation", b.life)
 	b.rec = events.New(log, s.Name, b.life, s.TimelineSize, time.Now)
 	b.reg.MustRegister(collectors.NewGoCollector())
-	b.store = platform.NewStore(s.Store, storeClient())
+	b.store = belief.Anchored(platform.NewStore(s.Store, storeClient()), time.Now)
+	b.log = relay.NewLog(time.Now)
+	b.source = relay.New(relay.Settings{
+		Name: s.Name, Zone: s.Zone, Delegates: delegates,
+		Wait: relayWait, Slack: relaySlack, Stale: relayStale, AvoidFor: relayAvoid,
+	}, b.store, b.log, b.relayPeers, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
 	proto := platform.NewProtocol()
@@ -152,15 +176,15 @@
 		Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin,
 		RetryRatio: s.RetryRatio * retryShare, RetryExtra: s.RetryExtra * retryShare, RetryWindow: s.RetryWindow,
 	}, b.routes, b.fleet, b.pool, proto, func() { b.gossip.Nudge() }, b.rec, b.reg, time.Now)
-	b.tables = belief.New(followSettings(platform.TableRoutes, routesWait), b.store, b.routes.Apply, b.routes.ConfirmCurrent, func() { b.members.Interrupt() }, b.rec, time.Now)
-	b.members = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.store, b.applyUpstreams, func(time.Time) {}, func() {}, b.rec, time.Now)
+	b.tables = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.routes.Apply, b.routes.ConfirmCurrent, func() { b.members.Interrupt() }, b.rec, time.Now)
+	b.members = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, func(time.Time) {}, func() {}, b.rec, time.Now)
 	return b
 }
 
 func followSettings(table string, wait time.Duration) belief.Settings {
 	return belief.Settings{
 		Table: table, Wait: wait, Slack: followSlack,
-		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor,
+		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor, Gather: followGather,
 	}
 }
 
@@ -356,6 +380,46 @@
 	}
 }
 
+// relayPeers returns the entries that can be asked for tables.
+func (b *gatewayBuilder) relayPeers() []relay.Peer {
+	var out []relay.Peer
+	for name, p := range b.gossip.Peers() {
+		if p.State.Relay != "" {
+			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Address: p.State.Relay, Confirmed: p.State.Confirmed})
+		}
+	}
+	return out
+}
+
+func (b *gatewayBuilder) relayService() kernel.Service {
+	return kernel.Service{
+		Name: servicePeers,
+		Build: func(*kernel.Registry) (any, error) {
+			l, err := net.Listen("tcp4", b.settings.RelayListen)
+			if err != nil {
+				return nil, fmt.Errorf("--relay-listen: %w", err)
+			}
+			return peer.NewServer(l, b.log.Methods(), nil), nil
+		},
+		Start: func(_ context.Context, r *kernel.Registry) error {
+			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
+			if err != nil {
+				return err
+			}
+			s.Start()
+			return nil
+		},
+		Stop: func(_ context.Context, r *kernel.Registry) error {
+			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
+			if err != nil {
+				return err
+			}
+			s.Close()
+			return nil
+		},
+	}
+}
+
 // found takes over the list of entries.
 func (b *gatewayBuilder) found(addresses map[string]string) {
 	b.gossip.Know(addresses)
@@ -364,7 +428,7 @@
 
 // ownState is what this gateway tells the others.
 func (b *gatewayBuilder) ownState() gossip.State {
-	s := gossip.State{Loads: b.gateway.Load(), Leaving: b.fleet.Leaving()}
+	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.Leaving()}
 	table, confirmed := b.routes.Current()
 	if table != nil {
 		s.Routes, s.Confirmed = table.Version(), confirmed
--- a/internal/daemon/gatewaysettings.go
+++ b/internal/daemon/gatewaysettings.go
@@ -14,6 +14,7 @@
 	ReadyListen   string        `arg:"--ready-listen,env:SPARSHORE_READY_LISTEN" help:"address at which the balancer asks whether this entry is ready, as IP:port"`
 	MetricsListen string        `arg:"--metrics-listen,env:SPARSHORE_METRICS_LISTEN" help:"address of the metrics, as IP:port"`
 	GossipListen  string        `arg:"--gossip-listen,env:SPARSHORE_GOSSIP_LISTEN" help:"address for datagrams of other entries, as IP:port"`
+	RelayListen   string        `arg:"--relay-listen,env:SPARSHORE_RELAY_LISTEN" help:"address at which other entries ask what the store said, as IP:port"`
 	Store         string        `arg:"--store,env:SPARSHORE_STORE" help:"address of the platform's store, as IP:port"`
 	KeyBound      time.Duration `arg:"--key-bound,env:SPARSHORE_KEY_BOUND" default:"5s" help:"time after which a revoked key must not be served"`
 	RetryRatio    float64       `arg:"--retry-ratio,env:SPARSHORE_RETRY_RATIO" default:"0.2" help:"attempts beyond the first allowed for each request"`
@@ -35,7 +36,7 @@
 	f.name("--zone", s.Zone)
 	for _, a := range []struct{ flag, value string }{
 		{"--listen", s.Listen}, {"--ready-listen", s.ReadyListen}, {"--metrics-listen", s.MetricsListen},
-		{"--gossip-listen", s.GossipListen}, {"--store", s.Store},
+		{"--gossip-listen", s.GossipListen}, {"--relay-listen", s.RelayListen}, {"--store", s.Store},
 	} {
 		f.address(a.flag, a.value)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -74,6 +74,8 @@
 	StoreRegained      ID = 602
 	StoreHistoryGone   ID = 603
 	RegisterFailed     ID = 604
+	SourceChanged      ID = 605
+	RelayFailed        ID = 606
 )
 
 // Kind describes one event kind.
@@ -160,6 +162,8 @@
 	{StoreLost, "store-lost", "A call that follows a table of the store failed; the last known rows stay in use."},
 	{StoreRegained, "store-regained", "The store answers again."},
 	{StoreHistoryGone, "store-history-gone", "The store dropped the changes since the last answer; the table is read anew."},
+	{SourceChanged, "source-changed", "A table is followed through another source: the store, or an entry that follows it."},
+	{RelayFailed, "relay-failed", "Another entry could not pass on a table; the store is asked itself."},
 	{RegisterFailed, "register-failed", "An entry could not write or read the list of entries."},
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,6 +27,10 @@
 
 // State is what an entry tells the others.
 type State struct {
+	// Zone is the availability zone it runs in.
+	Zone string
+	// Relay is the IP:port at which it passes on what the store told it.
+	Relay string
 	// Routes is the version of its route table.
 	Routes routetable.Version
 	// Confirmed is the steady time at which that version was known to be the
@@ -61,6 +65,8 @@
 	EchoLife string `json:"echo_life"`
 	// AgeMS is the time since the route table was confirmed, -1 for never.
 	AgeMS   int64               `json:"age_ms"`
+	Zone    string              `json:"zone"`
+	Relay   string              `json:"relay"`
 	Routes  int64               `json:"routes"`
 	Loads   map[string]wireLoad `json:"loads,omitempty"`
 	Leaving []string            `json:"leaving,omitempty"`
@@ -190,7 +196,7 @@
 func (n *Node) send() {
 	s := n.collect()
 	now := n.now()
-	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving}
+	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving, Zone: s.Zone, Relay: s.Relay}
 	if !s.Confirmed.IsZero() {
 		m.AgeMS = now.Sub(s.Confirmed).Milliseconds() + 1
 	}
@@ -243,7 +249,7 @@
 // take stores a peer's state. Its confirmation holds for the time of the echo,
 // less the age that the peer gave: both bounds lie on the safe side.
 func (n *Node) take(m message, addr net.Addr) {
-	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Loads: make(map[string]Load, len(m.Loads))}
+	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Zone: m.Zone, Relay: m.Relay, Loads: make(map[string]Load, len(m.Loads))}
 	for id, l := range m.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
 	}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -29,6 +29,9 @@
 	Version int64
 	// Clock is the store's steady clock at the time of the answer.
 	Clock time.Duration
+	// Made is a steady time of this process that is not after the moment at
+	// which the answer was the newest; the zero time if none is known.
+	Made time.Time
 }
 
 // Store is a store of rows with one version counter whose tables can be
--- /dev/null
+++ b/internal/relay/log.go
@@ -0,0 +1,161 @@
+// Package relay lets entries pass on to each other what the platform's store
+// told them. A few entries follow the store; the others ask those few, so that
+// calls to the store do not grow with the number of entries. An entry that the
+// store turns away gets the changes, and how fresh they are, from one it serves.
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// keepGone is how long a removed row is remembered: the store keeps its own
+// history about as long.
+const keepGone = 30 * time.Second
+
+// tableLog is the newest known state of one table.
+type tableLog struct {
+	rows map[string]entry
+	// floor is the version from which the log knows all changes.
+	floor   int64
+	version int64
+	made    time.Time
+	failing bool
+	changed chan struct{}
+}
+
+type entry struct {
+	record platform.Record
+	gone   time.Time
+}
+
+// Log keeps the newest known state of the followed tables.
+type Log struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	tables map[string]*tableLog
+}
+
+// NewLog returns an empty Log.
+func NewLog(now func() time.Time) *Log { return &Log{now: now, tables: map[string]*tableLog{}} }
+
+func (l *Log) table(name string) *tableLog {
+	t, ok := l.tables[name]
+	if !ok {
+		t = &tableLog{rows: map[string]entry{}, floor: -1, changed: make(chan struct{})}
+		l.tables[name] = t
+	}
+	return t
+}
+
+// note takes over an answer; full marks one that holds the whole table.
+func (l *Log) note(table string, s platform.Snapshot, full bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.table(table)
+	t.failing = false
+	if s.Made.After(t.made) {
+		t.made = s.Made
+	}
+	if full {
+		l.replace(t, s)
+	}
+	for _, r := range s.Records {
+		if r.Version == 0 {
+			r.Version = s.Version
+		}
+		t.rows[r.Name] = l.entryOf(r)
+	}
+	t.version = max(t.version, s.Version)
+	if full || len(s.Records) > 0 {
+		close(t.changed)
+		t.changed = make(chan struct{})
+		l.forget(t)
+	}
+}
+
+// replace marks the rows that a whole table lacks as removed.
+func (l *Log) replace(t *tableLog, s platform.Snapshot) {
+	listed := make(map[string]bool, len(s.Records))
+	for _, r := range s.Records {
+		listed[r.Name] = true
+	}
+	for name, e := range t.rows {
+		if !listed[name] && !e.record.Gone {
+			t.rows[name] = l.entryOf(platform.Record{Name: name, Version: s.Version, Gone: true})
+		}
+	}
+	if t.floor < 0 {
+		t.floor = s.Version
+	}
+}
+
+func (l *Log) entryOf(r platform.Record) entry {
+	e := entry{record: r}
+	if r.Gone {
+		e.gone = l.now()
+	}
+	return e
+}
+
+// forget drops rows that were removed long ago; who is that far behind has to
+// read the whole table.
+func (l *Log) forget(t *tableLog) {
+	for name, e := range t.rows {
+		if e.record.Gone && l.now().Sub(e.gone) > keepGone {
+			t.floor = max(t.floor, e.record.Version)
+			delete(t.rows, name)
+		}
+	}
+}
+
+// failed notes that the newest call for the table failed.
+func (l *Log) failed(table string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table(table).failing = true
+}
+
+// since returns the rows that changed after a version, and a channel that is
+// closed at the next change. ok is false when the log cannot tell.
+func (l *Log) since(table string, after int64) (s platform.Snapshot, changed <-chan struct{}, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.table(table)
+	if t.floor < 0 || after < t.floor || t.failing {
+		return platform.Snapshot{}, nil, false
+	}
+	return l.snapshot(t, after), t.changed, true
+}
+
+// whole returns the whole table; ok is false when it is not known.
+func (l *Log) whole(table string) (s platform.Snapshot, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.table(table)
+	if t.floor < 0 {
+		return platform.Snapshot{}, false
+	}
+	s = l.snapshot(t, -1)
+	live := s.Records[:0]
+	for _, r := range s.Records {
+		if !r.Gone {
+			live = append(live, r)
+		}
+	}
+	s.Records = live
+	return s, true
+}
+
+func (l *Log) snapshot(t *tableLog, after int64) platform.Snapshot {
+	s := platform.Snapshot{Version: t.version, Made: t.made}
+	for _, e := range t.rows {
+		if e.record.Version > after {
+			s.Records = append(s.Records, e.record)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+const (
+	methodChanges = "relay.changes"
+	methodList    = "relay.list"
+)
+
+// errCannotTell is answered when this entry does not know the table well enough.
+var errCannotTell = errors.New("the table is not known here")
+
+type changesParams struct {
+	Table  string `json:"table"`
+	After  int64  `json:"after"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+type listParams struct {
+	Table string `json:"table"`
+}
+
+// wireSnapshot is a platform.Snapshot between entries. Steady times mean
+// nothing to another process, so the age at the time of the answer is sent.
+type wireSnapshot struct {
+	Records []wireRecord `json:"records,omitempty"`
+	Version int64        `json:"version"`
+	AgeMS   int64        `json:"age_ms"`
+}
+
+type wireRecord struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+	Gone    bool   `json:"gone,omitempty"`
+}
+
+// Methods answers the questions of other entries.
+func (l *Log) Methods() peer.Methods {
+	return peer.Methods{methodChanges: l.handleChanges, methodList: l.handleList}
+}
+
+func (l *Log) handleChanges(ctx context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
+	var p changesParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, err
+	}
+	end := time.NewTimer(time.Duration(p.WaitMS) * time.Millisecond)
+	defer end.Stop()
+	for {
+		s, changed, ok := l.since(p.Table, p.After)
+		if !ok {
+			return nil, errCannotTell
+		}
+		if len(s.Records) > 0 {
+			return l.encode(s), nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return l.encode(s), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) handleList(_ context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
+	var p listParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, err
+	}
+	s, ok := l.whole(p.Table)
+	if !ok {
+		return nil, errCannotTell
+	}
+	return l.encode(s), nil
+}
+
+func (l *Log) encode(s platform.Snapshot) wireSnapshot {
+	out := wireSnapshot{Version: s.Version, AgeMS: l.now().Sub(s.Made).Milliseconds() + 1}
+	for _, r := range s.Records {
+		out.Records = append(out.Records, wireRecord(r))
+	}
+	return out
+}
+
+// decode turns an answer into a Snapshot; sent is when it was asked for, which
+// is before the age was taken.
+func (w wireSnapshot) decode(sent time.Time) platform.Snapshot {
+	s := platform.Snapshot{Version: w.Version, Made: sent.Add(-time.Duration(w.AgeMS) * time.Millisecond)}
+	for _, r := range w.Records {
+		s.Records = append(s.Records, platform.Record(r))
+	}
+	return s
+}
--- /dev/null
+++ b/internal/relay/store.go
@@ -0,0 +1,255 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// ErrStale is wrapped when another entry's answer is too old to go by.
+var ErrStale = errors.New("the other entry's answer is too old")
+
+// Settings are the fixed numbers of a Store.
+type Settings struct {
+	// Name and Zone are the own entry's.
+	Name string
+	Zone string
+	// Delegates is the number of entries that follow the store for all.
+	Delegates int
+	// Wait is how long another entry holds a question for changes; it bounds how
+	// late its silence is noticed.
+	Wait time.Duration
+	// Slack is the time beyond Wait after which a question is given up.
+	Slack time.Duration
+	// Stale is the age from which another entry's answer is not gone by.
+	Stale time.Duration
+	// AvoidFor is how long an entry that failed is not asked.
+	AvoidFor time.Duration
+}
+
+// Peer is another entry that can be asked.
+type Peer struct {
+	Name string
+	Zone string
+	// Address is the IP:port of its relay.
+	Address string
+	// Confirmed is the steady time for which it knew the routes to be the newest.
+	Confirmed time.Time
+}
+
+// Store answers from the platform's store or from another entry.
+type Store struct {
+	settings Settings
+	direct   *platform.Store
+	log      *Log
+	peers    func() []Peer
+	rec      *events.Recorder
+	now      func() time.Time
+	dial     func(ctx context.Context, address string) (*peer.Conn, error)
+
+	mu    sync.Mutex
+	conns map[string]*peer.Conn
+	avoid map[string]time.Time
+	asked map[string]string
+}
+
+// New returns a Store over direct that keeps what it learns in log, for others.
+func New(settings Settings, direct *platform.Store, log *Log, peers func() []Peer, rec *events.Recorder, now func() time.Time) *Store {
+	return &Store{
+		settings: settings, direct: direct, log: log, peers: peers, rec: rec, now: now,
+		dial:  func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) },
+		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{},
+	}
+}
+
+// Platform returns the Store behind the seam that followers use. Writes go to
+// the platform's store.
+func (s *Store) Platform() *platform.Store {
+	return &platform.Store{List: s.list, Changes: s.changes, Put: s.direct.Put, Remove: s.direct.Remove}
+}
+
+// list reads the whole table from the store, or from the entry with the freshest
+// answer while the store does not answer.
+func (s *Store) list(ctx context.Context, table string) (platform.Snapshot, error) {
+	snap, err := s.direct.List(ctx, table)
+	if err != nil {
+		for _, p := range s.freshest() {
+			if snap, relayed := s.ask(ctx, p, methodList, listParams{Table: table}); relayed == nil {
+				s.took(table, p.Name)
+				s.log.note(table, snap, true)
+				return snap, nil
+			}
+		}
+		s.log.failed(table)
+		return platform.Snapshot{}, err
+	}
+	s.took(table, "")
+	s.log.note(table, snap, true)
+	return snap, nil
+}
+
+// changes asks the delegate of this entry, then the store, then the entry with
+// the freshest answer.
+func (s *Store) changes(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
+	params := changesParams{Table: table, After: after, WaitMS: s.settings.Wait.Milliseconds()}
+	if p, ok := s.delegate(); ok {
+		if snap, err := s.ask(ctx, p, methodChanges, params); err == nil {
+			s.took(table, p.Name)
+			s.log.note(table, snap, false)
+			return snap, nil
+		}
+	}
+	snap, err := s.direct.Changes(ctx, table, after, wait)
+	if err == nil {
+		s.took(table, "")
+		s.log.note(table, snap, false)
+		return snap, nil
+	}
+	if errors.Is(err, platform.ErrHistoryGone) {
+		return snap, err
+	}
+	s.log.failed(table)
+	for _, p := range s.freshest() {
+		if snap, relayed := s.ask(ctx, p, methodChanges, params); relayed == nil {
+			s.took(table, p.Name)
+			s.log.note(table, snap, false)
+			return snap, nil
+		}
+	}
+	return platform.Snapshot{}, err
+}
+
+// took notes when the source of a table changes.
+func (s *Store) took(table, source string) {
+	s.mu.Lock()
+	before, known := s.asked[table]
+	s.asked[table] = source
+	s.mu.Unlock()
+	if !known || before != source {
+		s.rec.Note(events.SourceChanged, "", "table", table, "source", sourceName(source), "before", sourceName(before))
+	}
+}
+
+func sourceName(peer string) string {
+	if peer == "" {
+		return "store"
+	}
+	return peer
+}
+
+// delegate returns the entry that follows the store for this one; ok is false
+// for the delegates themselves. All entries that hear each other agree on who
+// they are.
+func (s *Store) delegate() (Peer, bool) {
+	list := s.peers()
+	list = append(list, Peer{Name: s.settings.Name, Zone: s.settings.Zone})
+	slices.SortFunc(list, func(a, b Peer) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	list = list[:min(s.settings.Delegates, len(list))]
+	var chosen Peer
+	for _, p := range list {
+		if p.Name == s.settings.Name {
+			return Peer{}, false
+		}
+		if s.avoided(p.Name) {
+			continue
+		}
+		if chosen.Name == "" || p.Zone == s.settings.Zone && chosen.Zone != s.settings.Zone {
+			chosen = p
+		}
+	}
+	return chosen, chosen.Name != ""
+}
+
+// freshest returns the entries with a known confirmation, the newest first.
+func (s *Store) freshest() []Peer {
+	list := slices.DeleteFunc(s.peers(), func(p Peer) bool {
+		return p.Confirmed.IsZero() || s.now().Sub(p.Confirmed) > s.settings.Stale || s.avoided(p.Name)
+	})
+	slices.SortFunc(list, func(a, b Peer) int { return b.Confirmed.Compare(a.Confirmed) })
+	return list[:min(maxAsked, len(list))]
+}
+
+// maxAsked bounds the entries that are asked when the store does not answer.
+const maxAsked = 2
+
+func (s *Store) avoided(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now().Before(s.avoid[name])
+}
+
+// ask asks another entry. One that fails or knows only old things is not asked
+// again for a while.
+func (s *Store) ask(ctx context.Context, p Peer, method string, params any) (platform.Snapshot, error) {
+	snap, err := s.call(ctx, p, method, params)
+	if err == nil && s.now().Sub(snap.Made) > s.settings.Stale {
+		err = fmt.Errorf("%w: %s", ErrStale, p.Name)
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.avoid[p.Name] = s.now().Add(s.settings.AvoidFor)
+		s.mu.Unlock()
+		s.rec.Note(events.RelayFailed, "", "peer", p.Name, "error", err)
+	}
+	return snap, err
+}
+
+func (s *Store) call(ctx context.Context, p Peer, method string, params any) (platform.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Wait+s.settings.Slack)
+	defer cancel()
+	c, err := s.conn(ctx, p.Address)
+	if err != nil {
+		return platform.Snapshot{}, err
+	}
+	sent := s.now()
+	var w wireSnapshot
+	if err := c.Call(ctx, method, params, &w); err != nil {
+		if !errors.Is(err, peer.ErrRefused) {
+			s.drop(p.Address, c)
+		}
+		return platform.Snapshot{}, err
+	}
+	return w.decode(sent), nil
+}
+
+func (s *Store) conn(ctx context.Context, address string) (*peer.Conn, error) {
+	s.mu.Lock()
+	c, ok := s.conns[address]
+	s.mu.Unlock()
+	if ok {
+		return c, nil
+	}
+	c, err := s.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if other, ok := s.conns[address]; ok {
+		c.Close()
+		return other, nil
+	}
+	s.conns[address] = c
+	return c, nil
+}
+
+func (s *Store) drop(address string, c *peer.Conn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns[address] == c {
+		delete(s.conns, address)
+	}
+}
