fix: upstreams that lapsed around an outage come back

Causes: (1) one answer of the store's feed held the removal of a row and its return, and the removal was applied last; (2) an upstream once taken as gone stayed so when its row was back, and entries told each other so; (3) the first call after the outage was held for a change, 1.4 s without a confirmation. Ruled out: the relay (the same without it) and the two seconds of settling. Tests: TestUpstreamChanges, TestUpstreamComesBack, TestOnlyFirstHandKnowledgeIsPassedOn, TestFirstCallAfterAnOutageIsNotHeld.

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -122,7 +122,7 @@
 	if full {
 		s, err = f.store.List(ctx, f.settings.Table)
 	} else {
-		s, err = f.store.Changes(ctx, f.settings.Table, f.version, f.settings.Wait)
+		s, err = f.store.Changes(ctx, f.settings.Table, f.version, f.wait())
 	}
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.synced = false
@@ -148,6 +148,17 @@
 	return nil
 }
 
+// wait is how long the store may hold the next call. The first one after a
+// failure is answered at once, because others wait for its confirmation.
+func (f *Follower) wait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failures > 0 {
+		return 0
+	}
+	return f.settings.Wait
+}
+
 func (f *Follower) succeeded(s platform.Snapshot, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/belief/follower_test.go
@@ -0,0 +1,129 @@
+package belief
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// script is a store that answers calls in turn and a follower of it.
+type script struct {
+	*Follower
+	at      time.Time
+	answers []func() (platform.Snapshot, error)
+	lists   int
+	waits   []time.Duration
+	applied []platform.Snapshot
+	full    []bool
+	confirm time.Time
+	lost    int
+}
+
+func newScript(answers ...func() (platform.Snapshot, error)) *script {
+	s := &script{at: time.Now(), answers: answers}
+	next := func() (platform.Snapshot, error) {
+		a := s.answers[0]
+		s.answers = s.answers[1:]
+		return a()
+	}
+	store := &platform.Store{
+		List: func(context.Context, string) (platform.Snapshot, error) {
+			s.lists++
+			return next()
+		},
+		Changes: func(_ context.Context, _ string, _ int64, wait time.Duration) (platform.Snapshot, error) {
+			s.waits = append(s.waits, wait)
+			return next()
+		},
+	}
+	s.Follower = New(Settings{Table: "t", Wait: time.Second, Slack: time.Second, PauseLeast: time.Millisecond, PauseMost: time.Millisecond, SettleFor: 2 * time.Second},
+		store, func(snap platform.Snapshot, full bool) {
+			s.applied = append(s.applied, snap)
+			s.full = append(s.full, full)
+		}, func(at time.Time) { s.confirm = at }, func() { s.lost++ }, events.Nop(), func() time.Time { return s.at })
+	s.sleep = func(context.Context, time.Duration) {}
+	return s
+}
+
+// play runs the follower until the script is over.
+func (s *script) play(t *testing.T) {
+	t.Helper()
+	for len(s.answers) > 0 {
+		if err := s.step(t.Context()); err != nil {
+			s.failed(t.Context(), err)
+		}
+	}
+}
+
+func rows(version int64, names ...string) func() (platform.Snapshot, error) {
+	return func() (platform.Snapshot, error) {
+		s := platform.Snapshot{Version: version}
+		for _, n := range names {
+			s.Records = append(s.Records, platform.Record{Name: n, Version: version})
+		}
+		return s, nil
+	}
+}
+
+var errDown = errors.New("down")
+
+func fails(err error) func() (platform.Snapshot, error) {
+	return func() (platform.Snapshot, error) { return platform.Snapshot{}, err }
+}
+
+func TestFollowerReadsAllThenChanges(t *testing.T) {
+	s := newScript(rows(5, "a"), rows(5), rows(7, "b"))
+	s.play(t)
+	if s.lists != 1 || len(s.waits) != 2 {
+		t.Errorf("%d lists and %d calls for changes, want 1 and 2", s.lists, len(s.waits))
+	}
+	if len(s.applied) != 2 || !s.full[0] || s.full[1] {
+		t.Errorf("applied %d answers, full %v; want the whole table, then the change", len(s.applied), s.full)
+	}
+}
+
+func TestFollowerAfterDroppedHistory(t *testing.T) {
+	s := newScript(rows(5, "a"), fails(platform.ErrHistoryGone), rows(9, "b"))
+	s.play(t)
+	if s.lists != 2 || s.lost != 0 {
+		t.Errorf("%d lists, lost %d times; want the table read anew and no outage", s.lists, s.lost)
+	}
+}
+
+func TestFollowerAroundAnOutage(t *testing.T) {
+	s := newScript(rows(5, "a"), fails(errDown), fails(errDown), rows(5), rows(5))
+	s.play(t)
+	if s.lost != 1 {
+		t.Errorf("lost %d times, want once", s.lost)
+	}
+	settled, ok := s.Settled()
+	if !ok || !settled.Equal(s.at.Add(2*time.Second)) {
+		t.Errorf("settled in %s, answering %v; want in 2s, true", settled.Sub(s.at), ok)
+	}
+}
+
+// Requests are refused while the routes are unconfirmed, so the first answer
+// after an outage must not be held for changes.
+func TestFirstCallAfterAnOutageIsNotHeld(t *testing.T) {
+	s := newScript(rows(5, "a"), rows(5), fails(errDown), rows(5), rows(5))
+	s.play(t)
+	want := []time.Duration{time.Second, time.Second, 0, time.Second}
+	for i, w := range s.waits {
+		if w != want[i] {
+			t.Errorf("call %d for changes is held for %s, want %s", i, w, want[i])
+		}
+	}
+}
+
+func TestConfirmationIsOfTheAnswer(t *testing.T) {
+	made := time.Now().Add(-time.Minute)
+	s := newScript(func() (platform.Snapshot, error) { return platform.Snapshot{Version: 1, Made: made}, nil })
+	s.play(t)
+	if !s.confirm.Equal(made) {
+		t.Errorf("confirmed for %s, want for when the answer was made, %s", s.confirm, made)
+	}
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -48,8 +48,9 @@
 	// routesWait is how long the store holds a call for a change of the routes.
 	// It sets how old a confirmation gets, against the price of calls.
 	routesWait = 1400 * time.Millisecond
-	// upstreamsWait is the same for upstreams, which need no confirmation.
-	upstreamsWait = 5 * time.Second
+	// upstreamsWait is the same for upstreams. It stays under relayStale, beyond
+	// which other entries do not go by what a delegate knows.
+	upstreamsWait = 1800 * time.Millisecond
 	// followSlack covers the way to the store and a late answer.
 	followSlack = 700 * time.Millisecond
 	// followPauseLeast and followPauseMost bound the back-off.
@@ -220,22 +221,33 @@
 
 // applyUpstreams hands the rows of upstreams to the fleet.
 func (b *gatewayBuilder) applyUpstreams(s product.Snapshot, full bool) {
-	var records []fleet.Record
-	var gone []string
-	for _, row := range s.Records {
-		if row.Gone {
+	records, gone := upstreamChanges(s.Records, b.rec)
+	settled, _ := b.members.Settled()
+	b.fleet.Update(records, gone, full, settled)
+}
+
+// upstreamChanges decodes changed rows. One answer may hold several changes of a
+// row, in order; the last one counts.
+func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []string) {
+	last := make(map[string]int, len(rows))
+	for i, row := range rows {
+		last[row.Name] = i
+	}
+	for i, row := range rows {
+		switch {
+		case last[row.Name] != i:
+		case row.Gone:
 			gone = append(gone, row.Name)
-			continue
-		}
-		r, err := platform.DecodeUpstream(row.Name, row.Value)
-		if err != nil {
-			b.rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
-			continue
+		default:
+			r, err := platform.DecodeUpstream(row.Name, row.Value)
+			if err != nil {
+				rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
+				continue
+			}
+			records = append(records, r)
 		}
-		records = append(records, r)
 	}
-	settled, _ := b.members.Settled()
-	b.fleet.Update(records, gone, full, settled)
+	return records, gone
 }
 
 func (b *gatewayBuilder) logService() kernel.Service {
@@ -428,7 +440,7 @@
 
 // ownState is what this gateway tells the others.
 func (b *gatewayBuilder) ownState() gossip.State {
-	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.Leaving()}
+	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.KnownLeaving()}
 	table, confirmed := b.routes.Current()
 	if table != nil {
 		s.Routes, s.Confirmed = table.Version(), confirmed
--- /dev/null
+++ b/internal/daemon/upstreams_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/sparshore/sparshore/internal/events"
+	product "github.com/sparshore/sparshore/internal/platform"
+)
+
+func TestUpstreamChanges(t *testing.T) {
+	row := func(name string) product.Record {
+		return product.Record{Name: name, Value: []byte(`{"service":"llm","address":"10.0.0.1:1"}`)}
+	}
+	gone := func(name string) product.Record { return product.Record{Name: name, Gone: true} }
+	for _, tc := range []struct {
+		name    string
+		rows    []product.Record
+		present []string
+		gone    []string
+	}{
+		{"rows come and go", []product.Record{row("a"), gone("b")}, []string{"a"}, []string{"b"}},
+		{"a row that went and came back in one answer is there", []product.Record{gone("a"), row("a")}, []string{"a"}, nil},
+		{"a row that came and went in one answer is gone", []product.Record{row("a"), gone("a")}, nil, []string{"a"}},
+		{"a row that cannot be used changes nothing", []product.Record{{Name: "a", Value: []byte("{")}, row("b")}, []string{"b"}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			records, left := upstreamChanges(tc.rows, events.Nop())
+			var present []string
+			for _, r := range records {
+				present = append(present, r.ID)
+			}
+			slices.Sort(present)
+			if !slices.Equal(present, tc.present) {
+				t.Errorf("present %v, want %v", present, tc.present)
+			}
+			if !slices.Equal(left, tc.gone) {
+				t.Errorf("gone %v, want %v", left, tc.gone)
+			}
+		})
+	}
+}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -75,7 +75,12 @@
 
 type member struct {
 	Upstream
-	lapseUntil time.Time
+	// firstHand is set when the upstream itself said that it leaves: nothing
+	// brings it back. One that was missing, or of which only another entry said
+	// so, serves again when its record is there.
+	firstHand bool
+	// until ends a lapse, or the time for which one that left is remembered.
+	until time.Time
 }
 
 // New returns an empty Set; changed is called, without locks held, with the
@@ -126,18 +131,25 @@
 	}
 	m.Record = r
 	m.coldUntil = now.Add(r.ColdFor)
-	was := m.state
-	switch {
-	case r.Leaving:
-		m.state = Leaving
-	case was == Lapsed:
-		m.state = Serving
+	if r.Leaving {
+		m.firstHand = true
+		return s.leave(m, "own record")
+	}
+	if m.state != Serving && !m.firstHand {
+		m.state, m.until = Serving, time.Time{}
 		s.rec.Note(events.UpstreamBack, "", "upstream", r.ID)
 	}
-	if m.state != Leaving || was == Leaving {
+	return false
+}
+
+// leave notes that an upstream leaves; it returns false if that was known.
+func (s *Set) leave(m *member, source string) bool {
+	was := m.state
+	m.state = Leaving
+	if was == Leaving {
 		return false
 	}
-	s.rec.Note(events.UpstreamLeaving, "", "upstream", r.ID, "source", "record")
+	s.rec.Note(events.UpstreamLeaving, "", "upstream", m.ID, "source", source)
 	return true
 }
 
@@ -152,7 +164,7 @@
 		if m.state != Lapsed {
 			s.rec.Note(events.UpstreamLapsed, "", "upstream", id, "until", settled.Sub(s.now()))
 		}
-		m.state, m.lapseUntil = Lapsed, settled
+		m.state, m.until = Lapsed, settled
 		return false
 	}
 	return s.drop(m)
@@ -163,14 +175,8 @@
 const keepGone = 15 * time.Second
 
 func (s *Set) drop(m *member) bool {
-	was := m.state
-	m.state = Leaving
-	m.lapseUntil = s.now().Add(keepGone)
-	if was == Leaving {
-		return false
-	}
-	s.rec.Note(events.UpstreamLeaving, "", "upstream", m.ID, "source", "missing")
-	return true
+	m.until = s.now().Add(keepGone)
+	return s.leave(m, "missing in the store")
 }
 
 // Sweep ends lapses whose time is over and forgets upstreams long gone.
@@ -179,7 +185,7 @@
 	now := s.now()
 	var left []string
 	for id, m := range s.byID {
-		if m.lapseUntil.IsZero() || now.Before(m.lapseUntil) {
+		if m.until.IsZero() || now.Before(m.until) {
 			continue
 		}
 		switch m.state {
@@ -191,7 +197,7 @@
 			delete(s.byID, id)
 			s.rec.Note(events.UpstreamGone, "", "upstream", id)
 		case Serving:
-			m.lapseUntil = time.Time{}
+			m.until = time.Time{}
 		}
 	}
 	s.mu.Unlock()
@@ -200,14 +206,18 @@
 	}
 }
 
-// MarkLeaving notes that an upstream leaves, as another process saw.
-func (s *Set) MarkLeaving(id, source string) {
+// MarkLeaving notes that an upstream leaves by the word of another.
+func (s *Set) MarkLeaving(id, source string) { s.mark(id, source, false) }
+
+// ReportedLeaving notes that an upstream said of itself that it leaves.
+func (s *Set) ReportedLeaving(id string) { s.mark(id, "own report", true) }
+
+func (s *Set) mark(id, source string, firstHand bool) {
 	s.mu.Lock()
 	m, ok := s.byID[id]
-	left := ok && m.state != Leaving
-	if left {
-		m.state = Leaving
-		s.rec.Note(events.UpstreamLeaving, "", "upstream", id, "source", source)
+	left := ok && s.leave(m, source)
+	if ok && firstHand {
+		m.firstHand = true
 	}
 	s.mu.Unlock()
 	if left {
@@ -250,13 +260,13 @@
 	return serving
 }
 
-// Leaving returns the identifiers of the upstreams that leave.
-func (s *Set) Leaving() []string {
+// KnownLeaving returns the upstreams that said themselves that they leave.
+func (s *Set) KnownLeaving() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []string
 	for id, m := range s.byID {
-		if m.state == Leaving {
+		if m.state == Leaving && m.firstHand {
 			out = append(out, id)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/set_test.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+)
+
+// fixture is a Set with a clock that tests move and a list of those that left.
+type fixture struct {
+	*Set
+	at   time.Time
+	left []string
+}
+
+func newFixture() *fixture {
+	f := &fixture{at: time.Now()}
+	f.Set = New(events.Nop(), func() time.Time { return f.at }, func(id string) { f.left = append(f.left, id) })
+	return f
+}
+
+func (f *fixture) state(t *testing.T, id string) State {
+	t.Helper()
+	u, ok := f.Get(id)
+	if !ok {
+		t.Fatalf("%s is not known", id)
+	}
+	return u.State()
+}
+
+func record(id string) Record { return Record{ID: id, Service: "llm", Address: "10.0.0.1:1"} }
+
+func leaving(id string) Record {
+	r := record(id)
+	r.Leaving = true
+	return r
+}
+
+func TestLeavingUpstreamGetsNoWorkAndIsToldOnce(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{record("a"), record("b")}, nil, true, time.Time{})
+	f.Update([]Record{leaving("a")}, nil, false, time.Time{})
+	f.Update(nil, []string{"a"}, false, time.Time{})
+	f.MarkLeaving("a", "another entry")
+	if !slices.Equal(f.left, []string{"a"}) {
+		t.Errorf("told of %v, want a once", f.left)
+	}
+	if got := f.Of("llm"); len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("new work goes to %v, want b only", got)
+	}
+}
+
+func TestMissingUpstream(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		settled time.Duration
+		want    State
+	}{
+		{"in quiet times it leaves", 0, Leaving},
+		{"around an outage it has time to come back", 2 * time.Second, Lapsed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture()
+			f.Update([]Record{record("a"), record("b")}, nil, true, time.Time{})
+			f.Update([]Record{record("b")}, nil, true, f.at.Add(tc.settled))
+			if got := f.state(t, "a"); got != tc.want {
+				t.Errorf("state %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestLapseEnds(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{record("a")}, nil, true, time.Time{})
+	f.Update(nil, []string{"a"}, false, f.at.Add(2*time.Second))
+	if got := f.Of("llm"); len(got) != 1 {
+		t.Fatalf("a lapsed upstream is not used although there is no other")
+	}
+	f.at = f.at.Add(3 * time.Second)
+	f.Sweep()
+	if got := f.state(t, "a"); got != Leaving {
+		t.Errorf("state %d after the lapse, want leaving", got)
+	}
+	if !slices.Equal(f.left, []string{"a"}) {
+		t.Errorf("told of %v, want a", f.left)
+	}
+}
+
+// An upstream that is back in the store serves again, however long it was
+// missing: only its own word takes it away for good.
+func TestUpstreamComesBack(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		leave func(f *fixture)
+		want  State
+	}{
+		{"after a lapse", func(f *fixture) { f.Update(nil, []string{"a"}, false, f.at.Add(time.Second)) }, Serving},
+		{"after it was taken as gone", func(f *fixture) { f.Update(nil, []string{"a"}, false, time.Time{}) }, Serving},
+		{"after another entry said that it leaves", func(f *fixture) { f.MarkLeaving("a", "another entry") }, Serving},
+		{"after its own report said that it leaves", func(f *fixture) { f.ReportedLeaving("a") }, Leaving},
+		{"after its own record said that it leaves", func(f *fixture) { f.Update([]Record{leaving("a")}, nil, false, time.Time{}) }, Leaving},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture()
+			f.Update([]Record{record("a")}, nil, true, time.Time{})
+			tc.leave(f)
+			f.at = f.at.Add(5 * time.Second)
+			f.Sweep()
+			f.Update([]Record{record("a")}, nil, false, time.Time{})
+			if got := f.state(t, "a"); got != tc.want {
+				t.Errorf("state %d, want %d", got, tc.want)
+			}
+			f.at = f.at.Add(2 * keepGone)
+			f.Sweep()
+			if got := f.state(t, "a"); got != tc.want {
+				t.Errorf("state %d some time later, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestUpstreamGoneIsForgotten(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{record("a")}, nil, true, time.Time{})
+	f.Update(nil, []string{"a"}, false, time.Time{})
+	f.at = f.at.Add(keepGone - time.Second)
+	f.Sweep()
+	if got := f.state(t, "a"); got != Leaving {
+		t.Errorf("state %d while its streams may still move, want leaving", got)
+	}
+	f.at = f.at.Add(2 * time.Second)
+	f.Sweep()
+	if _, known := f.Get("a"); known {
+		t.Errorf("still known after %s", keepGone)
+	}
+}
+
+// Entries pass on only what they know at first hand: two that took an upstream
+// as gone would else keep telling each other so.
+func TestOnlyFirstHandKnowledgeIsPassedOn(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{record("missing"), record("told"), record("reported"), record("recorded")}, nil, true, time.Time{})
+	f.Update([]Record{leaving("recorded")}, []string{"missing"}, false, time.Time{})
+	f.MarkLeaving("told", "another entry")
+	f.ReportedLeaving("reported")
+	got := f.KnownLeaving()
+	slices.Sort(got)
+	if want := []string{"recorded", "reported"}; !slices.Equal(got, want) {
+		t.Errorf("passes on %v, want %v", got, want)
+	}
+}
+
+func TestHealthByUse(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{record("a")}, nil, true, time.Time{})
+	f.Note("a", Broken)
+	u, _ := f.Get("a")
+	if !u.AvoidUntil().After(f.at) {
+		t.Error("an upstream whose connection broke is not avoided")
+	}
+	f.Note("a", Served)
+	u, _ = f.Get("a")
+	if u.AvoidUntil().After(f.at) {
+		t.Error("an upstream that serves again is still avoided")
+	}
+	for range 40 {
+		f.Note("a", Failed)
+	}
+	u, _ = f.Get("a")
+	if u.FailureRate() < 0.9 {
+		t.Errorf("failure rate %.2f after 40 failures, want near 1", u.FailureRate())
+	}
+}
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -38,7 +38,7 @@
 	leaving, err := g.askLeaving(ctx, u)
 	g.rec.Note(events.UpstreamAsked, "", "upstream", u.ID, "why", why, "leaving", leaving, "error", err)
 	if leaving {
-		g.fleet.MarkLeaving(u.ID, "own report")
+		g.fleet.ReportedLeaving(u.ID)
 	}
 }
 
