--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	f.succeeded(s, sent)
+	f.succeeded(s)
 	if full || len(s.Records) > 0 {
 		f.apply(s, full)
 		defer f.sleep(ctx, f.settings.Gather)
@@ -159,7 +159,7 @@
 	return f.settings.Wait
 }
 
-func (f *Follower) succeeded(s platform.Snapshot, sent time.Time) {
+func (f *Follower) succeeded(s platform.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failures > 0 {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -150,7 +150,6 @@
 	tables  *belief.Follower
 	members *belief.Follower
 	gossip  *gossip.Node
-	listed  int
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// fakeStore keeps rows and a steady clock of its own.
+type fakeStore struct {
+	rows  map[string][]byte
+	clock time.Duration
+}
+
+func (f *fakeStore) seam() *platform.Store {
+	return &platform.Store{
+		List: func(context.Context, string) (platform.Snapshot, error) {
+			s := platform.Snapshot{Clock: f.clock}
+			for name, value := range f.rows {
+				s.Records = append(s.Records, platform.Record{Name: name, Value: value})
+			}
+			return s, nil
+		},
+		Put: func(_ context.Context, _, name string, value []byte) error {
+			f.rows[name] = value
+			return nil
+		},
+		Remove: func(_ context.Context, _ string, names ...string) error {
+			for _, n := range names {
+				delete(f.rows, n)
+			}
+			return nil
+		},
+	}
+}
+
+func (f *fakeStore) add(t *testing.T, name string, renewed time.Duration) {
+	t.Helper()
+	b, err := json.Marshal(row{Address: name + ":1", RenewedMS: renewed.Milliseconds()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.rows[name] = b
+}
+
+func TestEntriesFindEachOther(t *testing.T) {
+	store := &fakeStore{rows: map[string][]byte{}, clock: 1000 * time.Second}
+	store.add(t, "fresh", 995*time.Second)
+	store.add(t, "stale", 900*time.Second)
+	store.add(t, "dead", 100*time.Second)
+	store.rows["odd"] = []byte("{")
+	at := time.Now()
+	var found map[string]string
+	d := New(Settings{Table: "entries", Name: "me", Address: "me:1", Every: 10 * time.Second, CallWithin: time.Second},
+		store.seam(), func(a map[string]string) { found = a }, events.Nop(), func() time.Time { return at })
+	if err := d.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := slices.Sorted(maps.Keys(found)); !slices.Equal(got, []string{"fresh"}) {
+		t.Errorf("found %v, want the fresh one", got)
+	}
+	if _, there := store.rows["dead"]; there {
+		t.Error("a row long out of date was left")
+	}
+	if _, there := store.rows["stale"]; !there {
+		t.Error("a row a little out of date was removed")
+	}
+	at = at.Add(4 * time.Second)
+	if err := d.renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var own row
+	if err := json.Unmarshal(store.rows["me"], &own); err != nil || own.RenewedMS != (1004*time.Second).Milliseconds() {
+		t.Errorf("own row %s, %v; want the store's clock carried on", store.rows["me"], err)
+	}
+	d.leave()
+	if _, there := store.rows["me"]; there {
+		t.Error("the own row stays after a planned stop")
+	}
+}
--- a/internal/fleet/set_test.go
+++ b/internal/fleet/set_test.go
@@ -21,11 +21,12 @@
 	return f
 }
 
-func (f *fixture) state(t *testing.T, id string) State {
+// state is that of the upstream called a.
+func (f *fixture) state(t *testing.T) State {
 	t.Helper()
-	u, ok := f.Get(id)
+	u, ok := f.Get("a")
 	if !ok {
-		t.Fatalf("%s is not known", id)
+		t.Fatal("a is not known")
 	}
 	return u.State()
 }
@@ -65,7 +66,7 @@
 			f := newFixture()
 			f.Update([]Record{record("a"), record("b")}, nil, true, time.Time{})
 			f.Update([]Record{record("b")}, nil, true, f.at.Add(tc.settled))
-			if got := f.state(t, "a"); got != tc.want {
+			if got := f.state(t); got != tc.want {
 				t.Errorf("state %d, want %d", got, tc.want)
 			}
 		})
@@ -81,7 +82,7 @@
 	}
 	f.at = f.at.Add(3 * time.Second)
 	f.Sweep()
-	if got := f.state(t, "a"); got != Leaving {
+	if got := f.state(t); got != Leaving {
 		t.Errorf("state %d after the lapse, want leaving", got)
 	}
 	if !slices.Equal(f.left, []string{"a"}) {
@@ -110,12 +111,12 @@
 			f.at = f.at.Add(5 * time.Second)
 			f.Sweep()
 			f.Update([]Record{record("a")}, nil, false, time.Time{})
-			if got := f.state(t, "a"); got != tc.want {
+			if got := f.state(t); got != tc.want {
 				t.Errorf("state %d, want %d", got, tc.want)
 			}
 			f.at = f.at.Add(2 * keepGone)
 			f.Sweep()
-			if got := f.state(t, "a"); got != tc.want {
+			if got := f.state(t); got != tc.want {
 				t.Errorf("state %d some time later, want %d", got, tc.want)
 			}
 		})
@@ -128,7 +129,7 @@
 	f.Update(nil, []string{"a"}, false, time.Time{})
 	f.at = f.at.Add(keepGone - time.Second)
 	f.Sweep()
-	if got := f.state(t, "a"); got != Leaving {
+	if got := f.state(t); got != Leaving {
 		t.Errorf("state %d while its streams may still move, want leaving", got)
 	}
 	f.at = f.at.Add(2 * time.Second)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,7 +82,6 @@
 	tried   map[string]bool
 	running int
 	results chan result
-	hedged  bool
 }
 
 // run tries upstreams until one gives a good answer or no more may be tried. It
--- /dev/null
+++ b/internal/gateway/call_test.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// TestPlainCall covers how each kind of route ends when its upstreams answer in
+// different ways. All upstreams of a case answer alike.
+func TestPlainCall(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		path   string
+		serve  http.HandlerFunc
+		status int
+		runs   int
+		back   bool
+	}{
+		{"an answer is passed on", pathSafe, serveOK, 200, 1, false},
+		{"a failure is tried at a second upstream and then passed on", pathSafe, serveError, 500, 2, false},
+		{"a failure is not repeated where that is not allowed", pathOnce, serveError, 500, 1, false},
+		{"a broken answer is tried at a second upstream", pathSafe, serveBreak, 502, 2, false},
+		{"a broken answer is never repeated where that is not allowed", pathOnce, serveBreak, 502, 1, false},
+		{"what nobody ran may come back", pathSafe, serveNotRun, 503, 3, true},
+		{"what nobody ran may come back, also where it may not be repeated", pathOnce, serveNotRun, 503, 3, true},
+		{"a success without proof is not passed on", pathOnce, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, 502, 1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			var ups []*upstream
+			for i := range 4 {
+				ups = append(ups, f.add("app", "a"+strconv.Itoa(i), tc.serve))
+			}
+			got := f.ask(tc.path)
+			runs := 0
+			for _, u := range ups {
+				runs += u.runs()
+			}
+			if got.err != nil || got.status != tc.status || runs != tc.runs {
+				t.Errorf("status %d, %v, %d sends; want %d and %d", got.status, got.err, runs, tc.status, tc.runs)
+			}
+			if back := got.header.Get(testBack) != ""; back != tc.back {
+				t.Errorf("told when to come back: %v, want %v", back, tc.back)
+			}
+		})
+	}
+}
+
+func TestUnrunCallGoesToAnotherUpstream(t *testing.T) {
+	f := newFixture(t)
+	f.add("app", "full", serveNotRun)
+	good := f.add("app", "good", serveOK)
+	for range 8 {
+		if got := f.ask(pathOnce); got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+	}
+	if good.runs() != 8 {
+		t.Errorf("%d runs, want 8", good.runs())
+	}
+}
+
+func TestSlowCallIsHedged(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	defer close(release)
+	first := make(chan struct{}, 2)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case first <- struct{}{}:
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		default:
+		}
+		serveOK(w, r)
+	}
+	// Only the first request that arrives anywhere is slow.
+	first <- struct{}{}
+	f.add("app", "a", serve)
+	f.add("app", "b", serve)
+	if got := f.ask(pathSafe); got.status != http.StatusOK {
+		t.Fatalf("status %d, want 200", got.status)
+	}
+	if !f.noted(events.HedgeSent) {
+		t.Error("no second upstream was asked")
+	}
+}
+
+func TestTimeLimitIsAnsweredInTime(t *testing.T) {
+	f := newFixture(t)
+	cancelled := make(chan struct{})
+	f.add("app", "a", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	start := time.Now()
+	got := f.ask(pathOnce, func(r *http.Request) { r.Header.Set(testDeadline, "150") })
+	if got.status != http.StatusGatewayTimeout || time.Since(start) > time.Second {
+		t.Errorf("status %d after %s, want 504 at the time limit", got.status, time.Since(start))
+	}
+	<-cancelled
+}
+
+func TestRemainingTimeIsPassedOn(t *testing.T) {
+	f := newFixture(t)
+	u := f.add("app", "a", serveOK)
+	f.ask(pathSafe, func(r *http.Request) { r.Header.Set(testDeadline, "700") })
+	f.ask(pathSafe, func(r *http.Request) { r.Header.Set(testDeadline, "60000") })
+	for i, most := range []int{700, 2000} {
+		ms, err := strconv.Atoi(u.header(i).Get(testDeadline))
+		if err != nil || ms > most || ms < most-300 {
+			t.Errorf("request %d may take %d ms, %v; want about %d", i, ms, err, most)
+		}
+	}
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	f := newFixture(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	f.add("app", "a", func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+pathOnce, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(testID, "r")
+	r.Header.Set(testKey, "key")
+	go func() {
+		resp, err := f.server.Client().Do(r)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-began
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the upstream still works on a request whose caller left")
+	}
+}
+
+func TestWhoMayAsk(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		path   string
+		key    string
+		age    time.Duration
+		status int
+	}{
+		{"a known key", pathSafe, "key", 0, 200},
+		{"an unknown key", pathSafe, "other", 0, 401},
+		{"no key", pathSafe, "", 0, 401},
+		{"a public route needs none", pathOpen, "", 0, 200},
+		{"no route", "/nowhere/", "key", 0, 404},
+		{"a known key that may have been revoked", pathSafe, "key", 2 * time.Minute, 503},
+		{"an unknown key that may be new", pathSafe, "other", 2 * time.Minute, 503},
+		{"a public route needs no fresh table", pathOpen, "", 2 * time.Minute, 200},
+		{"a route that may be new", "/nowhere/", "key", 2 * time.Minute, 503},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "a", serveOK)
+			f.gateway.now = func() time.Time { return time.Now().Add(tc.age) }
+			got := f.ask(tc.path, func(r *http.Request) { r.Header.Set(testKey, tc.key) })
+			if got.status != tc.status {
+				t.Errorf("status %d, want %d", got.status, tc.status)
+			}
+			if tc.status == 503 && got.header.Get(testBack) == "" {
+				t.Error("not told when to come back")
+			}
+		})
+	}
+}
+
+func TestRoutesOnlyGoUp(t *testing.T) {
+	f := newFixture(t)
+	apply := func(v string) {
+		f.routes.Apply(platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte(v)}}}, false)
+	}
+	apply("7")
+	apply("5")
+	table, _ := f.routes.Current()
+	if table.Version() != 7 {
+		t.Errorf("version %d in force, want 7", table.Version())
+	}
+	before := time.Now()
+	f.routes.Confirm(5, before.Add(time.Hour))
+	if _, confirmed := f.routes.Current(); confirmed.After(before) {
+		t.Error("a confirmation of another version counted")
+	}
+}
+
+func TestBodyBeyondTheLimit(t *testing.T) {
+	f := newFixture(t)
+	u := f.add("app", "a", serveOK)
+	got := f.ask(pathSafe, func(r *http.Request) {
+		r.Body = io.NopCloser(&zeros{n: 2000})
+		r.ContentLength = 2000
+	})
+	if got.status != http.StatusRequestEntityTooLarge || u.runs() != 0 {
+		t.Errorf("status %d, %d sends; want 413 and none", got.status, u.runs())
+	}
+}
+
+type zeros struct{ n int }
+
+func (z *zeros) Read(b []byte) (int, error) {
+	if z.n == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(b), z.n)
+	clear(b[:n])
+	z.n -= n
+	return n, nil
+}
+
+func TestStoppingGateway(t *testing.T) {
+	f := newFixture(t)
+	f.add("app", "a", serveOK)
+	llm := f.add("llm", "e", serveOK)
+	f.gateway.Drain(time.Now().Add(3 * time.Second))
+	if got := f.ask(pathSafe); got.status != http.StatusOK || !got.closes {
+		t.Errorf("status %d, closes %v; want a short call served and the connection closed", got.status, got.closes)
+	}
+	if got := f.ask(pathStream); got.status != http.StatusServiceUnavailable || llm.runs() != 0 {
+		t.Errorf("status %d, %d sends; want a stream that would be cut refused unrun", got.status, llm.runs())
+	}
+}
--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// The headers of the protocol of these tests.
+const (
+	testID       = "Test-Id"
+	testKey      = "Test-Key"
+	testUpstream = "Test-Upstream"
+	testDeadline = "Test-Deadline-Ms"
+	testNotRun   = "Test-Not-Run"
+	testProof    = "Test-Proof"
+	testLast     = "Test-Last-Event"
+	testFrom     = "Test-From"
+	testBack     = "Test-Back-Ms"
+)
+
+func testProtocol() protocol.Protocol {
+	return protocol.Protocol{
+		IDHeader: testID,
+		Decode: func(r *http.Request, now time.Time) protocol.Call {
+			c := protocol.Call{
+				ID: r.Header.Get(testID), Key: r.Header.Get(testKey), Method: r.Method, Target: r.RequestURI, Host: "host",
+				Header: http.Header{testID: {r.Header.Get(testID)}}, Prompt: 1000, MaxOutput: 1000, LastEvent: r.Header.Get(testLast),
+			}
+			if ms, err := strconv.Atoi(r.Header.Get(testDeadline)); err == nil {
+				c.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+			}
+			return c
+		},
+		Forward: func(c *protocol.Call, a protocol.Attempt, now time.Time) link.Request {
+			h := c.Header.Clone()
+			h.Set(testUpstream, a.Upstream)
+			h.Set(testLast, a.LastEvent)
+			h.Set(testDeadline, strconv.FormatInt(a.Deadline.Sub(now).Milliseconds(), 10))
+			if a.From != nil {
+				h.Set(testFrom, a.From.Handle)
+			}
+			return link.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: h, ID: c.ID}
+		},
+		Verdict: func(status int, h http.Header) protocol.Verdict {
+			switch {
+			case status == http.StatusMisdirectedRequest:
+				return protocol.WrongUpstream
+			case h.Get(testNotRun) != "":
+				return protocol.NotRun
+			}
+			return protocol.Ran
+		},
+		Complete:   func(status int, h http.Header) bool { return status >= 300 || h.Get(testProof) != "" },
+		PassHeader: func(from, to http.Header) { to.Set(testProof, from.Get(testProof)) },
+		Refuse: func(w http.ResponseWriter, _ *protocol.Call, r protocol.Refusal, now time.Time) {
+			if !r.ComeBack.IsZero() {
+				w.Header().Set(testBack, strconv.FormatInt(r.ComeBack.Sub(now).Milliseconds(), 10))
+			}
+			http.Error(w, r.Reason, r.Status)
+		},
+		Copy: func(call, target string, last bool) link.Request {
+			return link.Request{Method: http.MethodPost, Target: "/copy?id=" + call + "&target=" + target + "&last=" + strconv.FormatBool(last), Host: "engine", Header: http.Header{}}
+		},
+		CopyResult: func(status int, body []byte) protocol.CopyResult {
+			var r protocol.CopyResult
+			if status == http.StatusOK && json.Unmarshal(body, &r) == nil {
+				return r
+			}
+			return protocol.CopyResult{Outcome: protocol.CopyFailed}
+		},
+		Report: func() link.Request {
+			return link.Request{Method: http.MethodGet, Target: "/report", Host: "engine", Header: http.Header{}}
+		},
+		Leaving: func(_ int, body []byte) (bool, error) { return strings.Contains(string(body), "leaving"), nil },
+	}
+}
+
+// upstream is a plain upstream or an engine that a test scripts.
+type upstream struct {
+	id      string
+	address string
+
+	mu   sync.Mutex
+	seen []http.Header
+}
+
+func (u *upstream) runs() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+func (u *upstream) header(i int) http.Header {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.seen[i]
+}
+
+// fixture is a gateway with its callers' server and upstreams.
+type fixture struct {
+	t       *testing.T
+	gateway *Gateway
+	fleet   *fleet.Set
+	routes  *belief.Routes
+	rec     *events.Recorder
+	server  *httptest.Server
+	records []fleet.Record
+}
+
+const (
+	pathSafe   = "/safe/"
+	pathOnce   = "/once/"
+	pathStream = "/stream/"
+	pathResume = "/resume/"
+	pathOpen   = "/open/"
+)
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, rec: events.Nop()}
+	decode := func(value []byte) (*routetable.Table, error) { return testTable(string(value)), nil }
+	f.routes = belief.NewRoutes("routes", decode, f.rec, time.Now)
+	f.fleet = fleet.New(f.rec, time.Now, func(id string) { f.gateway.Evacuate(id) })
+	d := &net.Dialer{}
+	pool := link.New(link.Settings{DialWithin: time.Second, IdleUnknown: time.Minute, IDHeader: testID},
+		func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp4", address)
+		}, time.Now)
+	f.gateway = New(Settings{RoutesTrusted: time.Minute, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second},
+		f.routes, f.fleet, pool, testProtocol(), func() {}, f.rec, prometheus.NewRegistry(), time.Now)
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(f.server.Close)
+	f.routes.Apply(platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte("1")}}}, true)
+	f.routes.ConfirmCurrent(time.Now())
+	return f
+}
+
+func testTable(version string) *routetable.Table {
+	n, _ := strconv.Atoi(version)
+	route := func(prefix string, kind routetable.Kind, service string, attempts int) routetable.Route {
+		return routetable.Route{
+			Name: prefix, Host: "host", Prefix: prefix, Kind: kind, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond,
+			Shares: []routetable.Share{{Service: service, Weight: 1}}, MaxAttempts: attempts,
+		}
+	}
+	resume := route(pathResume, routetable.Stream, "llm", 3)
+	resume.Resumable = true
+	open := route(pathOpen, routetable.Repeatable, "app", 2)
+	open.Public = true
+	return routetable.New(routetable.Version(n), []routetable.Route{
+		route(pathSafe, routetable.Repeatable, "app", 2), route(pathOnce, routetable.Once, "app", 1),
+		route(pathStream, routetable.Stream, "llm", 1), resume, open,
+	}, []routetable.Service{
+		{Name: "app"},
+		{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, Moves: true, EventTokens: 4}},
+	}, routetable.Limits{BodyBytes: 1000}, []routetable.Account{{Name: "acme", Keys: []string{"key"}}})
+}
+
+// add starts an upstream of a service that answers by serve.
+func (f *fixture) add(service, id string, serve http.HandlerFunc) *upstream {
+	f.t.Helper()
+	u := &upstream{id: id}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/copy") && r.URL.Path != "/report" {
+			u.mu.Lock()
+			u.seen = append(u.seen, r.Header.Clone())
+			u.mu.Unlock()
+		}
+		w.Header().Set(testID, r.Header.Get(testID))
+		_, _ = io.Copy(io.Discard, r.Body)
+		serve(w, r)
+	}))
+	f.t.Cleanup(s.Close)
+	u.address = strings.TrimPrefix(s.URL, "http://")
+	f.records = append(f.records, fleet.Record{ID: id, Service: service, Address: u.address, Slots: 6})
+	f.fleet.Update(f.records, nil, true, time.Time{})
+	return u
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	closes bool
+	err    error
+}
+
+// ask sends a caller's request and reads the whole answer.
+func (f *fixture) ask(path string, change ...func(r *http.Request)) answer {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set(testID, fmt.Sprintf("r-%d", time.Now().UnixNano()))
+	r.Header.Set(testKey, "key")
+	for _, c := range change {
+		c(r)
+	}
+	resp, err := f.server.Client().Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(b), header: resp.Header, closes: resp.Close, err: err}
+}
+
+// noted reports whether the gateway recorded an event.
+func (f *fixture) noted(id events.ID) bool {
+	for _, e := range f.rec.Select("") {
+		if e.Event == id {
+			return true
+		}
+	}
+	return false
+}
+
+// The answers of plain upstreams.
+
+func serveOK(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testProof, "p")
+	_, _ = io.WriteString(w, "ok")
+}
+
+func serveError(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testProof, "p")
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "error")
+}
+
+func serveNotRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func serveBreak(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -174,7 +174,7 @@
 		g.moveFailed(s, from, "the first copy failed")
 		return false
 	}
-	done, ok := s.stopFor(from, r, target)
+	done, ok := s.prepareStop(from, r.Handle, target)
 	if !ok {
 		g.met.moved("ended")
 		return false
@@ -195,11 +195,11 @@
 	switch r.Outcome {
 	case protocol.Copied:
 		g.met.moved("moved")
-		s.handedOver(done, from, r.Handle, target)
+		s.stopped(done, from, r.Handle, target)
 	case protocol.NoRoom:
 		// The engine has stopped the generation and keeps its memory.
 		g.met.moved("no room for the rest")
-		s.handedOver(done, from, r.Handle, from)
+		s.stopped(done, from, r.Handle, from)
 	case protocol.NoSuchRun:
 		g.met.moved("ended")
 	default:
@@ -207,30 +207,28 @@
 	}
 }
 
-// stopFor notes that the generation is about to be stopped and where its first
-// copy is. It fails when the relay has moved on meanwhile.
-func (s *stream) stopFor(from fleet.Upstream, r protocol.CopyResult, target fleet.Upstream) (done chan struct{}, ok bool) {
+// prepareStop notes that the generation is about to be stopped and where its
+// first copy is. It fails when the relay has moved on meanwhile.
+func (s *stream) prepareStop(from fleet.Upstream, handle string, target fleet.Upstream) (done chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended || s.at.ID != from.ID || s.handover != nil {
 		return nil, false
 	}
 	s.handover = make(chan struct{})
-	s.copy = &protocol.Copy{Source: from.Address, Handle: r.Handle}
-	s.copyAt = target
+	s.copies = []heldCopy{{copy: protocol.Copy{Source: from.Address, Handle: handle}, at: target}}
 	return s.handover, true
 }
 
-// handedOver notes how stopping the generation ended. A handle names the copy
-// that holds everything; it serves if the relay could not go on from the first.
-func (s *stream) handedOver(done chan struct{}, from fleet.Upstream, handle string, at fleet.Upstream) {
+// stopped notes how stopping the generation ended. A handle names the copy that
+// holds everything; it serves if the relay cannot go on from the first.
+func (s *stream) stopped(done chan struct{}, from fleet.Upstream, handle string, at fleet.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if handle == "" || s.handover != done || !s.waiting {
+	if handle == "" || s.handover != done {
 		return
 	}
-	s.copy = &protocol.Copy{Source: from.Address, Handle: handle}
-	s.copyAt = at
+	s.copies = append(s.copies, heldCopy{copy: protocol.Copy{Source: from.Address, Handle: handle}, at: at})
 }
 
 // orderCopy orders one copy and waits for it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,16 +38,21 @@
 	lastEvent string
 	events    int
 	claim     *claim
-	// copy is the newest copy of the memory, with the engine that holds it.
-	copy   *protocol.Copy
-	copyAt fleet.Upstream
-	// handover is open while the generation is being stopped for a move; waiting
-	// is set while the relay needs to know how that ended.
+	// copies are the copies of the memory that can serve, the one to try first
+	// at the front.
+	copies []heldCopy
+	// handover is set from the decision to stop the generation for a move until
+	// it goes on; it is closed when the engine has answered.
 	handover chan struct{}
-	waiting  bool
 	ended    bool
 }
 
+// heldCopy is a copy of a generation's memory and the engine that holds it.
+type heldCopy struct {
+	copy protocol.Copy
+	at   fleet.Upstream
+}
+
 // step is one attempt of a generation: where it runs and from what it goes on.
 type step struct {
 	at   fleet.Upstream
@@ -141,17 +146,17 @@
 // afterBreak chooses where a generation goes on whose answer broke off: at the
 // copy of its memory, or anew where the route allows that.
 func (s *stream) afterBreak(ctx context.Context, exclude map[string]bool) (step, bool) {
-	from, at := s.takeCopy()
-	if from == nil {
+	held, ok := s.takeCopy()
+	if !ok {
 		s.waitHandover(ctx)
-		from, at = s.takeCopy()
+		held, ok = s.takeCopy()
 	}
 	if ctx.Err() != nil {
 		return step{}, false
 	}
 	budget := s.g.budget(s.rq.service.Name)
-	if from != nil && budget.Repeat(0) {
-		return step{at: at, from: from, why: "copy"}, true
+	if ok && budget.Repeat(0) {
+		return step{at: held.at, from: &held.copy, why: "copy"}, true
 	}
 	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !budget.Repeat(0) {
 		return step{}, false
@@ -161,21 +166,22 @@
 	return next, ok
 }
 
-// takeCopy returns the newest copy of the memory, which serves once, and the
-// engine that holds it.
-func (s *stream) takeCopy() (*protocol.Copy, fleet.Upstream) {
+// takeCopy takes the copy to try next; each serves once.
+func (s *stream) takeCopy() (held heldCopy, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	from := s.copy
-	s.copy = nil
-	return from, s.copyAt
+	if len(s.copies) == 0 {
+		return heldCopy{}, false
+	}
+	held = s.copies[0]
+	s.copies = s.copies[1:]
+	return held, true
 }
 
 // waitHandover waits until an order that stops the generation has ended.
 func (s *stream) waitHandover(ctx context.Context) {
 	s.mu.Lock()
 	wait := s.handover
-	s.waiting = wait != nil
 	s.mu.Unlock()
 	if wait == nil {
 		return
@@ -301,7 +307,7 @@
 	g.fleet.Note(st.at.ID, fleet.Served)
 	if st.from != nil {
 		s.mu.Lock()
-		s.handover, s.waiting, s.copy = nil, false, nil
+		s.handover, s.copies = nil, nil
 		s.mu.Unlock()
 		g.met.paused(now.Sub(sent))
 		g.rec.Note(events.StreamMoved, s.rq.call.ID, "to", st.at.ID, "after-event", s.lastEvent, "gap", now.Sub(sent))
@@ -318,7 +324,7 @@
 
 // broke handles the end of an attempt's answer: whole, or broken off.
 func (s *stream) broke(ctx context.Context, st step, answer *link.Answer, rest []byte, err error) outcome {
-	if err == io.EOF && answer.Framed && len(rest) == 0 && s.began {
+	if errors.Is(err, io.EOF) && answer.Framed && len(rest) == 0 && s.began {
 		now := s.g.now()
 		s.g.met.ended("stream")
 		s.g.pace.note(s.firstIn, now.Sub(s.rq.start), s.events)
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// lastTestEvent is the number of events of a whole stream in these tests.
+const lastTestEvent = 40
+
+// engine is a stand-in of a model engine that can copy a generation's memory. An
+// answer is the events 1 to lastTestEvent.
+type engine struct {
+	*upstream
+
+	mu      sync.Mutex
+	stopped chan struct{}
+	// pace is the time between two events; gate holds them back while it is open.
+	pace time.Duration
+	// copies answers the orders to copy, in turn; the last one stays.
+	copies []protocol.CopyResult
+	// refuse makes that many attempts from a copy end unrun.
+	refuse int
+	// breakAfter ends the first answer after that event, half-way in the next.
+	breakAfter int
+	orders     []string
+}
+
+func (f *fixture) addEngine(id string) *engine {
+	e := &engine{stopped: make(chan struct{}), pace: time.Millisecond}
+	e.upstream = f.add("llm", id, e.serve)
+	return e
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/copy"):
+		e.serveCopy(w, r)
+	case r.URL.Path == "/report":
+		_, _ = io.WriteString(w, "serving")
+	default:
+		e.serveStream(w, r)
+	}
+}
+
+func (e *engine) serveCopy(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, r.URL.RawQuery)
+	result := e.copies[0]
+	if len(e.copies) > 1 {
+		e.copies = e.copies[1:]
+	}
+	if r.URL.Query().Get("last") == "true" {
+		close(e.stopped)
+	}
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+func (e *engine) serveStream(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	refused := r.Header.Get(testFrom) != "" && e.refuse > 0
+	if refused {
+		e.refuse--
+	}
+	breakAfter := e.breakAfter
+	e.breakAfter = 0
+	e.mu.Unlock()
+	if refused {
+		serveNotRun(w, r)
+		return
+	}
+	w.Header().Set(testProof, e.id)
+	from, _ := strconv.Atoi(r.Header.Get(testLast))
+	for i := from + 1; i <= lastTestEvent; i++ {
+		select {
+		case <-e.stopped:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.pace):
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+		if i == breakAfter {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i+1)
+		}
+		_ = http.NewResponseController(w).Flush()
+		if i == breakAfter {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func wholeStream() string {
+	var b strings.Builder
+	for i := 1; i <= lastTestEvent; i++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+// leave marks an engine as leaving, as its own record does.
+func (f *fixture) leave(id string) {
+	for _, r := range f.records {
+		if r.ID == id {
+			r.Leaving = true
+			f.fleet.Update([]fleet.Record{r}, nil, false, time.Time{})
+		}
+	}
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("e")
+	got := f.ask(pathStream)
+	if got.err != nil || got.body != wholeStream() || got.header.Get(testProof) != "e" {
+		t.Errorf("%v, %d bytes, proof %q; want the engine's whole answer", got.err, len(got.body), got.header.Get(testProof))
+	}
+}
+
+// A broken stream must not look whole, and no part of an event is passed on.
+func TestBrokenStreamIsCutAtAnEvent(t *testing.T) {
+	f := newFixture(t)
+	e, other := f.addEngine("e"), f.addEngine("other")
+	e.breakAfter, other.breakAfter = 5, 5
+	got := f.ask(pathStream)
+	if got.err == nil {
+		t.Error("a broken stream looks whole")
+	}
+	if want := wholeStream()[:strings.Index(wholeStream(), "id: 6\n")]; got.body != want {
+		t.Errorf("the caller got %q, want the first five events", got.body)
+	}
+	if n := e.runs() + other.runs(); n != 1 {
+		t.Errorf("%d runs of a generation that may run once", n)
+	}
+}
+
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"a", "b", "c"} {
+		f.addEngine(id).breakAfter = 7
+	}
+	got := f.ask(pathResume)
+	if got.err != nil || got.body != wholeStream() {
+		t.Errorf("%v, %q; want every event once", got.err, got.body)
+	}
+}
+
+func TestEngineThatDidNotRunItIsLeftOut(t *testing.T) {
+	f := newFixture(t)
+	f.add("llm", "full", serveNotRun)
+	f.addEngine("e")
+	for range 6 {
+		if got := f.ask(pathStream); got.body != wholeStream() {
+			t.Fatalf("status %d, %v", got.status, got.err)
+		}
+	}
+}
+
+// TestMove covers a generation on an engine that leaves: every event reaches the
+// caller once and in order, or the stream is visibly cut.
+func TestMove(t *testing.T) {
+	copied := func(handle string) protocol.CopyResult { return protocol.CopyResult{Handle: handle} }
+	no := func(o protocol.CopyOutcome, handle string) protocol.CopyResult {
+		return protocol.CopyResult{Outcome: o, Handle: handle}
+	}
+	for _, tc := range []struct {
+		name   string
+		copies []protocol.CopyResult
+		refuse int
+		whole  bool
+		orders int
+		from   string
+	}{
+		{"it goes on at the first copy", []protocol.CopyResult{copied("h1"), copied("h2")}, 0, true, 2, "h1"},
+		{"the second copy serves when the first is refused", []protocol.CopyResult{copied("h1"), copied("h2")}, 1, true, 2, "h2"},
+		{"another target when one has no room", []protocol.CopyResult{no(protocol.NoRoom, ""), copied("h1"), copied("h2")}, 0, true, 3, "h1"},
+		{"a busy order is repeated", []protocol.CopyResult{no(protocol.CopyUnderWay, ""), copied("h1"), copied("h2")}, 0, true, 3, "h1"},
+		{"no room anywhere leaves it where it is", []protocol.CopyResult{no(protocol.NoRoom, "")}, 0, true, 2, ""},
+		{"a generation that ended meanwhile", []protocol.CopyResult{no(protocol.NoSuchRun, "")}, 0, true, 1, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			engines := map[string]*engine{}
+			for _, id := range []string{"a", "b", "c"} {
+				e := f.addEngine(id)
+				e.copies, e.refuse, e.pace = tc.copies, tc.refuse, 4*time.Millisecond
+				engines[id] = e
+			}
+			result := make(chan answer, 1)
+			go func() { result <- f.ask(pathStream) }()
+			first := f.waitRunning()
+			time.Sleep(20 * time.Millisecond)
+			f.leave(first)
+			got := <-result
+			if whole := got.err == nil && got.body == wholeStream(); whole != tc.whole {
+				t.Errorf("whole %v (%v), want %v: %q", whole, got.err, tc.whole, got.body)
+			}
+			source := engines[first]
+			source.mu.Lock()
+			defer source.mu.Unlock()
+			if len(source.orders) != tc.orders {
+				t.Errorf("orders %v, want %d", source.orders, tc.orders)
+			}
+			if from := f.goneOnFrom(engines, first); from != tc.from {
+				t.Errorf("went on from copy %q, want %q", from, tc.from)
+			}
+		})
+	}
+}
+
+// waitRunning waits until a stream runs and returns its engine.
+func (f *fixture) waitRunning() string {
+	f.t.Helper()
+	for range 2000 {
+		if ids := f.gateway.Streams(); len(ids) > 0 {
+			return ids[0]
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatal("no stream runs")
+	return ""
+}
+
+// goneOnFrom returns the copy from which the stream went on in the end.
+func (f *fixture) goneOnFrom(engines map[string]*engine, first string) string {
+	from := ""
+	for id, e := range engines {
+		if id == first {
+			continue
+		}
+		for i := range e.runs() {
+			from = max(from, e.header(i).Get(testFrom))
+		}
+	}
+	return from
+}
+
+// A generation whose engine is found to leave only when its first event comes
+// is moved as well.
+func TestMoveOfAStreamThatBeginsOnALeavingEngine(t *testing.T) {
+	f := newFixture(t)
+	a := f.addEngine("a")
+	a.copies, a.pace = []protocol.CopyResult{{Handle: "h1"}, {Handle: "h2"}}, 10*time.Millisecond
+	result := make(chan answer, 1)
+	go func() { result <- f.ask(pathStream) }()
+	f.waitRunning()
+	f.addEngine("b")
+	f.leave("a")
+	if got := <-result; got.err != nil || got.body != wholeStream() {
+		t.Errorf("%v, %q; want every event once", got.err, got.body)
+	}
+	if !f.noted(events.StreamMoved) {
+		t.Error("the stream was not moved")
+	}
+}
+
+func TestWholeEvents(t *testing.T) {
+	for _, tc := range []struct {
+		name, in string
+		want     int
+	}{
+		{"none", "id: 1\ndata: x\n", 0},
+		{"one", "id: 1\ndata: x\n\n", 15},
+		{"one and a part", "id: 1\ndata: x\n\nid: 2\n", 15},
+		{"two", "data: x\n\ndata: y\n\n", 18},
+		{"with carriage returns", "data: x\r\n\r\nda", 11},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := wholeEvents([]byte(tc.in)); got != tc.want {
+				t.Errorf("%d bytes, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -197,7 +197,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	for {
-		resp, err := readHead(c.r, req.Method)
+		resp, err := readHead(c.r, req.Method) //nolint:bodyclose // the body ends with the connection, which Answer.Close handles
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
@@ -275,7 +275,7 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		a.ended = true
 	case err != nil:
 		err = fmt.Errorf("%w: %w", ErrBroken, err)
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,268 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// upstream accepts connections on loopback and lets serve answer on each.
+type upstream struct {
+	address string
+	opened  chan net.Conn
+}
+
+func newUpstream(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{address: l.Addr().String(), opened: make(chan net.Conn, 16)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.opened <- c
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return u
+}
+
+func newPool() *Pool {
+	d := &net.Dialer{}
+	return New(Settings{DialWithin: time.Second, IdleUnknown: time.Minute, IdleMargin: 700 * time.Millisecond, IDHeader: "X-Id"},
+		func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp4", address)
+		}, time.Now)
+}
+
+// readRequest reads one request and returns its head and body.
+func readRequest(t *testing.T, r *bufio.Reader) (*http.Request, string) {
+	t.Helper()
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, ""
+	}
+	b, err := io.ReadAll(req.Body)
+	if err != nil {
+		t.Errorf("read request: %v", err)
+	}
+	return req, string(b)
+}
+
+func say(c net.Conn, text string) { _, _ = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n")) }
+
+func request(id string) Request {
+	return Request{Method: http.MethodPost, Target: "/a//b%2Fc?x=1&", Host: "host.example", Header: http.Header{"X-Id": {id}}, Body: []byte("body"), ID: id}
+}
+
+// ask sends a request and returns the answer's body.
+func ask(t *testing.T, p *Pool, address string, req Request) (string, error) {
+	t.Helper()
+	a, err := p.Do(t.Context(), address, req)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a)
+	return string(b), err
+}
+
+func TestRequestArrivesUnchanged(t *testing.T) {
+	got := make(chan string, 1)
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		req, body := readRequest(t, r)
+		got <- req.Method + " " + req.RequestURI + " " + req.Host + " " + body
+		say(c, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 2\n\nok")
+	})
+	body, err := ask(t, newPool(), u.address, request("1"))
+	if err != nil || body != "ok" {
+		t.Fatalf("answer %q, %v", body, err)
+	}
+	if want := "POST /a//b%2Fc?x=1& host.example body"; <-got != want {
+		t.Errorf("the upstream got something else than %q", want)
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		head   string
+		after  string
+		opened int
+	}{
+		{"a whole answer", "Content-Length: 2\n", "", 1},
+		{"an answer in chunks", "Transfer-Encoding: chunked\n", "", 1},
+		{"an upstream that closes", "Content-Length: 2\nConnection: close\n", "", 2},
+		{"a body that only the end of the connection ends", "", "", 2},
+		{"bytes that nobody asked for", "Content-Length: 2\n", "HTTP/1.1 200 OK\n", 2},
+		{"an upstream that keeps connections for a second", "Content-Length: 2\nKeep-Alive: timeout=1\n", "", 1},
+		{"an upstream that keeps connections for no time", "Content-Length: 2\nKeep-Alive: timeout=0\n", "", 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				for {
+					req, _ := readRequest(t, r)
+					if req == nil {
+						return
+					}
+					body := "ok"
+					if strings.Contains(tc.head, "chunked") {
+						body = "2\nok\n0\n\n"
+					}
+					say(c, "HTTP/1.1 200 OK\nX-Id: "+req.Header.Get("X-Id")+"\n"+tc.head+"\n"+body+tc.after)
+					if tc.head == "" {
+						return
+					}
+				}
+			})
+			p := newPool()
+			for _, id := range []string{"1", "2"} {
+				if body, err := ask(t, p, u.address, request(id)); err != nil || body != "ok" {
+					t.Fatalf("answer %s: %q, %v", id, body, err)
+				}
+				// What the upstream sends after its answer must have come.
+				time.Sleep(10 * time.Millisecond)
+			}
+			if n := len(u.opened); n != tc.opened {
+				t.Errorf("%d connections, want %d", n, tc.opened)
+			}
+		})
+	}
+}
+
+// An upstream may answer a request twice; the second answer comes in the place
+// of the next one.
+func TestAnswerToTheRequestBefore(t *testing.T) {
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		say(c, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 5\n\nfirst")
+		readRequest(t, r)
+		say(c, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 5\n\nfirst")
+		say(c, "HTTP/1.1 200 OK\nX-Id: 2\nContent-Length: 6\n\nsecond")
+	})
+	p := newPool()
+	for id, want := range map[string]string{"1": "first"} {
+		if body, err := ask(t, p, u.address, request(id)); err != nil || body != want {
+			t.Fatalf("answer %q, %v; want %q", body, err, want)
+		}
+	}
+	if body, err := ask(t, p, u.address, request("2")); err != nil || body != "second" {
+		t.Errorf("answer %q, %v; want the one to this request", body, err)
+	}
+}
+
+func TestFailuresTellWhetherTheRequestWasSent(t *testing.T) {
+	dead, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := dead.Addr().String()
+	_ = dead.Close()
+	for _, tc := range []struct {
+		name  string
+		serve func(c net.Conn, r *bufio.Reader)
+		want  error
+	}{
+		{"nobody listens", nil, ErrNotSent},
+		{"the connection closes without an answer", func(_ net.Conn, r *bufio.Reader) { readRequest(t, r) }, ErrBroken},
+		{"the answer is no HTTP", func(c net.Conn, r *bufio.Reader) { readRequest(t, r); say(c, "what?\n\n") }, ErrBroken},
+		{"the body breaks off", func(c net.Conn, r *bufio.Reader) {
+			readRequest(t, r)
+			say(c, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 9\n\nhalf")
+		}, ErrBroken},
+		{"the last chunk is missing", func(c net.Conn, r *bufio.Reader) {
+			readRequest(t, r)
+			say(c, "HTTP/1.1 200 OK\nX-Id: 1\nTransfer-Encoding: chunked\n\n4\nhalf\n")
+		}, ErrBroken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address := nobody
+			if tc.serve != nil {
+				address = newUpstream(t, tc.serve).address
+			}
+			if _, err := ask(t, newPool(), address, request("1")); !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	big := request("1")
+	big.Body = make([]byte, 8<<20)
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		say(c, "HTTP/1.1 413 Too Large\nX-Id: 1\nContent-Length: 0\n\n")
+		time.Sleep(50 * time.Millisecond)
+	})
+	p := newPool()
+	a, err := p.Do(t.Context(), u.address, big)
+	if err != nil || a.Status != http.StatusRequestEntityTooLarge {
+		t.Fatalf("%v, %v; want the early answer", a, err)
+	}
+	_, _ = io.Copy(io.Discard, a)
+	a.Close()
+	if c := p.popIdle(u.address); c != nil {
+		t.Error("a connection on which the body was not sent whole was kept")
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	u := newUpstream(t, func(_ net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := newPool().Do(ctx, u.address, request("1"))
+		failed <- err
+	}()
+	<-u.opened
+	cancel()
+	if err := <-failed; err == nil {
+		t.Error("a cancelled request got an answer")
+	}
+	<-closed
+}
+
+func TestIdleConnectionsEnd(t *testing.T) {
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		say(c, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 0\nKeep-Alive: timeout=2\n\n")
+		_, _ = r.ReadByte()
+	})
+	p := newPool()
+	if _, err := ask(t, p, u.address, request("1")); err != nil {
+		t.Fatal(err)
+	}
+	p.Sweep()
+	if len(p.idle[u.address]) != 1 {
+		t.Fatal("an open connection was not kept")
+	}
+	later := time.Now().Add(1400 * time.Millisecond)
+	p.now = func() time.Time { return later }
+	p.Sweep()
+	if len(p.idle[u.address]) != 0 {
+		t.Error("a connection is kept nearly as long as the upstream keeps it")
+	}
+}
--- /dev/null
+++ b/internal/logline/writer_test.go
@@ -0,0 +1,59 @@
+package logline
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blockedOutput takes nothing until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	w := New(Settings{Lines: 1000, Queue: 4}, out, time.Now)
+	for range 100 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	// One line may be on its way to the output besides those that wait.
+	if n := w.Dropped(); n < 95 || n > 96 {
+		t.Errorf("%d lines dropped, want all but those that wait", n)
+	}
+	close(out.release)
+	w.Close()
+	if n := bytes.Count(out.got.Bytes(), []byte("\n")); n < 4 || n > 5 {
+		t.Errorf("%d lines written, want those that waited", n)
+	}
+}
+
+func TestWriterBoundsLines(t *testing.T) {
+	at := time.Unix(100, 0)
+	var out bytes.Buffer
+	w := New(Settings{Lines: 10, Queue: 1000}, &out, func() time.Time { return at })
+	for range 25 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	at = at.Add(time.Second)
+	for range 7 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	if n := w.Dropped(); n != 15 {
+		t.Errorf("%d lines dropped, want 15 of the first second", n)
+	}
+	w.Close()
+	if n := bytes.Count(out.Bytes(), []byte("\n")); n != 17 {
+		t.Errorf("%d lines written, want 17", n)
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+const table = "t"
+
+var errDown = errors.New("down")
+
+// fakeStore is the platform's store as one entry reaches it.
+type fakeStore struct {
+	down  bool
+	calls int
+	snap  platform.Snapshot
+	err   error
+}
+
+func (f *fakeStore) seam() *platform.Store {
+	answer := func() (platform.Snapshot, error) {
+		f.calls++
+		switch {
+		case f.down:
+			return platform.Snapshot{}, errDown
+		case f.err != nil:
+			return platform.Snapshot{}, f.err
+		}
+		s := f.snap
+		s.Made = time.Now()
+		return s, nil
+	}
+	return &platform.Store{
+		List:    func(context.Context, string) (platform.Snapshot, error) { return answer() },
+		Changes: func(context.Context, string, int64, time.Duration) (platform.Snapshot, error) { return answer() },
+	}
+}
+
+// entryFixture is one entry with its store, log and relay server.
+type entryFixture struct {
+	name   string
+	store  *fakeStore
+	log    *Log
+	source *Store
+	seam   *platform.Store
+	addr   string
+	server *peer.Server
+}
+
+// deployment is some entries in one zone that hear each other.
+type deployment struct {
+	t       *testing.T
+	entries []*entryFixture
+	age     time.Duration
+}
+
+func newDeployment(t *testing.T, names ...string) *deployment {
+	t.Helper()
+	d := &deployment{t: t}
+	for _, name := range names {
+		e := &entryFixture{name: name, store: &fakeStore{snap: platform.Snapshot{Version: 5, Records: []platform.Record{{Name: "a", Version: 5, Value: []byte("1")}}}}, log: NewLog(time.Now)}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.server = peer.NewServer(l, e.log.Methods(), nil)
+		e.server.Start()
+		t.Cleanup(e.server.Close)
+		e.addr = e.server.Addr()
+		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Stale: 5 * time.Second, AvoidFor: time.Minute},
+			e.store.seam(), e.log, func() []Peer { return d.others(name) }, events.Nop(), time.Now)
+		e.seam = e.source.Platform()
+		d.entries = append(d.entries, e)
+	}
+	return d
+}
+
+func (d *deployment) others(name string) []Peer {
+	var out []Peer
+	for _, e := range d.entries {
+		if e.name != name {
+			out = append(out, Peer{Name: e.name, Zone: "z", Address: e.addr, Confirmed: time.Now().Add(-d.age)})
+		}
+	}
+	return out
+}
+
+// list makes each entry read the whole table.
+func (d *deployment) list() {
+	d.t.Helper()
+	for _, e := range d.entries {
+		if _, err := e.seam.List(d.t.Context(), table); err != nil {
+			d.t.Fatal(err)
+		}
+		e.store.calls = 0
+	}
+}
+
+// changes asks for what came after the version that all entries have listed.
+func (e *entryFixture) changes(t *testing.T) (platform.Snapshot, error) {
+	t.Helper()
+	return e.seam.Changes(t.Context(), table, 5, 0)
+}
+
+func TestOthersAskTheDelegate(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c")
+	d.list()
+	for _, e := range d.entries {
+		if _, err := e.changes(t); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d.entries[0].store.calls != 1 || d.entries[1].store.calls != 0 || d.entries[2].store.calls != 0 {
+		t.Errorf("calls of a, b and c: %d %d %d, want the delegate's only", d.entries[0].store.calls, d.entries[1].store.calls, d.entries[2].store.calls)
+	}
+}
+
+func TestChangeReachesOthersAtOnce(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	got := make(chan platform.Snapshot, 1)
+	go func() {
+		s, err := d.entries[1].seam.Changes(t.Context(), table, 5, 0)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- s
+	}()
+	d.entries[0].log.note(table, platform.Snapshot{Version: 8, Made: time.Now(), Records: []platform.Record{{Name: "a", Version: 8, Gone: true}}}, false)
+	s := <-got
+	if len(s.Records) != 1 || !s.Records[0].Gone || s.Version != 8 {
+		t.Errorf("got %+v, want the removal", s)
+	}
+}
+
+func TestAgeIsNeverTooYoung(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	made := time.Now().Add(-3 * time.Second)
+	d.entries[0].log.mu.Lock()
+	d.entries[0].log.table(table).made = made
+	d.entries[0].log.mu.Unlock()
+	s, err := d.entries[1].changes(t)
+	if err != nil || s.Made.After(made) {
+		t.Errorf("made %s after it was, %v", s.Made.Sub(made), err)
+	}
+}
+
+func TestWhenTheDelegateCannotTell(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		spoil func(d *deployment)
+	}{
+		{"it is gone", func(d *deployment) { d.entries[0].server.Close() }},
+		{"the store turns it away", func(d *deployment) { d.entries[0].log.failed(table) }},
+		{"it knows only old things", func(d *deployment) {
+			d.entries[0].log.mu.Lock()
+			d.entries[0].log.table(table).made = time.Now().Add(-time.Minute)
+			d.entries[0].log.mu.Unlock()
+		}},
+		{"it began after the version asked for", func(d *deployment) {
+			d.entries[0].log.mu.Lock()
+			d.entries[0].log.table(table).floor = 9
+			d.entries[0].log.mu.Unlock()
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newDeployment(t, "a", "b")
+			d.list()
+			tc.spoil(d)
+			if _, err := d.entries[1].changes(t); err != nil || d.entries[1].store.calls != 1 {
+				t.Errorf("%v, %d calls; want the store asked itself", err, d.entries[1].store.calls)
+			}
+		})
+	}
+}
+
+// An entry that the store turns away goes by what another one is told.
+func TestEntryThatIsTurnedAway(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		want bool
+	}{
+		{"another one is served", 0, true},
+		{"nobody has been served lately", time.Minute, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newDeployment(t, "a", "b")
+			d.list()
+			d.age = tc.age
+			d.entries[0].store.down = true
+			_, err := d.entries[0].changes(t)
+			if (err == nil) != tc.want {
+				t.Errorf("answer %v, want one: %v", err, tc.want)
+			}
+			if !tc.want && !errors.Is(err, errDown) {
+				t.Errorf("error %v, want the store's", err)
+			}
+		})
+	}
+}
+
+func TestEntryThatStartsWhileTheStoreIsAway(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	d.entries[0].store.down = true
+	d.entries[0].log = NewLog(time.Now)
+	s, err := d.entries[0].seam.List(t.Context(), table)
+	if err != nil || len(s.Records) != 1 {
+		t.Errorf("%+v, %v; want the whole table from the other entry", s, err)
+	}
+}
+
+func TestDroppedHistoryIsPassedOn(t *testing.T) {
+	d := newDeployment(t, "a")
+	d.list()
+	d.entries[0].store.err = platform.ErrHistoryGone
+	if _, err := d.entries[0].changes(t); !errors.Is(err, platform.ErrHistoryGone) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestLogTellsWhatAWholeTableLacks(t *testing.T) {
+	l := NewLog(time.Now)
+	l.note(table, platform.Snapshot{Version: 3, Records: []platform.Record{{Name: "a", Version: 1}, {Name: "b", Version: 2}}}, true)
+	l.note(table, platform.Snapshot{Version: 9, Records: []platform.Record{{Name: "b", Version: 2}}}, true)
+	s, _, ok := l.since(table, 3)
+	if !ok || len(s.Records) != 1 || s.Records[0].Name != "a" || !s.Records[0].Gone {
+		t.Errorf("since 3: %+v, %v; want the removal of a", s.Records, ok)
+	}
+	if whole, _ := l.whole(table); len(whole.Records) != 1 {
+		t.Errorf("whole table %+v, want b only", whole.Records)
+	}
+}
+
+func TestLogForgetsRemovedRows(t *testing.T) {
+	at := time.Now()
+	l := NewLog(func() time.Time { return at })
+	l.note(table, platform.Snapshot{Version: 1}, true)
+	l.note(table, platform.Snapshot{Version: 5, Records: []platform.Record{{Name: "a", Version: 5, Gone: true}}}, false)
+	at = at.Add(2 * keepGone)
+	l.note(table, platform.Snapshot{Version: 6, Records: []platform.Record{{Name: "b", Version: 6}}}, false)
+	if _, _, ok := l.since(table, 4); ok {
+		t.Error("the log tells changes since a version although it forgot one of them")
+	}
+	if _, _, ok := l.since(table, 5); !ok {
+		t.Error("the log cannot tell changes that it has")
+	}
+}
