--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -32,6 +32,7 @@
 	Zone       *zoneCommand       `arg:"subcommand:zone" help:"show zones"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"give an upstream no new work"`
 	Timeline   *timelineCommand   `arg:"subcommand:timeline" help:"show the events of all processes in order"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell the story of one request from log files"`
 	Change     *changeCommand     `arg:"subcommand:change" help:"show where a configuration change stands"`
 	Load       *loadCommand       `arg:"subcommand:load" help:"send a bounded load to a loopback address and measure it"`
 	HashKey    *hashKeyCommand    `arg:"subcommand:hash-key" help:"print the stored form of a key or token"`
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -255,7 +253,7 @@
 		Build: func(*kernel.Registry) (any, error) { return b.rec, nil },
 		Start: func(context.Context, *kernel.Registry) error {
 			go b.countDropped()
-			go b.watchReload()
+			go watchReload(b.ctx, b.rec, b.settings.String())
 			return nil
 		},
 		Stop: func(context.Context, *kernel.Registry) error {
@@ -282,23 +280,6 @@
 	}
 }
 
-// watchReload answers SIGHUP. Settings are flags and environment variables, so
-// a change of them takes a restart; what changes while a process runs is in the
-// store.
-func (b *gatewayBuilder) watchReload() {
-	sigs := make(chan os.Signal, 1)
-	signal.Notify(sigs, syscall.SIGHUP)
-	defer signal.Stop(sigs)
-	for {
-		select {
-		case <-b.ctx.Done():
-			return
-		case <-sigs:
-			b.rec.Note(events.SettingsReread, "", "taken-over", "none", "settings", b.settings.String())
-		}
-	}
-}
-
 func (b *gatewayBuilder) metricsService() kernel.Service {
 	r := mux.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -111,6 +111,10 @@
 	return kernel.Service{
 		Name:  serviceNode,
 		Build: func(*kernel.Registry) (any, error) { return n, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			go watchReload(n.ctx, n.rec, "name="+n.settings.Name+" zone="+n.settings.Zone)
+			return nil
+		},
 		Stop: func(context.Context, *kernel.Registry) error {
 			n.cancel()
 			n.rec.Note(events.ProcessStopped, "")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -352,6 +352,8 @@
 	}
 	why := "its engine was lost"
 	switch {
+	case s.g.stopsBefore(0):
+		why = "this entry stopped"
 	case s.rq.caller.Err() != nil:
 		why = "the caller left"
 	case ctx.Err() != nil:
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -495,8 +495,22 @@
 	}
 	err = c.table.Commit(ctx, platform.Write{Row: platform.Row{Key: headKey, Revision: revision + 1, Value: b}})
 	if err != nil {
-		return h, err
+		return c.markedByAnother(ctx, h, err)
 	}
 	c.rec.Note(events.ChangeInForce, h.Change, "version", h.Version)
 	return stored, nil
 }
+
+// markedByAnother looks whether the head was marked all the same: by another
+// process that follows it, or by a write whose reply was lost. A later version
+// needed this one to be in force everywhere first.
+func (c *Coordinator) markedByAnother(ctx context.Context, h head, cause error) (head, error) {
+	stored, _, err := c.readHead(ctx)
+	if err != nil {
+		return h, errors.Join(cause, err)
+	}
+	if stored.Version == h.Version && stored.Accepted || stored.Version > h.Version {
+		return stored, nil
+	}
+	return h, cause
+}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -284,6 +284,33 @@
 	})
 }
 
+// Another entry that follows the head may mark it as in force first. Losing that
+// race to one's own goal is success.
+func TestAnotherProcessMarksTheChangeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		table := f.platform.table()
+		marks := 0
+		commit := table.Commit
+		table.Commit = func(ctx context.Context, writes ...platform.Write) error {
+			// The second write of a change marks its head: another process is
+			// quicker with the very same row.
+			if marks++; marks == 2 {
+				if err := commit(ctx, writes...); err != nil {
+					t.Error(err)
+				}
+			}
+			return commit(ctx, writes...)
+		}
+		c := NewCoordinator(f.stores[0], table, f.platform.store(), f.targets, events.Nop(), DefaultDeadlines(), time.Now)
+		out := c.Submit(t.Context(), Change{ID: "c1", Source: source(1)})
+		if out.State() != Accepted {
+			t.Fatalf("outcome %+v, want accepted", out)
+		}
+		f.everywhere(t, 1)
+	})
+}
+
 func TestLostReplyToTheCommitIsLookedUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3)
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -215,8 +215,11 @@
 	if err := os.WriteFile(file, []byte(source), 0o644); err != nil {
 		return err
 	}
+	// Each try asks for the same change: one that was committed and not yet in
+	// force everywhere would refuse another change from the same base.
+	change := fmt.Sprintf("apply-%d-%d", base, time.Now().UnixNano())
 	return waitFor(func() error {
-		out, err := c.ctl(entry, "config", "apply", "--base", strconv.FormatInt(base, 10), file).CombinedOutput()
+		out, err := c.ctl(entry, "config", "apply", "--base", strconv.FormatInt(base, 10), "--change", change, file).CombinedOutput()
 		if err != nil {
 			return fmt.Errorf("apply: %w: %s", err, out)
 		}
@@ -232,10 +235,10 @@
 }
 
 var signals = map[string]syscall.Signal{
-	"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "stop": syscall.SIGTERM,
+	"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "stop": syscall.SIGTERM, "reload": syscall.SIGHUP,
 }
 
-// signal kill|freeze|thaw|stop NAME.
+// signal kill|freeze|thaw|stop|reload NAME.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	c := worldOf(ts).cluster
 	check(ts, c.signal(args[1], signals[args[0]]))
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -258,7 +258,11 @@
 	if !b.behind(nil, 2) {
 		t.Error("a request of version 2 is served under version 1")
 	}
-	<-asked
+	select {
+	case <-asked:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nobody is asked for the newer configuration")
+	}
 	if b.behind(nil, 1) {
 		t.Error("a request of the own version is refused")
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -7,12 +7,14 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 survivors=0
+# limit ends a test that waits for ever on a defect; the tests take seconds.
+limit=60s
 
 mutant() { # mutant NAME FILE PERL-SUBSTITUTION PACKAGE TEST
   local name=$1 file=$2 change=$3 package=$4 test=$5
   rm -rf "$scratch/tree"
   mkdir "$scratch/tree"
-  cp -r go.mod go.sum internal cmd docs examples "$scratch/tree/"
+  cp -r go.mod go.sum internal platform cmd docs examples "$scratch/tree/"
   perl -0pi -e "$change" "$scratch/tree/$file"
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "mutant $name: the change no longer applies" >&2
@@ -23,7 +25,7 @@
     cat "$scratch/out" >&2
     exit 1
   fi
-  if (cd "$scratch/tree" && go test -count=1 -run "$test" "./$package" >"$scratch/out" 2>&1); then
+  if (cd "$scratch/tree" && go test -count=1 -timeout "$limit" -run "$test" "./$package" >"$scratch/out" 2>&1); then
     printf '%-28s SURVIVED %s\n' "$name" "$test"
     survivors=$((survivors + 1))
   else
