--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -78,6 +78,9 @@
 	gossipEvery = 200 * time.Millisecond
 	// gossipLeast lets a burst of placements share a message.
 	gossipLeast = 10 * time.Millisecond
+	// gossipRate bounds an entry's messages a second: some 20 microseconds of
+	// processor time each, on cores of which an entry may have a seventh.
+	gossipRate = 200
 	// gossipForget is some lost messages in a row.
 	gossipForget = 1500 * time.Millisecond
 	// directoryEvery bounds how late a new entry learns of the others.
@@ -357,7 +360,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("--gossip-listen: %w", err)
 			}
-			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Life: b.life, Every: gossipEvery, Least: gossipLeast, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
+			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Life: b.life, Every: gossipEvery, Least: gossipLeast, Rate: gossipRate, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
 			return b.gossip, nil
 		},
 		Start: func(context.Context, *kernel.Registry) error {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -168,7 +168,7 @@
 	open := route(pathOpen, routetable.Repeatable, "app", 2)
 	open.Public = true
 	return routetable.New(routetable.Version(n), []routetable.Route{
-		route(pathSafe, routetable.Repeatable, "app", 2), route(pathOnce, routetable.Once, "app", 1),
+		route(pathSafe, routetable.Repeatable, "app", 2), route(pathOnce, routetable.Once, "app", 3),
 		route(pathStream, routetable.Stream, "llm", 1), resume, open,
 	}, []routetable.Service{
 		{Name: "app"},
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -84,10 +84,27 @@
 	Every time.Duration
 	// Least is the least time between two messages to one peer.
 	Least time.Duration
+	// Rate bounds the messages a second to all peers together; with many peers
+	// the times above and below grow to keep to it.
+	Rate int
 	// Forget is the silence after which a peer's state is no longer used.
 	Forget time.Duration
 }
 
+// round is the time that a message to each of a number of peers takes under the
+// bound on all messages.
+func (s Settings) round(peers int) time.Duration {
+	return time.Duration(peers) * time.Second / time.Duration(max(s.Rate, 1))
+}
+
+// timing returns the times between messages for a number of peers, and the
+// silence after which one is forgotten.
+func (s Settings) timing(peers int) (every, least, forget time.Duration) {
+	round := s.round(peers)
+	every, least = max(s.Every, round), max(s.Least, round)
+	return every, least, time.Duration(float64(s.Forget) * float64(every) / float64(s.Every))
+}
+
 // Node speaks for one entry.
 type Node struct {
 	settings Settings
@@ -176,12 +193,13 @@
 	defer t.Stop()
 	var sent time.Time
 	for {
+		every, least, _ := n.settings.timing(n.count())
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.nudge:
 			// A message sent a moment ago may lack the change: another follows.
-			if wait := n.settings.Least - n.now().Sub(sent); wait > 0 {
+			if wait := least - n.now().Sub(sent); wait > 0 {
 				t.Reset(wait)
 				continue
 			}
@@ -189,10 +207,17 @@
 		}
 		n.send()
 		sent = n.now()
-		t.Reset(n.settings.Every)
+		t.Reset(every)
 	}
 }
 
+// count is the number of peers known.
+func (n *Node) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers)
+}
+
 func (n *Node) send() {
 	s := n.collect()
 	now := n.now()
@@ -206,8 +231,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	_, _, forget := n.settings.timing(len(n.peers))
 	for name, p := range n.peers {
-		if !p.lost && now.Sub(p.Heard) > n.settings.Forget {
+		if !p.lost && now.Sub(p.Heard) > forget {
 			p.lost = true
 			n.rec.Note(events.EntrySilent, "", "peer", name, "heard-before", now.Sub(p.Heard))
 		}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -35,7 +35,7 @@
 
 func newNode(c *clock, name, life string) *node {
 	n := &node{wire: &wire{}}
-	n.Node = New(Settings{Name: name, Life: life, Every: time.Second, Forget: 3 * time.Second}, n.wire,
+	n.Node = New(Settings{Name: name, Life: life, Every: time.Second, Forget: 3 * time.Second, Rate: 100}, n.wire,
 		func() State { return n.state }, func(_ string, s State) { n.heard = s }, events.Nop(), c.now)
 	return n
 }
@@ -104,3 +104,25 @@
 		t.Errorf("confirmed at %s after the start, want not at all", restarted.heard.Confirmed.Sub(c.at))
 	}
 }
+
+// With many peers messages become rarer, so that all together keep to the bound,
+// and a peer is forgotten after as many missed messages as with few.
+func TestMessagesAreBounded(t *testing.T) {
+	s := Settings{Every: 200 * time.Millisecond, Least: 10 * time.Millisecond, Rate: 200, Forget: 1500 * time.Millisecond}
+	for _, tc := range []struct {
+		name                 string
+		peers                int
+		every, least, forget time.Duration
+	}{
+		{"a few", 3, 200 * time.Millisecond, 15 * time.Millisecond, 1500 * time.Millisecond},
+		{"some tens", 26, 200 * time.Millisecond, 130 * time.Millisecond, 1500 * time.Millisecond},
+		{"hundreds", 349, 1745 * time.Millisecond, 1745 * time.Millisecond, 13087500 * time.Microsecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			every, least, forget := s.timing(tc.peers)
+			if every != tc.every || least != tc.least || forget.Round(time.Microsecond) != tc.forget {
+				t.Errorf("every %s, least %s, forget %s; want %s, %s, %s", every, least, forget, tc.every, tc.least, tc.forget)
+			}
+		})
+	}
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -110,6 +110,7 @@
 		{"an upstream that closes", "Content-Length: 2\nConnection: close\n", "", 2},
 		{"a body that only the end of the connection ends", "", "", 2},
 		{"bytes that nobody asked for", "Content-Length: 2\n", "HTTP/1.1 200 OK\n", 2},
+		{"an upstream that closes without a word", "Content-Length: 2\nX-Test-Closes: 1\n", "", 2},
 		{"an upstream that keeps connections for a second", "Content-Length: 2\nKeep-Alive: timeout=1\n", "", 1},
 		{"an upstream that keeps connections for no time", "Content-Length: 2\nKeep-Alive: timeout=0\n", "", 2},
 	} {
@@ -125,7 +126,7 @@
 						body = "2\nok\n0\n\n"
 					}
 					say(c, "HTTP/1.1 200 OK\nX-Id: "+req.Header.Get("X-Id")+"\n"+tc.head+"\n"+body+tc.after)
-					if tc.head == "" {
+					if tc.head == "" || strings.Contains(tc.head, "X-Test-Closes") {
 						return
 					}
 				}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -54,5 +54,18 @@
 mutant rollout-confirm internal/rollout/coordinator.go "s/if len\(missing\) > 0 \{\n\t\treturn Outcome\{state: Committed/if len(missing) > 99 {\n\t\treturn Outcome{state: Committed/" internal/rollout TestZoneCutBetween
 mutant sidecar-behind internal/sidecar/server.go "s/if v <= s\.active\(\)\.Version\(\) \{/if v > -1 {/" internal/sidecar TestOlderConfiguration
 
+gateway=internal/gateway
+mutant gateway-once $gateway/call.go 's/if r\.mayHaveRun\(\) && \(!c\.rq\.route\.Repeats\(\) \|\| /if r.mayHaveRun() \&\& (/' $gateway TestPlainCall
+mutant gateway-keys $gateway/request.go 's/if !trusted \{\n\t\tg\.refuse\(rq, http\.StatusServiceUnavailable, "the keys/if false {\n\t\tg.refuse(rq, http.StatusServiceUnavailable, "the keys/' $gateway TestWhoMayAsk
+mutant gateway-torn $gateway/eventreader.go 's/if n := wholeEvents\(e\.buf\[e\.start:e\.end\]\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
+mutant gateway-whole $gateway/stream.go 's/if errors\.Is\(err, io\.EOF\) && answer\.Framed && len\(rest\) == 0 && s\.began \{/if s.began {/' $gateway TestBrokenStream
+mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, heldCopy/_ = append(s.copies, heldCopy/' $gateway TestMove
+mutant link-pairs internal/link/link.go 's/if p\.otherRequest\(c, req, resp\) \{/if false {/' internal/link TestAnswerToTheRequestBefore
+mutant link-quiet internal/link/link.go 's/p\.now\(\)\.Before\(c\.expires\) && quiet\(c\.Conn\)/p.now().Before(c.expires)/' internal/link 'TestConnectionsAreKept'
+mutant gossip-life internal/gossip/gossip.go 's/ && m\.EchoLife == n\.settings\.Life//' internal/gossip TestEchoOfAnEarlierLife
+mutant relay-stale internal/relay/store.go 's/if err == nil && s\.now\(\)\.Sub\(snap\.Made\) > s\.settings\.Stale \{/if false {/' internal/relay TestWhenTheDelegate
+mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.firstHand \{/if m.state == Lapsed {/' internal/fleet TestUpstreamComesBack
+mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) <= r\.table\.Version\(\) \{/if false {/' $gateway TestRoutesOnlyGoUp
+
 echo "survivors: $survivors"
 [ "$survivors" -eq 0 ]
