--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/sparshore/sparshore/internal/belief"
-	"github.com/sparshore/sparshore/internal/directory"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gateway"
@@ -24,7 +17,6 @@
 	"github.com/sparshore/sparshore/internal/kernel"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/logline"
-	"github.com/sparshore/sparshore/internal/peer"
 	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/relay"
 	"github.com/sparshore/sparshore/platform"
@@ -182,74 +174,6 @@
 	return b
 }
 
-func followSettings(table string, wait time.Duration) belief.Settings {
-	return belief.Settings{
-		Table: table, Wait: wait, Slack: followSlack,
-		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor, Gather: followGather,
-	}
-}
-
-// storeClient keeps few connections: one for each table followed and one for
-// other calls.
-func storeClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialWithin}).DialContext,
-		MaxIdleConnsPerHost: 3,
-		DisableCompression:  true,
-	}}
-}
-
-// dialer opens connections that end when the other VM goes silent.
-func dialer() func(ctx context.Context, address string) (net.Conn, error) {
-	d := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silentAfter / 3, Interval: silentAfter / 3, Count: 2},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var failed error
-			err := c.Control(func(fd uintptr) {
-				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentAfter.Milliseconds()))
-			})
-			return errors.Join(err, failed)
-		},
-	}
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp4", address)
-	}
-}
-
-// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall lacks.
-const tcpUserTimeout = 18
-
-// applyUpstreams hands the rows of upstreams to the fleet.
-func (b *gatewayBuilder) applyUpstreams(s product.Snapshot, full bool) {
-	records, gone := upstreamChanges(s.Records, b.rec)
-	settled, _ := b.members.Settled()
-	b.fleet.Update(records, gone, full, settled)
-}
-
-// upstreamChanges decodes changed rows. One answer may hold several changes of a
-// row, in order; the last one counts.
-func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []string) {
-	last := make(map[string]int, len(rows))
-	for i, row := range rows {
-		last[row.Name] = i
-	}
-	for i, row := range rows {
-		switch {
-		case last[row.Name] != i:
-		case row.Gone:
-			gone = append(gone, row.Name)
-		default:
-			r, err := platform.DecodeUpstream(row.Name, row.Value)
-			if err != nil {
-				rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
-				continue
-			}
-			records = append(records, r)
-		}
-	}
-	return records, gone
-}
-
 func (b *gatewayBuilder) logService() kernel.Service {
 	return kernel.Service{
 		Name:  serviceLog,
@@ -282,191 +206,3 @@
 		}
 	}
 }
-
-func (b *gatewayBuilder) metricsService() kernel.Service {
-	r := mux.NewRouter()
-	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
-	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader})
-}
-
-func (b *gatewayBuilder) readinessService() kernel.Service {
-	r := mux.NewRouter()
-	r.HandleFunc(platform.PathReady, b.gateway.Ready).Methods(http.MethodGet)
-	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
-}
-
-func (b *gatewayBuilder) callerService() kernel.Service {
-	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
-	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
-}
-
-// listenService serves HTTP at an address.
-func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server) kernel.Service {
-	return kernel.Service{
-		Name:  name,
-		Build: func(*kernel.Registry) (any, error) { return s, nil },
-		Start: func(context.Context, *kernel.Registry) error {
-			l, err := net.Listen("tcp4", address)
-			if err != nil {
-				return fmt.Errorf("%s: %w", flag, err)
-			}
-			go func() { _ = s.Serve(l) }()
-			return nil
-		},
-		Stop: func(ctx context.Context, _ *kernel.Registry) error {
-			if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-				return err
-			}
-			return s.Close()
-		},
-	}
-}
-
-func (b *gatewayBuilder) followService() kernel.Service {
-	return kernel.Service{
-		Name:  serviceFollow,
-		Build: func(*kernel.Registry) (any, error) { return b.routes, nil },
-		Start: func(context.Context, *kernel.Registry) error {
-			go b.tables.Run(b.ctx)
-			go b.members.Run(b.ctx)
-			go b.sweep()
-			return nil
-		},
-	}
-}
-
-func (b *gatewayBuilder) sweep() {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-b.ctx.Done():
-			return
-		case <-t.C:
-			b.fleet.Sweep()
-			b.pool.Sweep()
-			if _, ok := b.members.Settled(); !ok {
-				b.gateway.InquireAll(b.ctx)
-			}
-		}
-	}
-}
-
-func (b *gatewayBuilder) gossipService() kernel.Service {
-	return kernel.Service{
-		Name: serviceGossip,
-		Build: func(*kernel.Registry) (any, error) {
-			conn, err := net.ListenPacket("udp4", b.settings.GossipListen)
-			if err != nil {
-				return nil, fmt.Errorf("--gossip-listen: %w", err)
-			}
-			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Life: b.life, Every: gossipEvery, Least: gossipLeast, Rate: gossipRate, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
-			return b.gossip, nil
-		},
-		Start: func(context.Context, *kernel.Registry) error {
-			d := directory.New(directory.Settings{
-				Table: tableEntries, Name: b.settings.Name, Address: b.settings.GossipListen,
-				Every: directoryEvery, CallWithin: directoryCall,
-			}, b.store, b.found, b.rec, time.Now)
-			go b.gossip.Run(b.ctx)
-			go d.Run(b.ctx)
-			return nil
-		},
-	}
-}
-
-// relayPeers returns the entries that can be asked for tables.
-func (b *gatewayBuilder) relayPeers() []relay.Peer {
-	var out []relay.Peer
-	for name, p := range b.gossip.Peers() {
-		if p.State.Relay != "" {
-			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Address: p.State.Relay, Confirmed: p.State.Confirmed})
-		}
-	}
-	return out
-}
-
-func (b *gatewayBuilder) relayService() kernel.Service {
-	return kernel.Service{
-		Name: servicePeers,
-		Build: func(*kernel.Registry) (any, error) {
-			l, err := net.Listen("tcp4", b.settings.RelayListen)
-			if err != nil {
-				return nil, fmt.Errorf("--relay-listen: %w", err)
-			}
-			return peer.NewServer(l, b.log.Methods(), nil), nil
-		},
-		Start: func(_ context.Context, r *kernel.Registry) error {
-			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
-			if err != nil {
-				return err
-			}
-			s.Start()
-			return nil
-		},
-		Stop: func(_ context.Context, r *kernel.Registry) error {
-			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
-			if err != nil {
-				return err
-			}
-			s.Close()
-			return nil
-		},
-	}
-}
-
-// found takes over the list of entries.
-func (b *gatewayBuilder) found(addresses map[string]string) {
-	b.gossip.Know(addresses)
-	b.gateway.Peers(b.gossip.Peers(), len(addresses))
-}
-
-// ownState is what this gateway tells the others.
-func (b *gatewayBuilder) ownState() gossip.State {
-	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.KnownLeaving()}
-	table, confirmed := b.routes.Current()
-	if table != nil {
-		s.Routes, s.Confirmed = table.Version(), confirmed
-	}
-	return s
-}
-
-// peerState takes over what another gateway told.
-func (b *gatewayBuilder) peerState(from string, s gossip.State) {
-	b.gateway.PeerLoad(from, s.Loads)
-	for _, id := range s.Leaving {
-		b.fleet.MarkLeaving(id, from)
-	}
-	if !s.Confirmed.IsZero() {
-		b.routes.Confirm(s.Routes, s.Confirmed)
-	}
-}
-
-// gatewayService is the last to start, so its stop comes first: callers in
-// flight are served before anything they need goes away.
-func (b *gatewayBuilder) gatewayService() kernel.Service {
-	return kernel.Service{
-		Name:  serviceGateway,
-		Build: func(*kernel.Registry) (any, error) { return b.gateway, nil },
-		Start: func(context.Context, *kernel.Registry) error {
-			b.rec.Note(events.ProcessStarted, "", "role", "gateway", "listen", b.settings.Listen, "settings", b.settings.String())
-			return nil
-		},
-		Stop: b.drain,
-	}
-}
-
-// drain lets the balancer notice, then waits for the requests in flight.
-func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
-	deadline := time.Now().Add(b.settings.StopWithin - stopSpare)
-	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin)
-	b.gateway.Drain(deadline)
-	time.Sleep(min(readyPause, b.settings.StopWithin/3))
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	// Shutdown takes no new connections, closes idle ones and waits for the rest.
-	if err := b.callers.Shutdown(ctx); err != nil {
-		b.rec.Note(events.DrainTooShort, "", "error", err)
-	}
-	return b.callers.Close()
-}
--- /dev/null
+++ b/internal/daemon/gatewayhttp.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/platform"
+)
+
+// dialer opens connections that end when the other VM goes silent.
+func dialer() func(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silentAfter / 3, Interval: silentAfter / 3, Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentAfter.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp4", address)
+	}
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall lacks.
+const tcpUserTimeout = 18
+
+func (b *gatewayBuilder) metricsService() kernel.Service {
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader})
+}
+
+func (b *gatewayBuilder) readinessService() kernel.Service {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.PathReady, b.gateway.Ready).Methods(http.MethodGet)
+	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+}
+
+func (b *gatewayBuilder) callerService() kernel.Service {
+	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
+	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
+}
+
+// listenService serves HTTP at an address.
+func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server) kernel.Service {
+	return kernel.Service{
+		Name:  name,
+		Build: func(*kernel.Registry) (any, error) { return s, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			l, err := net.Listen("tcp4", address)
+			if err != nil {
+				return fmt.Errorf("%s: %w", flag, err)
+			}
+			go func() { _ = s.Serve(l) }()
+			return nil
+		},
+		Stop: func(ctx context.Context, _ *kernel.Registry) error {
+			if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+				return err
+			}
+			return s.Close()
+		},
+	}
+}
+
+// gatewayService is the last to start, so its stop comes first: callers in
+// flight are served before anything they need goes away.
+func (b *gatewayBuilder) gatewayService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceGateway,
+		Build: func(*kernel.Registry) (any, error) { return b.gateway, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			b.rec.Note(events.ProcessStarted, "", "role", "gateway", "listen", b.settings.Listen, "settings", b.settings.String())
+			return nil
+		},
+		Stop: b.drain,
+	}
+}
+
+// drain lets the balancer notice, then waits for the requests in flight.
+func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
+	deadline := time.Now().Add(b.settings.StopWithin - stopSpare)
+	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin)
+	b.gateway.Drain(deadline)
+	time.Sleep(min(readyPause, b.settings.StopWithin/3))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	// Shutdown takes no new connections, closes idle ones and waits for the rest.
+	if err := b.callers.Shutdown(ctx); err != nil {
+		b.rec.Note(events.DrainTooShort, "", "error", err)
+	}
+	return b.callers.Close()
+}
--- /dev/null
+++ b/internal/daemon/gatewaypeers.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/directory"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/relay"
+)
+
+func (b *gatewayBuilder) gossipService() kernel.Service {
+	return kernel.Service{
+		Name: serviceGossip,
+		Build: func(*kernel.Registry) (any, error) {
+			conn, err := net.ListenPacket("udp4", b.settings.GossipListen)
+			if err != nil {
+				return nil, fmt.Errorf("--gossip-listen: %w", err)
+			}
+			b.gossip = gossip.New(gossip.Settings{Name: b.settings.Name, Life: b.life, Every: gossipEvery, Least: gossipLeast, Rate: gossipRate, Forget: gossipForget}, conn, b.ownState, b.peerState, b.rec, time.Now)
+			return b.gossip, nil
+		},
+		Start: func(context.Context, *kernel.Registry) error {
+			d := directory.New(directory.Settings{
+				Table: tableEntries, Name: b.settings.Name, Address: b.settings.GossipListen,
+				Every: directoryEvery, CallWithin: directoryCall,
+			}, b.store, b.found, b.rec, time.Now)
+			go b.gossip.Run(b.ctx)
+			go d.Run(b.ctx)
+			return nil
+		},
+	}
+}
+
+// relayPeers returns the entries that can be asked for tables.
+func (b *gatewayBuilder) relayPeers() []relay.Peer {
+	var out []relay.Peer
+	for name, p := range b.gossip.Peers() {
+		if p.State.Relay != "" {
+			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Address: p.State.Relay, Confirmed: p.State.Confirmed})
+		}
+	}
+	return out
+}
+
+// relayService answers other entries' questions for what the store said.
+func (b *gatewayBuilder) relayService() kernel.Service {
+	methods := func(*kernel.Registry) (peer.Methods, error) { return b.log.Methods(), nil }
+	return listenForPeers("--relay-listen", b.settings.RelayListen, methods, func(*kernel.Registry) func(*peer.Conn) { return nil })
+}
+
+// found takes over the list of entries.
+func (b *gatewayBuilder) found(addresses map[string]string) {
+	b.gossip.Know(addresses)
+	b.gateway.Peers(b.gossip.Peers(), len(addresses))
+}
+
+// ownState is what this gateway tells the others.
+func (b *gatewayBuilder) ownState() gossip.State {
+	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.KnownLeaving()}
+	table, confirmed := b.routes.Current()
+	if table != nil {
+		s.Routes, s.Confirmed = table.Version(), confirmed
+	}
+	return s
+}
+
+// peerState takes over what another gateway told.
+func (b *gatewayBuilder) peerState(from string, s gossip.State) {
+	b.gateway.PeerLoad(from, s.Loads)
+	for _, id := range s.Leaving {
+		b.fleet.MarkLeaving(id, from)
+	}
+	if !s.Confirmed.IsZero() {
+		b.routes.Confirm(s.Routes, s.Confirmed)
+	}
+}
--- /dev/null
+++ b/internal/daemon/gatewaystore.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/kernel"
+	product "github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/platform"
+)
+
+func followSettings(table string, wait time.Duration) belief.Settings {
+	return belief.Settings{
+		Table: table, Wait: wait, Slack: followSlack,
+		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor, Gather: followGather,
+	}
+}
+
+// storeClient keeps few connections: one for each table followed and one for
+// other calls.
+func storeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialWithin}).DialContext,
+		MaxIdleConnsPerHost: 3,
+		DisableCompression:  true,
+	}}
+}
+
+// applyUpstreams hands the rows of upstreams to the fleet.
+func (b *gatewayBuilder) applyUpstreams(s product.Snapshot, full bool) {
+	records, gone := upstreamChanges(s.Records, b.rec)
+	settled, _ := b.members.Settled()
+	b.fleet.Update(records, gone, full, settled)
+}
+
+// upstreamChanges decodes changed rows. One answer may hold several changes of a
+// row, in order; the last one counts.
+func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []string) {
+	last := make(map[string]int, len(rows))
+	for i, row := range rows {
+		last[row.Name] = i
+	}
+	for i, row := range rows {
+		switch {
+		case last[row.Name] != i:
+		case row.Gone:
+			gone = append(gone, row.Name)
+		default:
+			r, err := platform.DecodeUpstream(row.Name, row.Value)
+			if err != nil {
+				rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
+				continue
+			}
+			records = append(records, r)
+		}
+	}
+	return records, gone
+}
+
+func (b *gatewayBuilder) followService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceFollow,
+		Build: func(*kernel.Registry) (any, error) { return b.routes, nil },
+		Start: func(context.Context, *kernel.Registry) error {
+			go b.tables.Run(b.ctx)
+			go b.members.Run(b.ctx)
+			go b.sweep()
+			return nil
+		},
+	}
+}
+
+func (b *gatewayBuilder) sweep() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+			b.fleet.Sweep()
+			b.pool.Sweep()
+			if _, ok := b.members.Settled(); !ok {
+				b.gateway.InquireAll(b.ctx)
+			}
+		}
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -125,6 +125,12 @@
 
 // peerService listens for other processes.
 func peerService(n *node, methods func(r *kernel.Registry) (peer.Methods, error), onOpen func(r *kernel.Registry) func(*peer.Conn)) kernel.Service {
+	return listenForPeers("--peer-listen", n.settings.PeerListen, methods, onOpen)
+}
+
+// listenForPeers serves methods to other processes at an address, which a flag
+// gave.
+func listenForPeers(flag, address string, methods func(r *kernel.Registry) (peer.Methods, error), onOpen func(r *kernel.Registry) func(*peer.Conn)) kernel.Service {
 	return kernel.Service{
 		Name: servicePeers,
 		Build: func(r *kernel.Registry) (any, error) {
@@ -132,9 +138,9 @@
 			if err != nil {
 				return nil, err
 			}
-			l, err := net.Listen("tcp", n.settings.PeerListen)
+			l, err := net.Listen("tcp", address)
 			if err != nil {
-				return nil, fmt.Errorf("--peer-listen: %w", err)
+				return nil, fmt.Errorf("%s: %w", flag, err)
 			}
 			return peer.NewServer(l, m, onOpen(r)), nil
 		},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,16 +85,14 @@
 		return
 	}
 	for ok {
-		var o outcome
-		o, ok = s.attempt(ctx, next)
+		o := s.attempt(ctx, next)
+		exclude[next.at.ID] = true
 		switch o {
 		case streamWhole, streamFailed:
 			return
 		case streamUnrun:
-			exclude[next.at.ID] = true
 			next, ok = s.afterUnrun(ctx, next, exclude)
 		case streamBroken:
-			exclude[next.at.ID] = true
 			next, ok = s.afterBreak(ctx, exclude)
 		}
 	}
@@ -196,7 +194,7 @@
 }
 
 // attempt sends the generation to an engine and relays its answer.
-func (s *stream) attempt(ctx context.Context, st step) (outcome, bool) {
+func (s *stream) attempt(ctx context.Context, st step) outcome {
 	g, rq := s.g, s.rq
 	a := rq.attempt(st.at.ID)
 	a.From = st.from
@@ -206,19 +204,34 @@
 	req := g.proto.Forward(&rq.call, a, g.now())
 	req.Body = rq.body
 	rq.tries++
-	g.met.tried(st.why)
-	load := g.ledger.total(st.at.ID)
-	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "upstream", st.at.ID, "why", st.why,
-		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens,
-		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.age)
+	s.noteAttempt(st)
 	s.enter(st)
 	defer s.leave()
 	sent := g.now()
 	answer, err := g.link.Do(ctx, st.at.Address, req)
 	if err != nil {
-		return s.noAnswer(ctx, st, err), true
+		return s.noAnswer(ctx, st, err)
 	}
 	defer answer.Close()
+	if o, done := s.judge(ctx, st, answer); done {
+		return o
+	}
+	return s.relay(ctx, st, answer, sent)
+}
+
+// noteAttempt writes what decided where the generation goes.
+func (s *stream) noteAttempt(st step) {
+	g, rq := s.g, s.rq
+	load := g.ledger.total(st.at.ID)
+	g.met.tried(st.why)
+	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "upstream", st.at.ID, "why", st.why,
+		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens,
+		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.age)
+}
+
+// judge reads the head of an answer; done is false when events follow.
+func (s *stream) judge(ctx context.Context, st step, answer *link.Answer) (o outcome, done bool) {
+	g, rq := s.g, s.rq
 	switch g.proto.Verdict(answer.Status, answer.Header) {
 	case protocol.NotRun:
 		g.fleet.Note(st.at.ID, fleet.Busy)
@@ -230,14 +243,14 @@
 	case protocol.Ran:
 	}
 	rq.sent = true
-	if answer.Status != http.StatusOK {
+	switch {
+	case answer.Status != http.StatusOK:
 		return s.failed(ctx, st, answer), true
-	}
-	if answer.Header.Get(g.proto.IDHeader) != rq.call.ID || !g.proto.Complete(answer.Status, answer.Header) {
+	case answer.Header.Get(g.proto.IDHeader) != rq.call.ID || !g.proto.Complete(answer.Status, answer.Header):
 		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errOtherAnswer)
 		return streamBroken, true
 	}
-	return s.relay(ctx, st, answer, sent), true
+	return streamWhole, false
 }
 
 // noAnswer handles an attempt without the head of an answer.
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -316,7 +316,27 @@
 	if p == nil {
 		return fmt.Errorf("no process %q", name)
 	}
-	return p.cmd.Process.Signal(s)
+	if err := p.cmd.Process.Signal(s); err != nil || s != syscall.SIGSTOP {
+		return err
+	}
+	return waitFor(func() error { return stopped(p.cmd.Process.Pid) })
+}
+
+var errRunning = errors.New("process still runs")
+
+// stopped reports whether the kernel has stopped a process: the call that sends
+// SIGSTOP returns before that, and the process may serve on for a moment.
+func stopped(pid int) error {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return err
+	}
+	// The state stands behind the name, which is in parentheses.
+	_, rest, _ := strings.Cut(string(b), ") ")
+	if !strings.HasPrefix(rest, "T") {
+		return fmt.Errorf("%w: state %.1s", errRunning, rest)
+	}
+	return nil
 }
 
 func (c *cluster) exited(name string) bool {
