fix: a sidecar that has just restarted fetches the configuration before it refuses

Finding: config_outage_restart was red once in nine scenario runs beside load: 503 'configuration is not in force here yet', 0.2 ms before the sidecar had it. Cause: the request that shows a newer version started the fetch and was refused meanwhile. Ruled out: the outage (the entry has the version) and the scenario's wait (the connection was up). Test: TestRequestOfANewerConfigurationWaitsForIt.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -193,16 +193,23 @@
 
 // countDropped tells once a second how many lines were left out.
 func (b *gatewayBuilder) countDropped() {
-	t := time.NewTicker(time.Second)
+	b.every(time.Second, func() {
+		if n := b.lines.Dropped(); n > 0 {
+			b.rec.Note(events.LinesDropped, "", "lines", n)
+		}
+	})
+}
+
+// every calls f each period until the process stops.
+func (b *gatewayBuilder) every(period time.Duration, f func()) {
+	t := time.NewTicker(period)
 	defer t.Stop()
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
 		case <-t.C:
-			if n := b.lines.Dropped(); n > 0 {
-				b.rec.Note(events.LinesDropped, "", "lines", n)
-			}
+			f()
 		}
 	}
 }
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -75,19 +75,14 @@
 	}
 }
 
+// sweep ends what has a time limit and, while the store cannot tell, asks the
+// engines themselves whether they leave.
 func (b *gatewayBuilder) sweep() {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-b.ctx.Done():
-			return
-		case <-t.C:
-			b.fleet.Sweep()
-			b.pool.Sweep()
-			if _, ok := b.members.Settled(); !ok {
-				b.gateway.InquireAll(b.ctx)
-			}
+	b.every(sweepEvery, func() {
+		b.fleet.Sweep()
+		b.pool.Sweep()
+		if _, ok := b.members.Settled(); !ok {
+			b.gateway.InquireAll(b.ctx)
 		}
-	}
+	})
 }
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -267,3 +267,17 @@
 		t.Error("a request of the own version is refused")
 	}
 }
+
+// A sidecar that has just restarted is sent requests before it has the
+// configuration; it must fetch that and serve, not refuse.
+func TestRequestOfANewerConfigurationWaitsForIt(t *testing.T) {
+	b := newBench(t, false)
+	next := config.NewActive(b.active.Config(), 2, true, time.UnixMilli(1))
+	b.OnBehind = func(*peer.Conn) {
+		time.Sleep(10 * time.Millisecond)
+		b.active = next
+	}
+	if b.behind(nil, 2) {
+		t.Error("a request of version 2 is refused although version 2 was fetched")
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -57,7 +57,8 @@
 	book     *callBook
 	service  *serviceLink
 	// OnBehind may be set before use; it is called when a request shows a
-	// configuration higher than the own one.
+	// configuration higher than the own one, and returns when that was fetched
+	// or cannot be.
 	OnBehind func(c *peer.Conn)
 	policies atomic.Pointer[policy.Set]
 
@@ -229,16 +230,17 @@
 // yet: what is in force at an entry must not be undone by a sidecar.
 const reasonBehind = "configuration is not in force here yet"
 
-// behind reports whether the own configuration is lower than a request's, and
-// fetches the higher one.
+// behind reports whether the own configuration is lower than a request's, after
+// it has tried to fetch the higher one: a sidecar that has just restarted gets
+// requests before it knows any.
 func (s *Server) behind(c *peer.Conn, v config.Version) bool {
 	if v <= s.active().Version() {
 		return false
 	}
 	if s.OnBehind != nil {
-		go s.OnBehind(c)
+		s.OnBehind(c)
 	}
-	return true
+	return v > s.active().Version()
 }
 
 func endLabel(e *endNote) string {
