--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	golangci-lint run ./...
 
 format:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; exit 1; }
 
 clean:
 	rm -rf bin
