--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -11,12 +11,6 @@
 	"github.com/sparshore/sparshore/internal/link"
 )
 
-// Part is a piece of a prompt that may be shared with other prompts.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Call is a caller's request.
 type Call struct {
 	// ID identifies this attempt of the caller.
@@ -36,8 +30,7 @@
 	Prompt    int
 	MaxOutput int
 	// Hint is the caller's guess of the output in tokens, 0 if there is none.
-	Hint  int
-	Parts []Part
+	Hint int
 	// LastEvent is set when the caller goes on with a stream.
 	LastEvent string
 }
@@ -62,9 +55,6 @@
 	Priority int
 	// Generation marks requests for an engine.
 	Generation bool
-	// BackupAt is the IP:port of the engine that is to keep a copy of the memory
-	// as it grows, empty for none.
-	BackupAt string
 	// From is the copy from which the generation goes on, nil for a new one.
 	From *Copy
 	// LastEvent is the last event that the caller has.
@@ -145,6 +135,4 @@
 	Report func() link.Request
 	// Leaving decodes the answer: whether the engine is about to leave.
 	Leaving func(status int, body []byte) (leaving bool, err error)
-	// Discard returns the order to free a copy, sent to its source.
-	Discard func(handle string) link.Request
 }
--- a/internal/routing/window.go
+++ b/internal/routing/window.go
@@ -57,21 +57,6 @@
 	return true
 }
 
-// Force notes an extra attempt that is made whatever the budget says.
-func (w *Window) Force() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.repeats[w.advance()]++
-}
-
-// Used returns the extra attempts in the window and how many are allowed.
-func (w *Window) Used() (used int, limit float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance()
-	return sum(w.repeats[:]), w.limit()
-}
-
 func (w *Window) limit() float64 {
 	return w.ratio*float64(sum(w.requests[:])) + w.extra/float64(w.entries)
 }
