fix: a refusal names the process that did not answer, also at the deadline

Cause: the deadline broke off a later look at the list, and that round's reason replaced the one before. Test: TestDeadlineDuringTheVMListStillNamesTheProcess failed first.

--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -246,8 +246,14 @@
 	defer cancel()
 	held := map[string]bool{}
 	cand := c.candidate(ch, cfg)
+	var last []string
 	for {
 		missing, refusals := c.stageRound(ctx, cand, held)
+		if ctx.Err() != nil && len(last) > 0 {
+			// The deadline broke this round off; the one before names who is missing.
+			return last
+		}
+		last = missing
 		if len(refusals) > 0 {
 			return refusals
 		}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -284,6 +284,28 @@
 	})
 }
 
+// A refusal names the process that did not answer, also when the deadline breaks
+// off a later look at the VM list.
+func TestDeadlineDuringTheVMListStillNamesTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.setCut(1, true)
+		looks := 0
+		targets := func(ctx context.Context) ([]Target, error) {
+			if looks++; looks > 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return f.targets(ctx)
+		}
+		c := NewCoordinator(f.stores[0], f.platform.table(), f.platform.store(), targets, events.Nop(), DefaultDeadlines(), time.Now)
+		out := c.Submit(t.Context(), Change{ID: "c1", Source: source(1)})
+		if out.State() != Refused || !strings.Contains(strings.Join(out.Reasons(), " "), "process p1") {
+			t.Errorf("outcome %+v, want a refusal that names p1", out)
+		}
+	})
+}
+
 // Another entry that follows the head may mark it as in force first. Losing that
 // race to one's own goal is success.
 func TestAnotherProcessMarksTheChangeFirst(t *testing.T) {
