perf: entries draw the targets of moves instead of all taking the best

Cause: all entries learn of a leaving engine at the same moment and see the same load, so each sent its copies to the engine with most room. They queued on its link, found its memory full, or were not done when the source ended. Ruled out: late notice (moves start 20 ms after the engine's own record).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -99,3 +99,25 @@
 	}
 	return chosen, !math.IsInf(least, 1)
 }
+
+// draw returns one of the upstreams that are not excluded, each as likely as its
+// weight says; ok is false if none has a weight. random returns a number from 0
+// up to 1.
+func draw(list []fleet.Upstream, exclude map[string]bool, weight func(fleet.Upstream) float64, random func() float64) (u fleet.Upstream, ok bool) {
+	weights := make([]float64, len(list))
+	sum := 0.0
+	for i, u := range list {
+		if !exclude[u.ID] {
+			weights[i] = weight(u)
+			sum += weights[i]
+		}
+	}
+	at := random() * sum
+	for i, w := range weights {
+		if w > 0 && at < w {
+			return list[i], true
+		}
+		at -= w
+	}
+	return fleet.Upstream{}, false
+}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 const (
@@ -138,23 +140,41 @@
 	g.rec.Note(events.StreamMoveFailed, s.rq.call.ID, "from", from.ID, "why", why)
 }
 
-// chooseTarget returns the engine with most room; copies within a zone take half
-// the time of others.
+// chooseTarget draws an engine with room for the generation, the likelier the
+// more room it has. All entries learn of a leaving engine at the same moment and
+// see the same load; if each took the engine with most room, their copies would
+// queue on that engine's link and fill its memory.
 func (g *Gateway) chooseTarget(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
-	engine := s.rq.service.Engine
-	return best(g.fleet.Of(s.rq.service.Name), exclude, func(u fleet.Upstream) float64 {
-		cost := g.engineCost(engine, u, s.need())
+	engine, need := s.rq.service.Engine, s.need()
+	list := g.fleet.Of(s.rq.service.Name)
+	near := func(u fleet.Upstream) float64 {
 		if u.Zone != from.Zone {
-			cost += otherZoneCopyTokens
+			return 0
 		}
-		return cost
-	})
+		return g.targetWeight(engine, u, need)
+	}
+	// A copy between zones takes twice as long, and an engine that leaves has
+	// time for few of them.
+	if u, ok := draw(list, exclude, near, rand.Float64); ok {
+		return u, true
+	}
+	if u, ok := draw(list, exclude, func(u fleet.Upstream) float64 { return g.targetWeight(engine, u, need) }, rand.Float64); ok {
+		return u, true
+	}
+	return best(list, exclude, func(u fleet.Upstream) float64 { return g.engineCost(engine, u, need) })
 }
 
-// otherZoneCopyTokens is the advantage of a target in the same zone, in tokens
-// of load: a copy between zones takes twice as long, and an engine that leaves
-// has time for few of them. Three generations' load weighs as much.
-const otherZoneCopyTokens = 12000.0
+// targetWeight is the weight by which an engine is drawn as the target of a move;
+// 0 for engines that are better left alone. Room counts squared, so that nearly
+// full engines are drawn rarely.
+func (g *Gateway) targetWeight(e *routetable.Engine, u fleet.Upstream, need int) float64 {
+	load := g.ledger.total(u.ID)
+	room := memoryUse*float64(e.MemoryTokens) - float64(load.Tokens+need)
+	if room <= 0 || load.Running >= e.Slots || g.now().Before(u.AvoidUntil()) {
+		return 0
+	}
+	return room * room
+}
 
 // moveTo moves a generation to one engine; again asks for another target.
 func (g *Gateway) moveTo(ctx context.Context, s *stream, from, target fleet.Upstream) (again bool) {
