perf: entries lend each other what they leave of the retry budget

Cause: a stream that goes on at a copy counts as a repeat. The allowance was divided evenly, so on 27 entries each had some 6 in ten seconds, and a reclaim that hit the streams of one entry emptied it: the copy was there and the stream was cut. Now each entry keeps half of its share and takes at a time only its part of what all that it hears leave of the other halves; the share of a silent one stays reserved. TestEntriesTogetherKeepTheBudget holds the sum.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -61,7 +61,7 @@
 
 // ownState is what this gateway tells the others.
 func (b *gatewayBuilder) ownState() gossip.State {
-	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.KnownLeaving()}
+	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.KnownLeaving(), Retries: b.gateway.RetryUse()}
 	table, confirmed := b.routes.Current()
 	if table != nil {
 		s.Routes, s.Confirmed = table.Version(), confirmed
@@ -72,6 +72,7 @@
 // peerState takes over what another gateway told.
 func (b *gatewayBuilder) peerState(from string, s gossip.State) {
 	b.gateway.PeerLoad(from, s.Loads)
+	b.gateway.PeerRetryUse(from, s.Retries)
 	for _, id := range s.Leaving {
 		b.fleet.MarkLeaving(id, from)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// RetryUse returns what this entry took of the retry budgets, by service.
+func (g *Gateway) RetryUse() map[string]routing.Use {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make(map[string]routing.Use, len(g.budgets))
+	for service, b := range g.budgets {
+		out[service] = b.Use()
+	}
+	return out
+}
+
+// PeerRetryUse takes over what another entry took of the retry budgets.
+func (g *Gateway) PeerRetryUse(name string, uses map[string]routing.Use) {
+	for service, u := range uses {
+		g.budget(service).Heard(name, u)
+	}
+}
+
 // budget returns the retry budget of a service.
 func (g *Gateway) budget(service string) *routing.Window {
 	g.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/routetable"
+	"github.com/sparshore/sparshore/internal/routing"
 )
 
 // Load is what one entry has in flight at one upstream.
@@ -40,6 +41,8 @@
 	Loads map[string]Load
 	// Leaving are upstreams known to leave.
 	Leaving []string
+	// Retries is what it took of the retry budgets, by service.
+	Retries map[string]routing.Use
 }
 
 // Peer is what is known of another entry.
@@ -70,10 +73,15 @@
 	Routes  int64               `json:"routes"`
 	Loads   map[string]wireLoad `json:"loads,omitempty"`
 	Leaving []string            `json:"leaving,omitempty"`
+	Retries map[string]wireUse  `json:"retries,omitempty"`
 }
 
+// wireLoad holds requests, tokens and tokens not read yet.
 type wireLoad [3]int
 
+// wireUse holds requests and repeats.
+type wireUse [2]int
+
 // Settings are the fixed numbers of a Node.
 type Settings struct {
 	// Name is unique in the deployment.
@@ -229,6 +237,10 @@
 	for id, l := range s.Loads {
 		m.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill}
 	}
+	m.Retries = make(map[string]wireUse, len(s.Retries))
+	for service, u := range s.Retries {
+		m.Retries[service] = wireUse{u.Requests, u.Repeats}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	_, _, forget := n.settings.timing(len(n.peers))
@@ -279,6 +291,10 @@
 	for id, l := range m.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
 	}
+	s.Retries = make(map[string]routing.Use, len(m.Retries))
+	for service, u := range m.Retries {
+		s.Retries[service] = routing.Use{Requests: u[0], Repeats: u[1]}
+	}
 	if m.AgeMS >= 0 && m.Echo > 0 && m.EchoLife == n.settings.Life {
 		s.Confirmed = n.start.Add(time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond)
 	}
--- a/internal/routing/window.go
+++ b/internal/routing/window.go
@@ -9,8 +9,27 @@
 // only partly inside the window counts whole, so the bound holds for any span.
 const windowParts = 10
 
-// Window bounds the extra attempts of one entry in a sliding window: a part of
-// the requests it had, and its share of an allowance for the whole deployment.
+// lendWithin is the time in which what an entry used is known to the others:
+// some messages, each sent at least every 200 ms, of which one may be lost. What
+// an entry said before that is not counted on.
+const lendWithin = 600 * time.Millisecond
+
+// keptPart is the part of its share that an entry keeps to itself: enough for a
+// usual burst of retries, while the other half goes to whoever needs it.
+const keptPart = 0.5
+
+// Use is what one entry counted in the window.
+type Use struct {
+	Requests int
+	Repeats  int
+}
+
+// Window bounds the extra attempts of all entries in a sliding window: a part of
+// the requests they had, and an allowance for the whole deployment. Each entry
+// keeps a part of its share to itself; the rest is for all that hear each other.
+// Out of that rest an entry takes at a time only what is left divided by the
+// number of those entries, because all may take before they hear of each other.
+// The share of an entry that is not heard stays reserved.
 type Window struct {
 	ratio float64
 	extra float64
@@ -22,12 +41,20 @@
 	part     int64
 	requests [windowParts + 1]int
 	repeats  [windowParts + 1]int
+	peers    map[string]heardUse
+	// lent are the times of the latest attempts beyond the own share.
+	lent []time.Time
+}
+
+type heardUse struct {
+	Use
+	at time.Time
 }
 
 // NewWindow allows, in each span, ratio extra attempts for each request and a
 // share of extra that is divided by the number of entries.
 func NewWindow(ratio, extra float64, span time.Duration, now func() time.Time) *Window {
-	return &Window{ratio: ratio, extra: extra, span: span, now: now, entries: 1}
+	return &Window{ratio: ratio, extra: extra, span: span, now: now, entries: 1, peers: map[string]heardUse{}}
 }
 
 // Entries sets the number of entries that share the allowance.
@@ -37,6 +64,21 @@
 	w.entries = max(n, 1)
 }
 
+// Use returns what this entry counted in the window.
+func (w *Window) Use() Use {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.use()
+}
+
+// Heard takes over what another entry counted.
+func (w *Window) Heard(entry string, u Use) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peers[entry] = heardUse{Use: u, at: w.now()}
+}
+
 // Request notes a request of a caller.
 func (w *Window) Request() {
 	w.mu.Lock()
@@ -50,15 +92,51 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := w.advance()
-	if float64(sum(w.repeats[:])+1) > w.limit()*(1-reserve) {
+	own := w.use()
+	if float64(own.Repeats+1) > keptPart*w.share(own)*(1-reserve) && !w.lend(own, reserve) {
 		return false
 	}
 	w.repeats[i]++
 	return true
 }
 
-func (w *Window) limit() float64 {
-	return w.ratio*float64(sum(w.requests[:])) + w.extra/float64(w.entries)
+// lend takes one attempt out of what the entries that are heard do not keep to
+// themselves.
+func (w *Window) lend(own Use, reserve float64) bool {
+	now := w.now()
+	for len(w.lent) > 0 && now.Sub(w.lent[0]) > lendWithin {
+		w.lent = w.lent[1:]
+	}
+	left := w.left(own, reserve)
+	heard := 1
+	for name, p := range w.peers {
+		if now.Sub(p.at) > lendWithin {
+			delete(w.peers, name)
+			continue
+		}
+		heard++
+		left += w.left(p.Use, reserve)
+	}
+	lately := float64(len(w.lent))
+	if (lately+1)*float64(heard) > left+lately {
+		return false
+	}
+	w.lent = append(w.lent, now)
+	return true
+}
+
+func (w *Window) use() Use { return Use{Requests: sum(w.requests[:]), Repeats: sum(w.repeats[:])} }
+
+// share is what an entry that counted u may use without regard to the others.
+func (w *Window) share(u Use) float64 {
+	return w.ratio*float64(u.Requests) + w.extra/float64(w.entries)
+}
+
+// left is what others may take of an entry's share, less the part in reserve; it
+// is negative for an entry that took from others.
+func (w *Window) left(u Use, reserve float64) float64 {
+	share := w.share(u) * (1 - reserve)
+	return share - max(float64(u.Repeats), keptPart*share)
 }
 
 // advance moves to the part of the present time and empties those passed over.
--- a/internal/routing/window_test.go
+++ b/internal/routing/window_test.go
@@ -70,3 +70,96 @@
 		t.Errorf("%d repeats in a minute, want the budget used", len(made))
 	}
 }
+
+func TestWindowLends(t *testing.T) {
+	tests := []struct {
+		name string
+		// peers is what the other three entries said, and how long ago.
+		peers map[string]Use
+		ago   time.Duration
+		want  int
+	}{
+		{"alone it has its share", nil, 0, 10},
+		{"others that are idle leave a part of theirs", map[string]Use{"b": {}, "c": {}, "d": {}}, 0, 10},
+		{"what they use is not there", map[string]Use{"b": {Repeats: 10}, "c": {Repeats: 10}, "d": {Repeats: 10}}, 0, 6},
+		{"one that took from others counts against them", map[string]Use{"b": {Repeats: 18}, "c": {}, "d": {}}, 0, 6},
+		{"what was said long ago is not counted on", map[string]Use{"b": {}, "c": {}, "d": {}}, time.Second, 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			at := time.Now()
+			w := NewWindow(0, 40, 10*time.Second, func() time.Time { return at })
+			w.Entries(4)
+			for name, u := range tt.peers {
+				w.Heard(name, u)
+			}
+			at = at.Add(tt.ago)
+			got := 0
+			for w.Repeat(0) {
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("%d extra attempts, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// One entry that needs many, while the others need none, gets what they do not
+// keep to themselves, a part at a time.
+func TestOneEntryTakesWhatOthersLeave(t *testing.T) {
+	at := time.Now()
+	w := NewWindow(0, 40, 100*time.Second, func() time.Time { return at })
+	w.Entries(4)
+	got := 0
+	for range 20 {
+		for _, name := range []string{"b", "c", "d"} {
+			w.Heard(name, Use{})
+		}
+		for w.Repeat(0) {
+			got++
+		}
+		at = at.Add(lendWithin + time.Millisecond)
+	}
+	if want := 10 + 3*5 - 3; got != want {
+		t.Errorf("%d extra attempts, want %d: its share and half of three others', less what cannot be divided", got, want)
+	}
+}
+
+// Entries that take all they can at the same moments, and hear of each other
+// only later, keep to the budget together.
+func TestEntriesTogetherKeepTheBudget(t *testing.T) {
+	const entries, extra = 5, 40
+	at := time.Now()
+	var windows []*Window
+	for range entries {
+		w := NewWindow(0, extra, 10*time.Second, func() time.Time { return at })
+		w.Entries(entries)
+		windows = append(windows, w)
+	}
+	total := 0
+	// The first entry never needs any; the window has not passed at the end.
+	for range 12 {
+		for i, w := range windows {
+			for j, other := range windows {
+				if i != j {
+					w.Heard(string(rune('a'+j)), other.Use())
+				}
+			}
+		}
+		for _, w := range windows[1:] {
+			for w.Repeat(0) {
+				total++
+			}
+		}
+		at = at.Add(lendWithin + time.Millisecond)
+	}
+	if total > extra {
+		t.Errorf("%d extra attempts of all entries, want at most %d", total, extra)
+	}
+	// The idle one keeps half of its share, and the last part of the rest is too
+	// little for each to take one.
+	if total < extra-extra/(2*entries)-entries {
+		t.Errorf("%d extra attempts of all entries, want the share of the idle one used too", total)
+	}
+}
