--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -61,7 +61,10 @@
 
 // ownState is what this gateway tells the others.
 func (b *gatewayBuilder) ownState() gossip.State {
-	s := gossip.State{Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Leaving: b.fleet.KnownLeaving(), Retries: b.gateway.RetryUse()}
+	s := gossip.State{
+		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(),
+		Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Retries: b.gateway.RetryUse(),
+	}
 	table, confirmed := b.routes.Current()
 	if table != nil {
 		s.Routes, s.Confirmed = table.Version(), confirmed
@@ -73,6 +76,7 @@
 func (b *gatewayBuilder) peerState(from string, s gossip.State) {
 	b.gateway.PeerLoad(from, s.Loads)
 	b.gateway.PeerRetryUse(from, s.Retries)
+	b.fleet.PeerFaults(from, s.Faults)
 	for _, id := range s.Leaving {
 		b.fleet.MarkLeaving(id, from)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -24,6 +24,7 @@
 	UpstreamAvoided    ID = 125
 	UpstreamRejected   ID = 126
 	UpstreamAsked      ID = 127
+	UpstreamSuspected  ID = 128
 	EntryHeard         ID = 130
 	EntrySilent        ID = 131
 	GossipRejected     ID = 132
@@ -41,6 +42,7 @@
 	StreamMoveFailed   ID = 212
 	StreamRestored     ID = 213
 	AnswerRejected     ID = 214
+	StreamStartsLate   ID = 215
 	GenerationQueued   ID = 300
 	GenerationAdmitted ID = 301
 	GenerationPaused   ID = 302
@@ -113,6 +115,7 @@
 	{UpstreamAvoided, "upstream-avoided", "An upstream failed a connection and is avoided while others can serve."},
 	{UpstreamRejected, "upstream-rejected", "The record of an upstream cannot be used."},
 	{UpstreamAsked, "upstream-asked", "An entry asked an engine for its state, because the store could not tell it."},
+	{UpstreamSuspected, "upstream-suspected", "An engine failed a request that a sound one serves; for a while it gets none that may not be repeated."},
 	{EntryHeard, "entry-heard", "An entry hears from another one, for the first time or again."},
 	{EntrySilent, "entry-silent", "An entry no longer hears from another one; its load no longer counts."},
 	{GossipRejected, "gossip-rejected", "A message of another entry cannot be used."},
@@ -130,6 +133,7 @@
 	{StreamMoveFailed, "stream-move-failed", "A running generation could not be moved; it goes on where it is, or is lost with its engine."},
 	{StreamRestored, "stream-restored", "A stream whose engine was lost goes on at another one."},
 	{AnswerRejected, "answer-rejected", "An upstream's answer was not passed on, for the reason given."},
+	{StreamStartsLate, "stream-starts-late", "An engine has not begun a generation within the route's objective; the entry goes on waiting and sends others elsewhere."},
 	{GenerationQueued, "generation-queued", "A sidecar holds a generation until memory allows it."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation gave way to others and keeps its place."},
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -42,24 +42,26 @@
 type Upstream struct {
 	Record
 	state     State
-	joined    time.Time
 	coldUntil time.Time
 	failures  float64
 	avoid     time.Time
+	faultAt   time.Time
 }
 
 // State returns whether the upstream takes new work.
 func (u Upstream) State() State { return u.state }
 
-// Joined returns when this process first saw the upstream.
-func (u Upstream) Joined() time.Time { return u.joined }
-
 // ColdUntil returns when the upstream is expected to run at full speed.
 func (u Upstream) ColdUntil() time.Time { return u.coldUntil }
 
 // FailureRate returns the recent part of requests that the upstream failed.
 func (u Upstream) FailureRate() float64 { return u.failures }
 
+// Suspect reports whether any entry met a fault of the upstream lately.
+func (u Upstream) Suspect(now time.Time) bool {
+	return !u.faultAt.IsZero() && now.Before(u.faultAt.Add(suspectFor))
+}
+
 // AvoidUntil returns until when the upstream is to be used only if no other can.
 func (u Upstream) AvoidUntil() time.Time { return u.avoid }
 
@@ -81,6 +83,8 @@
 	firstHand bool
 	// until ends a lapse, or the time for which one that left is remembered.
 	until time.Time
+	// ownFault is when a request of this entry last met a fault.
+	ownFault time.Time
 }
 
 // New returns an empty Set; changed is called, without locks held, with the
@@ -125,7 +129,7 @@
 	now := s.now()
 	m, ok := s.byID[r.ID]
 	if !ok {
-		m = &member{Upstream: Upstream{joined: now}}
+		m = &member{}
 		s.byID[r.ID] = m
 		s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
 	}
--- a/internal/fleet/set_test.go
+++ b/internal/fleet/set_test.go
@@ -175,3 +175,51 @@
 		t.Errorf("failure rate %.2f after 40 failures, want near 1", u.FailureRate())
 	}
 }
+
+func TestFaultOfAnEngine(t *testing.T) {
+	tests := []struct {
+		name        string
+		note        func(f *fixture)
+		after       time.Duration
+		wantSuspect bool
+		wantAvoided bool
+	}{
+		{"an own request failed", func(f *fixture) { f.Note("a", Faulty) }, 0, true, true},
+		{"another entry's request failed", func(f *fixture) { f.PeerFaults("b", map[string]time.Time{"a": f.at}) }, 0, true, true},
+		{"an answer meanwhile proves little", func(f *fixture) { f.Note("a", Faulty); f.Note("a", Served) }, 0, true, true},
+		{"requests that may be repeated try it again soon", func(f *fixture) { f.Note("a", Faulty) }, avoidFaulty, true, false},
+		{"it is forgotten in the end", func(f *fixture) { f.Note("a", Faulty) }, suspectFor, false, false},
+		{"an old fault that is told again", func(f *fixture) { f.PeerFaults("b", map[string]time.Time{"a": f.at.Add(-suspectFor)}) }, 0, false, false},
+		{"a full upstream has no fault", func(f *fixture) { f.Note("a", Busy) }, avoidBusy, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture()
+			f.Update([]Record{record("a")}, nil, true, time.Time{})
+			tt.note(f)
+			f.at = f.at.Add(tt.after)
+			u, _ := f.Get("a")
+			if got := u.Suspect(f.at); got != tt.wantSuspect {
+				t.Errorf("suspect is %v, want %v", got, tt.wantSuspect)
+			}
+			if got := f.at.Before(u.AvoidUntil()); got != tt.wantAvoided {
+				t.Errorf("avoided is %v, want %v", got, tt.wantAvoided)
+			}
+		})
+	}
+}
+
+// Only what an entry saw itself is told on; else a fault would go round for ever.
+func TestFaultsOfOthersAreNotToldOn(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{record("a"), record("b")}, nil, true, time.Time{})
+	f.PeerFaults("other", map[string]time.Time{"a": f.at})
+	f.Note("b", Faulty)
+	if got := f.Faults(); len(got) != 1 || !got["b"].Equal(f.at) {
+		t.Errorf("tells of %v, want b only", got)
+	}
+	f.at = f.at.Add(suspectFor)
+	if got := f.Faults(); len(got) != 0 {
+		t.Errorf("tells of %v, which is long ago", got)
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -57,10 +57,16 @@
 // slotsUnit is the number of slots at which one more request costs exactly one.
 const slotsUnit = 6
 
-// chooseEngine returns the best engine for need more tokens of memory.
-func (g *Gateway) chooseEngine(s *routetable.Service, need int, exclude map[string]bool) (fleet.Upstream, bool) {
+// chooseEngine returns the best engine for need more tokens of memory. Requests
+// that may be repeated also find out whether an engine that had a fault is well.
+func (g *Gateway) chooseEngine(s *routetable.Service, need int, repeats bool, exclude map[string]bool) (fleet.Upstream, bool) {
+	now := g.now()
 	return best(g.fleet.Of(s.Name), exclude, func(u fleet.Upstream) float64 {
-		return g.engineCost(s.Engine, u, need)
+		cost := g.engineCost(s.Engine, u, need)
+		if !repeats && u.Suspect(now) {
+			cost += avoidedCost
+		}
+		return cost
 	})
 }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -169,8 +169,9 @@
 // full engines are drawn rarely.
 func (g *Gateway) targetWeight(e *routetable.Engine, u fleet.Upstream, need int) float64 {
 	load := g.ledger.total(u.ID)
+	now := g.now()
 	room := memoryUse*float64(e.MemoryTokens) - float64(load.Tokens+need)
-	if room <= 0 || load.Running >= e.Slots || g.now().Before(u.AvoidUntil()) {
+	if room <= 0 || load.Running >= e.Slots || now.Before(u.AvoidUntil()) || u.Suspect(now) {
 		return 0
 	}
 	return room * room
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,6 +48,9 @@
 	backStopping = 50 * time.Millisecond
 	// plainTime is time enough for nearly all calls to plain services.
 	plainTime = 500 * time.Millisecond
+	// defaultStart is the time by which generations on routes without an objective
+	// are expected to begin.
+	defaultStart = 5 * time.Second
 	// defaultTimeout serves requests without a stated time limit on routes without one.
 	defaultTimeout = time.Minute
 )
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -118,7 +118,7 @@
 
 // place chooses the engine for a new generation.
 func (s *stream) place(exclude map[string]bool) (step, bool) {
-	u, ok := s.g.chooseEngine(s.rq.service, s.need(), exclude)
+	u, ok := s.g.chooseEngine(s.rq.service, s.need(), s.rq.route.Repeats(), exclude)
 	return step{at: u, why: "first"}, ok
 }
 
@@ -208,6 +208,8 @@
 	s.enter(st)
 	defer s.leave()
 	sent := g.now()
+	silent := time.AfterFunc(s.startWithin(), func() { g.startsLate(rq, st.at.ID) })
+	defer silent.Stop()
 	answer, err := g.link.Do(ctx, st.at.Address, req)
 	if err != nil {
 		return s.noAnswer(ctx, st, err)
@@ -216,7 +218,27 @@
 	if o, done := s.judge(ctx, st, answer); done {
 		return o
 	}
-	return s.relay(ctx, st, answer, sent)
+	return s.relay(ctx, st, answer, sent, func() { silent.Stop() })
+}
+
+// startWithin is the time by which a sound engine has begun a generation.
+func (s *stream) startWithin() time.Duration {
+	if s.rq.route.Objective > 0 {
+		return s.rq.route.Objective
+	}
+	return defaultStart
+}
+
+// startsLate notes that an engine has not begun a generation in time.
+func (g *Gateway) startsLate(rq *request, upstream string) {
+	g.rec.Note(events.StreamStartsLate, rq.call.ID, "upstream", upstream, "after", g.now().Sub(rq.start))
+	g.faulty(upstream)
+}
+
+// faulty notes a fault of an engine and tells the other entries soon.
+func (g *Gateway) faulty(upstream string) {
+	g.fleet.Note(upstream, fleet.Faulty)
+	g.nudge()
 }
 
 // noteAttempt writes what decided where the generation goes.
@@ -269,7 +291,10 @@
 // failed handles an engine's own failure. Before the first event it is passed
 // on; after it, the answer cannot become a failure any more.
 func (s *stream) failed(ctx context.Context, st step, answer *link.Answer) outcome {
-	s.g.fleet.Note(st.at.ID, fleet.Failed)
+	// A time limit that passed at the engine is no fault of it.
+	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout {
+		s.g.faulty(st.at.ID)
+	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered))
 	again := s.rq.route.Repeats() && s.rq.tries < s.rq.route.MaxAttempts && answer.Status >= http.StatusInternalServerError
 	if s.began || err != nil || again && ctx.Err() == nil {
@@ -279,8 +304,9 @@
 	return streamFailed
 }
 
-// relay passes events on as they come until the answer ends.
-func (s *stream) relay(ctx context.Context, st step, answer *link.Answer, sent time.Time) outcome {
+// relay passes events on as they come until the answer ends. It calls started
+// at the first one.
+func (s *stream) relay(ctx context.Context, st step, answer *link.Answer, sent time.Time, started func()) outcome {
 	g, r := s.g, newEventReader(answer)
 	first := true
 	for {
@@ -290,6 +316,7 @@
 		}
 		id, n := lastEventID(b)
 		if first {
+			started()
 			s.firstEvent(st, answer, sent)
 			first = false
 			if answer.Closing() {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // lastTestEvent is the number of events of a whole stream in these tests.
@@ -284,3 +286,83 @@
 		})
 	}
 }
+
+// An engine that fails at once looks idle. One failure must be enough for
+// generations that may not be sent again to go elsewhere.
+func TestEngineThatFailsAtOnceGetsOneGeneration(t *testing.T) {
+	f := newFixture(t)
+	bad := f.add("llm", "bad", serveError)
+	good := f.addEngine("good")
+	failed := 0
+	for range 30 {
+		if a := f.ask(pathStream); a.status != http.StatusOK {
+			failed++
+		}
+	}
+	if failed > 1 || bad.runs() > 1 {
+		t.Errorf("%d generations failed, %d reached the faulty engine, want at most 1", failed, bad.runs())
+	}
+	if good.runs() < 29 {
+		t.Errorf("%d generations reached the sound engine, want the rest", good.runs())
+	}
+}
+
+// An engine that takes requests and begins none is found out by the first one.
+func TestEngineThatStaysSilentGetsNoMore(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	defer close(release)
+	f.add("llm", "mute", func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	go f.ask(pathStream)
+	deadline := time.Now().Add(5 * time.Second)
+	for !f.noted(events.StreamStartsLate) {
+		if time.Now().After(deadline) {
+			t.Fatal("nobody noted that the generation does not begin")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	u, _ := f.fleet.Get("mute")
+	if !u.Suspect(time.Now()) {
+		t.Error("the engine is not suspected")
+	}
+	if got := f.fleet.Faults(); len(got) != 1 {
+		t.Errorf("other entries are told of %v", got)
+	}
+}
+
+// Targets of moves are drawn: entries that see the same load must not all send
+// their copies to one engine.
+func TestTargetsOfMovesAreSpread(t *testing.T) {
+	f := newFixture(t)
+	var records []fleet.Record
+	for i := range 8 {
+		records = append(records, fleet.Record{ID: fmt.Sprintf("near-%d", i), Service: "llm", Zone: "a"}, fleet.Record{ID: fmt.Sprintf("far-%d", i), Service: "llm", Zone: "b"})
+	}
+	f.fleet.Update(records, nil, true, time.Time{})
+	f.gateway.ledger.setPeer("other", map[string]gossip.Load{"near-0": {Running: 1, Tokens: 99000}})
+	s := &stream{g: f.gateway, rq: &request{call: protocol.Call{Prompt: 1000, MaxOutput: 1000}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000}}}}
+	drawn := map[string]int{}
+	for range 700 {
+		u, ok := f.gateway.chooseTarget(s, fleet.Upstream{Record: fleet.Record{ID: "source", Zone: "a"}}, nil)
+		if !ok {
+			t.Fatal("no target")
+		}
+		drawn[u.ID]++
+	}
+	for id, n := range drawn {
+		if !strings.HasPrefix(id, "near-") || id == "near-0" {
+			t.Errorf("%s was drawn, which is in another zone or has no room", id)
+		}
+		if n > 200 {
+			t.Errorf("%s was drawn %d times in 700, want about 100", id, n)
+		}
+	}
+	if len(drawn) != 7 {
+		t.Errorf("drawn: %v, want all seven engines with room", drawn)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -41,6 +41,9 @@
 	Loads map[string]Load
 	// Leaving are upstreams known to leave.
 	Leaving []string
+	// Faults are the upstreams at which its requests met a fault lately, and the
+	// steady time of the latest one.
+	Faults map[string]time.Time
 	// Retries is what it took of the retry budgets, by service.
 	Retries map[string]routing.Use
 }
@@ -73,7 +76,9 @@
 	Routes  int64               `json:"routes"`
 	Loads   map[string]wireLoad `json:"loads,omitempty"`
 	Leaving []string            `json:"leaving,omitempty"`
-	Retries map[string]wireUse  `json:"retries,omitempty"`
+	// FaultAgesMS is the time since the latest fault of upstreams.
+	FaultAgesMS map[string]int64   `json:"fault_ages_ms,omitempty"`
+	Retries     map[string]wireUse `json:"retries,omitempty"`
 }
 
 // wireLoad holds requests, tokens and tokens not read yet.
@@ -237,6 +242,10 @@
 	for id, l := range s.Loads {
 		m.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill}
 	}
+	m.FaultAgesMS = make(map[string]int64, len(s.Faults))
+	for id, at := range s.Faults {
+		m.FaultAgesMS[id] = now.Sub(at).Milliseconds()
+	}
 	m.Retries = make(map[string]wireUse, len(s.Retries))
 	for service, u := range s.Retries {
 		m.Retries[service] = wireUse{u.Requests, u.Repeats}
@@ -291,6 +300,10 @@
 	for id, l := range m.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
 	}
+	s.Faults = make(map[string]time.Time, len(m.FaultAgesMS))
+	for id, age := range m.FaultAgesMS {
+		s.Faults[id] = n.now().Add(-time.Duration(age) * time.Millisecond)
+	}
 	s.Retries = make(map[string]routing.Use, len(m.Retries))
 	for service, u := range m.Retries {
 		s.Retries[service] = routing.Use{Requests: u[0], Repeats: u[1]}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/routetable"
+	"github.com/sparshore/sparshore/internal/routing"
 )
 
 // clock is a steady clock that tests move.
@@ -126,3 +127,17 @@
 		})
 	}
 }
+
+func TestFaultsAndRetriesArrive(t *testing.T) {
+	c := &clock{at: time.Now()}
+	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+	fault := c.at.Add(-700 * time.Millisecond)
+	a.state = State{Faults: map[string]time.Time{"e": fault}, Retries: map[string]routing.Use{"llm": {Requests: 12, Repeats: 3}}}
+	say(t, a, b)
+	if got := b.heard.Faults["e"]; got.Sub(fault).Abs() > time.Millisecond {
+		t.Errorf("fault of %s, want %s ago", c.at.Sub(got), c.at.Sub(fault))
+	}
+	if got := b.heard.Retries["llm"]; got != (routing.Use{Requests: 12, Repeats: 3}) {
+		t.Errorf("retries %+v", got)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -60,6 +60,11 @@
 mutant gateway-torn $gateway/eventreader.go 's/if n := wholeEvents\(e\.buf\[e\.start:e\.end\]\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/stream.go 's/if errors\.Is\(err, io\.EOF\) && answer\.Framed && len\(rest\) == 0 && s\.began \{/if s.began {/' $gateway TestBrokenStream
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, heldCopy/_ = append(s.copies, heldCopy/' $gateway TestMove
+mutant gateway-faulty $gateway/stream.go 's/s\.g\.faulty\(st\.at\.ID\)/s.g.fleet.Note(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
+mutant gateway-silent $gateway/stream.go 's/\tg\.faulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
+mutant gateway-spread $gateway/move.go 's/if u, ok := draw\(list, exclude, near, rand\.Float64\); ok \{/if u, ok := draw(list, exclude, near, func() float64 { return 0 }); ok {/' $gateway TestTargetsOfMoves
+mutant retries-together internal/routing/window.go 's/if \(lately\+1\)\*float64\(heard\) > left\+lately \{/if 1 > left {/' internal/routing TestEntriesTogether
+mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Repeats\), keptPart\*share\)/float64(u.Repeats)/' internal/routing TestEntriesTogether
 mutant link-pairs internal/link/link.go 's/if p\.otherRequest\(c, req, resp\) \{/if false {/' internal/link TestAnswerToTheRequestBefore
 mutant link-quiet internal/link/link.go 's/p\.now\(\)\.Before\(c\.expires\) && quiet\(c\.Conn\)/p.now().Before(c.expires)/' internal/link 'TestConnectionsAreKept'
 mutant gossip-life internal/gossip/gossip.go 's/ && m\.EchoLife == n\.settings\.Life//' internal/gossip TestEchoOfAnEarlierLife
