--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -293,6 +293,7 @@
 	f := newFixture(t)
 	bad := f.add("llm", "bad", serveError)
 	good := f.addEngine("good")
+	f.gateway.ledger.setPeer("other", map[string]gossip.Load{"good": {Running: 4, Tokens: 40000}})
 	failed := 0
 	for range 30 {
 		if a := f.ask(pathStream); a.status != http.StatusOK {
@@ -344,7 +345,11 @@
 		records = append(records, fleet.Record{ID: fmt.Sprintf("near-%d", i), Service: "llm", Zone: "a"}, fleet.Record{ID: fmt.Sprintf("far-%d", i), Service: "llm", Zone: "b"})
 	}
 	f.fleet.Update(records, nil, true, time.Time{})
-	f.gateway.ledger.setPeer("other", map[string]gossip.Load{"near-0": {Running: 1, Tokens: 99000}})
+	loads := map[string]gossip.Load{"near-0": {Running: 1, Tokens: 99000}}
+	for i := 1; i < 8; i++ {
+		loads[fmt.Sprintf("near-%d", i)] = gossip.Load{Running: 1, Tokens: 1000 * i}
+	}
+	f.gateway.ledger.setPeer("other", loads)
 	s := &stream{g: f.gateway, rq: &request{call: protocol.Call{Prompt: 1000, MaxOutput: 1000}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000}}}}
 	drawn := map[string]int{}
 	for range 700 {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,8 +62,8 @@
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, heldCopy/_ = append(s.copies, heldCopy/' $gateway TestMove
 mutant gateway-faulty $gateway/stream.go 's/s\.g\.faulty\(st\.at\.ID\)/s.g.fleet.Note(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
 mutant gateway-silent $gateway/stream.go 's/\tg\.faulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
-mutant gateway-spread $gateway/move.go 's/if u, ok := draw\(list, exclude, near, rand\.Float64\); ok \{/if u, ok := draw(list, exclude, near, func() float64 { return 0 }); ok {/' $gateway TestTargetsOfMoves
-mutant retries-together internal/routing/window.go 's/if \(lately\+1\)\*float64\(heard\) > left\+lately \{/if 1 > left {/' internal/routing TestEntriesTogether
+mutant gateway-spread $gateway/move.go 's/if u, ok := draw\(list, exclude, near, rand\.Float64\); ok/if u, ok := best(list, exclude, func(u fleet.Upstream) float64 { return -near(u) }); ok/' $gateway TestTargetsOfMoves
+mutant retries-together internal/routing/window.go 's/\(lately\+1\)\*float64\(heard\) > left\+lately/lately+1 > left+lately+0*float64(heard)/' internal/routing TestEntriesTogether
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Repeats\), keptPart\*share\)/float64(u.Repeats)/' internal/routing TestEntriesTogether
 mutant link-pairs internal/link/link.go 's/if p\.otherRequest\(c, req, resp\) \{/if false {/' internal/link TestAnswerToTheRequestBefore
 mutant link-quiet internal/link/link.go 's/p\.now\(\)\.Before\(c\.expires\) && quiet\(c\.Conn\)/p.now().Before(c.expires)/' internal/link 'TestConnectionsAreKept'
