perf: a generation whose copy is there waits for the retry budget

Now that part is free again after 250 ms, since a message follows each repeat at once, and a generation waits up to 2 s for it: a late answer is better than a cut one.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routing"
 )
 
 // stream is a generation while it is relayed.
@@ -30,6 +31,8 @@
 	pausedFor time.Duration
 	pausedAt  int
 	lastAt    time.Time
+	// stuck tells why the generation could not go on although it might have.
+	stuck string
 
 	mu sync.Mutex
 	// at is the engine that runs the generation.
@@ -153,7 +156,11 @@
 		return step{}, false
 	}
 	budget := s.g.budget(s.rq.service.Name)
-	if ok && budget.Repeat(0) {
+	if ok {
+		if !s.mayGoOn(ctx, budget) {
+			s.stuck = "the retry budget is used up"
+			return step{}, false
+		}
 		return step{at: held.at, from: &held.copy, why: "copy"}, true
 	}
 	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !budget.Repeat(0) {
@@ -164,6 +171,28 @@
 	return next, ok
 }
 
+const (
+	// goOnWithin is how long a generation whose copy is there waits for the retry
+	// budget: a late answer serves the caller better than a cut one. The engine
+	// holds the copy longer.
+	goOnWithin = 2 * time.Second
+	// goOnEach is the pause between two looks at the budget.
+	goOnEach = 20 * time.Millisecond
+)
+
+// mayGoOn takes an attempt out of the retry budget; it waits a while for one.
+func (s *stream) mayGoOn(ctx context.Context, budget *routing.Window) bool {
+	deadline := s.g.now().Add(goOnWithin)
+	for !budget.Repeat(0) {
+		if ctx.Err() != nil || s.g.now().After(deadline) {
+			return false
+		}
+		time.Sleep(goOnEach)
+	}
+	s.g.nudge()
+	return true
+}
+
 // takeCopy takes the copy to try next; each serves once.
 func (s *stream) takeCopy() (held heldCopy, ok bool) {
 	s.mu.Lock()
@@ -392,6 +421,8 @@
 	}
 	why := "its engine was lost"
 	switch {
+	case s.stuck != "":
+		why = s.stuck
 	case s.g.stopsBefore(0):
 		why = "this entry stopped"
 	case s.rq.caller.Err() != nil:
--- a/internal/routing/window.go
+++ b/internal/routing/window.go
@@ -9,14 +9,19 @@
 // only partly inside the window counts whole, so the bound holds for any span.
 const windowParts = 10
 
-// lendWithin is the time in which what an entry used is known to the others:
-// some messages, each sent at least every 200 ms, of which one may be lost. What
-// an entry said before that is not counted on.
-const lendWithin = 600 * time.Millisecond
+const (
+	// heardWithin is the age up to which what another entry said is counted on:
+	// some messages, which are sent at least every 200 ms.
+	heardWithin = 600 * time.Millisecond
+	// toldWithin is the time in which the others learn of a repeat: a message
+	// follows at once, and the next one, should it be lost, within 200 ms.
+	toldWithin = 250 * time.Millisecond
+)
 
-// keptPart is the part of its share that an entry keeps to itself: enough for a
-// usual burst of retries, while the other half goes to whoever needs it.
-const keptPart = 0.5
+// keptPart is the part of its share that an entry keeps to itself: one or two
+// repeats at once, while the rest goes to whoever needs it. With half kept, streams
+// of which the copy was there were still cut for want of budget.
+const keptPart = 0.2
 
 // Use is what one entry counted in the window.
 type Use struct {
@@ -104,13 +109,13 @@
 // themselves.
 func (w *Window) lend(own Use, reserve float64) bool {
 	now := w.now()
-	for len(w.lent) > 0 && now.Sub(w.lent[0]) > lendWithin {
+	for len(w.lent) > 0 && now.Sub(w.lent[0]) > toldWithin {
 		w.lent = w.lent[1:]
 	}
 	left := w.left(own, reserve)
 	heard := 1
 	for name, p := range w.peers {
-		if now.Sub(p.at) > lendWithin {
+		if now.Sub(p.at) > heardWithin {
 			delete(w.peers, name)
 			continue
 		}
