--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -255,3 +255,25 @@
 		t.Error("the log cannot tell changes that it has")
 	}
 }
+
+// The time for which a delegate holds a question does not make its answer look
+// older: else answers at the end of its own wait would be refused as too old, and
+// all entries would turn to the store at once.
+func TestTimeAQuestionIsHeldIsNoAge(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	for _, e := range d.entries {
+		e.source.settings.Wait = 400 * time.Millisecond
+	}
+	made := d.entries[0].log.table(table).made
+	got, err := d.entries[1].changes(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Made.After(made) {
+		t.Errorf("made %s after it was", got.Made.Sub(made))
+	}
+	if early := made.Sub(got.Made); early > 100*time.Millisecond {
+		t.Errorf("made %s before it was, want a few milliseconds", early)
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -34,6 +34,8 @@
 	Records []wireRecord `json:"records,omitempty"`
 	Version int64        `json:"version"`
 	AgeMS   int64        `json:"age_ms"`
+	// HeldMS is for how long the question was held, rounded down.
+	HeldMS int64 `json:"held_ms"`
 }
 
 type wireRecord struct {
@@ -53,6 +55,7 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
 	}
+	asked := l.now()
 	end := time.NewTimer(time.Duration(p.WaitMS) * time.Millisecond)
 	defer end.Stop()
 	for {
@@ -61,12 +64,12 @@
 			return nil, errCannotTell
 		}
 		if len(s.Records) > 0 {
-			return l.encode(s), nil
+			return l.encode(s, asked), nil
 		}
 		select {
 		case <-changed:
 		case <-end.C:
-			return l.encode(s), nil
+			return l.encode(s, asked), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -78,25 +81,27 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
 	}
+	asked := l.now()
 	s, ok := l.whole(p.Table)
 	if !ok {
 		return nil, errCannotTell
 	}
-	return l.encode(s), nil
+	return l.encode(s, asked), nil
 }
 
-func (l *Log) encode(s platform.Snapshot) wireSnapshot {
-	out := wireSnapshot{Version: s.Version, AgeMS: l.now().Sub(s.Made).Milliseconds() + 1}
+func (l *Log) encode(s platform.Snapshot, asked time.Time) wireSnapshot {
+	now := l.now()
+	out := wireSnapshot{Version: s.Version, AgeMS: now.Sub(s.Made).Milliseconds() + 1, HeldMS: now.Sub(asked).Milliseconds()}
 	for _, r := range s.Records {
 		out.Records = append(out.Records, wireRecord(r))
 	}
 	return out
 }
 
-// decode turns an answer into a Snapshot; sent is when it was asked for, which
-// is before the age was taken.
+// decode turns an answer into a Snapshot. The age was taken at least as long after
+// the question was sent as it was held, so what is made of it is never too young.
 func (w wireSnapshot) decode(sent time.Time) platform.Snapshot {
-	s := platform.Snapshot{Version: w.Version, Made: sent.Add(-time.Duration(w.AgeMS) * time.Millisecond)}
+	s := platform.Snapshot{Version: w.Version, Made: sent.Add(time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond)}
 	for _, r := range w.Records {
 		s.Records = append(s.Records, platform.Record(r))
 	}
