fix: a second SIGTERM no longer ends a process in the middle of its stop

Cause: the kernel took the first signal and gave the signals back, so that the next SIGTERM had its default effect. Ruled out: the grace time (4 s, 0.2 s used) and the upstreams, which served on. TestSecondSignalDoesNotEndAStop failed before (the test's own process ended).

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -79,12 +79,17 @@
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("build: %w", err)
 	}
+	// The signals stay taken until the services have stopped: restarts may come in
+	// series, and a second SIGTERM would end the process in the middle of its stop.
+	sigs := make(chan os.Signal, 1)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(sigs)
 	startCtx, cancelStart := context.WithTimeout(context.WithoutCancel(ctx), limits.Start)
 	defer cancelStart()
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	waitForEnd(ctx)
+	waitForEnd(ctx, sigs)
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), limits.Stop)
 	defer cancelStop()
 	if err := app.Stop(stopCtx); err != nil {
@@ -93,10 +98,9 @@
 	return nil
 }
 
-func waitForEnd(ctx context.Context) {
-	sigs := make(chan os.Signal, 1)
-	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(sigs)
+// waitForEnd waits for the first signal that asks the process to end, or for the
+// end of ctx.
+func waitForEnd(ctx context.Context, sigs <-chan os.Signal) {
 	select {
 	case <-sigs:
 	case <-ctx.Done():
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -39,3 +41,28 @@
 		t.Errorf("wrong type: err = %v", err)
 	}
 }
+
+// Restarts may come in series: a second signal must not end a process that is
+// still serving what it had in flight. Without the safeguard the signal ends the
+// test's own process.
+func TestSecondSignalDoesNotEndAStop(t *testing.T) {
+	stopped := false
+	stop := func(context.Context, *Registry) error {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+		stopped = true
+		return nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err := Run(ctx, Limits{Start: time.Second, Stop: time.Second}, []Service{{
+		Name:  "busy",
+		Build: func(*Registry) (any, error) { return 1, nil },
+		Stop:  stop,
+	}})
+	if err != nil || !stopped {
+		t.Errorf("stopped %v: %v", stopped, err)
+	}
+}
--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -131,55 +130,6 @@
 	return "http://" + l.Addr().String(), nil
 }
 
-// Ports for processes come from below the range that the kernel gives to
-// outgoing connections: a port that was free a moment ago stays free. Each test
-// process has a range of its own, which it holds by listening on the range's
-// guard port: a process of another test that took the port of one that was just
-// killed would be taken for its successor.
-const (
-	guardPort  = 14_900
-	firstPort  = 15_000
-	portRanges = 30
-	portCount  = 500
-)
-
-var (
-	nextPort  atomic.Int64
-	portRange = sync.OnceValues(takePortRange)
-	// guard keeps the listener that holds the range from being collected.
-	guard net.Listener
-)
-
-// takePortRange returns the first port of a range that no other test process
-// holds. The guard is held until the test process ends.
-func takePortRange() (int64, error) {
-	for i := range portRanges {
-		k := (os.Getpid() + i) % portRanges
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", guardPort+k)); err == nil {
-			guard = l
-			return firstPort + int64(k)*portCount, nil
-		}
-	}
-	return 0, errNoPort
-}
-
-var errNoPort = errors.New("no free port")
-
-func freePort() (string, error) {
-	first, err := portRange()
-	if err != nil {
-		return "", err
-	}
-	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", first+nextPort.Add(1)%portCount)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			_ = l.Close()
-			return addr, nil
-		}
-	}
-	return "", errNoPort
-}
-
 // close ends everything the cluster started.
 func (c *cluster) close() {
 	c.mu.Lock()
@@ -241,11 +191,11 @@
 
 // startWith is start with further flags, which win over the scenarios' own.
 func (c *cluster) startWith(name, zone string, role, flags []string) error {
-	peer, err := freePort()
+	peer, err := standin.FreePort()
 	if err != nil {
 		return err
 	}
-	web, err := freePort()
+	web, err := standin.FreePort()
 	if err != nil {
 		return err
 	}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -5,21 +5,25 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/gorilla/mux"
 )
 
 // Relay passes TCP connections on, until it is told to cut: then bytes stop on
-// open connections, as on a link that drops all packets, and new ones hang.
+// open connections, as on a link that drops all packets, and new ones hang. It can
+// also cut the way back alone, or delay what it passes on.
 type Relay struct {
 	listener net.Listener
 	to       string
 
-	mu    sync.Mutex
-	cond  *sync.Cond
-	cut   bool
-	ended bool
-	conns map[net.Conn]struct{}
+	mu      sync.Mutex
+	cond    *sync.Cond
+	cut     bool
+	cutBack bool
+	delay   time.Duration
+	ended   bool
+	conns   map[net.Conn]struct{}
 }
 
 // NewRelay listens on one address and passes on to another.
@@ -54,6 +58,21 @@
 	r.cond.Broadcast()
 }
 
+// CutBack stops or restarts the passing of bytes to those who connected.
+func (r *Relay) CutBack(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutBack = cut
+	r.cond.Broadcast()
+}
+
+// Delay sets how long each piece of bytes is held before it is passed on.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
 // Reset closes all open connections.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -83,11 +102,15 @@
 	}
 }
 
-// open waits while the relay is cut.
-func (r *Relay) open() bool {
+// open waits while the relay is cut, or while its way back is.
+func (r *Relay) open(back bool) bool {
+	r.mu.Lock()
+	delay := r.delay
+	r.mu.Unlock()
+	time.Sleep(delay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.cut && !r.ended {
+	for (r.cut || back && r.cutBack) && !r.ended {
 		r.cond.Wait()
 	}
 	return !r.ended
@@ -109,7 +132,7 @@
 func (r *Relay) pass(in net.Conn) {
 	r.track(in)
 	defer r.untrack(in)
-	if !r.open() {
+	if !r.open(false) {
 		return
 	}
 	out, err := net.Dial("tcp", r.to)
@@ -119,19 +142,19 @@
 	r.track(out)
 	defer r.untrack(out)
 	done := make(chan struct{}, 2)
-	go r.copy(out, in, done)
-	go r.copy(in, out, done)
+	go r.copy(out, in, false, done)
+	go r.copy(in, out, true, done)
 	<-done
 }
 
 const relayBuffer = 32 << 10
 
-func (r *Relay) copy(to io.Writer, from io.Reader, done chan<- struct{}) {
+func (r *Relay) copy(to io.Writer, from io.Reader, back bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buf)
-		if !r.open() {
+		if !r.open(back) {
 			return
 		}
 		if n > 0 {
