feat: callers' connections keep the operator's limits

Of the operator's limits only the size of a body was kept; the time for headers, the time a connection may be idle and the size of headers were decoded and not used. They follow the configuration now, without a restart. A connection that is ended gets a line.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -89,10 +89,10 @@
 	idleMargin  = 700 * time.Millisecond
 	// silentAfter ends connections to upstreams whose VM stopped acknowledging.
 	silentAfter = 3 * time.Second
-	// callerIdle is how long an idle caller's connection is kept.
-	callerIdle = 75 * time.Second
-	// callerHeader bounds the time a caller has to send the headers.
-	callerHeader = 10 * time.Second
+	// callerIdle and callerHeader bound callers' connections while no routes are
+	// known and beyond what operators set: net/http cannot change them later.
+	callerIdle   = 5 * time.Minute
+	callerHeader = time.Minute
 	// readyPause is how long a stopping gateway still takes new connections: the
 	// balancer asks each second and believes the second refusal.
 	readyPause = 2500 * time.Millisecond
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/kernel"
 	"github.com/sparshore/sparshore/platform"
@@ -51,9 +52,22 @@
 
 func (b *gatewayBuilder) callerService() kernel.Service {
 	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
+	connlimit.New(b.callerLimits, func(c net.Conn, why string) {
+		b.rec.Note(events.CallerEnded, "", "caller", c.RemoteAddr().String(), "why", why)
+	}).Install(b.callers)
 	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
 }
 
+// callerLimits are the operator's limits for callers' connections.
+func (b *gatewayBuilder) callerLimits() connlimit.Limits {
+	table, _ := b.routes.Current()
+	if table == nil {
+		return connlimit.Limits{}
+	}
+	limits := table.Limits()
+	return connlimit.Limits{Header: limits.HeaderWithin, Idle: limits.IdleWithin}
+}
+
 // listenService serves HTTP at an address.
 func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server) kernel.Service {
 	return kernel.Service{
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -240,3 +241,18 @@
 		t.Errorf("status %d, %d sends; want a stream that would be cut refused unrun", got.status, llm.runs())
 	}
 }
+
+func TestHeadersBeyondTheOperatorsLimit(t *testing.T) {
+	f := newFixture(t)
+	u := f.add("app", "u", serveOK)
+	long := func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", testHeaderBytes)) }
+	if a := f.ask(pathSafe, long); a.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d, want 431", a.status)
+	}
+	if u.runs() != 0 {
+		t.Error("the request reached an upstream")
+	}
+	if a := f.ask(pathSafe); a.status != http.StatusOK {
+		t.Errorf("status %d for usual headers", a.status)
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -155,6 +155,9 @@
 	return f
 }
 
+// testHeaderBytes is the limit for headers in these tests.
+const testHeaderBytes = 4000
+
 func testTable(version string) *routetable.Table {
 	n, _ := strconv.Atoi(version)
 	route := func(prefix string, kind routetable.Kind, service string, attempts int) routetable.Route {
@@ -173,7 +176,7 @@
 	}, []routetable.Service{
 		{Name: "app"},
 		{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, Moves: true, EventTokens: 4}},
-	}, routetable.Limits{BodyBytes: 1000}, []routetable.Account{{Name: "acme", Keys: []string{"key"}}})
+	}, routetable.Limits{BodyBytes: 1000, HeaderBytes: testHeaderBytes}, []routetable.Account{{Name: "acme", Keys: []string{"key"}}})
 }
 
 // add starts an upstream of a service that answers by serve.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,8 +57,6 @@
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Enter()
-	defer g.inFlight.Leave()
 	now := g.now()
 	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), w: w}
 	if g.stopBy.Load() != 0 {
@@ -88,6 +86,10 @@
 		return false
 	}
 	rq.age = rq.start.Sub(confirmed)
+	if most := rq.table.Limits().HeaderBytes; most > 0 && headerBytes(r) > most {
+		g.refuse(rq, http.StatusRequestHeaderFieldsTooLarge, "headers are too large", 0)
+		return false
+	}
 	path, _, _ := strings.Cut(rq.call.Target, "?")
 	route, ok := rq.table.Match(rq.call.Host, path)
 	switch {
@@ -116,6 +118,17 @@
 	return g.readBody(rq, r)
 }
 
+// headerBytes is the size of a request's line and headers on the wire.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	return n
+}
+
 // expected is how long a request is expected to take.
 func (g *Gateway) expected(rq *request) time.Duration {
 	if rq.service.Engine == nil {
