refactor: take out what nothing uses in the gateway

Idle connections are judged in one function. The scripts that remove safeguards share their function.

--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -19,7 +19,6 @@
 
 	mu        sync.Mutex
 	table     *routetable.Table
-	source    []byte
 	confirmed time.Time
 }
 
@@ -36,13 +35,6 @@
 	return r.table, r.confirmed
 }
 
-// Source returns the stored form of the table in force, for other processes.
-func (r *Routes) Source() []byte {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.source
-}
-
 // Apply takes over the store's answer.
 func (r *Routes) Apply(s platform.Snapshot, _ bool) {
 	for _, rec := range s.Records {
@@ -69,7 +61,7 @@
 	if r.table != nil {
 		before = r.table.Version()
 	}
-	r.table, r.source = table, value
+	r.table = table
 	r.rec.Note(events.RoutesLoaded, "", "source", source, "version", table.Version(), "before", before)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,7 +17,6 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
-	"github.com/sparshore/sparshore/internal/inflight"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -49,7 +47,6 @@
 	met      *metrics
 	now      func() time.Time
 	ledger   *ledger
-	inFlight inflight.Counter
 	// stopBy is when requests in flight are given up in a planned stop, as
 	// nanoseconds of Unix time; 0 while none is under way.
 	stopBy  atomic.Int64
@@ -101,9 +98,6 @@
 	return by != 0 && g.now().Add(d).After(time.Unix(0, by))
 }
 
-// Idle waits until no request is in flight; it returns false if ctx ends first.
-func (g *Gateway) Idle(ctx context.Context) bool { return g.inFlight.Idle(ctx) }
-
 // routesTrusted reports whether the route table is known and young enough to
 // serve requests with keys by it, and notes each change of that.
 func (g *Gateway) routesTrusted() bool {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -66,6 +66,10 @@
 	lastID  string
 }
 
+// usable reports whether an idle connection can carry another request: its time is
+// not over, and the upstream has neither closed it nor sent what nobody asked for.
+func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && quiet(c.Conn) }
+
 // Request is what is sent to an upstream. Target is the request target as it
 // stands on the request line, so that its bytes stay as the caller sent them.
 type Request struct {
@@ -143,7 +147,7 @@
 		if c == nil {
 			return nil
 		}
-		if p.now().Before(c.expires) && quiet(c.Conn) {
+		if c.usable(p.now()) {
 			return c
 		}
 		_ = c.Close()
@@ -172,7 +176,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.expires) && quiet(c.Conn) {
+			if c.usable(now) {
 				kept = append(kept, c)
 				continue
 			}
@@ -287,10 +291,6 @@
 // this answer.
 func (a *Answer) Closing() bool { return a.close }
 
-// ReadWithin bounds the time of the next reads of the body; the zero time
-// removes the bound.
-func (a *Answer) ReadWithin(deadline time.Time) error { return a.conn.SetReadDeadline(deadline) }
-
 // Close gives the connection back if the answer was read to its end and
 // nothing else stands against it, and closes it otherwise.
 func (a *Answer) Close() {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -42,9 +42,6 @@
 	// Objective is the time within which an answer, or the first event of a
 	// stream, serves the caller fully.
 	Objective time.Duration
-	// GapObjective is the longest pause between two events that serves the
-	// caller fully; 0 if the route has none.
-	GapObjective time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
 	// Shares are the services that answer, by weight.
@@ -68,14 +65,8 @@
 	Slots int
 	// MemoryTokens is the KV memory of one engine in tokens.
 	MemoryTokens int
-	// TokenBytes is the size of one token's KV memory in bytes.
-	TokenBytes int
-	// LinkBitsPerSecond is the bandwidth for copies of KV memory.
-	LinkBitsPerSecond float64
 	// Moves tells that a running generation's memory can be moved.
 	Moves bool
-	// Backups tells that a running generation's memory can be kept at a second engine.
-	Backups bool
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
 }
@@ -83,8 +74,6 @@
 // Service is a group of upstreams that answer alike.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections of all callers to one upstream.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -4,34 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-scratch=$(mktemp -d)
-trap 'rm -rf "$scratch"' EXIT
-survivors=0
-# limit ends a test that waits for ever on a defect; the tests take seconds.
-limit=60s
-
-mutant() { # mutant NAME FILE PERL-SUBSTITUTION PACKAGE TEST
-  local name=$1 file=$2 change=$3 package=$4 test=$5
-  rm -rf "$scratch/tree"
-  mkdir "$scratch/tree"
-  cp -r go.mod go.sum internal platform cmd docs examples "$scratch/tree/"
-  perl -0pi -e "$change" "$scratch/tree/$file"
-  if cmp -s "$file" "$scratch/tree/$file"; then
-    echo "mutant $name: the change no longer applies" >&2
-    exit 1
-  fi
-  if ! (cd "$scratch/tree" && go vet "./$package" >"$scratch/out" 2>&1); then
-    echo "mutant $name: does not build" >&2
-    cat "$scratch/out" >&2
-    exit 1
-  fi
-  if (cd "$scratch/tree" && go test -count=1 -timeout "$limit" -run "$test" "./$package" >"$scratch/out" 2>&1); then
-    printf '%-28s SURVIVED %s\n' "$name" "$test"
-    survivors=$((survivors + 1))
-  else
-    printf '%-28s killed by %s\n' "$name" "$test"
-  fi
-}
+. scripts/mutant.sh
 
 calls=internal/sidecar/calls.go
 mutant call-record internal/sidecar/callbook.go 's/if !ok \{\n\t\tc = &call\{state: callStarted/if !ok || ok {\n\t\tc = &call{state: callStarted/' internal/sidecar TestOfTwoCopies
@@ -66,11 +39,10 @@
 mutant retries-together internal/routing/window.go 's/\(lately\+1\)\*float64\(heard\) > left\+lately/lately+1 > left+lately+0*float64(heard)/' internal/routing TestEntriesTogether
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Repeats\), keptPart\*share\)/float64(u.Repeats)/' internal/routing TestEntriesTogether
 mutant link-pairs internal/link/link.go 's/if p\.otherRequest\(c, req, resp\) \{/if false {/' internal/link TestAnswerToTheRequestBefore
-mutant link-quiet internal/link/link.go 's/p\.now\(\)\.Before\(c\.expires\) && quiet\(c\.Conn\)/p.now().Before(c.expires)/' internal/link 'TestConnectionsAreKept'
+mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && quiet\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionsAreKept'
 mutant gossip-life internal/gossip/gossip.go 's/ && m\.EchoLife == n\.settings\.Life//' internal/gossip TestEchoOfAnEarlierLife
 mutant relay-stale internal/relay/store.go 's/if err == nil && s\.now\(\)\.Sub\(snap\.Made\) > s\.settings\.Stale \{/if false {/' internal/relay TestWhenTheDelegate
 mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.firstHand \{/if m.state == Lapsed {/' internal/fleet TestUpstreamComesBack
 mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) <= r\.table\.Version\(\) \{/if false {/' $gateway TestRoutesOnlyGoUp
 
-echo "survivors: $survivors"
-[ "$survivors" -eq 0 ]
+finish
--- /dev/null
+++ b/scripts/soak-mutants.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Removes one safeguard at a time in a scratch copy and expects the soak to notice
+# within a few seeds.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/mutant.sh
+
+soak() { # soak NAME FILE PERL-SUBSTITUTION
+  mutant "$1" "$2" "$3" platform/soak 'TestSoak$' -soak.seed=1 -soak.seeds=6 -soak.seconds=15
+}
+
+gateway=internal/gateway
+soak once $gateway/call.go 's/if r\.mayHaveRun\(\) && \(!c\.rq\.route\.Repeats\(\) \|\| /if r.mayHaveRun() \&\& (/'
+soak not-run $gateway/request.go 's/case !rq\.sent:/case !rq.sent || true:/'
+soak whole $gateway/stream.go 's/if errors\.Is\(err, io\.EOF\) && answer\.Framed && len\(rest\) == 0 && s\.began \{/if s.began {/'
+soak last-event $gateway/stream.go 's/\ts\.lastEvent = id\n//'
+soak keys $gateway/request.go 's/if !trusted \{\n\t\tg\.refuse\(rq, http\.StatusServiceUnavailable, "the keys/if false {\n\t\tg.refuse(rq, http.StatusServiceUnavailable, "the keys/'
+soak instance platform/caller.go 's/\th\.Set\(headerInstance, a\.Upstream\)\n//'
+soak second-signal internal/kernel/kernel.go 's/\twaitForEnd\(ctx, sigs\)\n/\twaitForEnd(ctx, sigs)\n\tsignal.Stop(sigs)\n/'
+
+finish
