test: a fault soak of gateways as processes

Gateways run as processes behind proxies; store, engines and plain services are stand-ins that speak the platform's wire and misbehave.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: all build demo test lint format spec mutants chaos measure bench-decision capacity fuzz clean
+.PHONY: all build demo test lint format spec mutants chaos soak soak-mutants measure bench-decision capacity fuzz clean
 
 all: build
 
@@ -42,6 +42,20 @@
 chaos:
 	$(GO) test -count=1 -timeout 20m ./internal/scenario -run TestChaos -v -args -chaos.seed=$(SEED) -chaos.requests=$(REQUESTS)
 
+# soak runs gateways as processes under faults: make soak SEED=3 SEEDS=6, or
+# fresh seeds for a while: make soak MINUTES=5. LOGS names a folder that keeps the
+# logs of seeds with breaches.
+SEEDS ?= 1
+SECONDS ?= 6
+MINUTES ?= 0
+LOGS ?=
+soak:
+	$(GO) test -count=1 -timeout 60m ./platform/soak -run 'TestSoak$$' -v -args -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.seconds=$(SECONDS) -soak.minutes=$(MINUTES) -soak.logs=$(LOGS)
+
+# soak-mutants removes safeguards from a scratch copy; the soak must notice.
+soak-mutants:
+	./scripts/soak-mutants.sh
+
 # fuzz runs each fuzz target for a short time.
 FUZZTIME ?= 10s
 fuzz:
