--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -319,7 +319,17 @@
 		case <-r.Context().Done():
 		}
 	})
-	go f.ask(pathStream)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.server.URL+pathStream, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(testID, "r-mute")
+	r.Header.Set(testKey, "key")
+	go func() {
+		if resp, err := f.server.Client().Do(r); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
 	deadline := time.Now().Add(5 * time.Second)
 	for !f.noted(events.StreamStartsLate) {
 		if time.Now().After(deadline) {
--- a/internal/standin/port.go
+++ b/internal/standin/port.go
@@ -21,24 +21,27 @@
 	portCount  = 500
 )
 
-var (
-	nextPort  atomic.Int64
-	portRange = sync.OnceValues(takePortRange)
-	// guard keeps the listener that holds the range from being collected.
+// portRange is the range of this test process.
+type portRange struct {
+	first int64
+	// guard is listened on until the process ends.
 	guard net.Listener
+}
+
+var (
+	nextPort atomic.Int64
+	ownPorts = sync.OnceValues(takePortRange)
 )
 
-// takePortRange returns the first port of a range that no other test process
-// holds. The guard is held until the test process ends.
-func takePortRange() (int64, error) {
+// takePortRange takes a range that no other test process holds.
+func takePortRange() (portRange, error) {
 	for i := range portRanges {
 		k := (os.Getpid() + i) % portRanges
 		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", guardPort+k)); err == nil {
-			guard = l
-			return firstPort + int64(k)*portCount, nil
+			return portRange{first: firstPort + int64(k)*portCount, guard: l}, nil
 		}
 	}
-	return 0, errNoPort
+	return portRange{}, errNoPort
 }
 
 var errNoPort = errors.New("no free port")
@@ -46,12 +49,12 @@
 // FreePort returns a free address of loopback, for TCP and UDP, at which a process
 // of a test can listen and which stays its own when that process is restarted.
 func FreePort() (string, error) {
-	first, err := portRange()
+	own, err := ownPorts()
 	if err != nil {
 		return "", err
 	}
 	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", first+nextPort.Add(1)%portCount)
+		addr := fmt.Sprintf("127.0.0.1:%d", own.first+nextPort.Add(1)%portCount)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
