perf: followers of the store that are cut off hand over to the next ones

Entries tell each other when they do not reach the store, and the first by name that do follow it. TestDelegateThatLostTheStoreHandsOver failed to build before, as nobody told.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -60,6 +60,9 @@
 	relayStale = 2500 * time.Millisecond
 	// relayAvoid is some tries' worth of following the store instead.
 	relayAvoid = 3 * time.Second
+	// relayRetry is how long an entry that does not reach the store leaves it to
+	// others to follow it; each try is a call that the platform charges.
+	relayRetry = 4 * time.Second
 	// settleFor is how long after an outage lapsed upstreams have to come back:
 	// the platform's operators state about two seconds.
 	settleFor = 2200 * time.Millisecond
@@ -160,7 +163,7 @@
 	b.log = relay.NewLog(time.Now)
 	b.source = relay.New(relay.Settings{
 		Name: s.Name, Zone: s.Zone, Delegates: delegates,
-		Wait: relayWait, Slack: relaySlack, Stale: relayStale, AvoidFor: relayAvoid,
+		Wait: relayWait, Slack: relaySlack, Stale: relayStale, AvoidFor: relayAvoid, RetryAfter: relayRetry,
 	}, b.store, b.log, b.relayPeers, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -41,7 +41,7 @@
 	var out []relay.Peer
 	for name, p := range b.gossip.Peers() {
 		if p.State.Relay != "" {
-			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Address: p.State.Relay, Confirmed: p.State.Confirmed})
+			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Address: p.State.Relay, Confirmed: p.State.Confirmed, StoreLost: p.State.StoreLost})
 		}
 	}
 	return out
@@ -63,7 +63,7 @@
 func (b *gatewayBuilder) ownState() gossip.State {
 	s := gossip.State{
 		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(),
-		Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Retries: b.gateway.RetryUse(),
+		StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Retries: b.gateway.RetryUse(),
 	}
 	table, confirmed := b.routes.Current()
 	if table != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,6 +37,8 @@
 	// Confirmed is the steady time at which that version was known to be the
 	// newest; zero if it never was.
 	Confirmed time.Time
+	// StoreLost tells that it does not reach the platform's store itself.
+	StoreLost bool
 	// Loads are by upstream.
 	Loads map[string]Load
 	// Leaving are upstreams known to leave.
@@ -74,6 +76,7 @@
 	Zone    string              `json:"zone"`
 	Relay   string              `json:"relay"`
 	Routes  int64               `json:"routes"`
+	Lost    bool                `json:"store_lost,omitempty"`
 	Loads   map[string]wireLoad `json:"loads,omitempty"`
 	Leaving []string            `json:"leaving,omitempty"`
 	// FaultAgesMS is the time since the latest fault of upstreams.
@@ -234,7 +237,7 @@
 func (n *Node) send() {
 	s := n.collect()
 	now := n.now()
-	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving, Zone: s.Zone, Relay: s.Relay}
+	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving, Zone: s.Zone, Relay: s.Relay, Lost: s.StoreLost}
 	if !s.Confirmed.IsZero() {
 		m.AgeMS = now.Sub(s.Confirmed).Milliseconds() + 1
 	}
@@ -296,7 +299,7 @@
 // take stores a peer's state. Its confirmation holds for the time of the echo,
 // less the age that the peer gave: both bounds lie on the safe side.
 func (n *Node) take(m message, addr net.Addr) {
-	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Zone: m.Zone, Relay: m.Relay, Loads: make(map[string]Load, len(m.Loads))}
+	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Zone: m.Zone, Relay: m.Relay, StoreLost: m.Lost, Loads: make(map[string]Load, len(m.Loads))}
 	for id, l := range m.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -74,7 +74,7 @@
 		e.server.Start()
 		t.Cleanup(e.server.Close)
 		e.addr = e.server.Addr()
-		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Stale: 5 * time.Second, AvoidFor: time.Minute},
+		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Stale: 5 * time.Second, AvoidFor: time.Minute, RetryAfter: time.Minute},
 			e.store.seam(), e.log, func() []Peer { return d.others(name) }, events.Nop(), time.Now)
 		e.seam = e.source.Platform()
 		d.entries = append(d.entries, e)
@@ -86,7 +86,7 @@
 	var out []Peer
 	for _, e := range d.entries {
 		if e.name != name {
-			out = append(out, Peer{Name: e.name, Zone: "z", Address: e.addr, Confirmed: time.Now().Add(-d.age)})
+			out = append(out, Peer{Name: e.name, Zone: "z", Address: e.addr, Confirmed: time.Now().Add(-d.age), StoreLost: e.source.StoreLost()})
 		}
 	}
 	return out
@@ -277,3 +277,28 @@
 		t.Errorf("made %s before it was, want a few milliseconds", early)
 	}
 }
+
+// A delegate that no longer reaches the store hands over to the next one: else
+// all entries would turn to the store for as long as it is cut off.
+func TestDelegateThatLostTheStoreHandsOver(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c", "d")
+	d.list()
+	d.entries[0].store.down = true
+	for range 3 {
+		for _, e := range d.entries {
+			if _, err := e.changes(t); err != nil {
+				t.Fatalf("%s: %v", e.name, err)
+			}
+		}
+	}
+	for i, want := range []int{1, 3, 0, 0} {
+		if got := d.entries[i].store.calls; got != want {
+			t.Errorf("%s made %d calls to the store, want %d", d.entries[i].name, got, want)
+		}
+	}
+	d.entries[0].store.down = false
+	d.entries[0].source.settings.RetryAfter = 0
+	if _, err := d.entries[0].changes(t); err != nil || d.entries[0].store.calls != 2 {
+		t.Errorf("a made %d calls, want one more after a while: %v", d.entries[0].store.calls, err)
+	}
+}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -32,6 +32,9 @@
 	Stale time.Duration
 	// AvoidFor is how long an entry that failed is not asked.
 	AvoidFor time.Duration
+	// RetryAfter is the time after which an entry that did not reach the store
+	// may follow it for others again.
+	RetryAfter time.Duration
 }
 
 // Peer is another entry that can be asked.
@@ -42,6 +45,8 @@
 	Address string
 	// Confirmed is the steady time for which it knew the routes to be the newest.
 	Confirmed time.Time
+	// StoreLost tells that it does not reach the store itself.
+	StoreLost bool
 }
 
 // Store answers from the platform's store or from another entry.
@@ -58,6 +63,9 @@
 	conns map[string]*peer.Conn
 	avoid map[string]time.Time
 	asked map[string]string
+	// lostAt is when a call to the store itself last failed; zero once one was
+	// answered after that.
+	lostAt time.Time
 }
 
 // New returns a Store over direct that keeps what it learns in log, for others.
@@ -79,6 +87,7 @@
 // answer while the store does not answer.
 func (s *Store) list(ctx context.Context, table string) (platform.Snapshot, error) {
 	snap, err := s.direct.List(ctx, table)
+	s.reached(ctx, err)
 	if err != nil {
 		for _, p := range s.freshest() {
 			if snap, relayed := s.ask(ctx, p, methodList, listParams{Table: table}); relayed == nil {
@@ -107,6 +116,7 @@
 		}
 	}
 	snap, err := s.direct.Changes(ctx, table, after, wait)
+	s.reached(ctx, err)
 	if err == nil {
 		s.took(table, "")
 		s.log.note(table, snap, false)
@@ -126,6 +136,27 @@
 	return platform.Snapshot{}, err
 }
 
+// reached notes how a call to the store itself ended. A call that this process
+// gave up for another reason tells nothing.
+func (s *Store) reached(ctx context.Context, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil || errors.Is(err, platform.ErrHistoryGone):
+		s.lostAt = time.Time{}
+	case !errors.Is(ctx.Err(), context.Canceled):
+		s.lostAt = s.now()
+	}
+}
+
+// StoreLost reports whether this entry did not reach the store itself lately, so
+// that another one has to follow it for the others.
+func (s *Store) StoreLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lostAt.IsZero() && s.now().Sub(s.lostAt) < s.settings.RetryAfter
+}
+
 // took notes when the source of a table changes.
 func (s *Store) took(table, source string) {
 	s.mu.Lock()
@@ -146,10 +177,11 @@
 
 // delegate returns the entry that follows the store for this one; ok is false
 // for the delegates themselves. All entries that hear each other agree on who
-// they are.
+// they are: the first by name that reach the store.
 func (s *Store) delegate() (Peer, bool) {
 	list := s.peers()
-	list = append(list, Peer{Name: s.settings.Name, Zone: s.settings.Zone})
+	list = append(list, Peer{Name: s.settings.Name, Zone: s.settings.Zone, StoreLost: s.StoreLost()})
+	list = slices.DeleteFunc(list, func(p Peer) bool { return p.StoreLost })
 	slices.SortFunc(list, func(a, b Peer) int {
 		if a.Name < b.Name {
 			return -1
