fix: copies that nobody uses are released

Cause: a copy that was complete after its generation had ended, or that was left over at the end of a request, held memory and a slot of its engine for seconds. TestCopyOfAnEndedGenerationIsReleased failed before.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -44,6 +44,7 @@
 	StreamRestored     ID = 213
 	AnswerRejected     ID = 214
 	StreamStartsLate   ID = 215
+	CopyNotReleased    ID = 216
 	GenerationQueued   ID = 300
 	GenerationAdmitted ID = 301
 	GenerationPaused   ID = 302
@@ -136,6 +137,7 @@
 	{StreamRestored, "stream-restored", "A stream whose engine was lost goes on at another one."},
 	{AnswerRejected, "answer-rejected", "An upstream's answer was not passed on, for the reason given."},
 	{StreamStartsLate, "stream-starts-late", "An engine has not begun a generation within the route's objective; the entry goes on waiting and sends others elsewhere."},
+	{CopyNotReleased, "copy-not-released", "An engine could not be told that nobody needs a copy of a generation's memory; it drops it by itself."},
 	{GenerationQueued, "generation-queued", "A sidecar holds a generation until memory allows it."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation gave way to others and keeps its place."},
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -88,6 +88,9 @@
 			}
 			return protocol.CopyResult{Outcome: protocol.CopyFailed}
 		},
+		Release: func(handle string) link.Request {
+			return link.Request{Method: http.MethodDelete, Target: "/copy/" + handle, Host: "engine", Header: http.Header{}}
+		},
 		Report: func() link.Request {
 			return link.Request{Method: http.MethodGet, Target: "/report", Host: "engine", Header: http.Header{}}
 		},
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -198,6 +198,7 @@
 	done, ok := s.prepareStop(from, r.Handle, target)
 	if !ok {
 		g.met.moved("ended")
+		g.release(s.rq.call.ID, heldCopy{copy: protocol.Copy{Source: from.Address, Handle: r.Handle}, at: target})
 		return false
 	}
 	go func() {
@@ -252,6 +253,29 @@
 	s.copies = append(s.copies, heldCopy{copy: protocol.Copy{Source: from.Address, Handle: handle}, at: at})
 }
 
+// releaseWithin bounds the order to release a copy; an engine drops it by itself a
+// few seconds later.
+const releaseWithin = time.Second
+
+// release gives up a copy that nobody will use: until then it takes memory and a
+// slot of its engine.
+func (g *Gateway) release(call string, held heldCopy) {
+	g.met.moved("released")
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseWithin)
+		defer cancel()
+		a, err := g.link.Do(ctx, held.at.Address, g.proto.Release(held.copy.Handle))
+		if err != nil {
+			g.rec.Note(events.CopyNotReleased, call, "at", held.at.ID, "error", err)
+			return
+		}
+		defer a.Close()
+		if _, err := io.Copy(io.Discard, io.LimitReader(a, maxOrderAnswer)); err != nil {
+			g.rec.Note(events.CopyNotReleased, call, "at", held.at.ID, "error", err)
+		}
+	}()
+}
+
 // orderCopy orders one copy and waits for it.
 func (g *Gateway) orderCopy(ctx context.Context, s *stream, from, target fleet.Upstream, last bool) protocol.CopyResult {
 	ctx, cancel := context.WithTimeout(ctx, copyWithin)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -459,10 +459,16 @@
 	s.g.unregister(s, id)
 }
 
+// end notes that the request is over, and gives up the copies that it did not use.
 func (s *stream) end() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.ended = true
+	unused := s.copies
+	s.copies = nil
+	s.mu.Unlock()
+	for _, held := range unused {
+		s.g.release(s.rq.call.ID, held)
+	}
 }
 
 // advance notes events that were passed on.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -381,3 +381,28 @@
 		t.Errorf("drawn: %v, want all seven engines with room", drawn)
 	}
 }
+
+// A copy that is complete after its generation has ended holds memory of its
+// engine until it is given up.
+func TestCopyOfAnEndedGenerationIsReleased(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.addEngine("a"), f.addEngine("b")
+	a.copies = []protocol.CopyResult{{Handle: "h1"}}
+	b.copies = a.copies
+	from, _ := f.fleet.Get("a")
+	target, _ := f.fleet.Get("b")
+	s := &stream{g: f.gateway, ended: true, at: from, rq: &request{call: protocol.Call{ID: "r"}, caller: t.Context(), service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}}}
+	if f.gateway.moveTo(t.Context(), s, from, target) {
+		t.Error("another target is asked for")
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for released := false; !released; {
+		if time.Now().After(deadline) {
+			t.Fatal("the copy is not released at its engine")
+		}
+		time.Sleep(time.Millisecond)
+		b.mu.Lock()
+		released = len(b.orders) == 1
+		b.mu.Unlock()
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -131,6 +131,8 @@
 	Copy func(call, target string, last bool) link.Request
 	// CopyResult decodes the answer to such an order.
 	CopyResult func(status int, body []byte) CopyResult
+	// Release returns the order to give up a copy that nobody will use.
+	Release func(handle string) link.Request
 	// Report returns the question for an engine's state.
 	Report func() link.Request
 	// Leaving decodes the answer: whether the engine is about to leave.
