--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// moveTargets bounds the engines that are tried for one generation.
-	moveTargets = 3
+	// moveTargets bounds the engines that are tried for one generation. One without
+	// room refuses within some 10 ms, of the 1.5 s that an engine has to leave.
+	moveTargets = 6
 	// copyWithin bounds one order to copy; engines are given up to a few seconds
 	// of notice, so a longer copy comes too late.
 	copyWithin = 4 * time.Second
