fix: a relayed answer counts as stale from 2 s again

Since a question's time held no longer counts as age, the bound of 2.5 s let answers pass that are half a second older than before.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,9 +55,9 @@
 	// noticed; an engine that leaves gives notice of some 1.5 s.
 	relayWait  = 500 * time.Millisecond
 	relaySlack = 250 * time.Millisecond
-	// relayStale is beyond the age of what a delegate knows in steady state, and
+	// relayStale is just beyond the age of what a delegate knows in steady state, and
 	// under the age to which routes are trusted.
-	relayStale = 2500 * time.Millisecond
+	relayStale = 2 * time.Second
 	// relayAvoid is some tries' worth of following the store instead.
 	relayAvoid = 3 * time.Second
 	// relayRetry is how long an entry that does not reach the store leaves it to
