feat: generations are admitted by memory, slots and prompts

Cause: the gateway refused nothing. Twice the load of the engines halved what was served in time: memory ran over, engines preempted, prompts were read in vain, and late starts behind such queues made sound engines suspects of all entries.

Change: an engine takes a generation only if its memory holds what is there, the prompt and the growth to come (streams end one by one, so two streams' remaining growth), with a part kept free for the generations of engines that leave, as large as the part that was seen to leave together. Brief generations need not be moved and use that part. Slots and prompts that wait count as well. What finds no room is refused at once, unrun, with a time to come back that grows with the age of the overload. A late start behind a visible queue is no fault.

--- /dev/null
+++ b/internal/fleet/leaving_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+)
+
+// TestLeavingShare covers how large a part of a service is expected to leave at once.
+func TestLeavingShare(t *testing.T) {
+	start := time.Now()
+	for _, tc := range []struct {
+		name string
+		// leaves are the times at which one of ten upstreams begins to leave.
+		leaves []time.Duration
+		at     time.Duration
+		want   float64
+	}{
+		{"none left", nil, time.Second, 0},
+		{"two together", []time.Duration{0, 100 * time.Millisecond}, time.Second, 0.2},
+		{"one by one", []time.Duration{0, 3 * time.Second, 6 * time.Second}, 7 * time.Second, 1.0 / 8},
+		{"long ago", []time.Duration{0, 0, 0}, time.Minute, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := start
+			s := New(events.Nop(), func() time.Time { return now }, func(string) {})
+			var records []Record
+			for i := range 10 {
+				records = append(records, Record{ID: strconv.Itoa(i), Service: "llm"})
+			}
+			s.Update(records, nil, true, time.Time{})
+			for i, at := range tc.leaves {
+				now = start.Add(at)
+				s.MarkLeaving(strconv.Itoa(i), "test")
+			}
+			now = start.Add(tc.at)
+			if got := s.LeavingShare("llm"); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -73,6 +73,11 @@
 	mu      sync.Mutex
 	byID    map[string]*member
 	changed func(id string)
+	// left are the times at which upstreams began to leave, by service.
+	left map[string][]time.Time
+	// serving lists the upstreams that serve, by service; nil after a change, until
+	// it is needed.
+	serving map[string][]string
 }
 
 type member struct {
@@ -90,7 +95,7 @@
 // New returns an empty Set; changed is called, without locks held, with the
 // identifier of each upstream that starts to leave.
 func New(rec *events.Recorder, now func() time.Time, changed func(id string)) *Set {
-	return &Set{rec: rec, now: now, byID: map[string]*member{}, changed: changed}
+	return &Set{rec: rec, now: now, byID: map[string]*member{}, changed: changed, left: map[string][]time.Time{}}
 }
 
 // Update takes over the records of upstreams. full says that they are all there
@@ -131,6 +136,7 @@
 	if !ok {
 		m = &member{}
 		s.byID[r.ID] = m
+		s.serving = nil
 		s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
 	}
 	m.Record = r
@@ -141,6 +147,7 @@
 	}
 	if m.state != Serving && !m.firstHand {
 		m.state, m.until = Serving, time.Time{}
+		s.serving = nil
 		s.rec.Note(events.UpstreamBack, "", "upstream", r.ID)
 	}
 	return false
@@ -150,10 +157,12 @@
 func (s *Set) leave(m *member, source string) bool {
 	was := m.state
 	m.state = Leaving
+	s.serving = nil
 	if was == Leaving {
 		return false
 	}
 	s.rec.Note(events.UpstreamLeaving, "", "upstream", m.ID, "source", source)
+	s.noteLeft(m.Service)
 	return true
 }
 
@@ -169,6 +178,7 @@
 			s.rec.Note(events.UpstreamLapsed, "", "upstream", id, "until", settled.Sub(s.now()))
 		}
 		m.state, m.until = Lapsed, settled
+		s.serving = nil
 		return false
 	}
 	return s.drop(m)
@@ -264,6 +274,38 @@
 	return serving
 }
 
+// Some returns up to most upstreams of a service that serve, drawn anew each time,
+// and whether these are all that take new work; random returns a number below n.
+func (s *Set) Some(service string, most int, random func(n int) int) (list []Upstream, all bool) {
+	s.mu.Lock()
+	ids := s.servingIDs(service)
+	if len(ids) <= most {
+		s.mu.Unlock()
+		return s.Of(service), true
+	}
+	defer s.mu.Unlock()
+	list = make([]Upstream, 0, most)
+	// A run from a random place is as good as a draw: the order tells nothing.
+	start := random(len(ids))
+	for i := range most {
+		list = append(list, s.byID[ids[(start+i)%len(ids)]].Upstream)
+	}
+	return list, false
+}
+
+// servingIDs returns the upstreams of a service that serve. It needs the lock.
+func (s *Set) servingIDs(service string) []string {
+	if s.serving == nil {
+		s.serving = map[string][]string{}
+		for id, m := range s.byID {
+			if m.state == Serving {
+				s.serving[m.Service] = append(s.serving[m.Service], id)
+			}
+		}
+	}
+	return s.serving[service]
+}
+
 // KnownLeaving returns the upstreams that said themselves that they leave.
 func (s *Set) KnownLeaving() []string {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/gateway/admission_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// TestRoom covers whether an engine with a load has room for a generation.
+func TestRoom(t *testing.T) {
+	engine := &routetable.Engine{Slots: 8, MemoryTokens: 10000, EventTokens: 4}
+	long := demand{prompt: 2000, output: 1000, startBy: time.Second}
+	brief := demand{prompt: 1000, output: 12, startBy: time.Second, brief: true}
+	for _, tc := range []struct {
+		name    string
+		load    gossip.Load
+		demand  demand
+		reserve float64
+		want    error
+	}{
+		{"an idle engine", gossip.Load{}, long, 0, nil},
+		{"a prompt that no engine can hold", gossip.Load{}, demand{prompt: 10001}, 0, errTooLarge},
+		{"a prompt that fills an idle engine", gossip.Load{}, demand{prompt: 9900, output: 1}, 0, nil},
+		{"half of the memory held", gossip.Load{Running: 2, Held: 5000, Tokens: 6000}, long, 0, nil},
+		{"nearly all memory held", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, long, 0, errMemory},
+		{"a brief one fits beside it", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, brief, 0, nil},
+		{"room is kept for engines that leave", gossip.Load{Running: 2, Held: 5000, Tokens: 6000}, long, 0.3, errMemory},
+		{"a brief one uses that room", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, brief, 0.3, nil},
+		{"all slots taken", gossip.Load{Running: 8, Held: 1000, Tokens: 1000}, brief, 0, errSlots},
+		{"prompts wait that would make it late", gossip.Load{Running: 1, Held: 1000, Tokens: 1000, Prefill: 7000}, brief, 0, errPrompts},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			if got := f.gateway.room(engine, tc.load, tc.demand, tc.reserve); !errors.Is(got, tc.want) {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestCrowdedEnginesRefuseAtOnce: with no room anywhere a generation is refused
+// unrun, at once, with a time to come back; a brief one is still served.
+func TestCrowdedEnginesRefuseAtOnce(t *testing.T) {
+	f := newFixture(t)
+	e := f.addEngine("e")
+	claim := f.gateway.ledger.take("e", gossip.Load{Running: 4, Held: 93000, Tokens: 99000})
+	defer claim.release()
+	start := time.Now()
+	got := f.ask(pathStream)
+	if got.status != http.StatusServiceUnavailable || e.runs() != 0 || time.Since(start) > 50*time.Millisecond {
+		t.Errorf("status %d, %d sends after %s; want 503 unrun at once", got.status, e.runs(), time.Since(start))
+	}
+	if ms, err := strconv.Atoi(got.header.Get(testBack)); err != nil || ms < 500 {
+		t.Errorf("told to come back in %q ms", got.header.Get(testBack))
+	}
+}
+
+// TestGenerationGoesWhereThereIsRoom: peers' loads count as the own do.
+func TestGenerationGoesWhereThereIsRoom(t *testing.T) {
+	f := newFixture(t)
+	full := f.addEngine("full")
+	free := f.addEngine("free")
+	f.gateway.PeerLoad("b", map[string]gossip.Load{"full": {Running: 4, Held: 93000, Tokens: 99000}})
+	for range 3 {
+		if got := f.ask(pathStream); got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+	}
+	if full.runs() != 0 || free.runs() != 3 {
+		t.Errorf("%d and %d sends, want all at the engine with room", full.runs(), free.runs())
+	}
+}
+
+// TestExpectedOutput covers guesses that are absent or absurd.
+func TestExpectedOutput(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		call protocol.Call
+		want int
+	}{
+		{"a guess has a margin", protocol.Call{Hint: 100, MaxOutput: 1000}, 125},
+		{"a guess above the most output", protocol.Call{Hint: 5000, MaxOutput: 1000}, 1000},
+		{"no guess", protocol.Call{MaxOutput: 1000}, 500},
+		{"a guess without a bound", protocol.Call{Hint: 100}, 125},
+		{"nothing stated", protocol.Call{}, defaultOutput},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := expectedOutput(&tc.call); got != tc.want {
+				t.Errorf("got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestOverloadTellsWhenToComeBack: the longer an overload lasts, the later callers
+// are told to come back; one that is over is forgotten.
+func TestOverloadTellsWhenToComeBack(t *testing.T) {
+	start := time.Now()
+	for _, tc := range []struct {
+		name string
+		// at are the times of refusals since the start, the last one is judged.
+		at   []time.Duration
+		want time.Duration
+	}{
+		{"the first refusal", []time.Duration{0}, backLeast},
+		{"an overload that lasts", []time.Duration{0, 1500 * time.Millisecond, 3 * time.Second, 4 * time.Second}, 4 * time.Second},
+		{"a new overload after a pause", []time.Duration{0, time.Second, 8 * time.Second}, backLeast},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			o := &overload{}
+			var got time.Duration
+			for _, at := range tc.at {
+				got = o.refused(start.Add(at), 0.5)
+			}
+			if got != tc.want {
+				t.Errorf("come back in %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmitEngine measures one decision over the engines of a large service.
+func BenchmarkAdmitEngine(b *testing.B) {
+	for _, n := range []int{18, 100, 870} {
+		b.Run(strconv.Itoa(n)+" engines", func(b *testing.B) {
+			g, s := crowdedGateway(n)
+			for b.Loop() {
+				_, _ = g.admitEngine(s, nil)
+			}
+		})
+	}
+}
+
+// crowdedGateway knows n engines that are half full.
+func crowdedGateway(n int) (*Gateway, *stream) {
+	set := fleet.New(events.Nop(), time.Now, func(string) {})
+	g := &Gateway{fleet: set, ledger: newLedger(), now: time.Now}
+	records := make([]fleet.Record, n)
+	for i := range records {
+		records[i] = fleet.Record{ID: strconv.Itoa(i), Service: "llm"}
+		g.ledger.take(records[i].ID, gossip.Load{Running: 4, Held: 15000, Tokens: 17000})
+	}
+	set.Update(records, nil, true, time.Time{})
+	service := &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 24, MemoryTokens: 34000, EventTokens: 4}}
+	rq := &request{call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second}, service: service, start: time.Now()}
+	return g, &stream{g: g, rq: rq}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -3,8 +3,10 @@
 import (
 	"math"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -34,9 +36,6 @@
 	prefillWeight = 4.0
 	// overflowWeight is what a token beyond the memory counts: it preempts.
 	overflowWeight = 20.0
-	// memoryUse is the part of the memory that is filled before an engine counts
-	// as full; the rest is room for lengths that were guessed too low.
-	memoryUse = 0.94
 )
 
 // choosePlain returns the best upstream of a plain service that is not excluded.
@@ -62,7 +61,7 @@
 func (g *Gateway) chooseEngine(s *routetable.Service, need int, repeats bool, exclude map[string]bool) (fleet.Upstream, bool) {
 	now := g.now()
 	return best(g.fleet.Of(s.Name), exclude, func(u fleet.Upstream) float64 {
-		cost := g.engineCost(s.Engine, u, need)
+		cost := g.engineCost(s.Engine, &u, g.ledger.total(u.ID), need, now)
 		if !repeats && u.Suspect(now) {
 			cost += avoidedCost
 		}
@@ -70,9 +69,9 @@
 	})
 }
 
-func (g *Gateway) engineCost(e *routetable.Engine, u fleet.Upstream, need int) float64 {
-	load := g.ledger.total(u.ID)
-	now := g.now()
+// engineCost compares engines, in tokens of KV memory: the less, the better for
+// need more tokens.
+func (g *Gateway) engineCost(e *routetable.Engine, u *fleet.Upstream, load gossip.Load, need int, now time.Time) float64 {
 	cost := float64(load.Tokens) + prefillWeight*float64(load.Prefill) + engineFailureTokens*u.FailureRate()
 	if over := float64(load.Tokens+need) - memoryUse*float64(e.MemoryTokens); over > 0 {
 		cost += overflowWeight * over
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	inFlight atomic.Int64
 	askedAt  atomic.Int64
 	pace     pace
+	reading  reading
 	trusted  atomic.Bool
 
 	mu      sync.Mutex
@@ -67,6 +68,8 @@
 	budgets map[string]*routing.Window
 	streams map[string]map[*stream]bool
 	moving  map[string]bool
+	// overloads are by service.
+	overloads map[string]*overload
 	// inquired tells when each engine was last asked for its state.
 	inquired map[string]time.Time
 	// nudge tells the other entries soon what this one has in flight.
@@ -81,7 +84,7 @@
 	return &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(), entries: 1,
-		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{},
+		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*overload{},
 		inquired: map[string]time.Time{}, nudge: nudge, peers: peers,
 	}
 }
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/sparshore/sparshore/internal/gossip"
@@ -11,10 +12,13 @@
 	mu    sync.Mutex
 	own   map[string]gossip.Load
 	peers map[string]map[string]gossip.Load
+	// totals are the sums over this entry and the others. They are kept, not worked
+	// out: a decision looks at every upstream of a service.
+	totals map[string]gossip.Load
 }
 
 func newLedger() *ledger {
-	return &ledger{own: map[string]gossip.Load{}, peers: map[string]map[string]gossip.Load{}}
+	return &ledger{own: map[string]gossip.Load{}, peers: map[string]map[string]gossip.Load{}, totals: map[string]gossip.Load{}}
 }
 
 // claim is the part of an upstream that one request takes; it follows the
@@ -31,7 +35,7 @@
 	c := &claim{ledger: l, upstream: upstream, load: load}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.add(upstream, load, 1)
+	l.addOwn(upstream, load)
 	return c
 }
 
@@ -42,9 +46,8 @@
 	if c.released {
 		return
 	}
-	c.ledger.add(c.upstream, c.load, -1)
+	c.ledger.addOwn(c.upstream, load.Sub(c.load))
 	c.load = load
-	c.ledger.add(c.upstream, load, 1)
 }
 
 // release gives everything back; more than once is harmless.
@@ -55,25 +58,38 @@
 		return
 	}
 	c.released = true
-	c.ledger.add(c.upstream, c.load, -1)
+	c.ledger.addOwn(c.upstream, gossip.Load{}.Sub(c.load))
 }
 
-func (l *ledger) add(upstream string, load gossip.Load, sign int) {
-	o := l.own[upstream]
-	o.Running += sign * load.Running
-	o.Tokens += sign * load.Tokens
-	o.Prefill += sign * load.Prefill
-	if o == (gossip.Load{}) {
-		delete(l.own, upstream)
+func (l *ledger) addOwn(upstream string, load gossip.Load) {
+	add(l.own, upstream, load)
+	add(l.totals, upstream, load)
+}
+
+// add adds to the load of an upstream; one without load takes no room.
+func add(loads map[string]gossip.Load, upstream string, load gossip.Load) {
+	sum := loads[upstream].Add(load)
+	if sum == (gossip.Load{}) {
+		delete(loads, upstream)
 		return
 	}
-	l.own[upstream] = o
+	loads[upstream] = sum
 }
 
 // setPeer replaces what another entry has in flight; nil forgets it.
 func (l *ledger) setPeer(name string, loads map[string]gossip.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.replace(name, loads)
+}
+
+func (l *ledger) replace(name string, loads map[string]gossip.Load) {
+	for upstream, load := range l.peers[name] {
+		add(l.totals, upstream, gossip.Load{}.Sub(load))
+	}
+	for upstream, load := range loads {
+		add(l.totals, upstream, load)
+	}
 	if loads == nil {
 		delete(l.peers, name)
 		return
@@ -87,7 +103,7 @@
 	defer l.mu.Unlock()
 	for name := range l.peers {
 		if !known(name) {
-			delete(l.peers, name)
+			l.replace(name, nil)
 		}
 	}
 }
@@ -96,23 +112,12 @@
 func (l *ledger) total(upstream string) gossip.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.own[upstream]
-	for _, loads := range l.peers {
-		p := loads[upstream]
-		t.Running += p.Running
-		t.Tokens += p.Tokens
-		t.Prefill += p.Prefill
-	}
-	return t
+	return l.totals[upstream]
 }
 
 // snapshot returns what this entry has in flight, by upstream.
 func (l *ledger) snapshot() map[string]gossip.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]gossip.Load, len(l.own))
-	for id, o := range l.own {
-		out[id] = o
-	}
-	return out
+	return maps.Clone(l.own)
 }
--- /dev/null
+++ b/internal/gateway/ledger_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/sparshore/sparshore/internal/gossip"
+)
+
+// TestLedgerTotals: totals follow own claims and what others say, and nothing is
+// left of loads that ended.
+func TestLedgerTotals(t *testing.T) {
+	l := newLedger()
+	load := func(n int) gossip.Load { return gossip.Load{Running: 1, Tokens: n, Held: n / 2} }
+	c := l.take("a", load(100))
+	l.setPeer("p", map[string]gossip.Load{"a": load(10), "b": load(20)})
+	l.setPeer("q", map[string]gossip.Load{"a": load(1)})
+	if got := l.total("a"); got.Running != 3 || got.Tokens != 111 {
+		t.Errorf("total of a %+v, want 3 running and 111 tokens", got)
+	}
+	c.change(load(200))
+	l.setPeer("p", map[string]gossip.Load{"b": load(30)})
+	if got := l.total("a"); got.Running != 2 || got.Tokens != 201 {
+		t.Errorf("total of a %+v, want 2 running and 201 tokens", got)
+	}
+	l.keepPeers(func(name string) bool { return name == "p" })
+	c.release()
+	c.release()
+	if got := l.total("a"); got != (gossip.Load{}) {
+		t.Errorf("total of a %+v, want nothing", got)
+	}
+	if got := l.total("b"); got != load(30) {
+		t.Errorf("total of b %+v", got)
+	}
+	l.setPeer("p", nil)
+	if len(l.totals) != 0 || len(l.own) != 0 || len(l.peers) != 0 {
+		t.Errorf("left behind: %v %v %v", l.totals, l.own, l.peers)
+	}
+}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -162,7 +162,9 @@
 	if u, ok := draw(list, exclude, func(u fleet.Upstream) float64 { return g.targetWeight(engine, u, need) }, rand.Float64); ok {
 		return u, true
 	}
-	return best(list, exclude, func(u fleet.Upstream) float64 { return g.engineCost(engine, u, need) })
+	return best(list, exclude, func(u fleet.Upstream) float64 {
+		return g.engineCost(engine, &u, g.ledger.total(u.ID), need, g.now())
+	})
 }
 
 // targetWeight is the weight by which an engine is drawn as the target of a move;
@@ -180,7 +182,10 @@
 
 // moveTo moves a generation to one engine; again asks for another target.
 func (g *Gateway) moveTo(ctx context.Context, s *stream, from, target fleet.Upstream) (again bool) {
-	claim := g.ledger.take(target.ID, gossip.Load{Running: 1, Tokens: s.need()})
+	s.mu.Lock()
+	load := gossip.Load{Running: 1, Tokens: s.need(), Held: s.held()}
+	s.mu.Unlock()
+	claim := g.ledger.take(target.ID, load)
 	defer claim.release()
 	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "events", s.made(), "need", s.need())
 	r := g.orderCopy(ctx, s, from, target, false)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -211,6 +211,19 @@
 	g.proto.Refuse(rq.w, &rq.call, f, now)
 }
 
+// reject refuses a generation that no engine takes, at once: it has not run.
+func (g *Gateway) reject(rq *request, why error) {
+	var back time.Duration
+	switch {
+	case errors.Is(why, errNoEngine):
+		back = backNoUpstream
+	case errors.Is(why, errTooLarge):
+	default:
+		back = g.backAfterOverload(rq.service.Name)
+	}
+	g.refuse(rq, http.StatusServiceUnavailable, why.Error(), back)
+}
+
 // giveUp answers a request that got no answer from an upstream: unsent requests
 // may come back, others may have run.
 func (g *Gateway) giveUp(ctx context.Context, rq *request, reason string) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,6 +42,9 @@
 	lastEvent string
 	events    int
 	claim     *claim
+	// toRead is the number of prompt tokens that the engine had to read when it got
+	// the generation, with those that came before.
+	toRead int
 	// copies are the copies of the memory that can serve, the one to try first
 	// at the front.
 	copies []heldCopy
@@ -83,11 +86,12 @@
 	s := &stream{g: g, rq: rq, flush: http.NewResponseController(rq.w).Flush, lastEvent: rq.call.LastEvent}
 	defer s.end()
 	exclude := map[string]bool{}
-	next, ok := s.place(exclude)
-	if !ok {
-		g.refuse(rq, http.StatusServiceUnavailable, "no engine", backNoUpstream)
+	at, err := g.admitEngine(s, nil)
+	if err != nil {
+		g.reject(rq, err)
 		return
 	}
+	next, ok := step{at: at, why: "first"}, true
 	for ok {
 		o := s.attempt(ctx, next)
 		exclude[next.at.ID] = true
@@ -109,21 +113,33 @@
 	return s.rq.call.Prompt + expectedOutput(&s.rq.call)
 }
 
+// held is the KV memory that the generation takes by now, in tokens. It needs the
+// lock of s.
+func (s *stream) held() int {
+	return s.rq.call.Prompt + s.events*s.rq.service.Engine.EventTokens
+}
+
 // hintMargin covers that a caller's guess of the length is right only in half
 // of the cases.
 const hintMargin = 1.25
 
+// defaultOutput is the length in tokens of an answer of which nothing is stated.
+const defaultOutput = 256
+
+// expectedOutput is the length of an answer, in tokens, that a caller's guess and
+// bound let expect. Sizes that are not stated are 0.
 func expectedOutput(c *protocol.Call) int {
-	if c.Hint > 0 {
-		return min(int(hintMargin*float64(c.Hint)), max(c.MaxOutput, 1))
+	guess := int(hintMargin * float64(c.Hint))
+	switch {
+	case c.Hint > 0 && c.MaxOutput > 0:
+		return min(guess, c.MaxOutput)
+	case c.Hint > 0:
+		return guess
+	case c.MaxOutput > 0:
+		return c.MaxOutput / 2
+	default:
+		return defaultOutput
 	}
-	return c.MaxOutput / 2
-}
-
-// place chooses the engine for a new generation.
-func (s *stream) place(exclude map[string]bool) (step, bool) {
-	u, ok := s.g.chooseEngine(s.rq.service, s.need(), s.rq.route.Repeats(), exclude)
-	return step{at: u, why: "first"}, ok
 }
 
 // afterUnrun chooses where to go after an engine refused an attempt unrun.
@@ -136,9 +152,8 @@
 	if ctx.Err() != nil || s.rq.tries >= maxSends || !s.g.budget(s.rq.service.Name).Repeat(0) {
 		return step{}, false
 	}
-	next, ok := s.place(exclude)
-	next.why = "refused unrun"
-	return next, ok
+	at, err := s.g.admitEngine(s, exclude)
+	return step{at: at, why: "refused unrun"}, err == nil
 }
 
 // handoverWithin bounds the wait for an order that has stopped the generation;
@@ -167,9 +182,10 @@
 	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !budget.Repeat(0) {
 		return step{}, false
 	}
-	next, ok := s.place(exclude)
-	next.why = "resumed"
-	return next, ok
+	// The caller waits for the rest of an answer, so a crowded engine is better than
+	// none.
+	at, ok := s.g.chooseEngine(s.rq.service, s.need(), s.rq.route.Repeats(), exclude)
+	return step{at: at, why: "resumed"}, ok
 }
 
 const (
@@ -238,7 +254,8 @@
 	s.enter(st)
 	defer s.leave()
 	sent := g.now()
-	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at.ID) })
+	toRead := s.toRead
+	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at.ID, toRead) })
 	defer silent.Stop()
 	answer, err := g.link.Do(ctx, st.at.Address, req)
 	if err != nil {
@@ -259,10 +276,21 @@
 	return defaultStart
 }
 
-// startsLate notes that an engine has not begun a generation in time.
-func (g *Gateway) startsLate(rq *request, upstream string) {
-	g.rec.Note(events.StreamStartsLate, rq.call.ID, "upstream", upstream, "after", g.now().Sub(rq.start))
-	g.faulty(upstream)
+// startsLate notes that an engine has not begun a generation in time. That is a
+// fault unless the prompts that it had to read before, or the memory that is taken,
+// explain it: at one and a half times the load for which the engines suffice, 41
+// late starts behind such queues made sound engines suspects of all entries.
+func (g *Gateway) startsLate(rq *request, upstream string, toRead int) {
+	load := g.ledger.total(upstream)
+	reading := g.reading.expected(toRead)
+	queued := toRead > rq.call.Prompt && reading > startWithin(rq.route)/2
+	memory := rq.service.Engine.MemoryTokens
+	full := memory > 0 && load.Held > int(memoryUse*float64(memory))
+	crowded := queued || full
+	g.rec.Note(events.StreamStartsLate, rq.call.ID, "upstream", upstream, "after", g.now().Sub(rq.start), "reading", reading, "held", load.Held, "crowded", crowded)
+	if !crowded {
+		g.faulty(upstream)
+	}
 }
 
 // faulty notes a fault of an engine and tells the other entries soon.
@@ -348,6 +376,9 @@
 		if first {
 			started()
 			s.firstEvent(st, answer, sent)
+			if st.from == nil {
+				g.reading.note(g.now().Sub(sent), s.toRead)
+			}
 			first = false
 			if answer.Closing() {
 				go g.inquire(ctx, st.at, "it closes its connection")
@@ -445,7 +476,8 @@
 	if st.from != nil {
 		prefill = 0
 	}
-	s.claim = s.g.ledger.take(st.at.ID, gossip.Load{Running: 1, Tokens: s.need(), Prefill: prefill})
+	s.toRead = s.g.ledger.total(st.at.ID).Prefill + prefill
+	s.claim = s.g.ledger.take(st.at.ID, gossip.Load{Running: 1, Tokens: s.need(), Prefill: prefill, Held: s.held()})
 	s.mu.Unlock()
 	s.g.register(s, st.at.ID)
 	s.g.nudge()
@@ -480,11 +512,11 @@
 	if id != "" {
 		s.lastEvent = id
 	}
-	made := s.events * s.rq.service.Engine.EventTokens
-	tokens := max(s.need(), s.rq.call.Prompt+made+s.rq.service.Engine.EventTokens)
+	held := s.held()
+	tokens := max(s.need(), held+s.rq.service.Engine.EventTokens)
 	claim := s.claim
 	s.mu.Unlock()
-	claim.change(gossip.Load{Running: 1, Tokens: tokens})
+	claim.change(gossip.Load{Running: 1, Tokens: tokens, Held: held})
 	if first {
 		s.g.startedAt(s)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -24,6 +24,18 @@
 	Tokens int
 	// Prefill is the part of the prompts not read yet, in tokens.
 	Prefill int
+	// Held is the KV memory that they take by now, prompts counted whole, in tokens.
+	Held int
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(o Load) Load {
+	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill, Held: l.Held + o.Held}
+}
+
+// Sub returns the load without o.
+func (l Load) Sub(o Load) Load {
+	return Load{Running: l.Running - o.Running, Tokens: l.Tokens - o.Tokens, Prefill: l.Prefill - o.Prefill, Held: l.Held - o.Held}
 }
 
 // State is what an entry tells the others.
@@ -89,8 +101,8 @@
 	Retries     map[string]wireUse `json:"retries,omitempty"`
 }
 
-// wireLoad holds requests, tokens and tokens not read yet.
-type wireLoad [3]int
+// wireLoad holds requests, tokens, tokens not read yet and tokens held by now.
+type wireLoad [4]int
 
 // wireUse holds requests and repeats.
 type wireUse [2]int
@@ -251,7 +263,7 @@
 	}
 	m.Loads = make(map[string]wireLoad, len(s.Loads))
 	for id, l := range s.Loads {
-		m.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill}
+		m.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill, l.Held}
 	}
 	m.FaultAgesMS = make(map[string]int64, len(s.Faults))
 	for id, at := range s.Faults {
@@ -309,7 +321,7 @@
 func (n *Node) take(m message, addr net.Addr) {
 	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Zone: m.Zone, Relay: m.Relay, StoreLost: m.Lost, Loads: make(map[string]Load, len(m.Loads))}
 	for id, l := range m.Loads {
-		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2]}
+		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2], Held: l[3]}
 	}
 	if m.StopsInMS > 0 {
 		s.StopBy = n.now().Add(time.Duration(m.StopsInMS) * time.Millisecond)
