fix: the load of entries that fell silent is forgotten within a quarter second

Cause: what a dead entry had in flight was counted until the next read of the list of entries, up to 15 s; with admission that refuses generations for which there is room. TestLoadOfSilentEntriesIsForgotten.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -56,7 +56,7 @@
 // found takes over the list of entries.
 func (b *gatewayBuilder) found(addresses map[string]string) {
 	b.gossip.Know(addresses)
-	b.gateway.Peers(b.gossip.Peers(), len(addresses))
+	b.gateway.Registered(len(addresses))
 }
 
 // ownState is what this gateway tells the others.
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -81,6 +81,7 @@
 	b.every(sweepEvery, func() {
 		b.fleet.Sweep()
 		b.pool.Sweep()
+		b.gateway.ForgetSilent()
 		if _, ok := b.members.Settled(); !ok {
 			b.gateway.InquireAll(b.ctx)
 		}
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -79,6 +79,23 @@
 	}
 }
 
+// TestLoadOfSilentEntriesIsForgotten: an entry that died has nothing in flight.
+func TestLoadOfSilentEntriesIsForgotten(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("e")
+	f.peers = map[string]gossip.Peer{"b": {}}
+	f.gateway.PeerLoad("b", map[string]gossip.Load{"e": {Running: 4, Held: 93000, Tokens: 99000}})
+	f.gateway.ForgetSilent()
+	if got := f.ask(pathStream); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d while another entry fills the engine, want 503", got.status)
+	}
+	f.peers = nil
+	f.gateway.ForgetSilent()
+	if got := f.ask(pathStream); got.status != http.StatusOK {
+		t.Errorf("status %d after that entry fell silent, want 200", got.status)
+	}
+}
+
 // TestExpectedOutput covers guesses that are absent or absurd.
 func TestExpectedOutput(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,10 +142,18 @@
 // PeerLoad takes over what another entry has in flight.
 func (g *Gateway) PeerLoad(name string, loads map[string]gossip.Load) { g.ledger.setPeer(name, loads) }
 
-// Peers sets which other entries are heard; the load of all others is forgotten
-// and the retry budget is shared among those present.
-func (g *Gateway) Peers(peers map[string]gossip.Peer, registered int) {
+// ForgetSilent forgets the load of the entries that are not heard any more: their
+// connections to engines ended with them, and what they had in flight must not keep
+// others from being admitted.
+func (g *Gateway) ForgetSilent() {
+	peers := g.peers()
 	g.ledger.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
+}
+
+// Registered sets how many entries there are; the retry budget is shared among them.
+func (g *Gateway) Registered(registered int) {
+	g.ForgetSilent()
+	peers := g.peers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.entries = max(len(peers)+1, registered, 1)
