perf: a plain upstream that fails much more than the others is told to all entries

Each of 23 entries had to find out by itself, from a rate that failures of the requests' own kept high everywhere.

Change: failures count against an upstream only if another one served the request or nobody else was asked. TestFailing, TestWhoIsBlamedForAFailure, TestFailingUpstreamGetsNoCalls.

--- /dev/null
+++ b/internal/fleet/failing_test.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+)
+
+// TestFailing covers which upstreams of three count as failing.
+func TestFailing(t *testing.T) {
+	start := time.Now()
+	for _, tc := range []struct {
+		name string
+		// own and peer are failures that this entry and another one met, a second ago.
+		own, peer map[string]int
+		after     time.Duration
+		want      []string
+	}{
+		{"nothing failed", nil, nil, 0, nil},
+		{"one failed a few times", map[string]int{"a": 3}, nil, 0, nil},
+		{"one fails much more than the others", map[string]int{"a": 9, "b": 1, "c": 1}, nil, 0, []string{"a"}},
+		{"entries add up what they met", map[string]int{"a": 3}, map[string]int{"a": 4, "b": 1}, 0, []string{"a"}},
+		{"all fail alike", map[string]int{"a": 9, "b": 7, "c": 8}, nil, 0, nil},
+		{"long ago", map[string]int{"a": 9}, map[string]int{"a": 9}, time.Minute, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := start
+			s := New(events.Nop(), func() time.Time { return now }, func(string) {})
+			s.Update([]Record{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}, {ID: "c", Service: "app"}}, nil, true, time.Time{})
+			for id, n := range tc.own {
+				for range n {
+					s.Note(id, Failed)
+				}
+			}
+			s.PeerFailures("peer", tc.peer)
+			now = now.Add(time.Second + tc.after)
+			if got := slices.Sorted(maps.Keys(s.Failing("app"))); !slices.Equal(got, tc.want) {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -76,6 +76,7 @@
 		m.ownFault = now
 		s.fault(m, now, "own request")
 	case Failed:
+		m.noteFailure(now)
 	}
 }
 
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -90,6 +90,10 @@
 	until time.Time
 	// ownFault is when a request of this entry last met a fault.
 	ownFault time.Time
+	// failedAt are the times at which it lately failed requests of this entry, and
+	// peerFailed what other entries say.
+	failedAt   []time.Time
+	peerFailed map[string]peerFailures
 }
 
 // New returns an empty Set; changed is called, without locks held, with the
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,6 +82,8 @@
 	tried   map[string]bool
 	running int
 	results chan result
+	// failed are the upstreams that answered with an error of their own.
+	failed []string
 }
 
 // run tries upstreams until one gives a good answer or no more may be tried. It
@@ -98,12 +100,17 @@
 			c.running--
 			c.rq.sent = c.rq.sent || r.mayHaveRun()
 			if r.good() {
+				c.blame(true)
 				return r, true
 			}
+			if r.usable() {
+				c.failed = append(c.failed, r.upstream)
+			}
 			if !best.usable() {
 				best = r
 			}
 			if !c.again(ctx, r) && c.running == 0 {
+				c.blame(false)
 				return best, true
 			}
 		case <-hedge.C:
@@ -115,6 +122,19 @@
 	}
 }
 
+// blame tells the fleet which upstreams failed the request; served says that another
+// one did better. If several failed it and none served it, that is taken for the
+// request's own fault: half of the failing calls of the users' services fail at
+// every upstream.
+func (c *callRun) blame(served bool) {
+	if len(c.failed) > 1 && !served {
+		return
+	}
+	for _, id := range c.failed {
+		c.g.fleet.Note(id, fleet.Failed)
+	}
+}
+
 // again starts another attempt after one that failed, if that is allowed.
 func (c *callRun) again(ctx context.Context, r result) bool {
 	if ctx.Err() != nil {
@@ -210,7 +230,7 @@
 	case r.verdict == protocol.WrongUpstream:
 		g.fleet.MarkLeaving(r.upstream, "another upstream has its address")
 	case r.status >= http.StatusInternalServerError:
-		g.fleet.Note(r.upstream, fleet.Failed)
+		// The run notes it once it knows whether another upstream does better.
 	default:
 		g.fleet.Note(r.upstream, fleet.Served)
 	}
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/platform"
 )
 
@@ -298,3 +299,50 @@
 		t.Errorf("status %d for usual headers", a.status)
 	}
 }
+
+// TestWhoIsBlamedForAFailure: an upstream that failed a call is blamed if another
+// one served it, or if nobody else was asked; not if others failed it as well.
+func TestWhoIsBlamedForAFailure(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		path   string
+		others http.HandlerFunc
+		want   int
+	}{
+		{"another upstream served it", pathSafe, serveOK, 1},
+		{"another upstream failed it too", pathSafe, serveError, 0},
+		{"it may be sent once only", pathOnce, serveOK, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "bad", serveError)
+			other := f.add("app", "other", tc.others)
+			// The other one looks busy, so the bad one is asked first.
+			claim := f.gateway.ledger.take("other", gossip.Load{Running: 100})
+			defer claim.release()
+			f.ask(tc.path)
+			if tc.path == pathSafe && other.runs() != 1 {
+				t.Fatalf("%d sends to the other upstream, want 1", other.runs())
+			}
+			if got := f.fleet.Failures()["bad"]; got != tc.want {
+				t.Errorf("%d failures noted, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestFailingUpstreamGetsNoCalls: what other entries met counts.
+func TestFailingUpstreamGetsNoCalls(t *testing.T) {
+	f := newFixture(t)
+	bad := f.add("app", "bad", serveError)
+	f.add("app", "good", serveOK)
+	f.fleet.PeerFailures("b", map[string]int{"bad": 10})
+	for range 8 {
+		if got := f.ask(pathOnce); got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+	}
+	if bad.runs() != 0 {
+		t.Errorf("%d calls to an upstream that fails others' requests", bad.runs())
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,6 +21,9 @@
 	// comes some 200 ms later. With 4% lost for 12 of 34 s it brings 0.02 of a day's
 	// worth beside 0.3.
 	otherZoneCost = 1.0
+	// failingCost puts upstreams that fail many requests behind all that do not, but
+	// before those whose connections broke.
+	failingCost = 1e5
 	// tieNoise keeps entries that see the same load from all choosing the same.
 	tieNoise = 0.2
 	// avoidedCost puts upstreams that are avoided behind all others.
@@ -46,9 +49,13 @@
 
 // choosePlain returns the best upstream of a plain service that is not excluded.
 func (g *Gateway) choosePlain(service string, exclude map[string]bool) (fleet.Upstream, bool) {
+	failing := g.fleet.Failing(service)
 	return best(g.fleet.Of(service), exclude, func(u fleet.Upstream) float64 {
 		load := g.ledger.total(u.ID)
 		cost := float64(load.Running)/float64(max(u.Slots, 1))*float64(slotsUnit) + failureCost*u.FailureRate()
+		if failing[u.ID] {
+			cost += failingCost
+		}
 		if u.Zone != g.settings.Zone {
 			cost += otherZoneCost
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -61,6 +61,8 @@
 	// Faults are the upstreams at which its requests met a fault lately, and the
 	// steady time of the latest one.
 	Faults map[string]time.Time
+	// Failures are the numbers of requests that upstreams lately failed it.
+	Failures map[string]int
 	// Retries is what it took of the retry budgets, by service.
 	Retries map[string]routing.Use
 }
@@ -98,6 +100,7 @@
 	Leaving   []string            `json:"leaving,omitempty"`
 	// FaultAgesMS is the time since the latest fault of upstreams.
 	FaultAgesMS map[string]int64   `json:"fault_ages_ms,omitempty"`
+	Failures    map[string]int     `json:"failures,omitempty"`
 	Retries     map[string]wireUse `json:"retries,omitempty"`
 }
 
@@ -254,7 +257,7 @@
 func (n *Node) send() {
 	s := n.collect()
 	now := n.now()
-	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving, Zone: s.Zone, Relay: s.Relay, Lost: s.StoreLost}
+	m := message{From: n.settings.Name, Life: n.settings.Life, Sent: now.Sub(n.start).Nanoseconds() + 1, AgeMS: -1, Routes: int64(s.Routes), Leaving: s.Leaving, Zone: s.Zone, Relay: s.Relay, Lost: s.StoreLost, Failures: s.Failures}
 	if !s.Confirmed.IsZero() {
 		m.AgeMS = now.Sub(s.Confirmed).Milliseconds() + 1
 	}
@@ -319,7 +322,7 @@
 // take stores a peer's state. Its confirmation holds for the time of the echo,
 // less the age that the peer gave: both bounds lie on the safe side.
 func (n *Node) take(m message, addr net.Addr) {
-	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Zone: m.Zone, Relay: m.Relay, StoreLost: m.Lost, Loads: make(map[string]Load, len(m.Loads))}
+	s := State{Routes: routetable.Version(m.Routes), Leaving: m.Leaving, Zone: m.Zone, Relay: m.Relay, StoreLost: m.Lost, Failures: m.Failures, Loads: make(map[string]Load, len(m.Loads))}
 	for id, l := range m.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2], Held: l[3]}
 	}
