fix: a question to another entry is held no longer than the stale bound leaves

TestQuestionIsHeldNoLongerThanTheBoundLeaves turned to the store after 2.0 s before, where the bound left 0.2 s.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -112,6 +112,14 @@
 	}
 }
 
+// made is when the newest answer for the table was made; the zero time if there is
+// none.
+func (l *Log) made(table string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table(table).made
+}
+
 // failed notes that the newest call for the table failed.
 func (l *Log) failed(table string) {
 	l.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -254,6 +254,29 @@
 	}
 }
 
+// TestQuestionIsHeldNoLongerThanTheBoundLeaves: what an entry goes by must not grow
+// older than the bound while a delegate that was just cut off holds its question.
+func TestQuestionIsHeldNoLongerThanTheBoundLeaves(t *testing.T) {
+	const left, slack = 200 * time.Millisecond, 150 * time.Millisecond
+	d := newDeployment(t, "a", "b")
+	d.list()
+	for _, e := range d.entries {
+		e.source.settings.Wait = 2 * time.Second
+		e.log.mu.Lock()
+		e.log.table(table).made = time.Now().Add(left - e.source.settings.Stale)
+		e.log.mu.Unlock()
+	}
+	start := time.Now()
+	for d.entries[1].store.calls == 0 {
+		if _, err := d.entries[1].changes(t); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(start); took > left+slack {
+		t.Errorf("turned to the store after %s, want after the %s that the bound left", took, left)
+	}
+}
+
 func TestDroppedHistoryIsPassedOn(t *testing.T) {
 	d := newDeployment(t, "a")
 	d.list()
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -123,7 +123,7 @@
 // changes asks the delegate of this entry, then the store, then the entry with
 // the freshest answer.
 func (s *Store) changes(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
-	params := changesParams{Table: table, After: after, WaitMS: s.settings.Wait.Milliseconds()}
+	params := changesParams{Table: table, After: after, WaitMS: s.hold(table).Milliseconds()}
 	if p, ok := s.delegate(); ok {
 		if snap, err := s.ask(ctx, p, methodChanges, params, s.settings.Stale); err == nil {
 			s.took(table, p.Name)
@@ -152,6 +152,23 @@
 	return platform.Snapshot{}, err
 }
 
+// holdLeast is the least time for which another entry is asked to hold a question:
+// some round trips, so that questions do not follow each other at once.
+const holdLeast = 20 * time.Millisecond
+
+// hold is how long another entry may hold a question for changes. It ends when what
+// is known here reaches the age from which it is not gone by: an entry asked a
+// delegate that had just been cut off, and served by routes 2.3 s old with a bound of
+// 2 s.
+func (s *Store) hold(table string) time.Duration {
+	made := s.log.made(table)
+	if made.IsZero() {
+		return s.settings.Wait
+	}
+	left := s.settings.Stale - s.now().Sub(made)
+	return min(max(left, holdLeast), s.settings.Wait)
+}
+
 // reached notes how a call to the store itself ended. A call that this process
 // gave up for another reason tells nothing.
 func (s *Store) reached(ctx context.Context, err error) {
