--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -33,11 +33,21 @@
 mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestWhoMayAsk
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestEntryThatStartsWhileTheStoreIsSilent
 mutant gateway-torn $gateway/eventreader.go 's/if n := wholeEvents\(e\.buf\[e\.start:e\.end\]\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
-mutant gateway-whole $gateway/stream.go 's/if errors\.Is\(err, io\.EOF\) && answer\.Framed && len\(rest\) == 0 && s\.began \{/if s.began {/' $gateway TestBrokenStream
+mutant gateway-whole $gateway/relay.go 's/if errors\.Is\(err, io\.EOF\) && answer\.Framed && len\(rest\) == 0 && s\.began \{/if _ = errors.Is(err, io.EOF); s.began {/' $gateway TestBrokenStream
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, heldCopy/_ = append(s.copies, heldCopy/' $gateway TestMove
-mutant gateway-faulty $gateway/stream.go 's/s\.g\.faulty\(st\.at\.ID\)/s.g.fleet.Note(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
-mutant gateway-silent $gateway/stream.go 's/\tg\.faulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
+mutant gateway-faulty $gateway/attempt.go 's/s\.g\.faulty\(st\.at\.ID\)/s.g.fleet.Note(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
+mutant gateway-silent $gateway/attempt.go 's/\tg\.faulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
 mutant gateway-spread $gateway/move.go 's/if u, ok := draw\(list, exclude, near, rand\.Float64\); ok/if u, ok := best(list, exclude, func(u fleet.Upstream) float64 { return -near(u) }); ok/' $gateway TestTargetsOfMoves
+mutant gateway-room $gateway/admission.go 's/return errMemory/return nil/' $gateway TestRoom
+mutant gateway-kept-room $gateway/admission.go 's/memoryUse\*\(1-reserve\)/memoryUse/' $gateway TestRoom
+mutant gateway-waiting-prompts $gateway/admission.go 's/return errPrompts/return nil/' $gateway TestRoom
+mutant gateway-silent-load $gateway/gateway.go 's/g\.ledger\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfSilentEntries
+mutant gateway-stop-longest $gateway/request.go 's/g\.pace\.rest\(rq\.call\.MaxOutput,/g.pace.rest(rq.call.Hint,/' $gateway TestStoppingGatewayDoubtsTheHint
+mutant gateway-back-after-stop $gateway/stop.go 's/case s\.far:/case false:/' $gateway TestBackAfterStop
+mutant gateway-overload-age $gateway/overload.go 's/max\(now\.Sub\(o\.since\), backLeast\)/backLeast/' $gateway TestOverloadTells
+mutant gateway-blame $gateway/call.go 's/if len\(c\.failed\) > 1 && !served \{/if false {/' $gateway TestWhoIsBlamed
+mutant fleet-failing internal/fleet/failing.go 's/failingOver = 3/failingOver = 0/' internal/fleet TestFailing
+mutant relay-hold internal/relay/store.go 's/return min\(max\(left, holdLeast\), s\.settings\.Wait\)/_ = left\n\treturn s.settings.Wait/' internal/relay TestQuestionIsHeld
 mutant retries-together internal/routing/window.go 's/\(lately\+1\)\*float64\(heard\) > left\+lately/lately+1 > left+lately+0*float64(heard)/' internal/routing TestEntriesTogether
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Repeats\), keptPart\*share\)/float64(u.Repeats)/' internal/routing TestEntriesTogether
 mutant link-pairs internal/link/link.go 's/if p\.otherRequest\(c, req, resp\) \{/if false {/' internal/link TestAnswerToTheRequestBefore
