perf: targets of moves are judged by what their engines hold

Cause: a target needed room for the full expected length of all its streams.

Change: room is what the engine holds, what the generation holds, and the growth to come, as at admission. TestTargetsOfMovesAreJudgedByWhatIsHeld was red before; the test before it now states what its engines hold, its assertions are unchanged.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -147,19 +147,20 @@
 // queue on that engine's link and fill its memory.
 func (g *Gateway) chooseTarget(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
 	engine, need := s.rq.service.Engine, s.need()
+	d := s.rest()
 	list := g.fleet.Of(s.rq.service.Name)
 	near := func(u fleet.Upstream) float64 {
 		if u.Zone != from.Zone {
 			return 0
 		}
-		return g.targetWeight(engine, u, need)
+		return g.targetWeight(engine, u, d)
 	}
 	// A copy between zones takes twice as long, and an engine that leaves has
 	// time for few of them.
 	if u, ok := draw(list, exclude, near, rand.Float64); ok {
 		return u, true
 	}
-	if u, ok := draw(list, exclude, func(u fleet.Upstream) float64 { return g.targetWeight(engine, u, need) }, rand.Float64); ok {
+	if u, ok := draw(list, exclude, func(u fleet.Upstream) float64 { return g.targetWeight(engine, u, d) }, rand.Float64); ok {
 		return u, true
 	}
 	return best(list, exclude, func(u fleet.Upstream) float64 {
@@ -167,13 +168,22 @@
 	})
 }
 
+// rest is what the generation asks of an engine that takes it over: what it holds
+// and the output that is still expected.
+func (s *stream) rest() demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.held()
+	return demand{prompt: held, output: max(s.need()-held, s.rq.service.Engine.EventTokens)}
+}
+
 // targetWeight is the weight by which an engine is drawn as the target of a move;
 // 0 for engines that are better left alone. Room counts squared, so that nearly
 // full engines are drawn rarely.
-func (g *Gateway) targetWeight(e *routetable.Engine, u fleet.Upstream, need int) float64 {
+func (g *Gateway) targetWeight(e *routetable.Engine, u fleet.Upstream, d demand) float64 {
 	load := g.ledger.total(u.ID)
 	now := g.now()
-	room := memoryUse*float64(e.MemoryTokens) - float64(load.Tokens+need)
+	room := memoryUse*float64(e.MemoryTokens) - float64(load.Held+d.prompt) - growth(load, d.output)
 	if room <= 0 || load.Running >= e.Slots || now.Before(u.AvoidUntil()) || u.Suspect(now) {
 		return 0
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -349,15 +349,31 @@
 // Targets of moves are drawn: entries that see the same load must not all send
 // their copies to one engine.
 func TestTargetsOfMovesAreSpread(t *testing.T) {
+	testTargetsAreSpread(t, func(i int) gossip.Load { return gossip.Load{Running: 1, Tokens: 1000 * i, Held: 1000 * i} })
+}
+
+// Streams end one by one, so an engine whose streams would not fit if all became as
+// long as expected is a target as long as there is room now: else a crowded service
+// has no targets, and all entries send their copies to the one that is fullest last.
+func TestTargetsOfMovesAreJudgedByWhatIsHeld(t *testing.T) {
+	testTargetsAreSpread(t, func(i int) gossip.Load {
+		return gossip.Load{Running: 6, Tokens: 99000 + 1000*i, Held: 60000 + 1000*i}
+	})
+}
+
+// testTargetsAreSpread draws targets among seven engines of a zone with a load, an
+// eighth one without room and eight of another zone.
+func testTargetsAreSpread(t *testing.T, load func(i int) gossip.Load) {
+	t.Helper()
 	f := newFixture(t)
 	var records []fleet.Record
 	for i := range 8 {
 		records = append(records, fleet.Record{ID: fmt.Sprintf("near-%d", i), Service: "llm", Zone: "a"}, fleet.Record{ID: fmt.Sprintf("far-%d", i), Service: "llm", Zone: "b"})
 	}
 	f.fleet.Update(records, nil, true, time.Time{})
-	loads := map[string]gossip.Load{"near-0": {Running: 1, Tokens: 99000}}
+	loads := map[string]gossip.Load{"near-0": {Running: 1, Tokens: 99000, Held: 99000}}
 	for i := 1; i < 8; i++ {
-		loads[fmt.Sprintf("near-%d", i)] = gossip.Load{Running: 1, Tokens: 1000 * i}
+		loads[fmt.Sprintf("near-%d", i)] = load(i)
 	}
 	f.gateway.ledger.setPeer("other", loads)
 	s := &stream{g: f.gateway, rq: &request{call: protocol.Call{Prompt: 1000, MaxOutput: 1000}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000}}}}
