perf: prompts go where their shared parts are kept

Hypothesis: engines that keep a shared part of a prompt neither read nor hold it twice; routing and admission that know it serve deployments with long shared parts better.

Change: each entry remembers for 5 s which parts it sent to which engine (256 an engine at most). An engine is as much better as it saves reading, and what it keeps counts neither as memory nor as prompt to be read.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -42,6 +42,8 @@
 // demand is what a generation asks of an engine.
 type demand struct {
 	prompt int
+	// kept is the part of the prompt that the engine keeps already, in tokens.
+	kept int
 	// output is the expected length of the answer, in tokens.
 	output int
 	// startBy is the time left until the generation should begin; 0 for no bound.
@@ -74,10 +76,10 @@
 	if d.brief {
 		reserve = 0
 	}
-	if e.MemoryTokens > 0 && float64(load.Held+d.prompt)+growth(load, d.output) > memoryUse*(1-reserve)*memory && load.Running > 0 {
+	if e.MemoryTokens > 0 && float64(load.Held+d.prompt-d.kept)+growth(load, d.output) > memoryUse*(1-reserve)*memory && load.Running > 0 {
 		return errMemory
 	}
-	if d.startBy > 0 && load.Prefill > 0 && g.reading.expected(load.Prefill+d.prompt) > d.startBy {
+	if d.startBy > 0 && load.Prefill > 0 && g.reading.expected(load.Prefill+d.prompt-d.kept) > d.startBy {
 		return errPrompts
 	}
 	return nil
@@ -122,11 +124,14 @@
 			continue
 		}
 		load := g.ledger.total(u.ID)
-		if err := g.room(rq.service.Engine, load, d, reserve); err != nil {
+		fits := d
+		fits.kept = g.prefixes.kept(u.ID, rq.call.Shared, now)
+		if err := g.room(rq.service.Engine, load, fits, reserve); err != nil {
 			why = err
 			continue
 		}
-		if cost := g.engineCost(rq.service.Engine, u, load, need, now); cost < least {
+		cost := g.engineCost(rq.service.Engine, u, load, need, now) - prefillWeight*float64(fits.kept)
+		if cost < least {
 			chosen, least = i, cost
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	askedAt  atomic.Int64
 	pace     pace
 	reading  reading
+	prefixes *prefixes
 	trusted  atomic.Bool
 
 	mu      sync.Mutex
@@ -83,7 +84,7 @@
 func New(settings Settings, routes *belief.Routes, set *fleet.Set, pool *link.Pool, proto protocol.Protocol, nudge func(), peers func() map[string]gossip.Peer, rec *events.Recorder, reg prometheus.Registerer, now func() time.Time) *Gateway {
 	return &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
-		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(), entries: 1,
+		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*overload{},
 		inquired: map[string]time.Time{}, nudge: nudge, peers: peers,
 	}
@@ -148,6 +149,7 @@
 func (g *Gateway) ForgetSilent() {
 	peers := g.peers()
 	g.ledger.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
+	g.prefixes.forget(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok })
 }
 
 // Registered sets how many entries there are; the retry budget is shared among them.
--- /dev/null
+++ b/internal/gateway/prefixes_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// TestPrefixesKept covers what an engine is expected to keep of a prompt.
+func TestPrefixesKept(t *testing.T) {
+	parts := []protocol.PromptPart{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}}
+	start := time.Now()
+	for _, tc := range []struct {
+		name   string
+		sent   []protocol.PromptPart
+		engine string
+		after  time.Duration
+		want   int
+	}{
+		{"sent lately", parts, "e", time.Second, 300},
+		{"only the first part was sent", parts[:1], "e", time.Second, 100},
+		{"only the second part was sent", parts[1:], "e", time.Second, 0},
+		{"sent to another engine", parts, "f", time.Second, 0},
+		{"long ago", parts, "e", time.Minute, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPrefixes()
+			p.note(tc.engine, tc.sent, start)
+			if got := p.kept("e", parts, start.Add(tc.after)); got != tc.want {
+				t.Errorf("%d tokens kept, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestPrefixesAreBounded: callers that make up parts take no memory without bound,
+// and engines that are gone take none.
+func TestPrefixesAreBounded(t *testing.T) {
+	p := newPrefixes()
+	for i := range 10 * mostPrefixes {
+		p.note("e", []protocol.PromptPart{{ID: strconv.Itoa(i), Tokens: 1}}, time.Now())
+	}
+	if n := len(p.used["e"]); n > mostPrefixes {
+		t.Errorf("%d parts remembered, want at most %d", n, mostPrefixes)
+	}
+	p.forget(func(string) bool { return false })
+	if len(p.used) != 0 {
+		t.Error("an engine that is gone is remembered")
+	}
+}
+
+// TestSharedPromptGoesWhereItIsKept: generations that share a long part of their
+// prompt go to the engine that has read it, unless that one is much fuller.
+func TestSharedPromptGoesWhereItIsKept(t *testing.T) {
+	f := newFixture(t)
+	engines := []*engine{f.addEngine("a"), f.addEngine("b"), f.addEngine("c")}
+	decode := f.gateway.proto.Decode
+	f.gateway.proto.Decode = func(r *http.Request, now time.Time) protocol.Call {
+		c := decode(r, now)
+		c.Prompt, c.Shared = 3000, []protocol.PromptPart{{ID: "p", Tokens: 2000}}
+		return c
+	}
+	for range 6 {
+		if got := f.ask(pathStream); got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+	}
+	most := 0
+	for _, e := range engines {
+		most = max(most, e.runs())
+	}
+	if most != 6 {
+		t.Errorf("%d of 6 requests at one engine, want all where the part is kept", most)
+	}
+}
--- a/internal/gateway/size.go
+++ b/internal/gateway/size.go
@@ -10,10 +10,10 @@
 	return s.rq.call.Prompt + expectedOutput(&s.rq.call)
 }
 
-// held is the KV memory that the generation takes by now, in tokens. It needs the
-// lock of s.
+// held is the KV memory that the generation takes by now at its engine, in tokens,
+// beside what other generations share with it. It needs the lock of s.
 func (s *stream) held() int {
-	return s.rq.call.Prompt + s.events*s.rq.service.Engine.EventTokens
+	return s.rq.call.Prompt - s.kept + s.events*s.rq.service.Engine.EventTokens
 }
 
 // hintMargin covers that a caller's guess of the length is right only in half
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,6 +36,8 @@
 	lastEvent string
 	events    int
 	claim     *claim
+	// kept is the part of the prompt that the engine held already for others.
+	kept int
 	// toRead is the number of prompt tokens that the engine had to read when it got
 	// the generation, with those that came before.
 	toRead int
@@ -128,7 +130,10 @@
 func (s *stream) enter(st step) {
 	s.mu.Lock()
 	s.at = st.at
-	prefill := s.rq.call.Prompt
+	now := s.g.now()
+	s.kept = s.g.prefixes.kept(st.at.ID, s.rq.call.Shared, now)
+	s.g.prefixes.note(st.at.ID, s.rq.call.Shared, now)
+	prefill := s.rq.call.Prompt - s.kept
 	if st.from != nil {
 		prefill = 0
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -29,12 +29,22 @@
 	// Prompt and MaxOutput are the sizes in tokens that the caller stated.
 	Prompt    int
 	MaxOutput int
+	// Shared are the leading parts of the prompt that other requests may share, in order.
+	Shared []PromptPart
 	// Hint is the caller's guess of the output in tokens, 0 if there is none.
 	Hint int
 	// LastEvent is set when the caller goes on with a stream.
 	LastEvent string
 }
 
+// PromptPart is a part of a prompt.
+type PromptPart struct {
+	// ID is the same for the same text after the same parts.
+	ID string
+	// Tokens is its size.
+	Tokens int
+}
+
 // Copy names the copy of a generation's memory.
 type Copy struct {
 	// Source is the IP:port of the engine the copy was made from.
