--- a/scripts/deployments.sh
+++ b/scripts/deployments.sh
@@ -16,7 +16,7 @@
 cp "$(dirname "$site")/wire.json" "$out/"
 
 # make NAME SED-SCRIPT writes a site file.
-make() { sed -e "s/^name = \"[^\"]*\"/name = \"made-$1\"/" -e "$2" "$site" >"$out/$1.toml"; }
+make() { sed -e "0,/^name = .*/s//name = \"made-$1\"/" -e "$2" "$site" >"$out/$1.toml"; }
 
 make few '/class = "side"/s/count = 6/count = 3/; /model = "llm"/s/count = 6/count = 3/g
   s/grid-draft = 6.91, clue-check = 9.69/grid-draft = 3.4, clue-check = 4.8/
