fix: the bounds of a planned stop follow the steady clock

Cause: they were kept as nanoseconds of Unix time, which drops the steady reading, so a jump of the time of day in the middle of a stop moved them. Change: an instant keeps the whole time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,15 +50,13 @@
 	met      *metrics
 	now      func() time.Time
 	ledger   *ledger
-	// stopBy is when requests in flight are given up in a planned stop, as
-	// nanoseconds of Unix time; 0 while none is under way.
-	stopBy atomic.Int64
-	// noticedAt is when the balancer has noticed the stop, as nanoseconds of Unix time.
-	noticedAt atomic.Int64
-	// inFlight counts callers' requests; askedAt is when the latest one began or
-	// ended, as nanoseconds of Unix time.
+	// stopBy is when requests in flight are given up in a planned stop; zero while
+	// none is under way. noticedAt is when the balancer has noticed the stop.
+	stopBy    instant
+	noticedAt instant
+	// inFlight counts callers' requests; askedAt is when the latest one began or ended.
 	inFlight atomic.Int64
-	askedAt  atomic.Int64
+	askedAt  instant
 	pace     pace
 	reading  reading
 	prefixes *prefixes
@@ -93,7 +91,7 @@
 // Ready tells the balancer whether to send callers here.
 func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
 	switch {
-	case g.stopBy.Load() != 0:
+	case !g.StopBy().IsZero():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	case !g.servesKeys():
 		http.Error(w, "no confirmed routes", http.StatusServiceUnavailable)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -59,7 +59,7 @@
 	defer g.leave()
 	now := g.now()
 	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), w: w}
-	if g.stopBy.Load() != 0 {
+	if !g.StopBy().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	if !g.admit(rq, r) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,20 +23,14 @@
 // one stops. What comes all the same is served if it can be expected to end
 // before the deadline.
 func (g *Gateway) Drain(deadline time.Time) {
-	g.noticedAt.Store(g.now().Add(NoticeTime).UnixNano())
-	g.stopBy.Store(deadline.UnixNano())
+	g.noticedAt.Set(g.now().Add(NoticeTime))
+	g.stopBy.Set(deadline)
 	g.nudge()
 }
 
 // StopBy returns when requests in flight are given up in a planned stop; the
 // zero time while none is under way.
-func (g *Gateway) StopBy() time.Time {
-	by := g.stopBy.Load()
-	if by == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, by)
-}
+func (g *Gateway) StopBy() time.Time { return g.stopBy.Get() }
 
 // stopsBefore reports whether a planned stop would give a request up that takes
 // a time from now.
@@ -51,22 +45,23 @@
 	if g.inFlight.Load() > 0 {
 		return 0
 	}
-	return g.now().Sub(time.Unix(0, g.askedAt.Load()))
+	return g.now().Sub(g.askedAt.Get())
 }
 
-// enter and leave count the requests in flight.
+// enter notes that a caller's request began.
 func (g *Gateway) enter() {
 	g.inFlight.Add(1)
-	g.askedAt.Store(g.now().UnixNano())
+	g.askedAt.Set(g.now())
 }
 
+// leave notes that a caller's request ended.
 func (g *Gateway) leave() {
-	g.askedAt.Store(g.now().UnixNano())
+	g.askedAt.Set(g.now())
 	g.inFlight.Add(-1)
 }
 
-// stops is what the entries that are heard tell of planned stops.
-type stops struct {
+// plannedStops is what the entries that are heard tell of planned stops.
+type plannedStops struct {
 	// near tells that another entry of the zone serves, far that any other does.
 	near, far bool
 	// nearStops tells that another entry of the zone stops.
@@ -76,9 +71,10 @@
 	first, lastNear time.Time
 }
 
-func (g *Gateway) stops() stops {
+// stops looks at the planned stops of this entry and the others.
+func (g *Gateway) stops() plannedStops {
 	own := g.StopBy()
-	out := stops{first: own, lastNear: own}
+	out := plannedStops{first: own, lastNear: own}
 	for _, p := range g.peers() {
 		by, near := p.State.StopBy, p.State.Zone == g.settings.Zone
 		switch {
@@ -99,9 +95,6 @@
 	return out
 }
 
-// noticed is when the balancer has noticed this entry's planned stop.
-func (g *Gateway) noticed() time.Time { return time.Unix(0, g.noticedAt.Load()) }
-
 // backAfterStop is the time after which an entry can be expected to serve what
 // this stopping one refuses. Callers try once or twice, and the balancer believes
 // a stopping entry ready for a while: told to come back at once, two in three of
@@ -113,7 +106,7 @@
 		return backStopping
 	case s.far:
 		// The balancer sends callers to other zones once it knows of all stops here.
-		noticed := g.noticed().Add(s.lastNear.Sub(g.StopBy()))
+		noticed := g.noticedAt.Get().Add(s.lastNear.Sub(g.StopBy()))
 		return max(noticed.Sub(g.now()), backStopping)
 	default:
 		return max(s.first.Add(restartTime).Sub(g.now()), backStopping)
