fix: prompt parts are forgotten once engines no longer keep them

Cause: parts past their time stayed until an engine had 256 of them; with 870 engines that is some 20 MB. No decision changes. Comments say values in plain words.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,7 @@
 func (g *Gateway) ForgetSilent() {
 	peers := g.peers()
 	g.ledger.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
-	g.prefixes.forget(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok })
+	g.prefixes.forget(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }, g.now())
 }
 
 // Registered sets how many entries there are; the retry budget is shared among them.
--- a/internal/gateway/prefixes.go
+++ b/internal/gateway/prefixes.go
@@ -11,7 +11,8 @@
 	// prefixKept is how long after a prompt part was last sent to an engine it is
 	// expected to be kept there: parts give way to others when memory is needed.
 	prefixKept = 5 * time.Second
-	// mostPrefixes bounds the parts that are remembered of one engine.
+	// mostPrefixes bounds the parts that are remembered of one engine, in case callers
+	// make them up: some ten times what an engine can read in that time.
 	mostPrefixes = 256
 )
 
@@ -74,12 +75,14 @@
 	return tokens
 }
 
-// forget drops the engines that are not known any more.
-func (p *prefixes) forget(known func(engine string) bool) {
+// forget drops the engines that are not known any more, and the parts that are no
+// longer expected to be kept.
+func (p *prefixes) forget(known func(engine string) bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id := range p.used {
-		if !known(id) {
+	for id, parts := range p.used {
+		forgetPrefixes(parts, now)
+		if len(parts) == 0 || !known(id) {
 			delete(p.used, id)
 		}
 	}
--- a/internal/gateway/prefixes_test.go
+++ b/internal/gateway/prefixes_test.go
@@ -46,7 +46,12 @@
 	if n := len(p.used["e"]); n > mostPrefixes {
 		t.Errorf("%d parts remembered, want at most %d", n, mostPrefixes)
 	}
-	p.forget(func(string) bool { return false })
+	p.forget(func(string) bool { return true }, time.Now().Add(2*prefixKept))
+	if len(p.used) != 0 {
+		t.Error("parts are remembered for longer than engines keep them")
+	}
+	p.note("e", []protocol.PromptPart{{ID: "a", Tokens: 1}}, time.Now())
+	p.forget(func(string) bool { return false }, time.Now())
 	if len(p.used) != 0 {
 		t.Error("an engine that is gone is remembered")
 	}
