--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -66,7 +66,6 @@
 // reserve is the part of the memory that is kept for generations of engines that
 // leave.
 func (g *Gateway) room(e *routetable.Engine, load gossip.Load, d demand, reserve float64) error {
-	memory := float64(e.MemoryTokens)
 	if e.MemoryTokens > 0 && d.prompt > e.MemoryTokens {
 		return errTooLarge
 	}
@@ -76,7 +75,7 @@
 	if d.brief {
 		reserve = 0
 	}
-	if e.MemoryTokens > 0 && float64(load.Held+d.prompt-d.kept)+growth(load, d.output) > memoryUse*(1-reserve)*memory && load.Running > 0 {
+	if e.MemoryTokens > 0 && load.Running > 0 && spare(e, load, d, reserve) < 0 {
 		return errMemory
 	}
 	if d.startBy > 0 && load.Prefill > 0 && g.reading.expected(load.Prefill+d.prompt-d.kept) > d.startBy {
@@ -85,6 +84,13 @@
 	return nil
 }
 
+// spare is the memory in tokens that an engine with a load has left beside a
+// generation until that has ended; negative if it does not fit. reserve is the part
+// that is kept free.
+func spare(e *routetable.Engine, load gossip.Load, d demand, reserve float64) float64 {
+	return memoryUse*(1-reserve)*float64(e.MemoryTokens) - float64(load.Held+d.prompt-d.kept) - growth(load, d.output)
+}
+
 // growth is the memory beyond what is held now that is needed until a generation of
 // a number of output tokens has ended. A brief one sees the others grow little; a
 // long one sees some of them end.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,6 @@
 
 // Registered sets how many entries there are; the retry budget is shared among them.
 func (g *Gateway) Registered(registered int) {
-	g.ForgetSilent()
 	peers := g.peers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -183,7 +183,7 @@
 func (g *Gateway) targetWeight(e *routetable.Engine, u fleet.Upstream, d demand) float64 {
 	load := g.ledger.total(u.ID)
 	now := g.now()
-	room := memoryUse*float64(e.MemoryTokens) - float64(load.Held+d.prompt) - growth(load, d.output)
+	room := spare(e, load, d, 0)
 	if room <= 0 || load.Running >= e.Slots || now.Before(u.AvoidUntil()) || u.Suspect(now) {
 		return 0
 	}
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -120,7 +120,7 @@
 off overflow-weighs $gateway/choose.go 's/overflowWeight = 20\.0/overflowWeight = 0.0/'
 off admission $gateway/admission.go 's/(reserve float64\) error \{\n)/$1\tif true {\n\t\treturn nil\n\t}\n/'
 off reserve $gateway/admission.go 's/memoryUse\*\(1-reserve\)/memoryUse/'
-off growth $gateway/admission.go 's/\+growth\(load, d\.output\)//; s/return min\(streams/_ = growth\n\treturn min(streams/'
+off growth $gateway/admission.go 's/ - growth\(load, d\.output\)//'
 off brief $gateway/admission.go 's/if d\.brief \{/if false {/'
 off prompts-bound $gateway/admission.go 's/if d\.startBy > 0 && load\.Prefill > 0/if false \&\& load.Prefill > 0/'
 off overload-age $gateway/overload.go 's/max\(now\.Sub\(o\.since\), backLeast\)/backLeast/'
