fix: a held question is answered by what is known at its end

Cause: an entry that asks a delegate lets it hold the question until what it knows reaches the age from which it is not gone by. The delegate answered with what it had known when the question came, so the answer was too old by 1 to 20 ms although the store had confirmed the table meanwhile. All entries that ask that delegate turned to the store at that moment, for 3 s: in calm, each 1.8 s, 99 of 103 entries.

Change: the answer tells what is known when the hold ends. A follower's pause after an answer with changes counts in its next hold, so that what it knows grows no older than the time it holds calls for.

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -167,15 +167,25 @@
 	return pause
 }
 
-// wait is how long the store may hold the next call. The first one after a
-// failure is answered at once, because others wait for its confirmation.
+// holdLeast is the part of Wait for which a call is held at least, so that calls do
+// not follow each other at once where answers come late.
+const holdLeast = 0.25
+
+// wait is how long the store may hold the next call: until what is known here has
+// grown as old as Wait. The pause after an answer with changes counts as well. With the
+// whole of Wait after a pause of 200 ms, what followers of 103 entries knew grew older
+// than the others go by, and 99 of them turned to the store at once: 2,265 calls in
+// 16 s, most of them for that. The first call after a failure is answered at once,
+// because others wait for its confirmation.
 func (f *Follower) wait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failures > 0 {
 		return 0
 	}
-	return f.settings.Wait
+	left := f.settings.Wait - f.now().Sub(f.confirmed)
+	least := time.Duration(holdLeast * float64(f.settings.Wait))
+	return min(max(left, least), f.settings.Wait)
 }
 
 func (f *Follower) succeeded(s platform.Snapshot) {
--- a/internal/belief/follower_test.go
+++ b/internal/belief/follower_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// TestPauseAfterAChangeShortensTheNextHold: others ask a follower for what it knows,
+// which must not grow older than Wait although it pauses after answers with changes.
+func TestPauseAfterAChangeShortensTheNextHold(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		want time.Duration
+	}{
+		{"the answer was new", 0, time.Second - pause},
+		{"the answer was old already", 400 * time.Millisecond, 600*time.Millisecond - pause},
+		{"the answer was as old as the wait", time.Second, 250 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newScript(rows(1, "a"), nil, rows(2))
+			s.answers[1] = func() (platform.Snapshot, error) {
+				snap, err := rows(2, "b")()
+				snap.Made = s.at.Add(-tc.age)
+				return snap, err
+			}
+			s.sleep = func(context.Context, time.Duration) { s.at = s.at.Add(pause) }
+			s.play(t)
+			if got := s.waits[len(s.waits)-1]; got != tc.want {
+				t.Errorf("the call after a pause of %s is held for %s, want %s", pause, got, tc.want)
+			}
+		})
+	}
+}
+
 func TestConfirmationIsOfTheAnswer(t *testing.T) {
 	made := time.Now().Add(-time.Minute)
 	s := newScript(func() (platform.Snapshot, error) { return platform.Snapshot{Version: 1, Made: made}, nil })
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -336,6 +336,28 @@
 	}
 }
 
+// TestAnswerTellsTheLatestConfirmation: what was confirmed while a question was held
+// counts. Otherwise a question that is held until the bound is answered as too old
+// although the delegate had been told meanwhile that nothing changed.
+func TestAnswerTellsTheLatestConfirmation(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	for _, e := range d.entries {
+		e.source.settings.Wait = 400 * time.Millisecond
+	}
+	confirmed := time.Now().Add(200 * time.Millisecond)
+	time.AfterFunc(time.Until(confirmed), func() {
+		d.entries[0].log.note(table, platform.Snapshot{Version: 5, Made: confirmed}, false)
+	})
+	got, err := d.entries[1].changes(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if early := confirmed.Sub(got.Made); early > 100*time.Millisecond {
+		t.Errorf("made %s before the confirmation that came while the question was held", early)
+	}
+}
+
 // A delegate that no longer reaches the store hands over to the next one: else
 // all entries would turn to the store for as long as it is cut off.
 func TestDelegateThatLostTheStoreHandsOver(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -58,18 +58,19 @@
 	asked := l.now()
 	end := time.NewTimer(time.Duration(p.WaitMS) * time.Millisecond)
 	defer end.Stop()
-	for {
+	for over := false; ; {
 		s, changed, ok := l.since(p.Table, p.After)
 		if !ok {
 			return nil, errCannotTell
 		}
-		if len(s.Records) > 0 {
+		if len(s.Records) > 0 || over {
 			return l.encode(s, asked), nil
 		}
 		select {
 		case <-changed:
 		case <-end.C:
-			return l.encode(s, asked), nil
+			// What is known now may have been confirmed since the question came.
+			over = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
