perf: other entries are asked before the store, and turns are taken there

Cause: an entry whose delegate failed, or was a few milliseconds late, asked the store itself, as all others did at that moment; while the store was away each of 103 entries repeated that for two tables after at most 500 ms.

Change: the second delegate is asked before the store, then the next ones by name; one that was merely late is avoided for 250 ms, not for 3 s. Who is not to follow the store waits for its turn there: a call each 50 ms over all entries that hear each other.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -64,6 +64,12 @@
 	relayStale = 2 * time.Second
 	// relayAvoid is some tries' worth of following the store instead.
 	relayAvoid = 3 * time.Second
+	// relayAvoidStale is the time after which an entry whose answer was too old is asked
+	// again: about the time in which a delegate that is merely late catches up.
+	relayAvoidStale = 250 * time.Millisecond
+	// relayCallEach is the time between two calls to the store of all entries that no
+	// other one can tell. It bounds how late the end of an outage is noticed.
+	relayCallEach = 50 * time.Millisecond
 	// relayRetry is how long an entry that does not reach the store leaves it to
 	// others to follow it; each try is a call that the platform charges.
 	relayRetry = 4 * time.Second
@@ -83,8 +89,11 @@
 	gossipRate = 1000
 	// gossipForget is some lost messages in a row.
 	gossipForget = 1500 * time.Millisecond
-	// directoryEvery bounds how late a new entry learns of the others.
-	directoryEvery = 10 * time.Second
+	// directoryEvery bounds how late entries that lost each other find out, and
+	// directoryReadEach the calls of all entries for that: two a second and, for
+	// renewals, two thirds of one.
+	directoryEvery    = 10 * time.Second
+	directoryReadEach = 500 * time.Millisecond
 	// directoryCall bounds one call for the list of entries.
 	directoryCall = 1500 * time.Millisecond
 	// sweepEvery is the pause between looks at lapsed upstreams and idle connections.
@@ -173,7 +182,7 @@
 	b.log = relay.NewLog(time.Now)
 	b.source = relay.New(relay.Settings{
 		Name: s.Name, Zone: s.Zone, Delegates: delegates,
-		Wait: relayWait, Slack: relaySlack, Stale: relayStale, AvoidFor: relayAvoid, RetryAfter: relayRetry,
+		Wait: relayWait, Slack: relaySlack, Stale: relayStale, AvoidFor: relayAvoid, AvoidStaleFor: relayAvoidStale, CallEach: relayCallEach, RetryAfter: relayRetry,
 	}, b.store, b.log, b.relayPeers, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -74,7 +75,7 @@
 		e.server.Start()
 		t.Cleanup(e.server.Close)
 		e.addr = e.server.Addr()
-		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Stale: 5 * time.Second, AvoidFor: time.Minute, RetryAfter: time.Minute},
+		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Stale: 5 * time.Second, AvoidFor: time.Minute, AvoidStaleFor: time.Minute, RetryAfter: time.Minute},
 			e.store.seam(), e.log, func() []Peer { return d.others(name) }, events.Nop(), time.Now)
 		e.seam = e.source.Platform()
 		d.entries = append(d.entries, e)
@@ -254,6 +255,74 @@
 	}
 }
 
+// TestAnotherDelegateIsAskedBeforeTheStore: a delegate that is merely late must not
+// send all entries to the store.
+func TestAnotherDelegateIsAskedBeforeTheStore(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c", "d", "e")
+	for _, e := range d.entries {
+		e.source.settings.Delegates = 2
+	}
+	d.list()
+	d.entries[0].log.mu.Lock()
+	d.entries[0].log.table(table).made = time.Now().Add(-time.Minute)
+	d.entries[0].log.mu.Unlock()
+	for _, e := range d.entries[2:] {
+		if _, err := e.changes(t); err != nil || e.store.calls != 0 {
+			t.Errorf("%s: %v, %d calls to the store; want the second delegate's answer", e.name, err, e.store.calls)
+		}
+	}
+}
+
+// TestTurnsAtTheStore: while the store answers nobody, the entries that no other one
+// can tell share a bounded number of calls, and one of them notices its return.
+func TestTurnsAtTheStore(t *testing.T) {
+	const entries, steps, step = 20, 400, 10 * time.Millisecond
+	names := make([]string, entries)
+	for i := range names {
+		names[i] = fmt.Sprintf("e%02d", i)
+	}
+	d := newDeployment(t, names...)
+	d.list()
+	now := time.Now()
+	for _, e := range d.entries {
+		e.source.settings.CallEach, e.source.settings.RetryAfter = 50*time.Millisecond, time.Hour
+		e.source.now = func() time.Time { return now }
+		e.source.dial = func(context.Context, string) (*peer.Conn, error) { return nil, errDown }
+		e.store.down = true
+	}
+	calls := func() (n int) {
+		for _, e := range d.entries {
+			n += e.store.calls
+		}
+		return n
+	}
+	for range steps {
+		now = now.Add(step)
+		for _, e := range d.entries {
+			_, _ = e.changes(t)
+		}
+	}
+	// 4 s allow 80 turns; each entry may follow the store once for the others besides,
+	// and turns are spread to both sides.
+	if got := calls(); got > 80+entries+entries/2 {
+		t.Errorf("%d calls in %s while the store answered nobody", got, steps*step)
+	}
+	before := now
+	for _, e := range d.entries {
+		e.store.down = false
+	}
+	for answered := false; !answered; now = now.Add(step) {
+		for _, e := range d.entries {
+			if _, err := e.changes(t); err == nil {
+				answered = true
+			}
+		}
+		if now.Sub(before) > time.Second {
+			t.Fatalf("no entry noticed within %s that the store answers", now.Sub(before))
+		}
+	}
+}
+
 // TestQuestionIsHeldNoLongerThanTheBoundLeaves: what an entry goes by must not grow
 // older than the bound while a delegate that was just cut off holds its question.
 func TestQuestionIsHeldNoLongerThanTheBoundLeaves(t *testing.T) {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +19,10 @@
 // ErrStale is wrapped when another entry's answer is too old to go by.
 var ErrStale = errors.New("the other entry's answer is too old")
 
+// ErrNotAsked is answered while no other entry can tell and it is left to others to
+// ask the store itself.
+var ErrNotAsked = errors.New("other entries ask the store")
+
 // Settings are the fixed numbers of a Store.
 type Settings struct {
 	// Name and Zone are the own entry's.
@@ -31,8 +37,13 @@
 	Slack time.Duration
 	// Stale is the age from which another entry's answer is not gone by.
 	Stale time.Duration
-	// AvoidFor is how long an entry that failed is not asked.
-	AvoidFor time.Duration
+	// AvoidFor is how long an entry that failed is not asked, and AvoidStaleFor one
+	// whose answer was too old.
+	AvoidFor      time.Duration
+	AvoidStaleFor time.Duration
+	// CallEach is the time between two calls to the store of all entries that are not
+	// to follow it and that no other one can tell.
+	CallEach time.Duration
 	// RetryAfter is the time after which an entry that did not reach the store
 	// may follow it for others again.
 	RetryAfter time.Duration
@@ -67,6 +78,9 @@
 	// lostAt is when a call to the store itself last failed; zero once one was
 	// answered after that.
 	lostAt time.Time
+	// turns are the times at which this entry may ask the store for a table although
+	// others are to follow it, since no other one can tell.
+	turns map[string]time.Time
 }
 
 // New returns a Store over direct that keeps what it learns in log, for others.
@@ -74,7 +88,7 @@
 	return &Store{
 		settings: settings, direct: direct, log: log, peers: peers, rec: rec, now: now,
 		dial:  func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) },
-		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{},
+		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{}, turns: map[string]time.Time{},
 	}
 }
 
@@ -120,38 +134,90 @@
 	return snap, err
 }
 
-// changes asks the delegate of this entry, then the store, then the entry with
-// the freshest answer.
+// changes asks the delegates of this entry, then the store if this entry is to follow
+// it or its turn has come, then the entry with the freshest answer.
 func (s *Store) changes(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
-	params := changesParams{Table: table, After: after, WaitMS: s.hold(table).Milliseconds()}
-	if p, ok := s.delegate(); ok {
-		if snap, err := s.ask(ctx, p, methodChanges, params, s.settings.Stale); err == nil {
-			s.took(table, p.Name)
-			s.log.note(table, snap, false)
+	var self bool
+	for range maxAsked {
+		var p Peer
+		var ok bool
+		if p, ok, self = s.delegate(); !ok {
+			break
+		}
+		if snap, err := s.askChanges(ctx, p, table, after); err == nil {
 			return snap, nil
 		}
 	}
-	snap, err := s.direct.Changes(ctx, table, after, wait)
-	s.reached(ctx, err)
-	if err == nil {
-		s.took(table, "")
-		s.log.note(table, snap, false)
-		return snap, nil
-	}
-	if errors.Is(err, platform.ErrHistoryGone) {
-		return snap, err
+	err := ErrNotAsked
+	if self || s.turn(table) {
+		var snap platform.Snapshot
+		snap, err = s.direct.Changes(ctx, table, after, wait)
+		s.reached(ctx, err)
+		switch {
+		case err == nil:
+			s.answered(table, "", snap)
+			return snap, nil
+		case errors.Is(err, platform.ErrHistoryGone):
+			return snap, err
+		}
+		s.missed(table)
 	}
 	s.log.failed(table)
 	for _, p := range s.freshest(s.settings.Stale) {
-		if snap, relayed := s.ask(ctx, p, methodChanges, params, s.settings.Stale); relayed == nil {
-			s.took(table, p.Name)
-			s.log.note(table, snap, false)
+		if snap, relayed := s.askChanges(ctx, p, table, after); relayed == nil {
 			return snap, nil
 		}
 	}
 	return platform.Snapshot{}, err
 }
 
+// askChanges asks another entry for changes and takes over its answer.
+func (s *Store) askChanges(ctx context.Context, p Peer, table string, after int64) (platform.Snapshot, error) {
+	params := changesParams{Table: table, After: after, WaitMS: s.hold(table).Milliseconds()}
+	snap, err := s.ask(ctx, p, methodChanges, params, s.settings.Stale)
+	if err == nil {
+		s.answered(table, p.Name, snap)
+	}
+	return snap, err
+}
+
+// answered takes over an answer with changes; source is empty for the store.
+func (s *Store) answered(table, source string, snap platform.Snapshot) {
+	s.took(table, source)
+	s.log.note(table, snap, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.turns, table)
+}
+
+// turn reports whether this entry may ask the store for a table that no other entry
+// can tell. What all know grows old at the same moment when the store falls silent; if
+// all asked it then, and again after each failure, 103 entries would make some 400 calls
+// a second. Each waits for a random part of the time in which all have their turn.
+func (s *Store) turn(table string) bool {
+	all := s.allTurns()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	at, ok := s.turns[table]
+	if !ok {
+		at = now.Add(time.Duration(rand.Float64() * float64(all)))
+		s.turns[table] = at
+	}
+	return !now.Before(at)
+}
+
+// missed puts off this entry's next turn after a call to the store that failed.
+func (s *Store) missed(table string) {
+	all := s.allTurns()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns[table] = s.now().Add(time.Duration((0.5 + rand.Float64()) * float64(all)))
+}
+
+// allTurns is the time in which each entry that is heard has its turn.
+func (s *Store) allTurns() time.Duration { return time.Duration(len(s.peers())) * s.settings.CallEach }
+
 // holdLeast is the least time for which another entry is asked to hold a question:
 // some round trips, so that questions do not follow each other at once.
 const holdLeast = 20 * time.Millisecond
@@ -208,33 +274,32 @@
 	return peer
 }
 
-// delegate returns the entry that follows the store for this one; ok is false
-// for the delegates themselves. All entries that hear each other agree on who
-// they are: the first by name that reach the store.
-func (s *Store) delegate() (Peer, bool) {
+// delegate returns the entry that follows the store for this one. ok is false if
+// there is none, and self tells that this entry is to follow the store itself. All
+// entries that hear each other agree on who the delegates are: the first by name that
+// reach the store. While those fail this entry, the next ones take their place.
+func (s *Store) delegate() (chosen Peer, ok, self bool) {
 	list := s.peers()
 	list = append(list, Peer{Name: s.settings.Name, Zone: s.settings.Zone, StoreLost: s.StoreLost()})
 	list = slices.DeleteFunc(list, func(p Peer) bool { return p.StoreLost })
-	slices.SortFunc(list, func(a, b Peer) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	list = list[:min(s.settings.Delegates, len(list))]
-	var chosen Peer
-	for _, p := range list {
-		if p.Name == s.settings.Name {
-			return Peer{}, false
-		}
-		if s.avoided(p.Name) {
-			continue
+	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	for group := range slices.Chunk(list, s.settings.Delegates) {
+		for _, p := range group {
+			if p.Name == s.settings.Name {
+				return Peer{}, false, true
+			}
+			if s.avoided(p.Name) {
+				continue
+			}
+			if !ok || p.Zone == s.settings.Zone && chosen.Zone != s.settings.Zone {
+				chosen, ok = p, true
+			}
 		}
-		if chosen.Name == "" || p.Zone == s.settings.Zone && chosen.Zone != s.settings.Zone {
-			chosen = p
+		if ok {
+			return chosen, true, false
 		}
 	}
-	return chosen, chosen.Name != ""
+	return Peer{}, false, false
 }
 
 // unbounded is the age up to which an answer is taken by who knows nothing.
@@ -263,12 +328,16 @@
 // is not asked again for a while.
 func (s *Store) ask(ctx context.Context, p Peer, method string, params any, oldest time.Duration) (platform.Snapshot, error) {
 	snap, err := s.call(ctx, p, method, params)
-	if err == nil && s.now().Sub(snap.Made) > oldest {
-		err = fmt.Errorf("%w: %s", ErrStale, p.Name)
+	if age := s.now().Sub(snap.Made); err == nil && age > oldest {
+		err = fmt.Errorf("%w: %s knew the table of %s ago", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
 	if err != nil {
+		avoid := s.settings.AvoidFor
+		if errors.Is(err, ErrStale) {
+			avoid = s.settings.AvoidStaleFor
+		}
 		s.mu.Lock()
-		s.avoid[p.Name] = s.now().Add(s.settings.AvoidFor)
+		s.avoid[p.Name] = s.now().Add(avoid)
 		s.mu.Unlock()
 		s.rec.Note(events.RelayFailed, "", "peer", p.Name, "error", err)
 	}
