perf: many entries read the list of entries less often

Cause: each entry read the list every 10 s on average and renewed its row every 30 s, so calls grow with the entries.

Change: all entries together read it twice a second at most; a row tells how often its writer renews it. The retry budget is shared among the entries that are heard as soon as these are more than were listed, since the list is no longer read again within seconds of a start.

--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -82,6 +82,7 @@
 		b.fleet.Sweep()
 		b.pool.Sweep()
 		b.gateway.ForgetSilent()
+		b.gateway.CountHeard()
 		if _, ok := b.members.Settled(); !ok {
 			b.gateway.InquireAll(b.ctx)
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,8 +20,11 @@
 	// Name and Address are the own entry's.
 	Name    string
 	Address string
-	// Every is the time between two reads; every third one renews the own row.
+	// Every is the least time between two reads; every third one renews the own row.
 	Every time.Duration
+	// ReadEach is the least time between two reads of all entries together: with many
+	// of them each reads less often.
+	ReadEach time.Duration
 	// CallWithin bounds one call to the store.
 	CallWithin time.Duration
 }
@@ -40,6 +43,15 @@
 	Address string `json:"address"`
 	// RenewedMS is the store's steady clock, as the writer last read it.
 	RenewedMS int64 `json:"renewed_ms"`
+	// RenewsEachMS is the time after which the writer renews the row.
+	RenewsEachMS int64 `json:"renews_each_ms"`
+}
+
+// missed is the number of renewals that the writer has missed at a moment of the
+// store's clock.
+func (r row) missed(clock time.Duration) float64 {
+	age := clock - time.Duration(r.RenewedMS)*time.Millisecond
+	return float64(age.Milliseconds()) / float64(max(r.RenewsEachMS, 1))
 }
 
 // Directory keeps one entry's row and reads the others'.
@@ -53,6 +65,8 @@
 	clock   time.Duration
 	clockAt time.Time
 	failing bool
+	// listed is the number of entries that the latest read found.
+	listed int
 }
 
 // New returns a Directory that tells found the addresses of all entries, by name.
@@ -74,7 +88,8 @@
 			// entries while 46 upstreams appeared.
 			d.note(d.read(ctx))
 		}
-		pause := d.settings.Every/2 + time.Duration(rand.Int64N(int64(d.settings.Every)))
+		every := d.every()
+		pause := every/2 + time.Duration(rand.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -83,6 +98,13 @@
 	d.leave()
 }
 
+// every is the time between two reads. Entries that are up tell each other of new
+// ones, so the list serves starts and those who lost each other; read by each of 350
+// entries every 10 s it would cost 35 calls a second.
+func (d *Directory) every() time.Duration {
+	return max(d.settings.Every, time.Duration(d.listed)*d.settings.ReadEach)
+}
+
 func (d *Directory) note(err error) {
 	if (err != nil) != d.failing {
 		d.failing = err != nil
@@ -96,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.CallWithin)
 	defer cancel()
 	clock := d.clock + d.now().Sub(d.clockAt)
-	value, err := json.Marshal(row{Address: d.settings.Address, RenewedMS: clock.Milliseconds()})
+	value, err := json.Marshal(row{Address: d.settings.Address, RenewedMS: clock.Milliseconds(), RenewsEachMS: (renewEach * d.every()).Milliseconds()})
 	if err != nil {
 		return err
 	}
@@ -119,7 +141,6 @@
 		return err
 	}
 	d.clock, d.clockAt = s.Clock, d.now()
-	renewal := renewEach * d.settings.Every
 	addresses := make(map[string]string, len(s.Records))
 	var old []string
 	for _, r := range s.Records {
@@ -128,14 +149,14 @@
 			d.rec.Note(events.RegisterFailed, "", "row", r.Name, "error", err)
 			continue
 		}
-		age := s.Clock - time.Duration(v.RenewedMS)*time.Millisecond
-		switch {
-		case age > removeAfter*renewal:
+		switch missed := v.missed(s.Clock); {
+		case missed > removeAfter:
 			old = append(old, r.Name)
-		case age <= staleAfter*renewal:
+		case missed <= staleAfter:
 			addresses[r.Name] = v.Address
 		}
 	}
+	d.listed = len(addresses)
 	d.found(addresses)
 	if len(old) == 0 {
 		return nil
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -42,7 +43,7 @@
 
 func (f *fakeStore) add(t *testing.T, name string, renewed time.Duration) {
 	t.Helper()
-	b, err := json.Marshal(row{Address: name + ":1", RenewedMS: renewed.Milliseconds()})
+	b, err := json.Marshal(row{Address: name + ":1", RenewedMS: renewed.Milliseconds(), RenewsEachMS: (30 * time.Second).Milliseconds()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,3 +113,45 @@
 		t.Error("the own row stays after a planned stop")
 	}
 }
+
+// TestManyEntriesReadLessOften: the calls of all entries together are bounded, and a
+// row is judged by how often its writer renews it.
+func TestManyEntriesReadLessOften(t *testing.T) {
+	const clock = 1000 * time.Second
+	for _, tc := range []struct {
+		name    string
+		entries int
+		want    time.Duration
+	}{
+		{"a few", 4, 10 * time.Second},
+		{"a hundred", 100, 50 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			store := &fakeStore{rows: map[string][]byte{}, clock: clock}
+			for i := range tc.entries {
+				store.add(t, fmt.Sprintf("e%03d", i), clock)
+			}
+			var found int
+			d := New(Settings{Table: "entries", Name: "me", Address: "me:1", Every: 10 * time.Second, ReadEach: 500 * time.Millisecond, CallWithin: time.Second},
+				store.seam(), func(a map[string]string) { found = len(a) }, events.Nop(), time.Now)
+			if err := d.read(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if got := d.every(); got != tc.want {
+				t.Errorf("the list of %d entries is read every %s, want %s", tc.entries, got, tc.want)
+			}
+			if err := d.renew(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			for name := range store.rows {
+				if name != "me" {
+					delete(store.rows, name)
+				}
+			}
+			store.clock += staleAfter*renewEach*tc.want - time.Second
+			if err := d.read(t.Context()); err != nil || found != 1 {
+				t.Errorf("%d found, %v; want the row that its writer renews every %s", found, err, renewEach*tc.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,8 @@
 	prefixes *prefixes
 	trusted  atomic.Bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// entries is the number of entries that share the retry budgets.
 	entries int
 	budgets map[string]*routing.Window
 	streams map[string]map[*stream]bool
@@ -150,14 +151,32 @@
 	g.prefixes.forget(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }, g.now())
 }
 
-// Registered sets how many entries there are; the retry budget is shared among them.
+// Registered sets how many entries are listed. The retry budget is shared among these
+// or those that are heard, whichever are more.
 func (g *Gateway) Registered(registered int) {
-	peers := g.peers()
+	heard := len(g.peers()) + 1
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share(max(heard, registered))
+}
+
+// CountHeard takes over that more entries are heard than were listed: those that start
+// together find only some of the others in the list. The number falls with the list
+// only, since an entry that hears nobody must not take the whole budget.
+func (g *Gateway) CountHeard() {
+	heard := len(g.peers()) + 1
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.entries = max(len(peers)+1, registered, 1)
+	if heard > g.entries {
+		g.share(heard)
+	}
+}
+
+// share shares the retry budgets among a number of entries. It needs the lock.
+func (g *Gateway) share(entries int) {
+	g.entries = entries
 	for _, b := range g.budgets {
-		b.Entries(g.entries)
+		b.Entries(entries)
 	}
 }
 
