feat: zones that operators close get no new work

Change: belief.Zones follows those rows with the table (so relays carry them), fleet.Set takes the upstreams of a closed zone out of every choice until it is open again; two log events. Generations that run there end there: nothing says that their engines stop.

--- /dev/null
+++ b/internal/belief/zones.go
@@ -0,0 +1,45 @@
+package belief
+
+import (
+	"maps"
+
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// Zones is the belief about the availability zones that operators closed: nothing new is
+// to go to the upstreams there until the row that closes a zone is removed.
+type Zones struct {
+	zoneOf func(row string) (zone string, ok bool)
+	apply  func(closed map[string]bool)
+	closed map[string]bool
+}
+
+// NewZones returns a belief that no zone is closed. zoneOf tells which zone a row closes,
+// if it does; apply gets all closed zones after each change.
+func NewZones(zoneOf func(row string) (zone string, ok bool), apply func(closed map[string]bool)) *Zones {
+	return &Zones{zoneOf: zoneOf, apply: apply, closed: map[string]bool{}}
+}
+
+// Apply takes over the store's answer; full marks one that holds the whole table. It is
+// called by one goroutine.
+func (z *Zones) Apply(s platform.Snapshot, full bool) {
+	closed := map[string]bool{}
+	if !full {
+		closed = maps.Clone(z.closed)
+	}
+	for _, r := range s.Records {
+		zone, ok := z.zoneOf(r.Name)
+		switch {
+		case !ok:
+		case r.Gone:
+			delete(closed, zone)
+		default:
+			closed[zone] = true
+		}
+	}
+	if maps.Equal(closed, z.closed) {
+		return
+	}
+	z.closed = closed
+	z.apply(maps.Clone(closed))
+}
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -38,6 +38,16 @@
 	b.fleet.Update(records, gone, full, settled)
 }
 
+// applyOperators returns what takes over the rows that operators write: the route table
+// and the zones that they closed.
+func (b *gatewayBuilder) applyOperators() func(s product.Snapshot, full bool) {
+	zones := belief.NewZones(platform.ClosedZone, b.fleet.CloseZones)
+	return func(s product.Snapshot, full bool) {
+		b.routes.Apply(s, full)
+		zones.Apply(s, full)
+	}
+}
+
 // upstreamChanges decodes changed rows. One answer may hold several changes of a
 // row, in order; the last one counts.
 func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []string) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -28,6 +28,8 @@
 	EntryHeard         ID = 130
 	EntrySilent        ID = 131
 	GossipRejected     ID = 132
+	ZoneClosed         ID = 133
+	ZoneOpened         ID = 134
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -121,6 +123,8 @@
 	{EntryHeard, "entry-heard", "An entry hears from another one, for the first time or again."},
 	{EntrySilent, "entry-silent", "An entry no longer hears from another one; its load no longer counts."},
 	{GossipRejected, "gossip-rejected", "A message of another entry cannot be used."},
+	{ZoneClosed, "zone-closed", "Operators closed an availability zone: its upstreams get no new work."},
+	{ZoneOpened, "zone-opened", "Operators opened an availability zone again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -78,6 +78,8 @@
 	// serving lists the upstreams that serve, by service; nil after a change, until
 	// it is needed.
 	serving map[string][]string
+	// closed are the zones whose upstreams get no new work.
+	closed map[string]bool
 }
 
 type member struct {
@@ -263,7 +265,7 @@
 	defer s.mu.Unlock()
 	var serving, lapsed []Upstream
 	for _, m := range s.byID {
-		if m.Service != service {
+		if m.Service != service || s.closed[m.Zone] {
 			continue
 		}
 		switch m.state {
@@ -304,7 +306,7 @@
 	if s.serving == nil {
 		s.serving = map[string][]string{}
 		for id, m := range s.byID {
-			if m.state == Serving {
+			if m.state == Serving && !s.closed[m.Zone] {
 				s.serving[m.Service] = append(s.serving[m.Service], id)
 			}
 		}
