perf: one turn at the store serves for all tables

Cause: while the store is away each entry had a turn for each of two tables, 50 ms apart over all entries; a process that cannot reach the store for one cannot for the other.

Change: one turn for all tables, 100 ms apart over all entries; a turn is taken before the call, so that the other table does not use it as well.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -69,7 +69,7 @@
 	relayAvoidStale = 250 * time.Millisecond
 	// relayCallEach is the time between two calls to the store of all entries that no
 	// other one can tell. It bounds how late the end of an outage is noticed.
-	relayCallEach = 50 * time.Millisecond
+	relayCallEach = 100 * time.Millisecond
 	// relayRetry is how long an entry that does not reach the store leaves it to
 	// others to follow it; each try is a call that the platform charges.
 	relayRetry = 4 * time.Second
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -78,9 +78,9 @@
 	// lostAt is when a call to the store itself last failed; zero once one was
 	// answered after that.
 	lostAt time.Time
-	// turns are the times at which this entry may ask the store for a table although
-	// others are to follow it, since no other one can tell.
-	turns map[string]time.Time
+	// turnAt is when this entry may ask the store although others are to follow it,
+	// since no other one can tell; zero while that is not needed.
+	turnAt time.Time
 }
 
 // New returns a Store over direct that keeps what it learns in log, for others.
@@ -88,7 +88,7 @@
 	return &Store{
 		settings: settings, direct: direct, log: log, peers: peers, rec: rec, now: now,
 		dial:  func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) },
-		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{}, turns: map[string]time.Time{},
+		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{},
 	}
 }
 
@@ -149,7 +149,7 @@
 		}
 	}
 	err := ErrNotAsked
-	if self || s.turn(table) {
+	if self || s.turn() {
 		var snap platform.Snapshot
 		snap, err = s.direct.Changes(ctx, table, after, wait)
 		s.reached(ctx, err)
@@ -160,7 +160,6 @@
 		case errors.Is(err, platform.ErrHistoryGone):
 			return snap, err
 		}
-		s.missed(table)
 	}
 	s.log.failed(table)
 	for _, p := range s.freshest(s.settings.Stale) {
@@ -187,32 +186,27 @@
 	s.log.note(table, snap, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.turns, table)
+	s.turnAt = time.Time{}
 }
 
-// turn reports whether this entry may ask the store for a table that no other entry
-// can tell. What all know grows old at the same moment when the store falls silent; if
-// all asked it then, and again after each failure, 103 entries would make some 400 calls
-// a second. Each waits for a random part of the time in which all have their turn.
-func (s *Store) turn(table string) bool {
-	all := s.allTurns()
+// turn reports whether this entry may ask the store for what no other entry can tell, and
+// takes its turn. What all know grows old at the same moment when the store falls silent;
+// if all asked it then, and again after each failure, 103 entries would make some 400
+// calls a second. Each waits for a random part of the time in which all have their turn,
+// which serves for all tables.
+func (s *Store) turn() bool {
+	all := float64(s.allTurns())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	at, ok := s.turns[table]
-	if !ok {
-		at = now.Add(time.Duration(rand.Float64() * float64(all)))
-		s.turns[table] = at
+	if s.turnAt.IsZero() {
+		s.turnAt = now.Add(time.Duration(rand.Float64() * all))
 	}
-	return !now.Before(at)
-}
-
-// missed puts off this entry's next turn after a call to the store that failed.
-func (s *Store) missed(table string) {
-	all := s.allTurns()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turns[table] = s.now().Add(time.Duration((0.5 + rand.Float64()) * float64(all)))
+	if now.Before(s.turnAt) {
+		return false
+	}
+	s.turnAt = now.Add(time.Duration((0.5 + rand.Float64()) * all))
+	return true
 }
 
 // allTurns is the time in which each entry that is heard has its turn.
