test: the idle entries hear the others before they take their part

Found on the way and listed as open: where hearing is one-way the shares of both are used, which the budget does not bound.

--- a/internal/routing/window_test.go
+++ b/internal/routing/window_test.go
@@ -186,6 +186,11 @@
 		at = at.Add(toldWithin + time.Millisecond)
 	}
 	for i, w := range windows[1:] {
+		for j, other := range windows {
+			if j != i+1 {
+				w.Heard(string(rune('a'+j)), other.Use())
+			}
+		}
 		kept := 0
 		for w.Repeat(0) {
 			kept++
