--- a/internal/gossip/timing.go
+++ b/internal/gossip/timing.go
@@ -144,7 +144,7 @@
 }
 
 // Told is the time within which all others know of a change that they were urged to
-// hear of, even if one message is lost, and silence after which one must not be counted
+// hear of, even if one message is lost, and the silence after which one must not be counted
 // on any more.
 func (n *Node) Told() (told, silence time.Duration) {
 	n.mu.Lock()
