--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -284,7 +285,8 @@
 	d := newDeployment(t, names...)
 	d.list()
 	now := time.Now()
-	for _, e := range d.entries {
+	for i, e := range d.entries {
+		e.source.random = rand.New(rand.NewPCG(uint64(i), 1)).Float64
 		e.source.settings.CallEach, e.source.settings.RetryAfter = 50*time.Millisecond, time.Hour
 		e.source.now = func() time.Time { return now }
 		e.source.dial = func(context.Context, string) (*peer.Conn, error) { return nil, errDown }
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -70,6 +70,8 @@
 	rec      *events.Recorder
 	now      func() time.Time
 	dial     func(ctx context.Context, address string) (*peer.Conn, error)
+	// random returns a number from 0 up to 1.
+	random func() float64
 
 	mu    sync.Mutex
 	conns map[string]*peer.Conn
@@ -87,7 +89,7 @@
 func New(settings Settings, direct *platform.Store, log *Log, peers func() []Peer, rec *events.Recorder, now func() time.Time) *Store {
 	return &Store{
 		settings: settings, direct: direct, log: log, peers: peers, rec: rec, now: now,
-		dial:  func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) },
+		dial: func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) }, random: rand.Float64,
 		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{},
 	}
 }
@@ -201,12 +203,12 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	if s.turnAt.IsZero() {
-		s.turnAt = now.Add(time.Duration(rand.Float64() * all))
+		s.turnAt = now.Add(time.Duration(s.random() * all))
 	}
 	if now.Before(s.turnAt) {
 		return false
 	}
-	s.turnAt = now.Add(time.Duration((0.5 + rand.Float64()) * all))
+	s.turnAt = now.Add(time.Duration((0.5 + s.random()) * all))
 	return true
 }
 
