perf: engines get no rank with a generation

Cause: an engine does not only order what waits by the rank it is told; it throws running generations out for a more urgent one.

Change: no rank is sent, a caller's own is dropped as before. Who gets ahead is decided at admission: brief generations may use the memory that is kept free for others.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -23,7 +23,6 @@
 	route   *routetable.Route
 	service *routetable.Service
 	account string
-	rank    int
 	start   time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
@@ -160,7 +159,6 @@
 // 34 s, refusing every key meanwhile ends 7% of a day's requests unserved, and going
 // on by the last table 0.1% (means of three played days).
 func (g *Gateway) authenticate(rq *request, trusted bool) bool {
-	rq.rank = rq.route.Priority
 	if !rq.table.NeedsKey(rq.route) {
 		return true
 	}
@@ -243,11 +241,5 @@
 
 // attempt returns what an upstream is told about a request.
 func (rq *request) attempt(upstream string) protocol.Attempt {
-	return protocol.Attempt{
-		Upstream: upstream, Account: rq.account, Deadline: rq.deadline, Priority: min(max(rq.rank, 0), lowestRank),
-		Generation: rq.service.Engine != nil,
-	}
+	return protocol.Attempt{Upstream: upstream, Account: rq.account, Deadline: rq.deadline}
 }
-
-// lowestRank is the least urgent priority an engine knows.
-const lowestRank = 9
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -61,10 +61,6 @@
 	Account string
 	// Deadline is the steady time at which the upstream is to give up.
 	Deadline time.Time
-	// Priority ranks the request at the engine, 0 first.
-	Priority int
-	// Generation marks requests for an engine.
-	Generation bool
 	// From is the copy from which the generation goes on, nil for a new one.
 	From *Copy
 	// LastEvent is the last event that the caller has.
