fix: an engine that says it reads or has requests waiting is no suspect

Cause: a generation that had not begun within its objective was a fault of its engine unless this entry's own sums explained it.

Change: before an engine is blamed it is asked for its state.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,7 +30,7 @@
 	defer s.leave()
 	sent := g.now()
 	toRead := s.toRead
-	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at.ID, toRead) })
+	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at, toRead) })
 	defer silent.Stop()
 	answer, err := g.link.Do(ctx, st.at.Address, req)
 	if err != nil {
@@ -57,9 +57,11 @@
 
 // startsLate notes that an engine has not begun a generation in time. That is a
 // fault unless the prompts that it had to read before, or the memory that is taken,
-// explain it: at one and a half times the load for which the engines suffice, 41
-// late starts behind such queues made sound engines suspects of all entries.
-func (g *Gateway) startsLate(rq *request, upstream string, toRead int) {
+// explain it, or the engine itself reports that requests wait or are being read: at one
+// and a half times the load for which the engines suffice, 41 late starts behind such
+// queues made sound engines suspects of all entries.
+func (g *Gateway) startsLate(rq *request, at fleet.Upstream, toRead int) {
+	upstream := at.ID
 	load := g.ledger.total(upstream)
 	reading := g.reading.expected(toRead)
 	queued := toRead > rq.call.Prompt && reading > startWithin(rq.route)/2
@@ -67,7 +69,12 @@
 	full := memory > 0 && load.Held > int(crowdedMemory*float64(memory))
 	crowded := queued || full
 	g.rec.Note(events.StreamStartsLate, rq.call.ID, "upstream", upstream, "after", g.now().Sub(rq.start), "reading", reading, "held", load.Held, "crowded", crowded)
-	if !crowded {
+	if crowded {
+		return
+	}
+	// An engine that does not tell is judged by its silence.
+	state, err := g.ask(context.Background(), at, "a generation begins late")
+	if err != nil || state.Waiting+state.Unbegun == 0 {
 		g.faulty(upstream)
 	}
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -106,6 +106,17 @@
 	CopyFailed
 )
 
+// EngineState is what an engine says of itself, as it was some time before.
+type EngineState struct {
+	// Leaving tells that the engine is about to leave.
+	Leaving bool
+	// Waiting is the number of requests that it has not let in.
+	Waiting int
+	// Unbegun is the number of those let in that have made nothing yet: their prompts
+	// are being read.
+	Unbegun int
+}
+
 // Refusal is a final answer of the system's own.
 type Refusal struct {
 	Status int
@@ -141,6 +152,6 @@
 	Release func(handle string) link.Request
 	// Report returns the question for an engine's state.
 	Report func() link.Request
-	// Leaving decodes the answer: whether the engine is about to leave.
-	Leaving func(status int, body []byte) (leaving bool, err error)
+	// State decodes the answer.
+	State func(status int, body []byte) (EngineState, error)
 }
