refactor: decisions on where generations go are a package without clock or network

internal/placement holds room, cost, spread, target, overload and reserve, a file each: what is known comes in, a verdict with its reason goes out. internal/gateway builds the view and the candidates and carries verdicts out. No decision changes; a moved generation for which no engine has room goes to the same engine as before.

BenchmarkAdmitEngine panicked since entries are asked for the delay of their news (it had none); mended. Mutants follow the files; new ones for released copies, brief generations left where they are, engines that say they read, the reserve and ranks on the wire.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"net/http"
 	"strconv"
 	"testing"
@@ -10,42 +9,11 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
-// TestRoom covers whether an engine with a load has room for a generation.
-func TestRoom(t *testing.T) {
-	engine := &routetable.Engine{Slots: 8, MemoryTokens: 10000, EventTokens: 4}
-	long := demand{prompt: 2000, output: 1000, startBy: time.Second}
-	brief := demand{prompt: 1000, output: 12, startBy: time.Second, brief: true}
-	for _, tc := range []struct {
-		name    string
-		load    gossip.Load
-		demand  demand
-		reserve float64
-		want    error
-	}{
-		{"an idle engine", gossip.Load{}, long, 0, nil},
-		{"a prompt that no engine can hold", gossip.Load{}, demand{prompt: 10001}, 0, errTooLarge},
-		{"a prompt that fills an idle engine", gossip.Load{}, demand{prompt: 9900, output: 1}, 0, nil},
-		{"half of the memory held", gossip.Load{Running: 2, Held: 5000, Tokens: 6000}, long, 0, nil},
-		{"nearly all memory held", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, long, 0, errMemory},
-		{"a brief one fits beside it", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, brief, 0, nil},
-		{"room is kept for engines that leave", gossip.Load{Running: 2, Held: 5000, Tokens: 6000}, long, 0.3, errMemory},
-		{"a brief one uses that room", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, brief, 0.3, nil},
-		{"all slots taken", gossip.Load{Running: 8, Held: 1000, Tokens: 1000}, brief, 0, errSlots},
-		{"prompts wait that would make it late", gossip.Load{Running: 1, Held: 1000, Tokens: 1000, Prefill: 7000}, brief, 0, errPrompts},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			f := newFixture(t)
-			if got := f.gateway.room(engine, tc.load, tc.demand, tc.reserve); !errors.Is(got, tc.want) {
-				t.Errorf("got %v, want %v", got, tc.want)
-			}
-		})
-	}
-}
-
 // TestCrowdedEnginesRefuseAtOnce: with no room anywhere a generation is refused
 // unrun, at once, with a time to come back; a brief one is still served.
 func TestCrowdedEnginesRefuseAtOnce(t *testing.T) {
@@ -58,7 +26,7 @@
 	if got.status != http.StatusServiceUnavailable || e.runs() != 0 || time.Since(start) > 50*time.Millisecond {
 		t.Errorf("status %d, %d sends after %s; want 503 unrun at once", got.status, e.runs(), time.Since(start))
 	}
-	least, most := int64((1-backSpread)*float64(backLeast.Milliseconds())), int64((1+backSpread)*float64(backLeast.Milliseconds()))
+	least, most := int64((1-placement.BackSpread)*float64(placement.BackLeast.Milliseconds())), int64((1+placement.BackSpread)*float64(placement.BackLeast.Milliseconds()))
 	if ms, err := strconv.ParseInt(got.header.Get(testBack), 10, 64); err != nil || ms < least-1 || ms > most {
 		t.Errorf("told to come back in %q ms", got.header.Get(testBack))
 	}
@@ -118,7 +86,6 @@
 	}
 }
 
-
 // BenchmarkAdmitEngine measures one decision over the engines of a large service.
 func BenchmarkAdmitEngine(b *testing.B) {
 	for _, n := range []int{18, 100, 870} {
@@ -134,7 +101,7 @@
 // crowdedGateway knows n engines that are half full.
 func crowdedGateway(n int) (*Gateway, *stream) {
 	set := fleet.New(events.Nop(), time.Now, func(string) {})
-	g := &Gateway{fleet: set, ledger: newLedger(time.Now), now: time.Now}
+	g := &Gateway{fleet: set, ledger: newLedger(time.Now), prefixes: newPrefixes(), now: time.Now, others: Others{Delay: func(string, bool) time.Duration { return 10 * time.Millisecond }}}
 	records := make([]fleet.Record, n)
 	for i := range records {
 		records[i] = fleet.Record{ID: strconv.Itoa(i), Service: "llm"}
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -49,7 +49,7 @@
 	}
 	// The caller waits for the rest of an answer, so a crowded engine is better than
 	// none.
-	at, ok := s.g.chooseEngine(s.rq.service, s.need(), s.rq.route.Repeats(), exclude)
+	at, ok := s.g.chooseEngine(s, exclude)
 	return step{at: at, why: "resumed"}, ok
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/routing"
 )
@@ -59,7 +60,7 @@
 	askedAt  instant
 	pace     pace
 	reading  reading
-	moveRoom moveRoom
+	moveRoom placement.MoveRoom
 	prefixes *prefixes
 	trusted  atomic.Bool
 
@@ -70,7 +71,7 @@
 	streams map[string]map[*stream]bool
 	moving  map[string]bool
 	// overloads are by service.
-	overloads map[string]*overload
+	overloads map[string]*placement.Overload
 	// inquired tells when each engine was last asked for its state.
 	inquired map[string]time.Time
 	others   Others
@@ -96,7 +97,7 @@
 	return &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
-		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*overload{},
+		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, others: others,
 	}
 }
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -34,7 +34,8 @@
 	if !g.mayInquire(u.ID) {
 		return
 	}
-	g.ask(ctx, u, why)
+	// What is learnt is noted; nobody waits for more.
+	_, _ = g.ask(ctx, u, why)
 }
 
 // ask asks one engine for its state.
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/placement"
 )
 
 // ledger counts what this entry and the others have in flight at each upstream.
@@ -17,12 +18,12 @@
 	// out: a decision looks at every upstream of a service.
 	totals map[string]gossip.Load
 	// placed counts what the others were lately heard to place at each upstream.
-	placed map[string]decaying
+	placed map[string]placement.Decaying
 	now    func() time.Time
 }
 
 func newLedger(now func() time.Time) *ledger {
-	return &ledger{own: map[string]gossip.Load{}, peers: map[string]map[string]gossip.Load{}, totals: map[string]gossip.Load{}, placed: map[string]decaying{}, now: now}
+	return &ledger{own: map[string]gossip.Load{}, peers: map[string]map[string]gossip.Load{}, totals: map[string]gossip.Load{}, placed: map[string]placement.Decaying{}, now: now}
 }
 
 // placedFor is the time over which placements are counted: long enough for some tens of
@@ -100,7 +101,7 @@
 	for upstream, load := range loads {
 		add(l.totals, upstream, load)
 		if more := load.Running - before[upstream].Running; heard && more > 0 {
-			l.placed[upstream] = l.placed[upstream].add(float64(more), now, placedFor)
+			l.placed[upstream] = l.placed[upstream].Add(float64(more), now, placedFor)
 		}
 	}
 	if loads == nil {
@@ -110,12 +111,12 @@
 	l.peers[name] = loads
 }
 
-// peerRate is the number of requests a second that other entries lately placed at an
-// upstream.
-func (l *ledger) peerRate(upstream string, now time.Time) float64 {
+// known returns what all entries have in flight at an upstream, and the number of requests
+// a second that others lately placed there.
+func (l *ledger) known(upstream string, now time.Time) (load gossip.Load, rate float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.placed[upstream].value(now, placedFor) / placedFor.Seconds()
+	return l.totals[upstream], l.placed[upstream].Value(now, placedFor) / placedFor.Seconds()
 }
 
 // placedLeast is the count under which it is not worth keeping.
@@ -131,7 +132,7 @@
 		}
 	}
 	now := l.now()
-	maps.DeleteFunc(l.placed, func(_ string, d decaying) bool { return d.value(now, placedFor) < placedLeast })
+	maps.DeleteFunc(l.placed, func(_ string, d placement.Decaying) bool { return d.Value(now, placedFor) < placedLeast })
 }
 
 // total returns what all entries have in flight at an upstream.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,8 +11,8 @@
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
-	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 const (
@@ -149,7 +148,7 @@
 			return
 		}
 	}
-	g.moveRoom.note(false, g.now())
+	g.moveRoom.Note(false, g.now())
 	g.moveFailed(s, from, "no engine had room")
 }
 
@@ -158,53 +157,13 @@
 	g.rec.Note(events.StreamMoveFailed, s.rq.call.ID, "from", from.ID, "why", why)
 }
 
-// chooseTarget draws an engine with room for the generation, the likelier the
-// more room it has. All entries learn of a leaving engine at the same moment and
-// see the same load; if each took the engine with most room, their copies would
-// queue on that engine's link and fill its memory.
-func (g *Gateway) chooseTarget(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
-	engine, need := s.rq.service.Engine, s.need()
-	d := s.rest()
-	list := g.fleet.Of(s.rq.service.Name)
-	near := func(u fleet.Upstream) float64 {
-		if u.Zone != from.Zone {
-			return 0
-		}
-		return g.targetWeight(engine, u, d)
-	}
-	// A copy between zones takes twice as long, and an engine that leaves has
-	// time for few of them.
-	if u, ok := draw(list, exclude, near, rand.Float64); ok {
-		return u, true
-	}
-	if u, ok := draw(list, exclude, func(u fleet.Upstream) float64 { return g.targetWeight(engine, u, d) }, rand.Float64); ok {
-		return u, true
-	}
-	return best(list, exclude, func(u fleet.Upstream) float64 {
-		return g.engineCost(engine, &u, g.ledger.total(u.ID), need, g.now())
-	})
-}
-
 // rest is what the generation asks of an engine that takes it over: what it holds
 // and the output that is still expected.
-func (s *stream) rest() demand {
+func (s *stream) rest() *placement.Generation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.held()
-	return demand{prompt: held, output: max(s.need()-held, s.rq.service.Engine.EventTokens)}
-}
-
-// targetWeight is the weight by which an engine is drawn as the target of a move;
-// 0 for engines that are better left alone. Room counts squared, so that nearly
-// full engines are drawn rarely.
-func (g *Gateway) targetWeight(e *routetable.Engine, u fleet.Upstream, d demand) float64 {
-	load := g.ledger.total(u.ID)
-	now := g.now()
-	room := spare(e, load, d, 0)
-	if room <= 0 || load.Running >= e.Slots || now.Before(u.AvoidUntil()) || u.Suspect(now) {
-		return 0
-	}
-	return room * room
+	held, engine := s.held(), s.rq.service.Engine
+	return &placement.Generation{Engine: engine, Prompt: held, Output: max(s.need()-held, engine.EventTokens), Repeats: true}
 }
 
 // moveTo moves a generation to one engine; again asks for another target.
@@ -218,7 +177,7 @@
 	r := g.orderCopy(s, from, target, false)
 	switch r.Outcome {
 	case protocol.Copied:
-		g.moveRoom.note(true, g.now())
+		g.moveRoom.Note(true, g.now())
 	case protocol.NoRoom:
 		g.fleet.Note(target.ID, fleet.Busy)
 		return true
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
@@ -213,9 +214,9 @@
 func (g *Gateway) reject(rq *request, why error) {
 	var back time.Duration
 	switch {
-	case errors.Is(why, errNoEngine):
+	case errors.Is(why, placement.ErrNone):
 		back = backNoUpstream
-	case errors.Is(why, errTooLarge):
+	case errors.Is(why, placement.ErrTooLarge):
 	default:
 		back = g.backAfterOverload(rq)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,7 @@
 		g.reject(rq, err)
 		return
 	}
-	g.overload(rq.service.Name).admitted(g.now())
+	g.overload(rq.service.Name).Admitted(g.now())
 	next, ok := step{at: at, why: "first"}, true
 	for ok {
 		o := s.attempt(ctx, next)
--- a/internal/gateway/overload.go
+++ b/internal/placement/overload.go
@@ -1,7 +1,6 @@
-package gateway
+package placement
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -20,65 +19,47 @@
 	// 0.04 of worth: whoever came back then was late (mean of three days, two seeds each;
 	// 250 ms and 400 ms for an objective of 1.8 s are as good).
 	backSoon = 0.25
-	// backLeast is the least time to come back, about the time in which a few of some
+	// BackLeast is the least time to come back, about the time in which a few of some
 	// hundred streams end.
-	backLeast = 250 * time.Millisecond
-	// backSpread is the part by which the times told are spread to both sides, so
+	BackLeast = 250 * time.Millisecond
+	// BackSpread is the part by which the times told are spread to both sides, so
 	// that callers refused together do not come back together.
-	backSpread = 0.25
+	BackSpread = 0.25
 )
 
-// overload knows since when a service has had to refuse generations, and how many.
-type overload struct {
+// Overload knows since when a service has had to refuse generations, and how many.
+type Overload struct {
 	mu sync.Mutex
 	// since and last are the first and the latest refusal of the overload.
 	since, last time.Time
 	// refusals and admissions are those of late.
-	refusals, admissions decaying
+	refusals, admissions Decaying
 }
 
-// admitted notes that a generation found room.
-func (o *overload) admitted(now time.Time) {
+// Admitted notes that a generation found room.
+func (o *Overload) Admitted(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.admissions = o.admissions.add(1, now, refusalsRemembered)
+	o.admissions = o.admissions.Add(1, now, refusalsRemembered)
 }
 
-// refused notes a refusal and returns the time after which the caller should come
-// back; soon is the least such time. While few are refused the next try very likely finds
+// Refused notes a refusal and returns the time after which the caller should come
+// back; objective is the time in which its route wants generations to begin. While few are refused the next try very likely finds
 // room, and in time. How long an overload lasts is not known; one that has lasted for a
 // time can be expected to last as long again, so the more are refused the larger a part of
 // its age a caller waits. Callers have one or two tries: with three times the load, 306 of
 // 617 were refused for good when they were told to come back after 250 ms, and 184 when
 // after 10 s.
-func (o *overload) refused(soon time.Duration, now time.Time, random float64) time.Duration {
+func (o *Overload) Refused(objective time.Duration, now time.Time, random float64) time.Duration {
+	soon := max(time.Duration(backSoon*float64(objective)), BackLeast)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.since.IsZero() || now.Sub(o.last) > overloadEnds {
 		o.since = now
 	}
 	o.last = now
-	o.refusals = o.refusals.add(1, now, refusalsRemembered)
+	o.refusals = o.refusals.Add(1, now, refusalsRemembered)
 	share := shareOf(o.admissions, o.refusals, now, refusalsRemembered)
 	back := max(time.Duration(share*float64(now.Sub(o.since))), soon)
-	return time.Duration(float64(back) * (1 - backSpread + 2*backSpread*random))
-}
-
-// backAfterOverload is the time after which a caller that found no room should
-// come back.
-func (g *Gateway) backAfterOverload(rq *request) time.Duration {
-	soon := max(time.Duration(backSoon*float64(rq.route.Objective)), backLeast)
-	return g.overload(rq.service.Name).refused(soon, g.now(), rand.Float64())
-}
-
-// overload returns what is known of the overload of a service.
-func (g *Gateway) overload(service string) *overload {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	o, ok := g.overloads[service]
-	if !ok {
-		o = &overload{}
-		g.overloads[service] = o
-	}
-	return o
+	return time.Duration(float64(back) * (1 - BackSpread + 2*BackSpread*random))
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -1,4 +1,4 @@
-package gateway
+package placement
 
 import (
 	"testing"
@@ -10,7 +10,8 @@
 // the more are refused and the longer that lasts, the later they are told to come; an
 // overload that is over is forgotten.
 func TestOverloadTellsWhenToComeBack(t *testing.T) {
-	const soon, each = 450 * time.Millisecond, 200 * time.Millisecond
+	const objective, each = 1800 * time.Millisecond, 200 * time.Millisecond
+	const soon = objective / 4
 	for _, tc := range []struct {
 		name string
 		// refused of every ten generations find no room, for a time.
@@ -28,17 +29,17 @@
 		{"a new overload after a pause", 9, 20 * time.Second, 3 * time.Second, soon, soon},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			o, now := &overload{}, time.Now()
+			o, now := &Overload{}, time.Now()
 			end := now.Add(tc.lasts)
 			for i := 0; now.Before(end); i++ {
 				now = now.Add(each)
 				if i*7%10 < tc.refused {
-					o.refused(soon, now, 0.5)
+					o.Refused(objective, now, 0.5)
 					continue
 				}
-				o.admitted(now)
+				o.Admitted(now)
 			}
-			got := o.refused(soon, now.Add(tc.pause), 0.5)
+			got := o.Refused(objective, now.Add(tc.pause), 0.5)
 			if got < tc.min || got > tc.max {
 				t.Errorf("come back in %s, want %s to %s", got, tc.min, tc.max)
 			}
--- a/internal/gateway/reserve_test.go
+++ b/internal/placement/reserve_test.go
@@ -1,4 +1,4 @@
-package gateway
+package placement
 
 import (
 	"math"
@@ -25,14 +25,14 @@
 		{"waves that are long over", 5, 5, time.Minute, 0, 0.01},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			m, now := &moveRoom{}, time.Now()
+			m, now := &MoveRoom{}, time.Now()
 			for range tc.waves {
 				now = now.Add(wave)
 				for i := range 10 {
-					m.note(i >= tc.lacking, now)
+					m.Note(i >= tc.lacking, now)
 				}
 			}
-			got := m.reserve(share, now.Add(tc.later))
+			got := m.Reserve(share, now.Add(tc.later))
 			if math.IsNaN(got) || got < tc.min || got > tc.max {
 				t.Errorf("reserve %v, want %v to %v", got, tc.min, tc.max)
 			}
@@ -42,13 +42,13 @@
 
 // TestReserveFollowsMoves: once moves find room again, the kept part falls.
 func TestReserveFollowsMoves(t *testing.T) {
-	m, now := &moveRoom{}, time.Now()
-	m.note(false, now)
-	before := m.reserve(0.2, now)
+	m, now := &MoveRoom{}, time.Now()
+	m.Note(false, now)
+	before := m.Reserve(0.2, now)
 	for range 9 {
-		m.note(true, now)
+		m.Note(true, now)
 	}
-	if after := m.reserve(0.2, now); after > before/5 {
+	if after := m.Reserve(0.2, now); after > before/5 {
 		t.Errorf("reserve %v after nine moves with room, %v before", after, before)
 	}
 }
--- /dev/null
+++ b/internal/placement/room_test.go
@@ -0,0 +1,44 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// readToken is the time to read a prompt token in these tests.
+const readToken = 140 * time.Microsecond
+
+// TestRoom covers whether an engine with a load has room for a generation.
+func TestRoom(t *testing.T) {
+	engine := &routetable.Engine{Slots: 8, MemoryTokens: 10000, EventTokens: 4}
+	long := Generation{Engine: engine, Prompt: 2000, Output: 1000, StartBy: time.Second}
+	brief := Generation{Engine: engine, Prompt: 1000, Output: 12, StartBy: time.Second, Brief: true}
+	for _, tc := range []struct {
+		name    string
+		load    gossip.Load
+		demand  Generation
+		reserve float64
+		want    error
+	}{
+		{"an idle engine", gossip.Load{}, long, 0, nil},
+		{"a prompt that no engine can hold", gossip.Load{}, Generation{Engine: engine, Prompt: 10001}, 0, ErrTooLarge},
+		{"a prompt that fills an idle engine", gossip.Load{}, Generation{Engine: engine, Prompt: 9900, Output: 1}, 0, nil},
+		{"half of the memory held", gossip.Load{Running: 2, Held: 5000, Tokens: 6000}, long, 0, nil},
+		{"nearly all memory held", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, long, 0, ErrMemory},
+		{"a brief one fits beside it", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, brief, 0, nil},
+		{"room is kept for engines that leave", gossip.Load{Running: 2, Held: 5000, Tokens: 6000}, long, 0.3, ErrMemory},
+		{"a brief one uses that room", gossip.Load{Running: 2, Held: 8000, Tokens: 9000}, brief, 0.3, nil},
+		{"all slots taken", gossip.Load{Running: 8, Held: 1000, Tokens: 1000}, brief, 0, ErrSlots},
+		{"prompts wait that would make it late", gossip.Load{Running: 1, Held: 1000, Tokens: 1000, Prefill: 7000}, brief, 0, ErrPrompts},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := Room(tc.load, &tc.demand, 0, tc.reserve, readToken); !errors.Is(got, tc.want) {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/spread.go
+++ b/internal/placement/spread.go
@@ -1,24 +1,23 @@
-package gateway
+package placement
 
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/sparshore/sparshore/internal/fleet"
 )
 
-// candidate is an upstream that can take a request, and what it costs there by what is
-// known of its load.
-type candidate struct {
-	upstream *fleet.Upstream
-	cost     float64
+// choice is a candidate that can take a request, and what it costs there by what is known
+// of its load.
+type choice struct {
+	candidate *Candidate
+	cost      float64
 }
 
-// candidates are the upstreams of one zone that can take a request.
-type candidates struct {
-	list []candidate
+// choices are the upstreams of one zone that can take a request.
+type choices struct {
+	list []choice
 	// rate is the number of requests a second that other entries place there, and
 	// unheard the number that they are expected to have placed without this entry
 	// knowing yet.
@@ -42,41 +41,39 @@
 // expected. A zone that looks better from here looks so to all entries; it is taken if
 // it still does with the requests of all of them.
 //
-// cost reports false for upstreams that cannot take the request. nudged tells that entries
-// send each other a message when they place one.
+// cost reports false for upstreams that cannot take the request.
 //
 // With news of 50, 100 and 350 ms 0, 1 and 26 of 7,600 generations begin late, behind
 // others' prompts; 290, 977 and 3,498 when each entry takes the best engine (model of 144
 // engines that read half of the time, TestOldNewsDoesNotCrowdEngines, one run each).
-func (g *Gateway) spread(list []fleet.Upstream, unit float64, nudged bool, cost func(u *fleet.Upstream) (float64, bool)) (fleet.Upstream, bool) {
-	zones := map[string]*candidates{}
-	now := g.now()
+func (v *View) spread(list []Candidate, unit float64, cost func(c *Candidate) (float64, bool)) (fleet.Upstream, bool) {
+	zones := map[string]*choices{}
 	for i := range list {
-		u := &list[i]
-		c, ok := cost(u)
+		c := &list[i]
+		amount, ok := cost(c)
 		if !ok {
 			continue
 		}
-		z := zones[u.Zone]
+		z := zones[c.Zone]
 		if z == nil {
-			z = &candidates{}
-			zones[u.Zone] = z
+			z = &choices{}
+			zones[c.Zone] = z
 		}
-		z.list = append(z.list, candidate{upstream: u, cost: c})
-		z.rate += g.ledger.peerRate(u.ID, now)
+		z.list = append(z.list, choice{candidate: c, cost: amount})
+		z.rate += c.Rate
 	}
 	all := 0.0
 	for zone, z := range zones {
-		z.unheard = unheardMargin * z.rate * g.others.Delay(zone, nudged).Seconds()
+		z.unheard = unheardMargin * z.rate * v.Delay(zone).Seconds()
 		all += z.unheard
 	}
-	var chosen *candidates
+	var chosen *choices
 	least := math.Inf(1)
 	for zone, z := range zones {
-		if zone != g.settings.Zone {
+		if zone != v.Zone {
 			z.unheard = all
 		}
-		slices.SortFunc(z.list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+		slices.SortFunc(z.list, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
 		if l := z.level(unit); l < least {
 			chosen, least = z, l
 		}
@@ -84,12 +81,12 @@
 	if chosen == nil {
 		return fleet.Upstream{}, false
 	}
-	return *chosen.pick(least, rand.Float64()).upstream, true
+	return chosen.pick(least, v.Random()).candidate.Upstream, true
 }
 
 // level is the cost up to which the requests that are not heard of yet fill the
 // upstreams that cost least. The list is in order of cost.
-func (c *candidates) level(unit float64) float64 {
+func (c *choices) level(unit float64) float64 {
 	amount := c.unheard * unit
 	sum, level := 0.0, c.list[0].cost
 	for i, u := range c.list {
@@ -104,7 +101,7 @@
 
 // pick returns an upstream under a level, each with the probability of what it lacks to
 // it; random is a number from 0 up to 1.
-func (c *candidates) pick(level, random float64) candidate {
+func (c *choices) pick(level, random float64) choice {
 	lacks := make([]float64, len(c.list))
 	for i, u := range c.list {
 		lacks[i] = max(level-u.cost, 0)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -28,6 +28,7 @@
 mutant sidecar-behind internal/sidecar/server.go "s/if v <= s\.active\(\)\.Version\(\) \{/if v > -1 {/" internal/sidecar TestOlderConfiguration
 
 gateway=internal/gateway
+placement=internal/placement
 mutant gateway-once $gateway/call.go 's/if r\.mayHaveRun\(\) && \(!c\.rq\.route\.Repeats\(\) \|\| /if r.mayHaveRun() \&\& (/' $gateway TestPlainCall
 mutant gateway-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& !ok/' $gateway TestWhoMayAsk
 mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestWhoMayAsk
@@ -37,15 +38,20 @@
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, heldCopy/_ = append(s.copies, heldCopy/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.faulty\(st\.at\.ID\)/s.g.fleet.Note(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
 mutant gateway-silent $gateway/attempt.go 's/\tg\.faulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
-mutant gateway-spread $gateway/move.go 's/if u, ok := draw\(list, exclude, near, rand\.Float64\); ok/if u, ok := best(list, exclude, func(u fleet.Upstream) float64 { return -near(u) }); ok/' $gateway TestTargetsOfMoves
-mutant gateway-room $gateway/admission.go 's/return errMemory/return nil/' $gateway TestRoom
-mutant gateway-kept-room $gateway/admission.go 's/return \(1-reserve\)\*/return /' $gateway TestRoom
-mutant gateway-waiting-prompts $gateway/admission.go 's/return errPrompts/return nil/' $gateway TestRoom
+mutant placement-spread $placement/target.go 's/drawIndex\(near, v\.Random\(\)\)/drawIndex(near, 0)/' $gateway TestTargetsOfMoves
+mutant placement-room $placement/room.go 's/return ErrMemory/return nil/' internal/placement TestRoom
+mutant placement-kept-room $placement/room.go 's/return \(1-reserve\)\*/return /' internal/placement TestRoom
+mutant placement-waiting-prompts $placement/room.go 's/return ErrPrompts/return nil/' internal/placement TestRoom
 mutant gateway-silent-load $gateway/gateway.go 's/g\.ledger\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfSilentEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.pace\.rest\(rq\.call\.MaxOutput,/g.pace.rest(rq.call.Hint,/' $gateway TestStoppingGatewayDoubtsTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.far:/case false:/' $gateway TestBackAfterStop
-mutant gateway-overload-age $gateway/overload.go 's/max\(time\.Duration\(share\*float64\(now\.Sub\(o\.since\)\)\), soon\)/soon/' $gateway TestOverloadTells
+mutant placement-overload-age $placement/overload.go 's/max\(time\.Duration\(share\*float64\(now\.Sub\(o\.since\)\)\), soon\)/soon/' internal/placement TestOverloadTells
 mutant gateway-blame $gateway/call.go 's/if len\(c\.failed\) > 1 && !served \{/if false {/' $gateway TestWhoIsBlamed
+mutant gateway-copy-outlasts $gateway/move.go 's/context\.WithTimeout\(context\.Background\(\), copyWithin\)/context.WithTimeout(s.rq.caller, copyWithin)/' $gateway TestCopyThatOutlasts
+mutant gateway-brief-stay $gateway/move.go 's/ && !s\.endsWithin\(copyTakes\)//' $gateway TestMovable
+mutant gateway-told-reading $gateway/attempt.go 's/state\.Waiting\+state\.Unbegun == 0/true/' $gateway TestEngineThatStaysSilent
+mutant placement-reserve $placement/reserve.go 's/leavingShare \* shareOf/leavingShare + 0*shareOf/' internal/placement TestReserve
+mutant wire-no-rank platform/caller.go 's/(\tif a\.From != nil \{)/\th.Set(headerPriority, "2")\n$1/' platform TestForwardAttempt
 mutant fleet-failing internal/fleet/failing.go 's/failingOver = 3/failingOver = 0/' internal/fleet TestFailing
 mutant relay-hold internal/relay/store.go 's/return min\(max\(left, holdLeast\), s\.settings\.Wait\)/_ = left\n\treturn s.settings.Wait/' internal/relay TestQuestionIsHeld
 mutant retries-together internal/routing/window.go 's/\(lately\+1\)\*float64\(heard\) > left\+lately/lately+1 > left+lately+0*float64(heard)/' internal/routing TestEntriesTogether
@@ -57,7 +63,7 @@
 mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.firstHand \{/if m.state == Lapsed {/' internal/fleet TestUpstreamComesBack
 mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) <= r\.table\.Version\(\) \{/if false {/' $gateway TestRoutesOnlyGoUp
 
-mutant gateway-old-news $gateway/spread.go 's/unheardMargin \* z\.rate/0 * z.rate/' $gateway TestOldNews
+mutant placement-old-news $placement/spread.go 's/unheardMargin \* z\.rate/0 * z.rate/' $gateway TestOldNews
 mutant relay-hold-end internal/relay/server.go 's/\t\t\tover = true/\t\t\treturn l.encode(a, asked), nil/' internal/relay TestAnswerTellsTheLatest
 mutant relay-turns internal/relay/store.go 's/if self \|\| s\.turn\(\) \{/if self || s.turn() || true {/' internal/relay TestTurnsAtTheStore
 mutant relay-second-delegate internal/relay/store.go 's/for range maxAsked \{\n\t\tvar p Peer/for range 1 {\n\t\tvar p Peer/' internal/relay TestAnotherDelegate
