--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,6 +26,7 @@
 	pausedFor time.Duration
 	pausedAt  int
 	lastAt    time.Time
+	timer     eventTimer
 	// stuck tells why the generation could not go on although it might have.
 	stuck string
 
