--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -65,7 +65,7 @@
 // ownState is what this gateway tells the others.
 func (b *gatewayBuilder) ownState() gossip.State {
 	s := gossip.State{
-		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), EventTimes: b.gateway.EventTimes(),
+		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(),
 		StopBy: b.gateway.StopBy(), StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Failures: b.fleet.Failures(), Retries: b.gateway.RetryUse(),
 	}
 	table, confirmed := b.routes.Current()
@@ -78,7 +78,6 @@
 // peerState takes over what another gateway told.
 func (b *gatewayBuilder) peerState(from string, s gossip.State) {
 	b.gateway.PeerLoad(from, s.Loads)
-	b.gateway.PeerEventTimes(s.EventTimes)
 	b.gateway.PeerRetryUse(from, s.Retries)
 	b.fleet.PeerFaults(from, s.Faults)
 	b.fleet.PeerFailures(from, s.Failures)
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -101,7 +101,7 @@
 // crowdedGateway knows n engines that are half full.
 func crowdedGateway(n int) (*Gateway, *stream) {
 	set := fleet.New(events.Nop(), time.Now, func(string) {})
-	g := &Gateway{fleet: set, ledger: newLedger(time.Now), prefixes: newPrefixes(), times: newEventTimes(), now: time.Now, others: Others{Delay: func(string, bool) time.Duration { return 10 * time.Millisecond }}}
+	g := &Gateway{fleet: set, ledger: newLedger(time.Now), prefixes: newPrefixes(), now: time.Now, others: Others{Delay: func(string, bool) time.Duration { return 10 * time.Millisecond }}}
 	records := make([]fleet.Record, n)
 	for i := range records {
 		records[i] = fleet.Record{ID: strconv.Itoa(i), Service: "llm"}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -38,7 +38,7 @@
 	for _, u := range list {
 		if !exclude[u.ID] {
 			load, rate := g.ledger.known(u.ID, now)
-			out = append(out, placement.Candidate{Upstream: u, Load: load, Rate: rate, EventTime: g.times.of(u.ID)})
+			out = append(out, placement.Candidate{Upstream: u, Load: load, Rate: rate})
 		}
 	}
 	return out
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,6 @@
 	reading  reading
 	moveRoom placement.MoveRoom
 	prefixes *prefixes
-	times    *eventTimes
 	trusted  atomic.Bool
 
 	mu sync.Mutex
@@ -97,7 +96,7 @@
 func New(settings Settings, routes *belief.Routes, set *fleet.Set, pool *link.Pool, proto protocol.Protocol, others Others, rec *events.Recorder, reg prometheus.Registerer, now func() time.Time) *Gateway {
 	return &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
-		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), times: newEventTimes(), entries: 1,
+		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, others: others,
 	}
@@ -153,29 +152,16 @@
 // Load returns what this entry has in flight, by upstream.
 func (g *Gateway) Load() map[string]gossip.Load { return g.ledger.snapshot() }
 
-// EventTimes returns the shortest time per event that is known of each engine at which this
-// entry has something in flight.
-func (g *Gateway) EventTimes() map[string]time.Duration { return g.times.among(g.ledger.snapshot()) }
-
 // PeerLoad takes over what another entry has in flight.
 func (g *Gateway) PeerLoad(name string, loads map[string]gossip.Load) { g.ledger.setPeer(name, loads) }
 
-// PeerEventTimes takes over the shortest times per event that another entry knows.
-func (g *Gateway) PeerEventTimes(times map[string]time.Duration) {
-	for engine, d := range times {
-		g.times.note(engine, d)
-	}
-}
-
 // ForgetSilent forgets the load of the entries that are not heard any more: their
 // connections to engines ended with them, and what they had in flight must not keep
 // others from being admitted.
 func (g *Gateway) ForgetSilent() {
 	peers := g.others.Heard()
 	g.ledger.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
-	known := func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }
-	g.prefixes.forget(known, g.now())
-	g.times.forget(known)
+	g.prefixes.forget(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }, g.now())
 }
 
 // Registered sets how many entries are listed. The retry budget is shared among these
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,9 +40,6 @@
 		}
 		s.advance(id, n)
 		s.notePause()
-		if each, ok := s.timer.pass(st.at.ID, n, s.lastAt); ok {
-			g.times.note(st.at.ID, each)
-		}
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,7 +26,6 @@
 	pausedFor time.Duration
 	pausedAt  int
 	lastAt    time.Time
-	timer     eventTimer
 	// stuck tells why the generation could not go on although it might have.
 	stuck string
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,8 +56,6 @@
 	StoreLost bool
 	// Loads are by upstream.
 	Loads map[string]Load
-	// EventTimes are the shortest times per event of engines that have a load.
-	EventTimes map[string]time.Duration
 	// Leaving are upstreams known to leave.
 	Leaving []string
 	// Faults are the upstreams at which its requests met a fault lately, and the
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -15,7 +15,7 @@
 var ErrMessage = errors.New("message of another entry cannot be used")
 
 // format is the version of the messages; others are not understood.
-const format = 3
+const format = 2
 
 // datagram is what is sent: the body is the same for all receivers and encoded once.
 // Times are steady and only mean something to the process that made them.
@@ -63,12 +63,8 @@
 	Retries     map[string]wireUse
 }
 
-// wireLoad holds requests, tokens, tokens not read yet, tokens held by now, and the shortest
-// time per event of the engine in units of eventTimeUnit, 0 if it is not known.
-type wireLoad [5]int
-
-// eventTimeUnit is fine enough to tell engines apart that differ by a hundredth.
-const eventTimeUnit = 100 * time.Microsecond
+// wireLoad holds requests, tokens, tokens not read yet and tokens held by now.
+type wireLoad [4]int
 
 // wireUse holds requests and repeats.
 type wireUse [2]int
@@ -93,7 +89,7 @@
 		b.StopsInMS = max(s.StopBy.Sub(now).Milliseconds(), 1)
 	}
 	for id, l := range s.Loads {
-		b.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill, l.Held, int(s.EventTimes[id] / eventTimeUnit)}
+		b.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill, l.Held}
 	}
 	for id, at := range s.Faults {
 		b.FaultAgesMS[id] = now.Sub(at).Milliseconds()
@@ -133,13 +129,10 @@
 	b := m.body
 	s := State{
 		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures,
-		Loads: make(map[string]Load, len(b.Loads)), EventTimes: map[string]time.Duration{}, Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
+		Loads: make(map[string]Load, len(b.Loads)), Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
 	}
 	for id, l := range b.Loads {
 		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2], Held: l[3]}
-		if l[4] > 0 {
-			s.EventTimes[id] = time.Duration(l[4]) * eventTimeUnit
-		}
 	}
 	if b.StopsInMS > 0 {
 		s.StopBy = now.Add(time.Duration(b.StopsInMS) * time.Millisecond)
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -15,13 +15,11 @@
 // busyState is what an entry with ten requests in flight tells.
 func busyState(now time.Time) State {
 	s := State{
-		Zone: "zone-a", Relay: "10.1.0.49:7200", Routes: 41, Confirmed: now.Add(-time.Second), Loads: map[string]Load{}, EventTimes: map[string]time.Duration{},
+		Zone: "zone-a", Relay: "10.1.0.49:7200", Routes: 41, Confirmed: now.Add(-time.Second), Loads: map[string]Load{},
 		Retries: map[string]routing.Use{"models": {Requests: 120, Repeats: 4}, "plain": {Requests: 200, Repeats: 9}},
 	}
 	for i := range 10 {
-		id := fmt.Sprintf("i-7f3a91c2e%d", i)
-		s.Loads[id] = Load{Running: 1, Tokens: 3500 + i, Prefill: 3000, Held: 3100}
-		s.EventTimes[id] = time.Duration(300+i) * eventTimeUnit
+		s.Loads[fmt.Sprintf("i-7f3a91c2e%d", i)] = Load{Running: 1, Tokens: 3500 + i, Prefill: 3000, Held: 3100}
 	}
 	return s
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,7 +11,6 @@
 // tells why there is none. Engines that are avoided or had a fault lately are only used
 // when all are. reserve is the part of the memory that is kept free.
 func (v *View) Admit(list []Candidate, g *Generation, reserve float64) (fleet.Upstream, error) {
-	v.findFastest(list)
 	sound := slices.ContainsFunc(list, func(c Candidate) bool { return v.sound(&c, g.Repeats) })
 	why := ErrNone
 	unit := float64(g.need()) + prefillWeight*float64(g.Prompt)
@@ -45,7 +44,6 @@
 // Anyhow chooses the engine for the rest of an answer for which a caller waits: a crowded
 // engine is better than none. ok is false if there is none at all.
 func (v *View) Anyhow(list []Candidate, g *Generation) (u fleet.Upstream, ok bool) {
-	v.findFastest(list)
 	least := math.Inf(1)
 	for i := range list {
 		c := &list[i]
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -38,14 +38,6 @@
 	// it delays the first token of whatever comes after, and four prompts in a
 	// row use up the objective.
 	prefillWeight = 4.0
-	// slowWeight is what a token of the answer counts, in tokens of memory, on an engine
-	// that takes twice the time for it: an answer of 750 tokens goes to one that is slower
-	// by 0.3 when the fast ones have about one generation more.
-	slowWeight = 16.0
-	// slowLeast is the part by which times differ for other reasons than the engine's
-	// speed, and slowMost bounds what a time that was taken beside long prompts does.
-	slowLeast = 0.15
-	slowMost  = 0.5
 	// overflowWeight is what a token beyond the memory counts: it preempts.
 	overflowWeight = 20.0
 )
@@ -79,7 +71,6 @@
 	if v.Now.Before(c.ColdUntil()) {
 		cost += engineColdTokens
 	}
-	cost += slowWeight * v.slowness(c) * float64(g.Output)
 	if c.Zone != v.Zone {
 		cost += engineZoneTokens
 	}
@@ -89,29 +80,6 @@
 	return cost + engineNoiseTokens*v.Random()
 }
 
-// slowness is by how much of the fastest engine's time an engine takes longer for an event,
-// 0 to slowMost; engines of which nothing is known are taken to be as fast.
-func (v *View) slowness(c *Candidate) float64 {
-	if c.EventTime <= 0 || v.fastest <= 0 {
-		return 0
-	}
-	over := float64(c.EventTime)/float64(v.fastest) - 1
-	if over < slowLeast {
-		return 0
-	}
-	return min(over, slowMost)
-}
-
-// findFastest notes the shortest time per event of the candidates.
-func (v *View) findFastest(list []Candidate) {
-	v.fastest = 0
-	for i := range list {
-		if t := list[i].EventTime; t > 0 && (v.fastest == 0 || t < v.fastest) {
-			v.fastest = t
-		}
-	}
-}
-
 // unread is the number of prompt tokens that an engine still has to read: while the news
 // of its load was on the way it read on. What that brings does not show in the model of
 // TestOldNewsDoesNotCrowdEngines: 26 of 7,600 late with news of 350 ms, 22 without.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,8 +33,6 @@
 	Rate float64
 	// Kept is the part of the prompt that the engine keeps already, in tokens.
 	Kept int
-	// EventTime is the shortest time per event seen at an engine; 0 if it is not known.
-	EventTime time.Duration
 	// Failing marks a plain upstream that fails many requests.
 	Failing bool
 }
@@ -49,8 +47,6 @@
 	Delay func(zone string) time.Duration
 	// ReadToken is the time in which an engine reads a prompt token.
 	ReadToken time.Duration
-	// fastest is the shortest time per event of all candidates.
-	fastest time.Duration
 	// Random returns a number from 0 up to 1.
 	Random func() float64
 }
