--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -61,6 +61,10 @@
 	Priority int
 	// Prefix holds the chained hashes of the prompt's full blocks.
 	Prefix []uint64
+	// Computed is the number of the prompt's tokens whose memory was copied from another
+	// engine; they are computed anew only if the engine takes that memory away. Such a job
+	// goes before all that wait.
+	Computed int
 }
 
 type seq struct {
@@ -146,7 +150,25 @@
 	return e.paused[id]
 }
 
+// Hold sets memory for a number of tokens aside, as for a copy that arrives; it returns
+// false if there is none. Drop gives it back.
+func (e *Engine) Hold(tokens int) bool {
+	need := e.blocksFor(tokens)
+	if e.used+need > e.settings.Blocks {
+		return false
+	}
+	e.used += need
+	return true
+}
+
+// Drop gives back what Hold set aside for a number of tokens.
+func (e *Engine) Drop(tokens int) { e.used -= e.blocksFor(tokens) }
+
 func (e *Engine) enqueue(q *seq) {
+	if q.job.Computed > 0 {
+		e.queue = slices.Insert(e.queue, 0, q)
+		return
+	}
 	i, _ := slices.BinarySearchFunc(e.queue, q, func(a, b *seq) int {
 		if a.job.Priority != b.job.Priority {
 			return a.job.Priority - b.job.Priority
@@ -229,8 +251,15 @@
 		q.blocks = need
 		e.used += need
 		hit := e.cache.hit(q.job.Prefix) * e.settings.BlockTokens
-		q.toCompute = max(1, q.tokens()-hit)
+		q.toCompute = max(1, q.tokens()-max(hit, q.job.Computed))
+		copied := q.job.Computed > 0
+		q.job.Computed = 0
 		e.cache.store(q.job.Prefix)
+		if copied {
+			// The little that the copy lacks is computed before the prompts of others.
+			e.running = slices.Insert(e.running, 0, q)
+			continue
+		}
 		e.running = append(e.running, q)
 	}
 	e.cache.evict(e.settings.Blocks - e.used)
