--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/sparshore/sparshore/internal/commandline"
+	"github.com/sparshore/sparshore/internal/placement/replay"
 	"github.com/sparshore/sparshore/internal/version"
 )
 
@@ -18,8 +19,14 @@
 	Plots     string `arg:"--plots" help:"folder for the plots"`
 }
 
+type placementCommand struct {
+	Loads []float64 `arg:"--load,separate" help:"a number by which arrivals are multiplied"`
+	Seeds int       `arg:"--seeds" default:"4" help:"how many seeds are played"`
+}
+
 type arguments struct {
-	Decision *decisionCommand `arg:"subcommand:decision" help:"the decision beside its baselines"`
+	Decision  *decisionCommand  `arg:"subcommand:decision" help:"the decision beside its baselines"`
+	Placement *placementCommand `arg:"subcommand:placement" help:"where generations go when memory is short, beside other ways"`
 }
 
 // Description is printed in the help text.
@@ -34,13 +41,31 @@
 	if _, code, done := commandline.Parse("sparshore-bench", &a, args, stdout, stderr); done {
 		return code
 	}
-	if err := a.Decision.run(stdout); err != nil {
+	if err := a.run(stdout); err != nil {
 		_, _ = fmt.Fprintf(stderr, "sparshore-bench: %v\n", err)
 		return commandline.ExitFailure
 	}
 	return commandline.ExitOK
 }
 
+func (a *arguments) run(stdout io.Writer) error {
+	if a.Placement != nil {
+		return a.Placement.run(stdout)
+	}
+	return a.Decision.run(stdout)
+}
+
+// defaultLoads are from a load that fits to twice what the engines can do.
+var defaultLoads = []float64{0.85, 1, 1.25, 1.6, 2}
+
+func (c *placementCommand) run(stdout io.Writer) error {
+	loads := c.Loads
+	if len(loads) == 0 {
+		loads = defaultLoads
+	}
+	return replay.Compare(stdout, loads, max(c.Seeds, 1))
+}
+
 const filePermissions = 0o644
 
 func (c *decisionCommand) run(stdout io.Writer) error {
