--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -259,29 +259,33 @@
 }
 
 // Of returns the upstreams of a service that take new work: those that serve,
-// or the lapsed ones if none does.
+// or the lapsed ones if none does. BenchmarkOf, four upstreams of a plain service beside 870
+// engines: 19 us with a walk over all of them, 1.4 us with the list of those that serve.
 func (s *Set) Of(service string) []Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var serving, lapsed []Upstream
-	for _, m := range s.byID {
-		if m.Service != service || s.closed[m.Zone] {
-			continue
-		}
-		switch m.state {
-		case Serving:
-			serving = append(serving, m.Upstream)
-		case Lapsed:
-			lapsed = append(lapsed, m.Upstream)
-		case Leaving:
-		}
+	ids := s.servingIDs(service)
+	if len(ids) == 0 {
+		return s.lapsed(service)
 	}
-	if len(serving) == 0 {
-		return lapsed
+	serving := make([]Upstream, len(ids))
+	for i, id := range ids {
+		serving[i] = s.byID[id].Upstream
 	}
 	return serving
 }
 
+// lapsed returns the lapsed upstreams of a service. It needs the lock.
+func (s *Set) lapsed(service string) []Upstream {
+	var out []Upstream
+	for _, m := range s.byID {
+		if m.Service == service && m.state == Lapsed && !s.closed[m.Zone] {
+			out = append(out, m.Upstream)
+		}
+	}
+	return out
+}
+
 // Some returns up to most upstreams of a service that serve, drawn anew each time,
 // and whether these are all that take new work; random returns a number below n.
 func (s *Set) Some(service string, most int, random func(n int) int) (list []Upstream, all bool) {
--- a/internal/fleet/set_test.go
+++ b/internal/fleet/set_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -240,3 +241,21 @@
 		t.Errorf("tells of %v, which is long ago", got)
 	}
 }
+
+// BenchmarkOf measures the list of the upstreams of a plain service beside 870 engines.
+func BenchmarkOf(b *testing.B) {
+	s := New(events.Nop(), time.Now, func(string) {})
+	var records []Record
+	for i := range 870 {
+		records = append(records, Record{ID: fmt.Sprintf("engine-%d", i), Service: "llm", Zone: "a"})
+	}
+	for i := range 4 {
+		records = append(records, Record{ID: fmt.Sprintf("plain-%d", i), Service: "app", Zone: "a"})
+	}
+	s.Update(records, nil, true, time.Time{})
+	for b.Loop() {
+		if len(s.Of("app")) != 4 {
+			b.Fatal("not all upstreams")
+		}
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -35,7 +35,7 @@
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestEntryThatStartsWhileTheStoreIsSilent
 mutant gateway-torn $gateway/eventreader.go 's/if n := wholeEvents\(e\.buf\[e\.start:e\.end\]\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/if errors\.Is\(err, io\.EOF\) && answer\.Framed && len\(rest\) == 0 && s\.began \{/if _ = errors.Is(err, io.EOF); s.began {/' $gateway TestBrokenStream
-mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, heldCopy/_ = append(s.copies, heldCopy/' $gateway TestMove
+mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, held\)/_ = append(s.copies, held)/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.faulty\(st\.at\.ID\)/s.g.fleet.Note(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
 mutant gateway-silent $gateway/attempt.go 's/\tg\.faulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
 mutant placement-spread $placement/target.go 's/drawIndex\(near, v\.Random\(\)\)/drawIndex(near, 0)/' $gateway TestTargetsOfMoves
@@ -49,7 +49,7 @@
 mutant gateway-blame $gateway/call.go 's/if len\(c\.failed\) > 1 && !served \{/if false {/' $gateway TestWhoIsBlamed
 mutant gateway-copy-outlasts $gateway/move.go 's/context\.WithTimeout\(context\.Background\(\), copyWithin\)/context.WithTimeout(s.rq.caller, copyWithin)/' $gateway TestCopyThatOutlasts
 mutant gateway-brief-stay $gateway/move.go 's/ && !s\.endsWithin\(copyTakes\)//' $gateway TestMovable
-mutant gateway-told-reading $gateway/attempt.go 's/state\.Waiting\+state\.Unbegun == 0/true/' $gateway TestEngineThatStaysSilent
+mutant gateway-told-reading $gateway/attempt.go 's/state\.Unbegun == 0/state.Unbegun >= 0/' $gateway TestEngineThatStaysSilent
 mutant placement-reserve $placement/reserve.go 's/leavingShare\*shareOf/leavingShare + 0*shareOf/' internal/placement TestReserve
 mutant placement-moved-in-time $placement/reserve.go 's/usable = min\(usable, e\.CopyRate/usable = min(usable, 1e9*e.CopyRate/' internal/placement TestUsable
 mutant wire-no-rank platform/caller.go 's/(\tif a\.From != nil \{)/\th.Set(headerPriority, "2")\n$1/' platform TestForwardAttempt
