--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,7 +45,7 @@
 mutant gateway-silent-load $gateway/gateway.go 's/g\.ledger\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfSilentEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.pace\.rest\(rq\.call\.MaxOutput,/g.pace.rest(rq.call.Hint,/' $gateway TestStoppingGatewayDoubtsTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.far:/case false:/' $gateway TestBackAfterStop
-mutant placement-overload-age $placement/overload.go 's/max\(time\.Duration\(share\*float64\(now\.Sub\(o\.since\)\)\), soon\)/soon/' internal/placement TestOverloadTells
+mutant placement-overload-age $placement/overload.go 's/min\(ageOfShare\*share, 1\)/0*share/' internal/placement TestOverloadTells
 mutant gateway-blame $gateway/call.go 's/if len\(c\.failed\) > 1 && !served \{/if false {/' $gateway TestWhoIsBlamed
 mutant gateway-copy-outlasts $gateway/move.go 's/context\.WithTimeout\(context\.Background\(\), copyWithin\)/context.WithTimeout(s.rq.caller, copyWithin)/' $gateway TestCopyThatOutlasts
 mutant gateway-brief-stay $gateway/move.go 's/ && !s\.endsWithin\(copyTakes\)//' $gateway TestMovable
