--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -112,3 +112,24 @@
 	rq := &request{call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second}, service: service, start: time.Now()}
 	return g, &stream{g: g, rq: rq}
 }
+
+// TestSizesThatCannotBe: sizes that callers state wrongly neither stop a generation for
+// good nor take memory that is not there.
+func TestSizesThatCannotBe(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		call protocol.Call
+		want int
+	}{
+		{"a negative guess", protocol.Call{Hint: -5, MaxOutput: 1000}, 500},
+		{"a negative bound", protocol.Call{Hint: 100, MaxOutput: -1}, 125},
+		{"both negative", protocol.Call{Hint: -5, MaxOutput: -1}, defaultOutput},
+		{"a guess a thousand times too long", protocol.Call{Hint: 100000, MaxOutput: 120}, 120},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := expectedOutput(&tc.call); got != tc.want {
+				t.Errorf("got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
