--- a/internal/placement/replay/load.go
+++ b/internal/placement/replay/load.go
@@ -97,4 +97,5 @@
 	return out
 }
 
+// clamp returns a number within bounds, rounded down.
 func clamp(v, least, most float64) int { return int(min(max(v, least), most)) }
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -55,20 +55,6 @@
 	briefTokens = 100
 )
 
-// engine is one place of the pool; each start of an engine there is a new lifetime.
-type engine struct {
-	id    string
-	model *enginemodel.Engine
-	slow  float64
-	// busyUntil ends the step that runs, whose tokens are out at that time.
-	busyUntil time.Duration
-	tokens    []enginemodel.Token
-	// leavesAt is when it ends, and backAt when the place is filled again; 0 for never.
-	leavesAt, backAt time.Duration
-	// copyUntil ends the copy that its link carries.
-	copyUntil time.Duration
-}
-
 // generation is one that runs.
 type generation struct {
 	arrival
@@ -124,11 +110,11 @@
 		p.asked += a.kind.Worth
 		p.count(a.kind, func(o *Outcome) { o.Asked++ })
 	}
-	byTime := func(a, b *generation) int { return cmp.Compare(a.at0(), b.at0()) }
+	byTime := func(a, b *generation) int { return cmp.Compare(a.nextAsk(), b.nextAsk()) }
 	slices.SortStableFunc(due, byTime)
 	nextWave := load.LeaveEach
 	for end := load.Lasts + time.Minute; p.now < end; p.now += tick {
-		for len(due) > 0 && due[0].at0() <= p.now {
+		for len(due) > 0 && due[0].nextAsk() <= p.now {
 			g := due[0]
 			due = due[1:]
 			if again, ok := p.ask(g); ok {
@@ -151,27 +137,16 @@
 	return p.result
 }
 
-func (g *generation) at0() time.Duration { return g.arrival.at }
+// nextAsk is when its caller asks the next time.
+func (g *generation) nextAsk() time.Duration { return g.arrival.at }
 
+// count changes what is counted of a kind.
 func (p *play) count(k *Kind, change func(o *Outcome)) {
 	o := p.result.Kinds[k.Name]
 	change(&o)
 	p.result.Kinds[k.Name] = o
 }
 
-func (p *play) newEngine(place int) *engine {
-	p.lives++
-	slow := 1.0
-	if place%3 == 2 {
-		slow += p.load.Slow
-	}
-	const block = 16
-	return &engine{id: fmt.Sprintf("e%d", p.lives), slow: slow, model: enginemodel.New(enginemodel.Settings{
-		Blocks: p.load.MemoryTokens / block, BlockTokens: block, MaxBatch: p.load.Slots,
-		StepBase: 7 * time.Millisecond, StepPerStream: 120 * time.Microsecond, StepPerPrefill: 71 * time.Microsecond, PrefillChunk: 112,
-	})}
-}
-
 // described is what operators say of the engines.
 func (p *play) described() *routetable.Engine {
 	return &routetable.Engine{Slots: p.load.Slots, MemoryTokens: p.load.MemoryTokens, EventTokens: eventTokens, Moves: true, CopyRate: 1 / copyToken.Seconds()}
@@ -213,8 +188,10 @@
 // hintMargin covers that a guess of the length is right only in half of the cases.
 const hintMargin = 1.25
 
+// expected is the length of the answer that an entry reckons with.
 func (g *generation) expected() int { return min(int(hintMargin*float64(g.hint)), g.kind.MostOutput) }
 
+// view is what the entry decides by: exact news.
 func (p *play) view() *placement.View {
 	return &placement.View{
 		Now: p.start.Add(p.now), Random: p.random.Float64, ReadToken: readToken,
@@ -262,6 +239,7 @@
 	return time.Duration(float64(max(p.now-p.since, time.Second)) * (0.75 + 0.5*p.random.Float64()))
 }
 
+// engine returns the engine with an identifier.
 func (p *play) engine(id string) *engine {
 	return p.engines[slices.IndexFunc(p.engines, func(e *engine) bool { return e.id == id })]
 }
@@ -281,91 +259,7 @@
 	_ = e.model.Submit(enginemodel.Job{ID: g.id, Prompt: g.prompt + g.made, Output: g.output - g.made, Priority: rank, Computed: computed})
 }
 
-// wave tells a part of the engines to leave, and orders the copies of what runs there.
-func (p *play) wave() {
-	var serving []*engine
-	for _, e := range p.engines {
-		if e.leavesAt == 0 && e.backAt == 0 {
-			serving = append(serving, e)
-		}
-	}
-	p.random.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
-	for _, e := range serving[:int(p.load.LeaveShare*float64(len(p.engines)))] {
-		e.leavesAt, e.backAt = p.now+p.load.Notice, p.now+p.load.Back
-	}
-}
-
-// moveFrom orders copies of the generations that have begun at a leaving engine, the
-// longest first; its link carries one at a time.
-func (p *play) moveFrom(e *engine) {
-	var here []*generation
-	for _, id := range p.order {
-		if g := p.running[id]; g.at == e && g.target == nil && g.made > 0 && g.kind.MostOutput-g.made > eventTokens*eventTokens {
-			here = append(here, g)
-		}
-	}
-	slices.SortStableFunc(here, func(a, b *generation) int { return cmp.Compare(b.made, a.made) })
-	for _, g := range here {
-		held := g.prompt + g.made
-		rest := &placement.Generation{Engine: p.described(), Prompt: held, Output: max(g.expected()-g.made, eventTokens), Repeats: true}
-		u, ok := p.view().Target(p.candidates(e), rest, "")
-		if !ok {
-			continue
-		}
-		target := p.engine(u.ID)
-		room := target.model.Hold(held)
-		p.moveRoom.Note(room, p.start.Add(p.now))
-		if !room {
-			continue
-		}
-		e.copyUntil = max(e.copyUntil, p.now) + time.Duration(held)*copyToken
-		g.target, g.movesAt, g.copied = target, e.copyUntil, held
-	}
-}
-
-// step plays one tick of all engines.
-func (p *play) step() {
-	for i, e := range p.engines {
-		if e.leavesAt > 0 {
-			p.moveFrom(e)
-		}
-		if e.leavesAt > 0 && p.now >= e.leavesAt {
-			p.end(e)
-		}
-		if e.leavesAt < 0 && p.now >= e.backAt {
-			p.result.Preempted += e.model.Preemptions()
-			p.engines[i] = p.newEngine(i)
-			continue
-		}
-		if p.now >= e.busyUntil && e.leavesAt >= 0 {
-			p.deliver(e)
-			if !e.model.Idle() {
-				took, tokens := e.model.Step()
-				e.busyUntil, e.tokens = p.now+time.Duration(e.slow*float64(took)), slices.Clone(tokens)
-			}
-		}
-	}
-	for _, id := range slices.Clone(p.order) {
-		if g := p.running[id]; g.target != nil && p.now >= g.movesAt {
-			// The engine knows the generation, which runs there.
-			_ = g.at.model.Cancel(g.id)
-			g.target.model.Drop(g.copied)
-			p.send(g, g.target, g.copied)
-		}
-	}
-}
-
-// end ends an engine: what runs there is cut.
-func (p *play) end(e *engine) {
-	e.leavesAt, e.tokens = -1, nil
-	for _, id := range slices.Clone(p.order) {
-		if g := p.running[id]; g.at == e {
-			p.count(g.kind, func(o *Outcome) { o.Cut++ })
-			p.forget(g)
-		}
-	}
-}
-
+// forget drops a generation that has ended, and the copy that waits for it.
 func (p *play) forget(g *generation) {
 	if g.target != nil {
 		g.target.model.Drop(g.copied)
@@ -374,26 +268,6 @@
 	p.order = slices.DeleteFunc(p.order, func(id string) bool { return id == g.id })
 }
 
-// deliver passes on the tokens of the step that has ended.
-func (p *play) deliver(e *engine) {
-	for _, t := range e.tokens {
-		g, ok := p.running[t.ID()]
-		if !ok || g.at != e {
-			continue
-		}
-		if g.made == 0 {
-			g.first = p.now
-		} else if p.now-g.latest > longestPause {
-			g.paused = true
-		}
-		g.made, g.latest = g.before+t.N(), p.now
-		if t.Last() {
-			p.finish(g)
-		}
-	}
-	e.tokens = nil
-}
-
 // finish counts a whole answer.
 func (p *play) finish(g *generation) {
 	p.forget(g)
