--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/placement"
+	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // TestZoneIsKept covers when requests leave their zone: not for a small difference
@@ -66,3 +72,81 @@
 		})
 	}
 }
+
+// TestCrowdedEnginesRefuseAtOnce: with no room anywhere a generation is refused
+// unrun, at once, with a time to come back; a brief one is still served.
+func TestCrowdedEnginesRefuseAtOnce(t *testing.T) {
+	f := newFixture(t)
+	e := f.addEngine("e")
+	claim := f.gateway.ledger.take("e", gossip.Load{Running: 4, Held: 99000, Tokens: 99500})
+	defer claim.release()
+	start := time.Now()
+	got := f.ask(pathStream)
+	if got.status != http.StatusServiceUnavailable || e.runs() != 0 || time.Since(start) > 50*time.Millisecond {
+		t.Errorf("status %d, %d sends after %s; want 503 unrun at once", got.status, e.runs(), time.Since(start))
+	}
+	least, most := int64((1-placement.BackSpread)*float64(placement.BackLeast.Milliseconds())), int64((1+placement.BackSpread)*float64(placement.BackLeast.Milliseconds()))
+	if ms, err := strconv.ParseInt(got.header.Get(testBack), 10, 64); err != nil || ms < least-1 || ms > most {
+		t.Errorf("told to come back in %q ms", got.header.Get(testBack))
+	}
+}
+
+// TestGenerationGoesWhereThereIsRoom: peers' loads count as the own do.
+func TestGenerationGoesWhereThereIsRoom(t *testing.T) {
+	f := newFixture(t)
+	full := f.addEngine("full")
+	free := f.addEngine("free")
+	f.gateway.PeerLoad("b", map[string]gossip.Load{"full": {Running: 4, Held: 99000, Tokens: 99500}})
+	for range 3 {
+		if got := f.ask(pathStream); got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+	}
+	if full.runs() != 0 || free.runs() != 3 {
+		t.Errorf("%d and %d sends, want all at the engine with room", full.runs(), free.runs())
+	}
+}
+
+// TestLoadOfSilentEntriesIsForgotten: an entry that died has nothing in flight.
+func TestLoadOfSilentEntriesIsForgotten(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("e")
+	f.peers = map[string]gossip.Peer{"b": {}}
+	f.gateway.PeerLoad("b", map[string]gossip.Load{"e": {Running: 4, Held: 99000, Tokens: 99500}})
+	f.gateway.ForgetSilent()
+	if got := f.ask(pathStream); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d while another entry fills the engine, want 503", got.status)
+	}
+	f.peers = nil
+	f.gateway.ForgetSilent()
+	if got := f.ask(pathStream); got.status != http.StatusOK {
+		t.Errorf("status %d after that entry fell silent, want 200", got.status)
+	}
+}
+
+// BenchmarkAdmitEngine measures one decision over the engines of a large service.
+func BenchmarkAdmitEngine(b *testing.B) {
+	for _, n := range []int{18, 100, 870} {
+		b.Run(strconv.Itoa(n)+" engines", func(b *testing.B) {
+			g, s := crowdedGateway(n)
+			for b.Loop() {
+				_, _ = g.admitEngine(s, nil)
+			}
+		})
+	}
+}
+
+// crowdedGateway knows n engines that are half full.
+func crowdedGateway(n int) (*Gateway, *stream) {
+	set := fleet.New(events.Nop(), time.Now, func(string) {})
+	g := &Gateway{fleet: set, ledger: newLedger(time.Now), prefixes: newPrefixes(), now: time.Now, others: Others{Delay: func(string, bool) time.Duration { return 10 * time.Millisecond }}}
+	records := make([]fleet.Record, n)
+	for i := range records {
+		records[i] = fleet.Record{ID: strconv.Itoa(i), Service: "llm"}
+		g.ledger.take(records[i].ID, gossip.Load{Running: 4, Held: 15000, Tokens: 17000})
+	}
+	set.Update(records, nil, true, time.Time{})
+	service := &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 24, MemoryTokens: 34000, EventTokens: 4}}
+	rq := &request{call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second}, service: service, start: time.Now()}
+	return g, &stream{g: g, rq: rq}
+}
