--- a/internal/placement/replay/compare.go
+++ b/internal/placement/replay/compare.go
@@ -53,19 +53,19 @@
 	wg.Wait()
 	var m Means
 	for _, r := range results {
-		chat, digest := r.Kinds["chat"], r.Kinds["digest"]
+		long, brief := r.Kinds["long"], r.Kinds["brief"]
 		m.Worth += r.Worth / float64(seeds)
 		m.Preempted += r.Preempted
-		m.Late += chat.Late
-		m.Lost += chat.Refused + chat.Cut
-		m.Missed += digest.Asked - digest.InTime
+		m.Late += long.Late
+		m.Lost += long.Refused + long.Cut
+		m.Missed += brief.Asked - brief.InTime
 	}
 	return m
 }
 
 // Line is a line of a table.
 func (m Means) Line(name string) string {
-	return fmt.Sprintf("%-27s worth %.3f  preempted %3d  chats late %3d, refused or cut %3d  digests missed %3d\n", name, m.Worth, m.Preempted, m.Late, m.Lost, m.Missed)
+	return fmt.Sprintf("%-27s worth %.3f  preempted %3d  long late %3d, refused or cut %3d  brief missed %3d\n", name, m.Worth, m.Preempted, m.Late, m.Lost, m.Missed)
 }
 
 // Compare writes a table of the crowded load, its arrivals multiplied by each number.
--- a/internal/placement/replay/load.go
+++ b/internal/placement/replay/load.go
@@ -48,12 +48,12 @@
 
 // CrowdedLoad is the pattern for which memory is short: a sixth of the engines leave every
 // 3.3 s and are replaced 4 s after their notice, while long answers with long prompts and
-// brief, more urgent digests fill nine tenths of the memory that serves.
+// brief, more urgent ones fill nine tenths of the memory that serves.
 func CrowdedLoad() Load {
 	return Load{
 		Kinds: []Kind{
-			{Name: "chat", PerSecond: 17, Rank: 1, Prompt: 3000, Output: 640, MostOutput: 1768, Spread: 0.8, Objective: 1800 * time.Millisecond, Worth: 100},
-			{Name: "digest", PerSecond: 33, Rank: 0, Prompt: 2300, Output: 12, MostOutput: 36, Spread: 0.5, Objective: 1500 * time.Millisecond, Worth: 13},
+			{Name: "long", PerSecond: 17, Rank: 1, Prompt: 3000, Output: 640, MostOutput: 1768, Spread: 0.8, Objective: 1800 * time.Millisecond, Worth: 100},
+			{Name: "brief", PerSecond: 33, Rank: 0, Prompt: 2300, Output: 12, MostOutput: 36, Spread: 0.5, Objective: 1500 * time.Millisecond, Worth: 13},
 		},
 		Engines: 41, Slow: 0.3, MemoryTokens: 21870, Slots: 32,
 		LeaveEach: 3300 * time.Millisecond, Notice: 1800 * time.Millisecond, Back: 4 * time.Second, LeaveShare: 1.0 / 6,
