feat: log lines and a metric tell who ended a caller's connection under a request

Cause: caller-gone is written for every connection that ends, also for one that this process closed; delivered=true was logged of an answer that was merely buffered; a panic in a handler went to standard error without the request's id. The hypotheses on the lost requests could not be told apart. Change: callers' connections are a type of their own that knows its request and why this process ended it. caller-gone names the caller and ended-here; answer-undelivered and handler-panicked are new; sparshore_gateway_unanswered_total counts by cause. No decision changes.

--- /dev/null
+++ b/internal/connlimit/conn_test.go
@@ -0,0 +1,68 @@
+package connlimit
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// TestAnswerThatCannotBeWritten covers what is told of a caller that ends its connection
+// before its answer is written.
+func TestAnswerThatCannotBeWritten(t *testing.T) {
+	asked, left := make(chan struct{}), make(chan struct{})
+	told := make(chan string, 1)
+	l := New(func() Limits { return Limits{} }, func(net.Conn, string) {}, func(c *Conn, request string, err error) {
+		if err == nil || c.Caller() == "" || c.EndedHere() != "" {
+			t.Errorf("told of %v by %q, ended here for %q", err, c.Caller(), c.EndedHere())
+		}
+		told <- request
+	})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		From(r.Context()).Begin("request-1")
+		close(asked)
+		<-left
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, "too late")
+	}))
+	s.Listener = l.Install(s.Config, s.Listener)
+	s.Start()
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-asked
+	// A reset makes the first write fail.
+	if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	close(left)
+	if got := <-told; got != "request-1" {
+		t.Errorf("told of %q", got)
+	}
+}
+
+// TestConnectionOfARequest covers servers without a Limiter.
+func TestConnectionOfARequest(t *testing.T) {
+	got := make(chan *Conn, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- From(r.Context()) }))
+	defer s.Close()
+	resp, err := http.Get(s.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = bufio.NewReader(resp.Body).ReadByte()
+	_ = resp.Body.Close()
+	c := <-got
+	c.Begin("request")
+	if c != nil || c.Caller() != "" || c.EndedHere() != "" {
+		t.Errorf("got a connection: %v", c)
+	}
+}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -4,6 +4,7 @@
 package connlimit
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -20,22 +21,49 @@
 
 // Limiter watches the connections of one server.
 type Limiter struct {
-	limits func() Limits
-	ended  func(c net.Conn, why string)
+	limits      func() Limits
+	ended       func(c net.Conn, why string)
+	undelivered func(c *Conn, request string, err error)
 
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
 }
 
-// New returns a Limiter; limits gives the times in force, and ended is told of
-// each connection that is ended, and why.
-func New(limits func() Limits, ended func(c net.Conn, why string)) *Limiter {
-	return &Limiter{limits: limits, ended: ended, timers: map[net.Conn]*time.Timer{}}
+// New returns a Limiter; limits gives the times in force, ended is told of each
+// connection that is ended, and why, and undelivered of the first part of an answer
+// that cannot be written.
+func New(limits func() Limits, ended func(c net.Conn, why string), undelivered func(c *Conn, request string, err error)) *Limiter {
+	return &Limiter{limits: limits, ended: ended, undelivered: undelivered, timers: map[net.Conn]*time.Timer{}}
 }
 
-// Install makes a server obey the limits. A server calls a connection active once
-// it has read the headers of a request.
-func (l *Limiter) Install(s *http.Server) { s.ConnState = l.state }
+// Install makes a server obey the limits and returns the listener that it is to serve.
+// A server calls a connection active once it has read the headers of a request.
+func (l *Limiter) Install(s *http.Server, listener net.Listener) net.Listener {
+	s.ConnState = l.state
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return &conns{Listener: listener, undelivered: l.undelivered}
+}
+
+// conns accepts callers' connections.
+type conns struct {
+	net.Listener
+	undelivered func(c *Conn, request string, err error)
+}
+
+// Accept waits for the next connection.
+func (l *conns) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &Conn{TCPConn: tcp, undelivered: l.undelivered}, nil
+}
 
 func (l *Limiter) state(c net.Conn, state http.ConnState) {
 	switch state {
@@ -58,6 +86,10 @@
 	defer l.mu.Unlock()
 	l.timers[c] = time.AfterFunc(d, func() {
 		l.ended(c, why)
+		if caller, ok := c.(*Conn); ok {
+			_ = caller.end(why)
+			return
+		}
 		_ = c.Close()
 	})
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -38,14 +38,14 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			why := make(chan string, 1)
-			l := New(func() Limits { return tt.limits }, func(_ net.Conn, reason string) { why <- reason })
+			l := New(func() Limits { return tt.limits }, func(_ net.Conn, reason string) { why <- reason }, func(*Conn, string, error) {})
 			s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/slow" {
 					time.Sleep(3 * short)
 				}
 				_, _ = io.WriteString(w, "ok")
 			}))
-			l.Install(s.Config)
+			s.Listener = l.Install(s.Config, s.Listener)
 			s.Start()
 			defer s.Close()
 			c, err := net.Dial("tcp", s.Listener.Addr().String())
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -42,21 +42,23 @@
 func (b *gatewayBuilder) metricsService() kernel.Service {
 	r := mux.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
-	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader})
+	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader}, plainListener)
 }
 
 func (b *gatewayBuilder) readinessService() kernel.Service {
 	r := mux.NewRouter()
 	r.HandleFunc(platform.PathReady, b.gateway.Ready).Methods(http.MethodGet)
-	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}, plainListener)
 }
 
 func (b *gatewayBuilder) callerService() kernel.Service {
 	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
-	connlimit.New(b.callerLimits, func(c net.Conn, why string) {
+	limiter := connlimit.New(b.callerLimits, func(c net.Conn, why string) {
 		b.rec.Note(events.CallerEnded, "", "caller", c.RemoteAddr().String(), "why", why)
-	}).Install(b.callers)
-	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
+	}, func(c *connlimit.Conn, request string, err error) {
+		b.rec.Note(events.AnswerUndelivered, request, "caller", c.Caller(), "ended-here", c.EndedHere(), "error", err)
+	})
+	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers, limiter.Install)
 }
 
 // callerLimits are the operator's limits for callers' connections.
@@ -69,8 +71,11 @@
 	return connlimit.Limits{Header: limits.HeaderWithin, Idle: limits.IdleWithin}
 }
 
-// listenService serves HTTP at an address.
-func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server) kernel.Service {
+// plainListener is for servers whose connections need no care.
+func plainListener(_ *http.Server, l net.Listener) net.Listener { return l }
+
+// listenService serves HTTP at an address; install returns the listener to serve.
+func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server, install func(s *http.Server, l net.Listener) net.Listener) kernel.Service {
 	return kernel.Service{
 		Name:  name,
 		Build: func(*kernel.Registry) (any, error) { return s, nil },
@@ -79,6 +84,7 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", flag, err)
 			}
+			l = install(s, l)
 			go func() { _ = s.Serve(l) }()
 			return nil
 		},
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -47,6 +47,8 @@
 	AnswerRejected     ID = 214
 	StreamStartsLate   ID = 215
 	CopyNotReleased    ID = 216
+	AnswerUndelivered  ID = 217
+	HandlerPanicked    ID = 218
 	GenerationQueued   ID = 300
 	GenerationAdmitted ID = 301
 	GenerationPaused   ID = 302
@@ -132,7 +134,7 @@
 	{RequestEnded, "request-ended", "A caller received the last byte of its answer."},
 	{StreamResumed, "stream-resumed", "A caller went on with a stream at the next offset."},
 	{StreamCut, "stream-cut", "A stream ended before it was whole, and the caller was told where and why."},
-	{CallerGone, "caller-gone", "A caller's connection closed before its answer was whole."},
+	{CallerGone, "caller-gone", "A caller's connection closed before its answer was whole; `ended-here` says why this entry closed it, if it did."},
 	{HedgeSent, "hedge-sent", "A slow request that may run twice was sent to a second upstream as well."},
 	{CallerEnded, "caller-ended", "A caller's connection was ended because it took longer than the operator allows."},
 	{StreamMoveStarted, "stream-move-started", "The memory of a running generation is being copied to another engine."},
@@ -142,6 +144,8 @@
 	{AnswerRejected, "answer-rejected", "An upstream's answer was not passed on, for the reason given."},
 	{StreamStartsLate, "stream-starts-late", "An engine has not begun a generation within the route's objective; the entry goes on waiting. Unless prompts or memory explain it (`crowded`), the engine is asked (`upstream-asked`), and is a suspect if it does not say that requests wait or are read there."},
 	{CopyNotReleased, "copy-not-released", "An engine could not be told that nobody needs a copy of a generation's memory; it drops it by itself."},
+	{AnswerUndelivered, "answer-undelivered", "An answer could not be written to its caller's connection; `ended-here` says why this entry ended that, if it did."},
+	{HandlerPanicked, "handler-panicked", "A fault of this program ended the work on a request; `stack` says where."},
 	{GenerationQueued, "generation-queued", "A sidecar holds a generation until memory allows it."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation gave way to others and keeps its place."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -242,9 +242,10 @@
 	g.proto.PassHeader(r.header, h)
 	h.Set("Content-Length", strconv.Itoa(len(r.body)))
 	rq.w.WriteHeader(r.status)
-	_, err := rq.w.Write(r.body)
+	// What cannot be written is noted by the connection, after the last flush.
+	_, _ = rq.w.Write(r.body)
 	took := g.now().Sub(rq.start)
 	g.met.ended(strconv.Itoa(r.status))
 	g.met.answered(took)
-	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.tries, "took", took, "bytes", len(r.body), "delivered", err == nil)
+	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.tries, "took", took, "bytes", len(r.body))
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,11 +13,22 @@
 	answers  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	moves    *prometheus.CounterVec
+	without  *prometheus.CounterVec
 	answer   prometheus.Histogram
 	first    prometheus.Histogram
 	gap      prometheus.Histogram
 }
 
+// The causes for which a request ends without a whole answer.
+const (
+	// unansweredLeft: the caller, or the network, ended the connection.
+	unansweredLeft = "caller left"
+	// unansweredEnded: this process ended the connection.
+	unansweredEnded = "connection ended here"
+	// unansweredPanic: a fault of this program.
+	unansweredPanic = "panic"
+)
+
 // newMetrics registers the metrics; age returns the age of the route table in
 // seconds.
 func newMetrics(reg prometheus.Registerer, age func() float64) *metrics {
@@ -26,12 +37,13 @@
 		answers:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_answers_total", Help: "Requests by how they ended."}, []string{"end"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_attempts_total", Help: "Requests sent to upstreams, by reason."}, []string{"reason"}),
 		moves:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
+		without:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a whole answer, by cause."}, []string{"cause"}),
 		answer:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the whole answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
 		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
 		gap:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be the newest."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.answer, m.first, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.without, m.answer, m.first, m.gap)
 	return m
 }
 
@@ -39,6 +51,7 @@
 func (m *metrics) ended(end string)         { m.answers.WithLabelValues(end).Inc() }
 func (m *metrics) tried(reason string)      { m.attempts.WithLabelValues(reason).Inc() }
 func (m *metrics) moved(result string)      { m.moves.WithLabelValues(result).Inc() }
+func (m *metrics) unanswered(cause string)  { m.without.WithLabelValues(cause).Inc() }
 func (m *metrics) answered(d time.Duration) { m.answer.Observe(d.Seconds()) }
 func (m *metrics) began(d time.Duration)    { m.first.Observe(d.Seconds()) }
 func (m *metrics) paused(d time.Duration)   { m.gap.Observe(d.Seconds()) }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,7 +35,8 @@
 				go g.inquire(ctx, st.at, "it closes its connection")
 			}
 		}
-		if _, werr := s.rq.w.Write(b); werr != nil || s.flush() != nil {
+		if err := s.pass(b); err != nil {
+			g.gone(s.rq, "getting events", err)
 			panic(http.ErrAbortHandler)
 		}
 		s.advance(id, n)
@@ -43,6 +44,14 @@
 	}
 }
 
+// pass gives the caller whole events.
+func (s *stream) pass(b []byte) error {
+	if _, err := s.rq.w.Write(b); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
 // notePause keeps the longest pause between events.
 func (s *stream) notePause() {
 	now := s.g.now()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,9 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
@@ -29,7 +31,9 @@
 	deadline time.Time
 	// caller ends when the caller goes away.
 	caller context.Context
-	w      http.ResponseWriter
+	// conn is the caller's connection, nil where it is not known.
+	conn *connlimit.Conn
+	w    http.ResponseWriter
 	// sent is set once an upstream may have seen the request.
 	sent  bool
 	tries int
@@ -58,7 +62,9 @@
 	g.enter()
 	defer g.leave()
 	now := g.now()
-	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), w: w}
+	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), conn: connlimit.From(r.Context()), w: w}
+	rq.conn.Begin(rq.call.ID)
+	defer g.notePanic(rq.call.ID)
 	if !g.StopBy().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
@@ -75,6 +81,33 @@
 	g.serveCall(ctx, rq)
 }
 
+// mostStack bounds in bytes the stack that a log line carries: some twenty calls.
+const mostStack = 4 << 10
+
+// notePanic writes down a fault of this program; net/http then ends the connection.
+func (g *Gateway) notePanic(request string) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		stack := debug.Stack()
+		g.met.unanswered(unansweredPanic)
+		g.rec.Note(events.HandlerPanicked, request, "panic", v, "stack", string(stack[:min(len(stack), mostStack)]))
+	}
+	panic(v)
+}
+
+// gone notes that a caller's connection ended while something was done.
+func (g *Gateway) gone(rq *request, while string, err error) {
+	cause := unansweredLeft
+	if rq.conn.EndedHere() != "" {
+		cause = unansweredEnded
+	}
+	g.met.unanswered(cause)
+	g.rec.Note(events.CallerGone, rq.call.ID, "while", while, "caller", rq.conn.Caller(), "ended-here", rq.conn.EndedHere(), "sent", rq.sent, "after", g.now().Sub(rq.start), "error", err)
+}
+
 // admit finds route, account and service, and reads the body. It answers and
 // returns false if the request cannot be served.
 func (g *Gateway) admit(rq *request, r *http.Request) bool {
@@ -186,7 +219,7 @@
 		g.refuse(rq, http.StatusRequestEntityTooLarge, "body is too large", 0)
 		return false
 	case err != nil:
-		g.rec.Note(events.CallerGone, rq.call.ID, "while", "sending the body", "error", err)
+		g.gone(rq, "sending the body", err)
 		panic(http.ErrAbortHandler)
 	}
 	rq.body = body
@@ -227,7 +260,7 @@
 // may come back, others may have run.
 func (g *Gateway) giveUp(ctx context.Context, rq *request, reason string) {
 	if rq.caller.Err() != nil {
-		g.rec.Note(events.CallerGone, rq.call.ID, "while", "waiting", "sent", rq.sent, "after", g.now().Sub(rq.start))
+		g.gone(rq, "waiting", rq.caller.Err())
 		panic(http.ErrAbortHandler)
 	}
 	switch {
