fix: callers' connections are ended only by the goroutine that reads them

Cause: a timer beside the connection, and net/http's Shutdown, end connections by a state that the reading goroutine changes meanwhile. A process that did not get to run finds the limit and the next request due at once; the request is read, passed on and gets nothing. Shutdown also drops a request that has been read. Change: the limit is a deadline of the read, and a read that comes back with nothing looks once more at the socket before it ends the connection; the limit in force at that moment counts. A planned stop closes the listener, wakes idle reads and waits until no connection is left, without Shutdown. A new connection has a second for its first request then. The test of the stop sets its hook before the server runs now, which the race detector asked for; it fails as before on the code before.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,10 +1,16 @@
-// Package connlimit ends callers' connections that take too long over the headers
-// of a request or stay idle too long. net/http fixes such times when a server
-// starts; here they follow the operator's configuration.
+// Package connlimit ends callers' connections that take too long over the headers of a
+// request or stay idle too long, and all that wait for a request in a planned stop.
+// net/http fixes such times when a server starts; here they follow the operator's
+// configuration.
+//
+// Only the goroutine that reads a connection ends it, when its read comes back with
+// nothing: a timer beside it, or a server's Shutdown, ends connections whose request has
+// just been read.
 package connlimit
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -13,9 +19,10 @@
 
 // Limits are the times that a connection may take; 0 stands for no limit.
 type Limits struct {
-	// Header is for a new connection until the headers of its first request are read.
+	// Header is for a new connection until the headers of its first request are read,
+	// and for the headers of later requests from their first byte on.
 	Header time.Duration
-	// Idle is for the time between two requests, with the headers of the second.
+	// Idle is for the time between two requests.
 	Idle time.Duration
 }
 
@@ -25,15 +32,20 @@
 	ended       func(c net.Conn, why string)
 	undelivered func(c *Conn, request string, err error)
 
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*Conn]bool
+	// draining is closed when a planned stop ends connections, and none once no
+	// connection is left then.
+	draining chan struct{}
+	none     chan struct{}
 }
 
 // New returns a Limiter; limits gives the times in force, ended is told of each
 // connection that is ended, and why, and undelivered of the first part of an answer
 // that cannot be written.
 func New(limits func() Limits, ended func(c net.Conn, why string), undelivered func(c *Conn, request string, err error)) *Limiter {
-	return &Limiter{limits: limits, ended: ended, undelivered: undelivered, timers: map[net.Conn]*time.Timer{}}
+	return &Limiter{limits: limits, ended: ended, undelivered: undelivered, conns: map[*Conn]bool{}, draining: make(chan struct{}), none: make(chan struct{})}
 }
 
 // Install makes a server obey the limits and returns the listener that it is to serve.
@@ -43,62 +55,109 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
-	return &conns{Listener: listener, undelivered: l.undelivered}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listener = &conns{Listener: listener, limiter: l}
+	return l.listener
 }
 
-// conns accepts callers' connections.
-type conns struct {
-	net.Listener
-	undelivered func(c *Conn, request string, err error)
+// Drain takes no new connections, ends those that wait for a request, and the others as
+// soon as they do. It returns when none is left or ctx ends.
+func (l *Limiter) Drain(ctx context.Context) error {
+	l.mu.Lock()
+	if l.listener != nil {
+		_ = l.listener.Close()
+	}
+	close(l.draining)
+	open := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.checkNone()
+	l.mu.Unlock()
+	for _, c := range open {
+		c.wake()
+	}
+	select {
+	case <-l.none:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("connections with requests in flight: %w", ctx.Err())
+	}
 }
 
-// Accept waits for the next connection.
-func (l *conns) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+// stops reports whether a planned stop ends connections.
+func (l *Limiter) stops() bool {
+	select {
+	case <-l.draining:
+		return true
+	default:
+		return false
 	}
-	return &Conn{TCPConn: tcp, undelivered: l.undelivered}, nil
 }
 
-func (l *Limiter) state(c net.Conn, state http.ConnState) {
+func (l *Limiter) state(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
 	switch state {
 	case http.StateNew:
-		l.limit(c, l.limits().Header, "headers took too long")
+	case http.StateActive:
+		c.enter(serving)
 	case http.StateIdle:
-		l.limit(c, l.limits().Idle, "idle for too long")
-	case http.StateActive, http.StateClosed, http.StateHijacked:
-		l.stop(c)
+		c.enter(idle)
+	case http.StateClosed, http.StateHijacked:
+		l.forget(c)
 	}
 }
 
-// limit ends a connection after a time, instead of what was set before.
-func (l *Limiter) limit(c net.Conn, d time.Duration, why string) {
-	l.stop(c)
-	if d <= 0 {
-		return
-	}
+// add watches a new connection.
+func (l *Limiter) add(c *net.TCPConn) *Conn {
+	out := &Conn{TCPConn: c, limiter: l}
+	out.enter(opening)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.timers[c] = time.AfterFunc(d, func() {
-		l.ended(c, why)
-		if caller, ok := c.(*Conn); ok {
-			_ = caller.end(why)
-			return
-		}
-		_ = c.Close()
-	})
+	l.conns[out] = true
+	return out
 }
 
-func (l *Limiter) stop(c net.Conn) {
+func (l *Limiter) forget(c *Conn) {
+	if why := c.EndedHere(); why != "" {
+		l.ended(c, why)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t, ok := l.timers[c]; ok {
-		t.Stop()
-		delete(l.timers, c)
+	delete(l.conns, c)
+	l.checkNone()
+}
+
+// checkNone notes that no connection is left in a stop. It needs the lock.
+func (l *Limiter) checkNone() {
+	if l.stops() && len(l.conns) == 0 {
+		select {
+		case <-l.none:
+		default:
+			close(l.none)
+		}
+	}
+}
+
+// conns accepts callers' connections.
+type conns struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept waits for the next connection.
+func (l *conns) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
 	}
+	return l.limiter.add(tcp), nil
 }
--- /dev/null
+++ b/internal/connlimit/drain_test.go
@@ -0,0 +1,196 @@
+package connlimit
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// server starts a server whose limits may change; its handler answers when told to.
+func server(t *testing.T, limits func() Limits, why chan<- string, serve http.HandlerFunc) (*Limiter, *httptest.Server) {
+	t.Helper()
+	l := New(limits, func(_ net.Conn, reason string) { why <- reason }, func(*Conn, string, error) {})
+	s := httptest.NewUnstartedServer(serve)
+	s.Listener = l.Install(s.Config, s.Listener)
+	s.Start()
+	t.Cleanup(s.Close)
+	return l, s
+}
+
+func serveOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+// A process that did not get to run for a while finds the limit over and the next request
+// waiting at once. The limit here is over when the answer is written, and the second
+// request has come before.
+func TestRequestThatHasComeIsServedAfterTheLimit(t *testing.T) {
+	for range 100 {
+		begun, sent := make(chan struct{}, 2), make(chan struct{})
+		_, s := server(t, func() Limits { return Limits{Idle: time.Nanosecond} }, make(chan string, 2), func(w http.ResponseWriter, r *http.Request) {
+			begun <- struct{}{}
+			<-sent
+			serveOK(w, r)
+		})
+		c := dial(t, s)
+		answers := bufio.NewReader(c)
+		if _, err := io.WriteString(c, wholeRequest); err != nil {
+			t.Fatal(err)
+		}
+		<-begun
+		if _, err := io.WriteString(c, wholeRequest); err != nil {
+			t.Fatal(err)
+		}
+		close(sent)
+		for _, name := range []string{"first", "second"} {
+			if err := answer(answers); err != nil {
+				t.Fatalf("the %s request got %v", name, err)
+			}
+		}
+	}
+}
+
+// TestRaisedLimit covers a connection whose limit is raised while it is idle.
+func TestRaisedLimit(t *testing.T) {
+	var raised atomic.Bool
+	why := make(chan string, 1)
+	_, s := server(t, func() Limits {
+		if raised.Load() {
+			return Limits{Idle: long}
+		}
+		return Limits{Idle: short}
+	}, why, serveOK)
+	c := dial(t, s)
+	answers := bufio.NewReader(c)
+	if err := ask(c, answers); err != nil {
+		t.Fatal(err)
+	}
+	raised.Store(true)
+	time.Sleep(2 * short)
+	if err := ask(c, answers); err != nil {
+		t.Errorf("a connection within the limit in force got %v", err)
+	}
+}
+
+// TestDrain covers what becomes of open connections in a planned stop.
+func TestDrain(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// before is what the caller has sent before the stop; the handler answers the
+		// requests for /late only once the stop has begun.
+		before string
+		// after is sent once the stop has begun.
+		after   string
+		answers int
+		why     string
+	}{
+		{"an idle connection ends", wholeRequest, "", 1, whyStop},
+		{"a request in flight is answered, then the connection ends", "GET /late HTTP/1.1\r\nHost: h\r\n\r\n", "", 1, whyStop},
+		{"headers that have begun are read to their end", wholeRequest[:20], wholeRequest[20:], 1, whyStop},
+		{"a new connection may ask", "", wholeRequest, 1, whyStop},
+		{"a new connection that asks nothing ends", "", "", 0, whyStop},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			why, stopping := make(chan string, 1), make(chan struct{})
+			l, s := server(t, func() Limits { return Limits{} }, why, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/late" {
+					<-stopping
+				}
+				serveOK(w, r)
+			})
+			c := dial(t, s)
+			answers := bufio.NewReader(c)
+			if _, err := io.WriteString(c, tc.before); err != nil {
+				t.Fatal(err)
+			}
+			left := tc.answers
+			if tc.before == wholeRequest {
+				if err := answer(answers); err != nil {
+					t.Fatal(err)
+				}
+				left--
+			}
+			accepted(t, l)
+			drained := make(chan error, 1)
+			go func() { drained <- l.Drain(t.Context()) }()
+			<-l.draining
+			close(stopping)
+			if _, err := io.WriteString(c, tc.after); err != nil {
+				t.Fatal(err)
+			}
+			for range left {
+				if err := answer(answers); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+			if got := <-why; got != tc.why {
+				t.Errorf("ended because %q, want %q", got, tc.why)
+			}
+			if _, err := net.Dial("tcp", s.Listener.Addr().String()); err == nil {
+				t.Error("a stopped server takes connections")
+			}
+		})
+	}
+}
+
+// TestDrainEndsInTime covers a request that outlasts the stop.
+func TestDrainEndsInTime(t *testing.T) {
+	begun, over := make(chan struct{}), make(chan struct{})
+	defer close(over)
+	l, s := server(t, func() Limits { return Limits{} }, make(chan string, 1), func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-over
+	})
+	if _, err := io.WriteString(dial(t, s), wholeRequest); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	ctx, cancel := context.WithTimeout(t.Context(), short)
+	defer cancel()
+	if err := l.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// accepted waits until the server has taken the connection.
+func accepted(t *testing.T, l *Limiter) {
+	t.Helper()
+	for range 1000 {
+		l.mu.Lock()
+		n := len(l.conns)
+		l.mu.Unlock()
+		if n > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the connection is not accepted")
+}
+
+// TestServersOwnLimits covers the times that a server sets itself, which hold while
+// operators have set none.
+func TestServersOwnLimits(t *testing.T) {
+	why := make(chan string, 1)
+	l := New(func() Limits { return Limits{} }, func(_ net.Conn, reason string) { why <- reason }, func(*Conn, string, error) {})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(serveOK))
+	s.Config.ReadHeaderTimeout, s.Config.IdleTimeout = long, short
+	s.Listener = l.Install(s.Config, s.Listener)
+	s.Start()
+	defer s.Close()
+	c := dial(t, s)
+	if err := ask(c, bufio.NewReader(c)); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-why; got != whyIdle {
+		t.Errorf("ended because %q", got)
+	}
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gateway"
@@ -171,11 +172,13 @@
 	pool    *link.Pool
 	gateway *gateway.Gateway
 	callers *http.Server
-	tables  *belief.Follower
-	members *belief.Follower
-	gossip  *gossip.Node
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// connections are those of callers.
+	connections *connlimit.Limiter
+	tables      *belief.Follower
+	members     *belief.Follower
+	gossip      *gossip.Node
+	ctx         context.Context
+	cancel      context.CancelFunc
 }
 
 func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -53,12 +53,12 @@
 
 func (b *gatewayBuilder) callerService() kernel.Service {
 	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
-	limiter := connlimit.New(b.callerLimits, func(c net.Conn, why string) {
+	b.connections = connlimit.New(b.callerLimits, func(c net.Conn, why string) {
 		b.rec.Note(events.CallerEnded, "", "caller", c.RemoteAddr().String(), "why", why)
 	}, func(c *connlimit.Conn, request string, err error) {
 		b.rec.Note(events.AnswerUndelivered, request, "caller", c.Caller(), "ended-here", c.EndedHere(), "error", err)
 	})
-	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers, limiter.Install)
+	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers, b.connections.Install)
 }
 
 // callerLimits are the operator's limits for callers' connections.
@@ -120,8 +120,7 @@
 	b.awaitQuiet(time.Now().Add(min(gateway.NoticeTime, b.settings.StopWithin/3)), deadline.Add(-closeSpare))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	// Shutdown takes no new connections, closes idle ones and waits for the rest.
-	if err := b.callers.Shutdown(ctx); err != nil {
+	if err := b.connections.Drain(ctx); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
 	}
 	return b.callers.Close()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -24,26 +24,27 @@
 	service := b.callerService()
 	shutDown, read, address := make(chan struct{}), make(chan struct{}), make(chan net.Addr, 1)
 	b.callers.RegisterOnShutdown(func() { close(shutDown) })
+	requests := atomic.Int32{}
 	b.callers.BaseContext = func(l net.Listener) context.Context {
+		// The second request is held between its reading and its handler while the
+		// entry stops.
+		hook := b.callers.ConnState
+		b.callers.ConnState = func(c net.Conn, state http.ConnState) {
+			hook(c, state)
+			if state == http.StateActive && requests.Add(1) == 2 {
+				close(read)
+				select {
+				case <-shutDown:
+				case <-time.After(b.settings.StopWithin / 2):
+				}
+			}
+		}
 		address <- l.Addr()
 		return context.Background()
 	}
 	if err := service.Start(t.Context(), nil); err != nil {
 		t.Fatal(err)
 	}
-	// The second request is held between its reading and its handler while the entry
-	// stops.
-	hook, requests := b.callers.ConnState, atomic.Int32{}
-	b.callers.ConnState = func(c net.Conn, state http.ConnState) {
-		hook(c, state)
-		if state == http.StateActive && requests.Add(1) == 2 {
-			close(read)
-			select {
-			case <-shutDown:
-			case <-time.After(b.settings.StopWithin / 2):
-			}
-		}
-	}
 	c, err := net.Dial("tcp", (<-address).String())
 	if err != nil {
 		t.Fatal(err)
