fix: what a stop gives up, and a caller that stops sending, gets an answer

Cause: a planned stop closed the connections of the requests that were still in flight at its end, and a caller whose sending side ended was taken for gone; both saw a closed connection, which does not say whether the request may have run. Change: a stop gives up what is in flight 0.1 s before its end through the requests' own context; calls and generations that have not begun get 504 (or 503 if no upstream can have had them), begun streams are cut as before. A caller that left gets an answer written, in case it only stopped sending.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,9 @@
 	// none is under way. noticedAt is when the balancer has noticed the stop.
 	stopBy    instant
 	noticedAt instant
+	// stopping ends when a planned stop gives up the requests in flight, by giveUpAll.
+	stopping  context.Context
+	giveUpAll context.CancelCauseFunc
 	// inFlight counts callers' requests; askedAt is when the latest one began or ended.
 	inFlight atomic.Int64
 	askedAt  instant
@@ -94,12 +98,14 @@
 
 // New returns a Gateway.
 func New(settings Settings, routes *belief.Routes, set *fleet.Set, pool *link.Pool, proto protocol.Protocol, others Others, rec *events.Recorder, reg prometheus.Registerer, now func() time.Time) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, others: others,
 	}
+	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
+	return g
 }
 
 // Ready tells the balancer whether to send callers here.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -73,6 +73,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
 	defer cancel()
+	ctx, release := g.untilStop(ctx)
+	defer release()
 	g.budget(rq.service.Name).Request()
 	if rq.service.Engine != nil {
 		g.generate(ctx, rq)
@@ -259,18 +261,23 @@
 // giveUp answers a request that got no answer from an upstream: unsent requests
 // may come back, others may have run.
 func (g *Gateway) giveUp(ctx context.Context, rq *request, reason string) {
-	if rq.caller.Err() != nil {
-		g.gone(rq, "waiting", rq.caller.Err())
-		panic(http.ErrAbortHandler)
+	if errors.Is(context.Cause(ctx), errStopped) {
+		reason = errStopped.Error()
 	}
+	status, back := http.StatusBadGateway, time.Duration(0)
 	switch {
 	case !rq.sent:
-		g.refuse(rq, http.StatusServiceUnavailable, reason, backBusy)
+		status, back = http.StatusServiceUnavailable, backBusy
 	case ctx.Err() != nil:
-		g.refuse(rq, http.StatusGatewayTimeout, reason, 0)
-	default:
-		g.refuse(rq, http.StatusBadGateway, reason, 0)
+		status = http.StatusGatewayTimeout
+	}
+	if rq.caller.Err() == nil {
+		g.refuse(rq, status, reason, back)
+		return
 	}
+	g.gone(rq, "waiting", rq.caller.Err())
+	// A caller that shut only its sending side still waits for an answer.
+	g.proto.Refuse(rq.w, &rq.call, protocol.Refusal{Status: status, Reason: reason}, g.now())
 }
 
 // attempt returns what an upstream is told about a request.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"time"
 )
 
+// errStopped ends the requests that are in flight at the end of a planned stop.
+var errStopped = errors.New("this entry stopped")
+
 const (
 	// backStopping is for an entry that stops while another one serves: that one
 	// can take the caller at once.
@@ -17,6 +22,9 @@
 	// NoticeTime is how long the balancer goes on sending callers to an entry that
 	// is not ready: it asks each second and believes the second refusal.
 	NoticeTime = 2500 * time.Millisecond
+	// answerSpare is left of a planned stop to answer the requests that it gives up: some
+	// round trips, and a turn of a process that shares its processor.
+	answerSpare = 100 * time.Millisecond
 )
 
 // Drain tells the balancer to send nothing new, and the other entries that this
@@ -25,9 +33,21 @@
 func (g *Gateway) Drain(deadline time.Time) {
 	g.noticedAt.Set(g.now().Add(NoticeTime))
 	g.stopBy.Set(deadline)
+	time.AfterFunc(deadline.Add(-answerSpare).Sub(g.now()), func() { g.giveUpAll(errStopped) })
 	g.others.Urge()
 }
 
+// untilStop returns a context that also ends when a planned stop gives up what is in
+// flight, so that its callers get an answer and not a closed connection.
+func (g *Gateway) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unhook := context.AfterFunc(g.stopping, func() { cancel(errStopped) })
+	return ctx, func() {
+		unhook()
+		cancel(context.Canceled)
+	}
+}
+
 // StopBy returns when requests in flight are given up in a planned stop; the
 // zero time while none is under way.
 func (g *Gateway) StopBy() time.Time { return g.stopBy.Get() }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -114,8 +115,8 @@
 	switch {
 	case s.stuck != "":
 		why = s.stuck
-	case s.g.stopsBefore(0):
-		why = "this entry stopped"
+	case errors.Is(context.Cause(ctx), errStopped):
+		why = errStopped.Error()
 	case s.rq.caller.Err() != nil:
 		why = "the caller left"
 	case ctx.Err() != nil:
