--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -17,6 +17,6 @@
 soak instance platform/caller.go 's/\th\.Set\(headerInstance, a\.Upstream\)\n//'
 soak second-signal internal/kernel/kernel.go 's/\twaitForEnd\(ctx, sigs\)\n/\twaitForEnd(ctx, sigs)\n\tsignal.Stop(sigs)\n/'
 # A timer beside the connection that ends it, whatever was read meanwhile.
-soak late-close internal/daemon/gatewayhttp.go 's/"net\/http"\n/"net\/http"\n\t"sync"\n/; s/(\treturn b\.listenService\(serviceCallers, .*\n)/\tlimit, timers := b.callers.ConnState, sync.Map{}\n\tb.callers.ConnState = func(c net.Conn, s http.ConnState) {\n\t\tif limit != nil {\n\t\t\tlimit(c, s)\n\t\t}\n\t\tif t, ok := timers.LoadAndDelete(c); ok {\n\t\t\tt.(*time.Timer).Stop()\n\t\t}\n\t\tif d := b.callerLimits().Idle; d > 0 \&\& s == http.StateIdle {\n\t\t\ttimers.Store(c, time.AfterFunc(d, func() { _ = c.Close() }))\n\t\t}\n\t}\n$1/'
+soak late-close internal/connlimit/connlimit.go 's/\tcase http\.StateActive:\n/\tcase http.StateActive:\n\t\tif t, ok := late.LoadAndDelete(c); ok {\n\t\t\tt.(*time.Timer).Stop()\n\t\t}\n/; s/\t\tc\.enter\(idle\)\n/\t\tc.enter(idle)\n\t\tif d := l.limits().Idle; d > 0 {\n\t\t\tlate.Store(c, time.AfterFunc(d, func() { _ = c.Close() }))\n\t\t}\n/; s/\ntype Limiter struct/\nvar late sync.Map\n\ntype Limiter struct/'
 
 finish
