test: a resumed stream is cut by an earlier grace time or a cancel

Cause: the sidecar looks whether a stream has a caller and ends it in two steps. The timer of an earlier grace time looks only whether there is a caller now, and a cancel lets go of the stream before it ends it. A stream whose caller came back is cut.

Change: two tests, and the call of time.AfterFunc as a field, so that a test runs the callback itself. No logic is changed.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -61,6 +61,8 @@
 	// or cannot be.
 	OnBehind func(c *peer.Conn)
 	policies atomic.Pointer[policy.Set]
+	// after calls f in its own goroutine once d has passed.
+	after func(d time.Duration, f func())
 
 	draining atomic.Bool
 	serial   atomic.Int64
@@ -85,6 +87,7 @@
 		runner:      newRunner(link, settings.Decision, rec, met, now),
 		book:        newCallBook(settings.CallWindow, settings.AnswerBytes, now),
 		service:     newServiceLink(settings.URL, l.Fence),
+		after:       func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		generations: map[string]*generation{},
 	}
 }
@@ -427,7 +430,7 @@
 	if !h.g.detach(h.d) {
 		return
 	}
-	time.AfterFunc(s.settings.Grace, func() {
+	s.after(s.settings.Grace, func() {
 		if !h.g.held() {
 			h.g.finishOnce(false, reasonDetached)
 		}
