fix: a stream is ended only for the receiver that left it last

Cause: the end of the grace time and a cancel looked at the stream's receiver in one step and ended the stream in another, and the grace time did not know whose leaving had begun it.

Change: the stream keeps the receiver that left last; abandon ends it for that receiver and looks and ends under one lock. The timer and the cancel call it.

Conclusion: a stream whose caller came back is no longer ended for the earlier leaving.

--- a/internal/sidecar/generation.go
+++ b/internal/sidecar/generation.go
@@ -50,6 +50,8 @@
 	changed chan struct{}
 	// holder is the connection that receives the stream; the newest wins.
 	holder *delivery
+	// left is the last holder while there is none.
+	left   *delivery
 	cancel func()
 }
 
@@ -150,7 +152,7 @@
 		return false
 	}
 	d.next = after + 1
-	g.holder = d
+	g.holder, g.left = d, nil
 	g.wake()
 	return true
 }
@@ -162,14 +164,25 @@
 	if g.holder != d {
 		return false
 	}
-	g.holder = nil
+	g.holder, g.left = nil, d
 	return true
 }
 
-func (g *generation) held() bool {
+// abandon ends the generation for a receiver that is the newest one, whether it has
+// left or not, and reports whether it was. Looking and ending are one step: a caller
+// that comes back makes another receiver, and from then on the stream is that one's.
+func (g *generation) abandon(d *delivery, reason string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.holder != nil
+	if g.holder != d && g.left != d {
+		return false
+	}
+	g.holder, g.left = nil, d
+	if g.end == nil {
+		g.finish(false, reason)
+		g.wake()
+	}
+	return true
 }
 
 func (g *generation) ended() (*endNote, time.Time) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -430,11 +430,7 @@
 	if !h.g.detach(h.d) {
 		return
 	}
-	s.after(s.settings.Grace, func() {
-		if !h.g.held() {
-			h.g.finishOnce(false, reasonDetached)
-		}
-	})
+	s.after(s.settings.Grace, func() { h.g.abandon(h.d, reasonDetached) })
 }
 
 // deliver sends frames to one entry until the stream's end or a newer receiver.
@@ -482,9 +478,8 @@
 	if err := json.Unmarshal(raw, &p); err != nil {
 		return nil, fmt.Errorf("%w: cancel: %v", errParams, err)
 	}
-	if h, ok := lookup(c, p.Sub); ok && h.g.detach(h.d) {
+	if h, ok := lookup(c, p.Sub); ok && h.g.abandon(h.d, reasonCancelled) {
 		s.release(c, h.d)
-		h.g.finishOnce(false, reasonCancelled)
 	}
 	return nil, nil
 }
