--- a/internal/membership/set.go
+++ b/internal/membership/set.go
@@ -123,8 +123,10 @@
 	vms     *platform.VMs
 	timing  Timing
 	methods peer.Methods
-	mu      sync.Mutex
-	peers   map[string]*Peer
+	// after calls f in its own goroutine once d has passed, unless stop comes first.
+	after func(d time.Duration, f func()) (stop func() bool)
+	mu    sync.Mutex
+	peers map[string]*Peer
 	// runCtx ends the connections; it is set by Run.
 	runCtx context.Context
 	wg     sync.WaitGroup
@@ -134,6 +136,7 @@
 // connections that this process opens.
 func NewSet(self *Self, vms *platform.VMs, timing Timing, methods peer.Methods) *Set {
 	s := &Set{self: self, vms: vms, timing: timing, peers: map[string]*Peer{}}
+	s.after = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
 	s.methods = maps.Clone(methods)
 	if s.methods == nil {
 		s.methods = peer.Methods{}
@@ -314,8 +317,8 @@
 
 // beat sends one ping. It returns false when the connection is to be given up.
 func (s *Set) beat(ctx context.Context, p *Peer, c *peer.Conn) bool {
-	suspect := time.AfterFunc(s.timing.Suspect, func() { s.suspect(p) })
-	defer suspect.Stop()
+	stop := s.after(s.timing.Suspect, func() { s.suspect(p) })
+	defer stop()
 	callCtx, cancel := context.WithTimeout(ctx, s.timing.Lost)
 	defer cancel()
 	var r pingResult
