fix: a peer is suspected only while its ping is unanswered

Cause: the callback of a ping's timer did not know whether its ping was over.

Change: the ping says so under the peer's lock, in the step in which its answer is taken; the callback looks in the step in which it suspects.

Conclusion: an answer that was taken is not undone by the timer beside it.

--- a/internal/membership/set.go
+++ b/internal/membership/set.go
@@ -317,21 +317,26 @@
 
 // beat sends one ping. It returns false when the connection is to be given up.
 func (s *Set) beat(ctx context.Context, p *Peer, c *peer.Conn) bool {
-	stop := s.after(s.timing.Suspect, func() { s.suspect(p) })
+	// over is guarded by the peer's lock. Stopping the timer does not reach a callback
+	// that has begun, and that must not undo what the answer set.
+	over := false
+	stop := s.after(s.timing.Suspect, func() { s.suspect(p, &over) })
 	defer stop()
 	callCtx, cancel := context.WithTimeout(ctx, s.timing.Lost)
 	defer cancel()
 	var r pingResult
 	mark := s.self.Status().Mark
-	if err := c.Call(callCtx, methodPing, pingParams{Mark: mark, Stamp: s.self.Recorder.Now()}, &r); err != nil {
+	err := c.Call(callCtx, methodPing, pingParams{Mark: mark, Stamp: s.self.Recorder.Now()}, &r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	over = true
+	if err != nil {
 		return false
 	}
 	s.self.Recorder.Observe(r.Stamp)
 	if r.Mark > mark && s.self.Behind != nil {
 		go s.self.Behind(c, r.Mark)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.suspected = false
 	p.leaving = p.leaving || r.Leaving
 	p.mark = r.Mark
@@ -341,8 +346,13 @@
 	return true
 }
 
-func (s *Set) suspect(p *Peer) {
+// suspect takes new work away from p, unless the ping that it is about is over.
+func (s *Set) suspect(p *Peer, over *bool) {
 	p.mu.Lock()
+	if *over {
+		p.mu.Unlock()
+		return
+	}
 	p.suspected = true
 	p.mu.Unlock()
 	s.self.Recorder.Note(events.PeerSuspected, "", "peer", p.Identity().Process())
