test: an older list of VMs closes the connection to a newer VM

Cause: the list of VMs is read by the periodic loop and by each change of the configuration. Nothing keeps the answers in order, and a process that an answer lacks has its connection closed, with the streams and calls on it.

Change: a test in which the read that began first comes back last. No logic is changed.

--- a/internal/membership/set_test.go
+++ b/internal/membership/set_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/platform"
 )
 
 // A peer answers a ping at the moment at which it would be suspected: the timer's
@@ -87,3 +88,42 @@
 		t.Error("a peer that answered is still suspected")
 	}
 }
+
+// The list of VMs is read twice at a time, as beside a change of the configuration. The
+// read that began first came back last, with a list from before a VM was there. It was
+// taken for the newest, and the connection to that VM's process was closed with all that
+// ran over it.
+func TestOlderListOfVMsClosesNoConnection(t *testing.T) {
+	self := &Self{Identity: NewIdentity("e", RoleEntry, "a", "", "i", time.Now()), Recorder: events.Nop(), Status: func() Status { return Status{} }}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peer.NewServer(listener, self.Methods(), nil)
+	server.Start()
+	t.Cleanup(server.Close)
+	began, older := make(chan struct{}), make(chan []platform.VM)
+	lists := make(chan func() []platform.VM, 2)
+	lists <- func() []platform.VM { close(began); return <-older }
+	lists <- func() []platform.VM {
+		return []platform.VM{platform.NewVM("v", "a", server.Addr(), platform.VMLive)}
+	}
+	s := NewSet(self, &platform.VMs{List: func(context.Context) ([]platform.VM, error) { return (<-lists)(), nil }}, DefaultTiming(), nil)
+	var cancel context.CancelFunc
+	s.runCtx, cancel = context.WithCancel(t.Context())
+	t.Cleanup(s.wg.Wait)
+	t.Cleanup(cancel)
+	first := make(chan error)
+	go func() { first <- s.Refresh(t.Context()) }()
+	<-began
+	if err := s.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	older <- nil
+	if err := <-first; err != nil {
+		t.Fatal(err)
+	}
+	if !s.Listed("v") {
+		t.Error("a VM of the newest list is not known after an older one came back")
+	}
+}
