fix: lists of VMs are taken in the order in which their reads began

Cause: a list that was read earlier could be taken later and closed connections to processes that it did not know yet.

Change: reads are numbered as they begin; a list from before the one that was taken last is left. Reads do not wait for each other.

Conclusion: an older list ends no connection.

--- a/internal/membership/set.go
+++ b/internal/membership/set.go
@@ -130,6 +130,9 @@
 	// runCtx ends the connections; it is set by Run.
 	runCtx context.Context
 	wg     sync.WaitGroup
+	// reads counts the reads of the VM list as they begin; taken is the number of the
+	// one whose list was taken last.
+	reads, taken int64
 }
 
 // NewSet returns an empty set. methods answer what peers send over the
@@ -169,15 +172,22 @@
 
 // Refresh reads the VM list now. It does nothing before Run.
 func (s *Set) Refresh(ctx context.Context) error {
+	s.mu.Lock()
+	s.reads++
+	read := s.reads
+	s.mu.Unlock()
 	vms, err := s.vms.List(ctx)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.runCtx == nil {
+	// Reads run beside each other. A list from before the one that was taken lacks
+	// processes that are connected by now, and must not end their connections.
+	if s.runCtx == nil || read < s.taken {
 		return nil
 	}
+	s.taken = read
 	seen := map[string]bool{}
 	for _, vm := range vms {
 		seen[vm.Address()] = true
