refactor: a handler between processes can learn that its answer is out

Cause: a process that stops has to wait for answers that are being written, and a handler's return comes before that.

Change: peer.Answer carries a result and a function that is called after the write. No handler uses it yet.

Conclusion: nothing changes for handlers that return plain results.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -29,6 +29,13 @@
 // Handler answers one method. Its result is ignored for notifications.
 type Handler func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
 
+// Answer is the result of a Handler that has to know when it is out: Sent is called
+// once the answer was written, or cannot be. A Handler may return it with an error.
+type Answer struct {
+	Result any
+	Sent   func()
+}
+
 // Methods maps method names to their handlers.
 type Methods map[string]Handler
 
@@ -138,6 +145,10 @@
 
 func (d *dispatcher) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, h Handler, params json.RawMessage) {
 	result, err := h(ctx, d.conn, params)
+	if a, ok := result.(Answer); ok {
+		defer a.Sent()
+		result = a.Result
+	}
 	if err != nil {
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
 		return
