fix: a stopping sidecar waits until its answers are out

Cause: a call counted as in flight up to its handler's return, a stream up to the acknowledgement of its last token. A stop went on in between and closed the connection under the answer or the stream's end.

Change: calls and questions about calls count until their answer is written. A stream with tokens counts until its receiver let go of it, which it does on acknowledging the end. A stream without a token is not waited for, as before: the entry acknowledges no end of it and sends the request elsewhere.

Conclusion: what was ready when the stop began is delivered, within the stop's deadline.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -68,8 +68,6 @@
 	if err := json.Unmarshal(raw, &p); err != nil {
 		return nil, fmt.Errorf("%w: invoke: %v", errParams, err)
 	}
-	s.inFlight.Enter()
-	defer s.inFlight.Leave()
 	var res invokeResult
 	switch {
 	case s.behind(c, p.Version) && p.Repeatable:
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -99,12 +99,22 @@
 		methodResume:   s.resume,
 		methodAck:      s.ack,
 		methodCancel:   s.cancel,
-		methodInvoke:   s.invoke,
-		methodSettle:   s.settle,
+		methodInvoke:   s.answering(s.invoke),
+		methodSettle:   s.answering(s.settle),
 		methodDrain:    s.drainOrder,
 	}
 }
 
+// answering counts a call as in flight until its answer is out: a stop that goes on at
+// the handler's return closes the connection under the answer.
+func (s *Server) answering(h peer.Handler) peer.Handler {
+	return func(ctx context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
+		s.inFlight.Enter()
+		result, err := h(ctx, c, raw)
+		return peer.Answer{Result: result, Sent: s.inFlight.Leave}, err
+	}
+}
+
 // Run drives the periodic work until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	go s.sweepLoop(ctx)
@@ -137,7 +147,7 @@
 
 const deliveredPoll = 20 * time.Millisecond
 
-// delivered waits until every held stream has its last token acknowledged.
+// delivered waits until every held stream has its end acknowledged.
 func (s *Server) delivered(ctx context.Context) bool {
 	for {
 		if s.undelivered() == 0 {
@@ -157,7 +167,9 @@
 	n := 0
 	for _, g := range s.generations {
 		g.mu.Lock()
-		if g.holder != nil && g.acked < g.first+int64(len(g.choices))-1 {
+		// The receiver lets go once it has the end, which may follow the last token. It
+		// takes no end of a stream without a token: it sends the request elsewhere.
+		if g.holder != nil && g.first+int64(len(g.choices)) > 1 {
 			n++
 		}
 		g.mu.Unlock()
