test: a question that is given up ends the connection of another one

Cause: the questions of all tables to one entry share a connection. One that its asker gives up closes it, as if the other entry had failed, and keeps that entry from being asked for a while; what was held or on its way for another table is lost.

Change: a test that gives a question up. No logic is changed.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -486,3 +486,34 @@
 		t.Errorf("who knows all is told %s", got.records)
 	}
 }
+
+// The follower of one table gives its question up when the follower of another has lost
+// the store. Both ask over one connection, which was closed for it: the other question
+// was lost with its answer, and the entry that would have answered was not asked for a
+// while.
+func TestQuestionThatIsGivenUpEndsNoConnection(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	b := d.entries[1]
+	if _, err := b.changes(t); err != nil {
+		t.Fatal(err)
+	}
+	c, err := b.source.conn(t.Context(), d.entries[0].addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, giveUp := context.WithCancel(t.Context())
+	giveUp()
+	b.source.settings.Wait = b.source.settings.Stale
+	if _, err := b.source.askChanges(ctx, d.others("b")[0], table, 5); !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v, want %v", err, context.Canceled)
+	}
+	select {
+	case <-c.Done():
+		t.Error("the connection was closed")
+	default:
+	}
+	if b.source.avoided("a") {
+		t.Error("the other entry is not asked any more")
+	}
+}
