fix: a question between entries that is given up ends no connection

Cause: only a refusal was told from a failure of the other entry, not that the asker gave its question up.

Change: a question that was given up neither closes the connection nor keeps the other entry from being asked; the same look at the context serves for calls to the store.

Conclusion: what is held or on its way for another table gets its answer.

--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -240,11 +240,15 @@
 	switch {
 	case err == nil || errors.Is(err, platform.ErrHistoryGone):
 		s.lostAt = time.Time{}
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case !givenUp(ctx):
 		s.lostAt = s.now()
 	}
 }
 
+// givenUp reports whether the asker gave a call up, which tells nothing of the other
+// side: other questions may be on their way over the same connection.
+func givenUp(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 // StoreLost reports whether this entry did not reach the store itself lately, so
 // that another one has to follow it for the others.
 func (s *Store) StoreLost() bool {
@@ -328,7 +332,7 @@
 	if age := s.now().Sub(snap.Made); err == nil && age > oldest {
 		err = fmt.Errorf("%w: %s knew the table of %s ago", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
-	if err != nil {
+	if err != nil && !givenUp(ctx) {
 		avoid := s.settings.AvoidFor
 		if errors.Is(err, ErrStale) {
 			avoid = s.settings.AvoidStaleFor
@@ -351,7 +355,7 @@
 	sent := s.now()
 	var w wireSnapshot
 	if err := c.Call(ctx, method, params, &w); err != nil {
-		if !errors.Is(err, peer.ErrRefused) {
+		if !errors.Is(err, peer.ErrRefused) && !givenUp(ctx) {
 			s.drop(p.Address, c)
 		}
 		return platform.Snapshot{}, err
