test: a stopping entry drops a request that it has read

Cause: http.Server.Shutdown drops a request whose headers were read before the handler began, and closes connections as idle while a request on them is being read.

Change: the server of entries and sidecars is a type of its own, so that a test can hold it between the headers and the handler while it is stopped. No logic is changed.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -163,10 +162,6 @@
 	}
 }
 
-// callerSendBuffer bounds what a socket to a caller can hold, so that a lost
-// entry takes no more with it than sidecars keep for a resume.
-const callerSendBuffer = 32 << 10
-
 // httpService serves a handler.
 func httpService(n *node, handler func(r *kernel.Registry) (http.Handler, error)) kernel.Service {
 	return kernel.Service{
@@ -176,40 +171,29 @@
 			if err != nil {
 				return nil, err
 			}
-			return &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, ConnState: limitSendBuffer}, nil
+			return newHTTPServer(h), nil
 		},
 		Start: func(_ context.Context, r *kernel.Registry) error {
-			s, err := kernel.Lookup[*http.Server](r, serviceHTTP)
+			s, err := kernel.Lookup[*httpServer](r, serviceHTTP)
 			if err != nil {
 				return err
 			}
-			l, err := net.Listen("tcp", n.settings.HTTPListen)
-			if err != nil {
+			if err := s.start(n.settings.HTTPListen); err != nil {
 				return fmt.Errorf("--http-listen: %w", err)
 			}
-			go func() { _ = s.Serve(l) }()
-			n.rec.Note(events.ProcessStarted, "", "http", l.Addr(), "role", n.identity.Role())
+			n.rec.Note(events.ProcessStarted, "", "http", s.listener.Addr(), "role", n.identity.Role())
 			return nil
 		},
 		Stop: func(ctx context.Context, r *kernel.Registry) error {
-			s, err := kernel.Lookup[*http.Server](r, serviceHTTP)
+			s, err := kernel.Lookup[*httpServer](r, serviceHTTP)
 			if err != nil {
 				return err
 			}
-			if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-				return err
-			}
-			return s.Close()
+			return s.stop(ctx)
 		},
 	}
 }
 
-func limitSendBuffer(c net.Conn, s http.ConnState) {
-	if tcp, ok := c.(*net.TCPConn); ok && s == http.StateNew {
-		_ = tcp.SetWriteBuffer(callerSendBuffer)
-	}
-}
-
 // validate refuses a configuration whose policies do not compile.
 func validate(c *config.Config) error {
 	_, err := policy.CompileAll(c)
