fix: a stopping entry serves every request that it has read

Cause: http.Server.Shutdown decides by the state of a connection, which its goroutine changes only once the headers are read, and drops what was read by then.

Change: the server of entries and sidecars stops by itself. It closes its listener, marks answers as the last ones, and ends connections on which nothing of a request was read or waits to be read. It ends them by a time for reads, and a read that brings something all the same takes that back, so that looking and ending cannot fall apart. It waits for the rest up to the stop's deadline, as before.

Conclusion: a request that was read gets its answer. One that arrives after the look at its idle connection still meets a closed connection, as HTTP/1.1 has it.

--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -2,27 +2,43 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// headerWithin bounds the time in which the headers of a request have to arrive.
-const headerWithin = time.Minute
-
-// callerSendBuffer bounds what a socket to a caller can hold, so that a lost
-// entry takes no more with it than sidecars keep for a resume.
-const callerSendBuffer = 32 << 10
+const (
+	// headerWithin bounds the time in which the headers of a request have to arrive.
+	headerWithin = time.Minute
+	// callerSendBuffer bounds what a socket to a caller can hold, in bytes, so that a lost
+	// entry takes no more with it than sidecars keep for a resume.
+	callerSendBuffer = 32 << 10
+	// stopPoll is the time between two looks of a stop for connections that are idle; a
+	// planned stop is in no hurry.
+	stopPoll = 20 * time.Millisecond
+)
 
-// httpServer serves HTTP at one address until it is stopped.
+// httpServer serves HTTP at one address until it is stopped. It stops by itself:
+// http.Server.Shutdown drops requests that were read and have no handler yet, and closes
+// connections as idle while a request on them is being read.
 type httpServer struct {
 	server   *http.Server
 	listener net.Listener
+	// accepted is closed once no more connections are accepted.
+	accepted chan struct{}
+	stopping atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*httpConn]struct{}
 }
 
 func newHTTPServer(h http.Handler) *httpServer {
-	return &httpServer{server: &http.Server{Handler: h, ReadHeaderTimeout: headerWithin, ConnState: limitSendBuffer}}
+	s := &httpServer{accepted: make(chan struct{}), conns: map[*httpConn]struct{}{}}
+	s.server = &http.Server{Handler: s.closing(h), ReadHeaderTimeout: headerWithin, ConnState: s.state}
+	return s
 }
 
 // start listens at an address and serves in the background.
@@ -32,20 +48,138 @@
 		return err
 	}
 	s.listener = l
-	go func() { _ = s.server.Serve(l) }()
+	go func() {
+		defer close(s.accepted)
+		_ = s.server.Serve(httpListener{l})
+	}()
 	return nil
 }
 
-// stop takes no new connections and waits for the requests in flight until ctx ends.
+// closing makes an answer the last one on its connection while the server stops.
+func (s *httpServer) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// state follows the server's connections.
+func (s *httpServer) state(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*httpConn)
+	if !ok {
+		return
+	}
+	c.setBegun(state == http.StateActive)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// stop takes no new connections, ends idle ones and waits for the requests in flight
+// until ctx ends.
 func (s *httpServer) stop(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-		return err
+	s.stopping.Store(true)
+	_ = s.listener.Close()
+	<-s.accepted
+	for s.endIdle() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(stopPoll):
+		}
 	}
 	return s.server.Close()
 }
 
-func limitSendBuffer(c net.Conn, s http.ConnState) {
-	if tcp, ok := c.(*net.TCPConn); ok && s == http.StateNew {
-		_ = tcp.SetWriteBuffer(callerSendBuffer)
+// endIdle ends the idle connections and returns how many there are of all.
+func (s *httpServer) endIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.endIfIdle()
+	}
+	return len(s.conns)
+}
+
+// httpListener accepts connections as httpConn.
+type httpListener struct{ net.Listener }
+
+// Accept waits for the next connection.
+func (l httpListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	_ = tcp.SetWriteBuffer(callerSendBuffer)
+	return &httpConn{TCPConn: tcp}, nil
+}
+
+// httpConn is a connection that can be ended as long as nothing of a request was read.
+type httpConn struct {
+	*net.TCPConn
+
+	mu sync.Mutex
+	// begun tells that something of a request was read that is not answered yet.
+	begun bool
+	// ended tells that reads were ended while nothing was begun.
+	ended bool
+}
+
+// Read reads from the connection. What a read returns is served: reads are ended by a
+// time, and a read that brings something all the same takes that back.
+func (c *httpConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = true
+	if c.ended {
+		c.ended = false
+		_ = c.SetReadDeadline(time.Now().Add(headerWithin))
+	}
+	return n, err
+}
+
+func (c *httpConn) setBegun(begun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = begun
+}
+
+// endIfIdle ends reads unless a request was begun or waits to be read.
+func (c *httpConn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun || c.unread() {
+		return
+	}
+	c.ended = true
+	_ = c.SetReadDeadline(time.Now())
+}
+
+// unread reports whether the kernel holds bytes that were not read yet.
+func (c *httpConn) unread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
 	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
 }
