fix: nothing is handled on a connection that is not prepared

Cause: reading from a new connection began before its preparation.

Change: a connection handles what arrives once it is open, which a server says after the function for new connections; one that was dialled is open at once. This takes the place of the lock that kept a handler from a connection half made.

Conclusion: a call that comes early waits for its connection.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -43,6 +43,8 @@
 type Conn struct {
 	rpc    *jsonrpc2.Conn
 	remote string
+	// opened is closed once the connection is prepared; nothing is handled before.
+	opened chan struct{}
 	mu     sync.Mutex
 	values map[any]any
 }
@@ -60,10 +62,15 @@
 }
 
 func newConn(nc net.Conn, methods Methods) *Conn {
-	c := &Conn{remote: nc.RemoteAddr().String(), values: map[any]any{}}
+	c := prepareConn(nc, methods)
+	close(c.opened)
+	return c
+}
+
+// prepareConn returns a connection on which nothing is handled until opened is closed.
+func prepareConn(nc net.Conn, methods Methods) *Conn {
+	c := &Conn{remote: nc.RemoteAddr().String(), opened: make(chan struct{}), values: map[any]any{}}
 	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &dispatcher{conn: c, methods: methods}, jsonrpc2.SetLogger(silent{}))
 	return c
 }
@@ -122,11 +129,9 @@
 
 // Handle answers calls concurrently and notifications in order.
 func (d *dispatcher) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	d.conn.mu.Lock()
-	ready := d.conn.rpc != nil
-	d.conn.mu.Unlock()
+	<-d.conn.opened
 	h, ok := d.methods[req.Method]
-	if !ok || !ready {
+	if !ok {
 		if !req.Notif {
 			_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method})
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -18,7 +18,7 @@
 }
 
 // NewServer returns a Server on l. onOpen may be nil; it is called for each
-// new connection.
+// new connection before anything that arrives on it is handled.
 func NewServer(l net.Listener, methods Methods, onOpen func(*Conn)) *Server {
 	return &Server{listener: l, methods: methods, onOpen: onOpen, conns: map[*Conn]struct{}{}}
 }
@@ -35,13 +35,14 @@
 		if err != nil {
 			return
 		}
-		c := newConn(nc, s.methods)
+		c := prepareConn(nc, s.methods)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		if s.onOpen != nil {
 			s.onOpen(c)
 		}
+		close(c.opened)
 		s.done.Go(func() { s.forget(c) })
 	}
 }
