test: a closing server waits for a connection that it left open

Cause: a server of other processes closes the connections that it knows and then waits for all to end. One that is being accepted is not known yet, is left open and waited for.

Change: a test that holds a connection in between. No logic is changed.

--- a/internal/peer/open_test.go
+++ b/internal/peer/open_test.go
@@ -57,3 +57,46 @@
 		s.Close()
 	})
 }
+
+// slowAddress is a connection that tells its address late.
+type slowAddress struct {
+	net.Conn
+	asked, tell chan struct{}
+}
+
+// RemoteAddr returns the address once it may.
+func (c slowAddress) RemoteAddr() net.Addr {
+	close(c.asked)
+	<-c.tell
+	return c.Conn.RemoteAddr()
+}
+
+// A server is closed while it accepts a connection, which is not among its connections
+// yet. It was left open, and the close waited for its end for ever: a process that stops
+// went on holding calls that nobody answered, up to the limit of its stop.
+func TestConnectionAcceptedAsTheServerClosesIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := make(pipes)
+		s := NewServer(l, nil, nil)
+		s.Start()
+		ours, theirs := net.Pipe()
+		slow := slowAddress{Conn: theirs, asked: make(chan struct{}), tell: make(chan struct{})}
+		l <- slow
+		<-slow.asked
+		closed := make(chan struct{})
+		go func() {
+			s.Close()
+			close(closed)
+		}()
+		synctest.Wait()
+		close(slow.tell)
+		synctest.Wait()
+		select {
+		case <-closed:
+		default:
+			t.Error("the server waits for a connection that it left open")
+		}
+		_ = ours.Close()
+		<-closed
+	})
+}
