fix: a closing server knows all its connections before it closes them

Cause: the connections were looked up while one could still be accepted.

Change: a close ends the listener, waits until nothing is being accepted, then closes the connections and waits for their end.

Seen: before, the test failed in 100 of 100 runs; after, none in 100, 50 of them with the race detector, nor the package's other tests.

Conclusion: a stop is not held up by a connection that came at its moment.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,7 +14,8 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
-	done  sync.WaitGroup
+	// accepting ends once no more connections come, done once all have ended.
+	accepting, done sync.WaitGroup
 }
 
 // NewServer returns a Server on l. onOpen may be nil; it is called for each
@@ -27,7 +28,7 @@
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
 // Start accepts connections until Close.
-func (s *Server) Start() { s.done.Go(s.accept) }
+func (s *Server) Start() { s.accepting.Go(s.accept) }
 
 func (s *Server) accept() {
 	for {
@@ -78,6 +79,8 @@
 // Close ends the listener and all connections.
 func (s *Server) Close() {
 	_ = s.listener.Close()
+	// A connection that is being accepted is not among the connections yet.
+	s.accepting.Wait()
 	for _, c := range s.Conns() {
 		c.Close()
 	}
