--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -267,3 +267,46 @@
 		t.Error("a connection is kept nearly as long as the upstream keeps it")
 	}
 }
+
+// A request's time ends at the moment at which its answer is closed and its connection
+// is kept. The connection either ends or carries the next request, but is never ended
+// under it; nor does a sweep end it there.
+func TestEndOfARequestLeavesTheNextOneAlone(t *testing.T) {
+	const rounds = 300
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, _ := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			say(c, "HTTP/1.1 200 OK\nX-Id: "+req.Header.Get("X-Id")+"\nContent-Length: 2\n\nok")
+		}
+	})
+	go func() {
+		// Each connection is told of; there are many.
+		for {
+			select {
+			case <-u.opened:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	p := newPool()
+	for range rounds {
+		ctx, cancel := context.WithCancel(t.Context())
+		a, err := p.Do(ctx, u.address, request("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(a); err != nil {
+			t.Fatal(err)
+		}
+		go cancel()
+		go p.Sweep()
+		a.Close()
+		if body, err := ask(t, p, u.address, request("2")); err != nil || body != "ok" {
+			t.Fatalf("the next request got %q, %v", body, err)
+		}
+	}
+}
