test: a lost connection takes a stream away from a live one

Cause: what a connection receives is let go of once, when the connection ends. A question for a stream, or a new generation, that is handled after that gives the stream to the ended connection; a live one gets no more of it, and nobody's time to come back begins.

Change: a test that handles a question for a stream after the end of its connection. No logic is changed.

--- a/internal/sidecar/detach_test.go
+++ b/internal/sidecar/detach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -63,6 +64,30 @@
 	}
 }
 
+// An entry's question for a stream is handled late, when the connection that it came over
+// has ended and the entry has asked again over another. The question took the stream away
+// from the live connection: no more of it came, and no end.
+func TestQuestionOfALostConnectionTakesNoStream(t *testing.T) {
+	b := newEngineBench(t, 0, true)
+	g := newGeneration("u~i~1", "r", "", bufferLimits{unacked: 1 << 20, retained: 1 << 17})
+	b.server.generations[g.id] = g
+	live := &delivery{sub: 2}
+	g.attach(live, 0)
+	lost := closedConn(t)
+	b.server.Open(lost)
+	b.server.connLost(lost)
+	raw, err := json.Marshal(resumeParams{Sub: 1, Generation: g.id})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.server.resume(t.Context(), lost, raw); !errors.Is(err, ErrNoGeneration) {
+		t.Errorf("answer to the lost connection: %v, want %v", err, ErrNoGeneration)
+	}
+	if holderOf(g) != live {
+		t.Error("the stream was taken away from the live connection")
+	}
+}
+
 func holderOf(g *generation) *delivery {
 	g.mu.Lock()
 	defer g.mu.Unlock()
