fix: a connection that has ended gets no stream

Cause: a connection's end lets go of what it holds by then; a handler could give it a stream afterwards.

Change: the end is kept with what the connection holds. Becoming the receiver and being held by the connection are one step, which looks for the end. A test that prepared a held stream in two steps does so in one.

Conclusion: a question that is handled late takes nothing from a live connection, and no stream stays with a dead one.

--- a/internal/sidecar/detach_test.go
+++ b/internal/sidecar/detach_test.go
@@ -48,8 +48,7 @@
 	for range rounds {
 		g := newGeneration("u~i~1", "r", "a", bufferLimits{unacked: 1 << 20, retained: 1 << 17})
 		d := &delivery{sub: 1}
-		g.attach(d, 0)
-		b.server.hold(b.conn, g, d)
+		hold(b.conn, g, d, 0)
 		var cancelled sync.WaitGroup
 		cancelled.Go(func() { _, _ = b.server.cancel(t.Context(), b.conn, raw) })
 		for holderOf(g) == d {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -212,9 +212,7 @@
 	id := generationID(s.settings.Upstream, s.identity.Incarnation(), s.serial.Add(1))
 	g := newGeneration(id, p.Request, p.Account, bufferLimits{unacked: s.settings.UnackedBytes, retained: s.settings.RetainedBytes})
 	d := &delivery{sub: p.Sub}
-	g.attach(d, 0)
-	s.hold(c, g, d)
-	act, r := s.queue(c, g, p)
+	act, r := s.begin(c, g, d, p)
 	if r != nil {
 		s.inFlight.Leave()
 		s.forget(c, g, d)
@@ -241,6 +239,17 @@
 	return generateResult{Generation: id, Load: s.Load(), Stamp: s.rec.Now()}, nil
 }
 
+// begin gives the generation its receiver and waits for the decision.
+func (s *Server) begin(c *peer.Conn, g *generation, d *delivery, p generateParams) (decision.Action, *refusal) {
+	if !hold(c, g, d, 0) {
+		return decision.Action{}, &refusal{Reason: reasonDetached}
+	}
+	s.mu.Lock()
+	s.generations[g.id] = g
+	s.mu.Unlock()
+	return s.queue(c, g, p)
+}
+
 // reasonBehind is given when the sidecar has not the request's configuration
 // yet: what is in force at an entry must not be undone by a sidecar.
 const reasonBehind = "configuration is not in force here yet"
@@ -369,6 +378,8 @@
 	out  *outbox
 	mu   sync.Mutex
 	subs map[int64]heldStream
+	// lost tells that the connection ended, and that what it held was let go of.
+	lost bool
 }
 
 type heldStream struct {
@@ -392,14 +403,18 @@
 	return cs
 }
 
-func (s *Server) hold(c *peer.Conn, g *generation, d *delivery) {
-	s.mu.Lock()
-	s.generations[g.id] = g
-	s.mu.Unlock()
+// hold makes d the receiver of g from the offset after the given one. It returns false
+// when that is no longer kept, or when the connection has ended: what it holds is let go
+// of only once.
+func hold(c *peer.Conn, g *generation, d *delivery, after int64) bool {
 	cs := streamsOf(c)
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	if cs.lost || !g.attach(d, after) {
+		return false
+	}
 	cs.subs[d.sub] = heldStream{g: g, d: d}
+	return true
 }
 
 func (s *Server) forget(c *peer.Conn, g *generation, d *delivery) {
@@ -427,6 +442,7 @@
 func (s *Server) connLost(c *peer.Conn) {
 	cs := streamsOf(c)
 	cs.mu.Lock()
+	cs.lost = true
 	lost := make([]heldStream, 0, len(cs.subs))
 	for _, h := range cs.subs {
 		lost = append(lost, h)
@@ -512,9 +528,7 @@
 		return nil, ErrNoGeneration
 	}
 	d := &delivery{sub: p.Sub}
-	s.hold(c, g, d)
-	if !g.attach(d, p.After) {
-		s.release(c, d)
+	if !hold(c, g, d, p.After) {
 		return nil, ErrNoGeneration
 	}
 	s.rec.Note(events.StreamResumed, g.request, "generation", g.id, "after", p.After)
