--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,6 +45,16 @@
 mutant gateway-silent-load $gateway/gateway.go 's/g\.ledger\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfSilentEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.pace\.rest\(rq\.call\.MaxOutput,/g.pace.rest(rq.call.Hint,/' $gateway TestStoppingGatewayDoubtsTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.far:/case false:/' $gateway TestBackAfterStop
+mutant gateway-stop-answers $gateway/stop.go 's/time\.AfterFunc\(deadline\.Add\(-answerSpare\)[^\n]*\n/_ = answerSpare\n/' $gateway TestStopAnswersWhatIsInFlight
+mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
+
+connlimit=internal/connlimit
+mutant connection-last-look $connlimit/conn.go 's/n, err = c\.lastLook\(b, err\)/_, _ = c.lastLook, c.Close()/' $connlimit TestRequestThatHasCome
+mutant connection-late-close $connlimit/connlimit.go 's/\t\tc\.enter\(idle\)\n/\t\tc.enter(idle)\n\t\tif d := l.limits().Idle; d > 0 {\n\t\t\ttime.AfterFunc(d, func() { l.ended(c, whyIdle); _ = c.Close() })\n\t\t}\n/' $connlimit TestLimitDoesNotEndARequest
+mutant connection-raised $connlimit/conn.go 's/if c\.extend\(\) \{/if false \&\& c.extend() {/' $connlimit TestRaisedLimit
+mutant connection-stop-idle $connlimit/conn.go 's/\tmost := c\.since\n/\tmost := c.since.Add(time.Hour)\n/' $connlimit TestDrain
+mutant connection-stop-shutdown internal/daemon/gatewayhttp.go 's/b\.connections\.Drain\(ctx\)/b.callers.Shutdown(ctx)/' internal/daemon TestStopAnswersWhatWasRead
+mutant connection-last-answer $connlimit/connlimit.go 's/if l\.stops\(\) \{\n\t\t\tw\./if false {\n\t\t\tw./' $connlimit TestDrain
 mutant placement-overload-age $placement/overload.go 's/min\(ageOfShare\*share, 1\)/0*share/' internal/placement TestOverloadTells
 mutant gateway-blame $gateway/call.go 's/if len\(c\.failed\) > 1 && !served \{/if false {/' $gateway TestWhoIsBlamed
 mutant gateway-copy-outlasts $gateway/move.go 's/context\.WithTimeout\(context\.Background\(\), copyWithin\)/context.WithTimeout(s.rq.caller, copyWithin)/' $gateway TestCopyThatOutlasts
