--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -550,7 +550,7 @@
 func largeTable(routes int) []byte {
 	var b bytes.Buffer
 	for i := range routes {
-		fmt.Fprintf(&b, `{"name":"r-%07x","host":"host%d.example","path_prefix":"/p%d/q%d/","route_type":"safe","timeout_ms":600,"target_latency_ms":100,"priority":3,"service":"calendar-api","max_attempts":2},`, i*7919%9999991, i%100, i, i*31%977)
+		fmt.Fprintf(&b, `{"name":"r-%07x","host":"host%d.example","prefix":"/p%d/q%d/","kind":"repeatable","timeout":600,"objective":100,"priority":3,"service":"calendar-api","attempts":2},`, i*7919%9999991, i%100, i, i*31%977)
 	}
 	return b.Bytes()
 }
