--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -13,6 +13,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/protocol"
 )
 
 // TestPlainCall covers how each kind of route ends when its upstreams answer in
@@ -346,3 +347,29 @@
 		t.Errorf("%d calls to an upstream that fails others' requests", bad.runs())
 	}
 }
+
+// A call whose answer and time limit were due at once, as in a process that did not get to
+// run for a while, got the answer or a 504 by chance: a select takes any case that is
+// ready.
+func TestAnswerThatIsThereAtTheTimeLimit(t *testing.T) {
+	f := newFixture(t)
+	over := make(chan struct{})
+	defer close(over)
+	f.add("app", "app-1", func(http.ResponseWriter, *http.Request) { <-over })
+	table, _ := f.routes.Current()
+	route, ok := table.Match("host", pathOnce)
+	if !ok {
+		t.Fatal("no route")
+	}
+	service, _ := table.Service("app")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		rq := &request{table: table, route: route, service: service, start: time.Now(), deadline: time.Now(), caller: t.Context()}
+		c := &callRun{g: f.gateway, rq: rq, tried: map[string]bool{}, results: make(chan result, maxSends+1)}
+		c.results <- result{status: http.StatusOK, verdict: protocol.Ran}
+		if best, ok := c.run(ctx); !ok || !best.good() {
+			t.Fatalf("got %d, %v", best.status, best.err)
+		}
+	}
+}
