fix: an answer that is there at the time limit goes to its caller

Cause: select takes any case that is ready, and the answer and the end of the time are both ready in a process that did not get to run. Change: at the end of the time what has come is looked at first.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -116,12 +116,33 @@
 		case <-hedge.C:
 			c.hedge(ctx)
 		case <-ctx.Done():
+			if r, ok := c.ready(); ok {
+				c.blame(true)
+				return r, true
+			}
 			c.rq.sent = c.rq.sent || c.running > 0
 			return result{err: ctx.Err()}, true
 		}
 	}
 }
 
+// ready returns a good answer that is there when the time is over: both are due at once
+// in a process that did not get to run for a while.
+func (c *callRun) ready() (result, bool) {
+	for {
+		select {
+		case r := <-c.results:
+			c.running--
+			c.rq.sent = c.rq.sent || r.mayHaveRun()
+			if r.good() {
+				return r, true
+			}
+		default:
+			return result{}, false
+		}
+	}
+}
+
 // blame tells the fleet which upstreams failed the request; served says that another
 // one did better. If several failed it and none served it, that is taken for the
 // request's own fault: half of the failing calls of the users' services fail at
