--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -116,29 +116,26 @@
 		case <-hedge.C:
 			c.hedge(ctx)
 		case <-ctx.Done():
-			if r, ok := c.ready(); ok {
-				c.blame(true)
-				return r, true
-			}
-			c.rq.sent = c.rq.sent || c.running > 0
-			return result{err: ctx.Err()}, true
+			return c.atTheEnd(ctx), true
 		}
 	}
 }
 
-// ready returns a good answer that is there when the time is over: both are due at once
-// in a process that did not get to run for a while.
-func (c *callRun) ready() (result, bool) {
+// atTheEnd returns a good answer that is there when the time is over, or none: both are
+// due at once in a process that did not get to run for a while.
+func (c *callRun) atTheEnd(ctx context.Context) result {
 	for {
 		select {
 		case r := <-c.results:
 			c.running--
 			c.rq.sent = c.rq.sent || r.mayHaveRun()
 			if r.good() {
-				return r, true
+				c.blame(true)
+				return r
 			}
 		default:
-			return result{}, false
+			c.rq.sent = c.rq.sent || c.running > 0
+			return result{err: ctx.Err()}
 		}
 	}
 }
