--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -220,9 +220,11 @@
 		return 0, err
 	}
 	var n int
-	var readErr error
-	// Control does not mind the deadline, as Read of a RawConn does.
-	err = raw.Control(func(fd uintptr) { n, _, readErr = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT) })
+	readErr := error(syscall.EINTR)
+	for err == nil && errors.Is(readErr, syscall.EINTR) {
+		// Control does not mind the deadline, as Read of a RawConn does.
+		err = raw.Control(func(fd uintptr) { n, _, readErr = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT) })
+	}
 	switch {
 	case err != nil:
 		return 0, err
@@ -230,7 +232,7 @@
 		return 0, io.EOF
 	case readErr == nil:
 		return n, nil
-	case !errors.Is(readErr, syscall.EAGAIN) && !errors.Is(readErr, syscall.EINTR):
+	case !errors.Is(readErr, syscall.EAGAIN):
 		return 0, readErr
 	}
 	c.mu.Lock()
@@ -248,6 +250,8 @@
 	switch c.phase {
 	case idle:
 		c.phase, c.since = headers, time.Now()
+		limit, _ := c.limit()
+		_ = c.TCPConn.SetReadDeadline(limit)
 	case opening:
 		c.phase = headers
 	case headers, serving:
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -35,12 +36,15 @@
 	undelivered func(c *Conn, request string, err error)
 
 	mu       sync.Mutex
-	listener net.Listener
+	listener *conns
 	conns    map[*Conn]bool
+	// accepted is set once no more connections come.
+	accepted bool
 	// draining is closed when a planned stop ends connections, and none once no
 	// connection is left then.
-	draining chan struct{}
-	none     chan struct{}
+	draining  chan struct{}
+	none      chan struct{}
+	drainOnce sync.Once
 }
 
 // New returns a Limiter; limits gives the times in force, ended is told of each
@@ -56,10 +60,7 @@
 func (l *Limiter) Install(s *http.Server, listener net.Listener) net.Listener {
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.stops() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(&answerWriter{ResponseWriter: w, limiter: l}, r)
 	})
 	s.ConnState = l.state
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -67,23 +68,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.listener = &conns{Listener: listener, limiter: l}
+	l.listener = &conns{Listener: listener, limiter: l, ended: make(chan struct{})}
 	return l.listener
 }
 
 // Drain takes no new connections, ends those that wait for a request, and the others as
-// soon as they do. It returns when none is left or ctx ends.
+// soon as they do. It returns when none is left or ctx ends, and may be called again then.
 func (l *Limiter) Drain(ctx context.Context) error {
-	l.mu.Lock()
-	if l.listener != nil {
-		_ = l.listener.Close()
-	}
-	close(l.draining)
-	l.checkNone()
-	l.mu.Unlock()
-	for _, c := range l.open() {
-		c.wake()
-	}
+	l.drainOnce.Do(l.beginDrain)
 	select {
 	case <-l.none:
 		return nil
@@ -92,6 +84,29 @@
 	}
 }
 
+func (l *Limiter) beginDrain() {
+	l.mu.Lock()
+	listener := l.listener
+	l.mu.Unlock()
+	close(l.draining)
+	for _, c := range l.open() {
+		c.wake()
+	}
+	if listener != nil {
+		_ = listener.Close()
+	}
+	go func() {
+		// A connection that is being accepted is not among those that are open yet.
+		if listener != nil {
+			<-listener.ended
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.accepted = true
+		l.checkNone()
+	}()
+}
+
 // open returns the connections there are.
 func (l *Limiter) open() []*Conn {
 	l.mu.Lock()
@@ -150,7 +165,7 @@
 
 // checkNone notes that no connection is left in a stop. It needs the lock.
 func (l *Limiter) checkNone() {
-	if l.stops() && len(l.conns) == 0 {
+	if l.accepted && len(l.conns) == 0 {
 		select {
 		case <-l.none:
 		default:
@@ -163,11 +178,17 @@
 type conns struct {
 	net.Listener
 	limiter *Limiter
+	// ended is closed once Accept returns no more connections.
+	ended chan struct{}
+	once  sync.Once
 }
 
 // Accept waits for the next connection.
 func (l *conns) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.once.Do(func() { close(l.ended) })
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -177,3 +198,11 @@
 	}
 	return l.limiter.add(tcp), nil
 }
+
+// Close ends the listener. A stop and the server's end both close it.
+func (l *conns) Close() error {
+	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -111,21 +111,35 @@
 	}
 }
 
-// drain ends the callers' service: it lets the balancer notice, goes on serving
-// those it sends all the same, then waits for the requests in flight.
+// drain ends the callers' service: it lets the balancer notice, goes on serving those it
+// sends all the same, waits for the requests in flight, and gives up what is left.
 func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
 	deadline := time.Now().Add(b.settings.StopWithin - stopSpare)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin)
 	b.gateway.Drain(deadline)
 	b.awaitQuiet(time.Now().Add(min(gateway.NoticeTime, b.settings.StopWithin/3)), deadline.Add(-closeSpare))
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx = context.WithoutCancel(ctx)
+	served, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerSpare))
 	defer cancel()
-	if err := b.connections.Drain(ctx); err != nil {
+	if err := b.connections.Drain(served); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
+		b.giveUp(ctx)
 	}
 	return b.callers.Close()
 }
 
+// giveUp lets the gateway answer what is still in flight. The time for that runs from
+// now: a process that did not get to run finds the end of its stop past as well, and
+// would close the connections before the answers are written.
+func (b *gatewayBuilder) giveUp(ctx context.Context) {
+	b.gateway.GiveUp()
+	ctx, cancel := context.WithTimeout(ctx, gateway.AnswerSpare)
+	defer cancel()
+	if err := b.connections.Drain(ctx); err != nil {
+		b.rec.Note(events.DrainTooShort, "", "error", err)
+	}
+}
+
 // awaitQuiet returns when no caller has asked anything for a while, from the time
 // least on, and at the time most in any case. A balancer that finds all entries of
 // a zone stopping sends callers to them nevertheless: when each closed its listener
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -6,12 +6,21 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gateway"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // A server that is shutting down drops a request that it has read by then: net/http looks
@@ -63,6 +72,77 @@
 	}
 }
 
+// An entry did not get to run while its planned stop came to its end: the time at which
+// what is in flight gets its answer and the time at which connections are closed were both
+// past, and 15 of 20 callers got an end of file. Here both are past from the beginning.
+func TestStopThatIsLateAnswersWhatItGivesUp(t *testing.T) {
+	for range 10 {
+		begun, over := make(chan struct{}), make(chan struct{})
+		b := &gatewayBuilder{rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now), settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: stopSpare}}
+		b.gateway = gatewayWithUpstream(t, func(http.ResponseWriter, *http.Request) {
+			close(begun)
+			<-over
+		})
+		service, address := b.callerService(), make(chan net.Addr, 1)
+		b.callers.BaseContext = func(l net.Listener) context.Context {
+			address <- l.Addr()
+			return context.Background()
+		}
+		if err := service.Start(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		answers := make(chan error, 1)
+		go func() {
+			resp, err := http.Post("http://"+(<-address).String()+"/", "text/plain", nil)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			answers <- err
+		}()
+		<-begun
+		if err := b.drain(t.Context(), nil); err != nil {
+			t.Error(err)
+		}
+		if err := <-answers; err != nil {
+			t.Errorf("a request in flight got %v", err)
+		}
+		close(over)
+	}
+}
+
+// gatewayWithUpstream sends every request to one upstream.
+func gatewayWithUpstream(t *testing.T, serve http.HandlerFunc) *gateway.Gateway {
+	t.Helper()
+	s := httptest.NewServer(serve)
+	t.Cleanup(s.Close)
+	proto := protocol.Protocol{
+		Decode: func(r *http.Request, _ time.Time) protocol.Call {
+			return protocol.Call{ID: "r", Method: r.Method, Target: r.RequestURI, Host: "host", Header: http.Header{}}
+		},
+		Forward: func(c *protocol.Call, _ protocol.Attempt, _ time.Time) link.Request {
+			return link.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, ID: c.ID}
+		},
+		Refuse: func(w http.ResponseWriter, _ *protocol.Call, r protocol.Refusal, _ time.Time) {
+			w.WriteHeader(r.Status)
+		},
+	}
+	table := routetable.New(1, []routetable.Route{{Host: "host", Prefix: "/", Kind: routetable.Once, Timeout: time.Minute, Objective: time.Minute, MaxAttempts: 1, Shares: []routetable.Share{{Service: "app", Weight: 1}}}},
+		[]routetable.Service{{Name: "app"}}, routetable.Limits{BodyBytes: 1000}, nil)
+	routes := belief.NewRoutes("routes", func([]byte) (*routetable.Table, error) { return table, nil }, events.Nop(), time.Now)
+	routes.Offer(nil, "test")
+	routes.ConfirmCurrent(time.Now())
+	set := fleet.New(events.Nop(), time.Now, func(string) {})
+	set.Update([]fleet.Record{{ID: "app-1", Service: "app", Address: s.Listener.Addr().String(), Slots: 1}}, nil, true, time.Time{})
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	}
+	others := gateway.Others{
+		Nudge: func() {}, Urge: func() {}, Heard: func() map[string]gossip.Peer { return nil },
+		Delay: func(string, bool) time.Duration { return 0 }, Told: func() (told, silence time.Duration) { return 0, 0 },
+	}
+	return gateway.New(gateway.Settings{RoutesTrusted: time.Minute, RetryWindow: time.Second}, routes, set, link.New(link.Settings{DialWithin: time.Second}, dial, time.Now), proto, others, events.Nop(), prometheus.NewRegistry(), time.Now)
+}
+
 // refused sends a request to a gateway without routes, which refuses it.
 func refused(t *testing.T, c net.Conn, answers *bufio.Reader) {
 	t.Helper()
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -136,7 +136,7 @@
 	{StreamCut, "stream-cut", "A stream ended before it was whole, and the caller was told where and why."},
 	{CallerGone, "caller-gone", "A caller's connection closed before its answer was whole; `ended-here` says why this entry closed it, if it did."},
 	{HedgeSent, "hedge-sent", "A slow request that may run twice was sent to a second upstream as well."},
-	{CallerEnded, "caller-ended", "A caller's connection was ended because it took longer than the operator allows."},
+	{CallerEnded, "caller-ended", "An entry ended a caller's connection that waited for a request: it took longer than the operator allows, or the entry stops (`why`)."},
 	{StreamMoveStarted, "stream-move-started", "The memory of a running generation is being copied to another engine."},
 	{StreamMoved, "stream-moved", "A running generation goes on at the engine that holds the copy of its memory."},
 	{StreamMoveFailed, "stream-move-failed", "A running generation could not be moved; it goes on where it is, or is lost with its engine."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -116,14 +116,15 @@
 		case <-hedge.C:
 			c.hedge(ctx)
 		case <-ctx.Done():
-			return c.atTheEnd(ctx), true
+			return c.atTheEnd(ctx, best), true
 		}
 	}
 }
 
-// atTheEnd returns a good answer that is there when the time is over, or none: both are
-// due at once in a process that did not get to run for a while.
-func (c *callRun) atTheEnd(ctx context.Context) result {
+// atTheEnd returns the best answer that is there when the time is over, if there is any:
+// an answer and the end of the time are due at once in a process that did not get to run
+// for a while, and an upstream's own failure says more than that the time is over.
+func (c *callRun) atTheEnd(ctx context.Context, best result) result {
 	for {
 		select {
 		case r := <-c.results:
@@ -133,8 +134,14 @@
 				c.blame(true)
 				return r
 			}
+			if !best.usable() {
+				best = r
+			}
 		default:
 			c.rq.sent = c.rq.sent || c.running > 0
+			if best.usable() {
+				return best
+			}
 			return result{err: ctx.Err()}
 		}
 	}
@@ -196,13 +203,25 @@
 	claim := c.g.ledger.take(u.ID, gossip.Load{Running: 1})
 	go func() {
 		defer claim.release()
-		r := c.g.tryCall(ctx, c.rq, u)
+		r := c.attempt(ctx, u)
 		c.g.noteCall(ctx, r)
 		c.results <- r
 	}()
 	return true
 }
 
+// attempt sends the request once. A fault of this program fails the attempt; it would end
+// the process otherwise, with every request in it.
+func (c *callRun) attempt(ctx context.Context, u fleet.Upstream) (r result) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.g.notePanic(c.rq, v)
+			r = result{upstream: u.ID, err: errPanicked}
+		}
+	}()
+	return c.g.tryCall(ctx, c.rq, u)
+}
+
 // tryCall sends the request once and reads the whole answer.
 func (g *Gateway) tryCall(ctx context.Context, rq *request, u fleet.Upstream) result {
 	req := g.proto.Forward(&rq.call, rq.attempt(u.ID), g.now())
@@ -234,6 +253,7 @@
 	errAnswerTooLong = errors.New("answer is too long")
 	errOtherAnswer   = errors.New("answer names another request")
 	errNoProof       = errors.New("answer is not the upstream's own body")
+	errPanicked      = errors.New("a fault of this entry")
 )
 
 // noteCall tells the fleet how an upstream served. An attempt that was given up
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -373,3 +373,25 @@
 		}
 	}
 }
+
+// A call whose upstream failed of its own was tried again; the second upstream hung, and
+// at the time limit the first one's answer was thrown away for a 504.
+func TestUpstreamsFailureGoesBeforeTheTimeLimit(t *testing.T) {
+	f := newFixture(t)
+	over := make(chan struct{})
+	defer close(over)
+	failed := make(chan struct{}, 1)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case failed <- struct{}{}:
+			serveError(w, r)
+		default:
+			<-over
+		}
+	}
+	f.add("app", "app-1", serve)
+	f.add("app", "app-2", serve)
+	if got := f.ask(pathSafe, func(r *http.Request) { r.Header.Set(testDeadline, "300") }); got.status != http.StatusInternalServerError {
+		t.Errorf("got %d, %v", got.status, got.err)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -64,7 +64,7 @@
 	now := g.now()
 	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), conn: connlimit.From(r.Context()), w: w}
 	rq.conn.Begin(rq.call.ID)
-	defer g.notePanic(rq.call.ID)
+	defer g.recovered(rq)
 	if !g.StopBy().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
@@ -86,18 +86,29 @@
 // mostStack bounds in bytes the stack that a log line carries: some twenty calls.
 const mostStack = 4 << 10
 
-// notePanic writes down a fault of this program; net/http then ends the connection.
-func (g *Gateway) notePanic(request string) {
+// recovered writes down a fault of this program and answers the request if nothing of an
+// answer is on its way; it may have run. Otherwise net/http ends the connection.
+func (g *Gateway) recovered(rq *request) {
 	v := recover()
 	if v == nil {
 		return
 	}
-	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		stack := debug.Stack()
-		g.met.unanswered(unansweredPanic)
-		g.rec.Note(events.HandlerPanicked, request, "panic", v, "stack", string(stack[:min(len(stack), mostStack)]))
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(v)
 	}
-	panic(v)
+	g.notePanic(rq, v)
+	if connlimit.Begun(rq.w) {
+		panic(v)
+	}
+	rq.w.Header().Set("Connection", "close")
+	g.proto.Refuse(rq.w, &rq.call, protocol.Refusal{Status: http.StatusBadGateway, Reason: "a fault of this entry"}, g.now())
+}
+
+// notePanic writes a fault of this program down.
+func (g *Gateway) notePanic(rq *request, v any) {
+	stack := debug.Stack()
+	g.met.unanswered(unansweredPanic)
+	g.rec.Note(events.HandlerPanicked, rq.call.ID, "panic", v, "stack", string(stack[:min(len(stack), mostStack)]))
 }
 
 // gone notes that a caller's connection ended while something was done.
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
 )
 
@@ -74,3 +76,30 @@
 		t.Errorf("got %d", resp.StatusCode)
 	}
 }
+
+// A fault of this program ended the connection of its request without a word, and one in
+// an attempt of a call ended the process.
+func TestFaultOfThisProgramIsAnswered(t *testing.T) {
+	for _, tc := range []struct{ name, path string }{
+		{"in an attempt of a call", pathOnce},
+		{"in the work on a generation", pathStream},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "app-1", serveOK)
+			f.add("llm", "eng-1", serveOK)
+			f.gateway.proto.Forward = func(*protocol.Call, protocol.Attempt, time.Time) link.Request { panic("a fault") }
+			limiter := connlimit.New(func() connlimit.Limits { return connlimit.Limits{} }, func(net.Conn, string) {}, func(*connlimit.Conn, string, error) {})
+			f.server = httptest.NewUnstartedServer(f.gateway)
+			f.server.Listener = limiter.Install(f.server.Config, f.server.Listener)
+			f.server.Start()
+			t.Cleanup(f.server.Close)
+			if got := f.ask(tc.path); got.status != http.StatusBadGateway {
+				t.Errorf("got %d, %v", got.status, got.err)
+			}
+			if !f.noted(events.HandlerPanicked) {
+				t.Error("nothing is noted")
+			}
+		})
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -22,9 +22,9 @@
 	// NoticeTime is how long the balancer goes on sending callers to an entry that
 	// is not ready: it asks each second and believes the second refusal.
 	NoticeTime = 2500 * time.Millisecond
-	// answerSpare is left of a planned stop to answer the requests that it gives up: some
+	// AnswerSpare is left of a planned stop to answer the requests that it gives up: some
 	// round trips, and a turn of a process that shares its processor.
-	answerSpare = 100 * time.Millisecond
+	AnswerSpare = 100 * time.Millisecond
 )
 
 // Drain tells the balancer to send nothing new, and the other entries that this
@@ -33,10 +33,13 @@
 func (g *Gateway) Drain(deadline time.Time) {
 	g.noticedAt.Set(g.now().Add(NoticeTime))
 	g.stopBy.Set(deadline)
-	time.AfterFunc(deadline.Add(-answerSpare).Sub(g.now()), func() { g.giveUpAll(errStopped) })
+	time.AfterFunc(deadline.Add(-AnswerSpare).Sub(g.now()), g.GiveUp)
 	g.others.Urge()
 }
 
+// GiveUp ends the requests in flight of a planned stop; their callers get an answer.
+func (g *Gateway) GiveUp() { g.giveUpAll(errStopped) }
+
 // untilStop returns a context that also ends when a planned stop gives up what is in
 // flight, so that its callers get an answer and not a closed connection.
 func (g *Gateway) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,7 +45,7 @@
 mutant gateway-silent-load $gateway/gateway.go 's/g\.ledger\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfSilentEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.pace\.rest\(rq\.call\.MaxOutput,/g.pace.rest(rq.call.Hint,/' $gateway TestStoppingGatewayDoubtsTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.far:/case false:/' $gateway TestBackAfterStop
-mutant gateway-stop-answers $gateway/stop.go 's/time\.AfterFunc\(deadline\.Add\(-answerSpare\)[^\n]*\n/_ = answerSpare\n/' $gateway TestStopAnswersWhatIsInFlight
+mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\(deadline\.Add\(-AnswerSpare\)[^\n]*\n//' $gateway TestStopAnswersWhatIsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
 
 connlimit=internal/connlimit
