refactor: a record tells the name of its upstream, its start and the version of its row

Cause: the identifier on the wire, the key of the row and the key of all that is believed of an upstream were one text. An upstream may start again under its name.

Change: fleet.Record has Name, Born and Version beside ID, which the Set gives; rows that are gone have their version too. What goes on the wire to an upstream is the name. Tests name their upstreams by Name and Gone where they did by ID and text.

Seen: no behaviour is changed; the tests of fleet, gateway, daemon, placement and platform pass as before.

Conclusion: the Set can give each start an identifier of its own.

--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -50,7 +50,7 @@
 
 // upstreamChanges decodes changed rows. One answer may hold several changes of a
 // row, in order; the last one counts.
-func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []string) {
+func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []fleet.Gone) {
 	last := make(map[string]int, len(rows))
 	for i, row := range rows {
 		last[row.Name] = i
@@ -59,13 +59,14 @@
 		switch {
 		case last[row.Name] != i:
 		case row.Gone:
-			gone = append(gone, row.Name)
+			gone = append(gone, fleet.Gone{Name: row.Name, Version: row.Version})
 		default:
 			r, err := platform.DecodeUpstream(row.Name, row.Value)
 			if err != nil {
 				rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
 				continue
 			}
+			r.Version = row.Version
 			records = append(records, r)
 		}
 	}
--- a/internal/daemon/upstreams_test.go
+++ b/internal/daemon/upstreams_test.go
@@ -26,16 +26,19 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			records, left := upstreamChanges(tc.rows, events.Nop())
-			var present []string
+			var present, wentAway []string
 			for _, r := range records {
-				present = append(present, r.ID)
+				present = append(present, r.Name)
+			}
+			for _, g := range left {
+				wentAway = append(wentAway, g.Name)
 			}
 			slices.Sort(present)
 			if !slices.Equal(present, tc.present) {
 				t.Errorf("present %v, want %v", present, tc.present)
 			}
-			if !slices.Equal(left, tc.gone) {
-				t.Errorf("gone %v, want %v", left, tc.gone)
+			if !slices.Equal(wentAway, tc.gone) {
+				t.Errorf("gone %v, want %v", wentAway, tc.gone)
 			}
 		})
 	}
--- a/internal/fleet/failing_test.go
+++ b/internal/fleet/failing_test.go
@@ -29,7 +29,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			now := start
 			s := New(events.Nop(), func() time.Time { return now }, func(string) {})
-			s.Update([]Record{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}, {ID: "c", Service: "app"}}, nil, true, time.Time{})
+			s.Update([]Record{{Name: "a", Service: "app"}, {Name: "b", Service: "app"}, {Name: "c", Service: "app"}}, nil, true, time.Time{})
 			for id, n := range tc.own {
 				for range n {
 					s.Note(id, Failed)
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -28,7 +28,7 @@
 			s := New(events.Nop(), func() time.Time { return now }, func(string) {})
 			var records []Record
 			for i := range 10 {
-				records = append(records, Record{ID: strconv.Itoa(i), Service: "llm"})
+				records = append(records, Record{Name: strconv.Itoa(i), Service: "llm"})
 			}
 			s.Update(records, nil, true, time.Time{})
 			for i, at := range tc.leaves {
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -9,10 +9,18 @@
 	"github.com/sparshore/sparshore/internal/events"
 )
 
-// Record is what an upstream's own entry in the store says. Each start of an
-// upstream has an identifier of its own.
+// Record is what an upstream's own entry in the store says. An upstream may start
+// again under the name that it had.
 type Record struct {
-	ID      string
+	// ID is different for each start of an upstream. A Set gives it.
+	ID string
+	// Name is the upstream's own identifier, which is the key of its row.
+	Name string
+	// Born is the Unix millisecond of the start by the upstream's clock; 0 if it does
+	// not say.
+	Born int64
+	// Version is the store's version of the row; 0 if that is not known.
+	Version int64
 	Service string
 	Address string
 	Zone    string
@@ -24,6 +32,13 @@
 	ColdFor time.Duration
 }
 
+// Gone is an upstream whose row is no longer in the store.
+type Gone struct {
+	Name string
+	// Version is the store's version of the removal; 0 if that is not known.
+	Version int64
+}
+
 // State is what an entry believes about one upstream.
 type State int
 
@@ -109,11 +124,12 @@
 // Update takes over the records of upstreams. full says that they are all there
 // are. Those missing are taken as gone, unless settled lies in the future: then
 // they have until that time to come back.
-func (s *Set) Update(records []Record, gone []string, full bool, settled time.Time) {
+func (s *Set) Update(records []Record, gone []Gone, full bool, settled time.Time) {
 	s.mu.Lock()
 	var left []string
 	seen := make(map[string]bool, len(records))
 	for _, r := range records {
+		r.ID = r.Name
 		seen[r.ID] = true
 		if s.put(r) {
 			left = append(left, r.ID)
@@ -122,13 +138,13 @@
 	if full {
 		for id := range s.byID {
 			if !seen[id] {
-				gone = append(gone, id)
+				gone = append(gone, Gone{Name: id})
 			}
 		}
 	}
-	for _, id := range gone {
-		if s.missing(id, settled) {
-			left = append(left, id)
+	for _, g := range gone {
+		if s.missing(g.Name, settled) {
+			left = append(left, g.Name)
 		}
 	}
 	s.mu.Unlock()
--- a/internal/fleet/set_test.go
+++ b/internal/fleet/set_test.go
@@ -32,7 +32,7 @@
 	return u.State()
 }
 
-func record(id string) Record { return Record{ID: id, Service: "llm", Address: "10.0.0.1:1"} }
+func record(id string) Record { return Record{Name: id, Service: "llm", Address: "10.0.0.1:1"} }
 
 func leaving(id string) Record {
 	r := record(id)
@@ -44,7 +44,7 @@
 	f := newFixture()
 	f.Update([]Record{record("a"), record("b")}, nil, true, time.Time{})
 	f.Update([]Record{leaving("a")}, nil, false, time.Time{})
-	f.Update(nil, []string{"a"}, false, time.Time{})
+	f.Update(nil, []Gone{{Name: "a"}}, false, time.Time{})
 	f.MarkLeaving("a", "another entry")
 	if !slices.Equal(f.left, []string{"a"}) {
 		t.Errorf("told of %v, want a once", f.left)
@@ -94,7 +94,7 @@
 func TestLapseEnds(t *testing.T) {
 	f := newFixture()
 	f.Update([]Record{record("a")}, nil, true, time.Time{})
-	f.Update(nil, []string{"a"}, false, f.at.Add(2*time.Second))
+	f.Update(nil, []Gone{{Name: "a"}}, false, f.at.Add(2*time.Second))
 	if got := f.Of("llm"); len(got) != 1 {
 		t.Fatalf("a lapsed upstream is not used although there is no other")
 	}
@@ -116,8 +116,8 @@
 		leave func(f *fixture)
 		want  State
 	}{
-		{"after a lapse", func(f *fixture) { f.Update(nil, []string{"a"}, false, f.at.Add(time.Second)) }, Serving},
-		{"after it was taken as gone", func(f *fixture) { f.Update(nil, []string{"a"}, false, time.Time{}) }, Serving},
+		{"after a lapse", func(f *fixture) { f.Update(nil, []Gone{{Name: "a"}}, false, f.at.Add(time.Second)) }, Serving},
+		{"after it was taken as gone", func(f *fixture) { f.Update(nil, []Gone{{Name: "a"}}, false, time.Time{}) }, Serving},
 		{"after another entry said that it leaves", func(f *fixture) { f.MarkLeaving("a", "another entry") }, Serving},
 		{"after its own report said that it leaves", func(f *fixture) { f.ReportedLeaving("a") }, Leaving},
 		{"after its own record said that it leaves", func(f *fixture) { f.Update([]Record{leaving("a")}, nil, false, time.Time{}) }, Leaving},
@@ -144,7 +144,7 @@
 func TestUpstreamGoneIsForgotten(t *testing.T) {
 	f := newFixture()
 	f.Update([]Record{record("a")}, nil, true, time.Time{})
-	f.Update(nil, []string{"a"}, false, time.Time{})
+	f.Update(nil, []Gone{{Name: "a"}}, false, time.Time{})
 	f.at = f.at.Add(keepGone - time.Second)
 	f.Sweep()
 	if got := f.state(t); got != Leaving {
@@ -162,7 +162,7 @@
 func TestOnlyFirstHandKnowledgeIsPassedOn(t *testing.T) {
 	f := newFixture()
 	f.Update([]Record{record("missing"), record("told"), record("reported"), record("recorded")}, nil, true, time.Time{})
-	f.Update([]Record{leaving("recorded")}, []string{"missing"}, false, time.Time{})
+	f.Update([]Record{leaving("recorded")}, []Gone{{Name: "missing"}}, false, time.Time{})
 	f.MarkLeaving("told", "another entry")
 	f.ReportedLeaving("reported")
 	got := f.KnownLeaving()
@@ -247,10 +247,10 @@
 	s := New(events.Nop(), time.Now, func(string) {})
 	var records []Record
 	for i := range 870 {
-		records = append(records, Record{ID: fmt.Sprintf("engine-%d", i), Service: "llm", Zone: "a"})
+		records = append(records, Record{Name: fmt.Sprintf("engine-%d", i), Service: "llm", Zone: "a"})
 	}
 	for i := range 4 {
-		records = append(records, Record{ID: fmt.Sprintf("plain-%d", i), Service: "app", Zone: "a"})
+		records = append(records, Record{Name: fmt.Sprintf("plain-%d", i), Service: "app", Zone: "a"})
 	}
 	s.Update(records, nil, true, time.Time{})
 	for b.Loop() {
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -27,7 +27,7 @@
 	check("one closed", 2)
 	f.Update([]Record{in("e", "z1")}, nil, false, time.Time{})
 	check("another upstream comes there", 2)
-	f.Update(nil, []string{"a"}, false, f.at.Add(time.Second))
+	f.Update(nil, []Gone{{Name: "a"}}, false, f.at.Add(time.Second))
 	check("one there lapses", 2)
 	f.CloseZones(map[string]bool{"z1": true, "z2": true, "nowhere": true})
 	check("all closed", 0)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,7 +17,7 @@
 // attempt sends the generation to an engine and relays its answer.
 func (s *stream) attempt(ctx context.Context, st step) outcome {
 	g, rq := s.g, s.rq
-	a := rq.attempt(st.at.ID)
+	a := rq.attempt(st.at)
 	a.From = st.from
 	if st.from != nil || s.began {
 		a.LastEvent = s.lastEvent
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -224,7 +224,7 @@
 
 // tryCall sends the request once and reads the whole answer.
 func (g *Gateway) tryCall(ctx context.Context, rq *request, u fleet.Upstream) result {
-	req := g.proto.Forward(&rq.call, rq.attempt(u.ID), g.now())
+	req := g.proto.Forward(&rq.call, rq.attempt(u), g.now())
 	req.Body = rq.body
 	a, err := g.link.Do(ctx, u.Address, req)
 	if err != nil {
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -30,7 +30,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
 			f.gateway.settings.Zone = "a"
-			f.fleet.Update([]fleet.Record{{ID: "near", Service: "llm", Zone: "a"}, {ID: "far", Service: "llm", Zone: "b"}}, nil, true, time.Time{})
+			f.fleet.Update([]fleet.Record{{Name: "near", Service: "llm", Zone: "a"}, {Name: "far", Service: "llm", Zone: "b"}}, nil, true, time.Time{})
 			claim := f.gateway.ledger.take("near", tc.near)
 			defer claim.release()
 			table, _ := f.routes.Current()
@@ -61,7 +61,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
 			f.gateway.settings.Zone = "a"
-			f.fleet.Update([]fleet.Record{{ID: "near", Service: "app", Zone: "a", Slots: 6}, {ID: "far", Service: "app", Zone: "b", Slots: 6}}, nil, true, time.Time{})
+			f.fleet.Update([]fleet.Record{{Name: "near", Service: "app", Zone: "a", Slots: 6}, {Name: "far", Service: "app", Zone: "b", Slots: 6}}, nil, true, time.Time{})
 			claim := f.gateway.ledger.take("near", gossip.Load{Running: tc.running})
 			defer claim.release()
 			for range 20 {
@@ -142,7 +142,7 @@
 	g := &Gateway{fleet: set, ledger: newLedger(time.Now), prefixes: newPrefixes(), now: time.Now, others: Others{Delay: func(string, bool) time.Duration { return 10 * time.Millisecond }}}
 	records := make([]fleet.Record, n)
 	for i := range records {
-		records[i] = fleet.Record{ID: strconv.Itoa(i), Service: "llm"}
+		records[i] = fleet.Record{Name: strconv.Itoa(i), Service: "llm"}
 		g.ledger.take(records[i].ID, gossip.Load{Running: 4, Held: 15000, Tokens: 17000})
 	}
 	set.Update(records, nil, true, time.Time{})
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -220,7 +220,7 @@
 	}))
 	f.t.Cleanup(s.Close)
 	u.address = strings.TrimPrefix(s.URL, "http://")
-	f.records = append(f.records, fleet.Record{ID: id, Service: service, Address: u.address, Slots: 6})
+	f.records = append(f.records, fleet.Record{Name: id, Service: service, Address: u.address, Slots: 6})
 	f.fleet.Update(f.records, nil, true, time.Time{})
 	return u
 }
--- a/internal/gateway/oldnews_test.go
+++ b/internal/gateway/oldnews_test.go
@@ -53,7 +53,7 @@
 		for i := range 24 {
 			id := fmt.Sprintf("e%d-%d", z, i)
 			o.engines = append(o.engines, id)
-			records = append(records, fleet.Record{ID: id, Service: "llm", Zone: o.zones[z], Slots: 24})
+			records = append(records, fleet.Record{Name: id, Service: "llm", Zone: o.zones[z], Slots: 24})
 		}
 	}
 	o.f.fleet.Update(records, nil, true, time.Time{})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/routetable"
@@ -292,6 +293,6 @@
 }
 
 // attempt returns what an upstream is told about a request.
-func (rq *request) attempt(upstream string) protocol.Attempt {
-	return protocol.Attempt{Upstream: upstream, Account: rq.account, Deadline: rq.deadline}
+func (rq *request) attempt(u fleet.Upstream) protocol.Attempt {
+	return protocol.Attempt{Upstream: u.Name, Account: rq.account, Deadline: rq.deadline}
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -132,7 +132,7 @@
 // leave marks an engine as leaving, as its own record does.
 func (f *fixture) leave(id string) {
 	for _, r := range f.records {
-		if r.ID == id {
+		if r.Name == id {
 			r.Leaving = true
 			f.fleet.Update([]fleet.Record{r}, nil, false, time.Time{})
 		}
@@ -410,7 +410,7 @@
 	f := newFixture(t)
 	var records []fleet.Record
 	for i := range 8 {
-		records = append(records, fleet.Record{ID: fmt.Sprintf("near-%d", i), Service: "llm", Zone: "a"}, fleet.Record{ID: fmt.Sprintf("far-%d", i), Service: "llm", Zone: "b"})
+		records = append(records, fleet.Record{Name: fmt.Sprintf("near-%d", i), Service: "llm", Zone: "a"}, fleet.Record{Name: fmt.Sprintf("far-%d", i), Service: "llm", Zone: "b"})
 	}
 	f.fleet.Update(records, nil, true, time.Time{})
 	loads := map[string]gossip.Load{"near-0": {Running: 1, Tokens: 99000, Held: 99000}}
@@ -421,7 +421,7 @@
 	s := &stream{g: f.gateway, rq: &request{call: protocol.Call{Prompt: 1000, MaxOutput: 1000}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000}}}}
 	drawn := map[string]int{}
 	for range 700 {
-		u, ok := f.gateway.chooseTarget(s, fleet.Upstream{Record: fleet.Record{ID: "source", Zone: "a"}}, nil)
+		u, ok := f.gateway.chooseTarget(s, fleet.Upstream{Record: fleet.Record{ID: "source", Name: "source", Zone: "a"}}, nil)
 		if !ok {
 			t.Fatal("no target")
 		}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -55,7 +55,9 @@
 
 // Attempt is what an upstream is told besides the caller's request.
 type Attempt struct {
-	// Upstream is the lifetime that is meant; any other must not run the request.
+	// Upstream is the name of the one that is meant; any other must not run the request.
+	// A later start under that name may run what was meant for an earlier one, which
+	// then never got it.
 	Upstream string
 	// Account is the name of the client account, empty on public routes.
 	Account string
