fix: a start of an upstream is believed nothing of an earlier one

Cause: an upstream that starts again under its name was taken as the one before. After it had said that it leaves, nothing brought it back; else it kept the faults, failures and avoidance of the earlier start, and late news of that start counted for it.

Change: all that is believed goes by an identifier that is different for each start, made in one function of the name and the time of birth. The Set keeps the latest start of each name and ends the one before in one function, as after a crash. The store's versions tell which of two rows is newer, since clocks may jump back; a row, or the removal of one, that is older than what is known is ignored with a log line.

Conclusion: a start gets work at the moment its row is learnt, as one under a new name.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -30,6 +30,8 @@
 	GossipRejected     ID = 132
 	ZoneClosed         ID = 133
 	ZoneOpened         ID = 134
+	UpstreamRestarted  ID = 135
+	UpstreamOldNews    ID = 136
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -127,6 +129,8 @@
 	{GossipRejected, "gossip-rejected", "A message of another entry cannot be used."},
 	{ZoneClosed, "zone-closed", "Operators closed an availability zone: its upstreams get no new work."},
 	{ZoneOpened, "zone-opened", "Operators opened an availability zone again."},
+	{UpstreamRestarted, "upstream-restarted", "An upstream started again under its name; all that was believed of the earlier start is forgotten, and what ran or was held there is lost."},
+	{UpstreamOldNews, "upstream-old-news", "News of an earlier start of an upstream, or older than what is known, changes nothing."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -85,8 +85,10 @@
 	rec *events.Recorder
 	now func() time.Time
 
-	mu      sync.Mutex
-	byID    map[string]*member
+	mu   sync.Mutex
+	byID map[string]*member
+	// present is the latest start of each upstream, by name; it is in byID as well.
+	present map[string]*member
 	changed func(id string)
 	// left are the times at which upstreams began to leave, by service.
 	left map[string][]time.Time
@@ -118,33 +120,33 @@
 // New returns an empty Set; changed is called, without locks held, with the
 // identifier of each upstream that starts to leave.
 func New(rec *events.Recorder, now func() time.Time, changed func(id string)) *Set {
-	return &Set{rec: rec, now: now, byID: map[string]*member{}, changed: changed, left: map[string][]time.Time{}}
+	return &Set{rec: rec, now: now, byID: map[string]*member{}, present: map[string]*member{}, changed: changed, left: map[string][]time.Time{}}
 }
 
 // Update takes over the records of upstreams. full says that they are all there
 // are. Those missing are taken as gone, unless settled lies in the future: then
-// they have until that time to come back.
+// they have until that time to come back. A record of a start that is not known ends the
+// one before; see latest.
 func (s *Set) Update(records []Record, gone []Gone, full bool, settled time.Time) {
 	s.mu.Lock()
 	var left []string
 	seen := make(map[string]bool, len(records))
 	for _, r := range records {
-		r.ID = r.Name
-		seen[r.ID] = true
-		if s.put(r) {
-			left = append(left, r.ID)
+		seen[r.Name] = true
+		if id, began := s.put(r); began {
+			left = append(left, id)
 		}
 	}
 	if full {
-		for id := range s.byID {
-			if !seen[id] {
-				gone = append(gone, Gone{Name: id})
+		for name := range s.present {
+			if !seen[name] {
+				gone = append(gone, Gone{Name: name})
 			}
 		}
 	}
 	for _, g := range gone {
-		if s.missing(g.Name, settled) {
-			left = append(left, g.Name)
+		if id, began := s.missing(g, settled); began {
+			left = append(left, id)
 		}
 	}
 	s.mu.Unlock()
@@ -153,28 +155,30 @@
 	}
 }
 
-// put takes over one record; it returns true when the upstream starts to leave.
-func (s *Set) put(r Record) bool {
-	now := s.now()
+// put takes over one record; it returns the identifier of the start that the record is
+// of, and whether that begins to leave.
+func (s *Set) put(r Record) (id string, began bool) {
+	r, ok := s.latest(r)
+	if !ok {
+		return "", false
+	}
 	m, ok := s.byID[r.ID]
 	if !ok {
-		m = &member{}
-		s.byID[r.ID] = m
-		s.serving = nil
-		s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
+		m = s.begin(r)
 	}
+	r.Version = max(r.Version, m.Version)
 	m.Record = r
-	m.coldUntil = now.Add(r.ColdFor)
+	m.coldUntil = s.now().Add(r.ColdFor)
 	if r.Leaving {
 		s.said(m)
-		return s.leave(m, "own record")
+		return r.ID, s.leave(m, "own record")
 	}
 	if m.state != Serving && !m.firstHand {
 		m.state, m.until = Serving, time.Time{}
 		s.serving = nil
 		s.rec.Note(events.UpstreamBack, "", "upstream", r.ID)
 	}
-	return false
+	return r.ID, false
 }
 
 // leave notes that an upstream leaves; it returns false if that was known.
@@ -192,20 +196,24 @@
 
 // missing handles an upstream that is no longer in the store. One that leaves
 // without a word still serves for a short time.
-func (s *Set) missing(id string, settled time.Time) bool {
-	m, ok := s.byID[id]
+func (s *Set) missing(g Gone, settled time.Time) (id string, began bool) {
+	m, ok := s.present[g.Name]
 	if !ok {
-		return false
+		return "", false
+	}
+	if g.Version != 0 && g.Version < m.Version {
+		s.rec.Note(events.UpstreamOldNews, "", "upstream", m.ID, "news", "its row is gone", "version", g.Version, "known-version", m.Version)
+		return "", false
 	}
 	if s.now().Before(settled) && m.state != Leaving {
 		if m.state != Lapsed {
-			s.rec.Note(events.UpstreamLapsed, "", "upstream", id, "until", settled.Sub(s.now()))
+			s.rec.Note(events.UpstreamLapsed, "", "upstream", m.ID, "until", settled.Sub(s.now()))
 		}
 		m.state, m.until = Lapsed, settled
 		s.serving = nil
-		return false
+		return "", false
 	}
-	return s.drop(m)
+	return m.ID, s.drop(m)
 }
 
 // keepGone is how long an upstream that left the store is remembered, so that
@@ -232,7 +240,7 @@
 				left = append(left, id)
 			}
 		case Leaving:
-			delete(s.byID, id)
+			s.forget(m)
 			s.rec.Note(events.UpstreamGone, "", "upstream", id)
 		case Serving:
 			m.until = time.Time{}
--- a/internal/fleet/starts_test.go
+++ b/internal/fleet/starts_test.go
@@ -14,9 +14,9 @@
 	return r
 }
 
-// startLeaving is such a record of one that leaves.
-func startLeaving(name string, born, version int64) Record {
-	r := start(name, born, version)
+// startLeaving is such a record of an upstream a that leaves.
+func startLeaving(born, version int64) Record {
+	r := start("a", born, version)
 	r.Leaving = true
 	return r
 }
@@ -42,7 +42,7 @@
 		{"a new name", nil},
 		{"it served", func(*fixture, string) {}},
 		{"its record said that it leaves", func(f *fixture, _ string) {
-			f.Update([]Record{startLeaving("a", 100, 2)}, nil, false, time.Time{})
+			f.Update([]Record{startLeaving(100, 2)}, nil, false, time.Time{})
 		}},
 		{"its report said that it leaves", func(f *fixture, id string) { f.ReportedLeaving(id) }},
 		{"it said so and its row went", func(f *fixture, id string) {
@@ -119,16 +119,16 @@
 			f.Update([]Record{start("a", 100, 5)}, nil, false, time.Time{})
 		}},
 		{"its record that it leaves", start("a", 100, 5), start("a", 200, 8), func(f *fixture, _ string) {
-			f.Update([]Record{startLeaving("a", 100, 7)}, nil, false, time.Time{})
+			f.Update([]Record{startLeaving(100, 7)}, nil, false, time.Time{})
 		}},
 		{"its record without a version", start("a", 100, 0), start("a", 200, 0), func(f *fixture, _ string) {
-			f.Update([]Record{startLeaving("a", 100, 0)}, nil, false, time.Time{})
+			f.Update([]Record{startLeaving(100, 0)}, nil, false, time.Time{})
 		}},
 		{"its record in a whole list", start("a", 100, 5), start("a", 200, 8), func(f *fixture, _ string) {
-			f.Update([]Record{startLeaving("a", 100, 7), start("other", 1, 1)}, nil, true, time.Time{})
+			f.Update([]Record{startLeaving(100, 7), start("other", 1, 1)}, nil, true, time.Time{})
 		}},
 		{"its record, after the clock of the later one jumped back", start("a", 200, 5), start("a", 100, 8), func(f *fixture, _ string) {
-			f.Update([]Record{startLeaving("a", 200, 7)}, nil, false, time.Time{})
+			f.Update([]Record{startLeaving(200, 7)}, nil, false, time.Time{})
 		}},
 		{"the removal of its row", start("a", 100, 5), start("a", 200, 8), func(f *fixture, _ string) {
 			f.Update(nil, []Gone{{Name: "a", Version: 7}}, false, time.Time{})
@@ -188,8 +188,8 @@
 		name           string
 		earlier, later Record
 	}{
-		{"clocks that go on", startLeaving("a", 100, 5), start("a", 200, 8)},
-		{"a clock that jumped back", startLeaving("a", 200, 5), start("a", 100, 8)},
+		{"clocks that go on", startLeaving(100, 5), start("a", 200, 8)},
+		{"a clock that jumped back", startLeaving(200, 5), start("a", 100, 8)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			ahead, behind := newFixture(), newFixture()
@@ -223,3 +223,57 @@
 		})
 	}
 }
+
+// TestStartIdentifiers: two starts that shared an identifier would share what is believed
+// of them.
+func TestStartIdentifiers(t *testing.T) {
+	seen := map[string]string{}
+	for _, tc := range []struct {
+		name, upstream string
+		born           int64
+	}{
+		{"one that does not tell its birth", "a", 0},
+		{"a start", "a", 36},
+		{"a later start", "a", 37},
+		{"a birth before the epoch", "a", -36},
+		{"a birth far in the future", "a", 1 << 62},
+		{"another upstream", "b", 36},
+		{"a name that looks like a start", "a@10", 0},
+		{"a name that looks like one without a birth", "a@", 0},
+		{"a start under a name that looks like a start", "a@10", 36},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			id := startID(tc.upstream, tc.born)
+			if other, taken := seen[id]; taken {
+				t.Errorf("%q is also the identifier of %s", id, other)
+			}
+			seen[id] = tc.name
+		})
+	}
+}
+
+// A record without a birth tells of no other start: what is believed stays.
+func TestRecordWithoutABirthIsOfTheKnownStart(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{start("a", 100, 1)}, nil, true, time.Time{})
+	id := f.working("a")[0]
+	f.Note(id, Faulty)
+	f.Update([]Record{start("a", 0, 2)}, nil, false, time.Time{})
+	if got := f.working("a"); !slices.Equal(got, []string{id}) {
+		t.Fatalf("work goes to %v, want %s as before", got, id)
+	}
+	if u, _ := f.Get(id); !u.Suspect(f.at) || u.Version != 2 {
+		t.Errorf("%+v, want the newer row and what was believed", u)
+	}
+}
+
+// Two upstreams may be listed with one address while one of them is gone: an answer that
+// tells so of one must not take the other away.
+func TestTwoUpstreamsWithOneAddress(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{start("a", 100, 1), start("b", 200, 2)}, nil, true, time.Time{})
+	f.MarkLeaving(f.working("a")[0], "another upstream has its address")
+	if a, b := f.working("a"), f.working("b"); len(a) != 0 || len(b) != 1 {
+		t.Errorf("work goes to %v and %v, want b only", a, b)
+	}
+}
