test: the time of birth of an upstream is not read

Cause: rows and engine reports tell when their upstream was born. Nothing reads it, so all starts of an upstream look the same and the report of one counts for another.

Change: tests of what a row and a report may say there, and of reports of other starts. No logic is changed.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -103,6 +103,9 @@
 			if strings.Contains(string(body), "waiting") {
 				s.Waiting = 1
 			}
+			if _, born, ok := strings.Cut(string(body), "born "); ok {
+				s.Born, _ = strconv.ParseInt(born, 10, 64)
+			}
 			return s, nil
 		},
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -110,6 +110,8 @@
 
 // EngineState is what an engine says of itself, as it was some time before.
 type EngineState struct {
+	// Born is the Unix millisecond of its start, 0 if it does not say.
+	Born int64
 	// Leaving tells that the engine is about to leave.
 	Leaving bool
 	// Waiting is the number of requests that it has not let in.
