--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -43,6 +44,11 @@
 	ctx, cancel := context.WithTimeout(ctx, inquireWithin)
 	defer cancel()
 	state, err := g.askState(ctx, u)
+	if err == nil && state.Born != 0 && u.Born != 0 && state.Born != u.Born {
+		// Reports are old, and a start may have the address of the one before: this one
+		// tells nothing of the start that was asked.
+		state, err = protocol.EngineState{}, fmt.Errorf("%w: born %d, want %d", errOtherStart, state.Born, u.Born)
+	}
 	g.rec.Note(events.UpstreamAsked, "", "upstream", u.ID, "why", why, "leaving", state.Leaving, "waiting", state.Waiting, "unbegun", state.Unbegun, "error", err)
 	if state.Leaving {
 		g.fleet.ReportedLeaving(u.ID)
@@ -50,6 +56,9 @@
 	return state, err
 }
 
+// errOtherStart is for a report that another start of the engine made.
+var errOtherStart = errors.New("report is of another start")
+
 func (g *Gateway) mayInquire(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
