test: orders and copies of an earlier start go to the later one

Cause: a start has the address of the one before. Generations and copies that were at the earlier one are still moved, asked for and released there.

Change: tests of generations, evacuations, copies under way and copies held at an engine that starts again. A stand-in engine can break what it sends and serve on. No logic is changed.

--- a/internal/gateway/starts_test.go
+++ b/internal/gateway/starts_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/protocol"
 )
 
 // record returns the record of an upstream of a test.
@@ -64,3 +66,164 @@
 		})
 	}
 }
+
+// started asks for a generation and waits until the caller has some of it.
+func (f *fixture) started(path string) (result chan answer, at string) {
+	f.t.Helper()
+	result = make(chan answer, 1)
+	go func() { result <- f.ask(path) }()
+	at = f.waitRunning()
+	time.Sleep(20 * time.Millisecond)
+	return result, at
+}
+
+// TestStreamsOnAStartThatEnded covers a generation whose engine starts again under its
+// name: it is lost as by a crash, which tells nothing of the later start, and nothing is
+// moved away from that.
+func TestStreamsOnAStartThatEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		// breaks tells that the connections to the earlier start break, before or after
+		// the record of the later one comes.
+		breaksBefore, breaksAfter bool
+		leaves                    bool
+		whole                     bool
+		runs                      int
+	}{
+		{"it breaks after the record of the later start", pathStream, false, true, false, false, 1},
+		{"it breaks before the record of the later start", pathStream, true, false, false, false, 1},
+		{"one that may be resumed goes on at the later start", pathResume, false, true, false, true, 2},
+		{"its connection holds", pathStream, false, false, false, true, 1},
+		{"the earlier start left", pathStream, false, false, true, true, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			e := f.addEngine("a")
+			e.copies, e.pace = []protocol.CopyResult{{Outcome: protocol.NoSuchRun}}, 5*time.Millisecond
+			earlier := f.restart("a", 1)
+			result, _ := f.started(tc.path)
+			if tc.breaksBefore {
+				e.crash()
+				<-time.After(20 * time.Millisecond)
+			}
+			if tc.leaves {
+				f.fleet.MarkLeaving(earlier.ID, "test")
+			}
+			later := f.restart("a", 2)
+			if load := f.gateway.ledger.total(later.ID); load != (gossip.Load{}) {
+				t.Errorf("the later start has the load %+v of the earlier one", load)
+			}
+			if tc.breaksAfter {
+				e.crash()
+			}
+			got := <-result
+			if whole := got.err == nil && got.body == wholeStream(); whole != tc.whole {
+				t.Errorf("whole %v (%v), want %v", whole, got.err, tc.whole)
+			}
+			if e.runs() != tc.runs {
+				t.Errorf("%d runs, want %d", e.runs(), tc.runs)
+			}
+			later, known := f.fleet.Get(later.ID)
+			if !known || later.State() != fleet.Serving || later.AvoidUntil().After(time.Now()) {
+				t.Errorf("%+v, want the later start in use", later)
+			}
+		})
+	}
+}
+
+// TestNothingIsMovedFromAStartThatEnded covers an evacuation that is under way when its
+// engine starts again: the later start knows none of the generations.
+func TestNothingIsMovedFromAStartThatEnded(t *testing.T) {
+	f := newFixture(t)
+	a := f.addEngine("a")
+	a.copies, a.pace, a.copyWait = []protocol.CopyResult{{Outcome: protocol.NoSuchRun}}, 10*time.Millisecond, make(chan struct{})
+	earlier := f.restart("a", 1)
+	var results []chan answer
+	for range 3 {
+		result, _ := f.started(pathStream)
+		results = append(results, result)
+	}
+	f.addEngine("b")
+	f.restart("a", 1)
+	f.fleet.MarkLeaving(earlier.ID, "test")
+	time.Sleep(20 * time.Millisecond)
+	f.restart("a", 2)
+	close(a.copyWait)
+	for _, result := range results {
+		if got := <-result; got.body != wholeStream() {
+			t.Errorf("%v, %q; want what the earlier start still sends", got.err, got.body)
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.orders) != 1 {
+		t.Errorf("orders %v, want the one that was under way", a.orders)
+	}
+}
+
+// TestCopyUnderWayToAStartThatEnded covers a target that starts again while a memory is
+// copied to it: it holds nothing, so the generation is not stopped for that copy, and it
+// is not told to release what it may hold for others under the same handle.
+func TestCopyUnderWayToAStartThatEnded(t *testing.T) {
+	f := newFixture(t)
+	a := f.addEngine("a")
+	a.copies = []protocol.CopyResult{{Handle: "h1"}, {Handle: "h2"}, {Handle: "h3"}}
+	a.pace, a.copyWait = 5*time.Millisecond, make(chan struct{})
+	from := f.restart("a", 1)
+	result, _ := f.started(pathStream)
+	b := f.addEngine("b")
+	b.copies = []protocol.CopyResult{{}}
+	f.restart("a", 1)
+	f.restart("b", 1)
+	f.fleet.MarkLeaving(from.ID, "test")
+	time.Sleep(20 * time.Millisecond)
+	f.restart("b", 2)
+	close(a.copyWait)
+	if got := <-result; got.err != nil || got.body != wholeStream() {
+		t.Errorf("%v, %q; want every event once", got.err, got.body)
+	}
+	if b.runs() != 1 || b.header(0).Get(testFrom) != "h2" {
+		t.Errorf("%d runs at the target, want one from the copy that the later start holds", b.runs())
+	}
+	time.Sleep(20 * time.Millisecond)
+	// The copy that was not needed in the end is released.
+	if n := b.released(); n > 1 {
+		t.Errorf("%d copies released at the later start, want only its own", n)
+	}
+}
+
+// TestCopiesHeldAtAStartThatEnded covers copies that are complete when the engine that
+// holds them starts again: they are gone, and nobody asks the later start for them.
+func TestCopiesHeldAtAStartThatEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// at are the engines that hold the first and the second copy.
+		at   [2]string
+		want string
+	}{
+		{"the first one", [2]string{"a", "b"}, "h2"},
+		{"the second one", [2]string{"b", "a"}, "h1"},
+		{"both", [2]string{"a", "a"}, ""},
+		{"none", [2]string{"b", "b"}, "h1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			a, b := f.addEngine("a"), f.addEngine("b")
+			a.copies, b.copies = []protocol.CopyResult{{}}, []protocol.CopyResult{{}}
+			held := map[string]fleet.Upstream{"a": f.restart("a", 1), "b": f.restart("b", 1)}
+			s := &stream{g: f.gateway, rq: &request{}, copies: []heldCopy{
+				{copy: protocol.Copy{Handle: "h1"}, at: held[tc.at[0]]}, {copy: protocol.Copy{Handle: "h2"}, at: held[tc.at[1]]},
+			}}
+			f.restart("a", 2)
+			got, ok := s.takeCopy()
+			if ok != (tc.want != "") || got.copy.Handle != tc.want {
+				t.Errorf("goes on from %q (%v), want %q", got.copy.Handle, ok, tc.want)
+			}
+			s.end()
+			time.Sleep(20 * time.Millisecond)
+			if n := a.released(); n != 0 {
+				t.Errorf("the later start is told %d times to release what it does not hold", n)
+			}
+		})
+	}
+}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -56,6 +56,14 @@
 	return e
 }
 
+// crash breaks the answers that are under way; what comes later is served.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.stopped)
+	e.stopped = make(chan struct{})
+}
+
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/copy"):
@@ -93,7 +101,7 @@
 	if refused {
 		e.refuse--
 	}
-	breakAfter := e.breakAfter
+	breakAfter, stopped := e.breakAfter, e.stopped
 	e.breakAfter = 0
 	e.mu.Unlock()
 	if refused {
@@ -104,7 +112,7 @@
 	from, _ := strconv.Atoi(r.Header.Get(testLast))
 	for i := from + 1; i <= lastTestEvent; i++ {
 		select {
-		case <-e.stopped:
+		case <-stopped:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
