test: outages, plain calls, loads and connections around a start

Cause: what ends with a start was tested of the fleet, generations and copies only.

Change: cases of lapses and whole lists around an outage of the store; plain calls in flight at a start that ends; load and kept prompt parts, also as other entries tell them late; rows with births, versions and one address on their way to the fleet; kept connections to an address that a later start has. upstream-joined tells name, birth and version.

All pass now, those of the gateway with the race detector.

Conclusion: the kept connections needed no change: the close of one is noticed before the next request.

--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -62,7 +62,7 @@
 	m := &member{}
 	s.byID[r.ID], s.present[r.Name] = m, m
 	s.serving = nil
-	s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
+	s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "name", r.Name, "born", r.Born, "version", r.Version, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
 	return m
 }
 
--- a/internal/fleet/starts_test.go
+++ b/internal/fleet/starts_test.go
@@ -59,6 +59,15 @@
 		{"it lapsed during an outage", func(f *fixture, _ string) {
 			f.Update([]Record{start("other", 1, 1)}, nil, true, f.at.Add(time.Minute))
 		}},
+		{"its lapse ended", func(f *fixture, _ string) {
+			f.Update(nil, []Gone{{Name: "a", Version: 3}}, false, f.at.Add(time.Second))
+			f.at = f.at.Add(2 * time.Second)
+			f.Sweep()
+		}},
+		{"it was back after a lapse", func(f *fixture, _ string) {
+			f.Update(nil, []Gone{{Name: "a", Version: 3}}, false, f.at.Add(time.Second))
+			f.Update([]Record{start("a", 100, 4)}, nil, false, f.at.Add(time.Second))
+		}},
 		{"its connection broke", func(f *fixture, id string) { f.Note(id, Broken) }},
 		{"it had a fault", func(f *fixture, id string) { f.Note(id, Faulty) }},
 		{"another entry met a fault there", func(f *fixture, id string) { f.PeerFaults("b", map[string]time.Time{id: f.at}) }},
@@ -106,6 +115,27 @@
 	}
 }
 
+// A whole list that comes after an outage may hold the later start of an upstream and lack
+// others: only those lapse, and a start that is missing in the next list lapses by itself.
+func TestStartDuringAnOutageOfTheStore(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{start("a", 100, 1), start("b", 100, 2)}, nil, true, time.Time{})
+	settled := f.at.Add(10 * time.Second)
+	f.Update([]Record{start("a", 200, 5)}, nil, true, settled)
+	a := f.working("a")
+	if len(a) != 1 || len(f.working("b")) != 0 {
+		t.Fatalf("work goes to %v and %v, want the later start of a only", a, f.working("b"))
+	}
+	f.Update([]Record{start("b", 100, 2)}, nil, true, settled)
+	if u, known := f.Get(a[0]); !known || u.State() != Lapsed {
+		t.Errorf("known %v, state %d; want that the later start has time to come back", known, u.State())
+	}
+	f.Update([]Record{start("a", 200, 6)}, nil, false, settled)
+	if got := f.working("a"); !slices.Equal(got, a) || len(f.left) != 0 {
+		t.Errorf("work goes to %v, left %v; want the later start, back", got, f.left)
+	}
+}
+
 // TestNewsOfAnEarlierStart covers that nothing that is learnt late of an earlier start
 // changes what is believed of the later one.
 func TestNewsOfAnEarlierStart(t *testing.T) {
--- a/internal/gateway/starts_test.go
+++ b/internal/gateway/starts_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -227,3 +228,68 @@
 		})
 	}
 }
+
+// TestCallsAtAStartThatEnded covers plain calls that are in flight when their upstream
+// starts again at its address: they are lost as by a crash, and only those that may run
+// twice are sent to the later start.
+func TestCallsAtAStartThatEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name, path   string
+		status, runs int
+	}{
+		{"one that may run twice", pathSafe, http.StatusOK, 2},
+		{"one that may run once", pathOnce, http.StatusBadGateway, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			began, restarted := make(chan struct{}), make(chan struct{})
+			var first sync.Once
+			a := f.add("app", "a", func(w http.ResponseWriter, r *http.Request) {
+				crash := false
+				first.Do(func() { crash = true })
+				if crash {
+					close(began)
+					<-restarted
+					panic(http.ErrAbortHandler)
+				}
+				serveOK(w, r)
+			})
+			f.restart("a", 1)
+			result := make(chan answer, 1)
+			go func() { result <- f.ask(tc.path) }()
+			<-began
+			later := f.restart("a", 2)
+			close(restarted)
+			if got := <-result; got.status != tc.status || a.runs() != tc.runs {
+				t.Errorf("status %d after %d runs, want %d after %d", got.status, a.runs(), tc.status, tc.runs)
+			}
+			if u, _ := f.fleet.Get(later.ID); u.FailureRate() != 0 || u.AvoidUntil().After(time.Now()) {
+				t.Errorf("%+v, want that the break tells nothing of the later start", u)
+			}
+			if got := a.header(0).Get(testUpstream); got != "a" {
+				t.Errorf("the upstream is called %q on the wire, want its name", got)
+			}
+		})
+	}
+}
+
+// What was sent to an earlier start, by this entry or another one, is neither load nor kept
+// memory of the later one, also if it is told late.
+func TestLoadAndPrefixesEndWithTheStart(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("a")
+	earlier := f.restart("a", 1)
+	shared := []protocol.PromptPart{{ID: "p", Tokens: 500}}
+	f.gateway.prefixes.note(earlier.ID, shared, time.Now())
+	f.gateway.ledger.take(earlier.ID, gossip.Load{Running: 1, Held: 10})
+	f.gateway.PeerLoad("b", map[string]gossip.Load{earlier.ID: {Running: 3, Held: 30}})
+	later := f.restart("a", 2)
+	f.gateway.PeerLoad("b", map[string]gossip.Load{earlier.ID: {Running: 9, Held: 90}})
+	c := f.gateway.candidates(f.fleet.Of("llm"), nil, time.Now())
+	if len(c) != 1 || c[0].ID != later.ID || c[0].Load != (gossip.Load{}) || c[0].Rate != 0 {
+		t.Errorf("candidates %+v, want the later start without load", c)
+	}
+	if got := f.gateway.prefixes.kept(later.ID, shared, time.Now()); got != 0 {
+		t.Errorf("%d tokens are kept at the later start, want 0", got)
+	}
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -310,3 +310,31 @@
 		}
 	}
 }
+
+// An upstream that starts again has its address again: what is sent to it must not go over
+// a connection to the earlier start, where nobody could tell whether it ran.
+func TestConnectionToAnEarlierStartIsNotUsed(t *testing.T) {
+	p, address := newPool(), "127.0.0.1:0"
+	for _, id := range []string{"1", "2"} {
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = l.Addr().String()
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			_, _ = io.WriteString(w, "start "+id)
+		})}
+		go func() { _ = s.Serve(l) }()
+		for _, request := range []Request{request(id + "a"), request(id + "b")} {
+			if body, err := ask(t, p, address, request); err != nil || body != "start "+id {
+				t.Errorf("request %s: %q, %v; want the answer of start %s", request.ID, body, err, id)
+			}
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		// The end of the connection must have come.
+		time.Sleep(10 * time.Millisecond)
+	}
+}
