--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -84,4 +84,25 @@
 mutant fleet-closed-draw internal/fleet/set.go 's/ && !s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
 mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRow
 
+starts=internal/fleet/starts.go
+mutant start-own-id $starts 's/case born != 0:/case false:/' internal/fleet TestStartUnderAnEarlierName
+mutant start-id-unique $starts 's/return name \+ startMark\n/return name\n/' internal/fleet TestStartIdentifiers
+mutant start-ended $starts 's/\ts\.forget\(m\)\n\ts\.rec/\ts.rec/' internal/fleet 'TestNewsOfAnEarlierStart|TestStartUnderAnEarlierName'
+mutant start-old-news $starts 's/if older\(r, m\.Record\) \{/if false {/' internal/fleet TestNewsOfAnEarlierStart
+mutant start-version-first $starts 's/r\.Version == 0 \|\| than\.Version == 0 \|\| r\.Version == than\.Version/true/' internal/fleet TestNewsOfAnEarlierStart
+mutant start-birth-unversioned $starts 's/return r\.Born < than\.Born/return false/' internal/fleet TestNewsOfAnEarlierStart
+mutant start-no-birth $starts 's/known && r\.Born == 0/false/' internal/fleet TestRecordWithoutABirth
+mutant start-old-removal internal/fleet/set.go 's/g\.Version != 0 && g\.Version < m\.Version/false/' internal/fleet TestNewsOfAnEarlierStart
+mutant start-listed-name internal/fleet/set.go 's/seen\[r\.Name\] = true/seen[startID(r.Name, r.Born)] = true/; s/if !seen\[name\] \{/if !seen[s.present[name].ID] {/' internal/fleet TestNewsOfAnEarlierStart
+mutant start-version-kept internal/daemon/gatewaystore.go 's/\t\t\tr\.Version = row\.Version\n//' internal/daemon TestUpstreamChangesKeep
+mutant start-removal-version internal/daemon/gatewaystore.go 's/, Version: row\.Version\}\)/})/' internal/daemon TestUpstreamChangesKeep
+mutant start-report $gateway/inquire.go 's/ && state\.Born != u\.Born \{/ \&\& false {/' $gateway TestReportOfAnotherStart
+mutant start-copy-target $gateway/move.go 's/if !g\.there\(target\.ID\) \{/if false {/' $gateway TestCopyUnderWayToAStart
+mutant start-orders $gateway/move.go 's/if !g\.there\(from\.ID\) \{/if false {/' $gateway TestNothingIsMovedFromAStart
+mutant start-release $gateway/move.go 's/if !g\.there\(held\.at\.ID\) \{/if false {/' $gateway TestCopiesHeldAtAStart
+mutant start-copies $gateway/continue.go 's/if s\.g\.there\(held\.at\.ID\) \{/if true {/' $gateway TestCopiesHeldAtAStart
+mutant start-wire-name $gateway/request.go 's/Upstream: u\.Name,/Upstream: u.ID,/' $gateway TestCallsAtAStart
+mutant start-row platform/upstreams.go 's/Born: s\.Born, //' platform TestBirthInARow
+mutant start-reported platform/engine.go 's/\t\tBorn:    r\.Born,\n//' platform TestBirthInAReport
+
 finish
