test: the tests of starts wait for what they need and not for a time

Cause: four waits of 20 ms stood for a generation that has begun, a break that is noticed and an order that has come; on a busy machine they may be too short.

Change: each waits for that itself.

Conclusion: these tests do not go by the speed of the machine.

--- a/internal/gateway/starts_test.go
+++ b/internal/gateway/starts_test.go
@@ -72,12 +72,37 @@
 func (f *fixture) started(path string) chan answer {
 	f.t.Helper()
 	result := make(chan answer, 1)
+	before := f.begun()
 	go func() { result <- f.ask(path) }()
-	f.waitRunning()
-	time.Sleep(20 * time.Millisecond)
+	f.until("a generation has begun", func() bool { return f.begun() > before })
 	return result
 }
 
+// begun is the number of generations that run and of which the caller has a part.
+func (f *fixture) begun() int {
+	f.gateway.mu.Lock()
+	defer f.gateway.mu.Unlock()
+	n := 0
+	for _, streams := range f.gateway.streams {
+		for s := range streams {
+			if s.made() > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// until waits for what must come true.
+func (f *fixture) until(what string, come func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !come(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
 // TestStreamsOnAStartThatEnded covers a generation whose engine starts again under its
 // name: it is lost as by a crash, which tells nothing of the later start, and nothing is
 // moved away from that.
@@ -105,7 +130,7 @@
 			result := f.started(tc.path)
 			if tc.breaksBefore {
 				e.crash()
-				<-time.After(20 * time.Millisecond)
+				f.until("the break is noticed", func() bool { return len(f.gateway.Streams()) == 0 })
 			}
 			if tc.leaves {
 				f.fleet.MarkLeaving(earlier.ID, "test")
@@ -137,7 +162,7 @@
 func TestNothingIsMovedFromAStartThatEnded(t *testing.T) {
 	f := newFixture(t)
 	a := f.addEngine("a")
-	a.copies, a.pace, a.copyWait = []protocol.CopyResult{{Outcome: protocol.NoSuchRun}}, 10*time.Millisecond, make(chan struct{})
+	a.copies, a.pace, a.copyWait = []protocol.CopyResult{{Outcome: protocol.NoSuchRun}}, 20*time.Millisecond, make(chan struct{})
 	earlier := f.restart("a", 1)
 	var results []chan answer
 	for range 3 {
@@ -147,7 +172,7 @@
 	f.addEngine("b")
 	f.restart("a", 1)
 	f.fleet.MarkLeaving(earlier.ID, "test")
-	time.Sleep(20 * time.Millisecond)
+	f.until("a copy is ordered", func() bool { return a.ordered() > 0 })
 	f.restart("a", 2)
 	close(a.copyWait)
 	for _, result := range results {
@@ -177,7 +202,7 @@
 	f.restart("a", 1)
 	f.restart("b", 1)
 	f.fleet.MarkLeaving(from.ID, "test")
-	time.Sleep(20 * time.Millisecond)
+	f.until("a copy is ordered", func() bool { return a.ordered() > 0 })
 	f.restart("b", 2)
 	close(a.copyWait)
 	if got := <-result; got.err != nil || got.body != wholeStream() {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -39,6 +39,8 @@
 	// copyWait, if set, holds the answers to orders to copy back until it is closed.
 	copyWait chan struct{}
 	orders   []string
+	// arrived counts the orders, also those that copyWait holds back.
+	arrived int
 	// releases counts the orders to release a copy.
 	releases int
 }
@@ -75,7 +77,17 @@
 	}
 }
 
+// ordered returns how many orders to copy or to release a copy have come.
+func (e *engine) ordered() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
+}
+
 func (e *engine) serveCopy(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.arrived++
+	e.mu.Unlock()
 	if e.copyWait != nil && r.Method == http.MethodPost {
 		<-e.copyWait
 	}
