test: the size of messages where upstreams tell their births

Cause: the identifier of a start is longer by its birth, and stands in each message to other entries for each upstream with requests in flight. The bound on the size of a message was tested with identifiers without births only.

Change: the same message with births has a bound of its own, beside the one without, and is read back.

--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -49,6 +49,31 @@
 	}
 }
 
+// TestMessageSizeWithBirths bounds the same message where upstreams tell their births: what
+// tells the starts of an upstream apart is part of each identifier.
+func TestMessageSizeWithBirths(t *testing.T) {
+	const most = 450
+	now := time.Now()
+	s := busyState(now)
+	plain := s.Loads
+	s.Loads = map[string]Load{}
+	for id, load := range plain {
+		s.Loads[id+"@mip8q2rf"] = load
+	}
+	d := encodeState(t, s, now)
+	t.Logf("%d bytes", len(d))
+	if len(d) > most {
+		t.Errorf("%d bytes, want at most %d", len(d), most)
+	}
+	m, err := decode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := m.state(now).Loads; !reflect.DeepEqual(got, s.Loads) {
+		t.Errorf("loads %v, want %v", got, s.Loads)
+	}
+}
+
 func TestMessageArrivesAsSent(t *testing.T) {
 	now := time.Now()
 	want := busyState(now)
