test: the mutants of closed zones apply again

Cause: since those that serve are kept as a list, the text that fleet-closed replaced is not there any more, so the mutants stopped at it; fleet-closed-draw had come to remove the check of lapsed upstreams and none that of the list.

Change: one mutant for each of the two checks, as many as before.

Conclusion: the mutants run to their end.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -80,8 +80,8 @@
 mutant relay-second-delegate internal/relay/store.go 's/for range maxAsked \{\n\t\tvar p Peer/for range 1 {\n\t\tvar p Peer/' internal/relay TestAnotherDelegate
 mutant relay-told-anew internal/relay/log.go 's/\t\tt\.told = answer\{\}\n//' internal/relay TestAnswersAreEncodedOnce
 mutant follower-pause internal/belief/follower.go 's/f\.settings\.Wait - f\.now\(\)\.Sub\(f\.confirmed\)/f.settings.Wait/' internal/belief TestPauseAfterAChange
-mutant fleet-closed internal/fleet/set.go 's/ \|\| s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
-mutant fleet-closed-draw internal/fleet/set.go 's/ && !s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
+mutant fleet-closed internal/fleet/set.go 's/m\.state == Serving && !s\.closed\[m\.Zone\]/m.state == Serving/' internal/fleet TestClosedZone
+mutant fleet-closed-lapsed internal/fleet/set.go 's/m\.state == Lapsed && !s\.closed\[m\.Zone\]/m.state == Lapsed/' internal/fleet TestClosedZone
 mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRow
 
 starts=internal/fleet/starts.go
