refactor: all servers of a process stop by one rule

The gateway's listeners for callers, readiness and metrics and those of entries and sidecars are one type; none is ended by net/http's Shutdown any more, which drops what it has read. What a call does with an attempt's end stands once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/sparshore/sparshore/internal/belief"
-	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gateway"
@@ -171,14 +169,12 @@
 	fleet   *fleet.Set
 	pool    *link.Pool
 	gateway *gateway.Gateway
-	callers *http.Server
-	// connections are those of callers.
-	connections *connlimit.Limiter
-	tables      *belief.Follower
-	members     *belief.Follower
-	gossip      *gossip.Node
-	ctx         context.Context
-	cancel      context.CancelFunc
+	callers *httpServer
+	tables  *belief.Follower
+	members *belief.Follower
+	gossip  *gossip.Node
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -42,23 +42,23 @@
 func (b *gatewayBuilder) metricsService() kernel.Service {
 	r := mux.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
-	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader}, plainListener)
+	return b.listenService(serviceMetrics, "--metrics-listen", b.settings.MetricsListen, &httpServer{server: &http.Server{Handler: r, ReadHeaderTimeout: callerHeader}, connections: unlimited()})
 }
 
 func (b *gatewayBuilder) readinessService() kernel.Service {
 	r := mux.NewRouter()
 	r.HandleFunc(platform.PathReady, b.gateway.Ready).Methods(http.MethodGet)
-	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}, plainListener)
+	return b.listenService(serviceReadiness, "--ready-listen", b.settings.ReadyListen, &httpServer{server: &http.Server{Handler: r, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}, connections: unlimited()})
 }
 
 func (b *gatewayBuilder) callerService() kernel.Service {
-	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
-	b.connections = connlimit.New(b.callerLimits, func(c net.Conn, why string) {
+	connections := connlimit.New(b.callerLimits, func(c net.Conn, why string) {
 		b.rec.Note(events.CallerEnded, "", "caller", c.RemoteAddr().String(), "why", why)
 	}, func(c *connlimit.Conn, request string, err error) {
 		b.rec.Note(events.AnswerUndelivered, request, "caller", c.Caller(), "ended-here", c.EndedHere(), "error", err)
 	})
-	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers, b.connections.Install)
+	b.callers = &httpServer{server: &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}, connections: connections}
+	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
 }
 
 // callerLimits are the operator's limits for callers' connections.
@@ -71,11 +71,8 @@
 	return connlimit.Limits{Header: limits.HeaderWithin, Idle: limits.IdleWithin}
 }
 
-// plainListener is for servers whose connections need no care.
-func plainListener(_ *http.Server, l net.Listener) net.Listener { return l }
-
-// listenService serves HTTP at an address; install returns the listener to serve.
-func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *http.Server, install func(s *http.Server, l net.Listener) net.Listener) kernel.Service {
+// listenService serves HTTP at an address.
+func (b *gatewayBuilder) listenService(name kernel.Name, flag, address string, s *httpServer) kernel.Service {
 	return kernel.Service{
 		Name:  name,
 		Build: func(*kernel.Registry) (any, error) { return s, nil },
@@ -84,15 +81,14 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", flag, err)
 			}
-			l = install(s, l)
-			go func() { _ = s.Serve(l) }()
+			s.start(l)
 			return nil
 		},
 		Stop: func(ctx context.Context, _ *kernel.Registry) error {
-			if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-				return err
+			if err := s.stop(ctx); err != nil {
+				b.rec.Note(events.DrainTooShort, "", "listener", flag, "error", err)
 			}
-			return s.Close()
+			return nil
 		},
 	}
 }
@@ -121,11 +117,11 @@
 	ctx = context.WithoutCancel(ctx)
 	served, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerSpare))
 	defer cancel()
-	if err := b.connections.Drain(served); err != nil {
+	if err := b.callers.connections.Drain(served); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
 		b.giveUp(ctx)
 	}
-	return b.callers.Close()
+	return b.callers.server.Close()
 }
 
 // giveUp lets the gateway answer what is still in flight. The time for that runs from
@@ -135,7 +131,7 @@
 	b.gateway.GiveUp()
 	ctx, cancel := context.WithTimeout(ctx, gateway.AnswerSpare)
 	defer cancel()
-	if err := b.connections.Drain(ctx); err != nil {
+	if err := b.callers.connections.Drain(ctx); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
 	}
 }
--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -17,29 +17,22 @@
 	callerSendBuffer = 32 << 10
 )
 
-// httpServer serves HTTP at one address until it is stopped.
+// httpServer serves HTTP on one listener until it is stopped.
 type httpServer struct {
 	server      *http.Server
 	connections *connlimit.Limiter
 	listener    net.Listener
 }
 
-func newHTTPServer(h http.Handler) *httpServer {
-	return &httpServer{
-		server:      &http.Server{Handler: h, ReadHeaderTimeout: headerWithin},
-		connections: connlimit.New(func() connlimit.Limits { return connlimit.Limits{} }, func(net.Conn, string) {}, func(*connlimit.Conn, string, error) {}),
-	}
+// unlimited are connections that only the server's own times and a stop end.
+func unlimited() *connlimit.Limiter {
+	return connlimit.New(func() connlimit.Limits { return connlimit.Limits{} }, func(net.Conn, string) {}, func(*connlimit.Conn, string, error) {})
 }
 
-// start listens at an address and serves in the background.
-func (s *httpServer) start(address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	s.listener = s.connections.Install(s.server, smallBuffers{l})
+// start serves in the background.
+func (s *httpServer) start(l net.Listener) {
+	s.listener = s.connections.Install(s.server, l)
 	go func() { _ = s.server.Serve(s.listener) }()
-	return nil
 }
 
 // stop takes no new connections, ends idle ones and waits for the requests in flight
--- a/internal/daemon/httpserver_test.go
+++ b/internal/daemon/httpserver_test.go
@@ -9,11 +9,25 @@
 	"testing"
 )
 
+func newTestServer(h http.Handler) *httpServer {
+	return &httpServer{server: &http.Server{Handler: h}, connections: unlimited()}
+}
+
+// listen starts a server on a free port.
+func listen(t *testing.T, s *httpServer) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.start(smallBuffers{l})
+}
+
 // A process stops when the headers of a request on a kept connection have just been read
 // and its handler has not begun. The server dropped the request and closed the connection
 // without an answer. The server is held there until the stop has closed the listener.
 func TestRequestReadAsTheServerStopsIsAnswered(t *testing.T) {
-	s := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }))
+	s := newTestServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }))
 	requests, read := 0, make(chan struct{})
 	s.server.BaseContext = func(l net.Listener) context.Context {
 		states := s.server.ConnState
@@ -29,9 +43,7 @@
 		}
 		return context.Background()
 	}
-	if err := s.start("127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
+	listen(t, s)
 	client := &http.Client{Transport: &http.Transport{}}
 	url := "http://" + s.listener.Addr().String()
 	if got, err := body(client.Get(url + "/first")); err != nil || got != "/first" {
@@ -74,16 +86,14 @@
 // for a request than it may.
 func TestStopEndsWithoutRequestsAndAtItsDeadline(t *testing.T) {
 	running, end := make(chan struct{}), make(chan struct{})
-	s := newHTTPServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	s := newTestServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
 			close(running)
 			<-end
 		}
 	}))
 	defer close(end)
-	if err := s.start("127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
+	listen(t, s)
 	client, other := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
 	url := "http://" + s.listener.Addr().String()
 	asked := make(chan error)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -171,16 +171,18 @@
 			if err != nil {
 				return nil, err
 			}
-			return newHTTPServer(h), nil
+			return &httpServer{server: &http.Server{Handler: h, ReadHeaderTimeout: headerWithin}, connections: unlimited()}, nil
 		},
 		Start: func(_ context.Context, r *kernel.Registry) error {
 			s, err := kernel.Lookup[*httpServer](r, serviceHTTP)
 			if err != nil {
 				return err
 			}
-			if err := s.start(n.settings.HTTPListen); err != nil {
+			l, err := net.Listen("tcp", n.settings.HTTPListen)
+			if err != nil {
 				return fmt.Errorf("--http-listen: %w", err)
 			}
+			s.start(smallBuffers{l})
 			n.rec.Note(events.ProcessStarted, "", "http", s.listener.Addr(), "role", n.identity.Role())
 			return nil
 		},
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -32,13 +32,13 @@
 		settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: 3 * time.Second}}
 	service := b.callerService()
 	shutDown, read, address := make(chan struct{}), make(chan struct{}), make(chan net.Addr, 1)
-	b.callers.RegisterOnShutdown(func() { close(shutDown) })
+	b.callers.server.RegisterOnShutdown(func() { close(shutDown) })
 	requests := atomic.Int32{}
-	b.callers.BaseContext = func(l net.Listener) context.Context {
+	b.callers.server.BaseContext = func(l net.Listener) context.Context {
 		// The second request is held between its reading and its handler while the
 		// entry stops.
-		hook := b.callers.ConnState
-		b.callers.ConnState = func(c net.Conn, state http.ConnState) {
+		hook := b.callers.server.ConnState
+		b.callers.server.ConnState = func(c net.Conn, state http.ConnState) {
 			hook(c, state)
 			if state == http.StateActive && requests.Add(1) == 2 {
 				close(read)
@@ -84,7 +84,7 @@
 			<-over
 		})
 		service, address := b.callerService(), make(chan net.Addr, 1)
-		b.callers.BaseContext = func(l net.Listener) context.Context {
+		b.callers.server.BaseContext = func(l net.Listener) context.Context {
 			address <- l.Addr()
 			return context.Background()
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -97,10 +97,7 @@
 	for {
 		select {
 		case r := <-c.results:
-			c.running--
-			c.rq.sent = c.rq.sent || r.mayHaveRun()
-			if r.good() {
-				c.blame(true)
+			if c.take(r) {
 				return r, true
 			}
 			if r.usable() {
@@ -121,6 +118,16 @@
 	}
 }
 
+// take notes the end of an attempt and reports whether its answer is the one to give.
+func (c *callRun) take(r result) bool {
+	c.running--
+	c.rq.sent = c.rq.sent || r.mayHaveRun()
+	if r.good() {
+		c.blame(true)
+	}
+	return r.good()
+}
+
 // atTheEnd returns the best answer that is there when the time is over, if there is any:
 // an answer and the end of the time are due at once in a process that did not get to run
 // for a while, and an upstream's own failure says more than that the time is over.
@@ -128,10 +135,7 @@
 	for {
 		select {
 		case r := <-c.results:
-			c.running--
-			c.rq.sent = c.rq.sent || r.mayHaveRun()
-			if r.good() {
-				c.blame(true)
+			if c.take(r) {
 				return r
 			}
 			if !best.usable() {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -53,8 +53,13 @@
 mutant connection-late-close $connlimit/connlimit.go 's/\t\tc\.enter\(idle\)\n/\t\tc.enter(idle)\n\t\tif d := l.limits().Idle; d > 0 {\n\t\t\ttime.AfterFunc(d, func() { l.ended(c, whyIdle); _ = c.Close() })\n\t\t}\n/' $connlimit TestLimitDoesNotEndARequest
 mutant connection-raised $connlimit/conn.go 's/if c\.extend\(\) \{/if false \&\& c.extend() {/' $connlimit TestRaisedLimit
 mutant connection-stop-idle $connlimit/conn.go 's/\tmost := c\.since\n/\tmost := c.since.Add(time.Hour)\n/' $connlimit TestDrain
-mutant connection-stop-shutdown internal/daemon/gatewayhttp.go 's/b\.connections\.Drain\(ctx\)/b.callers.Shutdown(ctx)/' internal/daemon TestStopAnswersWhatWasRead
-mutant connection-last-answer $connlimit/connlimit.go 's/if l\.stops\(\) \{\n\t\t\tw\./if false {\n\t\t\tw./' $connlimit TestDrain
+mutant connection-stop-shutdown internal/daemon/gatewayhttp.go 's/b\.callers\.connections\.Drain\(served\)/b.callers.server.Shutdown(served)/' internal/daemon TestStopAnswersWhatWasRead
+mutant connection-last-answer $connlimit/answerwriter.go 's/if a\.limiter\.stops\(\) \{/if false {/' $connlimit TestDrain
+mutant connection-accepting $connlimit/connlimit.go 's/\t\t\t<-listener\.ended\n/\t\t\t_ = listener.ended\n/' $connlimit TestDrainWaits
+mutant connection-late-stop internal/daemon/gatewayhttp.go 's/\t\tb\.giveUp\(ctx\)\n/\t\t_ = b.giveUp\n/' internal/daemon TestStopThatIsLate
+mutant gateway-at-the-end $gateway/call.go 's/return c\.atTheEnd\(ctx, best\), true/_ = c.atTheEnd\n\t\t\treturn result{err: ctx.Err()}, true/' $gateway 'TestAnswerThatIsThere|TestUpstreamsFailureGoes'
+mutant gateway-panic-answered $gateway/request.go 's/if connlimit\.Begun\(rq\.w\) \{/if true {/' $gateway TestFaultOfThisProgram
+mutant relay-packed internal/relay/records.go 's/return s2\.Encode\(nil, b\), nil/return s2.EncodeBetter(nil, b)[:0:0], nil/' internal/relay TestRecordsComeBack
 mutant placement-overload-age $placement/overload.go 's/min\(ageOfShare\*share, 1\)/0*share/' internal/placement TestOverloadTells
 mutant gateway-blame $gateway/call.go 's/if len\(c\.failed\) > 1 && !served \{/if false {/' $gateway TestWhoIsBlamed
 mutant gateway-copy-outlasts $gateway/move.go 's/context\.WithTimeout\(context\.Background\(\), copyWithin\)/context.WithTimeout(s.rq.caller, copyWithin)/' $gateway TestCopyThatOutlasts
