test: rows of other writers name no upstream to use

Cause: a worker's row may come from another writer. A state that is not known counts as ready, an address that cannot be dialled is dialled, and fields that are missing count as empty.

Change: tables of rows that are to be refused, of values that are no rows and of rows that a right writer may send. What hands rows to the fleet is a type of its own that gets its decoder, so its tests need no words of the platform. The table of changes keeps its cases. No behaviour is changed.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -160,18 +160,20 @@
 type gatewayBuilder struct {
 	settings GatewaySettings
 	// life tells the starts of this process apart.
-	life    string
-	lines   *logline.Writer
-	rec     *events.Recorder
-	reg     *prometheus.Registry
-	store   *product.Store
-	log     *relay.Log
-	source  *relay.Store
-	routes  *belief.Routes
-	fleet   *fleet.Set
-	pool    *link.Pool
-	gateway *gateway.Gateway
-	callers *http.Server
+	life   string
+	lines  *logline.Writer
+	rec    *events.Recorder
+	reg    *prometheus.Registry
+	store  *product.Store
+	log    *relay.Log
+	source *relay.Store
+	routes *belief.Routes
+	fleet  *fleet.Set
+	// upstreams takes over the rows of the fleet.
+	upstreams *upstreamRows
+	pool      *link.Pool
+	gateway   *gateway.Gateway
+	callers   *http.Server
 	// connections are those of callers.
 	connections *connlimit.Limiter
 	tables      *belief.Follower
@@ -197,6 +199,7 @@
 	}, b.store, b.log, b.relayPeers, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
+	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, b.rec)
 	proto := platform.NewProtocol()
 	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, IDHeader: proto.IDHeader}, dialer(), time.Now)
 	b.gateway = gateway.New(gateway.Settings{
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/belief"
-	"github.com/sparshore/sparshore/internal/events"
-	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/kernel"
 	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/platform"
@@ -33,9 +31,8 @@
 
 // applyUpstreams hands the rows of upstreams to the fleet.
 func (b *gatewayBuilder) applyUpstreams(s product.Snapshot, full bool) {
-	records, gone := upstreamChanges(s.Records, b.rec)
 	settled, _ := b.members.Settled()
-	b.fleet.Update(records, gone, full, settled)
+	b.upstreams.apply(s.Records, full, settled)
 }
 
 // applyOperators returns what takes over the rows that operators write: the route table
@@ -48,30 +45,6 @@
 	}
 }
 
-// upstreamChanges decodes changed rows. One answer may hold several changes of a
-// row, in order; the last one counts.
-func upstreamChanges(rows []product.Record, rec *events.Recorder) (records []fleet.Record, gone []string) {
-	last := make(map[string]int, len(rows))
-	for i, row := range rows {
-		last[row.Name] = i
-	}
-	for i, row := range rows {
-		switch {
-		case last[row.Name] != i:
-		case row.Gone:
-			gone = append(gone, row.Name)
-		default:
-			r, err := platform.DecodeUpstream(row.Name, row.Value)
-			if err != nil {
-				rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
-				continue
-			}
-			records = append(records, r)
-		}
-	}
-	return records, gone
-}
-
 func (b *gatewayBuilder) followService() kernel.Service {
 	return kernel.Service{
 		Name:  serviceFollow,
