test: a row that turns bad stops new work and nothing else

Cause: a row that cannot be read is left out. In a change its upstream goes on to get new work; in a whole table it counts as missing, and its streams are moved.

Change: a table of answers with bad rows among good ones. No logic is changed.

--- a/internal/daemon/upstreamrows_test.go
+++ b/internal/daemon/upstreamrows_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -31,6 +32,31 @@
 
 func gone(name string) product.Record { return product.Record{Name: name, Gone: true} }
 
+// rowsFixture is an upstreamRows with a fleet that tells who left.
+type rowsFixture struct {
+	*upstreamRows
+	set  *fleet.Set
+	rec  *events.Recorder
+	left []string
+}
+
+func newRowsFixture() *rowsFixture {
+	f := &rowsFixture{rec: events.Nop()}
+	f.set = fleet.New(f.rec, time.Now, func(id string) { f.left = append(f.left, id) })
+	f.upstreamRows = newUpstreamRows(decodeWord, f.set, f.rec)
+	return f
+}
+
+// used are the upstreams that get new work.
+func (f *rowsFixture) used() []string {
+	var out []string
+	for _, u := range f.set.Of("llm") {
+		out = append(out, u.ID)
+	}
+	slices.Sort(out)
+	return out
+}
+
 func TestUpstreamChanges(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
@@ -44,7 +70,7 @@
 		{"a row that cannot be used changes nothing", []product.Record{bad("a"), good("b")}, []string{"b"}, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			records, left := newUpstreamRows(decodeWord, nil, events.Nop()).changes(tc.rows)
+			records, left := newRowsFixture().changes(tc.rows)
 			var present []string
 			for _, r := range records {
 				present = append(present, r.ID)
@@ -59,3 +85,42 @@
 		})
 	}
 }
+
+// TestBadRowsAmongGoodOnes: a row that cannot be used takes nothing from the others, and
+// its upstream gets no new work, while what runs there goes on.
+func TestBadRowsAmongGoodOnes(t *testing.T) {
+	type answer struct {
+		full bool
+		rows []product.Record
+	}
+	for _, tc := range []struct {
+		name    string
+		answers []answer
+		used    []string
+		left    []string
+	}{
+		{"only bad rows", []answer{{true, []product.Record{bad("a"), bad("b")}}}, nil, nil},
+		{"a good row after a bad one", []answer{{true, []product.Record{bad("a"), good("b")}}}, []string{"b"}, nil},
+		{"a bad row after a good one", []answer{{true, []product.Record{good("b"), bad("a")}}}, []string{"b"}, nil},
+		{"a change that turns bad", []answer{{true, []product.Record{good("a"), good("b")}}, {false, []product.Record{bad("a")}}}, []string{"b"}, nil},
+		{"a table in which one turned bad", []answer{{true, []product.Record{good("a"), good("b")}}, {true, []product.Record{bad("a"), good("b")}}}, []string{"b"}, nil},
+		{"a table in which all turned bad", []answer{{true, []product.Record{good("a"), good("b")}}, {true, []product.Record{bad("a"), bad("b")}}}, nil, nil},
+		{"good again", []answer{{true, []product.Record{good("a")}}, {false, []product.Record{bad("a")}}, {false, []product.Record{good("a")}}}, []string{"a"}, nil},
+		{"bad and good again in one answer", []answer{{true, []product.Record{good("a")}}, {false, []product.Record{bad("a"), good("a")}}}, []string{"a"}, nil},
+		{"good and bad again in one answer", []answer{{true, []product.Record{good("a")}}, {false, []product.Record{good("a"), bad("a")}}}, nil, nil},
+		{"bad, then gone", []answer{{true, []product.Record{good("a")}}, {false, []product.Record{bad("a")}}, {false, []product.Record{gone("a")}}}, nil, []string{"a"}},
+		{"bad, then missing in the table", []answer{{true, []product.Record{good("a")}}, {false, []product.Record{bad("a")}}, {true, nil}}, nil, []string{"a"}},
+		{"two rows with one address", []answer{{true, []product.Record{good("a"), good("b")}}}, []string{"a", "b"}, nil},
+	} {
+		f := newRowsFixture()
+		for _, a := range tc.answers {
+			f.apply(a.rows, a.full, time.Time{})
+		}
+		if got := f.used(); !slices.Equal(got, tc.used) {
+			t.Errorf("%s: new work goes to %v, want %v", tc.name, got, tc.used)
+		}
+		if !slices.Equal(f.left, tc.left) {
+			t.Errorf("%s: streams are moved from %v, want %v", tc.name, f.left, tc.left)
+		}
+	}
+}
