fix: a row that turns bad stops new work and nothing else

Cause: the fleet was told only of rows that could be read. One that could not was unchanged in a change and missing in a whole table, and it was logged with each answer that held it.

Change: the fleet gets the names of these rows. Their upstreams get no new work, also not as targets of moves, and count as there, so what runs goes on; upstream-held and upstream-released tell it. The mutant fleet-closed named code that is no longer there, so the script ended at it; three mutants now cover what two did.

Conclusion: a writer's slip ends no stream, and new work comes back with the next good row.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -199,7 +199,7 @@
 	}, b.store, b.log, b.relayPeers, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
-	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, b.rec)
+	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, newBadRows(events.UpstreamRejected, platform.Reason, b.reg, b.rec, time.Now))
 	proto := platform.NewProtocol()
 	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, IDHeader: proto.IDHeader}, dialer(), time.Now)
 	b.gateway = gateway.New(gateway.Settings{
--- a/internal/daemon/upstreamrows.go
+++ b/internal/daemon/upstreamrows.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	product "github.com/sparshore/sparshore/internal/platform"
 )
@@ -12,41 +11,50 @@
 type upstreamRows struct {
 	decode func(id string, value []byte) (fleet.Record, error)
 	fleet  *fleet.Set
-	rec    *events.Recorder
+	bad    *badRows
 }
 
-// newUpstreamRows returns an upstreamRows for a fleet.
-func newUpstreamRows(decode func(id string, value []byte) (fleet.Record, error), set *fleet.Set, rec *events.Recorder) *upstreamRows {
-	return &upstreamRows{decode: decode, fleet: set, rec: rec}
+// newUpstreamRows returns an upstreamRows for a fleet that tells bad of rows which decode
+// refuses.
+func newUpstreamRows(decode func(id string, value []byte) (fleet.Record, error), set *fleet.Set, bad *badRows) *upstreamRows {
+	return &upstreamRows{decode: decode, fleet: set, bad: bad}
 }
 
 // apply takes over an answer; full marks one that holds the whole table, and settled is
-// the time from which rows that are missing are taken as gone.
+// the time from which rows that are missing are taken as gone. A row that cannot be used
+// is there all the same: its upstream gets no new work, and what runs there goes on.
 func (u *upstreamRows) apply(rows []product.Record, full bool, settled time.Time) {
-	records, gone := u.changes(rows)
-	u.fleet.Update(records, gone, full, settled)
+	records, unreadable, gone := u.changes(rows, full)
+	u.fleet.UpdateAll(records, unreadable, gone, full, settled)
 }
 
 // changes decodes changed rows. One answer may hold several changes of a row, in order;
 // the last one counts.
-func (u *upstreamRows) changes(rows []product.Record) (records []fleet.Record, gone []string) {
+func (u *upstreamRows) changes(rows []product.Record, full bool) (records []fleet.Record, unreadable, gone []string) {
 	last := make(map[string]int, len(rows))
 	for i, row := range rows {
 		last[row.Name] = i
 	}
+	if full {
+		u.bad.keep(last)
+	}
 	for i, row := range rows {
-		switch {
-		case last[row.Name] != i:
-		case row.Gone:
+		if last[row.Name] != i {
+			continue
+		}
+		if row.Gone {
+			u.bad.remove(row.Name)
 			gone = append(gone, row.Name)
-		default:
-			r, err := u.decode(row.Name, row.Value)
-			if err != nil {
-				u.rec.Note(events.UpstreamRejected, "", "upstream", row.Name, "version", row.Version, "error", err)
-				continue
-			}
-			records = append(records, r)
+			continue
+		}
+		r, err := u.decode(row.Name, row.Value)
+		if err != nil {
+			u.bad.add(row, err)
+			unreadable = append(unreadable, row.Name)
+			continue
 		}
+		u.bad.remove(row.Name)
+		records = append(records, r)
 	}
-	return records, gone
+	return records, unreadable, gone
 }
--- a/internal/daemon/upstreamrows_test.go
+++ b/internal/daemon/upstreamrows_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	product "github.com/sparshore/sparshore/internal/platform"
@@ -37,13 +40,14 @@
 	*upstreamRows
 	set  *fleet.Set
 	rec  *events.Recorder
+	at   time.Time
 	left []string
 }
 
 func newRowsFixture() *rowsFixture {
-	f := &rowsFixture{rec: events.Nop()}
+	f := &rowsFixture{rec: events.New(logr.Discard(), "p", "i", 1000, time.Now), at: time.Now()}
 	f.set = fleet.New(f.rec, time.Now, func(id string) { f.left = append(f.left, id) })
-	f.upstreamRows = newUpstreamRows(decodeWord, f.set, f.rec)
+	f.upstreamRows = newUpstreamRows(decodeWord, f.set, newBadRows(events.UpstreamRejected, error.Error, prometheus.NewRegistry(), f.rec, func() time.Time { return f.at }))
 	return f
 }
 
@@ -62,15 +66,17 @@
 		name    string
 		rows    []product.Record
 		present []string
+		bad     []string
 		gone    []string
 	}{
-		{"rows come and go", []product.Record{good("a"), gone("b")}, []string{"a"}, []string{"b"}},
-		{"a row that went and came back in one answer is there", []product.Record{gone("a"), good("a")}, []string{"a"}, nil},
-		{"a row that came and went in one answer is gone", []product.Record{good("a"), gone("a")}, nil, []string{"a"}},
-		{"a row that cannot be used changes nothing", []product.Record{bad("a"), good("b")}, []string{"b"}, nil},
+		{"rows come and go", []product.Record{good("a"), gone("b")}, []string{"a"}, nil, []string{"b"}},
+		{"a row that went and came back in one answer is there", []product.Record{gone("a"), good("a")}, []string{"a"}, nil, nil},
+		{"a row that came and went in one answer is gone", []product.Record{good("a"), gone("a")}, nil, nil, []string{"a"}},
+		{"a row that cannot be used is there, and changes no other one", []product.Record{bad("a"), good("b")}, []string{"b"}, []string{"a"}, nil},
+		{"a row that turned bad and went is gone", []product.Record{bad("a"), gone("a")}, nil, nil, []string{"a"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			records, left := newRowsFixture().changes(tc.rows)
+			records, unreadable, left := newRowsFixture().changes(tc.rows, false)
 			var present []string
 			for _, r := range records {
 				present = append(present, r.ID)
@@ -79,6 +85,9 @@
 			if !slices.Equal(present, tc.present) {
 				t.Errorf("present %v, want %v", present, tc.present)
 			}
+			if !slices.Equal(unreadable, tc.bad) {
+				t.Errorf("unreadable %v, want %v", unreadable, tc.bad)
+			}
 			if !slices.Equal(left, tc.gone) {
 				t.Errorf("gone %v, want %v", left, tc.gone)
 			}
@@ -112,15 +121,17 @@
 		{"bad, then missing in the table", []answer{{true, []product.Record{good("a")}}, {false, []product.Record{bad("a")}}, {true, nil}}, nil, []string{"a"}},
 		{"two rows with one address", []answer{{true, []product.Record{good("a"), good("b")}}}, []string{"a", "b"}, nil},
 	} {
-		f := newRowsFixture()
-		for _, a := range tc.answers {
-			f.apply(a.rows, a.full, time.Time{})
-		}
-		if got := f.used(); !slices.Equal(got, tc.used) {
-			t.Errorf("%s: new work goes to %v, want %v", tc.name, got, tc.used)
-		}
-		if !slices.Equal(f.left, tc.left) {
-			t.Errorf("%s: streams are moved from %v, want %v", tc.name, f.left, tc.left)
-		}
+		t.Run(tc.name, func(t *testing.T) {
+			f := newRowsFixture()
+			for _, a := range tc.answers {
+				f.apply(a.rows, a.full, time.Time{})
+			}
+			if got := f.used(); !slices.Equal(got, tc.used) {
+				t.Errorf("new work goes to %v, want %v", got, tc.used)
+			}
+			if !slices.Equal(f.left, tc.left) {
+				t.Errorf("streams are moved from %v, want %v", f.left, tc.left)
+			}
+		})
 	}
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -30,6 +30,8 @@
 	GossipRejected     ID = 132
 	ZoneClosed         ID = 133
 	ZoneOpened         ID = 134
+	UpstreamHeld       ID = 137
+	UpstreamReleased   ID = 138
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -119,7 +121,7 @@
 	{UpstreamLapsed, "upstream-lapsed", "An upstream vanished around an outage of the store and has time to come back."},
 	{UpstreamGone, "upstream-gone", "An upstream that left is forgotten."},
 	{UpstreamAvoided, "upstream-avoided", "An upstream failed a connection and is avoided while others can serve."},
-	{UpstreamRejected, "upstream-rejected", "The record of an upstream cannot be used."},
+	{UpstreamRejected, "upstream-rejected", "The record of an upstream cannot be used; once for each of its versions."},
 	{UpstreamAsked, "upstream-asked", "An entry asked an engine for its state: the store could not tell it, or a generation had not begun there in time (`why`). `waiting` and `unbegun` are the requests that it has not let in and those whose prompts it reads."},
 	{UpstreamSuspected, "upstream-suspected", "An engine failed a request that a sound one serves; for a while it gets none that may not be repeated."},
 	{EntryHeard, "entry-heard", "An entry hears from another one, for the first time or again."},
@@ -127,6 +129,8 @@
 	{GossipRejected, "gossip-rejected", "A message of another entry cannot be used."},
 	{ZoneClosed, "zone-closed", "Operators closed an availability zone: its upstreams get no new work."},
 	{ZoneOpened, "zone-opened", "Operators opened an availability zone again."},
+	{UpstreamHeld, "upstream-held", "The row of a known upstream can no longer be read: it gets no new work, and what runs there goes on."},
+	{UpstreamReleased, "upstream-released", "The row of an upstream can be read again: it gets new work."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -90,6 +90,8 @@
 	firstHand bool
 	// saidAt is when that was learnt.
 	saidAt time.Time
+	// unreadable is set while its record is there but cannot be read.
+	unreadable bool
 	// until ends a lapse, or the time for which one that left is remembered.
 	until time.Time
 	// ownFault is when a request of this entry last met a fault.
@@ -110,15 +112,21 @@
 // are. Those missing are taken as gone, unless settled lies in the future: then
 // they have until that time to come back.
 func (s *Set) Update(records []Record, gone []string, full bool, settled time.Time) {
+	s.update(records, nil, gone, full, settled)
+}
+
+func (s *Set) update(records []Record, unreadable, gone []string, full bool, settled time.Time) {
 	s.mu.Lock()
 	var left []string
 	seen := make(map[string]bool, len(records))
 	for _, r := range records {
 		seen[r.ID] = true
+		s.release(r.ID)
 		if s.put(r) {
 			left = append(left, r.ID)
 		}
 	}
+	s.hold(unreadable, seen)
 	if full {
 		for id := range s.byID {
 			if !seen[id] {
@@ -279,7 +287,7 @@
 func (s *Set) lapsed(service string) []Upstream {
 	var out []Upstream
 	for _, m := range s.byID {
-		if m.Service == service && m.state == Lapsed && !s.closed[m.Zone] {
+		if m.Service == service && m.state == Lapsed && s.mayWork(m) {
 			out = append(out, m.Upstream)
 		}
 	}
@@ -310,7 +318,7 @@
 	if s.serving == nil {
 		s.serving = map[string][]string{}
 		for id, m := range s.byID {
-			if m.state == Serving && !s.closed[m.Zone] {
+			if m.state == Serving && s.mayWork(m) {
 				s.serving[m.Service] = append(s.serving[m.Service], id)
 			}
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,8 +70,37 @@
 mutant relay-second-delegate internal/relay/store.go 's/for range maxAsked \{\n\t\tvar p Peer/for range 1 {\n\t\tvar p Peer/' internal/relay TestAnotherDelegate
 mutant relay-told-anew internal/relay/log.go 's/\t\tt\.told = answer\{\}\n//' internal/relay TestAnswersAreEncodedOnce
 mutant follower-pause internal/belief/follower.go 's/f\.settings\.Wait - f\.now\(\)\.Sub\(f\.confirmed\)/f.settings.Wait/' internal/belief TestPauseAfterAChange
-mutant fleet-closed internal/fleet/set.go 's/ \|\| s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
-mutant fleet-closed-draw internal/fleet/set.go 's/ && !s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
+mutant fleet-closed internal/fleet/unreadable.go 's/ && !s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
+mutant fleet-closed-draw internal/fleet/set.go 's/m\.state == Serving && s\.mayWork\(m\)/m.state == Serving/' internal/fleet TestClosedZone
+mutant fleet-closed-lapsed internal/fleet/set.go 's/m\.state == Lapsed && s\.mayWork\(m\)/m.state == Lapsed/' internal/fleet TestClosedZone
+mutant fleet-held-work internal/fleet/unreadable.go 's/!m\.unreadable && !s\.closed/!s.closed/' internal/fleet TestUnreadable
+mutant fleet-held-there internal/fleet/unreadable.go 's/\t\tseen\[id\] = true\n//' internal/fleet TestUnreadable
+mutant fleet-held-lapse internal/fleet/unreadable.go 's/if m\.state == Lapsed \{/if false {/' internal/fleet TestUnreadable
+mutant fleet-held-list internal/fleet/unreadable.go 's/m\.unreadable = true\n\t\t\ts\.serving = nil/m.unreadable = true/' internal/fleet TestUnreadable
+mutant fleet-released internal/fleet/set.go 's/\t\ts\.release\(r\.ID\)\n//' internal/fleet TestUnreadable
+
+rows=platform/fields.go
+mutant rows-name $rows 's/if row == "" \{/if false {/' platform TestRowsThatAreNoRows
+mutant rows-bytes $rows 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' platform TestRowsThatAreNoRows
+mutant rows-told $rows 's/if len\(text\) <= mostTold \{/if len(text) >= 0 {/' platform TestRowsThatAreNoRows
+mutant rows-missing $rows 's/\t\tf\.fail\(reasonMissing, "%s is missing", name\)\n//' platform TestRowsOfOtherWriters
+mutant rows-null $rows 's/string\(raw\) == "null" \|\| //' platform TestRowsOfOtherWriters
+mutant rows-empty $rows 's/if f\.read\(name, &s\) && s == "" \{/if f.read(name, \&s) \&\& s == "\\x00" {/' platform TestRowsOfOtherWriters
+mutant rows-whole $rows 's/n != math\.Trunc\(n\) \|\| n < 0/math.Trunc(0) != 0 || n < 0/' platform TestRowsOfOtherWriters
+mutant rows-negative $rows 's/ \|\| n < 0 \|\|/ ||/' platform TestRowsOfOtherWriters
+mutant rows-most $rows 's/ \|\| n > float64\(most\) \{/ {/' platform TestRowsOfOtherWriters
+mutant rows-address $rows 's/a\.Port\(\) == 0 \|\| //' platform TestRowsOfOtherWriters
+mutant rows-host $rows 's/ \|\| a\.Addr\(\)\.IsUnspecified\(\)//' platform TestRowsOfOtherWriters
+mutant rows-version $rows 's/case string, float64:/case string, float64, bool:/' platform TestRowsOfOtherWriters
+mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.text("state")/' platform TestRowsOfOtherWriters
+mutant rows-cold platform/upstreams.go 's/if cold > mostColdMS \{/if false {/' platform TestRowsOfOtherWriters
+mutant rows-no-longer-cold platform/upstreams.go 's/max\(cold, 0\)/cold/' platform TestRowsOfRightWriters
+mutant bad-rows-there internal/daemon/upstreamrows.go 's/\t\t\tunreadable = append\(unreadable, row\.Name\)\n//' internal/daemon TestBadRowsAmong
+mutant bad-rows-once internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version < 0 {/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-versions internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version >= 0 {/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-kept internal/daemon/upstreamrows.go 's/if full \{/if false {/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-good-again internal/daemon/upstreamrows.go 's/\t\tu\.bad\.remove\(row\.Name\)\n\t\trecords/\t\trecords/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-lines internal/daemon/badrows.go 's/if b\.lines >= badLines \{/if false {/' internal/daemon TestManyBadRows
 mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRow
 
 finish
