--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -95,6 +95,10 @@
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.text("state")/' platform TestRowsOfOtherWriters
 mutant rows-cold platform/upstreams.go 's/if cold > mostColdMS \{/if false {/' platform TestRowsOfOtherWriters
 mutant rows-no-longer-cold platform/upstreams.go 's/max\(cold, 0\)/cold/' platform TestRowsOfRightWriters
+mutant rows-each platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\treturn err\n/' platform TestBadRowInAnAnswer
+mutant rows-no-value platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\tp.Gone = false\n/' platform TestBadRowInAnAnswer
+mutant rows-advance platform/store.go 's/if next <= from \{/if next < from {/' platform TestPagesThatDoNotAdvance
+mutant rows-last-name platform/store.go 's/if r\.Key != "" \{/if r.Ver >= 0 {/' platform TestPageWhoseLastRow
 mutant bad-rows-there internal/daemon/upstreamrows.go 's/\t\t\tunreadable = append\(unreadable, row\.Name\)\n//' internal/daemon TestBadRowsAmong
 mutant bad-rows-once internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version < 0 {/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-versions internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version >= 0 {/' internal/daemon TestBadRowsAreTold
