--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -149,6 +149,7 @@
 	pathStream = "/stream/"
 	pathResume = "/resume/"
 	pathOpen   = "/open/"
+	pathLater  = "/later/"
 )
 
 func newFixture(t *testing.T) *fixture {
@@ -177,12 +178,13 @@
 // testHeaderBytes is the limit for headers in these tests.
 const testHeaderBytes = 4000
 
-// testTable is the table of a version; "N revoked" names one without keys.
+// testTable is the table of a version; "N revoked" names one without keys, "N later" one
+// with a further service.
 func testTable(text string) *routetable.Table {
-	version, _, revoked := strings.Cut(text, " ")
+	version, more, _ := strings.Cut(text, " ")
 	n, _ := strconv.Atoi(version)
 	keys := []string{"key"}
-	if revoked {
+	if more == "revoked" {
 		keys = nil
 	}
 	route := func(prefix string, kind routetable.Kind, service string, attempts int) routetable.Route {
@@ -195,13 +197,18 @@
 	resume.Resumable = true
 	open := route(pathOpen, routetable.Repeatable, "app", 2)
 	open.Public = true
-	return routetable.New(routetable.Version(n), []routetable.Route{
+	routes := []routetable.Route{
 		route(pathSafe, routetable.Repeatable, "app", 2), route(pathOnce, routetable.Once, "app", 3),
 		route(pathStream, routetable.Stream, "llm", 1), resume, open,
-	}, []routetable.Service{
+	}
+	services := []routetable.Service{
 		{Name: "app"},
 		{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, Moves: true, EventTokens: 4}},
-	}, routetable.Limits{BodyBytes: 1000, HeaderBytes: testHeaderBytes}, []routetable.Account{{Name: "acme", Keys: keys}})
+	}
+	if more == "later" {
+		routes, services = append(routes, route(pathLater, routetable.Repeatable, "later", 1)), append(services, routetable.Service{Name: "later"})
+	}
+	return routetable.New(routetable.Version(n), routes, services, routetable.Limits{BodyBytes: 1000, HeaderBytes: testHeaderBytes}, []routetable.Account{{Name: "acme", Keys: keys}})
 }
 
 // add starts an upstream of a service that answers by serve.
