test: rows of the list of entries that other writers made

Cause: a row without an address, with a name for it or without times names an entry, or is removed though another writer may need it; a row that is no JSON is told with each read. The row that asks for a zone's evacuation closes a zone without a name if it names none.

What takes over the list is a function of its own; rows that other tests write have IP numbers, as entries write. No logic is changed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -150,9 +150,17 @@
 	if err != nil {
 		return err
 	}
+	old := d.take(s)
+	if len(old) == 0 {
+		return nil
+	}
+	return d.store.Remove(ctx, d.settings.Table, old...)
+}
+
+// take takes over the whole table and returns the rows that are long out of date.
+func (d *Directory) take(s platform.Snapshot) (old []string) {
 	d.clock, d.clockAt = s.Clock, d.now()
 	addresses := make(map[string]string, len(s.Records))
-	var old []string
 	for _, r := range s.Records {
 		var v row
 		if err := json.Unmarshal(r.Value, &v); err != nil {
@@ -168,8 +176,8 @@
 	}
 	d.listed = len(addresses)
 	d.found(addresses)
-	if len(old) == 0 {
-		return nil
-	}
-	return d.store.Remove(ctx, d.settings.Table, old...)
+	return old
 }
+
+// mostLines bounds the log lines about rows of one read.
+const mostLines = 20
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -43,7 +43,7 @@
 
 func (f *fakeStore) add(t *testing.T, name string, renewed time.Duration) {
 	t.Helper()
-	b, err := json.Marshal(row{Address: name + ":1", RenewedMS: renewed.Milliseconds(), RenewsEachMS: (30 * time.Second).Milliseconds()})
+	b, err := json.Marshal(row{Address: "10.0.0.1:1", RenewedMS: renewed.Milliseconds(), RenewsEachMS: (30 * time.Second).Milliseconds()})
 	if err != nil {
 		t.Fatal(err)
 	}
