fix: rows of the list of entries are judged before use

Cause: each field was taken as it came; what a row lacked counted as empty or 0, which named an entry without an address or made the row old enough to be removed.

Change: a row that lacks a field, whose address is no IP:port or whose times cannot be names no entry and is left alone; each of its versions has one line, at most 20 a read.

Conclusion: the list of entries holds only entries.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,22 +41,6 @@
 	removeAfter = 10
 )
 
-// row is what an entry writes about itself.
-type row struct {
-	Address string `json:"address"`
-	// RenewedMS is the store's steady clock, as the writer last read it.
-	RenewedMS int64 `json:"renewed_ms"`
-	// RenewsEachMS is the time after which the writer renews the row.
-	RenewsEachMS int64 `json:"renews_each_ms"`
-}
-
-// missed is the number of renewals that the writer has missed at a moment of the
-// store's clock.
-func (r row) missed(clock time.Duration) float64 {
-	age := clock - time.Duration(r.RenewedMS)*time.Millisecond
-	return float64(age.Milliseconds()) / float64(max(r.RenewsEachMS, 1))
-}
-
 // Directory keeps one entry's row and reads the others'.
 type Directory struct {
 	settings Settings
@@ -70,6 +54,7 @@
 	failing bool
 	// listed is the number of entries that the latest read found.
 	listed int
+	bad    badRows
 }
 
 // New returns a Directory that tells found the addresses of all entries, by name.
@@ -157,14 +142,20 @@
 	return d.store.Remove(ctx, d.settings.Table, old...)
 }
 
-// take takes over the whole table and returns the rows that are long out of date.
+// take takes over the whole table and returns the rows that are long out of date. Rows that
+// cannot be used are left to those who wrote them.
 func (d *Directory) take(s platform.Snapshot) (old []string) {
 	d.clock, d.clockAt = s.Clock, d.now()
 	addresses := make(map[string]string, len(s.Records))
+	bad, told := badRows{}, 0
 	for _, r := range s.Records {
-		var v row
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			d.rec.Note(events.RegisterFailed, "", "row", r.Name, "error", err)
+		v, err := decodeRow(r.Value)
+		if err != nil {
+			bad[r.Name] = r.Version
+			if d.bad.fresh(r) && told < mostLines {
+				told++
+				d.rec.Note(events.RegisterFailed, "", "row", startOf(r.Name), "version", r.Version, "error", err)
+			}
 			continue
 		}
 		switch missed := v.missed(s.Clock); {
@@ -174,10 +165,8 @@
 			addresses[r.Name] = v.Address
 		}
 	}
+	d.bad = bad
 	d.listed = len(addresses)
 	d.found(addresses)
 	return old
 }
-
-// mostLines bounds the log lines about rows of one read.
-const mostLines = 20
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -108,6 +108,16 @@
 mutant bad-rows-kept internal/daemon/upstreamrows.go 's/if full \{/if false {/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-good-again internal/daemon/upstreamrows.go 's/\t\tu\.bad\.remove\(row\.Name\)\n\t\trecords/\t\trecords/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-lines internal/daemon/badrows.go 's/if b\.lines >= badLines \{/if false {/' internal/daemon TestManyBadRows
+mutant zones-named platform/store.go 's/return zone, ok && zone != ""/return zone, ok/' platform TestClosedZone
+entry=internal/directory/row.go
+mutant entries-bytes $entry 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' internal/directory TestEntriesOfOther
+mutant entries-address $entry 's/if err != nil \|\| a\.Port\(\) == 0 \{/if a.Port() == 0 \&\& err == nil {/' internal/directory TestEntriesOfOther
+mutant entries-port $entry 's/ \|\| a\.Port\(\) == 0 \{/ || a.Port() > 65535 {/' internal/directory TestEntriesOfOther
+mutant entries-absent $entry 's/r := row\{RenewedMS: -1\}/r := row{}/' internal/directory TestEntriesOfOther
+mutant entries-times $entry 's/ \|\| r\.RenewedMS > mostMS / /' internal/directory TestEntriesOfOther
+mutant entries-pause $entry 's/ \|\| r\.RenewsEachMS <= 0 / /' internal/directory TestEntriesOfOther
+mutant entries-once $entry 's/return !known \|\| version != r\.Version/return !known || version >= 0/' internal/directory TestBadRowsAreToldOnce
+mutant entries-lines internal/directory/directory.go 's/ && told < mostLines \{/ {/' internal/directory TestBadRowsAreToldOnce
 mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRow
 
 finish
