test: fuzz the decoders of all tables that are read

Cause: only messages between entries were fuzzed.

Change: targets with seeds for rows of upstreams, the route table, closed zones, a row within an answer of the store and rows of the list of entries; make fuzz runs them. The list takes IPv4 only, over which entries speak; another address gave a line with each read.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,11 @@
 	$(GO) test ./internal/sidecar -run '^$$' -fuzz FuzzReadChunks -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/sidecar -run '^$$' -fuzz FuzzTokensFrame -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/gossip -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/directory -run '^$$' -fuzz FuzzDecodeRow -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeUpstream -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeRoutes -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzClosedZone -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzRowOfAnAnswer -fuzztime $(FUZZTIME)
 
 # capacity measures control bytes, processor time and memory against the number
 # of peers, accounts and the size of the configuration.
--- a/internal/directory/row.go
+++ b/internal/directory/row.go
@@ -31,7 +31,7 @@
 )
 
 // decodeRow decodes a row. One that may be of another writer names no entry: without all
-// fields, with an address that is no IP:port, or with times that cannot be. Names are not
+// fields, with an address that is no IPv4 IP:port, over which entries speak, or with times that cannot be. Names are not
 // looked up: each read of the list would wait for that.
 func decodeRow(value []byte) (row, error) {
 	if !utf8.Valid(value) {
@@ -43,8 +43,8 @@
 		return row{}, fmt.Errorf("%w: %s", ErrRow, startOf(err.Error()))
 	}
 	a, err := netip.ParseAddrPort(r.Address)
-	if err != nil || a.Port() == 0 {
-		return row{}, fmt.Errorf("%w: address %q is no IP:port", ErrRow, startOf(r.Address))
+	if err != nil || a.Port() == 0 || !a.Addr().Is4() {
+		return row{}, fmt.Errorf("%w: address %q is no IPv4 IP:port", ErrRow, startOf(r.Address))
 	}
 	if r.RenewedMS < 0 || r.RenewedMS > mostMS || r.RenewsEachMS <= 0 || r.RenewsEachMS > mostMS {
 		return row{}, fmt.Errorf("%w: renewed at %d ms, each %d ms", ErrRow, r.RenewedMS, r.RenewsEachMS)
--- a/internal/directory/row_test.go
+++ b/internal/directory/row_test.go
@@ -30,6 +30,7 @@
 		{"address empty", with(`10.0.0.1:7300`, ``)},
 		{"address without a port", with(`:7300`, ``)},
 		{"address with a name", with(`10.0.0.1`, `entry.example`)},
+		{"address of IPv6", with(`10.0.0.1`, `[fd00::1]`)},
 		{"address with port 0", with(`7300`, `0`)},
 		{"time of renewal missing", with(`"renewed_ms":999000,`, ``)},
 		{"time of renewal null", with(`999000`, `null`)},
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -111,8 +111,9 @@
 mutant zones-named platform/store.go 's/return zone, ok && zone != ""/return zone, ok/' platform TestClosedZone
 entry=internal/directory/row.go
 mutant entries-bytes $entry 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' internal/directory TestEntriesOfOther
-mutant entries-address $entry 's/if err != nil \|\| a\.Port\(\) == 0 \{/if a.Port() == 0 \&\& err == nil {/' internal/directory TestEntriesOfOther
-mutant entries-port $entry 's/ \|\| a\.Port\(\) == 0 \{/ || a.Port() > 65535 {/' internal/directory TestEntriesOfOther
+mutant entries-address $entry 's/if err != nil \|\| a\.Port\(\) == 0 \|\| !a\.Addr\(\)\.Is4\(\) \{/if err == nil \&\& a.Port() == 0 {/' internal/directory TestEntriesOfOther
+mutant entries-port $entry 's/ \|\| a\.Port\(\) == 0 \|\|/ ||/' internal/directory TestEntriesOfOther
+mutant entries-family $entry 's/ \|\| !a\.Addr\(\)\.Is4\(\) \{/ {/' internal/directory TestEntriesOfOther
 mutant entries-absent $entry 's/r := row\{RenewedMS: -1\}/r := row{}/' internal/directory TestEntriesOfOther
 mutant entries-times $entry 's/ \|\| r\.RenewedMS > mostMS / /' internal/directory TestEntriesOfOther
 mutant entries-pause $entry 's/ \|\| r\.RenewsEachMS <= 0 / /' internal/directory TestEntriesOfOther
