fix: a route table that cannot be used is told once

Cause: the refusal was noted with each answer that held the row.

Change: the version of the refused row is kept; the line tells it. A good row ends it. What took over a table is no longer public; nothing else used it.

Conclusion: one line for each version.

--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -20,6 +20,9 @@
 	mu        sync.Mutex
 	table     *routetable.Table
 	confirmed time.Time
+	// refused is set while the row cannot be used, refusedRow is its version.
+	refused    bool
+	refusedRow int64
 }
 
 // NewRoutes returns an empty belief; row names the row that holds the table.
@@ -39,21 +42,26 @@
 func (r *Routes) Apply(s platform.Snapshot, _ bool) {
 	for _, rec := range s.Records {
 		if rec.Name == r.row && !rec.Gone {
-			r.Offer(rec.Value, "store")
+			r.offer(rec)
 		}
 	}
 }
 
-// Offer takes over a stored table if it is newer than the one in force. One
-// that cannot be used is refused and the last good one stays.
-func (r *Routes) Offer(value []byte, source string) {
-	table, err := r.decode(value)
+// offer takes over a stored table if it is newer than the one in force. One that cannot be
+// used is refused and the last good one stays; a version of the row is told once, since
+// each answer that holds the whole table repeats it.
+func (r *Routes) offer(rec platform.Record) {
+	table, err := r.decode(rec.Value)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
-		r.rec.Note(events.RoutesRejected, "", "source", source, "error", err)
+		if !r.refused || r.refusedRow != rec.Version {
+			r.rec.Note(events.RoutesRejected, "", "source", "store", "row", rec.Version, "error", err)
+		}
+		r.refused, r.refusedRow = true, rec.Version
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.refused = false
 	if r.table != nil && table.Version() <= r.table.Version() {
 		return
 	}
@@ -62,7 +70,7 @@
 		before = r.table.Version()
 	}
 	r.table = table
-	r.rec.Note(events.RoutesLoaded, "", "source", source, "version", table.Version(), "before", before)
+	r.rec.Note(events.RoutesLoaded, "", "source", "store", "version", table.Version(), "before", before)
 }
 
 // Confirm notes that the table of a version was the newest at a steady time.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -108,6 +108,8 @@
 mutant bad-rows-kept internal/daemon/upstreamrows.go 's/if full \{/if false {/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-good-again internal/daemon/upstreamrows.go 's/\t\tu\.bad\.remove\(row\.Name\)\n\t\trecords/\t\trecords/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-lines internal/daemon/badrows.go 's/if b\.lines >= badLines \{/if false {/' internal/daemon TestManyBadRows
+mutant routes-once internal/belief/routes.go 's/if !r\.refused \|\| r\.refusedRow != rec\.Version \{/if true {/' internal/belief TestTableThatCannot
+mutant routes-each-version internal/belief/routes.go 's/ \|\| r\.refusedRow != rec\.Version \{/ {/' internal/belief TestTableThatCannot
 mutant zones-named platform/store.go 's/return zone, ok && zone != ""/return zone, ok/' platform TestClosedZone
 entry=internal/directory/row.go
 mutant entries-bytes $entry 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' internal/directory TestEntriesOfOther
