--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -94,7 +94,7 @@
 mutant rows-version $rows 's/case string, float64:/case string, float64, bool:/' platform TestRowsOfOtherWriters
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.text("state")/' platform TestRowsOfOtherWriters
 mutant rows-cold platform/upstreams.go 's/if cold > mostColdMS \{/if false {/' platform TestRowsOfOtherWriters
-mutant rows-no-longer-cold platform/upstreams.go 's/max\(cold, 0\)/cold/' platform TestRowsOfRightWriters
+mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestRowsOfRightWriters
 mutant routes-told platform/routes.go 's/startOf\(err\.Error\(\), mostToldOfRoutes\)/err.Error()/' platform TestRoutesThatCannotBeUsed
 mutant routes-kind-told platform/routes.go 's/is not known", told\(r\.RouteType\)/is not known", r.RouteType/' platform TestRoutesThatCannotBeUsed
 mutant times-bounded platform/routes.go 's/\tv = min\(max\(v, 0\), float64\(longest\/time\.Millisecond\)\)\n//' platform TestMilliseconds
