--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -19,6 +19,7 @@
 	"github.com/sparshore/sparshore/internal/gateway"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
+	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
@@ -129,10 +130,10 @@
 	table := routetable.New(1, []routetable.Route{{Host: "host", Prefix: "/", Kind: routetable.Once, Timeout: time.Minute, Objective: time.Minute, MaxAttempts: 1, Shares: []routetable.Share{{Service: "app", Weight: 1}}}},
 		[]routetable.Service{{Name: "app"}}, routetable.Limits{BodyBytes: 1000}, nil)
 	routes := belief.NewRoutes("routes", func([]byte) (*routetable.Table, error) { return table, nil }, events.Nop(), time.Now)
-	routes.Offer(nil, "test")
+	routes.Apply(product.Snapshot{Records: []product.Record{{Name: "routes"}}}, true)
 	routes.ConfirmCurrent(time.Now())
 	set := fleet.New(events.Nop(), time.Now, func(string) {})
-	set.Update([]fleet.Record{{ID: "app-1", Service: "app", Address: s.Listener.Addr().String(), Slots: 1}}, nil, true, time.Time{})
+	set.Update([]fleet.Record{{Name: "app-1", Service: "app", Address: s.Listener.Addr().String(), Slots: 1}}, nil, true, time.Time{})
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 	}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -107,6 +107,8 @@
 	firstHand bool
 	// saidAt is when that was learnt.
 	saidAt time.Time
+	// unreadable is set while its record is there but cannot be read.
+	unreadable bool
 	// until ends a lapse, or the time for which one that left is remembered.
 	until time.Time
 	// ownFault is when a request of this entry last met a fault.
@@ -128,6 +130,10 @@
 // they have until that time to come back. A record of a start that is not known ends the
 // one before; see latest.
 func (s *Set) Update(records []Record, gone []Gone, full bool, settled time.Time) {
+	s.update(records, nil, gone, full, settled)
+}
+
+func (s *Set) update(records []Record, unreadable []string, gone []Gone, full bool, settled time.Time) {
 	s.mu.Lock()
 	var left []string
 	seen := make(map[string]bool, len(records))
@@ -137,6 +143,7 @@
 			left = append(left, id)
 		}
 	}
+	s.hold(unreadable, seen)
 	if full {
 		for name := range s.present {
 			if !seen[name] {
@@ -168,6 +175,7 @@
 	}
 	r.Version = max(r.Version, m.Version)
 	m.Record = r
+	s.release(m)
 	m.coldUntil = s.now().Add(r.ColdFor)
 	if r.Leaving {
 		s.said(m)
@@ -303,7 +311,7 @@
 func (s *Set) lapsed(service string) []Upstream {
 	var out []Upstream
 	for _, m := range s.byID {
-		if m.Service == service && m.state == Lapsed && !s.closed[m.Zone] {
+		if m.Service == service && m.state == Lapsed && s.mayWork(m) {
 			out = append(out, m.Upstream)
 		}
 	}
@@ -334,7 +342,7 @@
 	if s.serving == nil {
 		s.serving = map[string][]string{}
 		for id, m := range s.byID {
-			if m.state == Serving && !s.closed[m.Zone] {
+			if m.state == Serving && s.mayWork(m) {
 				s.serving[m.Service] = append(s.serving[m.Service], id)
 			}
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -85,8 +85,57 @@
 mutant relay-second-delegate internal/relay/store.go 's/for range maxAsked \{\n\t\tvar p Peer/for range 1 {\n\t\tvar p Peer/' internal/relay TestAnotherDelegate
 mutant relay-told-anew internal/relay/log.go 's/\t\tt\.told = answer\{\}\n//' internal/relay TestAnswersAreEncodedOnce
 mutant follower-pause internal/belief/follower.go 's/f\.settings\.Wait - f\.now\(\)\.Sub\(f\.confirmed\)/f.settings.Wait/' internal/belief TestPauseAfterAChange
-mutant fleet-closed internal/fleet/set.go 's/m\.state == Serving && !s\.closed\[m\.Zone\]/m.state == Serving/' internal/fleet TestClosedZone
-mutant fleet-closed-lapsed internal/fleet/set.go 's/m\.state == Lapsed && !s\.closed\[m\.Zone\]/m.state == Lapsed/' internal/fleet TestClosedZone
+mutant fleet-closed internal/fleet/unreadable.go 's/ && !s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
+mutant fleet-closed-draw internal/fleet/set.go 's/m\.state == Serving && s\.mayWork\(m\)/m.state == Serving/' internal/fleet TestClosedZone
+mutant fleet-closed-lapsed internal/fleet/set.go 's/m\.state == Lapsed && s\.mayWork\(m\)/m.state == Lapsed/' internal/fleet TestClosedZone
+mutant fleet-held-work internal/fleet/unreadable.go 's/!m\.unreadable && !s\.closed/!s.closed/' internal/fleet TestUnreadable
+mutant fleet-held-there internal/fleet/unreadable.go 's/\t\tseen\[name\] = true\n//' internal/fleet TestUnreadable
+mutant fleet-held-lapse internal/fleet/unreadable.go 's/if m\.state == Lapsed \{/if false {/' internal/fleet TestUnreadable
+mutant fleet-held-list internal/fleet/unreadable.go 's/m\.unreadable = true\n\t\t\ts\.serving = nil/m.unreadable = true/' internal/fleet TestUnreadable
+mutant fleet-released internal/fleet/set.go 's/\ts\.release\(m\)\n//' internal/fleet TestUnreadable
+
+rows=platform/fields.go
+mutant rows-name $rows 's/if row == "" \{/if false {/' platform TestRowsThatAreNoRows
+mutant rows-bytes $rows 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' platform TestRowsThatAreNoRows
+mutant rows-told $rows 's/if len\(text\) <= most \{/if len(text) >= 0 {/' platform TestRowsThatAreNoRows
+mutant rows-missing $rows 's/\t\tf\.fail\(reasonMissing, "%s is missing", name\)\n//' platform TestRowsOfOtherWriters
+mutant rows-null $rows 's/string\(raw\) == "null" \|\| //' platform TestRowsOfOtherWriters
+mutant rows-empty $rows 's/if f\.read\(name, &s\) && s == "" \{/if f.read(name, \&s) \&\& s == "\\x00" {/' platform TestRowsOfOtherWriters
+mutant rows-whole $rows 's/n != math\.Trunc\(n\) \|\| n < 0/math.Trunc(0) != 0 || n < 0/' platform TestRowsOfOtherWriters
+mutant rows-negative $rows 's/ \|\| n < 0 \|\|/ ||/' platform TestRowsOfOtherWriters
+mutant rows-most $rows 's/ \|\| n > float64\(most\) \{/ {/' platform TestRowsOfOtherWriters
+mutant rows-address $rows 's/a\.Port\(\) == 0 \|\| //' platform TestRowsOfOtherWriters
+mutant rows-host $rows 's/ \|\| a\.Addr\(\)\.IsUnspecified\(\)//' platform TestRowsOfOtherWriters
+mutant rows-version $rows 's/case string, float64:/case string, float64, bool:/' platform TestRowsOfOtherWriters
+mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.text("state")/' platform TestRowsOfOtherWriters
+mutant rows-cold platform/upstreams.go 's/if cold > mostColdMS \{/if false {/' platform TestRowsOfOtherWriters
+mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestRowsOfRightWriters
+mutant routes-told platform/routes.go 's/startOf\(err\.Error\(\), mostToldOfRoutes\)/err.Error()/' platform TestRoutesThatCannotBeUsed
+mutant routes-kind-told platform/routes.go 's/is not known", told\(r\.RouteType\)/is not known", r.RouteType/' platform TestRoutesThatCannotBeUsed
+mutant times-bounded platform/routes.go 's/\tv = min\(max\(v, 0\), float64\(longest\/time\.Millisecond\)\)\n//' platform TestMilliseconds
+mutant rows-each platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\treturn err\n/' platform TestBadRowInAnAnswer
+mutant rows-no-value platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\tp.Gone = false\n/' platform TestBadRowInAnAnswer
+mutant rows-advance platform/store.go 's/if next <= from \{/if next < from {/' platform TestPagesThatDoNotAdvance
+mutant rows-last-name platform/store.go 's/if r\.Key != "" \{/if r.Ver >= 0 {/' platform TestPageWhoseLastRow
+mutant bad-rows-there internal/daemon/upstreamrows.go 's/\t\t\tunreadable = append\(unreadable, row\.Name\)\n//' internal/daemon TestBadRowsAmong
+mutant bad-rows-once internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version < 0 {/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-versions internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version >= 0 {/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-kept internal/daemon/upstreamrows.go 's/if full \{/if false {/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-good-again internal/daemon/upstreamrows.go 's/\t\tu\.bad\.remove\(row\.Name\)\n\t\trecords/\t\trecords/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-lines internal/daemon/badrows.go 's/if b\.lines >= badLines \{/if false {/' internal/daemon TestManyBadRows
+mutant routes-once internal/belief/routes.go 's/if !r\.refused \|\| r\.refusedRow != rec\.Version \{/if true {/' internal/belief TestTableThatCannot
+mutant routes-each-version internal/belief/routes.go 's/ \|\| r\.refusedRow != rec\.Version \{/ {/' internal/belief TestTableThatCannot
+mutant zones-named platform/store.go 's/return zone, ok && zone != ""/return zone, ok/' platform TestClosedZone
+entry=internal/directory/row.go
+mutant entries-bytes $entry 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' internal/directory TestEntriesOfOther
+mutant entries-address $entry 's/if err != nil \|\| a\.Port\(\) == 0 \|\| !a\.Addr\(\)\.Is4\(\) \{/if err == nil \&\& a.Port() == 0 {/' internal/directory TestEntriesOfOther
+mutant entries-port $entry 's/ \|\| a\.Port\(\) == 0 \|\|/ ||/' internal/directory TestEntriesOfOther
+mutant entries-family $entry 's/ \|\| !a\.Addr\(\)\.Is4\(\) \{/ {/' internal/directory TestEntriesOfOther
+mutant entries-absent $entry 's/r := row\{RenewedMS: -1\}/r := row{}/' internal/directory TestEntriesOfOther
+mutant entries-times $entry 's/ \|\| r\.RenewedMS > mostMS / /' internal/directory TestEntriesOfOther
+mutant entries-pause $entry 's/ \|\| r\.RenewsEachMS <= 0 / /' internal/directory TestEntriesOfOther
+mutant entries-once $entry 's/return !known \|\| version != r\.Version/return !known || version >= 0/' internal/directory TestBadRowsAreToldOnce
+mutant entries-lines internal/directory/directory.go 's/ && told < mostLines \{/ {/' internal/directory TestBadRowsAreToldOnce
 mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRow
 
 starts=internal/fleet/starts.go
@@ -99,15 +148,15 @@
 mutant start-no-birth $starts 's/known && r\.Born == 0/false/' internal/fleet TestRecordWithoutABirth
 mutant start-old-removal internal/fleet/set.go 's/g\.Version != 0 && g\.Version < m\.Version/false/' internal/fleet TestNewsOfAnEarlierStart
 mutant start-listed-name internal/fleet/set.go 's/seen\[r\.Name\] = true/seen[startID(r.Name, r.Born)] = true/; s/if !seen\[name\] \{/if !seen[s.present[name].ID] {/' internal/fleet TestNewsOfAnEarlierStart
-mutant start-version-kept internal/daemon/gatewaystore.go 's/\t\t\tr\.Version = row\.Version\n//' internal/daemon TestUpstreamChangesKeep
-mutant start-removal-version internal/daemon/gatewaystore.go 's/, Version: row\.Version\}\)/})/' internal/daemon TestUpstreamChangesKeep
+mutant start-version-kept internal/daemon/upstreamrows.go 's/\t\tr\.Version = row\.Version\n//' internal/daemon TestUpstreamChangesKeep
+mutant start-removal-version internal/daemon/upstreamrows.go 's/, Version: row\.Version\}\)/})/' internal/daemon TestUpstreamChangesKeep
 mutant start-report $gateway/inquire.go 's/ && state\.Born != u\.Born \{/ \&\& false {/' $gateway TestReportOfAnotherStart
 mutant start-copy-target $gateway/move.go 's/if !g\.there\(target\.ID\) \{/if false {/' $gateway TestCopyUnderWayToAStart
 mutant start-orders $gateway/move.go 's/if !g\.there\(from\.ID\) \{/if false {/' $gateway TestNothingIsMovedFromAStart
 mutant start-release $gateway/move.go 's/if !g\.there\(held\.at\.ID\) \{/if false {/' $gateway TestCopiesHeldAtAStart
 mutant start-copies $gateway/continue.go 's/if s\.g\.there\(held\.at\.ID\) \{/if true {/' $gateway TestCopiesHeldAtAStart
 mutant start-wire-name $gateway/request.go 's/Upstream: u\.Name,/Upstream: u.ID,/' $gateway TestCallsAtAStart
-mutant start-row platform/upstreams.go 's/Born: s\.Born, //' platform TestBirthInARow
+mutant start-row platform/upstreams.go 's/Born: f\.born\(\), //' platform TestBirthInARow
 mutant start-reported platform/engine.go 's/\t\tBorn:    r\.Born,\n//' platform TestBirthInAReport
 
 finish
