--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -408,6 +408,53 @@
 	}
 }
 
+// An engine that was late began while it was asked why. Its answer came after the first
+// event and told that nothing waits, and it was a suspect of all entries for that: a timer
+// that is stopped does not end what it has begun.
+func TestEngineThatBeginsWhileItIsAskedIsNoSuspect(t *testing.T) {
+	f := newFixture(t)
+	asked, passed := make(chan struct{}), make(chan struct{})
+	f.add("llm", "late", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/report" {
+			close(asked)
+			<-passed
+			_, _ = io.WriteString(w, "serving")
+			return
+		}
+		<-asked
+		w.Header().Set(testProof, "proof")
+		_, _ = io.WriteString(w, "id: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-passed
+	})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.server.URL+pathStream, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(testID, "r-late")
+	r.Header.Set(testKey, "key")
+	resp, err := f.server.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadFull(resp.Body, make([]byte, len("id: 1\n\n"))); err != nil {
+		t.Fatal(err)
+	}
+	close(passed)
+	for deadline := time.Now().Add(2 * inquireWithin); !f.noted(events.UpstreamAsked); {
+		if time.Now().After(deadline) {
+			t.Fatal("the engine's answer is not noted")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	// What follows the answer is a few instructions away.
+	time.Sleep(20 * time.Millisecond)
+	if got := len(f.fleet.Faults()); got != 0 {
+		t.Errorf("other entries are told of %d faults", got)
+	}
+}
+
 // Targets of moves are drawn: entries that see the same load must not all send
 // their copies to one engine.
 func TestTargetsOfMovesAreSpread(t *testing.T) {
