fix: an engine that has begun is no suspect

Cause: the timer of a late start asks the engine and then judges it; stopping it at the first event does not reach a callback that has begun. Change: the judgement looks at whether the generation has begun meanwhile. One that ended without an event is judged as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -30,7 +31,8 @@
 	defer s.leave()
 	sent := g.now()
 	toRead := s.toRead
-	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at, toRead) })
+	var begun atomic.Bool
+	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at, toRead, &begun) })
 	defer silent.Stop()
 	answer, err := g.link.Do(ctx, st.at.Address, req)
 	if err != nil {
@@ -40,7 +42,10 @@
 	if o, done := s.judge(ctx, st, answer); done {
 		return o
 	}
-	return s.relay(ctx, st, answer, sent, func() { silent.Stop() })
+	return s.relay(ctx, st, answer, sent, func() {
+		begun.Store(true)
+		silent.Stop()
+	})
 }
 
 // startWithin is the time by which a sound engine has begun a generation.
@@ -59,8 +64,9 @@
 // fault unless the prompts that it had to read before, or the memory that is taken,
 // explain it, or the engine itself reports that requests wait or are being read: at one
 // and a half times the load for which the engines suffice, 41 late starts behind such
-// queues made sound engines suspects of all entries.
-func (g *Gateway) startsLate(rq *request, at fleet.Upstream, toRead int) {
+// queues made sound engines suspects of all entries. begun tells that the generation has
+// begun while the engine was asked.
+func (g *Gateway) startsLate(rq *request, at fleet.Upstream, toRead int, begun *atomic.Bool) {
 	upstream := at.ID
 	load := g.ledger.total(upstream)
 	reading := g.reading.expected(toRead)
@@ -74,7 +80,7 @@
 	}
 	// An engine that does not tell is judged by its silence.
 	state, err := g.ask(context.Background(), at, "a generation begins late")
-	if err != nil || state.Waiting+state.Unbegun == 0 {
+	if !begun.Load() && (err != nil || state.Waiting+state.Unbegun == 0) {
 		g.faulty(upstream)
 	}
 }
