test: no test of the gateway ends by its route's time on a busy machine

TestEngineThatDidNotRunItIsLeftOut failed once with "status 200, unexpected EOF" after 5.8 s, with the race detector beside a load of 45 on 12 cores. Traced: the fixture's routes had two seconds for a stream of some 50 ms; with 35 to 55 ms the same message comes at once. The routes have 30 s now; what the test of the remaining time expects follows it. No assertion is changed.

--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -119,7 +119,7 @@
 	u := f.add("app", "a", serveOK)
 	f.ask(pathSafe, func(r *http.Request) { r.Header.Set(testDeadline, "700") })
 	f.ask(pathSafe, func(r *http.Request) { r.Header.Set(testDeadline, "60000") })
-	for i, most := range []int{700, 2000} {
+	for i, most := range []int{700, int(testTimeout.Milliseconds())} {
 		ms, err := strconv.Atoi(u.header(i).Get(testDeadline))
 		if err != nil || ms > most || ms < most-300 {
 			t.Errorf("request %d may take %d ms, %v; want about %d", i, ms, err, most)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -178,6 +178,10 @@
 	return f
 }
 
+// testTimeout is longer than any stand-in takes on a machine that is busy: with two seconds a
+// stream of some hundred milliseconds was cut once beside a load of 45 on 12 cores.
+const testTimeout = 30 * time.Second
+
 // testHeaderBytes is the limit for headers in these tests.
 const testHeaderBytes = 4000
 
@@ -192,7 +196,7 @@
 	}
 	route := func(prefix string, kind routetable.Kind, service string, attempts int) routetable.Route {
 		return routetable.Route{
-			Name: prefix, Host: "host", Prefix: prefix, Kind: kind, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond,
+			Name: prefix, Host: "host", Prefix: prefix, Kind: kind, Timeout: testTimeout, Objective: 100 * time.Millisecond,
 			Shares: []routetable.Share{{Service: service, Weight: 1}}, MaxAttempts: attempts,
 		}
 	}
