--- a/internal/daemon/badrows.go
+++ b/internal/daemon/badrows.go
@@ -76,7 +76,7 @@
 		return
 	}
 	b.lines++
-	b.rec.Note(b.event, "", "upstream", startOf(row.Name), "version", row.Version, "reason", reason, "error", err, "unsaid-before", b.unsaid)
+	b.rec.Note(b.event, "", "upstream", events.Excerpt(row.Name, longestName), "version", row.Version, "reason", reason, "error", err, "unsaid-before", b.unsaid)
 	b.unsaid = 0
 }
 
@@ -97,7 +97,6 @@
 	}
 }
 
-// longestName bounds in bytes what a log line repeats of a row's name.
-const longestName = 128
-
-func startOf(name string) string { return name[:min(len(name), longestName)] }
+// longestName bounds in bytes what a log line repeats of a row's name; with the mark of what
+// is left out it is 128.
+const longestName = 125
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -154,7 +154,7 @@
 			bad[r.Name] = r.Version
 			if d.bad.fresh(r) && told < mostLines {
 				told++
-				d.rec.Note(events.RegisterFailed, "", "row", startOf(r.Name), "version", r.Version, "error", err)
+				d.rec.Note(events.RegisterFailed, "", "row", events.Excerpt(r.Name, mostTold), "version", r.Version, "error", err)
 			}
 			continue
 		}
--- a/internal/directory/row.go
+++ b/internal/directory/row.go
@@ -8,6 +8,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
 )
 
@@ -31,8 +32,8 @@
 )
 
 // decodeRow decodes a row. One that may be of another writer names no entry: without all
-// fields, with an address that is no IPv4 IP:port, over which entries speak, or with times that cannot be. Names are not
-// looked up: each read of the list would wait for that.
+// fields, with an address that is no IPv4 IP:port, over which entries speak, or with times
+// that cannot be. Names are not looked up: each read of the list would wait for that.
 func decodeRow(value []byte) (row, error) {
 	if !utf8.Valid(value) {
 		return row{}, fmt.Errorf("%w: it is no text", ErrRow)
@@ -40,11 +41,11 @@
 	// Absent is no value that a writer may state.
 	r := row{RenewedMS: -1}
 	if err := json.Unmarshal(value, &r); err != nil {
-		return row{}, fmt.Errorf("%w: %s", ErrRow, startOf(err.Error()))
+		return row{}, fmt.Errorf("%w: %s", ErrRow, events.Excerpt(err.Error(), mostTold))
 	}
 	a, err := netip.ParseAddrPort(r.Address)
 	if err != nil || a.Port() == 0 || !a.Addr().Is4() {
-		return row{}, fmt.Errorf("%w: address %q is no IPv4 IP:port", ErrRow, startOf(r.Address))
+		return row{}, fmt.Errorf("%w: address %q is no IPv4 IP:port", ErrRow, events.Excerpt(r.Address, mostTold))
 	}
 	if r.RenewedMS < 0 || r.RenewedMS > mostMS || r.RenewsEachMS <= 0 || r.RenewsEachMS > mostMS {
 		return row{}, fmt.Errorf("%w: renewed at %d ms, each %d ms", ErrRow, r.RenewedMS, r.RenewsEachMS)
@@ -52,8 +53,6 @@
 	return r, nil
 }
 
-func startOf(text string) string { return text[:min(len(text), mostTold)] }
-
 // missed is the number of renewals that the writer has missed at a moment of the
 // store's clock.
 func (r row) missed(clock time.Duration) float64 {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -97,7 +97,7 @@
 rows=platform/fields.go
 mutant rows-name $rows 's/if row == "" \{/if false {/' platform TestRowsThatAreNoRows
 mutant rows-bytes $rows 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' platform TestRowsThatAreNoRows
-mutant rows-told $rows 's/if len\(text\) <= most \{/if len(text) >= 0 {/' platform TestRowsThatAreNoRows
+mutant rows-told internal/events/excerpt.go 's/if len\(text\) <= most \{/if len(text) >= 0 {/' internal/events TestExcerpt
 mutant rows-missing $rows 's/\t\tf\.fail\(reasonMissing, "%s is missing", name\)\n//' platform TestRowsOfOtherWriters
 mutant rows-null $rows 's/string\(raw\) == "null" \|\| //' platform TestRowsOfOtherWriters
 mutant rows-empty $rows 's/if f\.read\(name, &s\) && s == "" \{/if f.read(name, \&s) \&\& s == "\\x00" {/' platform TestRowsOfOtherWriters
@@ -110,7 +110,7 @@
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.text("state")/' platform TestRowsOfOtherWriters
 mutant rows-cold platform/upstreams.go 's/if cold > mostColdMS \{/if false {/' platform TestRowsOfOtherWriters
 mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestRowsOfRightWriters
-mutant routes-told platform/routes.go 's/startOf\(err\.Error\(\), mostToldOfRoutes\)/err.Error()/' platform TestRoutesThatCannotBeUsed
+mutant routes-told platform/routes.go 's/events\.Excerpt\(err\.Error\(\), mostToldOfRoutes\)/events.Excerpt(err.Error(), 1<<20)/' platform TestRoutesThatCannotBeUsed
 mutant routes-kind-told platform/routes.go 's/is not known", told\(r\.RouteType\)/is not known", r.RouteType/' platform TestRoutesThatCannotBeUsed
 mutant times-bounded platform/routes.go 's/\tv = min\(max\(v, 0\), float64\(longest\/time\.Millisecond\)\)\n//' platform TestMilliseconds
 mutant rows-each platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\treturn err\n/' platform TestBadRowInAnAnswer
