--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -120,7 +120,7 @@
 mutant bad-rows-once internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version < 0 {/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-versions internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version >= 0 {/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-kept internal/daemon/upstreamrows.go 's/if full \{/if false {/' internal/daemon TestBadRowsAreTold
-mutant bad-rows-good-again internal/daemon/upstreamrows.go 's/\t\tu\.bad\.remove\(row\.Name\)\n\t\trecords/\t\trecords/' internal/daemon TestBadRowsAreTold
+mutant bad-rows-good-again internal/daemon/upstreamrows.go 's/\t\tu\.bad\.remove\(row\.Name\)\n\t\tr\.Version/\t\tr.Version/' internal/daemon TestBadRowsAreTold
 mutant bad-rows-lines internal/daemon/badrows.go 's/if b\.lines >= badLines \{/if false {/' internal/daemon TestManyBadRows
 mutant routes-once internal/belief/routes.go 's/if !r\.refused \|\| r\.refusedRow != rec\.Version \{/if true {/' internal/belief TestTableThatCannot
 mutant routes-each-version internal/belief/routes.go 's/ \|\| r\.refusedRow != rec\.Version \{/ {/' internal/belief TestTableThatCannot
