feat: routed requests are logged with their fingerprint

Cause sought: no line tells that two requests are the same one, so the logs cannot show that a request that ended its upstream came again at another entry. Change: a fingerprint of target, account and body in request-routed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,7 +96,7 @@
 	g, rq := s.g, s.rq
 	load := g.ledger.total(st.at.ID)
 	g.met.tried(st.why)
-	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "upstream", st.at.ID, "why", st.why,
+	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "why", st.why,
 		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens, "unread", load.Prefill, "news-delay", g.others.Delay(st.at.Zone, true),
 		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.age)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -202,7 +202,7 @@
 	c.rq.tries++
 	c.g.met.tried(reason)
 	load := c.g.ledger.total(u.ID)
-	c.g.rec.Note(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "upstream", u.ID, "why", reason,
+	c.g.rec.Note(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "fingerprint", c.rq.fingerprint, "upstream", u.ID, "why", reason,
 		"running", load.Running, "failure-rate", u.FailureRate(), "routes", c.rq.table.Version(), "routes-age", c.rq.age)
 	claim := c.g.ledger.take(u.ID, gossip.Load{Running: 1})
 	go func() {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -27,7 +28,9 @@
 	route   *routetable.Route
 	service *routetable.Service
 	account string
-	start   time.Time
+	// fingerprint is the same each time the caller sends the request.
+	fingerprint quarantine.Fingerprint
+	start       time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	// caller ends when the caller goes away.
@@ -237,6 +240,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	rq.body = body
+	rq.fingerprint = quarantine.FingerprintOf(rq.call.Method, rq.call.Host, rq.call.Target, rq.account, body)
 	return true
 }
 
