fix: requests that end their upstreams are kept from them

Cause: nothing remembered under which request an upstream ended; each attempt, each return of the caller and each entry judged alone. Change: package quarantine remembers ends of starts by fingerprint, joined over all entries by gossip (format 3). A request under which one ended runs once at a time, apart from others like it, gets one more try by us and no hedge; after three ends that no other request explains it is refused at once. A whole answer clears it. An end is believed when the address refuses connections or a later start is there.

--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -66,6 +66,7 @@
 		b.pool.Sweep()
 		b.gateway.ForgetSilent()
 		b.gateway.CountHeard()
+		b.gateway.SweepQuarantine()
 		if _, ok := b.members.Settled(); !ok {
 			b.gateway.InquireAll(b.ctx)
 		}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -53,6 +53,10 @@
 	CopyNotReleased    ID = 216
 	AnswerUndelivered  ID = 217
 	HandlerPanicked    ID = 218
+	RequestSuspected   ID = 219
+	RequestHeld        ID = 220
+	RequestCleared     ID = 221
+	RequestForgotten   ID = 222
 	GenerationQueued   ID = 300
 	GenerationAdmitted ID = 301
 	GenerationPaused   ID = 302
@@ -154,6 +158,10 @@
 	{CopyNotReleased, "copy-not-released", "An engine could not be told that nobody needs a copy of a generation's memory; it drops it by itself."},
 	{AnswerUndelivered, "answer-undelivered", "An answer could not be written to its caller's connection; `ended-here` says why this entry ended that, if it did."},
 	{HandlerPanicked, "handler-panicked", "A fault of this program ended the work on a request; `stack` says where."},
+	{RequestSuspected, "request-suspected", "An upstream ended while it ran a request; `ends` counts those that speak against the request. It runs once at a time from now on."},
+	{RequestHeld, "request-held", "A request ended one upstream after the other and is kept from them (`upstreams`): it is refused at once, at every entry."},
+	{RequestCleared, "request-cleared", "Nothing speaks any more against a request under which upstreams ended: one served it, or an operator lifted its quarantine (`why`)."},
+	{RequestForgotten, "request-forgotten", "More requests ended upstreams than are remembered; the one that matters least is forgotten."},
 	{GenerationQueued, "generation-queued", "A sidecar holds a generation until memory allows it."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation gave way to others and keeps its place."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,7 @@
 	s.noteAttempt(st)
 	s.enter(st)
 	defer s.leave()
+	rq.run.At(st.at.ID)
 	sent := g.now()
 	toRead := s.toRead
 	var begun atomic.Bool
@@ -129,6 +130,7 @@
 func (s *stream) noAnswer(ctx context.Context, st step, err error) outcome {
 	if ctx.Err() == nil {
 		s.g.fleet.Note(st.at.ID, fleet.Broken)
+		s.g.broke(s.rq, st.at, err)
 	}
 	s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err)
 	if errors.Is(err, link.ErrNotSent) {
@@ -146,6 +148,9 @@
 		s.g.faulty(st.at.ID)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered))
+	if err == nil {
+		s.rq.run.Served()
+	}
 	again := s.rq.route.Repeats() && s.rq.tries < s.rq.route.MaxAttempts && answer.Status >= http.StatusInternalServerError
 	if s.began || err != nil || again && ctx.Err() == nil {
 		return streamBroken
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -169,7 +169,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if r.mayHaveRun() && (!c.rq.route.Repeats() || c.rq.tries >= c.rq.route.MaxAttempts) {
+	if r.mayHaveRun() && (!c.rq.route.Repeats() || c.rq.tries >= c.rq.route.MaxAttempts || !c.rq.run.MayRepeat()) {
 		return false
 	}
 	if len(c.tried) >= maxSends || !c.g.budget(c.rq.service.Name).Repeat(0) {
@@ -180,7 +180,7 @@
 
 // hedge sends a slow request to a second upstream as well.
 func (c *callRun) hedge(ctx context.Context) {
-	if !c.rq.route.Repeats() || c.rq.tries >= c.rq.route.MaxAttempts || c.running == 0 {
+	if !c.rq.route.Repeats() || c.rq.tries >= c.rq.route.MaxAttempts || c.running == 0 || c.rq.run.Suspected() {
 		return
 	}
 	if !c.g.budget(c.rq.service.Name).Repeat(hedgeReserve) {
@@ -193,10 +193,11 @@
 
 // launch sends the request to the best upstream that has not had it.
 func (c *callRun) launch(ctx context.Context, reason string) bool {
-	u, ok := c.g.choosePlain(c.rq.service.Name, c.tried)
-	if !ok {
+	u, ok := c.g.choosePlainFor(c.rq, c.tried)
+	if !ok || !c.rq.run.MaySend() {
 		return false
 	}
+	c.rq.run.At(u.ID)
 	c.tried[u.ID] = true
 	c.running++
 	c.rq.tries++
@@ -208,7 +209,7 @@
 	go func() {
 		defer claim.release()
 		r := c.attempt(ctx, u)
-		c.g.noteCall(ctx, r)
+		c.g.noteCall(ctx, c.rq, u, r)
 		c.results <- r
 	}()
 	return true
@@ -262,11 +263,15 @@
 
 // noteCall tells the fleet how an upstream served. An attempt that was given up
 // tells nothing about its upstream.
-func (g *Gateway) noteCall(ctx context.Context, r result) {
+func (g *Gateway) noteCall(ctx context.Context, rq *request, u fleet.Upstream, r result) {
+	if r.usable() {
+		rq.run.Served()
+	}
 	switch {
 	case r.err != nil && ctx.Err() != nil:
 	case r.err != nil:
 		g.fleet.Note(r.upstream, fleet.Broken)
+		g.broke(rq, u, r.err)
 	case r.verdict == protocol.NotRun:
 		g.fleet.Note(r.upstream, fleet.Busy)
 	case r.verdict == protocol.WrongUpstream:
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -365,7 +365,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for range 100 {
-		rq := &request{call: protocol.Call{ID: "r", Header: http.Header{}}, table: table, route: route, service: service, start: time.Now(), deadline: time.Now(), caller: t.Context()}
+		rq := &request{run: newRun(), call: protocol.Call{ID: "r", Header: http.Header{}}, table: table, route: route, service: service, start: time.Now(), deadline: time.Now(), caller: t.Context()}
 		c := &callRun{g: f.gateway, rq: rq, tried: map[string]bool{}, results: make(chan result, maxSends+1)}
 		c.results <- result{status: http.StatusOK, verdict: protocol.Ran}
 		if best, ok := c.run(ctx); !ok || !best.good() {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -54,6 +57,11 @@
 // admitEngine chooses the engine for a new generation; the error tells why there is none.
 func (g *Gateway) admitEngine(s *stream, exclude map[string]bool) (fleet.Upstream, error) {
 	service := s.rq.service.Name
+	if s.rq.run.Suspected() {
+		if u, ok := g.admitTrial(s, exclude); ok {
+			return u, nil
+		}
+	}
 	some, all := g.fleet.Some(service, mostConsidered, rand.IntN)
 	u, err := g.admitAmong(some, s, exclude)
 	if err == nil || all {
@@ -62,6 +70,28 @@
 	return g.admitAmong(g.fleet.Of(service), s, exclude)
 }
 
+// mostTried bounds the engines that are looked at for a suspect, of those that run least.
+const mostTried = 4
+
+// admitTrial chooses an engine for a generation under which one ended: apart from other
+// suspects, so that its end tells who is to blame, and where least runs that would end
+// with it.
+func (g *Gateway) admitTrial(s *stream, exclude map[string]bool) (fleet.Upstream, bool) {
+	apart := s.rq.run.Apart()
+	list := slices.DeleteFunc(g.fleet.Of(s.rq.service.Name), func(u fleet.Upstream) bool { return exclude[u.ID] || apart[u.ID] })
+	running := make(map[string]int, len(list))
+	for _, u := range list {
+		running[u.ID] = g.ledger.total(u.ID).Running
+	}
+	slices.SortFunc(list, func(a, b fleet.Upstream) int { return cmp.Compare(running[a.ID], running[b.ID]) })
+	for _, u := range list[:min(len(list), mostTried)] {
+		if u, err := g.admitAmong([]fleet.Upstream{u}, s, exclude); err == nil && !u.AvoidUntil().After(g.now()) {
+			return u, true
+		}
+	}
+	return fleet.Upstream{}, false
+}
+
 // admitAmong is admitEngine for a list of engines.
 func (g *Gateway) admitAmong(list []fleet.Upstream, s *stream, exclude map[string]bool) (fleet.Upstream, error) {
 	view := g.view(true)
@@ -85,6 +115,18 @@
 	return view.Target(g.candidates(g.fleet.Of(s.rq.service.Name), exclude, view.Now), s.rest(), from.Zone)
 }
 
+// choosePlainFor returns the best upstream of a request's plain service that is not
+// excluded; a suspect goes where no other one runs, if there is such an upstream.
+func (g *Gateway) choosePlainFor(rq *request, exclude map[string]bool) (fleet.Upstream, bool) {
+	if apart := rq.run.Apart(); len(apart) > 0 {
+		maps.Copy(apart, exclude)
+		if u, ok := g.choosePlain(rq.service.Name, apart); ok {
+			return u, true
+		}
+	}
+	return g.choosePlain(rq.service.Name, exclude)
+}
+
 // choosePlain returns the best upstream of a plain service that is not excluded.
 func (g *Gateway) choosePlain(service string, exclude map[string]bool) (fleet.Upstream, bool) {
 	view := g.view(false)
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -36,7 +36,7 @@
 			table, _ := f.routes.Current()
 			route, _ := table.Match("host", pathStream)
 			service, _ := table.Service("llm")
-			rq := &request{route: route, service: service, start: time.Now()}
+			rq := &request{run: newRun(), route: route, service: service, start: time.Now()}
 			rq.call.Prompt, rq.call.MaxOutput = 1000, 1000
 			for range 20 {
 				if u, err := f.gateway.admitEngine(&stream{g: f.gateway, rq: rq}, nil); err != nil || u.ID != tc.want {
@@ -147,6 +147,6 @@
 	}
 	set.Update(records, nil, true, time.Time{})
 	service := &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 24, MemoryTokens: 34000, EventTokens: 4}}
-	rq := &request{call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second}, service: service, start: time.Now()}
+	rq := &request{run: newRun(), call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second}, service: service, start: time.Now()}
 	return g, &stream{g: g, rq: rq}
 }
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routing"
 )
 
@@ -14,7 +15,7 @@
 		// that stopped the generation may name another.
 		return s.afterBreak(ctx, exclude)
 	}
-	if ctx.Err() != nil || s.rq.tries >= maxSends || !s.g.budget(s.rq.service.Name).Repeat(0) {
+	if ctx.Err() != nil || s.rq.tries >= maxSends || !s.rq.run.MaySend() || !s.g.budget(s.rq.service.Name).Repeat(0) {
 		return step{}, false
 	}
 	at, err := s.g.admitEngine(s, exclude)
@@ -36,6 +37,10 @@
 	if ctx.Err() != nil {
 		return step{}, false
 	}
+	if !s.rq.run.MaySend() {
+		s.stuck = quarantine.ErrHeld.Error()
+		return step{}, false
+	}
 	budget := s.g.budget(s.rq.service.Name)
 	if ok {
 		if !s.mayGoOn(ctx, budget) {
@@ -44,7 +49,7 @@
 		}
 		return step{at: held.at, from: &held.copy, why: "copy"}, true
 	}
-	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !budget.Repeat(0) {
+	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !s.rq.run.MayRepeat() || !budget.Repeat(0) {
 		return step{}, false
 	}
 	// The caller waits for the rest of an answer, so a crowded engine is better than
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -23,6 +23,7 @@
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -218,6 +219,15 @@
 	return routetable.New(routetable.Version(n), routes, services, routetable.Limits{BodyBytes: 1000, HeaderBytes: testHeaderBytes}, []routetable.Account{{Name: "acme", Keys: keys}})
 }
 
+// newRun returns the run of a request of which nothing is known.
+func newRun() *quarantine.Run {
+	run, err := quarantine.New(events.Nop(), time.Now, func() {}).Enter(context.Background(), quarantine.Request{}, 0)
+	if err != nil {
+		panic(err)
+	}
+	return run
+}
+
 // add starts an upstream of a service that answers by serve.
 func (f *fixture) add(service, id string, serve http.HandlerFunc) *upstream {
 	f.t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routing"
 )
 
@@ -67,6 +68,8 @@
 	moveRoom placement.MoveRoom
 	prefixes *prefixes
 	trusted  atomic.Bool
+	// quarantine knows the requests that end upstreams.
+	quarantine *quarantine.Set
 
 	mu sync.Mutex
 	// entries is the number of entries that share the retry budgets.
@@ -78,7 +81,9 @@
 	overloads map[string]*placement.Overload
 	// inquired tells when each engine was last asked for its state.
 	inquired map[string]time.Time
-	others   Others
+	// looking are the upstreams of which it is being found out whether they ended.
+	looking map[string]bool
+	others  Others
 }
 
 // Others are the other entries of the deployment.
@@ -102,7 +107,8 @@
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
-		inquired: map[string]time.Time{}, others: others,
+		inquired: map[string]time.Time{}, looking: map[string]bool{}, others: others,
+		quarantine: quarantine.New(rec, now, others.Urge),
 	}
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	attempts *prometheus.CounterVec
 	moves    *prometheus.CounterVec
 	without  *prometheus.CounterVec
+	held     prometheus.Counter
 	answer   prometheus.Histogram
 	first    prometheus.Histogram
 	gap      prometheus.Histogram
@@ -38,12 +39,13 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_attempts_total", Help: "Requests sent to upstreams, by reason."}, []string{"reason"}),
 		moves:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
 		without:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a whole answer, by cause."}, []string{"cause"}),
+		held:     prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams ended while they ran them."}),
 		answer:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the whole answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
 		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
 		gap:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be the newest."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.without, m.answer, m.first, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.without, m.held, m.answer, m.first, m.gap)
 	return m
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -41,6 +41,9 @@
 		}
 		s.advance(id, n)
 		s.notePause()
+		if s.firstIn > 0 && s.lastAt.Sub(s.rq.start) > s.firstIn+trialLasts {
+			s.rq.run.Steady()
+		}
 	}
 }
 
@@ -87,6 +90,7 @@
 func (s *stream) broke(ctx context.Context, st step, answer *link.Answer, rest []byte, err error) outcome {
 	if errors.Is(err, io.EOF) && answer.Framed && len(rest) == 0 && s.began {
 		now := s.g.now()
+		s.rq.run.Served()
 		s.g.met.ended("stream")
 		s.g.pace.note(s.firstIn, now.Sub(s.rq.start), s.events)
 		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.tries, "took", now.Sub(s.rq.start), "events", s.events,
@@ -99,6 +103,7 @@
 	if !moving {
 		if ctx.Err() == nil {
 			s.g.fleet.Note(st.at.ID, fleet.Broken)
+			s.g.broke(s.rq, st.at, err)
 		}
 		s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err, "after-event", s.lastEvent, "events", s.events, "framed", answer.Framed, "rest", strconv.Itoa(len(rest)))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,8 +28,10 @@
 	route   *routetable.Route
 	service *routetable.Service
 	account string
-	// fingerprint is the same each time the caller sends the request.
+	// fingerprint is the same each time the caller sends the request, and run what is
+	// known of those that end upstreams.
 	fingerprint quarantine.Fingerprint
+	run         *quarantine.Run
 	start       time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
@@ -79,6 +81,10 @@
 	defer cancel()
 	ctx, release := g.untilStop(ctx)
 	defer release()
+	if !g.enterRun(ctx, rq) {
+		return
+	}
+	defer rq.run.Leave()
 	g.budget(rq.service.Name).Request()
 	if rq.service.Engine != nil {
 		g.generate(ctx, rq)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
 )
@@ -65,6 +66,8 @@
 	Failures map[string]int
 	// Retries is what it took of the retry budgets, by service.
 	Retries map[string]routing.Use
+	// Suspects is what it knows of requests under which upstreams ended.
+	Suspects []quarantine.Word
 }
 
 // Peer is what is known of another entry.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
 )
@@ -15,7 +16,7 @@
 var ErrMessage = errors.New("message of another entry cannot be used")
 
 // format is the version of the messages; others are not understood.
-const format = 2
+const format = 3
 
 // datagram is what is sent: the body is the same for all receivers and encoded once.
 // Times are steady and only mean something to the process that made them.
@@ -61,6 +62,7 @@
 	FaultAgesMS map[string]int64
 	Failures    map[string]int
 	Retries     map[string]wireUse
+	Suspects    []wireSuspect
 }
 
 // wireLoad holds requests, tokens, tokens not read yet and tokens held by now.
@@ -69,6 +71,18 @@
 // wireUse holds requests and repeats.
 type wireUse [2]int
 
+// wireSuspect is a request under which upstreams ended.
+type wireSuspect struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint []byte
+	Route       string
+	Account     string
+	// EndAgesMS is the time since upstreams ended under it, by start.
+	EndAgesMS map[string]int64
+	Void      []string
+	Runs      []string
+}
+
 // message is a datagram that was read.
 type message struct {
 	echo echo
@@ -97,9 +111,33 @@
 	for service, u := range s.Retries {
 		b.Retries[service] = wireUse{u.Requests, u.Repeats}
 	}
+	for _, w := range s.Suspects {
+		b.Suspects = append(b.Suspects, suspectOf(w, now))
+	}
 	return cbor.Marshal(b)
 }
 
+func suspectOf(w quarantine.Word, now time.Time) wireSuspect {
+	out := wireSuspect{Fingerprint: w.Fingerprint[:], Route: w.Route, Account: w.Account, EndAgesMS: make(map[string]int64, len(w.Ends)), Void: w.Void, Runs: w.Runs}
+	for start, at := range w.Ends {
+		out.EndAgesMS[start] = now.Sub(at).Milliseconds()
+	}
+	return out
+}
+
+// word returns what a message says of a request; ok is false if it names none.
+func (w wireSuspect) word(now time.Time) (out quarantine.Word, ok bool) {
+	if len(w.Fingerprint) != len(out.Fingerprint) {
+		return out, false
+	}
+	out = quarantine.Word{Request: quarantine.Request{Route: w.Route, Account: w.Account}, Ends: make(map[string]time.Time, len(w.EndAgesMS)), Void: w.Void, Runs: w.Runs}
+	copy(out.Fingerprint[:], w.Fingerprint)
+	for start, age := range w.EndAgesMS {
+		out.Ends[start] = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return out, true
+}
+
 // encode returns the datagram for one receiver.
 func encode(e echo, body []byte) ([]byte, error) {
 	return cbor.Marshal(datagram{Format: format, Echo: e, Body: body})
@@ -140,6 +178,11 @@
 	for id, age := range b.FaultAgesMS {
 		s.Faults[id] = now.Add(-time.Duration(age) * time.Millisecond)
 	}
+	for _, w := range b.Suspects {
+		if word, ok := w.word(now); ok {
+			s.Suspects = append(s.Suspects, word)
+		}
+	}
 	for service, u := range b.Retries {
 		s.Retries[service] = routing.Use{Requests: u[0], Repeats: u[1]}
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -137,6 +137,16 @@
 	return &conn{Conn: nc, address: address, r: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
+// Reach opens a connection to an address and closes it: it tells whether anything listens
+// there.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // readBuffer is the size in bytes of a connection's read buffer: some ten
 // events of a stream.
 const readBuffer = 4 << 10
--- /dev/null
+++ b/internal/quarantine/set.go
@@ -0,0 +1,268 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+)
+
+const (
+	// verdictEnds is the number of upstreams that a request may end before it is held.
+	// All that ran there are suspects after one end; three ends, apart from other suspects
+	// and with no good answer between them, do not happen to a sound request.
+	verdictEnds = 3
+	// repeatEnds is the number of ends after which this system does not send a request
+	// again by itself. With none, sound calls lose the second try that serves them.
+	repeatEnds = 1
+	// mostEnds bounds the ends that are remembered of one request.
+	mostEnds = 16
+	// mostSuspects bounds the requests that are remembered: some twenty full engines.
+	mostSuspects = 1024
+	// holdLeast is the first time for which a request is held. It costs one upstream to
+	// find out whether it still ends them; each end doubles the time, up to holdMost.
+	holdLeast = 10 * time.Minute
+	holdMost  = 8 * time.Hour
+	// settleWithin is the time in which it shows whether an upstream ended whose answer
+	// broke off: by its address, or by the row of its next start.
+	settleWithin = 3 * time.Second
+	// rememberFor is how long a request under which one or two upstreams ended is
+	// remembered, and one that was held after that.
+	rememberFor = 10 * time.Minute
+	// voidFor is how long it is remembered which ends no longer count: late messages may
+	// tell of them again.
+	voidFor = time.Minute
+	// busyFor is how long another entry's word that it runs a suspect is gone by without
+	// a newer one.
+	busyFor = 2 * time.Second
+)
+
+// The reasons for which a request is not run.
+var (
+	// ErrHeld is for a request that is kept from upstreams.
+	ErrHeld = errors.New("upstreams ended while they ran this request")
+	// ErrOnTrial is for one that may be, while it runs somewhere.
+	ErrOnTrial = errors.New("this request runs at another upstream, after one ended under it")
+)
+
+// Set is what an entry knows of requests under which upstreams ended.
+type Set struct {
+	rec *events.Recorder
+	now func() time.Time
+	// urge tells the other entries at once.
+	urge func()
+
+	mu       sync.Mutex
+	suspects map[Fingerprint]*suspect
+	// explained are the starts whose end a held request explains.
+	explained explained
+	// running counts the runs of each request here whose trial is not over.
+	running map[Fingerprint]int
+	// runs are where suspects run here.
+	runs map[*Run]bool
+	// busy is where other entries run suspects, by entry.
+	busy map[string]peerRuns
+	// changed is closed and replaced when a request that waits may have to look again.
+	changed chan struct{}
+}
+
+// peerRuns are the starts at which another entry runs suspects.
+type peerRuns struct {
+	at    time.Time
+	where map[Fingerprint][]string
+}
+
+// New returns an empty Set.
+func New(rec *events.Recorder, now func() time.Time, urge func()) *Set {
+	return &Set{
+		rec: rec, now: now, urge: urge, suspects: map[Fingerprint]*suspect{}, running: map[Fingerprint]int{},
+		runs: map[*Run]bool{}, busy: map[string]peerRuns{}, changed: make(chan struct{}),
+	}
+}
+
+// Request names a request for operators.
+type Request struct {
+	Fingerprint Fingerprint
+	Route       string
+	Account     string
+}
+
+// Enter begins to serve a request. A suspect runs once at a time: it waits for its turn, for
+// the given time at most, and then gets ErrOnTrial. One that is held gets ErrHeld at once.
+func (s *Set) Enter(ctx context.Context, r Request, wait time.Duration) (*Run, error) {
+	var expired <-chan time.Time
+	for {
+		run, changed, err := s.enter(r)
+		if err == nil || errors.Is(err, ErrHeld) {
+			return run, err
+		}
+		if expired == nil {
+			t := time.NewTimer(wait)
+			defer t.Stop()
+			expired = t.C
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return nil, err
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+func (s *Set) enter(r Request) (*Run, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := &Run{set: s, request: r}
+	if u, ok := s.suspects[r.Fingerprint]; ok && s.restrained(u) {
+		if !u.held.IsZero() && s.now().Before(u.heldUntil()) {
+			u.refused++
+			return nil, nil, ErrHeld
+		}
+		if s.running[r.Fingerprint] > 0 || s.busyElsewhere(r.Fingerprint) {
+			return nil, s.changed, ErrOnTrial
+		}
+		run.probation = !u.held.IsZero()
+		defer s.urge()
+	}
+	s.running[r.Fingerprint]++
+	s.runs[run] = true
+	return run, nil, nil
+}
+
+// level is the number of ends that speak against a request, those counted that may turn
+// out to be ends. It needs the lock.
+func (s *Set) level(u *suspect) int {
+	return len(s.explained.unexplained(u)) + u.unsettled()
+}
+
+// restrained reports whether a request runs once at a time, or not at all. It needs the lock.
+func (s *Set) restrained(u *suspect) bool { return !u.held.IsZero() || s.level(u) > 0 }
+
+// busyElsewhere reports whether another entry runs a suspect. It needs the lock.
+func (s *Set) busyElsewhere(f Fingerprint) bool {
+	now := s.now()
+	for _, p := range s.busy {
+		if _, runs := p.where[f]; runs && now.Sub(p.at) < busyFor {
+			return true
+		}
+	}
+	return false
+}
+
+// wake lets those that wait look again. It needs the lock.
+func (s *Set) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// suspectOf returns what is known of a request, which is made known. It needs the lock.
+func (s *Set) suspectOf(r Request) *suspect {
+	u, ok := s.suspects[r.Fingerprint]
+	if !ok {
+		s.makeRoom()
+		u = newSuspect(r.Fingerprint)
+		s.suspects[r.Fingerprint] = u
+	}
+	if u.route == "" {
+		u.route, u.account = r.Route, r.Account
+	}
+	return u
+}
+
+// makeRoom forgets the suspect that matters least if there are too many: a flood of
+// requests that each end one upstream does not push out those that are held.
+func (s *Set) makeRoom() {
+	if len(s.suspects) < mostSuspects {
+		return
+	}
+	var least *suspect
+	for _, u := range s.suspects {
+		if least == nil || matters(u, least) < 0 {
+			least = u
+		}
+	}
+	delete(s.suspects, least.fingerprint)
+	s.rec.Note(events.RequestForgotten, "", "fingerprint", least.fingerprint, "ends", len(least.live()), "suspects", mostSuspects)
+}
+
+// matters orders suspects by ends, then by the latest one.
+func matters(a, b *suspect) int {
+	return cmp.Or(cmp.Compare(len(a.live()), len(b.live())), a.latestEnd().Compare(b.latestEnd()))
+}
+
+// Ended notes that a start of an upstream ended by itself, with all that it ran.
+func (s *Set) Ended(start string) {
+	s.mu.Lock()
+	changed := false
+	for _, u := range s.suspects {
+		b, ok := u.broke[start]
+		if !ok {
+			continue
+		}
+		delete(u.broke, start)
+		if u.add(start, b.at, true) {
+			changed = true
+			s.rec.Note(events.RequestSuspected, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "upstream", start, "ends", len(u.live()))
+		}
+	}
+	s.judge()
+	s.mu.Unlock()
+	if changed {
+		s.urge()
+	}
+}
+
+// Lives notes that a start of an upstream whose answers broke off did not end, as far as its
+// address tells.
+func (s *Set) Lives(start string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.suspects {
+		if b, ok := u.broke[start]; ok {
+			b.alive = true
+			u.broke[start] = b
+		}
+	}
+	s.wake()
+}
+
+// judge looks for those to blame after something was learnt. It needs the lock.
+func (s *Set) judge() {
+	newly, e := judge(s.suspects, s.now())
+	s.explained = e
+	for _, u := range newly {
+		s.rec.Note(events.RequestHeld, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "ends", len(u.live()), "upstreams", slices.Sorted(slices.Values(u.live())), "for", u.heldUntil().Sub(s.now()))
+	}
+	s.wake()
+}
+
+// Sweep settles what can be settled by now and forgets what is old. replaced tells whether
+// a later start took the place of one.
+func (s *Set) Sweep(replaced func(start string) bool) {
+	s.mu.Lock()
+	now := s.now()
+	over := map[string]bool{}
+	for f, u := range s.suspects {
+		for start, b := range u.broke {
+			switch {
+			case replaced(start):
+				over[start] = true
+			case now.Sub(b.at) > settleWithin:
+				delete(u.broke, start)
+			}
+		}
+		if u.old(now) {
+			delete(s.suspects, f)
+		}
+	}
+	s.mu.Unlock()
+	for start := range over {
+		s.Ended(start)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/suspect.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import "time"
+
+// suspect is a request under which upstreams ended.
+type suspect struct {
+	fingerprint Fingerprint
+	route       string
+	account     string
+	// ends are the starts of upstreams that ended while they ran the request.
+	ends map[string]end
+	// broke are the starts whose answer to the request broke off: it is not known yet
+	// whether they ended.
+	broke map[string]breakOff
+	// held is when the quarantine began; zero without one.
+	held time.Time
+	// refused counts the times at which this entry refused it for that.
+	refused int
+}
+
+// end is the end of a start of an upstream. Ends and their voids are only ever added, so
+// that entries may join what they know in any order, twice and late.
+type end struct {
+	at time.Time
+	// own is set if this entry saw it.
+	own bool
+	// voidAt is when this entry learnt that the request was served, or its quarantine
+	// lifted, after this end: it speaks against the request no more. Zero if it does.
+	voidAt time.Time
+}
+
+func (e end) void() bool { return !e.voidAt.IsZero() }
+
+// breakOff is an answer that broke off.
+type breakOff struct {
+	at time.Time
+	// alive tells that the upstream's address took a connection afterwards.
+	alive bool
+}
+
+func newSuspect(f Fingerprint) *suspect {
+	return &suspect{fingerprint: f, ends: map[string]end{}, broke: map[string]breakOff{}}
+}
+
+// add notes that a start ended under the request; it returns false if that was known.
+func (u *suspect) add(start string, at time.Time, own bool) bool {
+	if _, known := u.ends[start]; known {
+		return false
+	}
+	if len(u.ends) >= mostEnds {
+		u.dropOldest()
+	}
+	u.ends[start] = end{at: at, own: own}
+	return true
+}
+
+// dropOldest forgets one end, of those that are void if there are any.
+func (u *suspect) dropOldest() {
+	oldest := ""
+	for start, e := range u.ends {
+		o, ok := u.ends[oldest]
+		if !ok || e.void() && !o.void() || e.void() == o.void() && e.at.Before(o.at) {
+			oldest = start
+		}
+	}
+	delete(u.ends, oldest)
+}
+
+// clear voids all that speaks against the request; it returns the number of ends voided.
+func (u *suspect) clear(now time.Time) int {
+	n := 0
+	for start := range u.ends {
+		if u.voidEnd(start, now) {
+			n++
+		}
+	}
+	clear(u.broke)
+	return n
+}
+
+// voidEnd voids one end; it returns false if that was done.
+func (u *suspect) voidEnd(start string, now time.Time) bool {
+	e, known := u.ends[start]
+	if known && e.void() {
+		return false
+	}
+	if !known {
+		u.add(start, now, false)
+		e = u.ends[start]
+	}
+	e.voidAt = now
+	u.ends[start] = e
+	return known
+}
+
+// live returns the starts whose ends speak against the request.
+func (u *suspect) live() []string {
+	var out []string
+	for start, e := range u.ends {
+		if !e.void() {
+			out = append(out, start)
+		}
+	}
+	return out
+}
+
+// unsettled is the number of breaks of which it is not known whether the upstream ended.
+func (u *suspect) unsettled() int {
+	n := 0
+	for _, b := range u.broke {
+		if !b.alive {
+			n++
+		}
+	}
+	return n
+}
+
+// latestEnd is when the latest end came that speaks against the request.
+func (u *suspect) latestEnd() (latest time.Time) {
+	for _, e := range u.ends {
+		if !e.void() && e.at.After(latest) {
+			latest = e.at
+		}
+	}
+	return latest
+}
+
+// heldUntil is when the request may be tried again: the time doubles with each end.
+func (u *suspect) heldUntil() time.Time {
+	hold := holdLeast
+	for range len(u.live()) - verdictEnds {
+		hold = min(2*hold, holdMost)
+	}
+	return u.latestEnd().Add(hold)
+}
+
+// old reports whether the request may be forgotten.
+func (u *suspect) old(now time.Time) bool {
+	if len(u.broke) > 0 {
+		return false
+	}
+	switch n := len(u.live()); {
+	case n >= verdictEnds:
+		return now.After(u.heldUntil().Add(rememberFor))
+	case n > 0:
+		return now.After(u.latestEnd().Add(rememberFor))
+	}
+	for _, e := range u.ends {
+		if now.Before(e.voidAt.Add(voidFor)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/quarantine/word.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// tellFor is how long others are told of what this entry saw of a request under which
+	// one upstream ended: some messages to each, also while one is frozen for seconds.
+	// Of requests with more ends all entries tell for as long as they know them, so that
+	// those that start anew learn of them.
+	tellFor = 10 * time.Second
+	// tellEnds is the number of ends from which on all tell.
+	tellEnds = 2
+	// mostTold bounds the requests in one message to another entry, some 6 KB.
+	mostTold = 64
+	// mostName bounds in bytes the names of routes and accounts in messages.
+	mostName = 64
+)
+
+// Word is what an entry tells another one of a request. Words may come in any order, twice
+// and late.
+type Word struct {
+	Request
+	// Ends are the starts of upstreams that ended under it, and when.
+	Ends map[string]time.Time
+	// Void are the starts whose ends speak against it no more.
+	Void []string
+	// Runs are the starts at which the teller runs it.
+	Runs []string
+}
+
+// Tell returns what the other entries are to know, the most important first. It is empty
+// while no upstream ended under a request.
+func (s *Set) Tell() []Word {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.suspects) == 0 {
+		return nil
+	}
+	runs := s.suspectsHere()
+	var told []*suspect
+	for f, u := range s.suspects {
+		if s.tells(u) || len(runs[f]) > 0 {
+			told = append(told, u)
+		}
+	}
+	slices.SortFunc(told, func(a, b *suspect) int { return matters(b, a) })
+	out := make([]Word, 0, min(len(told), mostTold))
+	for _, u := range told[:min(len(told), mostTold)] {
+		out = append(out, s.word(u, runs[u.fingerprint]))
+	}
+	return out
+}
+
+// suspectsHere returns where suspects run here. It needs the lock.
+func (s *Set) suspectsHere() map[Fingerprint][]string {
+	out := map[Fingerprint][]string{}
+	for r := range s.runs {
+		f := r.request.Fingerprint
+		if u, ok := s.suspects[f]; ok && !r.steady && s.restrained(u) {
+			out[f] = append(out[f], r.at)
+		}
+	}
+	return out
+}
+
+// tells reports whether others are told of a request. It needs the lock.
+func (s *Set) tells(u *suspect) bool {
+	if len(u.live()) >= tellEnds {
+		return true
+	}
+	for _, e := range u.ends {
+		if s.tellsEnd(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// tellsEnd reports whether others are told of an end as such: this entry saw it lately, or
+// learnt lately that it counts no more. It needs the lock.
+func (s *Set) tellsEnd(e end) bool {
+	now := s.now()
+	return e.own && now.Sub(e.at) < tellFor || e.void() && now.Sub(e.voidAt) < tellFor
+}
+
+// word returns what is told of a request. It needs the lock.
+func (s *Set) word(u *suspect, runs []string) Word {
+	w := Word{
+		Request: Request{Fingerprint: u.fingerprint, Route: u.route[:min(len(u.route), mostName)], Account: u.account[:min(len(u.account), mostName)]},
+		Ends:    map[string]time.Time{}, Runs: runs,
+	}
+	all := len(u.live()) >= tellEnds
+	for start, e := range u.ends {
+		switch {
+		case e.void() && s.tellsEnd(e):
+			w.Void = append(w.Void, start)
+		case !e.void() && (all || s.tellsEnd(e)):
+			w.Ends[start] = e.at
+		}
+	}
+	slices.Sort(w.Void)
+	return w
+}
+
+// Hear takes over what another entry tells.
+func (s *Set) Hear(entry string, words []Word) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ran := s.busy[entry]; !ran && len(words) == 0 {
+		return
+	}
+	where := map[Fingerprint][]string{}
+	for _, w := range words {
+		if len(w.Runs) > 0 {
+			where[w.Fingerprint] = w.Runs
+		}
+		s.join(w)
+	}
+	if len(where) == 0 {
+		delete(s.busy, entry)
+	} else {
+		s.busy[entry] = peerRuns{at: s.now(), where: where}
+	}
+	s.judge()
+}
+
+// join adds what a word tells. It needs the lock.
+func (s *Set) join(w Word) {
+	if _, known := s.suspects[w.Fingerprint]; !known && len(w.Ends) == 0 {
+		// That ends count no more matters only where they count.
+		return
+	}
+	u := s.suspectOf(w.Request)
+	for start, at := range w.Ends {
+		u.add(start, at, false)
+	}
+	for _, start := range w.Void {
+		u.voidEnd(start, s.now())
+	}
+	if len(u.live()) < verdictEnds {
+		u.held = time.Time{}
+	}
+	if u.old(s.now()) {
+		// Others may remember it a little longer.
+		delete(s.suspects, w.Fingerprint)
+	}
+}
