--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -68,29 +68,24 @@
 
 // clear voids all that speaks against the request; it returns the number of ends voided.
 func (u *suspect) clear(now time.Time) int {
-	n := 0
-	for start := range u.ends {
-		if u.voidEnd(start, now) {
-			n++
-		}
+	live := u.live()
+	for _, start := range live {
+		u.voidEnd(start, now)
 	}
 	clear(u.broke)
-	return n
+	return len(live)
 }
 
 // voidEnd voids one end; it returns false if that was done.
 func (u *suspect) voidEnd(start string, now time.Time) bool {
-	e, known := u.ends[start]
-	if known && e.void() {
+	if u.ends[start].void() {
 		return false
 	}
-	if !known {
-		u.add(start, now, false)
-		e = u.ends[start]
-	}
+	u.add(start, now, false)
+	e := u.ends[start]
 	e.voidAt = now
 	u.ends[start] = e
-	return known
+	return true
 }
 
 // live returns the starts whose ends speak against the request.
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -109,42 +109,45 @@
 func (s *Set) Hear(entry string, words []Word) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ran := s.busy[entry]; !ran && len(words) == 0 {
-		return
-	}
-	where := map[Fingerprint][]string{}
+	where, news := map[Fingerprint][]string{}, false
 	for _, w := range words {
 		if len(w.Runs) > 0 {
 			where[w.Fingerprint] = w.Runs
 		}
-		s.join(w)
+		news = s.join(w) || news
 	}
-	if len(where) == 0 {
-		delete(s.busy, entry)
-	} else {
+	_, ran := s.busy[entry]
+	delete(s.busy, entry)
+	if len(where) > 0 {
 		s.busy[entry] = peerRuns{at: s.now(), where: where}
 	}
-	s.judge()
+	switch {
+	case news:
+		s.judge()
+	case ran:
+		s.wake()
+	}
 }
 
-// join adds what a word tells. It needs the lock.
-func (s *Set) join(w Word) {
+// join adds what a word tells; it returns false if all of that was known. It needs the lock.
+func (s *Set) join(w Word) (news bool) {
 	if _, known := s.suspects[w.Fingerprint]; !known && len(w.Ends) == 0 {
 		// That ends count no more matters only where they count.
-		return
+		return false
 	}
 	u := s.suspectOf(w.Request)
 	for start, at := range w.Ends {
-		u.add(start, at, false)
+		news = u.add(start, at, false) || news
 	}
 	for _, start := range w.Void {
-		u.voidEnd(start, s.now())
+		news = u.voidEnd(start, s.now()) || news
 	}
-	if len(u.live()) < verdictEnds {
+	if news && len(u.live()) < verdictEnds {
 		u.held = time.Time{}
 	}
 	if u.old(s.now()) {
 		// Others may remember it a little longer.
 		delete(s.suspects, w.Fingerprint)
 	}
+	return news
 }
