fix: entries before sidecars keep requests that end upstreams from them

Cause: the same as at the gateway; besides, an entry took an engine's end before the first token for a reason to send the request to the next engine, up to its attempts. Change: a sidecar says of an answer that broke off whether its upstream ended (its address refuses connections), and which start of it; entries judge by the same package and tell each other with their heartbeats. Refused with 503, code request_held, no time to come back and X-Should-Retry: false. Operators list and lift at entries (admin API) and gateways (metrics address): sparshorectl quarantine. An entry that was killed refuses it as soon as it hears of the other.

--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -31,6 +31,7 @@
 	Status     *statusCommand     `arg:"subcommand:status" help:"show all processes and what is in force"`
 	Zone       *zoneCommand       `arg:"subcommand:zone" help:"show zones"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"give an upstream no new work"`
+	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"show and lift what keeps requests that crash upstreams from them"`
 	Timeline   *timelineCommand   `arg:"subcommand:timeline" help:"show the events of all processes in order"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell the story of one request from log files"`
 	Change     *changeCommand     `arg:"subcommand:change" help:"show where a configuration change stands"`
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sparshore/sparshore/internal/kernel"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/rollout"
 	"github.com/sparshore/sparshore/internal/sidecar"
 )
@@ -57,7 +58,7 @@
 	n := b.node
 	b.store = rollout.NewStore(n.settings.Name, n.settings.Zone, n.rec)
 	b.store.Validate = validate
-	b.self = &membership.Self{Identity: n.identity, Recorder: n.rec, Status: b.status, Behind: b.behind}
+	b.self = &membership.Self{Identity: n.identity, Recorder: n.rec, Status: b.status, Behind: b.behind, Suspects: b.peerSuspects}
 	b.client = sidecar.NewClient(n.rec)
 	methods := peer.Methods{}
 	maps.Copy(methods, b.store.Methods())
@@ -72,7 +73,11 @@
 }
 
 func (b *entryBuilder) status() membership.Status {
-	return membership.Status{Mark: b.store.Mark(), Load: membership.Load{AtMS: now().UnixMilli()}}
+	return membership.Status{Mark: b.store.Mark(), Load: membership.Load{AtMS: now().UnixMilli()}, Suspects: b.entry.Quarantine().Tell()}
+}
+
+func (b *entryBuilder) peerSuspects(process string, words []quarantine.Word) {
+	b.entry.Quarantine().Hear(process, words)
 }
 
 func (b *entryBuilder) behind(c *peer.Conn, _ config.Mark) { _ = b.store.CatchUp(b.node.ctx, c) }
@@ -89,6 +94,7 @@
 		Build: func(*kernel.Registry) (any, error) { return b.set, nil },
 		Start: func(context.Context, *kernel.Registry) error {
 			b.node.runUntilStop(b.set.Run)
+			b.node.runUntilStop(b.entry.SweepQuarantine)
 			return nil
 		},
 	}
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -66,7 +66,7 @@
 func (b *gatewayBuilder) ownState() gossip.State {
 	s := gossip.State{
 		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(),
-		StopBy: b.gateway.StopBy(), StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Failures: b.fleet.Failures(), Retries: b.gateway.RetryUse(), Suspects: b.gateway.Suspects(),
+		StopBy: b.gateway.StopBy(), StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Failures: b.fleet.Failures(), Retries: b.gateway.RetryUse(), Suspects: b.gateway.Quarantine().Tell(),
 	}
 	table, confirmed := b.routes.Current()
 	if table != nil {
@@ -81,7 +81,7 @@
 	b.gateway.PeerRetryUse(from, s.Retries)
 	b.fleet.PeerFaults(from, s.Faults)
 	b.fleet.PeerFailures(from, s.Failures)
-	b.gateway.PeerSuspects(from, s.Suspects)
+	b.gateway.Quarantine().Hear(from, s.Suspects)
 	for _, id := range s.Leaving {
 		b.fleet.MarkLeaving(id, from)
 	}
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -26,6 +26,8 @@
 	r.HandleFunc("/config", e.operator(e.adminApply)).Methods(http.MethodPost)
 	r.HandleFunc("/changes/{id}", e.operator(e.adminChange)).Methods(http.MethodGet)
 	r.HandleFunc("/drain/{upstream}", e.operator(e.adminDrain)).Methods(http.MethodPost)
+	r.HandleFunc("/quarantine", e.operator(e.adminQuarantine)).Methods(http.MethodGet)
+	r.HandleFunc("/quarantine/{fingerprint}", e.operator(e.quarantine.ServeLift)).Methods(http.MethodDelete)
 	r.HandleFunc("/timeline", e.operator(e.adminTimeline)).Methods(http.MethodGet)
 }
 
@@ -92,6 +94,10 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+func (e *Entry) adminQuarantine(w http.ResponseWriter, r *http.Request, _ string) {
+	e.quarantine.ServeList(w, r)
+}
+
 func stateOf(p *membership.Peer) string {
 	switch {
 	case p.Leaving():
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -16,6 +16,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/sidecar"
 )
 
@@ -117,8 +118,10 @@
 	shape   shape
 	req     completionRequest
 	pool    *config.Pool
+	body    []byte
 	gen     sidecar.Generate
 	created int64
+	run     *quarantine.Run
 }
 
 func (e *Entry) completions(s shape) callerHandler {
@@ -132,6 +135,12 @@
 			e.refuse(w, r.id, apiErr, time.Time{})
 			return
 		}
+		run, ok := e.enterRun(w, r, s.path, j.body)
+		if !ok {
+			return
+		}
+		defer run.Leave()
+		j.run = run
 		e.serve(w, j)
 	}
 }
@@ -155,7 +164,7 @@
 		return nil, errBadBody.with(err.Error())
 	}
 	return &job{
-		callerRequest: r, shape: s, req: req, pool: pool, created: e.now().Unix(),
+		callerRequest: r, shape: s, req: req, pool: pool, body: body, created: e.now().Unix(),
 		gen: sidecar.Generate{
 			Request: r.id, Version: r.active.Version(), Account: r.account.Name, Model: req.Model, Path: s.path,
 			Body: full, Prompt: req.promptTokens(), MaxTokens: req.maxTokens(),
@@ -182,6 +191,7 @@
 		return
 	}
 	rl := e.newRelay(w, j.callerRequest, j.shape, at)
+	rl.run = j.run
 	rl.model, rl.created, rl.usage = j.req.Model, j.created, j.req.StreamOptions.IncludeUsage
 	if j.req.Stream {
 		rl.stream()
@@ -212,9 +222,10 @@
 	e.budget(j.pool.Name).Request()
 	fail := &failure{api: errNoUpstream, outcome: sidecar.NotRun, retryAt: e.now().Add(overloadRetry)}
 	for i, p := range e.route(j.pool) {
-		if i >= e.settings.Attempts || (i > 0 && !e.budget(j.pool.Name).Retry()) {
+		if i >= e.settings.Attempts || !j.run.MaySend() || (i > 0 && !e.budget(j.pool.Name).Retry()) {
 			break
 		}
+		j.run.Sent()
 		if i > 0 {
 			e.met.retries.Inc()
 			e.rec.Note(events.RequestRetried, j.id, "upstream", p.Identity().Upstream())
@@ -225,7 +236,7 @@
 		}
 		next, again := e.failureOf(err, fail)
 		fail = next
-		if !again || j.Context().Err() != nil {
+		if !again || j.Context().Err() != nil || fail.outcome != sidecar.NotRun && !j.run.MayRepeat() {
 			break
 		}
 	}
@@ -252,6 +263,7 @@
 		return started{}, err
 	case part.Ended() && !part.Whole() && len(part.Choices()) == 0:
 		s.Close()
+		e.lost(j.run, part.EndedWith())
 		return started{}, fmt.Errorf("%w: %s", errNoToken, part.Reason())
 	}
 	return started{stream: s, first: part}, nil
--- /dev/null
+++ b/internal/entry/crashing.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/quarantine"
+	"github.com/sparshore/sparshore/internal/sidecar"
+)
+
+const (
+	// turnWithin is how long a request waits while the same one runs elsewhere after an
+	// upstream ended under it: most end in that time.
+	turnWithin = 500 * time.Millisecond
+	// trialLasts is how long after its begin a generation under which an engine ended keeps
+	// others with the same request back.
+	trialLasts = time.Second
+	// sweepEvery is the pause between looks at requests to forget.
+	sweepEvery = 250 * time.Millisecond
+	// headerNoRetry tells OpenAI's client libraries not to send the request again.
+	headerNoRetry = "X-Should-Retry"
+)
+
+// enterRun begins to serve a request, unless it is one that ends upstreams: then it is
+// refused at once. That is no fault of the caller, and it has not run, hence 503; there is
+// no time to come back, since nobody knows when the upstreams will bear it.
+func (e *Entry) enterRun(w http.ResponseWriter, r callerRequest, name string, body []byte) (*quarantine.Run, bool) {
+	q := quarantine.Request{Fingerprint: quarantine.FingerprintOf(r.Method, "", r.URL.RequestURI(), r.account.Name, body), Route: name, Account: r.account.Name}
+	run, err := e.quarantine.Enter(r.Context(), q, turnWithin)
+	switch {
+	case err == nil:
+		return run, true
+	case errors.Is(err, quarantine.ErrHeld):
+		w.Header().Set(headerNoRetry, "false")
+		e.refuse(w, r.id, errHeld, time.Time{})
+	default:
+		e.refuse(w, r.id, errOnTrial, e.now().Add(overloadRetry))
+	}
+	return nil, false
+}
+
+// lost notes that a start of an upstream ended under a request; empty for none.
+func (e *Entry) lost(run *quarantine.Run, start string) {
+	if start == "" {
+		return
+	}
+	run.Broke(start)
+	e.quarantine.Ended(start)
+}
+
+// settleCall notes what the result of a call tells about its request.
+func (e *Entry) settleCall(run *quarantine.Run, res sidecar.Result) {
+	if res.Outcome() == sidecar.Done {
+		run.Served()
+		return
+	}
+	e.lost(run, res.EndedWith())
+}
+
+// Quarantine returns what this entry knows of requests that end upstreams.
+func (e *Entry) Quarantine() *quarantine.Set { return e.quarantine }
+
+// SweepQuarantine forgets requests that are old, until ctx ends.
+func (e *Entry) SweepQuarantine(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	// Sidecars say of each break at once whether their upstream ended.
+	never := func(string) bool { return false }
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			e.quarantine.Sweep(never)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/inflight"
 	"github.com/sparshore/sparshore/internal/membership"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/rollout"
 	"github.com/sparshore/sparshore/internal/routing"
 	"github.com/sparshore/sparshore/internal/sidecar"
@@ -63,6 +64,9 @@
 	met      *metrics
 	now      func() time.Time
 
+	// quarantine knows the requests that end upstreams.
+	quarantine *quarantine.Set
+
 	draining atomic.Bool
 	joined   atomic.Bool
 	serial   atomic.Int64
@@ -96,6 +100,8 @@
 		budgets:  map[string]*routing.Budget{},
 		sent:     map[string]sentSince{},
 		active:   map[string]int{},
+		// Ages of ends are steady: the time of day may jump.
+		quarantine: quarantine.New(rec, time.Now, set.ProbeEntries),
 	}
 }
 
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/sidecar"
 )
 
@@ -38,6 +39,8 @@
 	errLost        = &apiError{http.StatusBadGateway, "server_error", "outcome_unknown", "", "the link to the upstream was lost; the request may have run"}
 	errCut         = &apiError{http.StatusBadGateway, "server_error", "stream_cut", "", "the stream was cut"}
 	errNotRun      = &apiError{http.StatusServiceUnavailable, "server_error", "not_run", "", "the call was not run"}
+	errHeld        = &apiError{http.StatusServiceUnavailable, "server_error", "request_held", "", quarantine.ErrHeld.Error()}
+	errOnTrial     = &apiError{http.StatusServiceUnavailable, "server_error", "request_on_trial", "", quarantine.ErrOnTrial.Error()}
 	errUnknown     = &apiError{http.StatusBadGateway, "server_error", "outcome_unknown", "", "it is not known whether the call ran"}
 	errOperator    = &apiError{http.StatusUnauthorized, "invalid_request_error", "invalid_operator_token", "", "incorrect operator token"}
 )
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,17 +9,21 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/sidecar"
 )
 
 // relay writes one generation to one caller.
 type relay struct {
-	entry   *Entry
-	w       http.ResponseWriter
-	req     callerRequest
-	shape   shape
-	source  *sidecar.Stream
-	first   sidecar.Part
+	entry  *Entry
+	w      http.ResponseWriter
+	req    callerRequest
+	shape  shape
+	source *sidecar.Stream
+	first  sidecar.Part
+	// run is nil for a stream that another request began.
+	run     *quarantine.Run
+	began   time.Time
 	model   string
 	created int64
 	usage   bool
@@ -30,7 +34,7 @@
 }
 
 func (e *Entry) newRelay(w http.ResponseWriter, r callerRequest, s shape, at started) *relay {
-	return &relay{entry: e, w: w, req: r, shape: s, source: at.stream, first: at.first}
+	return &relay{entry: e, w: w, req: r, shape: s, source: at.stream, first: at.first, began: time.Now()}
 }
 
 type chunkBody struct {
@@ -54,11 +58,13 @@
 func (r *relay) next(ctx context.Context) (sidecar.Part, error) {
 	if p := r.first; p.First() > 0 {
 		r.first = sidecar.Part{}
+		r.noteRun(p)
 		return p, nil
 	}
 	for {
 		p, err := r.await(ctx)
 		if err == nil || ctx.Err() != nil {
+			r.noteRun(p)
 			return p, err
 		}
 		generation := r.source.Generation()
@@ -72,6 +78,19 @@
 	}
 }
 
+// noteRun notes what a piece tells about the request.
+func (r *relay) noteRun(p sidecar.Part) {
+	switch {
+	case r.run == nil:
+	case p.Whole():
+		r.run.Served()
+	case p.Ended():
+		r.entry.lost(r.run, p.EndedWith())
+	case time.Since(r.began) > trialLasts:
+		r.run.Steady()
+	}
+}
+
 // longSilence is how long a stream may be silent before its sidecar is probed.
 const longSilence = time.Second
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -15,6 +15,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/sidecar"
 )
 
@@ -50,6 +51,11 @@
 		e.refuse(w, r.id, apiErr, time.Time{})
 		return
 	}
+	run, ok := e.enterRun(w, r, pool.Name, body)
+	if !ok {
+		return
+	}
+	defer run.Leave()
 	call := sidecar.Call{
 		Request: r.id, Pool: pool.Name, Version: r.active.Version(), Method: r.Method, Path: servicePath(r, pool),
 		Header: passedHeaders(r.Header), Body: body, Repeatable: pool.RepeatableMethod(r.Method),
@@ -57,7 +63,7 @@
 	}
 	if call.Repeatable {
 		call.ID = callKey(r.account, r.id)
-		e.answerCall(w, r, e.runRepeatable(r, pool, call))
+		e.answerCall(w, r, e.runRepeatable(r, run, pool, call))
 		return
 	}
 	pl, apiErr := e.place(r, pool, call)
@@ -66,7 +72,10 @@
 		return
 	}
 	w.Header().Set(headerCall, pl.id.String())
-	e.answerCall(w, r, e.runOnce(r, pl))
+	run.Sent()
+	res := e.runOnce(r, pl)
+	e.settleCall(run, res)
+	e.answerCall(w, r, res)
 }
 
 func (e *Entry) servicePool(r callerRequest) (*config.Pool, bool) {
@@ -181,20 +190,24 @@
 }
 
 // runRepeatable tries upstreams in turn, within the retry budget.
-func (e *Entry) runRepeatable(r callerRequest, pool *config.Pool, call sidecar.Call) sidecar.Result {
+func (e *Entry) runRepeatable(r callerRequest, run *quarantine.Run, pool *config.Pool, call sidecar.Call) sidecar.Result {
 	ctx, cancel := context.WithDeadline(r.Context(), call.StartBy)
 	defer cancel()
 	e.budget(pool.Name).Request()
 	res := sidecar.NewResult(sidecar.NotRun, "no upstream can take the call")
 	for i, p := range e.route(pool) {
-		if i >= e.settings.Attempts || (i > 0 && !e.budget(pool.Name).Retry()) {
+		if i >= e.settings.Attempts || !run.MaySend() || (i > 0 && (!run.MayRepeat() || !e.budget(pool.Name).Retry())) {
 			break
 		}
 		if i > 0 {
 			e.met.retries.Inc()
 		}
+		run.Sent()
 		e.rec.Note(events.RequestRouted, r.id, "upstream", p.Identity().Upstream())
 		got, err := e.client.Invoke(ctx, p, call)
+		if err == nil {
+			e.settleCall(run, got)
+		}
 		switch {
 		case err == nil && got.Outcome() == sidecar.Done:
 			return got
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -84,10 +84,5 @@
 	g.quarantine.Sweep(func(start string) bool { return !g.there(start) })
 }
 
-// Suspects returns what other entries are to know of requests that end upstreams.
-func (g *Gateway) Suspects() []quarantine.Word { return g.quarantine.Tell() }
-
-// PeerSuspects takes over what another entry knows of requests that end upstreams.
-func (g *Gateway) PeerSuspects(entry string, words []quarantine.Word) {
-	g.quarantine.Hear(entry, words)
-}
+// Quarantine returns what this entry knows of requests that end upstreams.
+func (g *Gateway) Quarantine() *quarantine.Set { return g.quarantine }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -62,7 +62,7 @@
 	FaultAgesMS map[string]int64
 	Failures    map[string]int
 	Retries     map[string]wireUse
-	Suspects    []wireSuspect
+	Suspects    []quarantine.Message
 }
 
 // wireLoad holds requests, tokens, tokens not read yet and tokens held by now.
@@ -71,18 +71,6 @@
 // wireUse holds requests and repeats.
 type wireUse [2]int
 
-// wireSuspect is a request under which upstreams ended.
-type wireSuspect struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint []byte
-	Route       string
-	Account     string
-	// EndAgesMS is the time since upstreams ended under it, by start.
-	EndAgesMS map[string]int64
-	Void      []string
-	Runs      bool
-}
-
 // message is a datagram that was read.
 type message struct {
 	echo echo
@@ -93,7 +81,7 @@
 func encodeBody(settings Settings, s State, running time.Duration, now time.Time) ([]byte, error) {
 	b := body{
 		From: settings.Name, Life: settings.Life, Sent: running.Nanoseconds() + 1, AgeMS: -1,
-		Zone: s.Zone, Relay: s.Relay, Routes: int64(s.Routes), Lost: s.StoreLost, Leaving: s.Leaving, Failures: s.Failures,
+		Zone: s.Zone, Relay: s.Relay, Routes: int64(s.Routes), Lost: s.StoreLost, Leaving: s.Leaving, Failures: s.Failures, Suspects: quarantine.Encode(s.Suspects, now),
 		Loads: make(map[string]wireLoad, len(s.Loads)), FaultAgesMS: make(map[string]int64, len(s.Faults)), Retries: make(map[string]wireUse, len(s.Retries)),
 	}
 	if !s.Confirmed.IsZero() {
@@ -111,33 +99,9 @@
 	for service, u := range s.Retries {
 		b.Retries[service] = wireUse{u.Requests, u.Repeats}
 	}
-	for _, w := range s.Suspects {
-		b.Suspects = append(b.Suspects, suspectOf(w, now))
-	}
 	return cbor.Marshal(b)
 }
 
-func suspectOf(w quarantine.Word, now time.Time) wireSuspect {
-	out := wireSuspect{Fingerprint: w.Fingerprint[:], Route: w.Route, Account: w.Account, EndAgesMS: make(map[string]int64, len(w.Ends)), Void: w.Void, Runs: w.Runs}
-	for start, at := range w.Ends {
-		out.EndAgesMS[start] = now.Sub(at).Milliseconds()
-	}
-	return out
-}
-
-// word returns what a message says of a request; ok is false if it names none.
-func (w wireSuspect) word(now time.Time) (out quarantine.Word, ok bool) {
-	if len(w.Fingerprint) != len(out.Fingerprint) {
-		return out, false
-	}
-	out = quarantine.Word{Request: quarantine.Request{Route: w.Route, Account: w.Account}, Ends: make(map[string]time.Time, len(w.EndAgesMS)), Void: w.Void, Runs: w.Runs}
-	copy(out.Fingerprint[:], w.Fingerprint)
-	for start, age := range w.EndAgesMS {
-		out.Ends[start] = now.Add(-time.Duration(age) * time.Millisecond)
-	}
-	return out, true
-}
-
 // encode returns the datagram for one receiver.
 func encode(e echo, body []byte) ([]byte, error) {
 	return cbor.Marshal(datagram{Format: format, Echo: e, Body: body})
@@ -166,7 +130,7 @@
 func (m message) state(now time.Time) State {
 	b := m.body
 	s := State{
-		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures,
+		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: quarantine.Decode(b.Suspects, now),
 		Loads: make(map[string]Load, len(b.Loads)), Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
 	}
 	for id, l := range b.Loads {
@@ -178,11 +142,6 @@
 	for id, age := range b.FaultAgesMS {
 		s.Faults[id] = now.Add(-time.Duration(age) * time.Millisecond)
 	}
-	for _, w := range b.Suspects {
-		if word, ok := w.word(now); ok {
-			s.Suspects = append(s.Suspects, word)
-		}
-	}
 	for service, u := range b.Retries {
 		s.Retries[service] = routing.Use{Requests: u[0], Repeats: u[1]}
 	}
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -124,15 +124,6 @@
 	}
 }
 
-// TestWordWithoutAFingerprint covers a request that cannot be told from others.
-func TestWordWithoutAFingerprint(t *testing.T) {
-	now := time.Now()
-	b := wireSuspect{Fingerprint: []byte{1}, EndAgesMS: map[string]int64{"e": 1}}
-	if s := (message{body: body{From: "a", Suspects: []wireSuspect{b}}}).state(now); len(s.Suspects) != 0 {
-		t.Errorf("took over %v", s.Suspects)
-	}
-}
-
 // FuzzDecode: whatever arrives is either used or refused.
 func FuzzDecode(f *testing.F) {
 	now := time.Now()
--- a/internal/membership/identity.go
+++ b/internal/membership/identity.go
@@ -12,6 +12,7 @@
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // Role is what a process does.
@@ -87,16 +88,20 @@
 	Leaving bool
 	Mark    config.Mark
 	Load    Load
+	// Suspects are the requests under which upstreams ended.
+	Suspects []quarantine.Word
 }
 
-// Self answers heartbeats for the own process. Status and Behind are seams:
+// Self answers heartbeats for the own process. Status, Behind and Suspects are seams:
 // Status is read for each answer, Behind is called when a peer shows a higher
-// configuration mark.
+// configuration mark, and Suspects, if set, with what one tells of requests under which
+// upstreams ended.
 type Self struct {
 	Identity Identity
 	Recorder *events.Recorder
 	Status   func() Status
 	Behind   func(c *peer.Conn, m config.Mark)
+	Suspects func(process string, words []quarantine.Word)
 }
 
 const (
@@ -117,13 +122,24 @@
 type pingParams struct {
 	Mark  config.Mark  `json:"m"`
 	Stamp events.Stamp `json:"t"`
+	// Process is the sender's name, if it is an entry.
+	Process  string               `json:"p,omitempty"`
+	Suspects []quarantine.Message `json:"s,omitempty"`
 }
 
 type pingResult struct {
-	Mark    config.Mark  `json:"m"`
-	Leaving bool         `json:"leaving,omitempty"`
-	Load    Load         `json:"load"`
-	Stamp   events.Stamp `json:"t"`
+	Mark     config.Mark          `json:"m"`
+	Leaving  bool                 `json:"leaving,omitempty"`
+	Load     Load                 `json:"load"`
+	Stamp    events.Stamp         `json:"t"`
+	Suspects []quarantine.Message `json:"s,omitempty"`
+}
+
+// hear takes over what a process tells of requests under which upstreams ended.
+func (s *Self) hear(process string, messages []quarantine.Message) {
+	if s.Suspects != nil && process != "" {
+		s.Suspects(process, quarantine.Decode(messages, time.Now()))
+	}
 }
 
 // Methods returns the handlers that answer for the own process.
@@ -152,7 +168,8 @@
 	if p.Mark > st.Mark && s.Behind != nil {
 		go s.Behind(c, p.Mark)
 	}
-	return pingResult{Mark: st.Mark, Leaving: st.Leaving, Load: st.Load, Stamp: s.Recorder.Now()}, nil
+	s.hear(p.Process, p.Suspects)
+	return pingResult{Mark: st.Mark, Leaving: st.Leaving, Load: st.Load, Stamp: s.Recorder.Now(), Suspects: quarantine.Encode(st.Suspects, time.Now())}, nil
 }
 
 // AnnounceLeaving tells all connected peers at once that the own process takes
--- a/internal/membership/set.go
+++ b/internal/membership/set.go
@@ -14,6 +14,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // Timing are the periods of the membership loops.
@@ -318,6 +319,15 @@
 	}
 }
 
+// ProbeEntries pings all entries at once, which tells them what they are to know.
+func (s *Set) ProbeEntries() {
+	for _, p := range s.Peers() {
+		if p.Identity().role == RoleEntry {
+			p.Probe()
+		}
+	}
+}
+
 // Suspected reports whether a ping to the peer is unanswered for too long.
 func (p *Peer) Suspected() bool {
 	p.mu.Lock()
@@ -335,8 +345,17 @@
 	callCtx, cancel := context.WithTimeout(ctx, s.timing.Lost)
 	defer cancel()
 	var r pingResult
-	mark := s.self.Status().Mark
-	err := c.Call(callCtx, methodPing, pingParams{Mark: mark, Stamp: s.self.Recorder.Now()}, &r)
+	status := s.self.Status()
+	mark := status.Mark
+	params := pingParams{Mark: mark, Stamp: s.self.Recorder.Now()}
+	entry := p.Identity().role == RoleEntry
+	if entry && s.self.Identity.role == RoleEntry {
+		params.Process, params.Suspects = s.self.Identity.process, quarantine.Encode(status.Suspects, time.Now())
+	}
+	err := c.Call(callCtx, methodPing, params, &r)
+	if entry && err == nil {
+		s.self.hear(p.Identity().process, r.Suspects)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	over = true
--- /dev/null
+++ b/internal/quarantine/message_test.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func TestMessagesArriveAsSent(t *testing.T) {
+	now := time.Now()
+	want := []Word{
+		{Request: Request{Fingerprint: named("a"), Route: "r", Account: "acme"}, Ends: map[string]time.Time{"1": now.Add(-time.Second)}, Void: []string{"0"}, Runs: true},
+		{Request: Request{Fingerprint: named("b")}},
+	}
+	for _, tc := range []struct {
+		name   string
+		encode func(v any) ([]byte, error)
+		decode func(b []byte, v any) error
+	}{
+		{"CBOR", cbor.Marshal, cbor.Unmarshal},
+		{"JSON", json.Marshal, json.Unmarshal},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, err := tc.encode(Encode(want, now))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var m []Message
+			if err := tc.decode(b, &m); err != nil {
+				t.Fatal(err)
+			}
+			if got := Decode(m, now); !reflect.DeepEqual(got, want) {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+		})
+	}
+}
+
+// TestMessageWithoutAFingerprint covers one that cannot be told from others.
+func TestMessageWithoutAFingerprint(t *testing.T) {
+	if words := Decode([]Message{{Fingerprint: []byte{1}, EndAgesMS: map[string]int64{"e": 1}}}, time.Now()); len(words) != 0 {
+		t.Errorf("took over %v", words)
+	}
+}
--- a/internal/scenario/crashing_test.go
+++ b/internal/scenario/crashing_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,7 +31,6 @@
 	mu      sync.Mutex
 	reached []time.Time
 	ends    []time.Time
-	closed  bool
 }
 
 // crashable serves an upstream that a request with crashText in its body ends.
@@ -119,15 +120,72 @@
 	c.configured(t, entries)
 	asked, served := c.askBeside(entries, 6*time.Second)
 	for kind, of := range kinds {
-		if late, ends := of.late(); late > mostAfterVerdict || ends < 3 {
+		late, ends := of.late()
+		t.Logf("%s: %d ended; %d of %d sound requests served", kind, ends, served, asked)
+		if late > mostAfterVerdict || ends < 3 {
 			t.Errorf("%s: reached %d times later than %s after the third end; %d ended in all", kind, late, knownWithin, ends)
 		}
 	}
 	if served*10 < asked*8 {
 		t.Errorf("%d of %d sound requests served", served, asked)
 	}
+	c.heldAndLifted(t, entries)
 }
 
+// heldAndLifted covers what callers and operators get of a request that is held, also at an
+// entry that has just started anew.
+func (c *cluster) heldAndLifted(t *testing.T, entries []string) {
+	t.Helper()
+	if err := c.signal(entries[1], syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.restart(entries[1]); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.ready(entries...); err != nil {
+		t.Fatal(err)
+	}
+	var held []byte
+	if err := waitFor(func() (err error) {
+		held, err = c.ctl(entries[1], "quarantine", "list").Output()
+		if err == nil && strings.Count(string(held), "/v1/chat/completions") != 1 {
+			err = fmt.Errorf("%w: %s", errNotHeld, held)
+		}
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	body := chatBody(crashText + " out=5")
+	for _, name := range entries {
+		a := post(c.proc(name).http+"/v1/chat/completions", body)
+		if a.status != http.StatusServiceUnavailable || !strings.Contains(a.body, `"code":"request_held"`) || !strings.Contains(a.body, `"outcome":"not-run"`) || a.header.Get("Retry-After") != "" || a.header.Get("X-Should-Retry") != "false" {
+			t.Errorf("%s answers %+v", name, a)
+		}
+	}
+	for line := range strings.Lines(string(held)) {
+		fingerprint, rest, _ := strings.Cut(line, " ")
+		if !strings.Contains(rest, "/v1/chat/completions") {
+			continue
+		}
+		if out, err := c.ctl(entries[0], "quarantine", "lift", fingerprint).CombinedOutput(); err != nil {
+			t.Errorf("lift: %v: %s", err, out)
+		}
+	}
+	if err := waitFor(func() error {
+		if a := post(c.proc(entries[1]).http+"/v1/chat/completions", body); strings.Contains(a.body, "request_held") {
+			return errStillHeld
+		}
+		return nil
+	}); err != nil {
+		t.Error(err)
+	}
+}
+
+var (
+	errNotHeld   = errors.New("the request is not held")
+	errStillHeld = errors.New("the request is still held")
+)
+
 // startCrashable starts an upstream that a request can end, and its sidecar.
 func (c *cluster) startCrashable(t *testing.T, name, zone string, of *crashes, h http.Handler) {
 	t.Helper()
@@ -160,11 +218,11 @@
 		each(100*time.Millisecond, func(int) { post(url+"/v1/chat/completions", chatBody(crashText+" out=5")) })
 		each(110*time.Millisecond, func(int) { post(url+"/services/ledger/tallies", crashText) })
 		each(30*time.Millisecond, func(n int) {
-			status, _ := post(url+"/v1/chat/completions", chatBody(fmt.Sprintf("sound %s %d out=5", name, n)))
+			a := post(url+"/v1/chat/completions", chatBody(fmt.Sprintf("sound %s %d out=5", name, n)))
 			mu.Lock()
 			defer mu.Unlock()
 			asked++
-			if status == http.StatusOK {
+			if a.status == http.StatusOK {
 				served++
 			}
 		})
@@ -177,18 +235,25 @@
 	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}]}`, modelName, text)
 }
 
-// post sends a body and returns the status and the answer.
-func post(url, body string) (int, string) {
+// posted is what a caller got; the zero value is for no answer.
+type posted struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// post sends a body and returns the answer.
+func post(url, body string) posted {
 	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
-		return 0, err.Error()
+		return posted{}
 	}
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, err.Error()
+		return posted{}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(b)
+	return posted{status: resp.StatusCode, header: resp.Header, body: string(b)}
 }
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -90,11 +90,21 @@
 	defer cancel()
 	a, err := s.service.do(ctx, p)
 	if err != nil {
-		return invokeResult{Outcome: Unknown, Reason: err.Error()}
+		return invokeResult{Outcome: Unknown, Reason: err.Error(), EndedWith: s.endedUnder(ctx, err)}
 	}
+	s.starts.answered()
 	return doneResult(a)
 }
 
+// endedUnder returns the start of the service that ended under a call that got no answer,
+// empty if none did.
+func (s *Server) endedUnder(ctx context.Context, err error) string {
+	if errors.Is(err, errNotSent) || refusedConnection(err) || ctx.Err() != nil {
+		return ""
+	}
+	return s.starts.ended(ctx)
+}
+
 func doneResult(a *answer) invokeResult {
 	if a == nil {
 		return invokeResult{Outcome: Done, Reason: "answer was too large to keep"}
@@ -264,6 +274,7 @@
 	a, err := s.service.do(sendCtx, p)
 	switch {
 	case err == nil:
+		s.starts.answered()
 		s.book.finish(c, a)
 		s.rec.Note(events.CallDone, p.Request, "call", p.ID, "status", a.status)
 		return doneResult(a)
@@ -272,7 +283,7 @@
 		return invokeResult{Outcome: NotRun, Reason: "upstream not reachable"}
 	default:
 		s.book.lose(c)
-		return invokeResult{Outcome: Unknown, Reason: "the upstream's answer was lost"}
+		return invokeResult{Outcome: Unknown, Reason: "the upstream's answer was lost", EndedWith: s.endedUnder(sendCtx, err)}
 	}
 }
 
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -121,6 +121,15 @@
 	return p.end.Reason
 }
 
+// EndedWith returns the start of the engine that ended under the generation, empty if none
+// did.
+func (p Part) EndedWith() string {
+	if p.end == nil {
+		return ""
+	}
+	return p.end.EndedWith
+}
+
 // Output returns the number of output tokens of an ended stream.
 func (p Part) Output() int64 {
 	if p.end == nil {
@@ -342,8 +351,13 @@
 	status  int
 	header  http.Header
 	body    []byte
+	// endedWith is the start of the service that ended under the call.
+	endedWith string
 }
 
+// EndedWith returns the start of the service that ended under the call, empty if none did.
+func (r Result) EndedWith() string { return r.endedWith }
+
 // Outcome returns whether the call ran.
 func (r Result) Outcome() Outcome { return r.outcome }
 
@@ -364,7 +378,7 @@
 
 func (c *Client) result(r invokeResult) Result {
 	c.rec.Observe(r.Stamp)
-	return Result{outcome: r.Outcome, reason: r.Reason, status: r.Status, header: r.Header, body: r.Body}
+	return Result{outcome: r.Outcome, reason: r.Reason, status: r.Status, header: r.Header, body: r.Body, endedWith: r.EndedWith}
 }
 
 // Invoke runs a call at the sidecar p. An error wrapping peer.ErrUnreachable
--- a/internal/sidecar/generation.go
+++ b/internal/sidecar/generation.go
@@ -46,6 +46,8 @@
 	usage         json.RawMessage
 	end           *endNote
 	endedAt       time.Time
+	// endedWith is the start of the engine that ended under the generation.
+	endedWith string
 	// changed is closed and replaced whenever there is something to send.
 	changed chan struct{}
 	// holder is the connection that receives the stream; the newest wins.
@@ -90,6 +92,13 @@
 	g.usage = usage
 }
 
+// lostWith notes that a start of the engine ended under the generation; empty for none.
+func (g *generation) lostWith(start string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endedWith = start
+}
+
 // finishOnce ends the generation; only the first reason counts.
 func (g *generation) finishOnce(whole bool, reason string) {
 	g.mu.Lock()
@@ -102,7 +111,7 @@
 }
 
 func (g *generation) finish(whole bool, reason string) {
-	g.end = &endNote{Whole: whole, Reason: reason, Total: g.first + int64(len(g.choices)) - 1, Output: g.output, Usage: g.usage}
+	g.end = &endNote{Whole: whole, Reason: reason, EndedWith: g.endedWith, Total: g.first + int64(len(g.choices)) - 1, Output: g.output, Usage: g.usage}
 	g.endedAt = time.Now()
 	if g.cancel != nil {
 		go g.cancel()
--- a/internal/sidecar/runner.go
+++ b/internal/sidecar/runner.go
@@ -15,10 +15,11 @@
 // runner puts the decision between the queue and one engine: it tells the
 // scheduler what happens and carries out what it decides.
 type runner struct {
-	link *engineLink
-	rec  *events.Recorder
-	now  func() time.Time
-	met  *Metrics
+	link   *engineLink
+	starts *starts
+	rec    *events.Recorder
+	now    func() time.Time
+	met    *Metrics
 
 	mu      sync.Mutex
 	sched   *decision.Scheduler
@@ -41,9 +42,10 @@
 	orderBuffer = 4096
 )
 
-func newRunner(link *engineLink, settings decision.Settings, rec *events.Recorder, met *Metrics, now func() time.Time) *runner {
+func newRunner(link *engineLink, starts *starts, settings decision.Settings, rec *events.Recorder, met *Metrics, now func() time.Time) *runner {
 	return &runner{
 		link:    link,
+		starts:  starts,
 		rec:     rec,
 		met:     met,
 		now:     now,
@@ -184,7 +186,10 @@
 // stream runs an admitted generation on the engine and fills its buffer. It
 // returns when the generation has its end.
 func (r *runner) stream(ctx context.Context, g *generation, p generateParams) {
-	whole, reason := r.relay(ctx, g, p)
+	whole, reason, broke := r.relay(ctx, g, p)
+	if broke && ctx.Err() == nil {
+		g.lostWith(r.starts.ended(ctx))
+	}
 	r.leave(g.id, whole)
 	g.finishOnce(whole, reason)
 	end, _ := g.ended()
@@ -196,12 +201,15 @@
 	errGap   = errors.New("gap in the engine's stream")
 )
 
-func (r *runner) relay(ctx context.Context, g *generation, p generateParams) (bool, string) {
+// relay passes on what the engine makes. broke tells that its answer broke off after the
+// engine may have begun.
+func (r *runner) relay(ctx context.Context, g *generation, p generateParams) (whole bool, reason string, broke bool) {
 	body, err := r.link.open(ctx, g.id, p)
 	if err != nil {
-		return false, reasonUpstream
+		return false, reasonUpstream, !refusedConnection(err)
 	}
 	defer func() { _ = body.Close() }()
+	r.starts.answered()
 	last, finished := int64(0), false
 	err = readChunks(body, func(c chunk) error {
 		if c.choice == nil {
@@ -227,13 +235,13 @@
 	})
 	switch {
 	case err == nil && finished:
-		return true, ""
+		return true, "", false
 	case errors.Is(err, errMalformed):
-		return false, reasonMalformed
+		return false, reasonMalformed, false
 	case errors.Is(err, errGap):
-		return false, reasonGap
+		return false, reasonGap, false
 	default:
-		return false, reasonUpstream
+		return false, reasonUpstream, true
 	}
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -56,6 +56,7 @@
 	runner   *runner
 	book     *callBook
 	service  *serviceLink
+	starts   *starts
 	// OnBehind may be set before use; it is called when a request shows a
 	// configuration higher than the own one, and returns when that was fetched
 	// or cannot be.
@@ -76,6 +77,7 @@
 // clock.
 func New(settings Settings, identity membership.Identity, l *lease.Lease, rec *events.Recorder, met *Metrics, active func() *config.Active, now func() time.Time) *Server {
 	link := newEngineLink(settings.URL, l.Fence)
+	starts := newStarts(settings.URL, identity.Incarnation())
 	return &Server{
 		settings:    settings,
 		identity:    identity,
@@ -84,9 +86,10 @@
 		active:      active,
 		now:         now,
 		lease:       l,
-		runner:      newRunner(link, settings.Decision, rec, met, now),
+		runner:      newRunner(link, starts, settings.Decision, rec, met, now),
 		book:        newCallBook(settings.CallWindow, settings.AnswerBytes, now),
 		service:     newServiceLink(settings.URL, l.Fence),
+		starts:      starts,
 		after:       func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		generations: map[string]*generation{},
 	}
--- a/internal/sidecar/wire.go
+++ b/internal/sidecar/wire.go
@@ -71,6 +71,8 @@
 	Whole bool `json:"whole"`
 	// Reason is empty for a whole generation.
 	Reason string `json:"reason,omitempty"`
+	// EndedWith is the start of the engine that ended under the generation, empty for none.
+	EndedWith string `json:"ended_with,omitempty"`
 	// Total is the number of offsets of the generation.
 	Total int64 `json:"total"`
 	// Output is the number of output tokens.
@@ -118,6 +120,8 @@
 	Body    []byte       `json:"body,omitempty"`
 	RetryAt int64        `json:"retry_at,omitempty"`
 	Stamp   events.Stamp `json:"stamp"`
+	// EndedWith is the start of the service that ended under the call, empty for none.
+	EndedWith string `json:"ended_with,omitempty"`
 }
 
 type settleParams struct {
