fix: what one process fails over does not end each process that reads it

Cause, of the same class: a table, row, message or generation over which this program has a fault ended the process that read it, then the next one, and each again at its start. Change: package guard makes an error of such a fault where others' words are read: route tables, rows of upstreams, messages between entries, calls between processes, generations in a sidecar.

--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/guard"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
@@ -51,7 +52,11 @@
 // used is refused and the last good one stays; a version of the row is told once, since
 // each answer that holds the whole table repeats it.
 func (r *Routes) offer(rec platform.Record) {
-	table, err := r.decode(rec.Value)
+	var table *routetable.Table
+	err := guard.Do(func() (err error) {
+		table, err = r.decode(rec.Value)
+		return err
+	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -53,7 +53,7 @@
 // relayService answers other entries' questions for what the store said.
 func (b *gatewayBuilder) relayService() kernel.Service {
 	methods := func(*kernel.Registry) (peer.Methods, error) { return b.log.Methods(), nil }
-	return listenForPeers("--relay-listen", b.settings.RelayListen, methods, func(*kernel.Registry) func(*peer.Conn) { return nil })
+	return listenForPeers(b.rec, "--relay-listen", b.settings.RelayListen, methods, func(*kernel.Registry) func(*peer.Conn) { return nil })
 }
 
 // found takes over the list of entries.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -124,12 +124,17 @@
 
 // peerService listens for other processes.
 func peerService(n *node, methods func(r *kernel.Registry) (peer.Methods, error), onOpen func(r *kernel.Registry) func(*peer.Conn)) kernel.Service {
-	return listenForPeers("--peer-listen", n.settings.PeerListen, methods, onOpen)
+	return listenForPeers(n.rec, "--peer-listen", n.settings.PeerListen, methods, onOpen)
+}
+
+// noteFault returns what writes down a fault of this program over a message.
+func noteFault(rec *events.Recorder) func(method string, err error) {
+	return func(method string, err error) { rec.Note(events.HandlerPanicked, "", "method", method, "error", err) }
 }
 
 // listenForPeers serves methods to other processes at an address, which a flag
 // gave.
-func listenForPeers(flag, address string, methods func(r *kernel.Registry) (peer.Methods, error), onOpen func(r *kernel.Registry) func(*peer.Conn)) kernel.Service {
+func listenForPeers(rec *events.Recorder, flag, address string, methods func(r *kernel.Registry) (peer.Methods, error), onOpen func(r *kernel.Registry) func(*peer.Conn)) kernel.Service {
 	return kernel.Service{
 		Name: servicePeers,
 		Build: func(r *kernel.Registry) (any, error) {
@@ -141,7 +146,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", flag, err)
 			}
-			return peer.NewServer(l, m, onOpen(r)), nil
+			return peer.NewServer(l, m.Guarded(noteFault(rec)), onOpen(r)), nil
 		},
 		Start: func(_ context.Context, r *kernel.Registry) error {
 			s, err := kernel.Lookup[*peer.Server](r, servicePeers)
--- a/internal/daemon/upstreamrows.go
+++ b/internal/daemon/upstreamrows.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/guard"
 	product "github.com/sparshore/sparshore/internal/platform"
 )
 
@@ -47,7 +48,11 @@
 			gone = append(gone, fleet.Gone{Name: row.Name, Version: row.Version})
 			continue
 		}
-		r, err := u.decode(row.Name, row.Value)
+		var r fleet.Record
+		err := guard.Do(func() (err error) {
+			r, err = u.decode(row.Name, row.Value)
+			return err
+		})
 		if err != nil {
 			u.bad.add(row, err)
 			unreadable = append(unreadable, row.Name)
--- a/internal/daemon/upstreamrows_test.go
+++ b/internal/daemon/upstreamrows_test.go
@@ -194,3 +194,18 @@
 		t.Errorf("gone %+v, want version 8", left)
 	}
 }
+
+// A row that this program fails over ended each entry that read it.
+func TestRowThatEndsNoReader(t *testing.T) {
+	f := newRowsFixture()
+	f.decode = func(name string, _ []byte) (fleet.Record, error) {
+		if name == "oops" {
+			panic("oops")
+		}
+		return fleet.Record{Name: name, Service: "app"}, nil
+	}
+	f.apply([]product.Record{{Name: "oops", Version: 1}, {Name: "good", Version: 2}}, true, time.Time{})
+	if n := len(f.set.Of("app")); n != 1 || f.linesOf() != 1 {
+		t.Errorf("%d upstreams and %d lines, want the good one and a line about the other", n, f.linesOf())
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/guard"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -274,7 +275,12 @@
 		n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
 		return
 	}
-	n.take(m, addr)
+	if err := guard.Do(func() error {
+		n.take(m, addr)
+		return nil
+	}); err != nil {
+		n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
+	}
 }
 
 // take stores a peer's state. Its confirmation holds for the time of the echo,
@@ -285,7 +291,14 @@
 	if m.body.AgeMS >= 0 && n.echoed(m) {
 		s.Confirmed = n.start.Add(time.Duration(m.echo.Sent) - time.Duration(m.body.AgeMS)*time.Millisecond)
 	}
+	n.keep(m, s, addr, now)
+	n.heard(m.body.From, s)
+}
+
+// keep takes over a peer's state.
+func (n *Node) keep(m message, s State, addr net.Addr, now time.Time) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	p, ok := n.peers[m.body.From]
 	if !ok {
 		p = &peer{lost: true}
@@ -301,8 +314,6 @@
 	if appeared {
 		n.count()
 	}
-	n.mu.Unlock()
-	n.heard(m.body.From, s)
 }
 
 // echoed reports whether a message tells which one of this process its sender had last.
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,35 @@
+package guard
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestDo(t *testing.T) {
+	errOwn := errors.New("own")
+	for _, tc := range []struct {
+		name string
+		f    func() error
+		want error
+	}{
+		{"nothing", func() error { return nil }, nil},
+		{"an error", func() error { return errOwn }, errOwn},
+		{"a panic", func() error { panic("oops") }, ErrFault},
+		{"a fault of the runtime", func() error {
+			var m map[string]int
+			m["a"] = 1
+			return nil
+		}, ErrFault},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			err := Do(tc.f)
+			if !errors.Is(err, tc.want) {
+				t.Errorf("%v, want %v", err, tc.want)
+			}
+			if tc.want == ErrFault && (!strings.Contains(err.Error(), "guard_test.go") || len(err.Error()) > 2*mostStack) {
+				t.Errorf("%d bytes without the place: %v", len(err.Error()), err)
+			}
+		})
+	}
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/sparshore/sparshore/internal/guard"
 )
 
 // ErrLost is returned when the connection ended before an answer came. The
@@ -39,6 +41,26 @@
 // Methods maps method names to their handlers.
 type Methods map[string]Handler
 
+// Guarded returns the methods with handlers whose faults end no process: the other side gets
+// an error, and note hears of it.
+func (m Methods) Guarded(note func(method string, err error)) Methods {
+	out := make(Methods, len(m))
+	for method, h := range m {
+		out[method] = func(ctx context.Context, c *Conn, params json.RawMessage) (result any, err error) {
+			err = guard.Do(func() (err error) {
+				result, err = h(ctx, c, params)
+				return err
+			})
+			if errors.Is(err, guard.ErrFault) {
+				note(method, err)
+				return result, guard.ErrFault
+			}
+			return result, err
+		}
+	}
+	return out
+}
+
 // Conn is one connection to a peer.
 type Conn struct {
 	rpc    *jsonrpc2.Conn
--- a/internal/sidecar/generation.go
+++ b/internal/sidecar/generation.go
@@ -25,6 +25,7 @@
 	reasonMalformed  = "upstream sent malformed data"
 	reasonGap        = "upstream left out part of the stream"
 	reasonStopped    = "planned stop reached its deadline"
+	reasonFault      = "a fault of the sidecar"
 )
 
 // generation keeps the numbered tokens of one run on the engine.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/decision"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/guard"
 	"github.com/sparshore/sparshore/internal/inflight"
 	"github.com/sparshore/sparshore/internal/lease"
 	"github.com/sparshore/sparshore/internal/membership"
@@ -113,7 +114,15 @@
 func (s *Server) answering(h peer.Handler) peer.Handler {
 	return func(ctx context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
 		s.inFlight.Enter()
+		answered := false
+		defer func() {
+			// A fault leaves nothing to be sent.
+			if !answered {
+				s.inFlight.Leave()
+			}
+		}()
 		result, err := h(ctx, c, raw)
+		answered = true
 		return peer.Answer{Result: result, Sent: s.inFlight.Leave}, err
 	}
 }
@@ -233,7 +242,7 @@
 	go func() {
 		defer s.inFlight.Leave()
 		defer cancel()
-		s.runner.stream(runCtx, g, p)
+		s.runGuarded(runCtx, g, p)
 		end, _ := g.ended()
 		s.met.generations.WithLabelValues(endLabel(end)).Inc()
 		s.met.tokens.Add(float64(end.Output))
@@ -242,6 +251,20 @@
 	return generateResult{Generation: id, Load: s.Load(), Stamp: s.rec.Now()}, nil
 }
 
+// runGuarded runs a generation; a fault of this program over it ends the generation only. It
+// would end the sidecar otherwise, and the next one to which the request is sent.
+func (s *Server) runGuarded(ctx context.Context, g *generation, p generateParams) {
+	err := guard.Do(func() error {
+		s.runner.stream(ctx, g, p)
+		return nil
+	})
+	if err != nil {
+		s.rec.Note(events.HandlerPanicked, p.Request, "generation", g.id, "error", err)
+		g.finishOnce(false, reasonFault)
+		s.runner.leave(g.id, false)
+	}
+}
+
 // begin gives the generation its receiver and waits for the decision.
 func (s *Server) begin(c *peer.Conn, g *generation, d *delivery, p generateParams) (decision.Action, *refusal) {
 	if !hold(c, g, d, 0) {
