--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // crashingBody is the body of a request that ends each upstream that begins to run it.
@@ -202,3 +204,78 @@
 	w.Header().Set(testProof, "p")
 	_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
 }
+
+// TestWhoIsSuspected covers which ends of answers make a request a suspect.
+func TestWhoIsSuspected(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		leaves    bool
+		dies      bool
+		suspected bool
+	}{
+		{"its upstream ended", false, true, true},
+		{"its upstream ended by plan", true, true, false},
+		{"its answer was lost", false, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			var a *upstream
+			var server *httptest.Server
+			a = f.add("app", "a", func(http.ResponseWriter, *http.Request) {
+				if tc.leaves {
+					f.fleet.MarkLeaving(a.id, "test")
+				}
+				if tc.dies {
+					_ = server.Listener.Close()
+				}
+				panic(http.ErrAbortHandler)
+			})
+			server = f.last
+			if got := f.ask(pathOnce); got.status != http.StatusBadGateway {
+				t.Fatalf("status %d, %v", got.status, got.err)
+			}
+			if !tc.suspected {
+				time.Sleep(50 * time.Millisecond)
+			}
+			f.until("the end is judged", func() bool { return (len(f.gateway.Quarantine().List()) == 1) == tc.suspected })
+		})
+	}
+}
+
+// TestSuspectIsNotHedged covers a slow call under which an upstream ended before: it goes to
+// no second upstream as well.
+func TestSuspectIsNotHedged(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ends int
+		runs int
+	}{
+		{"a request of which nothing is known", 0, 2},
+		{"a suspect", 1, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			slow := func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(150 * time.Millisecond)
+				serveOK(w, r)
+			}
+			ups := []*upstream{f.add("app", "a", slow), f.add("app", "b", slow)}
+			run, err := f.gateway.quarantine.Enter(t.Context(), quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", pathSafe, "acme", []byte("body"))}, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range tc.ends {
+				start := strconv.Itoa(i)
+				run.Broke(start)
+				f.gateway.quarantine.Ended(start)
+			}
+			run.Leave()
+			if got := f.ask(pathSafe); got.status != http.StatusOK {
+				t.Fatalf("status %d, %v", got.status, got.err)
+			}
+			if runs := ups[0].runs() + ups[1].runs(); runs != tc.runs {
+				t.Errorf("%d runs, want %d", runs, tc.runs)
+			}
+		})
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -142,6 +142,8 @@
 	rec     *events.Recorder
 	server  *httptest.Server
 	records []fleet.Record
+	// last is the server of the upstream that was added last.
+	last *httptest.Server
 	// peers are the other entries that are heard.
 	peers map[string]gossip.Peer
 	delay time.Duration
@@ -243,6 +245,7 @@
 		serve(w, r)
 	}))
 	f.t.Cleanup(s.Close)
+	f.last = s
 	u.address = strings.TrimPrefix(s.URL, "http://")
 	f.records = append(f.records, fleet.Record{Name: id, Service: service, Address: u.address, Slots: 6})
 	f.fleet.Update(f.records, nil, true, time.Time{})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -158,4 +158,50 @@
 mutant start-row platform/upstreams.go 's/Born: f\.born\(\), //' platform TestBirthInARow
 mutant start-reported platform/engine.go 's/\t\tBorn:    r\.Born,\n//' platform TestBirthInAReport
 
+# Requests that end upstreams.
+held=internal/quarantine
+mutant held-refused $held/set.go 's/if !u\.held\.IsZero\(\) && s\.now\(\)\.Before\(u\.heldUntil\(\)\) \{/if false {/' $held TestHeldAfterThreeEnds
+mutant held-turns $held/set.go 's/if s\.running\[r\.Fingerprint\] > 0 \|\| /if /' $held TestSuspectWaitsForItsTurn
+mutant held-elsewhere $held/set.go 's/ \|\| s\.busyElsewhere\(r\.Fingerprint\) \|\|/ ||/' $held TestSuspectThatRunsElsewhere
+mutant held-unclear $held/set.go 's/ \|\| s\.unclear\(u\) \{/ {/' $held TestUnsettledBreaksHoldBack
+mutant held-served-lately $held/set.go 's/return s\.now\(\)\.Sub\(s\.served\[f\]\) < servedFor/return false/' $held TestServedLatelyIsNoSuspect
+mutant held-served-bound $held/run.go 's/if len\(s\.served\) < mostServed \{/if true {/' $held TestServedAreBounded
+mutant held-cleared $held/run.go 's/\ts\.clear\(u, "it was served"\)\n/\t_ = u\n/' $held TestServedIsCleared
+mutant held-repeat $held/run.go 's/s\.level\(u\) <= repeatEnds/true/' $held TestServedIsCleared
+mutant held-one-try $held/run.go 's/r\.probation && !r\.sent/r.probation/' $held TestOneTryAfterAQuarantine
+mutant held-doubles $held/suspect.go 's/hold = min\(2\*hold, holdMost\)/hold = min(hold, holdMost)/' $held TestOneTryAfterAQuarantine
+mutant held-stood-out $held/verdict.go 's/case stoodOut\(u, open\):/case true:/' $held TestJudge
+mutant held-explained $held/verdict.go 's/open\[u\] = e\.unexplained\(u\)/open[u] = u.live()/' $held TestJudge
+mutant held-void-told $held/word.go 's/\t\t\tw\.Void = append\(w\.Void, start\)\n//' $held 'TestClearedElsewhere|TestOperatorsListAndLift'
+mutant held-told-anew $held/word.go 's/\tif len\(u\.live\(\)\) >= tellEnds \{\n\t\treturn true\n\t\}\n//' $held TestAnEntryThatStartsAnewLearns
+mutant held-bounded $held/set.go 's/\t\ts\.makeRoom\(\)\n//' $held TestSuspectsAreBounded
+mutant held-ends-bounded $held/suspect.go 's/if len\(u\.ends\) >= mostEnds \{/if false {/' $held TestEndsOfOneRequestAreBounded
+mutant held-forgotten $held/set.go 's/if u\.old\(now\) \{/if false {/' $held TestForgotten
+mutant held-learnt-again $held/word.go 's/if u\.old\(s\.now\(\)\) \{/if false {/' $held TestForgotten
+mutant held-settled $held/set.go 's/case now\.Sub\(b\.at\) > settleWithin:/case now.Sub(b.at) > 24*time.Hour:/' $held TestBreaksThatAreNoEnds
+mutant held-alive $held/set.go 's/b\.alive = true/b.alive = false/' $held TestBreaksThatAreNoEnds
+mutant held-replaced $held/set.go 's/case replaced\(start\):/case false:/' $held TestBreaksThatAreNoEnds
+mutant held-account $held/fingerprint.go 's/\{method, host, target, account\}/{method, host, target}/' $held TestFingerprintOf
+mutant held-parts $held/fingerprint.go 's/\t\t_, _ = h\.Write\(size\[:\]\)\n//' $held TestFingerprintOf
+mutant held-ended $gateway/crashing.go 's/\t\tg\.quarantine\.Ended\(at\.ID\)\n//' $gateway TestWhoIsSuspected
+mutant held-leaving $gateway/crashing.go 's/known && u\.State\(\) == fleet\.Leaving/known \&\& u.State() < 0/' $gateway TestWhoIsSuspected
+mutant held-lost-answer $gateway/crashing.go 's/g\.quarantine\.Lives\(at\.ID\)/g.quarantine.Ended(at.ID)/' $gateway TestWhoIsSuspected
+mutant held-hedge $gateway/call.go 's/ \|\| c\.rq\.run\.Suspected\(\) \{/ {/' $gateway TestSuspectIsNotHedged
+mutant held-call $gateway/call.go 's/\t\tg\.broke\(rq, u, r\.err\)\n//' $gateway TestRequestThatCrashesUpstreams
+mutant held-stream $gateway/attempt.go 's/\t\ts\.g\.broke\(s\.rq, st\.at, err\)\n//' $gateway TestRequestThatCrashesUpstreams
+mutant held-alone internal/daemon/gatewaypeers.go 's/\tb\.gateway\.Quarantine\(\)\.Hear\(from, s\.Suspects\)\n//' platform/soak TestCrashingRequest
+mutant held-untold internal/gossip/message.go 's/Suspects: quarantine\.Encode\(s\.Suspects/Suspects: quarantine.Encode(s.Suspects[:0]/' platform/soak TestCrashingRequest
+mutant held-sidecar-starts internal/sidecar/starts.go 's/s\.n, s\.down = s\.n\+1, false/s.down = false/' internal/sidecar TestStartsOfTheUpstream
+mutant held-entry-generation internal/entry/completions.go 's/\t\te\.lost\(j\.run, part\.EndedWith\(\)\)\n//' internal/scenario 'TestRequestThatCrashesUpstreams$'
+mutant held-entry-call internal/sidecar/calls.go 's/\treturn s\.starts\.ended\(ctx\)\n/\treturn ""\n/' internal/scenario 'TestRequestThatCrashesUpstreams$'
+mutant held-entry-sidecar internal/entry/crashing.go 's/\trun\.Broke\(start\)\n\tgo func/\tgo func/' internal/scenario TestRequestThatCrashesSidecars
+mutant held-entry-told internal/membership/set.go 's/quarantine\.Encode\(status\.Suspects/quarantine.Encode(status.Suspects[:0]/; s/process, r\.Suspects\)/process, r.Suspects[:0])/' internal/scenario 'TestRequestThatCrashesUpstreams$'
+
+# Faults of this program over what was read.
+mutant fault-table internal/belief/routes.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)/table, err := r.decode(rec.Value)/; s/\tvar table \*routetable\.Table\n//; s/.*internal\/guard"\n//' internal/belief TestTableThatEndsNoReader
+mutant fault-message internal/peer/conn.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t*result, err = h\(ctx, c, params\)\n\t*return err\n\t*\}\)/result, err = h(ctx, c, params)/' internal/peer TestMessageThatEndsNoReader
+mutant fault-gossip internal/gossip/gossip.go 's/if err := guard\.Do\(func\(\) error \{\n\t\tn\.take\(m, addr\)\n\t\treturn nil\n\t\}\); err/if n.take(m, addr); err/; s/.*internal\/guard"\n//' internal/gossip TestMessageThatEndsNoReader
+mutant fault-row internal/daemon/upstreamrows.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t*r, err = u\.decode\(row\.Name, row\.Value\)\n\t*return err\n\t*\}\)/r, err := u.decode(row.Name, row.Value)/; s/\t\tvar r fleet\.Record\n//; s/.*internal\/guard"\n//' internal/daemon TestRowThatEndsNoReader
+mutant fault-generation internal/sidecar/server.go 's/err := guard\.Do\(func\(\) error \{\n\t\ts\.runner\.stream\(ctx, g, p\)\n\t\treturn nil\n\t\}\)/err := ctx.Err()\n\ts.runner.stream(ctx, g, p)/; s/.*internal\/guard"\n//' internal/sidecar TestGenerationThatEndsNoSidecar
+
 finish
