fix: what is held outlives a loss of all entries

Cause: what entries knew of requests that end upstreams was in their memories only. Change: each gateway's row in the list of entries, which those that start read anyway, carries what it holds; one that saw an end writes its row at once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/directory"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gateway"
@@ -175,8 +176,12 @@
 	tables    *belief.Follower
 	members   *belief.Follower
 	gossip    *gossip.Node
-	ctx       context.Context
-	cancel    context.CancelFunc
+	directory *directory.Directory
+	// verdicts is the number of requests held for what this entry saw, as of the latest
+	// renewal of its row.
+	verdicts int
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -6,10 +6,14 @@
 	"net"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/sparshore/sparshore/internal/directory"
+	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/kernel"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/relay"
 )
 
@@ -28,12 +32,12 @@
 			return b.gossip, nil
 		},
 		Start: func(context.Context, *kernel.Registry) error {
-			d := directory.New(directory.Settings{
+			b.directory = directory.New(directory.Settings{
 				Table: tableEntries, Name: b.settings.Name, Address: b.settings.GossipListen,
 				Every: directoryEvery, ReadEach: directoryReadEach, Again: directoryAgain, CallWithin: directoryCall,
-			}, b.store, b.found, b.rec, time.Now)
+			}, b.store, b.found, directory.Carried{Value: b.heldRequests, Heard: b.heardHeld}, b.rec, time.Now)
 			go b.gossip.Run(b.ctx)
-			go d.Run(b.ctx)
+			go b.directory.Run(b.ctx)
 			return nil
 		},
 	}
@@ -62,6 +66,40 @@
 	b.gateway.Registered(len(addresses))
 }
 
+// heldRequests is what the own row in the list of entries holds of requests that end
+// upstreams.
+func (b *gatewayBuilder) heldRequests() []byte {
+	held := b.gateway.Quarantine().Held()
+	if len(held) == 0 {
+		return nil
+	}
+	value, err := cbor.Marshal(quarantine.Encode(held, time.Now()))
+	if err != nil {
+		b.rec.Note(events.RegisterFailed, "", "carried", len(held), "error", err)
+		return nil
+	}
+	return value
+}
+
+// heardHeld takes over what an entry's row holds of them: an entry that starts when all others
+// are gone learns of them by nothing else.
+func (b *gatewayBuilder) heardHeld(entry string, value []byte, age time.Duration) {
+	var held []quarantine.Message
+	if err := cbor.Unmarshal(value, &held); err != nil {
+		b.rec.Note(events.RegisterFailed, "", "row", entry, "error", err)
+		return
+	}
+	b.gateway.Quarantine().Recall(quarantine.Decode(held, time.Now().Add(-max(age, 0))))
+}
+
+// tellHeld writes the own row anew once a request is held for what this entry saw.
+func (b *gatewayBuilder) tellHeld() {
+	if n := b.gateway.Quarantine().Verdicts(); n != b.verdicts {
+		b.verdicts = n
+		b.directory.RenewSoon()
+	}
+}
+
 // ownState is what this gateway tells the others.
 func (b *gatewayBuilder) ownState() gossip.State {
 	s := gossip.State{
--- /dev/null
+++ b/internal/directory/carried_test.go
@@ -0,0 +1,61 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+)
+
+// nothing is carried by entries that have nothing to keep.
+var nothing = Carried{Value: func() []byte { return nil }, Heard: func(string, []byte, time.Duration) {}}
+
+// TestCarriedOverALossOfAllEntries covers what an entry finds in the rows of entries that are
+// gone, its own before among them: it hears of it before it writes its own row, which
+// carries it on.
+func TestCarriedOverALossOfAllEntries(t *testing.T) {
+	const clock = 1000 * time.Second
+	store := &fakeStore{rows: map[string][]byte{}, clock: clock}
+	for name, age := range map[string]time.Duration{"me": 2 * time.Second, "gone": 3 * time.Second} {
+		b, err := json.Marshal(row{Address: "10.0.0.1:1", RenewedMS: (clock - age).Milliseconds(), RenewsEachMS: 30_000, Carried: []byte("of " + name)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.rows[name] = b
+	}
+	heard, wrote := map[string]time.Duration{}, make(chan []byte)
+	carried := Carried{
+		Value: func() []byte { return []byte("all") },
+		Heard: func(_ string, value []byte, age time.Duration) { heard[string(value)] = age },
+	}
+	seam := store.seam()
+	put := seam.Put
+	seam.Put = func(ctx context.Context, table, name string, value []byte) error {
+		if len(heard) != 2 || heard["of me"] != 2*time.Second || heard["of gone"] != 3*time.Second {
+			t.Errorf("heard %v before the first write", heard)
+		}
+		select {
+		case wrote <- value:
+		case <-ctx.Done():
+		}
+		return put(ctx, table, name, value)
+	}
+	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, CallWithin: time.Second},
+		seam, func(map[string]string) {}, carried, events.Nop(), time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.Run(ctx)
+	for _, what := range []string{"at the start", "when asked"} {
+		select {
+		case value := <-wrote:
+			if r, err := decodeRow(value); err != nil || string(r.Carried) != "all" {
+				t.Errorf("%s: %s, %v", what, value, err)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("not written %s", what)
+		}
+		d.RenewSoon()
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,6 +32,14 @@
 	CallWithin time.Duration
 }
 
+// Carried is what entries keep in their rows for those that start when all others are gone.
+type Carried struct {
+	// Value returns what the own row is to hold; nil for nothing.
+	Value func() []byte
+	// Heard takes over what an entry's row holds, which was written some time before.
+	Heard func(entry string, value []byte, age time.Duration)
+}
+
 const (
 	// renewEach is the number of reads between two renewals.
 	renewEach = 3
@@ -46,8 +54,11 @@
 	settings Settings
 	store    *platform.Store
 	found    func(addresses map[string]string)
+	carried  Carried
 	rec      *events.Recorder
 	now      func() time.Time
+	// soon asks for a renewal.
+	soon chan struct{}
 
 	clock   time.Duration
 	clockAt time.Time
@@ -58,8 +69,16 @@
 }
 
 // New returns a Directory that tells found the addresses of all entries, by name.
-func New(settings Settings, store *platform.Store, found func(addresses map[string]string), rec *events.Recorder, now func() time.Time) *Directory {
-	return &Directory{settings: settings, store: store, found: found, rec: rec, now: now}
+func New(settings Settings, store *platform.Store, found func(addresses map[string]string), carried Carried, rec *events.Recorder, now func() time.Time) *Directory {
+	return &Directory{settings: settings, store: store, found: found, carried: carried, rec: rec, now: now, soon: make(chan struct{}, 1)}
+}
+
+// RenewSoon writes the own row anew, because what it carries has changed.
+func (d *Directory) RenewSoon() {
+	select {
+	case d.soon <- struct{}{}:
+	default:
+	}
 }
 
 // Run renews and reads until ctx ends.
@@ -87,6 +106,8 @@
 		pause := every/2 + time.Duration(rand.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
+		case <-d.soon:
+			owed = true
 		case <-time.After(pause):
 		}
 	}
@@ -113,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.CallWithin)
 	defer cancel()
 	clock := d.clock + d.now().Sub(d.clockAt)
-	value, err := json.Marshal(row{Address: d.settings.Address, RenewedMS: clock.Milliseconds(), RenewsEachMS: (renewEach * d.every()).Milliseconds()})
+	value, err := json.Marshal(row{Address: d.settings.Address, RenewedMS: clock.Milliseconds(), RenewsEachMS: (renewEach * d.every()).Milliseconds(), Carried: d.carried.Value()})
 	if err != nil {
 		return err
 	}
@@ -158,6 +179,9 @@
 			}
 			continue
 		}
+		if len(v.Carried) > 0 {
+			d.carried.Heard(r.Name, v.Carried, v.age(s.Clock))
+		}
 		switch missed := v.missed(s.Clock); {
 		case missed > removeAfter:
 			old = append(old, r.Name)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -57,7 +57,7 @@
 	seam := store.seam()
 	found := make(chan map[string]string, 4)
 	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, CallWithin: time.Second},
-		seam, func(a map[string]string) { found <- a }, events.Nop(), time.Now)
+		seam, func(a map[string]string) { found <- a }, nothing, events.Nop(), time.Now)
 	put := seam.Put
 	seam.Put = func(ctx context.Context, table, name string, value []byte) error {
 		// The other entry writes its row at the same time.
@@ -93,7 +93,7 @@
 		return put(ctx, table, name, value)
 	}
 	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, Again: time.Millisecond, CallWithin: time.Second},
-		seam, func(map[string]string) {}, events.Nop(), time.Now)
+		seam, func(map[string]string) {}, nothing, events.Nop(), time.Now)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go d.Run(ctx)
@@ -113,7 +113,7 @@
 	at := time.Now()
 	var found map[string]string
 	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: 10 * time.Second, CallWithin: time.Second},
-		store.seam(), func(a map[string]string) { found = a }, events.Nop(), func() time.Time { return at })
+		store.seam(), func(a map[string]string) { found = a }, nothing, events.Nop(), func() time.Time { return at })
 	if err := d.read(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -159,7 +159,7 @@
 			}
 			var found int
 			d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: 10 * time.Second, ReadEach: 500 * time.Millisecond, CallWithin: time.Second},
-				store.seam(), func(a map[string]string) { found = len(a) }, events.Nop(), time.Now)
+				store.seam(), func(a map[string]string) { found = len(a) }, nothing, events.Nop(), time.Now)
 			if err := d.read(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/directory/row.go
+++ b/internal/directory/row.go
@@ -22,6 +22,8 @@
 	RenewedMS int64 `json:"renewed_ms"`
 	// RenewsEachMS is the time after which the writer renews the row.
 	RenewsEachMS int64 `json:"renews_each_ms"`
+	// Carried is kept for entries that start when all others are gone.
+	Carried []byte `json:"carried,omitempty"`
 }
 
 const (
@@ -56,8 +58,12 @@
 // missed is the number of renewals that the writer has missed at a moment of the
 // store's clock.
 func (r row) missed(clock time.Duration) float64 {
-	age := clock - time.Duration(r.RenewedMS)*time.Millisecond
-	return float64(age.Milliseconds()) / float64(r.RenewsEachMS)
+	return float64(r.age(clock).Milliseconds()) / float64(r.RenewsEachMS)
+}
+
+// age is the time since the row was written, at a moment of the store's clock.
+func (r row) age(clock time.Duration) time.Duration {
+	return clock - time.Duration(r.RenewedMS)*time.Millisecond
 }
 
 // mostLines bounds the log lines about rows of one read.
--- a/internal/directory/row_test.go
+++ b/internal/directory/row_test.go
@@ -47,7 +47,7 @@
 			var found map[string]string
 			rec := events.Nop()
 			d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Second, CallWithin: time.Second},
-				store.seam(), func(a map[string]string) { found = a }, rec, time.Now)
+				store.seam(), func(a map[string]string) { found = a }, nothing, rec, time.Now)
 			for range 3 {
 				if err := d.read(t.Context()); err != nil {
 					t.Fatal(err)
@@ -82,7 +82,7 @@
 func TestBadRowsAreToldOnce(t *testing.T) {
 	version, rows := int64(1), 1
 	rec := events.Nop()
-	d := New(Settings{Table: "entries"}, &platform.Store{}, func(map[string]string) {}, rec, time.Now)
+	d := New(Settings{Table: "entries"}, &platform.Store{}, func(map[string]string) {}, nothing, rec, time.Now)
 	read := func() int {
 		before := len(lines(rec))
 		var s platform.Snapshot
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -78,6 +78,8 @@
 	served map[Fingerprint]time.Time
 	// running counts the runs of each request here whose trial is not over.
 	running map[Fingerprint]int
+	// verdicts counts the requests held for what this entry saw.
+	verdicts int
 	// busy are the suspects that other entries run, by entry.
 	busy map[string]peerRuns
 	// changed is closed and replaced when a request that waits may have to look again.
@@ -274,6 +276,9 @@
 		switch was := !u.held.IsZero(); {
 		case held[u] && !was:
 			u.held = s.now()
+			if u.seenHere() {
+				s.verdicts++
+			}
 			s.rec.Note(events.RequestHeld, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "ends", len(u.live()), "upstreams", slices.Sorted(slices.Values(u.live())), "for", u.heldUntil().Sub(s.now()))
 		case !held[u] && was:
 			u.held = time.Time{}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -88,6 +88,16 @@
 	return true
 }
 
+// seenHere reports whether this entry saw an end that speaks against the request.
+func (u *suspect) seenHere() bool {
+	for _, e := range u.ends {
+		if e.own && !e.void() {
+			return true
+		}
+	}
+	return false
+}
+
 // live returns the starts whose ends speak against the request.
 func (u *suspect) live() []string {
 	var out []string
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -95,6 +95,59 @@
 	return w
 }
 
+// mostHeld bounds the requests that are kept for the time after a loss of all entries, and
+// mostHeldEnds the ends of each: some 10 KB.
+const (
+	mostHeld     = 32
+	mostHeldEnds = 8
+)
+
+// Held returns the requests that are held, those with the most ends first.
+func (s *Set) Held() []Word {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var held []*suspect
+	for _, u := range s.suspects {
+		if !u.held.IsZero() {
+			held = append(held, u)
+		}
+	}
+	slices.SortFunc(held, func(a, b *suspect) int { return matters(b, a) })
+	var out []Word
+	for _, u := range held[:min(len(held), mostHeld)] {
+		w := s.word(u)
+		w.Void, w.Runs = nil, false
+		for start := range w.Ends {
+			if len(w.Ends) > mostHeldEnds {
+				delete(w.Ends, start)
+			}
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Verdicts is the number of times at which a request was held for what this entry saw.
+func (s *Set) Verdicts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.verdicts
+}
+
+// Recall takes over what Held returned before a start of this entry, or at others that may be
+// gone.
+func (s *Set) Recall(words []Word) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := false
+	for _, w := range words {
+		news = s.join(w) || news
+	}
+	if news {
+		s.judge()
+	}
+}
+
 // Hear takes over what another entry tells.
 func (s *Set) Hear(entry string, words []Word) {
 	s.mu.Lock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -191,6 +191,10 @@
 mutant held-stream $gateway/attempt.go 's/\t\ts\.g\.broke\(s\.rq, st\.at, err\)\n//' $gateway TestRequestThatCrashesUpstreams
 mutant held-alone internal/daemon/gatewaypeers.go 's/\tb\.gateway\.Quarantine\(\)\.Hear\(from, s\.Suspects\)\n//' platform/soak TestCrashingRequest
 mutant held-untold internal/gossip/message.go 's/Suspects: quarantine\.Encode\(s\.Suspects/Suspects: quarantine.Encode(s.Suspects[:0]/' platform/soak TestCrashingRequest
+mutant held-carried internal/directory/directory.go 's/\t\t\td\.carried\.Heard\(r\.Name, v\.Carried, v\.age\(s\.Clock\)\)\n//' internal/directory TestCarriedOver
+mutant held-renewed internal/directory/directory.go 's/\t\t\towed = true\n//' internal/directory TestCarriedOver
+mutant held-recalled internal/daemon/gatewaypeers.go 's/\tb\.gateway\.Quarantine\(\)\.Recall\(/\t_ = (/' platform/soak TestCrashingRequestIsKnown
+mutant held-written internal/daemon/gatewaypeers.go 's/\t\tb\.directory\.RenewSoon\(\)\n//' platform/soak TestCrashingRequestIsKnown
 mutant held-sidecar-starts internal/sidecar/starts.go 's/s\.n, s\.down = s\.n\+1, false/s.down = false/' internal/sidecar TestStartsOfTheUpstream
 mutant held-entry-generation internal/entry/completions.go 's/\t\te\.lost\(j\.run, part\.EndedWith\(\)\)\n//' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-call internal/sidecar/calls.go 's/\treturn s\.starts\.ended\(ctx\)\n/\treturn ""\n/' internal/scenario 'TestRequestThatCrashesUpstreams$'
