--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -22,5 +22,7 @@
 # later birth counts.
 soak start internal/fleet/starts.go 's/\tcase born != 0:\n/\tcase born != 0 \&\& false:\n/'
 soak clock-back internal/fleet/starts.go 's/return r\.Version < than\.Version/return r.Born < than.Born/'
+# An upstream whose row cannot be used goes on getting work.
+soak spoilt-row internal/fleet/unreadable.go 's/return !m\.unreadable && /return /'
 
 finish
