fix: an unusable route table does not confirm the one before it

Cause: each answer of the store confirmed the table in force as the newest, also while a later one was there that could not be used; a key that only that one takes away was served without bound. Figures: TestUnusableTableConfirmsNothing fails before (confirmed 1 s later), passes after; mutant killed.

--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -88,11 +88,13 @@
 	}
 }
 
-// ConfirmCurrent notes that whatever is in force was the newest at a steady time.
+// ConfirmCurrent notes that whatever is in force was the newest at a steady time. It is not
+// while a later table cannot be used: that may have taken keys away, which would be served
+// for as long as it stands.
 func (r *Routes) ConfirmCurrent(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.table != nil && at.After(r.confirmed) {
+	if r.table != nil && !r.refused && at.After(r.confirmed) {
 		r.confirmed = at
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -124,6 +124,7 @@
 mutant bad-rows-lines internal/daemon/badrows.go 's/if b\.lines >= badLines \{/if false {/' internal/daemon TestManyBadRows
 mutant routes-once internal/belief/routes.go 's/if !r\.refused \|\| r\.refusedRow != rec\.Version \{/if true {/' internal/belief TestTableThatCannot
 mutant routes-each-version internal/belief/routes.go 's/ \|\| r\.refusedRow != rec\.Version \{/ {/' internal/belief TestTableThatCannot
+mutant routes-unusable-unconfirmed internal/belief/routes.go 's/ && !r\.refused && at/ \&\& at/' internal/belief TestUnusableTableConfirmsNothing
 mutant zones-named platform/store.go 's/return zone, ok && zone != ""/return zone, ok/' platform TestClosedZone
 entry=internal/directory/row.go
 mutant entries-bytes $entry 's/if !utf8\.Valid\(value\) \{/if !utf8.Valid(nil) {/' internal/directory TestEntriesOfOther
