--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -28,6 +28,14 @@
 	Version  int64        `json:"version"`
 	Accepted bool         `json:"accepted"`
 	Peers    []peerStatus `json:"peers"`
+	// BadRows are rows of upstreams that cannot be used, as gateways tell.
+	BadRows []badRow `json:"bad_rows,omitempty"`
+}
+
+type badRow struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Reason  string `json:"reason"`
 }
 
 func (*statusCommand) run(env *environment) error {
@@ -49,6 +57,13 @@
 	for _, p := range b.Peers {
 		rows = append(rows, []any{p.VM, p.Zone, p.Role, p.Upstream, p.State, p.Version, p.Running, p.Waiting, p.Paused, 100 * p.UsedPart})
 	}
-	return env.table("VM\tZONE\tROLE\tUPSTREAM\tSTATE\tVERSION\tRUNNING\tWAITING\tPAUSED\tMEMORY", rows,
-		"%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.0f%%")
+	if err := env.table("VM\tZONE\tROLE\tUPSTREAM\tSTATE\tVERSION\tRUNNING\tWAITING\tPAUSED\tMEMORY", rows,
+		"%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.0f%%"); err != nil || len(b.BadRows) == 0 {
+		return err
+	}
+	bad := make([][]any, 0, len(b.BadRows))
+	for _, r := range b.BadRows {
+		bad = append(bad, []any{r.Name, r.Version, r.Reason})
+	}
+	return env.table("\nROW THAT CANNOT BE USED\tVERSION\tREASON", bad, "%s\t%d\t%s")
 }
--- a/internal/daemon/badrows.go
+++ b/internal/daemon/badrows.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,7 +22,7 @@
 
 // badRows tells operators which rows of a table cannot be used: a log line and a count for
 // each row and version, and a gauge of those there are. It keeps no more rows than the
-// table has. It is used by one goroutine.
+// table has. All but list is used by one goroutine.
 type badRows struct {
 	event  events.ID
 	reason func(err error) string
@@ -28,6 +31,7 @@
 	total  *prometheus.CounterVec
 	there  *prometheus.GaugeVec
 
+	mu   sync.Mutex
 	rows map[string]badRow
 	// lines were written since the last period began, and unsaid left out since a line.
 	lines, unsaid int
@@ -60,7 +64,9 @@
 	}
 	b.remove(row.Name)
 	reason := b.reason(err)
+	b.mu.Lock()
 	b.rows[row.Name] = badRow{version: row.Version, reason: reason}
+	b.mu.Unlock()
 	b.there.WithLabelValues(reason).Inc()
 	b.total.WithLabelValues(reason).Inc()
 	b.say(row, reason, err)
@@ -84,7 +90,9 @@
 func (b *badRows) remove(name string) {
 	if old, ok := b.rows[name]; ok {
 		b.there.WithLabelValues(old.reason).Dec()
+		b.mu.Lock()
 		delete(b.rows, name)
+		b.mu.Unlock()
 	}
 }
 
@@ -97,5 +105,22 @@
 	}
 }
 
+// list returns the rows that cannot be used, by name, and at most as many as are told.
+func (b *badRows) list() []badRowStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]badRowStatus, 0, min(len(b.rows), mostBadRows))
+	for _, name := range slices.Sorted(maps.Keys(b.rows)) {
+		if len(out) == mostBadRows {
+			break
+		}
+		out = append(out, badRowStatus{Name: events.Excerpt(name, longestName), Version: b.rows[name].version, Reason: b.rows[name].reason})
+	}
+	return out
+}
+
+// mostBadRows bounds the rows that the status page tells of.
+const mostBadRows = 100
+
 // longestName bounds in bytes what a log line repeats of a row's name.
 const longestName = 128
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -42,6 +42,7 @@
 func (b *gatewayBuilder) metricsService() kernel.Service {
 	r := mux.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	r.HandleFunc("/admin/v1/status", b.status).Methods(http.MethodGet)
 	// A gateway knows no operators: who reaches this address may lift a quarantine.
 	r.HandleFunc("/admin/v1/quarantine", b.gateway.Quarantine().ServeList).Methods(http.MethodGet)
 	r.HandleFunc("/admin/v1/quarantine/{fingerprint}", func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/daemon/gatewaystatus.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
+)
+
+// peerStatus is another entry, or an upstream, in a gateway's status page.
+type peerStatus struct {
+	VM       string  `json:"vm"`
+	Zone     string  `json:"zone"`
+	Address  string  `json:"address"`
+	Role     string  `json:"role"`
+	Upstream string  `json:"upstream,omitempty"`
+	State    string  `json:"state"`
+	Version  int64   `json:"version"`
+	Running  int     `json:"running"`
+	UsedPart float64 `json:"used_part"`
+}
+
+// badRowStatus is a row of an upstream that cannot be used.
+type badRowStatus struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Reason  string `json:"reason"`
+}
+
+// statusBody is a gateway's status page, in the shape of an entry's.
+type statusBody struct {
+	Process string `json:"process"`
+	Zone    string `json:"zone"`
+	// Version is that of the route table in force, and Accepted tells that it is
+	// confirmed.
+	Version  int64          `json:"version"`
+	Accepted bool           `json:"accepted"`
+	Peers    []peerStatus   `json:"peers"`
+	BadRows  []badRowStatus `json:"bad_rows"`
+}
+
+// The states of upstreams and entries for operators.
+const (
+	stateUp        = "up"
+	stateLeaving   = "leaving"
+	stateLapsed    = "lapsed"
+	stateSuspected = "suspected"
+)
+
+// status answers operators with what this gateway knows of other processes.
+func (b *gatewayBuilder) status(w http.ResponseWriter, _ *http.Request) {
+	out := statusBody{Process: b.settings.Name, Zone: b.settings.Zone, Peers: b.peerStatuses(), BadRows: b.upstreams.bad.list()}
+	if table, confirmed := b.routes.Current(); table != nil {
+		out.Version, out.Accepted = int64(table.Version()), time.Since(confirmed) < b.settings.KeyBound
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An operator who left asks again.
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func (b *gatewayBuilder) peerStatuses() []peerStatus {
+	out := []peerStatus{}
+	for name, p := range b.gossip.Peers() {
+		s := peerStatus{VM: name, Zone: p.State.Zone, Address: p.Address, Role: "entry", State: stateUp, Version: int64(p.State.Routes)}
+		if !p.State.StopBy.IsZero() {
+			s.State = stateLeaving
+		}
+		out = append(out, s)
+	}
+	for _, u := range b.fleet.All() {
+		load := b.gateway.Known(u.ID)
+		out = append(out, peerStatus{VM: u.Name, Zone: u.Zone, Address: u.Address, Role: u.Service, Upstream: u.ID, State: stateOf(u, time.Now()), Running: load.Running})
+	}
+	slices.SortFunc(out, func(a, b peerStatus) int { return strings.Compare(a.Role+a.VM, b.Role+b.VM) })
+	return out
+}
+
+func stateOf(u fleet.Upstream, now time.Time) string {
+	switch {
+	case u.State() == fleet.Leaving:
+		return stateLeaving
+	case u.State() == fleet.Lapsed:
+		return stateLapsed
+	case u.Suspect(now) || u.AvoidUntil().After(now):
+		return stateSuspected
+	default:
+		return stateUp
+	}
+}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -290,6 +290,17 @@
 	return m.Upstream, true
 }
 
+// All returns all upstreams that are known.
+func (s *Set) All() []Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Upstream, 0, len(s.byID))
+	for _, m := range s.byID {
+		out = append(out, m.Upstream)
+	}
+	return out
+}
+
 // Of returns the upstreams of a service that take new work: those that serve,
 // or the lapsed ones if none does. BenchmarkOf, four upstreams of a plain service beside 870
 // engines: 19 us with a walk over all of them, 1.4 us with the list of those that serve.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,9 @@
 // Load returns what this entry has in flight, by upstream.
 func (g *Gateway) Load() map[string]gossip.Load { return g.ledger.snapshot() }
 
+// Known returns what all entries that are heard have in flight at an upstream.
+func (g *Gateway) Known(upstream string) gossip.Load { return g.ledger.total(upstream) }
+
 // PeerLoad takes over what another entry has in flight.
 func (g *Gateway) PeerLoad(name string, loads map[string]gossip.Load) { g.ledger.setPeer(name, loads) }
 
