--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -228,7 +228,7 @@
 func (n *Node) send(to ...group) {
 	s := n.collect()
 	now := n.now()
-	body, err := encodeBody(n.settings, s, now.Sub(n.start), now)
+	version, body, err := encodeBody(n.settings, s, now.Sub(n.start), now)
 	if err != nil {
 		n.rec.Note(events.GossipRejected, "", "peer", n.settings.Name, "error", err)
 		return
@@ -244,7 +244,7 @@
 		if !slices.Contains(to, g) {
 			continue
 		}
-		b, err := encode(echo{Sent: p.echo, Life: p.life, HeldUS: now.Sub(p.Heard).Microseconds()}, body)
+		b, err := encode(version, echo{Sent: p.echo, Life: p.life, HeldUS: now.Sub(p.Heard).Microseconds()}, body)
 		if err != nil {
 			n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
 			continue
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -15,8 +15,13 @@
 // ErrMessage is wrapped when a datagram cannot be used.
 var ErrMessage = errors.New("message of another entry cannot be used")
 
-// format is the version of the messages; others are not understood.
-const format = 3
+// The versions of the messages; others are not understood. What a message tells of requests
+// under which upstreams ended stands in a version of its own, so that messages do not grow
+// while there is none, and entries of the release before understand those.
+const (
+	format         = 2
+	formatSuspects = 3
+)
 
 // datagram is what is sent: the body is the same for all receivers and encoded once.
 // Times are steady and only mean something to the process that made them.
@@ -62,7 +67,13 @@
 	FaultAgesMS map[string]int64
 	Failures    map[string]int
 	Retries     map[string]wireUse
-	Suspects    []quarantine.Message
+}
+
+// suspectsBody is the state of a sender that knows of requests under which upstreams ended.
+type suspectsBody struct {
+	_        struct{} `cbor:",toarray"`
+	Body     body
+	Suspects []quarantine.Message
 }
 
 // wireLoad holds requests, tokens, tokens not read yet and tokens held by now.
@@ -73,15 +84,27 @@
 
 // message is a datagram that was read.
 type message struct {
-	echo echo
-	body body
+	echo     echo
+	body     body
+	suspects []quarantine.Message
+}
+
+// encodeBody encodes a state and returns the version that it is in; running is the sender's
+// steady time since its start.
+func encodeBody(settings Settings, s State, running time.Duration, now time.Time) (version int, b []byte, err error) {
+	state := bodyOf(settings, s, running, now)
+	if len(s.Suspects) == 0 {
+		b, err = cbor.Marshal(state)
+		return format, b, err
+	}
+	b, err = cbor.Marshal(suspectsBody{Body: state, Suspects: quarantine.Encode(s.Suspects, now)})
+	return formatSuspects, b, err
 }
 
-// encodeBody encodes a state; running is the sender's steady time since its start.
-func encodeBody(settings Settings, s State, running time.Duration, now time.Time) ([]byte, error) {
+func bodyOf(settings Settings, s State, running time.Duration, now time.Time) body {
 	b := body{
 		From: settings.Name, Life: settings.Life, Sent: running.Nanoseconds() + 1, AgeMS: -1,
-		Zone: s.Zone, Relay: s.Relay, Routes: int64(s.Routes), Lost: s.StoreLost, Leaving: s.Leaving, Failures: s.Failures, Suspects: quarantine.Encode(s.Suspects, now),
+		Zone: s.Zone, Relay: s.Relay, Routes: int64(s.Routes), Lost: s.StoreLost, Leaving: s.Leaving, Failures: s.Failures,
 		Loads: make(map[string]wireLoad, len(s.Loads)), FaultAgesMS: make(map[string]int64, len(s.Faults)), Retries: make(map[string]wireUse, len(s.Retries)),
 	}
 	if !s.Confirmed.IsZero() {
@@ -99,12 +122,12 @@
 	for service, u := range s.Retries {
 		b.Retries[service] = wireUse{u.Requests, u.Repeats}
 	}
-	return cbor.Marshal(b)
+	return b
 }
 
 // encode returns the datagram for one receiver.
-func encode(e echo, body []byte) ([]byte, error) {
-	return cbor.Marshal(datagram{Format: format, Echo: e, Body: body})
+func encode(version int, e echo, body []byte) ([]byte, error) {
+	return cbor.Marshal(datagram{Format: version, Echo: e, Body: body})
 }
 
 // decode reads a datagram.
@@ -113,11 +136,19 @@
 	if err := cbor.Unmarshal(b, &d); err != nil {
 		return message{}, fmt.Errorf("%w: %v", ErrMessage, err)
 	}
-	if d.Format != format {
-		return message{}, fmt.Errorf("%w: format %d, want %d", ErrMessage, d.Format, format)
-	}
 	m := message{echo: d.Echo}
-	if err := cbor.Unmarshal(d.Body, &m.body); err != nil {
+	var err error
+	switch d.Format {
+	case format:
+		err = cbor.Unmarshal(d.Body, &m.body)
+	case formatSuspects:
+		var b suspectsBody
+		err = cbor.Unmarshal(d.Body, &b)
+		m.body, m.suspects = b.Body, b.Suspects
+	default:
+		return message{}, fmt.Errorf("%w: format %d, want %d or %d", ErrMessage, d.Format, format, formatSuspects)
+	}
+	if err != nil {
 		return message{}, fmt.Errorf("%w: body: %v", ErrMessage, err)
 	}
 	if m.body.From == "" {
@@ -130,7 +161,7 @@
 func (m message) state(now time.Time) State {
 	b := m.body
 	s := State{
-		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: quarantine.Decode(b.Suspects, now),
+		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: quarantine.Decode(m.suspects, now),
 		Loads: make(map[string]Load, len(b.Loads)), Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
 	}
 	for id, l := range b.Loads {
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -27,11 +27,11 @@
 
 func encodeState(tb testing.TB, s State, now time.Time) []byte {
 	tb.Helper()
-	b, err := encodeBody(Settings{Name: "front-zone-a-13", Life: "73b131248192"}, s, time.Minute, now)
+	version, b, err := encodeBody(Settings{Name: "front-zone-a-13", Life: "73b131248192"}, s, time.Minute, now)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	d, err := encode(echo{Sent: 1, Life: "cdd8feadaaac", HeldUS: 20000}, b)
+	d, err := encode(version, echo{Sent: 1, Life: "cdd8feadaaac", HeldUS: 20000}, b)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -111,7 +111,7 @@
 	}{
 		{"empty", nil},
 		{"not encoded", []byte("{\"from\":\"a\"}")},
-		{"another format", encoded(datagram{Format: format + 1, Body: encoded(body{From: "a"})})},
+		{"another format", encoded(datagram{Format: formatSuspects + 1, Body: encoded(body{From: "a"})})},
 		{"no sender", encoded(datagram{Format: format, Body: nobody})},
 		{"no body", encoded([]any{format, []any{0, "", 0}, "text"})},
 		{"cut", encodeState(t, State{}, time.Now())[:40]},
@@ -124,11 +124,27 @@
 	}
 }
 
+// TestMessageOfTheReleaseBefore covers that an entry which knows of no request under which an
+// upstream ended sends what the release before understands: that reads a body alone, in the
+// first version.
+func TestMessageOfTheReleaseBefore(t *testing.T) {
+	now := time.Now()
+	var d datagram
+	if err := cbor.Unmarshal(encodeState(t, busyState(now), now), &d); err != nil {
+		t.Fatal(err)
+	}
+	var b body
+	if err := cbor.Unmarshal(d.Body, &b); err != nil || d.Format != format || b.From == "" {
+		t.Errorf("format %d, from %q, %v", d.Format, b.From, err)
+	}
+}
+
 // FuzzDecode: whatever arrives is either used or refused.
 func FuzzDecode(f *testing.F) {
 	now := time.Now()
 	f.Add(encodeState(f, busyState(now), now))
 	f.Add(encodeState(f, State{}, now))
+	f.Add(encodeState(f, State{Suspects: []quarantine.Word{{Ends: map[string]time.Time{"e": now}}}}, now))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := decode(b)
