--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -68,7 +68,7 @@
 }
 
 // story returns the lines of the request and those that tell what the processes
-// that served it believed at the time.
+// that served it believed at the time, with all that any knew of the same request.
 func (c *explainCommand) story(lines []logLine) []logLine {
 	var own []logLine
 	for _, l := range lines {
@@ -80,17 +80,22 @@
 		return nil
 	}
 	first, last := own[0].At.Add(-c.Around), own[len(own)-1].At
-	processes, upstreams := map[string]bool{}, map[string]bool{}
+	processes, upstreams, fingerprints := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, l := range own {
 		processes[l.Process] = true
 		for _, field := range []string{"upstream", "from", "to"} {
 			upstreams[l.Fields[field]] = true
 		}
+		fingerprints[l.Fields["fingerprint"]] = true
 	}
 	return slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool {
 		if l.Request == c.Request {
 			return false
 		}
+		if fingerprint, named := l.Fields["fingerprint"]; named && l.Request == "" {
+			// What ended under the same request may be long ago, and another process saw it.
+			return !fingerprints[fingerprint] || l.At.After(last)
+		}
 		other := l.Request != "" || !processes[l.Process] || l.At.Before(first) || l.At.After(last)
 		upstream, named := l.Fields["upstream"]
 		return other || named && !upstreams[upstream]
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -173,8 +173,9 @@
 	}, nil
 }
 
-func (e *Entry) refuse(w http.ResponseWriter, id string, a *apiError, retryAt time.Time) {
-	e.rec.Note(events.RequestRefused, id, "code", a.code)
+// refuse gives the final answer to a request that has not run; fields are for its log line.
+func (e *Entry) refuse(w http.ResponseWriter, id string, a *apiError, retryAt time.Time, fields ...any) {
+	e.rec.Note(events.RequestRefused, id, append([]any{"code", a.code}, fields...)...)
 	e.met.requests.WithLabelValues(a.code).Inc()
 	writeError(w, a, sidecar.NotRun, retryAt, e.now())
 }
--- a/internal/entry/crashing.go
+++ b/internal/entry/crashing.go
@@ -43,9 +43,9 @@
 		return run, true
 	case errors.Is(err, quarantine.ErrHeld):
 		w.Header().Set(headerNoRetry, "false")
-		e.refuse(w, r.id, errHeld, time.Time{})
+		e.refuse(w, r.id, errHeld, time.Time{}, "fingerprint", q.Fingerprint)
 	default:
-		e.refuse(w, r.id, errOnTrial, e.now().Add(overloadRetry))
+		e.refuse(w, r.id, errOnTrial, e.now().Add(overloadRetry), "fingerprint", q.Fingerprint)
 	}
 	return nil, false
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -262,7 +262,7 @@
 	if rq.table != nil {
 		version = rq.table.Version()
 	}
-	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "routes", version, "routes-age", rq.age, "back-in", back, "after", now.Sub(rq.start), "sent", rq.sent)
+	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-age", rq.age, "back-in", back, "after", now.Sub(rq.start), "sent", rq.sent)
 	g.met.refused(status)
 	g.proto.Refuse(rq.w, &rq.call, f, now)
 }
