fix: the time to stop counts from when the process last ran

Cause: a gateway that does not get to run when it is told to stop noticed late and counted from then, so it was killed while it took requests.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -116,8 +116,9 @@
 // drain ends the callers' service: it lets the balancer notice, goes on serving those it
 // sends all the same, waits for the requests in flight, and gives up what is left.
 func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
-	deadline := time.Now().Add(b.settings.StopWithin - stopSpare)
-	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin)
+	told := b.watch.earliest()
+	deadline := told.Add(b.settings.StopWithin - stopSpare)
+	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", time.Since(told))
 	b.gateway.Drain(deadline)
 	b.awaitQuiet(time.Now().Add(min(gateway.NoticeTime, b.settings.StopWithin/3)), deadline.Add(-closeSpare))
 	ctx = context.WithoutCancel(ctx)
--- a/internal/daemon/gatewayhttp_test.go
+++ b/internal/daemon/gatewayhttp_test.go
@@ -26,7 +26,7 @@
 		{"nobody comes any more: once the balancer had time to notice", false, least},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := &gatewayBuilder{gateway: gatewayWithoutRoutes()}
+			b := &gatewayBuilder{watch: watched(t), gateway: gatewayWithoutRoutes()}
 			done := make(chan struct{})
 			defer close(done)
 			if tc.busy {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -29,7 +29,7 @@
 // connection. A stop of an entry shut its server down with callers' connections open, so
 // a request on a kept connection could be read and get neither an answer nor a refusal.
 func TestStopAnswersWhatWasRead(t *testing.T) {
-	b := &gatewayBuilder{gateway: gatewayWithoutRoutes(), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now),
+	b := &gatewayBuilder{watch: watched(t), gateway: gatewayWithoutRoutes(), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now),
 		settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: 3 * time.Second}}
 	service := b.callerService()
 	shutDown, read, address := make(chan struct{}), make(chan struct{}), make(chan net.Addr, 1)
@@ -79,7 +79,7 @@
 func TestStopThatIsLateAnswersWhatItGivesUp(t *testing.T) {
 	for range 10 {
 		begun, over := make(chan struct{}), make(chan struct{})
-		b := &gatewayBuilder{rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now), settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: stopSpare}}
+		b := &gatewayBuilder{watch: watched(t), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now), settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: stopSpare}}
 		b.gateway = gatewayWithUpstream(t, func(http.ResponseWriter, *http.Request) {
 			close(begun)
 			<-over
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -202,6 +202,9 @@
 mutant held-entry-sidecar internal/entry/crashing.go 's/\trun\.Broke\(start\)\n\tgo func/\tgo func/' internal/scenario TestRequestThatCrashesSidecars
 mutant held-entry-told internal/membership/set.go 's/quarantine\.Encode\(status\.Suspects/quarantine.Encode(status.Suspects[:0]/; s/process, r\.Suspects\)/process, r.Suspects[:0])/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 
+mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/told := b\.watch\.earliest\(\)/told := time.Now()/' platform/soak TestStopThatIsNoticedLate
+mutant stop-stall-looked internal/daemon/runwatch.go 's/w\.stalledFrom, w\.stalledTo = w\.ranAt, now/w.stalledFrom = w.ranAt/' internal/daemon TestRunWatch
+
 # Faults of this program over what was read.
 mutant fault-table internal/belief/routes.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)/table, err := r.decode(rec.Value)/; s/\tvar table \*routetable\.Table\n//; s/.*internal\/guard"\n//' internal/belief TestTableThatEndsNoReader
 mutant fault-message internal/peer/conn.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t*result, err = h\(ctx, c, params\)\n\t*return err\n\t*\}\)/result, err = h(ctx, c, params)/' internal/peer TestMessageThatEndsNoReader
