fix: a request is held for ends that tell it apart from others

Change: each end tells whether the request was on trial there; suspects run apart from each other, with two ends or more only where no other one runs and while two thirds of the upstreams are there; one end at least has to tell a request apart, two while upstreams end that no request has in common; the surest is held first and explains its ends; entries take turns with requests that all would try at once; a request is booked at the start that ran it: a later one under the same name, or, at a sidecar whose upstream is down, none.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -214,6 +214,7 @@
 		Delay: func(zone string, nudged bool) time.Duration { return b.gossip.Delay(zone, nudged) },
 		Told:  func() (told, silence time.Duration) { return b.gossip.Told() },
 	}, b.rec, b.reg, time.Now)
+	b.gateway.Quarantine().SetName(s.Name)
 	b.tables = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.routes.ConfirmCurrent, func() { b.members.Interrupt() }, b.rec, time.Now)
 	b.members = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, func(time.Time) {}, func() {}, b.rec, time.Now)
 	return b
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -222,11 +222,11 @@
 func (e *Entry) start(j *job) (started, *failure) {
 	e.budget(j.pool.Name).Request()
 	fail := &failure{api: errNoUpstream, outcome: sidecar.NotRun, retryAt: e.now().Add(overloadRetry)}
-	for i, p := range e.route(j.pool) {
+	for i, p := range e.isolated(j.run, e.route(j.pool)) {
 		if i >= e.settings.Attempts || !j.run.MaySend() || (i > 0 && !e.budget(j.pool.Name).Retry()) {
 			break
 		}
-		j.run.Sent()
+		j.run.SentTo(p.Identity().Upstream())
 		if i > 0 {
 			e.met.retries.Inc()
 			e.rec.Note(events.RequestRetried, j.id, "upstream", p.Identity().Upstream())
--- a/internal/entry/crashing.go
+++ b/internal/entry/crashing.go
@@ -50,13 +50,39 @@
 	return nil, false
 }
 
+// isolated puts the upstreams that run a suspect last, and leaves them out for a request that is
+// to run apart from suspects: all of them, unless most upstreams are there.
+func (e *Entry) isolated(run *quarantine.Run, list []*membership.Peer) []*membership.Peer {
+	trials := e.quarantine.Trials()
+	var free, busy []*membership.Peer
+	for _, p := range list {
+		if trials[p.Identity().Upstream()] {
+			busy = append(busy, p)
+		} else {
+			free = append(free, p)
+		}
+	}
+	if run.Isolation() != quarantine.Apart {
+		return append(free, busy...)
+	}
+	away := 0
+	for _, route := range e.quarantine.EndedLately() {
+		if route == run.Route() {
+			away++
+		}
+	}
+	if !quarantine.MostThere(len(list)-away, len(list)) {
+		return nil
+	}
+	return free
+}
+
 // lost notes that a start of an upstream ended under a request; empty for none.
 func (e *Entry) lost(run *quarantine.Run, start string) {
 	if start == "" {
 		return
 	}
-	run.Broke(start)
-	e.quarantine.Ended(start)
+	run.EndedWith(start)
 }
 
 // sidecarLost notes that the connection to a sidecar ended under a request, which may have
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,7 @@
 
 // New returns an Entry.
 func New(settings Settings, identity membership.Identity, set *membership.Set, client *sidecar.Client, store *rollout.Store, coord *rollout.Coordinator, rec *events.Recorder, reg *prometheus.Registry, now func() time.Time) *Entry {
-	return &Entry{
+	e := &Entry{
 		settings: settings,
 		identity: identity,
 		set:      set,
@@ -103,6 +103,8 @@
 		// Ages of ends are steady: the time of day may jump.
 		quarantine: quarantine.New(rec, time.Now, set.ProbeEntries),
 	}
+	e.quarantine.SetName(identity.Process())
+	return e
 }
 
 // Handler serves both APIs.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -39,6 +39,14 @@
 	peer *membership.Peer
 }
 
+// upstream is the name of the upstream that gets the call; empty if it cannot be reached.
+func (p place) upstream() string {
+	if p.peer == nil {
+		return ""
+	}
+	return p.peer.Identity().Upstream()
+}
+
 // service passes a call on to a plain service.
 func (e *Entry) service(w http.ResponseWriter, r callerRequest) {
 	pool, ok := e.servicePool(r)
@@ -66,13 +74,13 @@
 		e.answerCall(w, r, e.runRepeatable(r, run, pool, call))
 		return
 	}
-	pl, apiErr := e.place(r, pool, call)
+	pl, apiErr := e.place(r, run, pool, call)
 	if apiErr != nil {
 		e.refuse(w, r.id, apiErr, e.now().Add(overloadRetry))
 		return
 	}
 	w.Header().Set(headerCall, pl.id.String())
-	run.Sent()
+	run.SentTo(pl.upstream())
 	res := e.runOnce(r, run, pl)
 	e.settleCall(run, res)
 	e.answerCall(w, r, res)
@@ -105,10 +113,10 @@
 // place finds the one sidecar that may run the call: the home of the caller's
 // key, the incarnation a ticket names, or, without an identifier, a ticket
 // made here.
-func (e *Entry) place(r callerRequest, pool *config.Pool, call sidecar.Call) (place, *apiError) {
+func (e *Entry) place(r callerRequest, run *quarantine.Run, pool *config.Pool, call sidecar.Call) (place, *apiError) {
 	text := r.Header.Get(headerKey)
 	if text == "" {
-		return e.placeNew(r, pool, call)
+		return e.placeNew(r, run, pool, call)
 	}
 	id, err := callid.Parse(text)
 	if err != nil {
@@ -126,9 +134,12 @@
 	return callid.Home(id.String(), pool)
 }
 
-func (e *Entry) placeNew(r callerRequest, pool *config.Pool, call sidecar.Call) (place, *apiError) {
-	peers := e.route(pool)
-	if len(peers) == 0 {
+func (e *Entry) placeNew(r callerRequest, run *quarantine.Run, pool *config.Pool, call sidecar.Call) (place, *apiError) {
+	peers := e.isolated(run, e.route(pool))
+	switch {
+	case len(peers) == 0 && run.Isolation() == quarantine.Apart:
+		return place{}, errOnTrial
+	case len(peers) == 0:
 		return place{}, errNoUpstream
 	}
 	i := peers[0].Identity()
@@ -197,14 +208,14 @@
 	defer cancel()
 	e.budget(pool.Name).Request()
 	res := sidecar.NewResult(sidecar.NotRun, "no upstream can take the call")
-	for i, p := range e.route(pool) {
+	for i, p := range e.isolated(run, e.route(pool)) {
 		if i >= e.settings.Attempts || !run.MaySend() || (i > 0 && (!run.MayRepeat() || !e.budget(pool.Name).Retry())) {
 			break
 		}
 		if i > 0 {
 			e.met.retries.Inc()
 		}
-		run.Sent()
+		run.SentTo(p.Identity().Upstream())
 		e.rec.Note(events.RequestRouted, r.id, "upstream", p.Identity().Upstream())
 		sent := p.Identity()
 		got, err := e.client.Invoke(ctx, p, call)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,7 +29,7 @@
 	s.noteAttempt(st)
 	s.enter(st)
 	defer s.leave()
-	rq.run.Sent()
+	rq.run.SentTo(st.at.ID)
 	sent := g.now()
 	toRead := s.toRead
 	var begun atomic.Bool
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // maxSends bounds the upstreams that one request is offered to when each states
@@ -68,6 +69,8 @@
 		g.passOn(rq, last)
 	case ok && last.err != nil:
 		g.giveUp(ctx, rq, "the upstream's answer did not come: "+last.err.Error())
+	case len(c.tried) == 0 && rq.run.Isolation() == quarantine.Apart:
+		g.refuse(rq, http.StatusServiceUnavailable, quarantine.ErrOnTrial.Error(), backTurn)
 	case len(c.tried) == 0:
 		g.refuse(rq, http.StatusServiceUnavailable, "no upstream", backNoUpstream)
 	default:
@@ -193,11 +196,11 @@
 
 // launch sends the request to the best upstream that has not had it.
 func (c *callRun) launch(ctx context.Context, reason string) bool {
-	u, ok := c.g.choosePlain(c.rq.service.Name, c.tried)
+	u, ok := c.g.choosePlain(c.rq.service.Name, c.g.isolated(c.rq, c.tried))
 	if !ok || !c.rq.run.MaySend() {
 		return false
 	}
-	c.rq.run.Sent()
+	c.rq.run.SentTo(u.ID)
 	c.tried[u.ID] = true
 	c.running++
 	c.rq.tries++
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -32,11 +32,12 @@
 
 // candidates are upstreams with what is known of their load, without those excluded.
 func (g *Gateway) candidates(list []fleet.Upstream, exclude map[string]bool, now time.Time) []placement.Candidate {
+	trials := g.quarantine.Trials()
 	out := make([]placement.Candidate, 0, len(list))
 	for _, u := range list {
 		if !exclude[u.ID] {
 			load, rate := g.ledger.known(u.ID, now)
-			out = append(out, placement.Candidate{Upstream: u, Load: load, Rate: rate})
+			out = append(out, placement.Candidate{Upstream: u, Load: load, Rate: rate, Trial: trials[u.ID]})
 		}
 	}
 	return out
@@ -56,6 +57,7 @@
 // admitEngine chooses the engine for a new generation; the error tells why there is none.
 func (g *Gateway) admitEngine(s *stream, exclude map[string]bool) (fleet.Upstream, error) {
 	service := s.rq.service.Name
+	exclude = g.isolated(s.rq, exclude)
 	if s.rq.run.Suspected() {
 		if u, ok := g.admitTrial(s, exclude); ok {
 			return u, nil
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"syscall"
 	"time"
@@ -79,6 +80,33 @@
 	}
 }
 
+// isolated adds to the upstreams that a request is not to be sent to those from which it is to be
+// kept because upstreams ended under it.
+func (g *Gateway) isolated(rq *request, exclude map[string]bool) map[string]bool {
+	if rq.run.Isolation() != quarantine.Apart {
+		return exclude
+	}
+	out := g.quarantine.Trials()
+	if out == nil {
+		out = map[string]bool{}
+	}
+	maps.Copy(out, exclude)
+	list := g.fleet.Of(rq.service.Name)
+	ended, now, there := g.quarantine.EndedLately(), g.now(), len(list)
+	for _, u := range list {
+		if _, gone := ended[u.ID]; gone || u.AvoidUntil().After(now) {
+			out[u.ID] = true
+			there--
+		}
+	}
+	if !quarantine.MostThere(there, len(list)) {
+		for _, u := range list {
+			out[u.ID] = true
+		}
+	}
+	return out
+}
+
 // SweepQuarantine settles what is known by now of upstreams whose answers broke off.
 func (g *Gateway) SweepQuarantine() {
 	g.quarantine.Sweep(func(start string) bool { return !g.there(start) })
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -271,9 +271,11 @@
 func (g *Gateway) reject(rq *request, why error) {
 	var back time.Duration
 	switch {
+	case errors.Is(why, placement.ErrTooLarge):
+	case rq.run.Isolation() == quarantine.Apart:
+		why, back = quarantine.ErrOnTrial, backTurn
 	case errors.Is(why, placement.ErrNone):
 		back = backNoUpstream
-	case errors.Is(why, placement.ErrTooLarge):
 	default:
 		back = g.backAfterOverload(rq)
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -20,7 +20,9 @@
 // while there is none, and entries of the release before understand those.
 const (
 	format         = 2
-	formatSuspects = 3
+	formatSuspects = 4
+	// formatBefore is that of the release before, which does not tell how requests ran.
+	formatBefore = 3
 )
 
 // datagram is what is sent: the body is the same for all receivers and encoded once.
@@ -74,6 +76,14 @@
 	_        struct{} `cbor:",toarray"`
 	Body     body
 	Suspects []quarantine.Message
+	Runs     []quarantine.RunsMessage
+}
+
+// suspectsBodyBefore is a suspectsBody of the release before.
+type suspectsBodyBefore struct {
+	_        struct{} `cbor:",toarray"`
+	Body     body
+	Suspects []quarantine.Message
 }
 
 // wireLoad holds requests, tokens, tokens not read yet and tokens held by now.
@@ -87,6 +97,7 @@
 	echo     echo
 	body     body
 	suspects []quarantine.Message
+	runs     []quarantine.RunsMessage
 }
 
 // encodeBody encodes a state and returns the version that it is in; running is the sender's
@@ -97,7 +108,7 @@
 		b, err = cbor.Marshal(state)
 		return format, b, err
 	}
-	b, err = cbor.Marshal(suspectsBody{Body: state, Suspects: quarantine.Encode(s.Suspects, now)})
+	b, err = cbor.Marshal(suspectsBody{Body: state, Suspects: quarantine.Encode(s.Suspects, now), Runs: quarantine.EncodeRuns(s.Suspects)})
 	return formatSuspects, b, err
 }
 
@@ -144,9 +155,13 @@
 	case formatSuspects:
 		var b suspectsBody
 		err = cbor.Unmarshal(d.Body, &b)
+		m.body, m.suspects, m.runs = b.Body, b.Suspects, b.Runs
+	case formatBefore:
+		var b suspectsBodyBefore
+		err = cbor.Unmarshal(d.Body, &b)
 		m.body, m.suspects = b.Body, b.Suspects
 	default:
-		return message{}, fmt.Errorf("%w: format %d, want %d or %d", ErrMessage, d.Format, format, formatSuspects)
+		return message{}, fmt.Errorf("%w: format %d, want %d, %d or %d", ErrMessage, d.Format, format, formatBefore, formatSuspects)
 	}
 	if err != nil {
 		return message{}, fmt.Errorf("%w: body: %v", ErrMessage, err)
@@ -157,11 +172,18 @@
 	return m, nil
 }
 
+// words returns what a message tells of requests under which upstreams ended.
+func (m message) words(now time.Time) []quarantine.Word {
+	words := quarantine.Decode(m.suspects, now)
+	quarantine.AddRuns(words, m.runs)
+	return words
+}
+
 // state returns what a message says, but for the confirmation of the routes.
 func (m message) state(now time.Time) State {
 	b := m.body
 	s := State{
-		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: quarantine.Decode(m.suspects, now),
+		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: m.words(now),
 		Loads: make(map[string]Load, len(b.Loads)), Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
 	}
 	for id, l := range b.Loads {
--- a/internal/membership/identity.go
+++ b/internal/membership/identity.go
@@ -123,23 +123,28 @@
 	Mark  config.Mark  `json:"m"`
 	Stamp events.Stamp `json:"t"`
 	// Process is the sender's name, if it is an entry.
-	Process  string               `json:"p,omitempty"`
-	Suspects []quarantine.Message `json:"s,omitempty"`
+	Process  string                   `json:"p,omitempty"`
+	Suspects []quarantine.Message     `json:"s,omitempty"`
+	Runs     []quarantine.RunsMessage `json:"r,omitempty"`
 }
 
 type pingResult struct {
-	Mark     config.Mark          `json:"m"`
-	Leaving  bool                 `json:"leaving,omitempty"`
-	Load     Load                 `json:"load"`
-	Stamp    events.Stamp         `json:"t"`
-	Suspects []quarantine.Message `json:"s,omitempty"`
+	Mark     config.Mark              `json:"m"`
+	Leaving  bool                     `json:"leaving,omitempty"`
+	Load     Load                     `json:"load"`
+	Stamp    events.Stamp             `json:"t"`
+	Suspects []quarantine.Message     `json:"s,omitempty"`
+	Runs     []quarantine.RunsMessage `json:"r,omitempty"`
 }
 
 // hear takes over what a process tells of requests under which upstreams ended.
-func (s *Self) hear(process string, messages []quarantine.Message) {
-	if s.Suspects != nil && process != "" {
-		s.Suspects(process, quarantine.Decode(messages, time.Now()))
+func (s *Self) hear(process string, messages []quarantine.Message, runs []quarantine.RunsMessage) {
+	if s.Suspects == nil || process == "" {
+		return
 	}
+	words := quarantine.Decode(messages, time.Now())
+	quarantine.AddRuns(words, runs)
+	s.Suspects(process, words)
 }
 
 // Methods returns the handlers that answer for the own process.
@@ -168,8 +173,8 @@
 	if p.Mark > st.Mark && s.Behind != nil {
 		go s.Behind(c, p.Mark)
 	}
-	s.hear(p.Process, p.Suspects)
-	return pingResult{Mark: st.Mark, Leaving: st.Leaving, Load: st.Load, Stamp: s.Recorder.Now(), Suspects: quarantine.Encode(st.Suspects, time.Now())}, nil
+	s.hear(p.Process, p.Suspects, p.Runs)
+	return pingResult{Mark: st.Mark, Leaving: st.Leaving, Load: st.Load, Stamp: s.Recorder.Now(), Suspects: quarantine.Encode(st.Suspects, time.Now()), Runs: quarantine.EncodeRuns(st.Suspects)}, nil
 }
 
 // AnnounceLeaving tells all connected peers at once that the own process takes
--- a/internal/membership/set.go
+++ b/internal/membership/set.go
@@ -351,10 +351,11 @@
 	entry := p.Identity().role == RoleEntry
 	if entry && s.self.Identity.role == RoleEntry {
 		params.Process, params.Suspects = s.self.Identity.process, quarantine.Encode(status.Suspects, time.Now())
+		params.Runs = quarantine.EncodeRuns(status.Suspects)
 	}
 	err := c.Call(callCtx, methodPing, params, &r)
 	if entry && err == nil {
-		s.self.hear(p.Identity().process, r.Suspects)
+		s.self.hear(p.Identity().process, r.Suspects, r.Runs)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -14,6 +14,10 @@
 	// failingCost puts upstreams that fail many requests behind all that do not, but
 	// before those whose connections broke.
 	failingCost = 1e5
+	// trialCost and engineTrialTokens keep requests from an upstream that runs one under which
+	// another upstream ended, unless the others have about one request more: it may end as well.
+	trialCost         = 2.0
+	engineTrialTokens = 4000.0
 	// tieNoise keeps entries that see the same load from all choosing the same.
 	tieNoise = 0.2
 	// avoidedCost puts upstreams that are avoided behind all others.
@@ -49,6 +53,9 @@
 	if c.Failing {
 		cost += failingCost
 	}
+	if c.Trial {
+		cost += trialCost
+	}
 	if c.Zone != v.Zone {
 		cost += otherZoneCost
 	}
@@ -71,6 +78,9 @@
 	if v.Now.Before(c.ColdUntil()) {
 		cost += engineColdTokens
 	}
+	if c.Trial {
+		cost += engineTrialTokens
+	}
 	if c.Zone != v.Zone {
 		cost += engineZoneTokens
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,8 @@
 	Rate float64
 	// Kept is the part of the prompt that the engine keeps already, in tokens.
 	Kept int
+	// Trial marks an upstream that runs a request under which another one ended.
+	Trial bool
 	// Failing marks a plain upstream that fails many requests.
 	Failing bool
 }
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -52,3 +52,36 @@
 	}
 	return out
 }
+
+// RunsMessage tells how a request of a Message ran, as CBOR or as JSON. It stands beside it since
+// the release before reads messages of a fixed form; who does not get it takes all ends in full.
+type RunsMessage struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint []byte   `json:"f"`
+	First       []string `json:"b,omitempty"`
+	Tried       []string `json:"t,omitempty"`
+	At          string   `json:"u,omitempty"`
+}
+
+// EncodeRuns returns how the requests of words ran; nil if nothing is to be told.
+func EncodeRuns(words []Word) []RunsMessage {
+	var out []RunsMessage
+	for _, w := range words {
+		if len(w.First)+len(w.Tried)+len(w.At) > 0 {
+			out = append(out, RunsMessage{Fingerprint: w.Fingerprint[:], First: w.First, Tried: w.Tried, At: w.At})
+		}
+	}
+	return out
+}
+
+// AddRuns adds to words how their requests ran.
+func AddRuns(words []Word, runs []RunsMessage) {
+	for i := range words {
+		w := &words[i]
+		for _, m := range runs {
+			if string(m.Fingerprint) == string(w.Fingerprint[:]) {
+				w.First, w.Tried, w.At = m.First, m.Tried, m.At
+			}
+		}
+	}
+}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -14,8 +14,10 @@
 
 	// The rest needs the lock of the set.
 
-	// sent is set once the request went to an upstream.
-	sent bool
+	// sentAt is when the request last went to an upstream; zero before it did.
+	sentAt time.Time
+	// tried is set if the request was a suspect by then: it runs once at a time.
+	tried bool
 	// probation is set for the one try after a quarantine.
 	probation bool
 	// steady is set once the run blocks no other one.
@@ -23,6 +25,9 @@
 	over   bool
 }
 
+// Route returns the name of the request's route.
+func (r *Run) Route() string { return r.request.Route }
+
 // Suspected reports whether an upstream ended under the request.
 func (r *Run) Suspected() bool {
 	r.set.mu.Lock()
@@ -51,33 +56,63 @@
 	r.set.mu.Lock()
 	defer r.set.mu.Unlock()
 	u, ok := r.set.suspects[r.request.Fingerprint]
-	return !ok || u.held.IsZero() || r.probation && !r.sent
+	return !ok || u.held.IsZero() || r.probation && r.sentAt.IsZero()
 }
 
-// Sent notes that the request goes to an upstream. A run that had gone on well is tried anew.
-func (r *Run) Sent() {
+// Sent notes that the request goes to an upstream, of which it is not known how others call it.
+// A run that had gone on well is tried anew.
+func (r *Run) Sent() { r.SentTo("") }
+
+// SentTo notes that the request goes to an upstream by the name that all entries have for it.
+func (r *Run) SentTo(upstream string) {
 	r.set.mu.Lock()
 	defer r.set.mu.Unlock()
-	r.sent = true
+	r.sentAt = r.set.now()
+	u, ok := r.set.suspects[r.request.Fingerprint]
+	r.tried = ok && r.set.restrained(u)
+	delete(r.set.trials, r)
+	if r.tried && upstream != "" {
+		r.set.trials[r] = upstream
+		defer r.set.urge()
+	}
 	if r.steady && !r.over {
 		r.steady = false
 		r.set.running[r.request.Fingerprint]++
 	}
 }
 
-// Broke notes that the answer of a start broke off. Set.Ended or Set.Lives is to tell what
-// became of the upstream.
+// Broke notes that the answer of a start broke off, by the name under which the request went
+// there. Set.Ended or Set.Lives is to tell what became of the upstream.
 func (r *Run) Broke(start string) {
+	r.set.mu.Lock()
+	defer r.set.mu.Unlock()
+	r.broke(start, r.set.startThatRan(start, r.sentAt))
+}
+
+// EndedWith notes that a start ended while it ran the request, as the process beside it tells.
+func (r *Run) EndedWith(start string) {
+	r.set.mu.Lock()
+	r.broke(start, start)
+	r.set.mu.Unlock()
+	r.set.Ended(start)
+}
+
+// broke notes that the answer of a start broke off, which has another name than the one under which
+// the request went there if it is a later start. It needs the lock.
+func (r *Run) broke(name, ran string) {
 	s := r.set
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.servedLately(r.request.Fingerprint) {
 		return
 	}
 	u := s.suspectOf(r.request)
-	if _, known := u.ends[start]; !known {
-		u.broke[start] = breakOff{at: s.now()}
+	if _, known := u.ends[ran]; known {
+		return
+	}
+	b := breakOff{at: s.now(), name: name, kind: triedRun}
+	if !r.tried || u.broke[ran].kind == firstRun {
+		b.kind = firstRun
 	}
+	u.broke[ran] = b
 }
 
 // Served notes that an upstream answered the request to the end: it does not end those that
@@ -122,6 +157,7 @@
 		return
 	}
 	r.steady = true
+	delete(r.set.trials, r)
 	f := r.request.Fingerprint
 	if r.set.running[f]--; r.set.running[f] <= 0 {
 		delete(r.set.running, f)
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -52,6 +52,13 @@
 	// busyFor is how long another entry's word that it runs a suspect is gone by without
 	// a newer one.
 	busyFor = 2 * time.Second
+	// newsWithin is how long after the latest of three ends a request that is not held is not
+	// tried again: others that ran there are heard of or served meanwhile. Without it 1 and 47 of
+	// 10,800 sound requests beside four that end upstreams were refused as held, 0 and 3 with it
+	// (20 plays of the rig of the tests, news 10 and 100 ms old).
+	newsWithin = time.Second
+	// awayFor is how long an upstream that ended is usually away.
+	awayFor = 2 * time.Second
 )
 
 // The reasons for which a request is not run.
@@ -78,10 +85,15 @@
 	served map[Fingerprint]time.Time
 	// running counts the runs of each request here whose trial is not over.
 	running map[Fingerprint]int
+	// trials are the upstreams that run suspects for this entry.
+	trials map[*Run]string
 	// verdicts counts the requests held for what this entry saw.
 	verdicts int
 	// busy are the suspects that other entries run, by entry.
 	busy map[string]peerRuns
+	// name is that of this entry, and heardAt tells when others were heard of.
+	name    string
+	heardAt map[string]time.Time
 	// changed is closed and replaced when a request that waits may have to look again.
 	changed chan struct{}
 }
@@ -90,12 +102,14 @@
 type peerRuns struct {
 	at   time.Time
 	runs map[Fingerprint]bool
+	// upstreams are those that run them.
+	upstreams []string
 }
 
 // New returns an empty Set.
 func New(rec *events.Recorder, now func() time.Time, urge func()) *Set {
 	return &Set{
-		rec: rec, now: now, urge: urge, suspects: map[Fingerprint]*suspect{}, running: map[Fingerprint]int{}, served: map[Fingerprint]time.Time{},
+		rec: rec, now: now, urge: urge, suspects: map[Fingerprint]*suspect{}, running: map[Fingerprint]int{}, served: map[Fingerprint]time.Time{}, trials: map[*Run]string{}, heardAt: map[string]time.Time{},
 		busy: map[string]peerRuns{}, changed: make(chan struct{}),
 	}
 }
@@ -142,10 +156,10 @@
 			u.refused++
 			return nil, nil, ErrHeld
 		}
-		if s.running[r.Fingerprint] > 0 || s.busyElsewhere(r.Fingerprint) || s.unclear(u) {
+		if s.level(u) >= verdictEnds && !s.myTurn(u) || s.running[r.Fingerprint] > 0 || s.busyElsewhere(r.Fingerprint) || s.unclear(u) {
 			return nil, s.changed, ErrOnTrial
 		}
-		run.probation = !u.held.IsZero()
+		run.probation, run.tried = !u.held.IsZero(), true
 		defer s.urge()
 	}
 	s.running[r.Fingerprint]++
@@ -155,7 +169,28 @@
 // level is the number of ends that speak against a request, those counted that may turn
 // out to be ends. It needs the lock.
 func (s *Set) level(u *suspect) int {
-	return len(s.explained.unexplained(u)) + u.unsettled()
+	if s.explains(u) {
+		return u.unsettled()
+	}
+	return len(u.live()) + u.unsettled()
+}
+
+// explains reports whether one request that is held explains all that speaks against another one,
+// as for a sound one that many callers send. One whose ends several explain together is a
+// suspect still: beside them it may end upstreams as well. One of four such ran unrestrained
+// otherwise, and reached upstreams four times once all had to know (1 of 200 plays of the rig of
+// the tests). It needs the lock.
+func (s *Set) explains(u *suspect) bool {
+	live := u.live()
+	if len(s.explained.unexplained(u)) > 0 {
+		return false
+	}
+	for _, h := range s.suspects {
+		if h != u && !h.held.IsZero() && !slices.ContainsFunc(live, func(start string) bool { return !h.ranAt(start) }) {
+			return true
+		}
+	}
+	return false
 }
 
 // restrained reports whether a request runs once at a time, or not at all. It needs the lock.
@@ -165,7 +200,7 @@
 // may have ended under it. Some take seconds until they are back; without the wait a request
 // that comes seven times a second ended 6 to 8 sidecars, 3 with it. It needs the lock.
 func (s *Set) unclear(u *suspect) bool {
-	return u.held.IsZero() && u.unsettled() > 0 && s.level(u) >= verdictEnds
+	return u.held.IsZero() && s.level(u) >= verdictEnds && (u.unsettled() > 0 || s.now().Before(u.latestEnd().Add(newsWithin)))
 }
 
 // busyElsewhere reports whether another entry runs a suspect. It needs the lock.
@@ -225,15 +260,17 @@
 	s.mu.Lock()
 	changed := false
 	for _, u := range s.suspects {
-		b, ok := u.broke[start]
-		if !ok {
-			continue
-		}
-		delete(u.broke, start)
-		if u.add(start, b.at, true) {
-			changed = true
-			s.exculpate(u, start)
-			s.rec.Note(events.RequestSuspected, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "upstream", start, "ends", len(u.live()))
+		for ran, b := range u.broke {
+			if b.name != start {
+				continue
+			}
+			delete(u.broke, ran)
+			if u.add(ran, b.at, true) {
+				changed = true
+				u.ran(ran, b.kind)
+				s.exculpate(u, ran)
+				s.rec.Note(events.RequestSuspected, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "upstream", ran, "ends", len(u.live()), "alone", b.kind == triedRun)
+			}
 		}
 	}
 	s.judge()
@@ -259,9 +296,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.suspects {
-		if b, ok := u.broke[start]; ok {
-			b.alive = true
-			u.broke[start] = b
+		for ran, b := range u.broke {
+			if b.name == start {
+				b.alive = true
+				u.broke[ran] = b
+			}
 		}
 	}
 	s.wake()
@@ -270,6 +309,9 @@
 // judge holds those that are to blame for all that is known by now, and lets go of others:
 // while news is under way a sound request may look guilty. It needs the lock.
 func (s *Set) judge() {
+	for _, u := range s.suspects {
+		u.noteTold(s.now())
+	}
 	held, e := judge(s.suspects)
 	s.explained = e
 	for _, u := range s.suspects {
@@ -293,21 +335,23 @@
 func (s *Set) Sweep(replaced func(start string) bool) {
 	s.mu.Lock()
 	now := s.now()
+	maps.DeleteFunc(s.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) >= peerFor })
 	maps.DeleteFunc(s.served, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= servedFor })
 	over := map[string]bool{}
 	for f, u := range s.suspects {
-		for start, b := range u.broke {
+		for ran, b := range u.broke {
 			switch {
-			case replaced(start):
-				over[start] = true
+			case replaced(b.name):
+				over[b.name] = true
 			case now.Sub(b.at) > settleWithin:
-				delete(u.broke, start)
+				delete(u.broke, ran)
 			}
 		}
 		if u.old(now) {
 			delete(s.suspects, f)
 		}
 	}
+	s.judge()
 	s.mu.Unlock()
 	for start := range over {
 		s.Ended(start)
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // suspect is a request under which upstreams ended.
 type suspect struct {
@@ -24,6 +27,10 @@
 	at time.Time
 	// own is set if this entry saw it.
 	own bool
+	// kind is how the request ran there, and told is set once the others that ran there had
+	// time to be heard of.
+	kind runKind
+	told bool
 	// voidAt is when this entry learnt that the request was served, or its quarantine
 	// lifted, after this end: it speaks against the request no more. Zero if it does.
 	voidAt time.Time
@@ -34,6 +41,9 @@
 // breakOff is an answer that broke off.
 type breakOff struct {
 	at time.Time
+	// name is the start by the name under which it got the request, and kind how it ran there.
+	name string
+	kind runKind
 	// alive tells that the upstream's address took a connection afterwards.
 	alive bool
 }
@@ -98,6 +108,27 @@
 	return false
 }
 
+// ran notes how the request ran at a start that ended.
+func (u *suspect) ran(start string, kind runKind) {
+	if e, known := u.ends[start]; known {
+		e.kind = kind
+		u.ends[start] = e
+	}
+}
+
+// runKind is how a request ran at a start that ended.
+type runKind int
+
+const (
+	// unknownRun: another entry did not tell.
+	unknownRun runKind = iota
+	// firstRun began before the request was a suspect: several such runs may end beside what
+	// ends upstreams.
+	firstRun
+	// triedRun was of a suspect, which runs once at a time, and apart from other suspects.
+	triedRun
+)
+
 // live returns the starts whose ends speak against the request.
 func (u *suspect) live() []string {
 	var out []string
@@ -109,6 +140,27 @@
 	return out
 }
 
+// tried returns those of some ends at which the request ran as a suspect.
+func (u *suspect) tried(ends []string) []string {
+	return slices.DeleteFunc(slices.Clone(ends), func(start string) bool { return u.ends[start].kind == firstRun })
+}
+
+// noteTold notes of which ends the others that ran there had time to be heard of.
+func (u *suspect) noteTold(now time.Time) {
+	for start, e := range u.ends {
+		if !e.told && now.Sub(e.at) >= aloneAfter {
+			e.told = true
+			u.ends[start] = e
+		}
+	}
+}
+
+// ranAt reports whether the end of a start speaks against the request.
+func (u *suspect) ranAt(start string) bool {
+	e, known := u.ends[start]
+	return known && !e.void()
+}
+
 // unsettled is the number of breaks of which it is not known whether the upstream ended.
 func (u *suspect) unsettled() int {
 	n := 0
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -25,10 +25,28 @@
 	Request
 	// Ends are the starts of upstreams that ended under it, and when.
 	Ends map[string]time.Time
+	// First are those of them whose run had begun before the request was a suspect, and
+	// Tried those whose run had not.
+	First []string
+	Tried []string
 	// Void are the starts whose ends speak against it no more.
 	Void []string
-	// Runs tells that the teller runs it.
+	// Runs tells that the teller runs it, and At is the upstream that runs it, if it was a suspect
+	// when it was sent there.
 	Runs bool
+	At   string
+}
+
+// kind returns how the request ran at a start.
+func (w *Word) kind(start string) runKind {
+	switch {
+	case slices.Contains(w.First, start):
+		return firstRun
+	case slices.Contains(w.Tried, start):
+		return triedRun
+	default:
+		return unknownRun
+	}
 }
 
 // Tell returns what the other entries are to know, the most important first. It is empty
@@ -82,6 +100,11 @@
 		Request: Request{Fingerprint: u.fingerprint, Route: u.route[:min(len(u.route), mostName)], Account: u.account[:min(len(u.account), mostName)]},
 		Ends:    map[string]time.Time{}, Runs: s.runs(u),
 	}
+	for r, upstream := range s.trials {
+		if r.request.Fingerprint == u.fingerprint {
+			w.At = upstream
+		}
+	}
 	all := len(u.live()) >= tellEnds
 	for start, e := range u.ends {
 		switch {
@@ -89,8 +112,17 @@
 			w.Void = append(w.Void, start)
 		case !e.void() && (all || s.tellsEnd(e)):
 			w.Ends[start] = e.at
+			switch e.kind {
+			case firstRun:
+				w.First = append(w.First, start)
+			case triedRun:
+				w.Tried = append(w.Tried, start)
+			case unknownRun:
+			}
 		}
 	}
+	slices.Sort(w.First)
+	slices.Sort(w.Tried)
 	slices.Sort(w.Void)
 	return w
 }
@@ -116,7 +148,7 @@
 	var out []Word
 	for _, u := range held[:min(len(held), mostHeld)] {
 		w := s.word(u)
-		w.Void, w.Runs = nil, false
+		w.Void, w.First, w.Tried, w.Runs, w.At = nil, nil, nil, false, ""
 		for start := range w.Ends {
 			if len(w.Ends) > mostHeldEnds {
 				delete(w.Ends, start)
@@ -152,17 +184,22 @@
 func (s *Set) Hear(entry string, words []Word) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.heardAt[entry] = s.now()
 	runs, news := map[Fingerprint]bool{}, false
+	var upstreams []string
 	for _, w := range words {
 		if w.Runs {
 			runs[w.Fingerprint] = true
 		}
+		if w.At != "" {
+			upstreams = append(upstreams, w.At)
+		}
 		news = s.join(w) || news
 	}
 	_, ran := s.busy[entry]
 	delete(s.busy, entry)
 	if len(runs) > 0 {
-		s.busy[entry] = peerRuns{at: s.now(), runs: runs}
+		s.busy[entry] = peerRuns{at: s.now(), runs: runs, upstreams: upstreams}
 	}
 	switch {
 	case news:
@@ -182,6 +219,7 @@
 	for start, at := range w.Ends {
 		if u.add(start, at, false) {
 			news = true
+			u.ran(start, w.kind(start))
 			s.exculpate(u, start)
 		}
 	}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -88,21 +88,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.settings.CallTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	a, err := s.service.do(ctx, p)
 	if err != nil {
-		return invokeResult{Outcome: Unknown, Reason: err.Error(), EndedWith: s.endedUnder(ctx, err)}
+		return invokeResult{Outcome: Unknown, Reason: err.Error(), EndedWith: s.endedUnder(ctx, sentAt, err)}
 	}
 	s.starts.answered()
 	return doneResult(a)
 }
 
-// endedUnder returns the start of the service that ended under a call that got no answer,
-// empty if none did.
-func (s *Server) endedUnder(ctx context.Context, err error) string {
+// endedUnder returns the start of the service that ended under a call that was sent at a time and
+// got no answer, empty if none did.
+func (s *Server) endedUnder(ctx context.Context, sentAt time.Time, err error) string {
 	if errors.Is(err, errNotSent) || refusedConnection(err) || ctx.Err() != nil {
 		return ""
 	}
-	return s.starts.ended(ctx)
+	return s.starts.endedUnder(ctx, sentAt)
 }
 
 func doneResult(a *answer) invokeResult {
@@ -271,6 +272,7 @@
 	// A caller that goes away does not take the call back.
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.settings.CallTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	a, err := s.service.do(sendCtx, p)
 	switch {
 	case err == nil:
@@ -283,7 +285,7 @@
 		return invokeResult{Outcome: NotRun, Reason: "upstream not reachable"}
 	default:
 		s.book.lose(c)
-		return invokeResult{Outcome: Unknown, Reason: "the upstream's answer was lost", EndedWith: s.endedUnder(sendCtx, err)}
+		return invokeResult{Outcome: Unknown, Reason: "the upstream's answer was lost", EndedWith: s.endedUnder(sendCtx, sentAt, err)}
 	}
 }
 
--- a/internal/sidecar/runner.go
+++ b/internal/sidecar/runner.go
@@ -186,9 +186,10 @@
 // stream runs an admitted generation on the engine and fills its buffer. It
 // returns when the generation has its end.
 func (r *runner) stream(ctx context.Context, g *generation, p generateParams) {
+	sentAt := time.Now()
 	whole, reason, broke := r.relay(ctx, g, p)
 	if broke && ctx.Err() == nil {
-		g.lostWith(r.starts.ended(ctx))
+		g.lostWith(r.starts.endedUnder(ctx, sentAt))
 	}
 	r.leave(g.id, whole)
 	g.finishOnce(whole, reason)
--- a/internal/sidecar/starts.go
+++ b/internal/sidecar/starts.go
@@ -21,8 +21,9 @@
 	mu sync.Mutex
 	// n counts the starts that were seen; down is set from the end of one until the
 	// upstream is there again.
-	n    int
-	down bool
+	n      int
+	down   bool
+	downAt time.Time
 }
 
 // newStarts returns a starts for the upstream at a URL.
@@ -38,6 +39,19 @@
 	return &starts{incarnation: incarnation, dial: func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }}
 }
 
+// endedUnder is ended for a request that was sent to the upstream at a time. One that was sent when
+// it was down ran nowhere, however its connection ended: it would stand beside those that had
+// run at the start that ended, and what ended that one be judged by it.
+func (s *starts) endedUnder(ctx context.Context, sentAt time.Time) string {
+	s.mu.Lock()
+	crossed := !s.down || !s.downAt.Before(sentAt)
+	s.mu.Unlock()
+	if !crossed {
+		return ""
+	}
+	return s.ended(ctx)
+}
+
 // ended returns the name of the start that ended, after an answer of the upstream broke off:
 // the address of one that ended refuses connections. It is empty if the upstream listens, or
 // if that is not known.
@@ -55,7 +69,9 @@
 	case !refusedConnection(err):
 		return ""
 	}
-	s.down = true
+	if !s.down {
+		s.down, s.downAt = true, time.Now()
+	}
 	return s.incarnation + "#" + strconv.Itoa(s.n)
 }
 
