fix: the time to stop counts from when the process last ran in time

Symptom: LOST in a planned stop: a request sent some 3 s after process-stopping ran, and its caller got an end of file (3 and 13 in two runs of TestStopThatIsNoticedInPiecesLosesNothing, and the one run of TestSoak/8, whose logs are not kept). Cause, from the logs of those runs: a process that gets to run in moments only, as on a crowded machine, noticed 0.67 and 1.1 s late that it was told to stop; it looked each 0.1 s, believed in each moment that it ran, counted its time from when it noticed (noticed-after 0.6 us), and was killed with requests in flight. Change: it looks how late each of these looks is; the time counts from the look before the first late one, unless two in time came since.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -178,6 +178,7 @@
 	gossip    *gossip.Node
 	directory *directory.Directory
 	watch     *runWatch
+	lag       *runLag
 	// verdicts is the number of requests held for what this entry saw, as of the latest
 	// renewal of its row.
 	verdicts int
@@ -186,7 +187,7 @@
 }
 
 func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
-	b := &gatewayBuilder{settings: s, reg: prometheus.NewRegistry(), watch: newRunWatch(time.Now)}
+	b := &gatewayBuilder{settings: s, reg: prometheus.NewRegistry(), watch: newRunWatch(time.Now), lag: newRunLag(time.Now)}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.lines = logline.New(logline.Settings{Lines: s.LogLines, Queue: logQueue}, logs, time.Now)
 	b.life = newIncarnation()
@@ -226,7 +227,7 @@
 		Build: func(*kernel.Registry) (any, error) { return b.rec, nil },
 		Start: func(context.Context, *kernel.Registry) error {
 			go b.countDropped()
-			go b.every(watchEach, b.watch.look)
+			go b.lag.watch(b.ctx, b.watch.look)
 			go watchReload(b.ctx, b.rec, b.settings.String())
 			return nil
 		},
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -116,7 +116,7 @@
 // drain ends the callers' service: it lets the balancer notice, goes on serving those it
 // sends all the same, waits for the requests in flight, and gives up what is left.
 func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
-	told := b.watch.earliest()
+	told := b.toldToStop()
 	deadline := told.Add(b.settings.StopWithin - stopSpare)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", time.Since(told))
 	b.gateway.Drain(deadline)
@@ -131,6 +131,15 @@
 	return b.callers.server.Close()
 }
 
+// toldToStop returns the earliest time at which the signal to stop may have come.
+func (b *gatewayBuilder) toldToStop() time.Time {
+	told := b.watch.earliest()
+	if lagged := b.lag.earliest(); lagged.Before(told) {
+		return lagged
+	}
+	return told
+}
+
 // giveUp lets the gateway answer what is still in flight. The time for that runs from
 // now: a process that did not get to run finds the end of its stop past as well, and
 // would close the connections before the answers are written.
--- a/internal/entry/crashing.go
+++ b/internal/entry/crashing.go
@@ -53,28 +53,35 @@
 // isolated puts the upstreams that run a suspect last, and leaves them out for a request that is
 // to run apart from suspects: all of them, unless most upstreams are there.
 func (e *Entry) isolated(run *quarantine.Run, list []*membership.Peer) []*membership.Peer {
-	trials := e.quarantine.Trials()
-	var free, busy []*membership.Peer
-	for _, p := range list {
-		if trials[p.Identity().Upstream()] {
-			busy = append(busy, p)
-		} else {
-			free = append(free, p)
-		}
-	}
-	if run.Isolation() != quarantine.Apart {
-		return append(free, busy...)
-	}
 	away := 0
 	for _, route := range e.quarantine.EndedLately() {
 		if route == run.Route() {
 			away++
 		}
 	}
-	if !quarantine.MostThere(len(list)-away, len(list)) {
+	name := func(p *membership.Peer) string { return p.Identity().Upstream() }
+	return isolate(list, name, e.quarantine.Trials(), run.Isolation(), away)
+}
+
+// isolate is isolated for upstreams with names, some of which run suspects; away is the number of
+// those that ended lately.
+func isolate[T any](list []T, name func(T) string, trials map[string]bool, isolation quarantine.Isolation, away int) []T {
+	var free, busy []T
+	for _, u := range list {
+		if trials[name(u)] {
+			busy = append(busy, u)
+		} else {
+			free = append(free, u)
+		}
+	}
+	switch {
+	case isolation != quarantine.Apart:
+		return append(free, busy...)
+	case !quarantine.MostThere(len(list)-away, len(list)):
 		return nil
+	default:
+		return free
 	}
-	return free
 }
 
 // lost notes that a start of an upstream ended under a request; empty for none.
--- /dev/null
+++ b/internal/gateway/isolated_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/quarantine"
+)
+
+// suspected returns the run of a request under which some starts ended.
+func (f *fixture) suspected(body string, starts ...string) *quarantine.Run {
+	f.t.Helper()
+	q := quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", pathSafe, "acme", []byte(body))}
+	run, err := f.gateway.quarantine.Enter(f.t.Context(), q, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, start := range starts {
+		run.Broke(start)
+		f.gateway.quarantine.Ended(start)
+	}
+	run.Leave()
+	run, err = f.gateway.quarantine.Enter(f.t.Context(), q, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return run
+}
+
+// TestSuspectsRunApart covers where requests go while a suspect runs: sound ones elsewhere if
+// they can, another suspect under which two ended nowhere near it, and only while most
+// upstreams are there.
+func TestSuspectsRunApart(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// ends are those under the request, and broken upstreams whose connections broke.
+		ends   []string
+		broken []string
+		want   map[string]bool
+	}{
+		{"a sound request", nil, nil, map[string]bool{"b": true, "c": true}},
+		{"a suspect with two ends", []string{"gone 1", "gone 2"}, nil, map[string]bool{"b": true, "c": true}},
+		{"a suspect with two ends, one of three upstreams away", []string{"gone 1", "gone 2"}, []string{"b"}, map[string]bool{"c": true}},
+		{"a suspect with two ends, two of three upstreams away", []string{"gone 1", "gone 2"}, []string{"b", "c"}, map[string]bool{"": true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.fleet.Update([]fleet.Record{{Name: "a", Service: "app", Slots: 6}, {Name: "b", Service: "app", Slots: 6}, {Name: "c", Service: "app", Slots: 6}}, nil, true, time.Time{})
+			f.suspected("other", "gone 3").SentTo("a")
+			for _, id := range tc.broken {
+				f.fleet.Note(id, fleet.Broken)
+			}
+			table, _ := f.routes.Current()
+			service, _ := table.Service("app")
+			rq := &request{run: newRun(), service: service}
+			if tc.ends != nil {
+				rq.run = f.suspected("body", tc.ends...)
+			}
+			for range 30 {
+				u, _ := f.gateway.choosePlain("app", f.gateway.isolated(rq, nil))
+				if !tc.want[u.ID] {
+					t.Fatalf("goes to %q, want one of %v", u.ID, tc.want)
+				}
+			}
+		})
+	}
+}
+
+// TestSuspectThatCannotRunApart covers what callers get of it: it is refused at once, unrun, with a
+// time to come back.
+func TestSuspectThatCannotRunApart(t *testing.T) {
+	f := newFixture(t)
+	u := f.add("app", "a", serveOK)
+	f.suspected("other", "gone 3").SentTo("a")
+	f.suspected("body", "gone 1", "gone 2").Leave()
+	start := time.Now()
+	got := f.ask(pathSafe)
+	if got.status != http.StatusServiceUnavailable || got.header.Get(testBack) == "" || u.runs() != 0 || time.Since(start) > time.Second {
+		t.Errorf("status %d, back %q, %d runs after %s; want 503 with a time to come back, unrun, at once", got.status, got.header.Get(testBack), u.runs(), time.Since(start))
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -162,17 +162,31 @@
 # Requests that end upstreams.
 held=internal/quarantine
 mutant held-refused $held/set.go 's/if !u\.held\.IsZero\(\) && s\.now\(\)\.Before\(u\.heldUntil\(\)\) \{/if false {/' $held TestHeldAfterThreeEnds
-mutant held-turns $held/set.go 's/if s\.running\[r\.Fingerprint\] > 0 \|\| /if /' $held TestSuspectWaitsForItsTurn
+mutant held-turns $held/set.go 's/s\.running\[r\.Fingerprint\] > 0 \|\| //' $held TestSuspectWaitsForItsTurn
 mutant held-elsewhere $held/set.go 's/ \|\| s\.busyElsewhere\(r\.Fingerprint\) \|\|/ ||/' $held TestSuspectThatRunsElsewhere
 mutant held-unclear $held/set.go 's/ \|\| s\.unclear\(u\) \{/ {/' $held TestUnsettledBreaksHoldBack
 mutant held-served-lately $held/set.go 's/return s\.now\(\)\.Sub\(s\.served\[f\]\) < servedFor/return false/' $held TestServedLatelyIsNoSuspect
 mutant held-served-bound $held/run.go 's/if len\(s\.served\) < mostServed \{/if true {/' $held TestServedAreBounded
 mutant held-cleared $held/run.go 's/\ts\.clear\(u, "it was served"\)\n/\t_ = u\n/' $held TestServedIsCleared
 mutant held-repeat $held/run.go 's/s\.level\(u\) <= repeatEnds/true/' $held TestServedIsCleared
-mutant held-one-try $held/run.go 's/r\.probation && !r\.sent/r.probation/' $held TestOneTryAfterAQuarantine
+mutant held-one-try $held/run.go 's/r\.probation && r\.sentAt\.IsZero\(\)/r.probation/' $held TestOneTryAfterAQuarantine
 mutant held-doubles $held/suspect.go 's/hold = min\(2\*hold, holdMost\)/hold = min(hold, holdMost)/' $held TestOneTryAfterAQuarantine
-mutant held-stood-out $held/verdict.go 's/case stoodOut\(u, open\):/case true:/' $held TestJudge
+mutant held-stood-out $held/verdict.go 's/case o\.stoodOut\(u, telling\):/case true:/' $held TestJudge
 mutant held-explained $held/verdict.go 's/open\[u\] = e\.unexplained\(u\)/open[u] = u.live()/' $held TestJudge
+mutant held-telling $held/verdict.go 's/case len\(telling\) < tellingNeeded\(u, stray\):/case len(telling)+len(stray) < 0:/' $held 'TestSoundRequestThatRanBesideTwoOthers|TestSoundRequestsBesideSeveral'
+mutant held-first-run $held/verdict.go 's/return !e\.told \|\| o\.others\(u, start, func\(\*suspect\) bool \{ return true \}\)/return false/' $held TestSoundRequestThatRanBesideTwoOthers
+mutant held-stray $held/verdict.go 's/if n > mostStray \{/if n < 0 {/; s/\t\tif latest\.Sub/\t\tif n >= 0 \&\& latest.Sub/' $held 'TestSoundRequestsBesideSeveralCulprits/.*rolling_150ms' -rig.seeds=20
+mutant held-later-start $held/laterstart.go 's/for n := 1; s\.endedBefore/for n := 1; n < 0 \&\& s.endedBefore/' $held TestLaterStart
+mutant held-later-crossed $held/laterstart.go 's/sentAt\.Add\(-backLeast\)/sentAt.Add(backLeast)/' $held TestRequestThatCrossedAnEnd
+mutant held-explained-by-one $held/set.go 's/if s\.explains\(u\) \{\n\t\treturn u\.unsettled\(\)\n\t\}/if len(s.explained.unexplained(u)) == 0 {\n\t\treturn u.unsettled()\n\t}/' $held TestExplainedByTwo
+mutant held-turn $held/turn.go 's/return slices\.Index\(names, s\.name\)%groups == int\(since\/turnLasts\)%groups/return groups > 0/' $held TestTurns
+mutant held-apart $gateway/crashing.go 's/if rq\.run\.Isolation\(\) != quarantine\.Apart \{/if true {/' $gateway TestSuspectsRunApart
+mutant held-most-there $gateway/crashing.go 's/if !quarantine\.MostThere\(there, len\(list\)\) \{/if there < 0 {/' $gateway TestSuspectsRunApart
+mutant held-trials-told $held/word.go 's/\t\t\tw\.At = upstream\n/\t\t\t_ = upstream\n/' $held TestTrialsAreTold
+mutant held-runs-told $held/word.go 's/u\.ran\(start, w\.kind\(start\)\)/u.ran(start, unknownRun)/' $held TestTrialsAreTold
+mutant held-trial-cost $placement/cost.go 's/\tif c\.Trial \{\n\t\tcost \+= trialCost\n\t\}\n//' $gateway TestSuspectsRunApart
+mutant held-entry-apart internal/entry/crashing.go 's/case isolation != quarantine\.Apart:/case true:/' internal/entry TestIsolate
+mutant held-entry-down internal/sidecar/starts.go 's/crossed := !s\.down \|\| !s\.downAt\.Before\(sentAt\)/crossed := true/' internal/sidecar TestRequestSentWhileTheUpstreamIsDown
 mutant held-void-told $held/word.go 's/\t\t\tw\.Void = append\(w\.Void, start\)\n//' $held 'TestClearedElsewhere|TestOperatorsListAndLift'
 mutant held-told-anew $held/word.go 's/\tif len\(u\.live\(\)\) >= tellEnds \{\n\t\treturn true\n\t\}\n//' $held TestAnEntryThatStartsAnewLearns
 mutant held-bounded $held/set.go 's/\t\ts\.makeRoom\(\)\n//' $held TestSuspectsAreBounded
@@ -181,7 +195,7 @@
 mutant held-learnt-again $held/word.go 's/if u\.old\(s\.now\(\)\) \{/if false {/' $held TestForgotten
 mutant held-settled $held/set.go 's/case now\.Sub\(b\.at\) > settleWithin:/case now.Sub(b.at) > 24*time.Hour:/' $held TestBreaksThatAreNoEnds
 mutant held-alive $held/set.go 's/b\.alive = true/b.alive = false/' $held TestBreaksThatAreNoEnds
-mutant held-replaced $held/set.go 's/case replaced\(start\):/case false:/' $held TestBreaksThatAreNoEnds
+mutant held-replaced $held/set.go 's/case replaced\(b\.name\):/case false:/' $held TestBreaksThatAreNoEnds
 mutant held-account $held/fingerprint.go 's/\{method, host, target, account\}/{method, host, target}/' $held TestFingerprintOf
 mutant held-parts $held/fingerprint.go 's/\t\t_, _ = h\.Write\(size\[:\]\)\n//' $held TestFingerprintOf
 mutant held-ended $gateway/crashing.go 's/\t\tg\.quarantine\.Ended\(at\.ID\)\n//' $gateway TestWhoIsSuspected
@@ -203,6 +217,11 @@
 mutant held-entry-told internal/membership/set.go 's/quarantine\.Encode\(status\.Suspects/quarantine.Encode(status.Suspects[:0]/; s/process, r\.Suspects\)/process, r.Suspects[:0])/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 
 mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/told := b\.watch\.earliest\(\)/told := time.Now()/' platform/soak TestStopThatIsNoticedLate
+mutant stop-in-pieces internal/daemon/runlag.go 's/look\.late$/false/m; s/late = look\.late/late = false/' internal/daemon TestRunLag
+mutant stop-lag-asked internal/daemon/gatewayhttp.go 's/if lagged := b\.lag\.earliest\(\); lagged\.Before\(told\) \{/if lagged := b.lag.earliest(); lagged.IsZero() {/' internal/daemon TestToldToStop
+mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.Idle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
+mutant stop-waits-sidecar internal/daemon/sidecar.go 's/if !b\.server\.Idle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/leaving'
+mutant stop-waits-gateway internal/daemon/gatewayhttp.go 's/if err := b\.callers\.connections\.Drain\(served\); err != nil \{/if err := served.Err(); err != nil {/' internal/daemon TestStopAnswersWhatWasRead
 mutant stop-stall-looked internal/daemon/runwatch.go 's/w\.stalledFrom, w\.stalledTo = w\.ranAt, now/w.stalledFrom = w.ranAt/' internal/daemon TestRunWatch
 
 # Faults of this program over what was read.
