fix: an entry lends no retries of one that does not hear it

Cause: an entry counted on the part of others' shares that they do not keep, and those that do not hear it took that themselves. Change: messages tell which one of the receiver's came last, so it knows when each last heard it, and counts on nothing of one that has not for as long as one that is silent.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -116,7 +116,7 @@
 // peerState takes over what another gateway told.
 func (b *gatewayBuilder) peerState(from string, s gossip.State) {
 	b.gateway.PeerLoad(from, s.Loads)
-	b.gateway.PeerRetryUse(from, s.Retries)
+	b.gateway.PeerRetryUse(from, s.Retries, s.HeardUs)
 	b.fleet.PeerFaults(from, s.Faults)
 	b.fleet.PeerFailures(from, s.Failures)
 	b.gateway.Quarantine().Hear(from, s.Suspects)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,10 +223,11 @@
 	return out
 }
 
-// PeerRetryUse takes over what another entry took of the retry budgets.
-func (g *Gateway) PeerRetryUse(name string, uses map[string]routing.Use) {
+// PeerRetryUse takes over what another entry took of the retry budgets, and when it last heard
+// this one.
+func (g *Gateway) PeerRetryUse(name string, uses map[string]routing.Use, heardUs time.Time) {
 	for service, u := range uses {
-		g.budget(service).Heard(name, u)
+		g.budget(service).HeardBy(name, u, heardUs)
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -69,6 +69,9 @@
 	Retries map[string]routing.Use
 	// Suspects is what it knows of requests under which upstreams ended.
 	Suspects []quarantine.Word
+	// HeardUs is when the latest message was sent that it had of this entry, by the steady
+	// clock of this one; zero for none. It is not part of what is sent: an echo tells it.
+	HeardUs time.Time
 }
 
 // Peer is what is known of another entry.
@@ -291,6 +294,9 @@
 	if m.body.AgeMS >= 0 && n.echoed(m) {
 		s.Confirmed = n.start.Add(time.Duration(m.echo.Sent) - time.Duration(m.body.AgeMS)*time.Millisecond)
 	}
+	if n.echoed(m) {
+		s.HeardUs = n.start.Add(time.Duration(m.echo.Sent))
+	}
 	n.keep(m, s, addr, now)
 	n.heard(m.body.From, s)
 }
--- a/internal/routing/window.go
+++ b/internal/routing/window.go
@@ -57,6 +57,8 @@
 type heardUse struct {
 	Use
 	at time.Time
+	// hears is when it last heard this entry.
+	hears time.Time
 }
 
 // NewWindow allows, in each span, ratio extra attempts for each request and a
@@ -88,11 +90,15 @@
 	return w.use()
 }
 
-// Heard takes over what another entry counted.
-func (w *Window) Heard(entry string, u Use) {
+// Heard takes over what another entry counted that hears this one.
+func (w *Window) Heard(entry string, u Use) { w.HeardBy(entry, u, w.now()) }
+
+// HeardBy takes over what another entry counted, and when it last heard this one, as far as is
+// known; zero for never.
+func (w *Window) HeardBy(entry string, u Use, heard time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.peers[entry] = heardUse{Use: u, at: w.now()}
+	w.peers[entry] = heardUse{Use: u, at: w.now(), hears: heard}
 }
 
 // Request notes a request of a caller.
@@ -130,6 +136,11 @@
 			delete(w.peers, name)
 			continue
 		}
+		if now.Sub(p.hears) > w.heard {
+			// It does not know what is taken of its share, and takes that itself: 652
+			// attempts of 400 where four entries are heard that hear nobody.
+			continue
+		}
 		heard++
 		left += w.left(p.Use, reserve)
 	}
