fix: an answer that has come when its time is over is delivered

Cause: a callback of the limit closed the connection to the upstream beside who reads it; and the caller's side did not wait for attempts that were about to end. A call waits for its attempts' last looks, 50 ms at most.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,6 +32,10 @@
 // a longer one is refused as broken.
 const maxBuffered = 8 << 20
 
+// lastLookWithin bounds the wait for attempts whose time is over: they return at once, unless the
+// process does not get to run.
+const lastLookWithin = 50 * time.Millisecond
+
 // result is how one attempt of a plain call ended.
 type result struct {
 	upstream string
@@ -133,9 +137,12 @@
 
 // atTheEnd returns the best answer that is there when the time is over, if there is any:
 // an answer and the end of the time are due at once in a process that did not get to run
-// for a while, and an upstream's own failure says more than that the time is over.
+// for a while, and an upstream's own failure says more than that the time is over. Attempts
+// under way take a last look at what has come.
 func (c *callRun) atTheEnd(ctx context.Context, best result) result {
-	for {
+	wait := time.NewTimer(lastLookWithin)
+	defer wait.Stop()
+	for c.running > 0 {
 		select {
 		case r := <-c.results:
 			if c.take(r) {
@@ -144,14 +151,16 @@
 			if !best.usable() {
 				best = r
 			}
-		default:
-			c.rq.sent = c.rq.sent || c.running > 0
-			if best.usable() {
-				return best
-			}
-			return result{err: ctx.Err()}
+			continue
+		case <-wait.C:
 		}
+		break
+	}
+	c.rq.sent = c.rq.sent || c.running > 0
+	if best.usable() {
+		return best
 	}
+	return result{err: ctx.Err()}
 }
 
 // blame tells the fleet which upstreams failed the request; served says that another
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -59,7 +59,7 @@
 
 // conn is one connection; it carries one request at a time.
 type conn struct {
-	net.Conn
+	*late
 	address string
 	r       *bufio.Reader
 	expires time.Time
@@ -68,7 +68,7 @@
 
 // usable reports whether an idle connection can carry another request: its time is
 // not over, and the upstream has neither closed it nor sent what nobody asked for.
-func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && quiet(c.Conn) }
+func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && quiet(c.late.Conn) }
 
 // Request is what is sent to an upstream. Target is the request target as it
 // stands on the request line, so that its bytes stay as the caller sent them.
@@ -103,14 +103,14 @@
 	close   bool
 }
 
-// Do sends one request and reads the head of its answer. The connection is
-// closed when ctx ends, also while the body is read.
+// Do sends one request and reads the head of its answer. When ctx ends, also while the body is
+// read, what has come by then can be read, and the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, req Request) (*Answer, error) {
 	c, err := p.connect(ctx, address, req.Fresh)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.end)
 	a, err := p.exchange(c, req)
 	if err != nil {
 		stop()
@@ -134,7 +134,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &conn{Conn: nc, address: address, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	l := &late{Conn: nc}
+	return &conn{late: l, address: address, r: bufio.NewReaderSize(l, readBuffer)}, nil
 }
 
 // Reach opens a connection to an address and closes it: it tells whether anything listens
