--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -68,7 +68,7 @@
 
 // usable reports whether an idle connection can carry another request: its time is
 // not over, and the upstream has neither closed it nor sent what nobody asked for.
-func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && quiet(c.late.Conn) }
+func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && quiet(c.Conn) }
 
 // Request is what is sent to an upstream. Target is the request target as it
 // stands on the request line, so that its bytes stay as the caller sent them.
