--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -514,6 +514,9 @@
 	check(ts, worldOf(ts).cluster.logged(args[0], args[1], want))
 }
 
+// mostTail bounds in bytes what is told of a process's log: what shows once can be traced then.
+const mostTail = 6 << 10
+
 func (c *cluster) logged(name, event string, times int) error {
 	return waitFor(func() error {
 		b, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
@@ -521,7 +524,7 @@
 			return err
 		}
 		if n := strings.Count(string(b), `"msg":"`+event+`"`); n < times {
-			return fmt.Errorf("%s logged %s %d of %d times", name, event, n, times)
+			return fmt.Errorf("%s logged %s %d of %d times; its latest lines:\n%s", name, event, n, times, b[max(len(b)-mostTail, 0):])
 		}
 		return nil
 	})
