--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -158,7 +158,7 @@
 	{CopyNotReleased, "copy-not-released", "An engine could not be told that nobody needs a copy of a generation's memory; it drops it by itself."},
 	{AnswerUndelivered, "answer-undelivered", "An answer could not be written to its caller's connection; `ended-here` says why this entry ended that, if it did."},
 	{HandlerPanicked, "handler-panicked", "A fault of this program ended the work on a request; `stack` says where."},
-	{RequestSuspected, "request-suspected", "An upstream ended while it ran a request; `ends` counts those that speak against the request. It runs once at a time from now on."},
+	{RequestSuspected, "request-suspected", "An upstream ended while it ran a request; `ends` counts those that speak against the request, `on-trial` tells that it ran by itself there, as a suspect. It runs once at a time from now on, and apart from others with two ends."},
 	{RequestHeld, "request-held", "A request ended one upstream after the other and is kept from them (`upstreams`): it is refused at once, at every entry."},
 	{RequestCleared, "request-cleared", "Nothing speaks any more against a request under which upstreams ended: one served it, or an operator lifted its quarantine (`why`)."},
 	{RequestForgotten, "request-forgotten", "More requests ended upstreams than are remembered; the one that matters least is forgotten."},
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -269,7 +269,7 @@
 				changed = true
 				u.ran(ran, b.kind)
 				s.exculpate(u, ran)
-				s.rec.Note(events.RequestSuspected, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "upstream", ran, "ends", len(u.live()), "alone", b.kind == triedRun)
+				s.rec.Note(events.RequestSuspected, "", "fingerprint", u.fingerprint, "route", u.route, "account", u.account, "upstream", ran, "ends", len(u.live()), "on-trial", b.kind == triedRun)
 			}
 		}
 	}
