--- a/internal/gateway/isolated_test.go
+++ b/internal/gateway/isolated_test.go
@@ -38,17 +38,20 @@
 		// ends are those under the request, and broken upstreams whose connections broke.
 		ends   []string
 		broken []string
-		want   map[string]bool
+		// other is where the other suspect runs; empty for nowhere.
+		other string
+		want  map[string]bool
 	}{
-		{"a sound request", nil, nil, map[string]bool{"b": true, "c": true}},
-		{"a suspect with two ends", []string{"gone 1", "gone 2"}, nil, map[string]bool{"b": true, "c": true}},
-		{"a suspect with two ends, one of three upstreams away", []string{"gone 1", "gone 2"}, []string{"b"}, map[string]bool{"c": true}},
-		{"a suspect with two ends, two of three upstreams away", []string{"gone 1", "gone 2"}, []string{"b", "c"}, map[string]bool{"": true}},
+		{"a sound request", nil, nil, "a", map[string]bool{"b": true, "c": true}},
+		{"a suspect with two ends", []string{"gone 1", "gone 2"}, nil, "a", map[string]bool{"b": true, "c": true}},
+		{"a suspect with two ends, one of three upstreams away", []string{"gone 1", "gone 2"}, []string{"b"}, "a", map[string]bool{"c": true}},
+		{"a suspect with two ends, two of three upstreams away", []string{"gone 1", "gone 2"}, []string{"b", "c"}, "a", map[string]bool{"": true}},
+		{"a suspect with two ends, two of three upstreams away, and no other one runs", []string{"gone 1", "gone 2"}, []string{"b", "c"}, "", map[string]bool{"": true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
 			f.fleet.Update([]fleet.Record{{Name: "a", Service: "app", Slots: 6}, {Name: "b", Service: "app", Slots: 6}, {Name: "c", Service: "app", Slots: 6}}, nil, true, time.Time{})
-			f.suspected("other", "gone 3").SentTo("a")
+			f.suspected("other", "gone 3").SentTo(tc.other)
 			for _, id := range tc.broken {
 				f.fleet.Note(id, fleet.Broken)
 			}
