fix: answers of services are read to the end of their time, and never passed on cut

Symptom: a call was unknown although its answer had come before its time limit, in a sidecar that did not get to run before; an answer of a service, or an engine's failure, longer than 8 MiB was passed on cut, as whole. Change: the exchange goes on for 50 ms after the end is noticed; one byte more than the bound is read, and an answer that has it is broken.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -147,7 +147,10 @@
 	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout {
 		s.g.faulty(st.at.ID)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered))
+	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
+	if len(body) > maxBuffered {
+		err = errAnswerTooLong
+	}
 	if err == nil {
 		s.rq.run.Served()
 	}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -33,12 +33,35 @@
 	return &serviceLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence}
 }
 
+// maxAnswer bounds in bytes the answers that are read.
 const maxAnswer = 8 << 20
 
 // errNotSent is wrapped when no byte can have reached the service.
 var errNotSent = errors.New("not sent")
 
+// errAnswerTooLong is for an answer that is longer than is read.
+var errAnswerTooLong = errors.New("answer is too long")
+
+// lateWithin is how long after the end of a call's time its answer may still be read, counted from
+// when this process notices the end: it and an answer that has come are due at once in one that
+// did not get to run.
+const lateWithin = 50 * time.Millisecond
+
+// outlast returns a context that ends lateWithin after ctx.
+func outlast(ctx context.Context) (context.Context, context.CancelFunc) {
+	longer, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	unhook := context.AfterFunc(ctx, func() { time.AfterFunc(lateWithin, cancel) })
+	return longer, func() {
+		unhook()
+		cancel()
+	}
+}
+
+// do sends a call and reads its whole answer. errNotSent is wrapped when nothing was sent, and
+// errAnswerTooLong when the answer is longer than is read.
 func (l *serviceLink) do(ctx context.Context, p invokeParams) (*answer, error) {
+	ctx, cancel := outlast(ctx)
+	defer cancel()
 	body := io.NopCloser(bytes.NewReader(p.Body))
 	r, err := http.NewRequestWithContext(ctx, p.Method, l.base+p.Path, body)
 	if err != nil {
@@ -56,10 +79,13 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(b) > maxAnswer {
+		return nil, fmt.Errorf("%w: more than %d bytes", errAnswerTooLong, maxAnswer)
+	}
 	return &answer{status: resp.StatusCode, header: resp.Header, body: b}, nil
 }
 
