--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -108,25 +108,29 @@
 	return false
 }
 
-// ran notes how the request ran at a start that ended.
-func (u *suspect) ran(start string, kind runKind) {
-	if e, known := u.ends[start]; known {
-		e.kind = kind
-		u.ends[start] = e
+// ran notes how the request ran at a start that ended, and reports whether that is news.
+func (u *suspect) ran(start string, kind runKind) bool {
+	e, known := u.ends[start]
+	if !known || kind <= e.kind {
+		return false
 	}
+	e.kind = kind
+	u.ends[start] = e
+	return true
 }
 
-// runKind is how a request ran at a start that ended.
+// runKind is how a request ran at a start that ended. Of two that are told the greater one holds,
+// so that entries may join what they know in any order.
 type runKind int
 
 const (
 	// unknownRun: another entry did not tell.
 	unknownRun runKind = iota
+	// triedRun was of a suspect, which runs once at a time, and apart from other suspects.
+	triedRun
 	// firstRun began before the request was a suspect: several such runs may end beside what
 	// ends upstreams.
 	firstRun
-	// triedRun was of a suspect, which runs once at a time, and apart from other suspects.
-	triedRun
 )
 
 // live returns the starts whose ends speak against the request.
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -132,3 +132,21 @@
 		t.Errorf("trials %v after the run", a.Trials())
 	}
 }
+
+// TestRunsJoinInAnyOrder covers two entries that tell of runs at one end in different ways: an entry
+// of the release before that only repeats it, and one at which the request ran there as well.
+func TestRunsJoinInAnyOrder(t *testing.T) {
+	end := func(first, tried []string) Word {
+		return Word{Request: request("a"), Ends: map[string]time.Time{"1": time.Now()}, First: first, Tried: tried}
+	}
+	words := []Word{end(nil, nil), end(nil, []string{"1"}), end([]string{"1"}, nil)}
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0}, {1, 0, 2}} {
+		f := newTestSet(t)
+		for _, i := range order {
+			f.Hear("peer", []Word{words[i]})
+		}
+		if kind := f.suspects[named("a")].ends["1"].kind; kind != firstRun {
+			t.Errorf("told in order %v: kind %d, want %d", order, kind, firstRun)
+		}
+	}
+}
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -219,9 +219,9 @@
 	for start, at := range w.Ends {
 		if u.add(start, at, false) {
 			news = true
-			u.ran(start, w.kind(start))
 			s.exculpate(u, start)
 		}
+		news = u.ran(start, w.kind(start)) || news
 	}
 	for _, start := range w.Void {
 		news = u.voidEnd(start, s.now()) || news
