--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -54,9 +54,9 @@
 // condemns: one that many callers send alike runs beside one that ends upstreams here and beside
 // another there, and has more ends than either. A request is held that ended three upstreams and
 // that one of them tells apart from others; the surest one goes first, and what it explains counts
-// for no other. Of 10,800 sound requests beside four requests that end upstreams 0 or 1 were refused
-// as held, 0 to 107 when who had the most was held; of 10,800 while upstreams end each 0.15 s by
-// themselves none, 461 so. Each such request ended 3.0 upstreams, 2.7 so: an end that two of them
+// for no other. Of 10,800 sound requests beside four requests that end upstreams none were refused
+// as held, 0 to 107 when who had the most was held; of 10,700 while upstreams end each 0.15 s by
+// themselves none, 461 so. Each such request ended 3.5 upstreams, 2.7 so: an end that two of them
 // shared counted for both (20 plays of each row of the rig of the tests, 4 entries, 9 upstreams).
 func judge(suspects map[Fingerprint]*suspect) (held map[*suspect]bool, e explained) {
 	e, held = explained{}, map[*suspect]bool{}
