--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -184,6 +184,16 @@
 	return nil
 }
 
+// alive waits until a process serves; one that does not is told with its latest lines.
+func (c *cluster) alive(p *process) error {
+	err := waitFor(func() error { return get(p.http + "/livez") })
+	if err == nil {
+		return nil
+	}
+	log, readErr := os.ReadFile(filepath.Join(c.dir, p.name+".log"))
+	return errors.Join(fmt.Errorf("%s at %s: %w; its latest lines:\n%s", p.name, p.http, err, log[max(len(log)-mostTail, 0):]), readErr)
+}
+
 // start runs a process and lists its VM behind a relay that can be cut.
 func (c *cluster) start(name, zone string, role []string) error {
 	return c.startWith(name, zone, role, nil)
@@ -211,7 +221,7 @@
 	}
 	c.relays[name] = relay
 	c.listVM(name, zone, "live")
-	return waitFor(func() error { return get(p.http + "/livez") })
+	return c.alive(p)
 }
 
 func (c *cluster) listVM(name, zone, state string) {
@@ -275,7 +285,7 @@
 	if err := c.launch(p); err != nil {
 		return err
 	}
-	return waitFor(func() error { return get(p.http + "/livez") })
+	return c.alive(p)
 }
 
 func (c *cluster) proc(name string) *process {
