--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 type statusCommand struct{}
@@ -30,6 +31,15 @@
 	Peers    []peerStatus `json:"peers"`
 	// BadRows are rows of upstreams that cannot be used, as gateways tell.
 	BadRows []badRow `json:"bad_rows,omitempty"`
+	// Limits are upstreams that take only so many requests a second.
+	Limits []upstreamLimit `json:"limits,omitempty"`
+}
+
+type upstreamLimit struct {
+	Upstream string    `json:"upstream"`
+	Rate     float64   `json:"requests_per_s"`
+	Since    time.Time `json:"since"`
+	Named    time.Time `json:"named"`
 }
 
 type badRow struct {
@@ -58,7 +68,10 @@
 		rows = append(rows, []any{p.VM, p.Zone, p.Role, p.Upstream, p.State, p.Version, p.Running, p.Waiting, p.Paused, 100 * p.UsedPart})
 	}
 	if err := env.table("VM\tZONE\tROLE\tUPSTREAM\tSTATE\tVERSION\tRUNNING\tWAITING\tPAUSED\tMEMORY", rows,
-		"%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.0f%%"); err != nil || len(b.BadRows) == 0 {
+		"%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.0f%%"); err != nil {
+		return err
+	}
+	if err := printLimits(env, b.Limits); err != nil || len(b.BadRows) == 0 {
 		return err
 	}
 	bad := make([][]any, 0, len(b.BadRows))
@@ -67,3 +80,15 @@
 	}
 	return env.table("\nROW THAT CANNOT BE USED\tVERSION\tREASON", bad, "%s\t%d\t%s")
 }
+
+// printLimits shows the upstreams that take only so many requests a second, if there are any.
+func printLimits(env *environment, limits []upstreamLimit) error {
+	if len(limits) == 0 {
+		return nil
+	}
+	rows := make([][]any, 0, len(limits))
+	for _, l := range limits {
+		rows = append(rows, []any{l.Upstream, l.Rate, l.Since.Format(time.RFC3339), l.Named.Format(time.RFC3339)})
+	}
+	return env.table("\nLIMITED UPSTREAM\tREQUESTS A SECOND\tSINCE\tLATEST WORD", rows, "%s\t%v\t%s\t%s")
+}
--- a/internal/daemon/gatewaystatus.go
+++ b/internal/daemon/gatewaystatus.go
@@ -30,6 +30,15 @@
 	Reason  string `json:"reason"`
 }
 
+// limitStatus is an upstream that takes only so many requests a second.
+type limitStatus struct {
+	Upstream string  `json:"upstream"`
+	Rate     float64 `json:"requests_per_s"`
+	// Since is when this entry first knew of it, and Named when it was last named.
+	Since time.Time `json:"since"`
+	Named time.Time `json:"named"`
+}
+
 // statusBody is a gateway's status page, in the shape of an entry's.
 type statusBody struct {
 	Process string `json:"process"`
@@ -40,6 +49,7 @@
 	Accepted bool           `json:"accepted"`
 	Peers    []peerStatus   `json:"peers"`
 	BadRows  []badRowStatus `json:"bad_rows"`
+	Limits   []limitStatus  `json:"limits"`
 }
 
 // The states of upstreams and entries for operators.
@@ -52,7 +62,7 @@
 
 // status answers operators with what this gateway knows of other processes.
 func (b *gatewayBuilder) status(w http.ResponseWriter, _ *http.Request) {
-	out := statusBody{Process: b.settings.Name, Zone: b.settings.Zone, Peers: b.peerStatuses(), BadRows: b.upstreams.bad.list()}
+	out := statusBody{Process: b.settings.Name, Zone: b.settings.Zone, Peers: b.peerStatuses(), BadRows: b.upstreams.bad.list(), Limits: b.limitStatuses()}
 	if table, confirmed := b.routes.Current(); table != nil {
 		out.Version, out.Accepted = int64(table.Version()), time.Since(confirmed) < b.settings.KeyBound
 	}
@@ -61,6 +71,14 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+func (b *gatewayBuilder) limitStatuses() []limitStatus {
+	out := []limitStatus{}
+	for _, l := range b.gateway.Limits().List() {
+		out = append(out, limitStatus{Upstream: l.Upstream, Rate: l.Rate, Since: l.Since, Named: l.Named})
+	}
+	return out
+}
+
 func (b *gatewayBuilder) peerStatuses() []peerStatus {
 	out := []peerStatus{}
 	for name, p := range b.gossip.Peers() {
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -67,6 +67,7 @@
 		b.gateway.ForgetSilent()
 		b.gateway.CountHeard()
 		b.gateway.SweepQuarantine()
+		b.gateway.SweepLimits()
 		b.tellHeld()
 		if _, ok := b.members.Settled(); !ok {
 			b.gateway.InquireAll(b.ctx)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -34,6 +34,9 @@
 	UpstreamOldNews    ID = 136
 	UpstreamHeld       ID = 137
 	UpstreamReleased   ID = 138
+	LimitNamed         ID = 140
+	LimitOver          ID = 141
+	LimitRejected      ID = 142
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -139,6 +142,9 @@
 	{UpstreamOldNews, "upstream-old-news", "News of an earlier start of an upstream, or older than what is known, changes nothing."},
 	{UpstreamHeld, "upstream-held", "The row of a known upstream can no longer be read: it gets no new work, and what runs there goes on."},
 	{UpstreamReleased, "upstream-released", "The row of an upstream can be read again: it gets new work."},
+	{LimitNamed, "limit-named", "An upstream named how many requests a second it takes from all entries together (`rate`), or another number than `before`; `source` is who heard it."},
+	{LimitOver, "limit-over", "An upstream that had named a limit answers without one: it takes any number of requests again."},
+	{LimitRejected, "limit-rejected", "What an upstream names as its limit cannot be used; the one that it named before holds."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,6 +40,7 @@
 		return s.noAnswer(ctx, st, err)
 	}
 	defer answer.Close()
+	g.heardLimit(rq, st.at, head{sent: sent, header: answer.Header, whole: answer.Status == http.StatusOK && g.proto.Complete(answer.Status, answer.Header)})
 	if o, done := s.judge(ctx, st, answer); done {
 		return o
 	}
@@ -98,7 +99,7 @@
 	load := g.ledger.total(st.at.ID)
 	g.met.tried(st.why)
 	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "why", st.why,
-		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens, "unread", load.Prefill, "news-delay", g.others.Delay(st.at.Zone, true),
+		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens, "unread", load.Prefill, "news-delay", g.others.Delay(st.at.Zone, true), "limit", g.limits.Rate(st.at.ID),
 		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.age)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -216,7 +216,7 @@
 	c.g.met.tried(reason)
 	load := c.g.ledger.total(u.ID)
 	c.g.rec.Note(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "fingerprint", c.rq.fingerprint, "upstream", u.ID, "why", reason,
-		"running", load.Running, "failure-rate", u.FailureRate(), "routes", c.rq.table.Version(), "routes-age", c.rq.age)
+		"running", load.Running, "failure-rate", u.FailureRate(), "limit", c.g.limits.Rate(u.ID), "routes", c.rq.table.Version(), "routes-age", c.rq.age)
 	claim := c.g.ledger.take(u.ID, gossip.Load{Running: 1})
 	go func() {
 		defer claim.release()
@@ -241,7 +241,8 @@
 
 // tryCall sends the request once and reads the whole answer.
 func (g *Gateway) tryCall(ctx context.Context, rq *request, u fleet.Upstream) result {
-	req := g.proto.Forward(&rq.call, rq.attempt(u), g.now())
+	sent := g.now()
+	req := g.proto.Forward(&rq.call, rq.attempt(u), sent)
 	req.Body = rq.body
 	a, err := g.link.Do(ctx, u.Address, req)
 	if err != nil {
@@ -262,6 +263,7 @@
 	if r.err != nil {
 		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err)
 	}
+	g.heardLimit(rq, u, head{sent: sent, header: a.Header, whole: r.good()})
 	return r
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -38,6 +38,7 @@
 	testLast     = "Test-Last-Event"
 	testFrom     = "Test-From"
 	testBack     = "Test-Back-Ms"
+	testLimit    = "Test-Limit"
 )
 
 func testProtocol() protocol.Protocol {
@@ -72,7 +73,15 @@
 			}
 			return protocol.Ran
 		},
-		Complete:   func(status int, h http.Header) bool { return status >= 300 || h.Get(testProof) != "" },
+		Complete: func(status int, h http.Header) bool { return status >= 300 || h.Get(testProof) != "" },
+		Limit: func(h http.Header) (protocol.Limit, error) {
+			text := h.Get(testLimit)
+			rate, err := strconv.ParseFloat(text, 64)
+			if text != "" && err != nil {
+				return protocol.Limit{}, protocol.ErrLimit
+			}
+			return protocol.Limit{Named: text != "", Rate: rate}, nil
+		},
 		PassHeader: func(from, to http.Header) { to.Set(testProof, from.Get(testProof)) },
 		Refuse: func(w http.ResponseWriter, _ *protocol.Call, r protocol.Refusal, now time.Time) {
 			if !r.ComeBack.IsZero() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
@@ -70,6 +71,8 @@
 	trusted  atomic.Bool
 	// quarantine knows the requests that end upstreams.
 	quarantine *quarantine.Set
+	// limits knows how much upstreams in need take.
+	limits *limits.Set
 
 	mu sync.Mutex
 	// entries is the number of entries that share the retry budgets.
@@ -108,7 +111,7 @@
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, looking: map[string]bool{}, others: others,
-		quarantine: quarantine.New(rec, now, others.Urge),
+		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(rec, now),
 	}
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
 	return g
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -5,6 +5,7 @@
 package protocol
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -121,6 +122,17 @@
 	Unbegun int
 }
 
+// Limit is what an answer says of how much its upstream takes.
+type Limit struct {
+	// Named tells that it takes no more than Rate requests a second from all entries
+	// together.
+	Named bool
+	Rate  float64
+}
+
+// ErrLimit is wrapped when the limit that an answer names cannot be read.
+var ErrLimit = errors.New("limit of an upstream cannot be read")
+
 // Refusal is a final answer of the system's own.
 type Refusal struct {
 	Status int
@@ -143,6 +155,8 @@
 	// Complete reports whether the head of an answer marks an upstream's whole
 	// answer that may be passed on as a success.
 	Complete func(status int, h http.Header) bool
+	// Limit reads what an upstream's answer says of its limit; the error wraps ErrLimit.
+	Limit func(h http.Header) (Limit, error)
 	// PassHeader copies the headers of an upstream's answer for the caller.
 	PassHeader func(from, to http.Header)
 	// Refuse writes a refusal.
