--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -40,6 +40,7 @@
 	Rate     float64   `json:"requests_per_s"`
 	Since    time.Time `json:"since"`
 	Named    time.Time `json:"named"`
+	Granter  string    `json:"granter,omitempty"`
 }
 
 type badRow struct {
@@ -88,7 +89,7 @@
 	}
 	rows := make([][]any, 0, len(limits))
 	for _, l := range limits {
-		rows = append(rows, []any{l.Upstream, l.Rate, l.Since.Format(time.RFC3339), l.Named.Format(time.RFC3339)})
+		rows = append(rows, []any{l.Upstream, l.Rate, l.Since.Format(time.RFC3339), l.Named.Format(time.RFC3339), l.Granter})
 	}
-	return env.table("\nLIMITED UPSTREAM\tREQUESTS A SECOND\tSINCE\tLATEST WORD", rows, "%s\t%v\t%s\t%s")
+	return env.table("\nLIMITED UPSTREAM\tREQUESTS A SECOND\tSINCE\tLATEST WORD\tGRANTED BY", rows, "%s\t%v\t%s\t%s\t%s")
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -30,7 +30,7 @@
 	n := newNode(s.Common, membership.RoleEntry, "", logs)
 	b := &entryBuilder{node: n, settings: s, operators: operators}
 	b.build()
-	return kernel.Run(ctx, limits(s.Common), []kernel.Service{
+	return kernel.Run(ctx, stopLimits(s.Common), []kernel.Service{
 		nodeService(n),
 		peerService(n, b.methods, func(*kernel.Registry) func(*peer.Conn) { return nil }),
 		b.memberService(),
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sparshore/sparshore/internal/gateway"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/logline"
 	product "github.com/sparshore/sparshore/internal/platform"
@@ -206,7 +207,7 @@
 	proto := platform.NewProtocol()
 	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, IDHeader: proto.IDHeader}, dialer(), time.Now)
 	b.gateway = gateway.New(gateway.Settings{
-		Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin, HardKeyBound: s.KeyBoundHard,
+		Name: s.Name, Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin, HardKeyBound: s.KeyBoundHard,
 		RetryRatio: s.RetryRatio * retryShare, RetryExtra: s.RetryExtra * retryShare, RetryWindow: s.RetryWindow,
 	}, b.routes, b.fleet, b.pool, proto, gateway.Others{
 		Nudge: func() { b.gossip.Nudge() },
@@ -214,6 +215,17 @@
 		Urge:  func() { b.gossip.Urge() },
 		Delay: func(zone string, nudged bool) time.Duration { return b.gossip.Delay(zone, nudged) },
 		Told:  func() (told, silence time.Duration) { return b.gossip.Told() },
+		Limits: limits.Others{
+			Heedful: func() []string { return b.gossip.Heedful() },
+			Heard:   func() int { return b.gossip.Heard() },
+			Send:    func(to string, m limits.Message) { b.gossip.Send(to, m) },
+			Urge:    func() { b.gossip.Urge() },
+			Told: func() time.Duration {
+				told, _ := b.gossip.Told()
+				return told
+			},
+			Way: func() time.Duration { return b.gossip.Way() },
+		},
 	}, b.rec, b.reg, time.Now)
 	b.gateway.Quarantine().SetName(s.Name)
 	b.tables = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.routes.ConfirmCurrent, func() { b.members.Interrupt() }, b.rec, time.Now)
--- a/internal/daemon/gatewaystatus.go
+++ b/internal/daemon/gatewaystatus.go
@@ -37,6 +37,8 @@
 	// Since is when this entry first knew of it, and Named when it was last named.
 	Since time.Time `json:"since"`
 	Named time.Time `json:"named"`
+	// Granter is the entry that grants permits for requests to it.
+	Granter string `json:"granter,omitempty"`
 }
 
 // statusBody is a gateway's status page, in the shape of an entry's.
@@ -74,7 +76,7 @@
 func (b *gatewayBuilder) limitStatuses() []limitStatus {
 	out := []limitStatus{}
 	for _, l := range b.gateway.Limits().List() {
-		out = append(out, limitStatus{Upstream: l.Upstream, Rate: l.Rate, Since: l.Since, Named: l.Named})
+		out = append(out, limitStatus{Upstream: l.Upstream, Rate: l.Rate, Since: l.Since, Named: l.Named, Granter: l.Granter})
 	}
 	return out
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -221,6 +221,6 @@
 // runUntilStop runs f in the background until the process stops.
 func (n *node) runUntilStop(f func(ctx context.Context)) { go f(n.ctx) }
 
-func limits(c Common) kernel.Limits {
+func stopLimits(c Common) kernel.Limits {
 	return kernel.Limits{Start: startLimit, Stop: c.StopWithin + stopSlack}
 }
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -30,7 +30,7 @@
 	n := newNode(s.Common, membership.RoleSidecar, s.Upstream, logs)
 	b := &sidecarBuilder{node: n, settings: s}
 	b.build()
-	return kernel.Run(ctx, limits(s.Common), []kernel.Service{
+	return kernel.Run(ctx, stopLimits(s.Common), []kernel.Service{
 		nodeService(n),
 		b.rolloutService(),
 		peerService(n, b.methods, func(*kernel.Registry) func(*peer.Conn) { return b.server.Open }),
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -37,6 +37,9 @@
 	LimitNamed         ID = 140
 	LimitOver          ID = 141
 	LimitRejected      ID = 142
+	LimitGranter       ID = 143
+	LimitReached       ID = 144
+	LimitNoAnswer      ID = 145
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -145,6 +148,9 @@
 	{LimitNamed, "limit-named", "An upstream named how many requests a second it takes from all entries together (`rate`), or another number than `before`; `source` is who heard it."},
 	{LimitOver, "limit-over", "An upstream that had named a limit answers without one: it takes any number of requests again."},
 	{LimitRejected, "limit-rejected", "What an upstream names as its limit cannot be used; the one that it named before holds."},
+	{LimitGranter, "limit-granter", "Another entry than `before` grants the permits for requests to an upstream that named a limit."},
+	{LimitReached, "limit-reached", "There is no permit for a request to an upstream that named a limit; the next one may be had in `next-in`, from `granter`. Requests go elsewhere until then."},
+	{LimitNoAnswer, "limit-no-answer", "The entry that grants permits did not answer; the upstream gets no requests of this entry until it asks again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
 )
@@ -73,8 +74,12 @@
 		g.passOn(rq, last)
 	case ok && last.err != nil:
 		g.giveUp(ctx, rq, "the upstream's answer did not come: "+last.err.Error())
+	case len(c.tried) == 0 && ctx.Err() != nil:
+		g.giveUp(ctx, rq, "no upstream took it in time")
 	case len(c.tried) == 0 && rq.run.Isolation() == quarantine.Apart:
 		g.refuse(rq, http.StatusServiceUnavailable, quarantine.ErrOnTrial.Error(), backTurn)
+	case len(c.tried) == 0 && c.limited:
+		g.refuse(rq, http.StatusServiceUnavailable, errLimited.Error(), g.backAfterLimit(rq))
 	case len(c.tried) == 0:
 		g.refuse(rq, http.StatusServiceUnavailable, "no upstream", backNoUpstream)
 	default:
@@ -91,6 +96,8 @@
 	results chan result
 	// failed are the upstreams that answered with an error of their own.
 	failed []string
+	// limited tells that the latest choice found no upstream because of limits.
+	limited bool
 }
 
 // run tries upstreams until one gives a good answer or no more may be tried. It
@@ -205,10 +212,15 @@
 
 // launch sends the request to the best upstream that has not had it.
 func (c *callRun) launch(ctx context.Context, reason string) bool {
-	u, ok := c.g.choosePlain(c.rq.service.Name, c.g.isolated(c.rq, c.tried))
-	if !ok || !c.rq.run.MaySend() {
+	u, err := c.choose(ctx)
+	c.limited = errors.Is(err, errLimited)
+	if err != nil || !c.rq.run.MaySend() {
 		return false
 	}
+	if c.g.limits.Any() {
+		// Callers that are refused come back the later the smaller the part that is not.
+		c.g.overload(c.rq.service.Name).Admitted(c.g.now())
+	}
 	c.rq.run.SentTo(u.ID)
 	c.tried[u.ID] = true
 	c.running++
@@ -227,6 +239,22 @@
 	return true
 }
 
+// choose returns the best upstream that has not had the request, with a permit to send it. An
+// attempt beside others waits for none: the answer of another one must not wait with it.
+func (c *callRun) choose(ctx context.Context) (fleet.Upstream, error) {
+	service, exclude, until := c.rq.service.Name, c.g.isolated(c.rq, c.tried), c.rq.waitsUntil()
+	if c.running > 0 {
+		exclude, until = c.g.unlimited(exclude), time.Time{}
+	}
+	return c.g.permitted(ctx, service, exclude, until, func(exclude map[string]bool) (fleet.Upstream, error) {
+		u, ok := c.g.choosePlain(service, exclude)
+		if !ok {
+			return fleet.Upstream{}, placement.ErrNone
+		}
+		return u, nil
+	})
+}
+
 // attempt sends the request once. A fault of this program fails the attempt; it would end
 // the process otherwise, with every request in it.
 func (c *callRun) attempt(ctx context.Context, u fleet.Upstream) (r result) {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -109,8 +109,16 @@
 	return view.Anyhow(g.candidates(g.fleet.Of(s.rq.service.Name), exclude, view.Now), g.generationOf(s.rq, view.Now))
 }
 
-// chooseTarget returns the engine to which a generation moves from another one.
+// chooseTarget returns the engine to which a generation moves from another one. One that named a
+// limit is the last resort: the generation might wait there for a permit with its answer begun.
 func (g *Gateway) chooseTarget(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
+	if u, ok := g.chooseTargetAmong(s, from, g.unlimited(exclude)); ok || !g.limits.Any() {
+		return u, ok
+	}
+	return g.chooseTargetAmong(s, from, exclude)
+}
+
+func (g *Gateway) chooseTargetAmong(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
 	view := g.view(true)
 	return view.Target(g.candidates(g.fleet.Of(s.rq.service.Name), exclude, view.Now), s.rest(), from.Zone)
 }
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -18,7 +19,7 @@
 	if ctx.Err() != nil || s.rq.tries >= maxSends || !s.rq.run.MaySend() || !s.g.budget(s.rq.service.Name).Repeat(0) {
 		return step{}, false
 	}
-	at, err := s.g.admitEngine(s, exclude)
+	at, err := s.admit(ctx, exclude)
 	return step{at: at, why: "refused unrun"}, err == nil
 }
 
@@ -47,6 +48,10 @@
 			s.stuck = "the retry budget is used up"
 			return step{}, false
 		}
+		if err := s.g.await(ctx, held.at.ID, s.g.now().Add(goOnWithin)); err != nil {
+			s.stuck = err.Error()
+			return step{}, false
+		}
 		return step{at: held.at, from: &held.copy, why: "copy"}, true
 	}
 	if !s.rq.route.Repeats() || s.rq.tries >= s.rq.route.MaxAttempts || !s.rq.run.MayRepeat() || !budget.Repeat(0) {
@@ -54,8 +59,11 @@
 	}
 	// The caller waits for the rest of an answer, so a crowded engine is better than
 	// none.
-	at, ok := s.g.chooseEngine(s, exclude)
-	return step{at: at, why: "resumed"}, ok
+	at, err := s.goOnAt(ctx, exclude)
+	if errors.Is(err, errLimited) {
+		s.stuck = err.Error()
+	}
+	return step{at: at, why: "resumed"}, err == nil
 }
 
 const (
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
@@ -181,8 +182,10 @@
 	f.gateway = New(Settings{RoutesTrusted: time.Minute, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second},
 		f.routes, f.fleet, pool, testProtocol(), Others{
 			Nudge: func() {}, Urge: func() {}, Told: func() (told, silence time.Duration) { return 0, 0 }, Heard: func() map[string]gossip.Peer { return f.peers },
-			Delay: func(string, bool) time.Duration { return f.delay },
+			Delay:  func(string, bool) time.Duration { return f.delay },
+			Limits: limits.Others{Heedful: func() []string { return nil }, Heard: func() int { return 0 }, Urge: func() {}, Told: func() time.Duration { return 0 }, Way: func() time.Duration { return 0 }},
 		}, f.rec, prometheus.NewRegistry(), time.Now)
+	f.gateway.Registered(1)
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.server.Close)
 	f.routes.Apply(platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte("1")}}}, true)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 
 // Settings are the fixed numbers of a Gateway.
 type Settings struct {
+	// Name is the entry's own, by which others know it.
+	Name string
 	// Zone is the availability zone the entry runs in.
 	Zone string
 	// RoutesTrusted is how long a route table may go unconfirmed before it no
@@ -102,6 +104,8 @@
 	// Told is the time within which all know what they were urged to hear, and the
 	// silence after which one must not be counted on.
 	Told func() (told, silence time.Duration)
+	// Limits is how they share what upstreams in need take.
+	Limits limits.Others
 }
 
 // New returns a Gateway.
@@ -111,8 +115,9 @@
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, looking: map[string]bool{}, others: others,
-		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(rec, now),
+		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(settings.Name, others.Limits, rec, now),
 	}
+	reg.MustRegister(newLimitRates(g.limits.List))
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
 	return g
 }
@@ -185,6 +190,7 @@
 // Registered sets how many entries are listed. The retry budget is shared among these
 // or those that are heard, whichever are more.
 func (g *Gateway) Registered(registered int) {
+	g.limits.Listed(registered)
 	heard := len(g.others.Heard()) + 1
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 const (
@@ -20,6 +25,8 @@
 	mu      sync.Mutex
 	rate    float64
 	arrived []time.Time
+	// answers is what it answers; serveOK if it is nil.
+	answers http.HandlerFunc
 }
 
 func (l *limitedUpstream) serve(w http.ResponseWriter, r *http.Request) {
@@ -31,7 +38,11 @@
 		w.Header().Set(testLimit, fmt.Sprint(rate))
 	}
 	time.Sleep(5 * time.Millisecond)
-	serveOK(w, r)
+	if l.answers == nil {
+		serveOK(w, r)
+		return
+	}
+	l.answers(w, r)
 }
 
 // most is the largest number of requests that came in a window later than a time.
@@ -75,8 +86,14 @@
 	return counts
 }
 
-// An upstream in need named 2 requests a second, which it takes from all entries together, and
-// went on getting as many as before: nothing read what it named.
+// An upstream in need named how many requests a second it takes from all entries together, and
+// went on getting as many as before. Of the two that did so at 8 s, one that named 2.7 had got 5,
+// 6, 11 and 4 requests in the seconds before and got 3, 7, 12 and 12 in those after; each of the
+// four entries went on choosing it, first and for retries, and the log line of no choice knew of a
+// limit. Nothing read it. Here one entry sent 53 requests in 2 s where 11 are allowed.
+//
+// Read by each entry for itself it would be kept by one entry and broken by several: see
+// TestUpstreamsGetWhatTheyTakeFromAllEntries in platform/soak.
 func TestUpstreamGetsWhatItTakes(t *testing.T) {
 	f := newFixture(t)
 	limited := &limitedUpstream{rate: 2}
@@ -94,3 +111,126 @@
 		}
 	}
 }
+
+// Where each upstream of a service is limited, what cannot be served is refused at once and unrun,
+// with a time to come back, and what can be is served.
+func TestWhatLimitedUpstreamsCannotTake(t *testing.T) {
+	for _, tc := range []struct {
+		name, service, path string
+		answers             http.HandlerFunc
+	}{
+		{"calls", "app", pathSafe, serveOK},
+		{"calls that may not be repeated", "app", pathOnce, serveOK},
+		{"generations", "llm", pathStream, serveShortStream},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			ups := []*limitedUpstream{{rate: 3, answers: tc.answers}, {rate: 2, answers: tc.answers}}
+			for i, u := range ups {
+				f.add(tc.service, fmt.Sprint("u", i), u.serve)
+			}
+			f.askEach(tc.path, 10*time.Millisecond, limitTold)
+			slowest := 0 * time.Second
+			begun := time.Now()
+			served, refused := 0, 0
+			for time.Since(begun) < 3*time.Second {
+				at := time.Now()
+				got := f.ask(tc.path)
+				switch {
+				case got.status == http.StatusOK:
+					served++
+				case got.status == http.StatusServiceUnavailable && got.header.Get(testBack) != "":
+					refused++
+					slowest = max(slowest, time.Since(at))
+				default:
+					t.Fatalf("status %d, %v, come back in %q", got.status, got.err, got.header.Get(testBack))
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			t.Logf("%d served, %d refused, after %s at most", served, refused, slowest)
+			if served < 10 || refused == 0 {
+				t.Errorf("%d served and %d refused in 3 s, of 5 a second that they take", served, refused)
+			}
+			for i, u := range ups {
+				if got := u.most(begun); got > allowed(u.rate) {
+					t.Errorf("u%d got %d in %s, want at most %d", i, got, limitWindow, allowed(u.rate))
+				}
+			}
+		})
+	}
+}
+
+// An upstream whose limit is over gets as much as the others again.
+func TestLimitIsOver(t *testing.T) {
+	f := newFixture(t)
+	limited := &limitedUpstream{rate: 4}
+	f.add("app", "limited", limited.serve)
+	f.add("app", "b", serveOK)
+	f.askEach(pathSafe, 10*time.Millisecond, time.Second)
+	limited.mu.Lock()
+	limited.rate = 0
+	limited.mu.Unlock()
+	f.askEach(pathSafe, 10*time.Millisecond, time.Second)
+	if f.gateway.Limits().Any() {
+		t.Fatal("the limit is in force a second after it was over")
+	}
+	before := len(limited.arrived)
+	f.askEach(pathSafe, 5*time.Millisecond, time.Second)
+	if got := len(limited.arrived) - before; got < 30 {
+		t.Errorf("it got %d requests of some 180, want about half", got)
+	}
+}
+
+// A limit that cannot be read leaves the last one that could in force.
+func TestLimitThatCannotBeRead(t *testing.T) {
+	f := newFixture(t)
+	var text atomic.Value
+	text.Store("0.5")
+	f.add("app", "a", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testLimit, text.Load().(string))
+		serveOK(w, r)
+	})
+	f.add("app", "b", serveOK)
+	f.askEach(pathSafe, 10*time.Millisecond, 500*time.Millisecond)
+	text.Store("many")
+	f.askEach(pathSafe, 10*time.Millisecond, 2500*time.Millisecond)
+	if !f.noted(events.LimitRejected) {
+		t.Error("a limit that cannot be read is not told")
+	}
+	if got := f.gateway.Limits().Rate("a"); got != 0.5 {
+		t.Errorf("the limit is %v, want the last one that could be read", got)
+	}
+}
+
+// A generation whose engine ends goes on elsewhere with a permit, and its caller waits for that.
+func TestResumedGenerationHasAPermit(t *testing.T) {
+	f := newFixture(t)
+	limited := &limitedUpstream{rate: 5}
+	f.add("llm", "limited", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		limited.serve(w, r)
+	})
+	f.gateway.limits.Named("limited", 5)
+	// Nothing may be granted at the moment.
+	for f.gateway.limits.Take(t.Context(), "limited") == nil {
+	}
+	rq := &request{route: &routetable.Route{Objective: 100 * time.Millisecond}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}, start: time.Now(), run: newRun()}
+	s := &stream{g: f.gateway, rq: rq}
+	if _, err := s.admit(t.Context(), nil); !errors.Is(err, errLimited) {
+		t.Errorf("a new generation got %v, want that the engines take no more", err)
+	}
+	u, err := s.goOnAt(t.Context(), nil)
+	if err != nil || u.ID != "limited" {
+		t.Errorf("the rest of an answer goes to %q, %v; want it to wait for a permit", u.ID, err)
+	}
+}
+
+// A hedge is sent besides, and a retry beside it must not keep the answer of the first waiting:
+// neither goes to an upstream in need.
+func TestHedgesPassOverLimits(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.limits.Named("a", 1000)
+	if got := f.gateway.unlimited(map[string]bool{"b": true}); !got["a"] || !got["b"] {
+		t.Errorf("excluded are %v, want a and b", got)
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sparshore/sparshore/internal/limits"
 )
 
 // metrics are the gateway's counters and histograms.
@@ -14,6 +16,7 @@
 	attempts *prometheus.CounterVec
 	moves    *prometheus.CounterVec
 	without  *prometheus.CounterVec
+	permits  *prometheus.CounterVec
 	held     prometheus.Counter
 	answer   prometheus.Histogram
 	first    prometheus.Histogram
@@ -39,21 +42,43 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_attempts_total", Help: "Requests sent to upstreams, by reason."}, []string{"reason"}),
 		moves:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
 		without:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a whole answer, by cause."}, []string{"cause"}),
+		permits:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_permits_total", Help: "Permits asked for to send requests to upstreams that named a limit, by result."}, []string{"result"}),
 		held:     prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams ended while they ran them."}),
 		answer:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the whole answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
 		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
 		gap:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be the newest."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.without, m.held, m.answer, m.first, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.without, m.permits, m.held, m.answer, m.first, m.gap)
 	return m
 }
 
 func (m *metrics) refused(status int)       { m.refusals.WithLabelValues(strconv.Itoa(status)).Inc() }
 func (m *metrics) ended(end string)         { m.answers.WithLabelValues(end).Inc() }
 func (m *metrics) tried(reason string)      { m.attempts.WithLabelValues(reason).Inc() }
+func (m *metrics) permitted(err error)      { m.permits.WithLabelValues(permitResult(err)).Inc() }
 func (m *metrics) moved(result string)      { m.moves.WithLabelValues(result).Inc() }
 func (m *metrics) unanswered(cause string)  { m.without.WithLabelValues(cause).Inc() }
 func (m *metrics) answered(d time.Duration) { m.answer.Observe(d.Seconds()) }
 func (m *metrics) began(d time.Duration)    { m.first.Observe(d.Seconds()) }
 func (m *metrics) paused(d time.Duration)   { m.gap.Observe(d.Seconds()) }
+
+// limitRates tells the limits in force, by upstream.
+type limitRates struct {
+	list func() []limits.State
+	desc *prometheus.Desc
+}
+
+func newLimitRates(list func() []limits.State) *limitRates {
+	return &limitRates{list: list, desc: prometheus.NewDesc("sparshore_gateway_upstream_limit", "Requests a second that an upstream takes from all entries together, while it names a limit.", []string{"upstream"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (l *limitRates) Describe(c chan<- *prometheus.Desc) { c <- l.desc }
+
+// Collect implements prometheus.Collector.
+func (l *limitRates) Collect(c chan<- prometheus.Metric) {
+	for _, s := range l.list() {
+		c <- prometheus.MustNewConstMetric(l.desc, prometheus.GaugeValue, s.Rate, s.Upstream)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -268,14 +268,19 @@
 }
 
 // reject refuses a generation that no engine takes, at once: it has not run.
-func (g *Gateway) reject(rq *request, why error) {
+func (g *Gateway) reject(ctx context.Context, rq *request, why error) {
 	var back time.Duration
 	switch {
+	case ctx.Err() != nil:
+		g.giveUp(ctx, rq, "no engine took it in time")
+		return
 	case errors.Is(why, placement.ErrTooLarge):
 	case rq.run.Isolation() == quarantine.Apart:
 		why, back = quarantine.ErrOnTrial, backTurn
 	case errors.Is(why, placement.ErrNone):
 		back = backNoUpstream
+	case errors.Is(why, errLimited):
+		back = g.backAfterLimit(rq)
 	default:
 		back = g.backAfterOverload(rq)
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -39,6 +39,7 @@
 	g.noticedAt.Set(g.now().Add(NoticeTime))
 	g.stopBy.Set(last)
 	time.AfterFunc(end.Add(-AnswerSpare).Sub(g.now()), g.GiveUp)
+	g.limits.Leave()
 	g.others.Urge()
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,9 +83,9 @@
 	s := &stream{g: g, rq: rq, flush: http.NewResponseController(rq.w).Flush, lastEvent: rq.call.LastEvent}
 	defer s.end()
 	exclude := map[string]bool{}
-	at, err := g.admitEngine(s, nil)
+	at, err := s.admit(ctx, nil)
 	if err != nil {
-		g.reject(rq, err)
+		g.reject(ctx, rq, err)
 		return
 	}
 	g.overload(rq.service.Name).Admitted(g.now())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/guard"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -69,6 +70,9 @@
 	Retries map[string]routing.Use
 	// Suspects is what it knows of requests under which upstreams ended.
 	Suspects []quarantine.Word
+	// Limits is what it tells of upstreams in need, in a datagram of its own; what another
+	// entry tells of them comes apart from its state.
+	Limits limits.Telling
 	// HeardUs is when the latest message was sent that it had of this entry, by the steady
 	// clock of this one; zero for none. It is not part of what is sent: an echo tells it.
 	HeardUs time.Time
@@ -88,6 +92,7 @@
 	conn     net.PacketConn
 	collect  func() State
 	heard    func(from string, s State)
+	limits   func(from string, m limits.Message, sent time.Time)
 	rec      *events.Recorder
 	now      func() time.Time
 	start    time.Time
@@ -112,11 +117,14 @@
 	life  string
 	lost  bool
 	known bool
+	// limitsLife is the life in which it last told of upstreams in need.
+	limitsLife string
 }
 
-// New returns a Node. collect gives the own state; heard gets each peer's.
-func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), rec *events.Recorder, now func() time.Time) *Node {
-	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, rec: rec, now: now, start: now(), nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), peers: map[string]*peer{}}
+// New returns a Node. collect gives the own state; heard gets each peer's, and limits what each
+// tells of upstreams in need, with a time before which it was not sent; zero if that is not known.
+func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), limits func(from string, m limits.Message, sent time.Time), rec *events.Recorder, now func() time.Time) *Node {
+	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, limits: limits, rec: rec, now: now, start: now(), nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), peers: map[string]*peer{}}
 }
 
 // Know makes the addresses of the other entries known, by name; those not in
@@ -236,6 +244,7 @@
 		n.rec.Note(events.GossipRejected, "", "peer", n.settings.Name, "error", err)
 		return
 	}
+	told := n.tell(s.Limits, now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, p := range n.peers {
@@ -247,17 +256,25 @@
 		if !slices.Contains(to, g) {
 			continue
 		}
-		b, err := encode(version, echo{Sent: p.echo, Life: p.life, HeldUS: now.Sub(p.Heard).Microseconds()}, body)
-		if err != nil {
-			n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
-			continue
+		n.write(p, version, body, now)
+		if told != nil && (s.Limits.All || !p.heedful()) {
+			n.write(p, formatLimits, told, now)
 		}
-		// A datagram that cannot be sent is as good as a lost one; the peer's
-		// silence is what is noted.
-		_, _ = n.conn.WriteTo(b, p.addr)
 	}
 }
 
+// write sends a body to a peer. It needs the lock.
+func (n *Node) write(p *peer, version int, body []byte, now time.Time) {
+	b, err := encode(version, echo{Sent: p.echo, Life: p.life, HeldUS: now.Sub(p.Heard).Microseconds()}, body)
+	if err != nil {
+		n.reject(p.addr, err)
+		return
+	}
+	// A datagram that cannot be sent is as good as a lost one; the peer's silence is what
+	// is noted.
+	_, _ = n.conn.WriteTo(b, p.addr)
+}
+
 // maxDatagram is the largest datagram over IPv4 in bytes.
 const maxDatagram = 65507
 
@@ -273,17 +290,26 @@
 }
 
 func (n *Node) receiveDatagram(b []byte, addr net.Addr) {
-	m, err := decode(b)
+	if err := guard.Do(func() error { return n.read(b, addr) }); err != nil {
+		n.reject(addr, err)
+	}
+}
+
+// read reads a datagram and takes over what it tells.
+func (n *Node) read(b []byte, addr net.Addr) error {
+	d, err := decodeDatagram(b)
 	if err != nil {
-		n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
-		return
+		return err
+	}
+	if d.Format == formatLimits {
+		return n.takeLimits(d)
 	}
-	if err := guard.Do(func() error {
-		n.take(m, addr)
-		return nil
-	}); err != nil {
-		n.rec.Note(events.GossipRejected, "", "peer", addr, "error", err)
+	m, err := decodeState(d)
+	if err != nil {
+		return err
 	}
+	n.take(m, addr)
+	return nil
 }
 
 // take stores a peer's state. Its confirmation holds for the time of the echo,
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
 )
@@ -32,12 +33,17 @@
 	wire  *wire
 	heard State
 	state State
+	// told is what it heard last of upstreams in need, and toldSent the time before which
+	// that was not sent.
+	told     limits.Message
+	toldSent time.Time
 }
 
 func newNode(c *clock, name, life string) *node {
 	n := &node{wire: &wire{}}
 	n.Node = New(Settings{Name: name, Life: life, Every: time.Second, Forget: 3 * time.Second, Rate: 100}, n.wire,
-		func() State { return n.state }, func(_ string, s State) { n.heard = s }, events.Nop(), c.now)
+		func() State { return n.state }, func(_ string, s State) { n.heard = s },
+		func(_ string, m limits.Message, sent time.Time) { n.told, n.toldSent = m, sent }, events.Nop(), c.now)
 	return n
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,6 +23,8 @@
 	formatSuspects = 4
 	// formatBefore is that of the release before, which does not tell how requests ran.
 	formatBefore = 3
+	// formatLimits is that of what is told of upstreams in need.
+	formatLimits = 5
 )
 
 // datagram is what is sent: the body is the same for all receivers and encoded once.
@@ -141,12 +143,17 @@
 	return cbor.Marshal(datagram{Format: version, Echo: e, Body: body})
 }
 
-// decode reads a datagram.
-func decode(b []byte) (message, error) {
+// decodeDatagram reads a datagram but for its body.
+func decodeDatagram(b []byte) (datagram, error) {
 	var d datagram
 	if err := cbor.Unmarshal(b, &d); err != nil {
-		return message{}, fmt.Errorf("%w: %v", ErrMessage, err)
+		return datagram{}, fmt.Errorf("%w: %v", ErrMessage, err)
 	}
+	return d, nil
+}
+
+// decodeState reads a datagram that holds a state.
+func decodeState(d datagram) (message, error) {
 	m := message{echo: d.Echo}
 	var err error
 	switch d.Format {
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -25,6 +25,15 @@
 	return s
 }
 
+// decode reads a datagram that holds a state.
+func decode(b []byte) (message, error) {
+	d, err := decodeDatagram(b)
+	if err != nil {
+		return message{}, err
+	}
+	return decodeState(d)
+}
+
 func encodeState(tb testing.TB, s State, now time.Time) []byte {
 	tb.Helper()
 	version, b, err := encodeBody(Settings{Name: "front-zone-a-13", Life: "73b131248192"}, s, time.Minute, now)
--- a/internal/gossip/timing.go
+++ b/internal/gossip/timing.go
@@ -149,8 +149,25 @@
 func (n *Node) Told() (told, silence time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	every, _, _ := n.settings.timing(n.sizes[far])
-	return n.settings.Urgent + every + n.way, tellsMissed * every
+	return n.settings.Urgent + n.every() + n.way, n.silence()
+}
+
+// Way is how long a message takes there and back, as a mean of the latest ones.
+func (n *Node) Way() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.way
+}
+
+// silence is the time without a message after which a peer must not be counted on. It needs
+// the lock.
+func (n *Node) silence() time.Duration { return tellsMissed * n.every() }
+
+// every is the time between two messages of a peer of the larger group while nothing happens.
+// It needs the lock.
+func (n *Node) every() time.Duration {
+	every, _, _ := n.settings.timing(max(n.sizes[near], n.sizes[far]))
+	return every
 }
 
 // tellsMissed is the number of regular messages whose loss shows that an entry is not
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -48,7 +48,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := &clock{at: time.Now()}
-			s := New(events.Nop(), c.now)
+			s := newAlone(c.now)
 			for _, step := range tc.steps {
 				step(s, c)
 			}
@@ -66,9 +66,10 @@
 // A later start of an upstream has no limit, and nothing is kept of one that is gone.
 func TestLimitsOfStartsThatAreGone(t *testing.T) {
 	c := &clock{at: time.Now()}
-	s := New(events.Nop(), c.now)
+	s := newAlone(c.now)
 	s.Named("u", 3)
 	s.Named("v", 3)
+	c.pass(rowWithin)
 	s.Sweep(func(start string) bool { return start == "v" })
 	if !s.Any() || len(s.limits) != 1 {
 		t.Fatalf("%d limits are known, want that of the start that is there", len(s.limits))
@@ -80,7 +81,7 @@
 }
 
 func TestLimitsAreBounded(t *testing.T) {
-	s := New(events.Nop(), time.Now)
+	s := newAlone(time.Now)
 	for i := range mostLimits + 10 {
 		s.Named(fmt.Sprint(i), 1)
 	}
@@ -88,3 +89,13 @@
 		t.Errorf("%d limits are remembered, want at most %d", len(s.limits), mostLimits)
 	}
 }
+
+// newAlone returns the Set of the only entry.
+func newAlone(now func() time.Time) *Set {
+	s := New("a", Others{
+		Heedful: func() []string { return nil }, Heard: func() int { return 0 },
+		Send: func(string, Message) {}, Urge: func() {}, Told: func() time.Duration { return 0 }, Way: func() time.Duration { return 0 },
+	}, events.Nop(), now)
+	s.Listed(1)
+	return s
+}
--- /dev/null
+++ b/internal/limits/message.go
@@ -0,0 +1,81 @@
+package limits
+
+import (
+	"math"
+	"time"
+)
+
+// Message is what an entry sends another one, as CBOR. Times are told by their age.
+type Message struct {
+	_        struct{} `cbor:",toarray"`
+	Words    []wireWord
+	Question *Question
+	Answer   *Answer
+}
+
+// wireWord is a Word on its way. An age of ageNever stands for a time that never was.
+type wireWord struct {
+	_          struct{} `cbor:",toarray"`
+	Start      string
+	Rate       float64
+	NamedAgeUS int64
+	OverAgeUS  int64
+}
+
+// ageNever is the age of what never was.
+const ageNever = -1
+
+// Question asks for a permit to send one request to a start of an upstream. The word is what
+// the asker believes, so that the granter knows at least as much.
+type Question struct {
+	_    struct{} `cbor:",toarray"`
+	ID   uint64
+	Word wireWord
+}
+
+// Answer answers a Question. The word is what the granter read itself.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Granted bool
+	// WaitUS is the time until a permit may be had, in microseconds.
+	WaitUS int64
+	Word   wireWord
+}
+
+// Encode returns what others are told as a message.
+func (t Telling) Encode(now time.Time) Message {
+	m := Message{Words: make([]wireWord, len(t.Words))}
+	for i, w := range t.Words {
+		m.Words[i] = encodeWord(w, now)
+	}
+	return m
+}
+
+func encodeWord(w Word, now time.Time) wireWord {
+	return wireWord{Start: w.Start, Rate: w.Rate, NamedAgeUS: age(w.Named, now), OverAgeUS: age(w.Over, now)}
+}
+
+func age(at, now time.Time) int64 {
+	if at.IsZero() {
+		return ageNever
+	}
+	return max(now.Sub(at).Microseconds(), 0)
+}
+
+// decode returns a word that was sent no earlier than a time and came now; a zero time stands
+// for any. That it was over is dated back to that time: it may have lain in a buffer, and the
+// upstream may have named a limit since. A word that cannot be is empty.
+func (w wireWord) decode(sent, now time.Time) Word {
+	out := Word{Start: w.Start, Rate: w.Rate}
+	if w.Start == "" || math.IsNaN(w.Rate) || math.IsInf(w.Rate, 0) || w.Rate < 0 {
+		return Word{}
+	}
+	if w.NamedAgeUS >= 0 {
+		out.Named = now.Add(-time.Duration(w.NamedAgeUS) * time.Microsecond)
+	}
+	if w.OverAgeUS >= 0 && !sent.IsZero() {
+		out.Over = sent.Add(-time.Duration(w.OverAgeUS) * time.Microsecond)
+	}
+	return out
+}
