--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -221,7 +221,7 @@
 // generation ended before its first token.
 func (e *Entry) start(j *job) (started, *failure) {
 	e.budget(j.pool.Name).Request()
-	fail := &failure{api: errNoUpstream, outcome: sidecar.NotRun, retryAt: e.now().Add(overloadRetry)}
+	fail := &failure{api: errNoUpstream, outcome: sidecar.NotRun, retryAt: e.retryAt(j.pool)}
 	for i, p := range e.isolated(j.run, e.route(j.pool)) {
 		if i >= e.settings.Attempts || !j.run.MaySend() || (i > 0 && !e.budget(j.pool.Name).Retry()) {
 			break
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -243,13 +243,14 @@
 	}
 }
 
-// route returns the usable peers of a pool in the order in which to try them.
+// route returns the usable peers of a pool in the order in which to try them, without those whose
+// upstreams take nothing now: a request would be refused there and use up a retry.
 func (e *Entry) route(pool *config.Pool) []*membership.Peer {
 	peers := map[string]*membership.Peer{}
 	var candidates []routing.Candidate
 	for _, u := range pool.Upstreams {
 		p, ok := e.set.Upstream(u.Name)
-		if !ok || !p.Usable() {
+		if !ok || !p.Usable() || p.Load().OpensAt().After(e.now()) {
 			continue
 		}
 		peers[u.Name] = p
@@ -263,6 +264,25 @@
 	return out
 }
 
+// retryAt is when a caller should come back whose request no upstream of a pool takes: when the
+// first of those does that say when, and a while later if none says.
+func (e *Entry) retryAt(pool *config.Pool) time.Time {
+	var first time.Time
+	for _, u := range pool.Upstreams {
+		p, ok := e.set.Upstream(u.Name)
+		if !ok || !p.Usable() {
+			continue
+		}
+		if at := p.Load().OpensAt(); at.After(e.now()) && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	if first.IsZero() {
+		return e.now().Add(overloadRetry)
+	}
+	return first
+}
+
 func (e *Entry) candidate(u config.Upstream, p *membership.Peer) routing.Candidate {
 	l := p.Load()
 	e.mu.Lock()
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -76,7 +76,7 @@
 	}
 	pl, apiErr := e.place(r, run, pool, call)
 	if apiErr != nil {
-		e.refuse(w, r.id, apiErr, e.now().Add(overloadRetry))
+		e.refuse(w, r.id, apiErr, e.retryAt(pool))
 		return
 	}
 	w.Header().Set(headerCall, pl.id.String())
@@ -207,7 +207,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), call.StartBy)
 	defer cancel()
 	e.budget(pool.Name).Request()
-	res := sidecar.NewResult(sidecar.NotRun, "no upstream can take the call")
+	res := sidecar.NewRefusal("no upstream can take the call", e.retryAt(pool))
 	for i, p := range e.isolated(run, e.route(pool)) {
 		if i >= e.settings.Attempts || !run.MaySend() || (i > 0 && (!run.MayRepeat() || !e.budget(pool.Name).Retry())) {
 			break
@@ -228,7 +228,7 @@
 			return got
 		case err != nil && !errors.Is(err, peer.ErrUnreachable):
 			res = sidecar.NewResult(sidecar.Unknown, err.Error())
-		case err == nil && got.Outcome() == sidecar.Unknown:
+		case err == nil && (got.Outcome() == sidecar.Unknown || res.Outcome() == sidecar.NotRun && !got.RetryAt().IsZero()):
 			res = got
 		}
 	}
@@ -241,7 +241,11 @@
 	e.rec.Note(events.RequestEnded, r.id, "outcome", res.Outcome(), "reason", res.Reason())
 	switch {
 	case res.Outcome() == sidecar.NotRun:
-		writeError(w, errNotRun.with("the call was not run: "+res.Reason()), sidecar.NotRun, e.now().Add(overloadRetry), e.now())
+		retryAt := res.RetryAt()
+		if retryAt.IsZero() {
+			retryAt = e.now().Add(overloadRetry)
+		}
+		writeError(w, errNotRun.with("the call was not run: "+res.Reason()), sidecar.NotRun, retryAt, e.now())
 	case res.Outcome() == sidecar.Unknown:
 		writeError(w, errUnknown.with("it is not known whether the call ran: "+res.Reason()), sidecar.Unknown, e.now().Add(overloadRetry), e.now())
 	default:
@@ -278,7 +282,7 @@
 	}
 	peers := e.route(pool)
 	if len(peers) == 0 {
-		e.refuse(w, r.id, errNoUpstream, e.now().Add(overloadRetry))
+		e.refuse(w, r.id, errNoUpstream, e.retryAt(pool))
 		return
 	}
 	i := peers[0].Identity()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -79,7 +79,7 @@
 			text := h.Get(testLimit)
 			rate, err := strconv.ParseFloat(text, 64)
 			if text != "" && err != nil {
-				return protocol.Limit{}, protocol.ErrLimit
+				return protocol.Limit{}, protocol.ErrRate
 			}
 			return protocol.Limit{Named: text != "", Rate: rate}, nil
 		},
@@ -183,7 +183,7 @@
 		f.routes, f.fleet, pool, testProtocol(), Others{
 			Nudge: func() {}, Urge: func() {}, Told: func() (told, silence time.Duration) { return 0, 0 }, Heard: func() map[string]gossip.Peer { return f.peers },
 			Delay:  func(string, bool) time.Duration { return f.delay },
-			Limits: limits.Others{Heedful: func() []string { return nil }, Heard: func() int { return 0 }, Urge: func() {}, Told: func() time.Duration { return 0 }, Way: func() time.Duration { return 0 }},
+			Limits: limits.Alone(),
 		}, f.rec, prometheus.NewRegistry(), time.Now)
 	f.gateway.Registered(1)
 	f.server = httptest.NewServer(f.gateway)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -276,3 +276,11 @@
 
 // rowWithin is the time in which the row of a start is known, also while the store is slow.
 const rowWithin = 10 * time.Second
+
+// Alone returns the Others of a process that is the only one to send requests to its upstreams.
+func Alone() Others {
+	return Others{
+		Heedful: func() []string { return nil }, Heard: func() int { return 0 }, Send: func(string, Message) {},
+		Urge: func() {}, Told: func() time.Duration { return 0 }, Way: func() time.Duration { return 0 },
+	}
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -92,10 +92,7 @@
 
 // newAlone returns the Set of the only entry.
 func newAlone(now func() time.Time) *Set {
-	s := New("a", Others{
-		Heedful: func() []string { return nil }, Heard: func() int { return 0 },
-		Send: func(string, Message) {}, Urge: func() {}, Told: func() time.Duration { return 0 }, Way: func() time.Duration { return 0 },
-	}, events.Nop(), now)
+	s := New("a", Alone(), events.Nop(), now)
 	s.Listed(1)
 	return s
 }
--- a/internal/membership/identity.go
+++ b/internal/membership/identity.go
@@ -34,6 +34,9 @@
 	UsedPermille int `json:"u,omitempty"`
 	// WaitMS is the expected wait of a new request in milliseconds.
 	WaitMS int64 `json:"q,omitempty"`
+	// OpensMS is until when the upstream takes no new request, in Unix milliseconds; 0 if it
+	// does now.
+	OpensMS int64 `json:"o,omitempty"`
 	// AtMS is when the sidecar read it, in Unix milliseconds.
 	AtMS int64 `json:"a,omitempty"`
 }
@@ -41,6 +44,14 @@
 // At returns when the sidecar read the load.
 func (l Load) At() time.Time { return time.UnixMilli(l.AtMS) }
 
+// OpensAt returns until when the upstream takes no new request; zero if it does now.
+func (l Load) OpensAt() time.Time {
+	if l.OpensMS == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(l.OpensMS)
+}
+
 const permille = 1000
 
 // UsedPart returns the part of KV memory in use, from 0 to 1.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -5,7 +5,6 @@
 package protocol
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
@@ -130,9 +129,6 @@
 	Rate  float64
 }
 
-// ErrLimit is wrapped when the limit that an answer names cannot be read.
-var ErrLimit = errors.New("limit of an upstream cannot be read")
-
 // Refusal is a final answer of the system's own.
 type Refusal struct {
 	Status int
@@ -155,7 +151,8 @@
 	// Complete reports whether the head of an answer marks an upstream's whole
 	// answer that may be passed on as a success.
 	Complete func(status int, h http.Header) bool
-	// Limit reads what an upstream's answer says of its limit; the error wraps ErrLimit.
+	// Limit reads what an upstream's answer says of its limit; an error tells that this
+	// cannot be read.
 	Limit func(h http.Header) (Limit, error)
 	// PassHeader copies the headers of an upstream's answer for the caller.
 	PassHeader func(from, to http.Header)
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -23,6 +23,9 @@
 	base   string
 	client *http.Client
 	fence  func() int64
+	// heard gets the heads of answers: when each was asked for, and whether it came whole and
+	// is no failure.
+	heard func(h http.Header, asked time.Time, whole bool)
 }
 
 func newServiceLink(base string, fence func() int64) *serviceLink {
@@ -30,7 +33,7 @@
 	// by the service, and whether the call got through would stay unknown;
 	// besides, the transport repeats some requests on kept connections.
 	transport := &http.Transport{DisableKeepAlives: true}
-	return &serviceLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence}
+	return &serviceLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence, heard: hearsNothing}
 }
 
 // maxAnswer bounds in bytes the answers that are read.
@@ -74,12 +77,14 @@
 	}
 	r.Header.Set("X-Request-Id", p.ID)
 	r.Header.Set("X-Fencing-Token", strconv.FormatInt(l.fence(), 10))
+	asked := time.Now()
 	resp, err := l.client.Do(r)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	l.heard(resp.Header, asked, err == nil && resp.StatusCode < http.StatusInternalServerError)
 	if err != nil {
 		return nil, err
 	}
@@ -114,6 +119,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.settings.CallTimeout)
 	defer cancel()
+	if opensAt, ok := s.takes.take(ctx); !ok {
+		return s.beyond(opensAt)
+	}
 	sentAt := time.Now()
 	a, err := s.service.do(ctx, p)
 	if err != nil {
@@ -123,6 +131,12 @@
 	return doneResult(a)
 }
 
+// beyond is the result of a call beyond what the service takes, which was not run.
+func (s *Server) beyond(opensAt time.Time) invokeResult {
+	load := s.Load()
+	return invokeResult{Outcome: NotRun, Reason: takesNoMore, RetryAt: opensAt.UnixMilli(), Load: &load}
+}
+
 // endedUnder returns the start of the service that ended under a call that was sent at a time and
 // got no answer, empty if none did.
 func (s *Server) endedUnder(ctx context.Context, sentAt time.Time, err error) string {
@@ -283,10 +297,23 @@
 	return from
 }
 
+// permitBy is until when a call that only this sidecar may run waits for a permit.
+func (s *Server) permitBy(p invokeParams) time.Time {
+	by := s.now().Add(permitWithin)
+	if startBy := time.UnixMilli(p.StartBy); p.StartBy > 0 && startBy.Before(by) {
+		return startBy
+	}
+	return by
+}
+
 // send does the call. Lease and deadline are looked at again right before: the
 // process may have been stopped since it recorded the start. What cannot be
 // closed is a stop between this look and the kernel's send; see docs/PROOFS.md.
 func (s *Server) send(ctx context.Context, id callid.ID, p invokeParams, c *call) invokeResult {
+	if opensAt, ok := s.takes.await(ctx, s.permitBy(p)); !ok {
+		s.book.withdraw(c)
+		return s.beyond(opensAt)
+	}
 	if p.StartBy > 0 && s.now().UnixMilli() >= p.StartBy {
 		s.book.withdraw(c)
 		return invokeResult{Outcome: NotRun, Reason: "deadline has passed"}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -353,8 +353,12 @@
 	body    []byte
 	// endedWith is the start of the service that ended under the call.
 	endedWith string
+	retryAt   time.Time
 }
 
+// RetryAt returns when to come back with a call that was not run; zero if that is not known.
+func (r Result) RetryAt() time.Time { return r.retryAt }
+
 // EndedWith returns the start of the service that ended under the call, empty if none did.
 func (r Result) EndedWith() string { return r.endedWith }
 
@@ -376,9 +380,18 @@
 // NewResult returns a result without an answer.
 func NewResult(o Outcome, reason string) Result { return Result{outcome: o, reason: reason} }
 
+// NewRefusal returns the result of a call that was not run.
+func NewRefusal(reason string, retryAt time.Time) Result {
+	return Result{outcome: NotRun, reason: reason, retryAt: retryAt}
+}
+
 func (c *Client) result(r invokeResult) Result {
 	c.rec.Observe(r.Stamp)
-	return Result{outcome: r.Outcome, reason: r.Reason, status: r.Status, header: r.Header, body: r.Body, endedWith: r.EndedWith}
+	out := Result{outcome: r.Outcome, reason: r.Reason, status: r.Status, header: r.Header, body: r.Body, endedWith: r.EndedWith}
+	if r.RetryAt > 0 {
+		out.retryAt = time.UnixMilli(r.RetryAt)
+	}
+	return out
 }
 
 // Invoke runs a call at the sidecar p. An error wrapping peer.ErrUnreachable
@@ -396,6 +409,9 @@
 	if err := conn.Call(ctx, methodInvoke, params, &r); err != nil {
 		return Result{}, err
 	}
+	if r.Load != nil {
+		p.SetLoad(*r.Load)
+	}
 	return c.result(r), nil
 }
 
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -23,6 +23,9 @@
 	base   string
 	client *http.Client
 	fence  func() int64
+	// heard gets the heads of answers to generations: when each was asked for, and whether
+	// it is no failure.
+	heard func(h http.Header, asked time.Time, whole bool)
 }
 
 const orderTimeout = 2 * time.Second
@@ -34,9 +37,12 @@
 		MaxIdleConnsPerHost: 512, IdleConnTimeout: idleConnection,
 		ReadBufferSize: streamBuffer, WriteBufferSize: streamBuffer,
 	}
-	return &engineLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence}
+	return &engineLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence, heard: hearsNothing}
 }
 
+// hearsNothing is for links whose answers' heads nobody reads.
+func hearsNothing(http.Header, time.Time, bool) {}
+
 // chunk is one event of the engine's stream.
 type chunk struct {
 	// number is the event's own number, 0 if the engine numbers nothing.
@@ -65,10 +71,12 @@
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Fencing-Token", strconv.FormatInt(e.fence(), 10))
+	asked := time.Now()
 	resp, err := e.client.Do(r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", errEngine, err)
 	}
+	e.heard(resp.Header, asked, resp.StatusCode == http.StatusOK)
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
 		return nil, fmt.Errorf("%w: status %d", errEngine, resp.StatusCode)
--- a/internal/sidecar/lateanswer_test.go
+++ b/internal/sidecar/lateanswer_test.go
@@ -46,7 +46,7 @@
 				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				return &heldBack{c, time.Now().Add(stall)}, err
 			}
-			l := &serviceLink{base: s.URL, client: &http.Client{Transport: &http.Transport{DialContext: dial}}, fence: func() int64 { return 1 }}
+			l := &serviceLink{base: s.URL, client: &http.Client{Transport: &http.Transport{DialContext: dial}}, fence: func() int64 { return 1 }, heard: hearsNothing}
 			ctx, cancel := context.WithTimeout(t.Context(), limit)
 			defer cancel()
 			start := time.Now()
@@ -65,7 +65,7 @@
 func TestCallWhoseAnswerIsTooLong(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, maxAnswer+1)) }))
 	defer s.Close()
-	l := &serviceLink{base: s.URL, client: s.Client(), fence: func() int64 { return 1 }}
+	l := &serviceLink{base: s.URL, client: s.Client(), fence: func() int64 { return 1 }, heard: hearsNothing}
 	a, err := l.do(t.Context(), invokeParams{Method: http.MethodGet, Path: "/"})
 	if !errors.Is(err, errAnswerTooLong) {
 		t.Errorf("%v, want %v", err, errAnswerTooLong)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -43,6 +43,9 @@
 	Skew time.Duration
 	// CallTimeout bounds one call to a plain service.
 	CallTimeout time.Duration
+	// LimitHeader is the header of the upstream's answers by which it says how many
+	// requests a second it takes; empty if it says nothing of that.
+	LimitHeader string
 }
 
 // Server is the part of the sidecar that entries talk to.
@@ -58,6 +61,7 @@
 	book     *callBook
 	service  *serviceLink
 	starts   *starts
+	takes    *takes
 	// OnBehind may be set before use; it is called when a request shows a
 	// configuration higher than the own one, and returns when that was fetched
 	// or cannot be.
@@ -79,6 +83,10 @@
 func New(settings Settings, identity membership.Identity, l *lease.Lease, rec *events.Recorder, met *Metrics, active func() *config.Active, now func() time.Time) *Server {
 	link := newEngineLink(settings.URL, l.Fence)
 	starts := newStarts(settings.URL, identity.Incarnation())
+	takes := newTakes(settings.LimitHeader, starts, rec, now)
+	link.heard = takes.heard
+	service := newServiceLink(settings.URL, l.Fence)
+	service.heard = takes.heard
 	return &Server{
 		settings:    settings,
 		identity:    identity,
@@ -89,8 +97,9 @@
 		lease:       l,
 		runner:      newRunner(link, starts, settings.Decision, rec, met, now),
 		book:        newCallBook(settings.CallWindow, settings.AnswerBytes, now),
-		service:     newServiceLink(settings.URL, l.Fence),
+		service:     service,
 		starts:      starts,
+		takes:       takes,
 		after:       func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		generations: map[string]*generation{},
 	}
@@ -190,7 +199,13 @@
 }
 
 // Load returns the load for heartbeats and replies.
-func (s *Server) Load() membership.Load { return s.runner.load() }
+func (s *Server) Load() membership.Load {
+	load := s.runner.load()
+	if at := s.takes.opensAt(); at.After(s.now()) {
+		load.OpensMS = at.UnixMilli()
+	}
+	return load
+}
 
 func (s *Server) drainOrder(_ context.Context, _ *peer.Conn, raw json.RawMessage) (any, error) {
 	var p drainParams
@@ -315,11 +330,18 @@
 		return &refusal{Reason: "no configuration yet", Elsewhere: true}
 	case p.StartBy > 0 && s.now().UnixMilli() >= p.StartBy:
 		return &refusal{Reason: "deadline has passed"}
+	case s.takes.opensAt().After(s.now()):
+		return s.refuseBeyond(s.takes.opensAt())
 	default:
 		return nil
 	}
 }
 
+// refuseBeyond refuses a generation beyond what the engine takes.
+func (s *Server) refuseBeyond(opensAt time.Time) *refusal {
+	return &refusal{Reason: takesNoMore, RetryAt: opensAt.UnixMilli(), Elsewhere: true}
+}
+
 // queue waits for the decision. A caller that goes away leaves the queue.
 func (s *Server) queue(c *peer.Conn, g *generation, p generateParams) (decision.Action, *refusal) {
 	s.rec.Note(events.GenerationQueued, p.Request, "generation", g.id)
@@ -341,6 +363,11 @@
 			s.runner.leave(g.id, false)
 			return a, &refusal{Reason: end.Reason}
 		}
+		// The engine gets it now, however long it was queued.
+		if opensAt, ok := s.takes.take(context.Background()); !ok {
+			s.runner.leave(g.id, false)
+			return a, s.refuseBeyond(opensAt)
+		}
 		return a, nil
 	case <-gone:
 		s.runner.leave(g.id, false)
@@ -574,6 +601,7 @@
 			return
 		case <-tick.C:
 			s.sweep()
+			s.takes.sweep()
 		}
 	}
 }
--- a/internal/sidecar/starts.go
+++ b/internal/sidecar/starts.go
@@ -72,9 +72,19 @@
 	if !s.down {
 		s.down, s.downAt = true, time.Now()
 	}
-	return s.incarnation + "#" + strconv.Itoa(s.n)
+	return s.name()
 }
 
+// current returns the name of the latest start that was seen.
+func (s *starts) current() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.name()
+}
+
+// name returns the name of the latest start that was seen. It needs the lock.
+func (s *starts) name() string { return s.incarnation + "#" + strconv.Itoa(s.n) }
+
 // answered notes that the upstream is there.
 func (s *starts) answered() {
 	s.mu.Lock()
--- a/internal/sidecar/wire.go
+++ b/internal/sidecar/wire.go
@@ -122,6 +122,8 @@
 	Stamp   events.Stamp `json:"stamp"`
 	// EndedWith is the start of the service that ended under the call, empty for none.
 	EndedWith string `json:"ended_with,omitempty"`
+	// Load tells of a service that takes no more now; nil otherwise.
+	Load *membership.Load `json:"load,omitempty"`
 }
 
 type settleParams struct {
