--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -6,11 +6,15 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -140,6 +144,9 @@
 func crowdedGateway(n int) (*Gateway, *stream) {
 	set := fleet.New(events.Nop(), time.Now, func(string) {})
 	g := &Gateway{fleet: set, ledger: newLedger(time.Now), prefixes: newPrefixes(), now: time.Now, others: Others{Delay: func(string, bool) time.Duration { return 10 * time.Millisecond }}}
+	g.quarantine = quarantine.New(events.Nop(), time.Now, func() {})
+	g.limits = limits.New("a", limits.Alone(), events.Nop(), time.Now)
+	g.met = newMetrics(prometheus.NewRegistry(), func() float64 { return 0 })
 	records := make([]fleet.Record, n)
 	for i := range records {
 		records[i] = fleet.Record{Name: strconv.Itoa(i), Service: "llm"}
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -234,3 +236,128 @@
 		t.Errorf("excluded are %v, want a and b", got)
 	}
 }
+
+// BenchmarkAdmit measures the choice of an engine with a permit, as each generation has it: while
+// no upstream names a limit, it costs what the choice alone did.
+func BenchmarkAdmit(b *testing.B) {
+	for _, tc := range []struct {
+		name    string
+		limited int
+	}{{"no limit", 0}, {"a hundredth is limited", 1}, {"a tenth is limited", 10}} {
+		b.Run(tc.name, func(b *testing.B) {
+			g, s := crowdedGateway(100)
+			for i := range tc.limited {
+				g.limits.Named(g.fleet.Of(s.rq.service.Name)[i].ID, 0.1)
+			}
+			for b.Loop() {
+				_, _ = s.admit(b.Context(), nil)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmitAlone is BenchmarkAdmit without permits.
+func BenchmarkAdmitAlone(b *testing.B) {
+	g, s := crowdedGateway(100)
+	for b.Loop() {
+		_, _ = g.admitEngine(s, nil)
+	}
+}
+
+// TestWhatEndsALimit covers which answers without a limit end one: not those of another request,
+// nor failures, nor those that break off.
+func TestWhatEndsALimit(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		serve http.HandlerFunc
+		over  bool
+	}{
+		{"a whole answer", serveOK, true},
+		{"a failure", serveError, false},
+		{"a refusal", serveNotRun, false},
+		{"one without proof", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }, false},
+		{"one that breaks off", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testProof, "p")
+			w.Header().Set("Content-Length", "1000")
+			_, _ = w.Write([]byte("ok"))
+		}, false},
+		{"one of another request", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testID, "another")
+			serveOK(w, r)
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "a", tc.serve)
+			f.gateway.limits.Named("a", 1000)
+			time.Sleep(100 * time.Millisecond)
+			f.ask(pathOnce)
+			if over := !f.gateway.limits.Any(); over != tc.over {
+				t.Errorf("the limit is over: %v, want %v", over, tc.over)
+			}
+		})
+	}
+}
+
+// A limit that an answer of another request names is no word of the upstream on itself.
+func TestLimitInAnotherAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.add("app", "a", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testID, "another")
+		w.Header().Set(testLimit, "1")
+		serveOK(w, r)
+	})
+	f.ask(pathOnce)
+	if f.gateway.limits.Any() {
+		t.Error("the limit of an answer to another request is in force")
+	}
+}
+
+// A generation goes on at the copy of its memory only with a permit: what is moved counts like any
+// request.
+func TestMovedGenerationNeedsAPermit(t *testing.T) {
+	f := newFixture(t)
+	f.add("llm", "e", serveOK)
+	f.gateway.limits.Named("e", 0.1)
+	at, _ := f.gateway.fleet.Get("e")
+	rq := &request{route: &routetable.Route{}, service: &routetable.Service{Name: "llm"}, run: newRun(), start: time.Now()}
+	s := &stream{g: f.gateway, rq: rq, copies: []heldCopy{{at: at}}}
+	if st, ok := s.afterBreak(t.Context(), nil); ok || s.stuck != errLimited.Error() {
+		t.Errorf("it goes on at %q (%v), stuck because %q; want that the engine takes no more", st.at.ID, ok, s.stuck)
+	}
+}
+
+// A generation that has to move goes to an engine without a limit.
+func TestMovesPassOverLimits(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("limited")
+	f.addEngine("free")
+	f.gateway.limits.Named("limited", 100)
+	s := &stream{g: f.gateway, rq: &request{service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, EventTokens: 4}}}}
+	for range 20 {
+		if u, ok := f.gateway.chooseTarget(s, fleet.Upstream{}, nil); !ok || u.ID != "free" {
+			t.Fatalf("it moves to %q (%v), want the engine without a limit", u.ID, ok)
+		}
+	}
+}
+
+// An entry that stops leaves it to another one to grant permits.
+func TestStoppingEntryLeavesGranting(t *testing.T) {
+	f := newFixture(t)
+	var sent []string
+	others := limits.Alone()
+	others.Heedful = func() []string { return []string{"b"} }
+	others.Send = func(to string, _ limits.Message) { sent = append(sent, to) }
+	f.gateway.limits = limits.New("a", others, events.Nop(), time.Now)
+	f.gateway.Drain(time.Now().Add(time.Hour))
+	for i := range 8 {
+		start := fmt.Sprint("u", i)
+		f.gateway.limits.Named(start, 1)
+		if err := f.gateway.limits.Take(t.Context(), start); !errors.Is(err, limits.ErrNoAnswer) {
+			t.Errorf("%s: %v, want that b is asked", start, err)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("b is not asked")
+	}
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -30,7 +30,11 @@
 		c.pass(sent)
 		s.Unnamed("u", asked)
 	}
-	late := func(s *Set, c *clock) { s.Unnamed("u", c.at.Add(-time.Second)) }
+	late := func(s *Set, c *clock) {
+		asked := c.at.Add(-time.Second)
+		c.pass(sent)
+		s.Unnamed("u", asked)
+	}
 	for _, tc := range []struct {
 		name  string
 		steps []func(*Set, *clock)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -229,8 +229,40 @@
 # Faults of this program over what was read.
 mutant fault-table internal/belief/routes.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)/table, err := r.decode(rec.Value)/; s/\tvar table \*routetable\.Table\n//; s/.*internal\/guard"\n//' internal/belief TestTableThatEndsNoReader
 mutant fault-message internal/peer/conn.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t*result, err = h\(ctx, c, params\)\n\t*return err\n\t*\}\)/result, err = h(ctx, c, params)/' internal/peer TestMessageThatEndsNoReader
-mutant fault-gossip internal/gossip/gossip.go 's/if err := guard\.Do\(func\(\) error \{\n\t\tn\.take\(m, addr\)\n\t\treturn nil\n\t\}\); err/if n.take(m, addr); err/; s/.*internal\/guard"\n//' internal/gossip TestMessageThatEndsNoReader
+mutant fault-gossip internal/gossip/gossip.go 's/if err := guard\.Do\(func\(\) error \{ return n\.read\(b, addr\) \}\); err/if err := n.read(b, addr); err/; s/.*internal\/guard"\n//' internal/gossip TestMessageThatEndsNoReader
 mutant fault-row internal/daemon/upstreamrows.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t*r, err = u\.decode\(row\.Name, row\.Value\)\n\t*return err\n\t*\}\)/r, err := u.decode(row.Name, row.Value)/; s/\t\tvar r fleet\.Record\n//; s/.*internal\/guard"\n//' internal/daemon TestRowThatEndsNoReader
 mutant fault-generation internal/sidecar/server.go 's/err := guard\.Do\(func\(\) error \{\n\t\ts\.runner\.stream\(ctx, g, p\)\n\t\treturn nil\n\t\}\)/err := ctx.Err()\n\ts.runner.stream(ctx, g, p)/; s/.*internal\/guard"\n//' internal/sidecar TestGenerationThatEndsNoSidecar
 
+# What upstreams in need take.
+limits=internal/limits
+mutant limits-part $limits/grant.go 's/if 2\*heard > s\.listed \{/if true {/' $limits TestBothSidesOfACut
+mutant limits-begin $limits/grant.go 's/l\.grantsFrom = s\.now\(\)\.Add\(s\.others\.Told\(\)\)/l.grantsFrom = s.now()/' $limits TestGrantingBegins
+mutant limits-other-granter $limits/grant.go 's/case s\.granterOf\(word\.Start, l\) != s\.name:/case s.granterOf(word.Start, l) == "":/' $limits TestAnswers
+mutant limits-asked-twice $limits/grant.go 's/if !again \{/if _ = again; true {/' $limits TestAnswers
+mutant limits-leaves $limits/grant.go 's/s\.leaves && i == 0 \|\| /i < 0 || /' $limits TestGranterStops
+mutant limits-least $limits/grant.go 's/max\(l\.rate\*s\.part\(\), leastRate\)/l.rate * s.part()/' $limits TestWhatIsGranted
+mutant limits-not-listed $limits/grant.go 's/\tif s\.listed == 0 \{\n\t\treturn 0\n\t\}\n//' $limits TestWhatIsGranted
+mutant limits-order $limits/grant.go 's/return mix\(h\.Sum64\(\)\)/return h.Sum64()/' $limits TestGrantersAreSpread
+mutant limits-closed $limits/permit.go 's/if now\.Before\(l\.closedUntil\) \{/if now.IsZero() {/' $limits TestNoAnswer
+mutant limits-late-head $limits/limits.go 's/s\.over\(start, asked, ownAnswer\)/s.over(start, s.now(), ownAnswer)/' $limits TestLimitInForce
+mutant limits-most $limits/limits.go 's/full := len\(s\.limits\) >= mostLimits/full := false/' $limits TestLimitsAreBounded
+mutant limits-old-word $limits/message.go 's/out\.Over = sent\.Add/out.Over = now.Add/' $limits TestWords
+mutant limits-tell-new internal/gossip/gossip.go 's/\(s\.Limits\.All \|\| !p\.heedful\(\)\)/s.Limits.All/' internal/gossip TestWhoIsToldOfLimits
+mutant limits-earlier-life internal/gossip/limits.go 's/ && p\.limitsLife == p\.life//' internal/gossip TestWhoIsToldOfLimits
+mutant limits-silent internal/gossip/limits.go 's/ && n\.now\(\)\.Sub\(p\.Heard\) <= silence//g; s/silence := n\.silence\(\)/_ = n.silence()/; s/silence, heard := n\.silence\(\), 0/heard := 0/' internal/gossip TestHeedfulAreHeardAndServe
+mutant limits-stops internal/gossip/limits.go 's/ && p\.State\.StopBy\.IsZero\(\)//' internal/gossip TestHeedfulAreHeardAndServe
+mutant limits-lay internal/gossip/limits.go 's/at := n\.start\.Add\(time\.Duration\(e\.Sent\) \+ time\.Duration\(e\.HeldUS\)\*time\.Microsecond\)/at := n.now()/' internal/gossip TestWhenLimitsWereTold
+mutant limits-no-permit $gateway/permit.go 's/err = g\.limits\.Take\(ctx, u\.ID\)/err = ctx.Err()/' $gateway TestUpstreamGetsWhatItTakes
+mutant limits-copy $gateway/continue.go 's/if err := s\.g\.await\(ctx, held\.at\.ID, s\.g\.now\(\)\.Add\(goOnWithin\)\); err != nil/if err := ctx.Err(); err != nil/' $gateway TestMovedGenerationNeedsAPermit
+mutant limits-target $gateway/choose.go 's/g\.chooseTargetAmong\(s, from, g\.unlimited\(exclude\)\)/g.chooseTargetAmong(s, from, exclude)/' $gateway TestMovesPassOverLimits
+mutant limits-other-answer $gateway/limits.go 's/if h\.header\.Get\(g\.proto\.IDHeader\) != rq\.call\.ID \{/if h.header == nil {/' $gateway 'TestLimitInAnotherAnswer|TestWhatEndsALimit'
+mutant limits-failure $gateway/limits.go 's/case h\.whole:/default:/' $gateway TestWhatEndsALimit
+mutant limits-stop $gateway/stop.go 's/\tg\.limits\.Leave\(\)\n//' $gateway TestStoppingEntryLeavesGranting
+mutant limits-wait $gateway/permit.go 's/if at\.After\(until\) \|\|/if !at.IsZero() ||/' $gateway TestResumedGenerationHasAPermit
+mutant limits-callers platform/caller.go 's/headerNotRun, headerLimit,/headerNotRun,/' platform TestLimitInHeaders
+mutant limits-sidecar-call internal/sidecar/calls.go 's/if opensAt, ok := s\.takes\.take\(ctx\); !ok \{/if opensAt, ok := s.takes.opensAt(), true; !ok {/' internal/sidecar TestServiceGetsWhatItTakes
+mutant limits-sidecar-once internal/sidecar/calls.go 's/if opensAt, ok := s\.takes\.await\(ctx, s\.permitBy\(p\)\); !ok \{/if opensAt, ok := s.permitBy(p), true; !ok {/' internal/sidecar TestCallWaitsForAPermit
+mutant limits-sidecar-queued internal/sidecar/server.go 's/if opensAt, ok := s\.takes\.take\(context\.Background\(\)\); !ok \{/if opensAt, ok := s.takes.opensAt(), true; !ok {/' internal/sidecar TestQueuedGenerationNeedsAPermit
+mutant limits-sidecar-start internal/sidecar/limit.go 's/t\.set\.Take\(ctx, t\.starts\.current\(\)\)/t.set.Take(ctx, t.starts.incarnation+"#0")/' internal/sidecar TestLimitEndsWithItsStart
+
 finish
