--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// mostBusy bounds how long an upstream that refuses requests is avoided by its own word: until then
+// only a request that finds no other one tells whether it takes some again.
+const mostBusy = 2 * time.Second
+
+// BusyUntil notes until when an upstream that refused a request unrun wants no others.
+func (s *Set) BusyUntil(id string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.byID[id]; ok {
+		m.avoid = later(m.avoid, earlier(until, s.now().Add(mostBusy)))
+	}
+}
+
 // fault notes that an engine had a fault at a time.
 func (s *Set) fault(m *member, at time.Time, source string) {
 	if !at.After(m.faultAt) {
@@ -118,6 +131,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 	g, rq := s.g, s.rq
 	switch g.proto.Verdict(answer.Status, answer.Header) {
 	case protocol.NotRun:
-		g.fleet.Note(st.at.ID, fleet.Busy)
+		g.busy(st.at.ID, answer.Header)
 		g.rec.Note(events.RequestRetried, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "why", "the engine did not run it")
 		return streamUnrun, true
 	case protocol.WrongUpstream:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -315,7 +315,7 @@
 		g.fleet.Note(r.upstream, fleet.Broken)
 		g.broke(rq, u, r.err)
 	case r.verdict == protocol.NotRun:
-		g.fleet.Note(r.upstream, fleet.Busy)
+		g.busy(r.upstream, r.header)
 	case r.verdict == protocol.WrongUpstream:
 		g.fleet.MarkLeaving(r.upstream, "another upstream has its address")
 	case r.status >= http.StatusInternalServerError:
@@ -325,6 +325,14 @@
 	}
 }
 
+// busy notes that an upstream refused a request unrun, and until when it wants no others.
+func (g *Gateway) busy(upstream string, header http.Header) {
+	g.fleet.Note(upstream, fleet.Busy)
+	if at := g.proto.ComeBack(header, g.now()); !at.IsZero() {
+		g.fleet.BusyUntil(upstream, at)
+	}
+}
+
 // passOn gives the caller an upstream's answer unchanged.
 func (g *Gateway) passOn(rq *request, r result) {
 	h := rq.w.Header()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -83,6 +83,13 @@
 			}
 			return protocol.Limit{Named: text != "", Rate: rate}, nil
 		},
+		ComeBack: func(h http.Header, now time.Time) time.Time {
+			ms, err := strconv.Atoi(h.Get(testBack))
+			if err != nil {
+				return time.Time{}
+			}
+			return now.Add(time.Duration(ms) * time.Millisecond)
+		},
 		PassHeader: func(from, to http.Header) { to.Set(testProof, from.Get(testProof)) },
 		Refuse: func(w http.ResponseWriter, _ *protocol.Call, r protocol.Refusal, now time.Time) {
 			if !r.ComeBack.IsZero() {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -35,6 +35,18 @@
 	}
 }
 
+// heardNeed takes over the limit that an answer names which is not to a caller's request. Where
+// it names none it says nothing.
+func (g *Gateway) heardNeed(at fleet.Upstream, header http.Header) {
+	limit, err := g.proto.Limit(header)
+	switch {
+	case err != nil:
+		g.rec.Note(events.LimitRejected, "", "upstream", at.ID, "error", err)
+	case limit.Named:
+		g.limits.Named(at.ID, limit.Rate)
+	}
+}
+
 // Limits returns what this entry knows of upstreams in need.
 func (g *Gateway) Limits() *limits.Set { return g.limits }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -305,7 +305,7 @@
 			// anew, and must not be told to stop it.
 			return protocol.CopyResult{Outcome: protocol.NoSuchRun}
 		}
-		r, err := g.order(ctx, from.Address, g.proto.Copy(s.rq.call.ID, target.Address, last))
+		r, err := g.order(ctx, from, g.proto.Copy(s.rq.call.ID, target.Address, last))
 		if s.rq.caller.Err() != nil && (err != nil || r.Outcome != protocol.Copied) {
 			// The request is over; so is the generation.
 			return protocol.CopyResult{Outcome: protocol.NoSuchRun}
@@ -327,12 +327,13 @@
 
 var errOrderAnswer = errors.New("answer to an order is too long")
 
-func (g *Gateway) order(ctx context.Context, address string, req link.Request) (protocol.CopyResult, error) {
-	a, err := g.link.Do(ctx, address, req)
+func (g *Gateway) order(ctx context.Context, at fleet.Upstream, req link.Request) (protocol.CopyResult, error) {
+	a, err := g.link.Do(ctx, at.Address, req)
 	if err != nil {
 		return protocol.CopyResult{}, err
 	}
 	defer a.Close()
+	g.heardNeed(at, a.Header)
 	body, err := io.ReadAll(io.LimitReader(a, maxOrderAnswer))
 	if err != nil {
 		return protocol.CopyResult{}, err
--- a/internal/limits/rig_test.go
+++ b/internal/limits/rig_test.go
@@ -72,6 +72,8 @@
 	// life counts its starts; 0 while it is down.
 	life  int
 	lives int
+	// asked and served count its callers' requests.
+	asked, served int
 	// startedAt, frozenAt and cutAt are when that was last done to it, and disturbed when
 	// anything was, or ended.
 	startedAt, frozenAt, cutAt, disturbed time.Time
@@ -318,6 +320,7 @@
 func (r *rig) request(e *rigEntry) {
 	r.mu.Lock()
 	life, set, runs := e.life, e.set, e.runs(e.life)
+	e.asked++
 	r.mu.Unlock()
 	if !runs {
 		return
@@ -330,6 +333,9 @@
 		return
 	}
 	if set.Take(context.Background(), rigStart) == nil {
+		r.mu.Lock()
+		e.served++
+		r.mu.Unlock()
 		r.arrive(e, life, time.Now())
 	}
 }
--- a/internal/limits/share_test.go
+++ b/internal/limits/share_test.go
@@ -92,3 +92,38 @@
 		})
 	}
 }
+
+// Callers of an entry with few of them are served as often as those of one with many: whoever
+// asks first gets the next permit.
+func TestNoEntryStarves(t *testing.T) {
+	for _, tc := range []struct {
+		entries int
+		limit   float64
+	}{{4, 3.2}, {30, 3.2}, {300, 30}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(3, tc.entries, 3*time.Millisecond, 0.01)
+			r.limit(tc.limit)
+			go r.callers(4*tc.limit, 200*time.Second)
+			time.Sleep(201 * time.Second)
+			all := r.all()
+			loudest := served(all[:1])
+			quiet := served(all[tc.entries/2:])
+			t.Logf("%d entries: %.2f of the requests at the one with most, %.2f at the half with least", tc.entries, loudest, quiet)
+			if quiet < loudest*3/4 || loudest < quiet*3/4 {
+				t.Errorf("%d entries: %.2f of the requests are served at the one with most, %.2f at the half with least; want about as many", tc.entries, loudest, quiet)
+			}
+			r.stop()
+		})
+	}
+}
+
+// served is the part of the requests of some entries that had a permit.
+func served(entries []*rigEntry) float64 {
+	asked, served := 0, 0
+	for _, e := range entries {
+		e.rig.mu.Lock()
+		asked, served = asked+e.asked, served+e.served
+		e.rig.mu.Unlock()
+	}
+	return float64(served) / float64(max(asked, 1))
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -154,6 +154,9 @@
 	// Limit reads what an upstream's answer says of its limit; an error tells that this
 	// cannot be read.
 	Limit func(h http.Header) (Limit, error)
+	// ComeBack returns the steady time from which an upstream that refused a request wants
+	// others again; zero if it does not say.
+	ComeBack func(h http.Header, now time.Time) time.Time
 	// PassHeader copies the headers of an upstream's answer for the caller.
 	PassHeader func(from, to http.Header)
 	// Refuse writes a refusal.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -260,6 +260,7 @@
 mutant limits-stop $gateway/stop.go 's/\tg\.limits\.Leave\(\)\n//' $gateway TestStoppingEntryLeavesGranting
 mutant limits-wait $gateway/permit.go 's/if at\.After\(until\) \|\|/if !at.IsZero() ||/' $gateway TestResumedGenerationHasAPermit
 mutant limits-callers platform/caller.go 's/headerNotRun, headerLimit,/headerNotRun,/' platform TestLimitInHeaders
+mutant limits-come-back $gateway/call.go 's/if at := g\.proto\.ComeBack\(header, g\.now\(\)\); !at\.IsZero\(\)/if at := g.proto.ComeBack(header, g.now()); at.IsZero()/' $gateway TestUpstreamThatSaysWhenToComeBack
 mutant limits-sidecar-call internal/sidecar/calls.go 's/if opensAt, ok := s\.takes\.take\(ctx\); !ok \{/if opensAt, ok := s.takes.opensAt(), true; !ok {/' internal/sidecar TestServiceGetsWhatItTakes
 mutant limits-sidecar-once internal/sidecar/calls.go 's/if opensAt, ok := s\.takes\.await\(ctx, s\.permitBy\(p\)\); !ok \{/if opensAt, ok := s.permitBy(p), true; !ok {/' internal/sidecar TestCallWaitsForAPermit
 mutant limits-sidecar-queued internal/sidecar/server.go 's/if opensAt, ok := s\.takes\.take\(context\.Background\(\)\); !ok \{/if opensAt, ok := s.takes.opensAt(), true; !ok {/' internal/sidecar TestQueuedGenerationNeedsAPermit
