--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -149,7 +149,7 @@
 	{LimitOver, "limit-over", "An upstream that had named a limit answers without one: it takes any number of requests again."},
 	{LimitRejected, "limit-rejected", "What an upstream names as its limit cannot be used; the one that it named before holds."},
 	{LimitGranter, "limit-granter", "Another entry than `before` grants the permits for requests to an upstream that named a limit."},
-	{LimitReached, "limit-reached", "There is no permit for a request to an upstream that named a limit; the next one may be had in `next-in`, from `granter`. Requests go elsewhere until then."},
+	{LimitReached, "limit-reached", "There is no permit for a request to an upstream that named a limit; the next one may be had in `next-in`, from `granter`. Requests go elsewhere until then. A line a second at most; `times` counts."},
 	{LimitNoAnswer, "limit-no-answer", "The entry that grants permits did not answer; the upstream gets no requests of this entry until it asks again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -130,3 +130,44 @@
 		}
 	}
 }
+
+// TestLimitsMessageSize bounds what entries send each other about upstreams in need: for each
+// permit a question and an answer.
+func TestLimitsMessageSize(t *testing.T) {
+	const most = 130
+	now := time.Now()
+	settings := Settings{Name: "front-zone-a-13", Life: "73b131248192"}
+	word := limits.Telling{Words: []limits.Word{{Start: "i-7f3a91c2e0@mx76mb10", Rate: 3.2, Named: now.Add(-time.Second)}}}.Encode(now)
+	for _, tc := range []struct {
+		name string
+		m    limits.Message
+	}{
+		{"one word", word},
+		{"a question", limits.Message{Question: &limits.Question{ID: 1 << 60, Word: word.Words[0]}}},
+		{"an answer", limits.Message{Answer: &limits.Answer{ID: 1 << 60, WaitUS: 312000, Word: word.Words[0]}}},
+	} {
+		body, err := encodeLimits(settings, tc.m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := encode(formatLimits, echo{Sent: 60_000_000_000, Life: "cdd8feadaaac", HeldUS: 20000}, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %d bytes", tc.name, len(b))
+		if len(b) > most {
+			t.Errorf("%s has %d bytes, want at most %d", tc.name, len(b), most)
+		}
+	}
+}
+
+// BenchmarkLimitsMessage measures a question on its way into a Node.
+func BenchmarkLimitsMessage(b *testing.B) {
+	c := &clock{at: time.Now()}
+	a, from := newNode(c, "a", "1"), newNode(c, "b", "1")
+	from.Know(map[string]string{"a": "127.0.0.1:9"})
+	from.Send("a", limits.Message{Question: &limits.Question{ID: 1}})
+	for b.Loop() {
+		a.receiveDatagram(from.wire.sent[0], &net.UDPAddr{})
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -85,6 +85,9 @@
 	since time.Time
 	// closedUntil is when a permit is to be had again.
 	closedUntil time.Time
+	// reached counts the refusals since reachedNoted, when one was last noted.
+	reached      int
+	reachedNoted time.Time
 
 	// granter is the entry that grants permits, as of the latest look.
 	granter string
--- a/internal/limits/permit.go
+++ b/internal/limits/permit.go
@@ -26,6 +26,9 @@
 	// unanswered is the time for which nothing is asked after a question without an answer:
 	// each request would wait in vain.
 	unanswered = 150 * time.Millisecond
+	// reachedEach is the least time between two lines that tell that an upstream gets as much
+	// as it takes: a large limit is reached a hundred times a second.
+	reachedEach = time.Second
 )
 
 // Take takes a permit to send one request to a start of an upstream now. Without a limit there
@@ -83,8 +86,14 @@
 
 // close notes that there is no permit for a time. It needs the lock.
 func (s *Set) close(start string, l *limit, wait time.Duration) {
-	l.closedUntil = s.now().Add(wait)
-	s.rec.Note(events.LimitReached, "", "upstream", start, "rate", l.rate, "granter", l.granter, "next-in", wait)
+	now := s.now()
+	l.closedUntil = now.Add(wait)
+	l.reached++
+	if now.Sub(l.reachedNoted) < reachedEach {
+		return
+	}
+	s.rec.Note(events.LimitReached, "", "upstream", start, "rate", l.rate, "granter", l.granter, "next-in", wait, "times", l.reached)
+	l.reached, l.reachedNoted = 0, now
 }
 
 // OpensAt returns when a permit for a start may be had; a time that is not in the future if
--- a/internal/limits/share_test.go
+++ b/internal/limits/share_test.go
@@ -83,6 +83,7 @@
 				from := time.Now()
 				time.Sleep(10 * time.Second)
 				used := r.used(from)
+				t.Logf("both sides use %.2f of the limit", used)
 				if used < tc.leastAll || used > tc.most {
 					t.Errorf("both sides use %.2f of the limit, want %.2f to %.2f", used, tc.leastAll, tc.most)
 				}
