--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,6 +41,9 @@
 }
 
 const (
+	// firstLeast and firstMost bound the mean time between reads until one has succeeded.
+	firstLeast = 100 * time.Millisecond
+	firstMost  = 2 * time.Second
 	// renewEach is the number of reads between two renewals.
 	renewEach = 3
 	// staleAfter is the number of missed renewals after which a row is ignored.
@@ -83,7 +86,7 @@
 
 // Run renews and reads until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	owed := false
+	owed, first := false, firstLeast
 	for n := 0; ctx.Err() == nil; n++ {
 		listed := d.read(ctx)
 		d.note(listed)
@@ -103,6 +106,11 @@
 		if owed && listed == nil {
 			every = min(every, d.settings.Again)
 		}
+		if d.clockAt.IsZero() {
+			// An entry that knows of no other judges alone, and takes what all share.
+			every = min(every, first)
+			first = min(2*first, firstMost)
+		}
 		pause := every/2 + time.Duration(rand.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
