--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,10 @@
 	trusted  atomic.Bool
 	// quarantine knows the requests that end upstreams.
 	quarantine *quarantine.Set
+	// began is when this entry began, and listed is set once it has read the list of
+	// entries.
+	began  time.Time
+	listed atomic.Bool
 	// limits knows how much upstreams in need take.
 	limits *limits.Set
 
@@ -115,7 +119,7 @@
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, looking: map[string]bool{}, others: others,
-		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(settings.Name, others.Limits, rec, now),
+		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(settings.Name, others.Limits, rec, now), began: now(),
 	}
 	reg.MustRegister(newLimitRates(g.limits.List))
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
@@ -129,11 +133,23 @@
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	case !g.servesKeys():
 		http.Error(w, "no confirmed routes", http.StatusServiceUnavailable)
+	case !g.knowsOthers():
+		http.Error(w, "other entries are not known", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
 	}
 }
 
+// othersWithin is how long after its start an entry waits to learn who else serves: a few tries to
+// read the list of entries while the store is slow.
+const othersWithin = 5 * time.Second
+
+// knowsOthers reports whether this entry knows who else serves. One that does not judges requests
+// that end upstreams alone and takes what all share, so callers go to the others meanwhile.
+func (g *Gateway) knowsOthers() bool {
+	return g.listed.Load() || len(g.others.Heard()) > 0 || g.now().Sub(g.began) > othersWithin
+}
+
 // routesTrusted reports whether the route table is known and young enough to
 // serve requests with keys by it, and notes each change of that.
 func (g *Gateway) routesTrusted() bool {
@@ -190,6 +206,7 @@
 // Registered sets how many entries are listed. The retry budget is shared among these
 // or those that are heard, whichever are more.
 func (g *Gateway) Registered(registered int) {
+	g.listed.Store(true)
 	g.limits.Listed(registered)
 	heard := len(g.others.Heard()) + 1
 	g.mu.Lock()
