--- a/internal/limits/trouble_test.go
+++ b/internal/limits/trouble_test.go
@@ -140,3 +140,36 @@
 		t.Logf("%3d entries, %d seeds: %.2f of the limit used, at worst %.2f of what is allowed reached in all, also from those excused", tc.entries, tc.seeds, sum/float64(tc.seeds**playsFlag), worst)
 	}
 }
+
+// An entry that started anew while a limit was in force granted permits to itself beside the one
+// that grants them to all: 30 requests in a quarter of a second where all together may send 25, for
+// as long as it lasted. The others told it of the limit until it told of limits itself, which it
+// did to all at once at the first word; so it never heard from most of them that they heed limits,
+// and took itself for the highest of few.
+func TestEntryThatStartsAnewAgreesWhoGrants(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(seed, 5, 20*time.Millisecond, 0.1)
+			r.limit(100)
+			go r.callers(500, 40*time.Second)
+			time.Sleep(5 * time.Second)
+			for _, e := range r.all() {
+				e.end()
+				time.Sleep(time.Second)
+				e.start()
+				time.Sleep(4 * time.Second)
+				granters := map[string]int{}
+				for _, o := range r.all() {
+					for _, l := range o.current().List() {
+						granters[l.Granter]++
+					}
+				}
+				if len(granters) != 1 {
+					t.Errorf("seed %d, after %s started anew: %v grant, want one of them", seed, e.name, granters)
+				}
+			}
+			time.Sleep(12 * time.Second)
+			r.stop()
+		})
+	}
+}
