--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -207,7 +207,7 @@
 	proto := platform.NewProtocol()
 	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, IDHeader: proto.IDHeader}, dialer(), time.Now)
 	b.gateway = gateway.New(gateway.Settings{
-		Name: s.Name, Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin, HardKeyBound: s.KeyBoundHard,
+		Name: s.Name, Life: b.life, Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin, HardKeyBound: s.KeyBoundHard,
 		RetryRatio: s.RetryRatio * retryShare, RetryExtra: s.RetryExtra * retryShare, RetryWindow: s.RetryWindow,
 	}, b.routes, b.fleet, b.pool, proto, gateway.Others{
 		Nudge: func() { b.gossip.Nudge() },
@@ -216,10 +216,9 @@
 		Delay: func(zone string, nudged bool) time.Duration { return b.gossip.Delay(zone, nudged) },
 		Told:  func() (told, silence time.Duration) { return b.gossip.Told() },
 		Limits: limits.Others{
-			Heedful: func() []string { return b.gossip.Heedful() },
-			Heard:   func() int { return b.gossip.Heard() },
-			Send:    func(to string, m limits.Message) { b.gossip.Send(to, m) },
-			Urge:    func() { b.gossip.Urge() },
+			Heard: func() []limits.Entry { return b.gossip.Heard() },
+			Send:  func(to string, m limits.Message) { b.gossip.Send(to, m) },
+			Urge:  func() { b.gossip.Urge() },
 			Told: func() time.Duration {
 				told, _ := b.gossip.Told()
 				return told
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 type Settings struct {
 	// Name is the entry's own, by which others know it.
 	Name string
+	// Life tells its starts apart.
+	Life string
 	// Zone is the availability zone the entry runs in.
 	Zone string
 	// RoutesTrusted is how long a route table may go unconfirmed before it no
@@ -119,7 +121,7 @@
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, looking: map[string]bool{}, others: others,
-		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(settings.Name, others.Limits, rec, now), began: now(),
+		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(settings.Name, settings.Life, others.Limits, rec, now), began: now(),
 	}
 	reg.MustRegister(newLimitRates(g.limits.List))
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -70,9 +70,6 @@
 	Retries map[string]routing.Use
 	// Suspects is what it knows of requests under which upstreams ended.
 	Suspects []quarantine.Word
-	// Limits is what it tells of upstreams in need, in a datagram of its own; what another
-	// entry tells of them comes apart from its state.
-	Limits limits.Telling
 	// HeardUs is when the latest message was sent that it had of this entry, by the steady
 	// clock of this one; zero for none. It is not part of what is sent: an echo tells it.
 	HeardUs time.Time
@@ -92,7 +89,7 @@
 	conn     net.PacketConn
 	collect  func() State
 	heard    func(from string, s State)
-	limits   func(from string, m limits.Message, sent time.Time)
+	limits   *limits.Set
 	rec      *events.Recorder
 	now      func() time.Time
 	start    time.Time
@@ -117,14 +114,12 @@
 	life  string
 	lost  bool
 	known bool
-	// limitsLife is the life in which it last told of upstreams in need.
-	limitsLife string
 }
 
-// New returns a Node. collect gives the own state; heard gets each peer's, and limits what each
-// tells of upstreams in need, with a time before which it was not sent; zero if that is not known.
-func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), limits func(from string, m limits.Message, sent time.Time), rec *events.Recorder, now func() time.Time) *Node {
-	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, limits: limits, rec: rec, now: now, start: now(), nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), peers: map[string]*peer{}}
+// New returns a Node. collect gives the own state; heard gets each peer's. What upstreams in need
+// take is told and heard by set.
+func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), set *limits.Set, rec *events.Recorder, now func() time.Time) *Node {
+	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, limits: set, rec: rec, now: now, start: now(), nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), peers: map[string]*peer{}}
 }
 
 // Know makes the addresses of the other entries known, by name; those not in
@@ -244,7 +239,7 @@
 		n.rec.Note(events.GossipRejected, "", "peer", n.settings.Name, "error", err)
 		return
 	}
-	told := n.tell(s.Limits, now)
+	told := n.limits.Round(n.entries())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, p := range n.peers {
@@ -257,8 +252,8 @@
 			continue
 		}
 		n.write(p, version, body, now)
-		if told != nil && (s.Limits.All || !p.heedful()) {
-			n.write(p, formatLimits, told, now)
+		if m, ok := told[name]; ok {
+			n.writeLimits(p, m, now)
 		}
 	}
 }
--- a/internal/gossip/limits.go
+++ b/internal/gossip/limits.go
@@ -14,75 +14,57 @@
 // limitsBody is what an entry tells of upstreams in need. It goes in datagrams of its own, so
 // that states do not grow and entries of the release before understand them.
 type limitsBody struct {
-	_    struct{} `cbor:",toarray"`
-	From string
-	// Life tells the starts of the sender apart.
-	Life    string
+	_       struct{} `cbor:",toarray"`
+	From    string
 	Message limits.Message
 }
 
-// encodeLimits encodes a message about upstreams in need.
-func encodeLimits(settings Settings, m limits.Message) ([]byte, error) {
-	return cbor.Marshal(limitsBody{From: settings.Name, Life: settings.Life, Message: m})
-}
-
 // Send sends a message about upstreams in need to a peer. Like any datagram it may be lost.
 func (n *Node) Send(to string, m limits.Message) {
-	body, err := encodeLimits(n.settings, m)
-	if err != nil {
-		n.rec.Note(events.GossipRejected, "", "peer", n.settings.Name, "error", err)
-		return
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if p, ok := n.peers[to]; ok && p.addr != nil {
-		n.write(p, formatLimits, body, n.now())
+		n.writeLimits(p, m, n.now())
 	}
 }
 
-// tell encodes what all, or those that have told nothing of limits, are to hear of upstreams in
-// need; nil for nothing.
-func (n *Node) tell(t limits.Telling, now time.Time) []byte {
-	if !t.Some {
-		return nil
-	}
-	body, err := encodeLimits(n.settings, t.Encode(now))
+// writeLimits writes a message about upstreams in need to a peer. It needs the lock.
+func (n *Node) writeLimits(p *peer, m limits.Message, now time.Time) {
+	body, err := cbor.Marshal(limitsBody{From: n.settings.Name, Message: m})
 	if err != nil {
-		n.rec.Note(events.GossipRejected, "", "peer", n.settings.Name, "error", err)
-		return nil
+		n.reject(p.addr, err)
+		return
 	}
-	return body
+	n.write(p, formatLimits, body, now)
 }
 
-// heedful reports whether this start of a peer has told of limits.
-func (p *peer) heedful() bool { return p.limitsLife != "" && p.limitsLife == p.life }
-
-// Heedful returns the peers that are heard, also lately, that have told of limits, and that do
-// not stop.
-func (n *Node) Heedful() []string {
+// entries returns all peers, heard or not.
+func (n *Node) entries() []limits.Entry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	silence := n.silence()
-	var out []string
+	out := make([]limits.Entry, 0, len(n.peers))
 	for name, p := range n.peers {
-		if !p.lost && p.heedful() && p.State.StopBy.IsZero() && n.now().Sub(p.Heard) <= silence {
-			out = append(out, name)
-		}
+		out = append(out, entryOf(name, p))
 	}
 	return out
 }
 
-// Heard returns how many peers are heard, also lately.
-func (n *Node) Heard() int {
+func entryOf(name string, p *peer) limits.Entry {
+	return limits.Entry{Name: name, Life: p.life, Stops: !p.State.StopBy.IsZero()}
+}
+
+// Heard returns the peers that are heard, also lately.
+func (n *Node) Heard() []limits.Entry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	silence, heard := n.silence(), 0
-	for _, p := range n.peers {
-		if !p.lost && n.now().Sub(p.Heard) <= silence {
-			heard++
+	silence, now := n.silence(), n.now()
+	var out []limits.Entry
+	for name, p := range n.peers {
+		if !p.lost && now.Sub(p.Heard) <= silence {
+			out = append(out, entryOf(name, p))
 		}
 	}
-	return heard
+	return out
 }
 
 // takeLimits takes over what a peer tells of upstreams in need.
@@ -94,12 +76,7 @@
 	if b.From == "" || b.From == n.settings.Name {
 		return fmt.Errorf("%w: no other sender", ErrMessage)
 	}
-	n.mu.Lock()
-	if p, ok := n.peers[b.From]; ok {
-		p.limitsLife = b.Life
-	}
-	n.mu.Unlock()
-	n.limits(b.From, b.Message, n.sentNotBefore(d.Echo))
+	n.limits.Hear(b.From, b.Message, n.sentNotBefore(d.Echo))
 	return nil
 }
 
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -40,6 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.met(from, m)
 	for _, w := range m.Words {
 		if word := w.decode(sent, now); word.Start != "" {
 			s.hear(from, word)
@@ -61,7 +62,7 @@
 		known = answered{answer: s.decide(from, q, sent), at: now}
 		s.answered[key] = known
 	}
-	s.others.Send(from, Message{Answer: &known.answer})
+	s.others.Send(from, s.address(from, Message{Answer: &known.answer}))
 }
 
 // decide decides on a question. It needs the lock.
@@ -107,7 +108,7 @@
 // here. It needs the lock.
 func (s *Set) granterOf(start string, l *limit) string {
 	granter, highest := s.name, order(start, s.name)
-	for i, name := range s.others.Heedful() {
+	for i, name := range s.heedful() {
 		h := order(start, name)
 		if s.leaves && i == 0 || h > highest || h == highest && name > granter {
 			granter, highest = name, h
@@ -124,7 +125,9 @@
 		// The one before grants until it hears that this entry knows of the limit. What it
 		// granted counts as well, so nothing is saved up at the beginning.
 		l.grantsFrom = s.now().Add(s.others.Told())
-		l.bucket = rate.NewLimiter(0, 0)
+		perSecond, burst := s.granted(l)
+		l.bucket = rate.NewLimiter(perSecond, burst)
+		l.bucket.AllowN(l.grantsFrom, burst)
 	}
 	return granter
 }
@@ -153,14 +156,21 @@
 	if now.Before(l.grantsFrom) {
 		return l.grantsFrom.Sub(now)
 	}
-	perSecond := max(l.rate*s.part(), leastRate)
-	l.bucket.SetLimitAt(now, rate.Limit(perSecond))
-	l.bucket.SetBurstAt(now, 1+int(math.Ceil(perSecond*burstFor.Seconds())))
+	perSecond, burst := s.granted(l)
+	l.bucket.SetLimitAt(now, perSecond)
+	l.bucket.SetBurstAt(now, burst)
 	if l.bucket.AllowN(now, 1) {
 		return 0
 	}
 	lacks := 1 - l.bucket.TokensAt(now)
-	return max(time.Duration(lacks/perSecond*float64(time.Second)), time.Microsecond)
+	return max(time.Duration(lacks/float64(perSecond)*float64(time.Second)), time.Microsecond)
+}
+
+// granted is what this entry grants while it is the granter: so many permits a second, and so
+// many at once after a rest. It needs the lock.
+func (s *Set) granted(l *limit) (perSecond rate.Limit, burst int) {
+	perSecond = rate.Limit(max(l.rate*s.part(), leastRate))
+	return perSecond, 1 + int(math.Ceil(float64(perSecond)*burstFor.Seconds()))
 }
 
 // part is the part of a limit that the entries which hear each other may use. On both sides of
@@ -170,7 +180,7 @@
 	if s.listed == 0 {
 		return 0
 	}
-	heard := s.others.Heard() + 1
+	heard := len(s.others.Heard()) + 1
 	if 2*heard > s.listed {
 		return 1
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,14 +24,11 @@
 // Others are the other entries of the deployment. The functions are called with the Set locked
 // and must not call it.
 type Others struct {
-	// Heedful returns the names of the entries that are heard and are known to ask for
-	// permits; an entry of an earlier release does not.
-	Heedful func() []string
-	// Heard is the number of other entries that are heard, heedful or not.
-	Heard func() int
+	// Heard returns those that are heard, also lately.
+	Heard func() []Entry
 	// Send sends a message to an entry. It may be lost.
 	Send func(to string, m Message)
-	// Urge tells all others at once what Tell returns.
+	// Urge asks for a round of messages to all others at once.
 	Urge func()
 	// Told is the time within which all know what they were urged to hear.
 	Told func() time.Duration
@@ -42,7 +39,9 @@
 // Set holds the limits that are in force, by start of an upstream. It is safe for concurrent
 // use.
 type Set struct {
+	// name is the entry's own, and life tells its starts apart.
 	name   string
+	life   string
 	others Others
 	rec    *events.Recorder
 	now    func() time.Time
@@ -53,6 +52,8 @@
 	limits map[string]*limit
 	// full is set while more upstreams name limits than are remembered.
 	full bool
+	// peers are the other entries that told of limits.
+	peers map[string]*peer
 	// listed is the number of entries in the list of entries; 0 while that is not known.
 	listed int
 	// leaves is set once this entry stops: another one is to grant.
@@ -99,10 +100,10 @@
 // holds reports whether the limit is in force.
 func (l *limit) holds() bool { return !l.namedAt.IsZero() && !l.overAt.After(l.namedAt) }
 
-// New returns a Set for an entry, in which no upstream has a limit.
-func New(name string, others Others, rec *events.Recorder, now func() time.Time) *Set {
+// New returns a Set for a life of an entry, in which no upstream has a limit.
+func New(name, life string, others Others, rec *events.Recorder, now func() time.Time) *Set {
 	return &Set{
-		name: name, others: others, rec: rec, now: now, limits: map[string]*limit{},
+		name: name, life: life, peers: map[string]*peer{}, others: others, rec: rec, now: now, limits: map[string]*limit{},
 		// A question of an earlier start of this entry must not be taken for one of this.
 		lastID: rand.Uint64(), asked: map[uint64]chan Answer{}, answered: map[questionKey]answered{},
 	}
@@ -283,7 +284,7 @@
 // Alone returns the Others of a process that is the only one to send requests to its upstreams.
 func Alone() Others {
 	return Others{
-		Heedful: func() []string { return nil }, Heard: func() int { return 0 }, Send: func(string, Message) {},
+		Heard: func() []Entry { return nil }, Send: func(string, Message) {},
 		Urge: func() {}, Told: func() time.Duration { return 0 }, Way: func() time.Duration { return 0 },
 	}
 }
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -7,7 +7,13 @@
 
 // Message is what an entry sends another one, as CBOR. Times are told by their age.
 type Message struct {
-	_        struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Life tells the starts of the sender apart, and Knows is the life of the receiver in
+	// which it is known to heed limits; empty for none.
+	Life  string
+	Knows string
+	// Asks tells that the sender has not heard that the receiver knows the same of it.
+	Asks     bool
 	Words    []wireWord
 	Question *Question
 	Answer   *Answer
@@ -43,15 +49,6 @@
 	Word   wireWord
 }
 
-// Encode returns what others are told as a message.
-func (t Telling) Encode(now time.Time) Message {
-	m := Message{Words: make([]wireWord, len(t.Words))}
-	for i, w := range t.Words {
-		m.Words[i] = encodeWord(w, now)
-	}
-	return m
-}
-
 func encodeWord(w Word, now time.Time) wireWord {
 	return wireWord{Start: w.Start, Rate: w.Rate, NamedAgeUS: age(w.Named, now), OverAgeUS: age(w.Over, now)}
 }
--- a/internal/limits/permit.go
+++ b/internal/limits/permit.go
@@ -157,7 +157,7 @@
 	if l, ok := s.limits[start]; ok {
 		w.Rate, w.Named, w.Over = l.rate, l.namedAt, l.own.Over
 	}
-	s.others.Send(granter, Message{Question: &Question{ID: id, Word: encodeWord(w, s.now())}})
+	s.others.Send(granter, s.address(granter, Message{Question: &Question{ID: id, Word: encodeWord(w, s.now())}}))
 }
 
 // answer passes an answer on to the request that waits for it. It needs the lock.
--- a/internal/limits/word.go
+++ b/internal/limits/word.go
@@ -27,44 +27,30 @@
 	Over time.Time
 }
 
-// Telling is what an entry tells others.
-type Telling struct {
-	// Words are what it read itself.
-	Words []Word
-	// All tells that all are to hear it; else only those that have told nothing of limits.
-	All bool
-	// Some tells that there is anything to tell: it may be only that this entry knows of
-	// limits and heeds them.
-	Some bool
-}
-
 // news makes the latest changes known to all others. It needs the lock.
 func (s *Set) news() {
 	s.newsUntil = s.now().Add(max(tellLeast, tellRounds*s.others.Told()))
 	s.others.Urge()
 }
 
-// Tell returns what others are to be told. It is empty while no limit is in force and none
-// was lately.
-func (s *Set) Tell() Telling {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := Telling{All: s.now().Before(s.newsUntil)}
-	t.Some = t.All || s.Any()
-	if !t.Some {
-		return t
-	}
+// words returns what this entry read itself, the latest first. It needs the lock.
+func (s *Set) words() []wireWord {
+	var words []Word
 	for start, l := range s.limits {
 		if l.own.Named.IsZero() && l.own.Over.IsZero() {
 			continue
 		}
 		w := l.own
 		w.Start = start
-		t.Words = append(t.Words, w)
+		words = append(words, w)
+	}
+	slices.SortFunc(words, func(a, b Word) int { return cmp.Or(b.latest().Compare(a.latest()), cmp.Compare(a.Start, b.Start)) })
+	now := s.now()
+	out := make([]wireWord, 0, min(len(words), mostTold))
+	for _, w := range words[:min(len(words), mostTold)] {
+		out = append(out, encodeWord(w, now))
 	}
-	slices.SortFunc(t.Words, func(a, b Word) int { return cmp.Or(b.latest().Compare(a.latest()), cmp.Compare(a.Start, b.Start)) })
-	t.Words = t.Words[:min(len(t.Words), mostTold)]
-	return t
+	return out
 }
 
 // latest is when the word was true last.
--- a/internal/sidecar/limit.go
+++ b/internal/sidecar/limit.go
@@ -28,7 +28,7 @@
 }
 
 func newTakes(header string, starts *starts, rec *events.Recorder, now func() time.Time) *takes {
-	t := &takes{header: header, starts: starts, set: limits.New("", limits.Alone(), rec, now), rec: rec, now: now}
+	t := &takes{header: header, starts: starts, set: limits.New("", "", limits.Alone(), rec, now), rec: rec, now: now}
 	t.set.Listed(1)
 	return t
 }
