--- a/internal/limits/grant_test.go
+++ b/internal/limits/grant_test.go
@@ -262,3 +262,14 @@
 		})
 	}
 }
+
+func TestPeersAreBounded(t *testing.T) {
+	c := &clock{at: time.Now()}
+	s := newAmong(c, "a", &post{}, "b")
+	for i := range 3 * mostPeers {
+		s.Hear(fmt.Sprint("entry-", i), Message{Life: "1"}, c.at)
+	}
+	if len(s.peers) > mostPeers || s.peers["b"] == nil {
+		t.Errorf("%d entries are remembered, want at most %d with the one that is heard", len(s.peers), mostPeers)
+	}
+}
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -1,5 +1,7 @@
 package limits
 
+import "maps"
+
 // Entry is another entry of the deployment.
 type Entry struct {
 	Name string
@@ -25,9 +27,25 @@
 	if m.Life == "" {
 		return
 	}
+	if _, known := s.peers[from]; !known && len(s.peers) >= mostPeers {
+		s.forgetPeers()
+	}
 	s.peers[from] = &peer{life: m.Life, knows: m.Knows == s.life, asks: m.Asks}
 }
 
+// mostPeers bounds the entries that are remembered: ten times as many as a deployment has.
+const mostPeers = 4096
+
+// forgetPeers forgets the entries that are not heard; they are asked again once they are. It needs
+// the lock.
+func (s *Set) forgetPeers() {
+	heard := map[string]bool{}
+	for _, e := range s.others.Heard() {
+		heard[e.Name] = true
+	}
+	maps.DeleteFunc(s.peers, func(name string, _ *peer) bool { return !heard[name] })
+}
+
 // heedful returns the names of the entries that are heard, that do not stop, and that heed
 // limits. It needs the lock.
 func (s *Set) heedful() []string {
--- a/internal/limits/trouble_test.go
+++ b/internal/limits/trouble_test.go
@@ -139,7 +139,7 @@
 				r.stop()
 			})
 		}
-		t.Logf("%3d entries, %d seeds: %.2f of the limit used, at worst %.2f of what is allowed reached in all, also from those excused", tc.entries, tc.seeds, sum/float64(tc.seeds**playsFlag), worst)
+		t.Logf("%3d entries, %d plays: %.2f of the limit used, at worst %.2f of what is allowed reached in all, also from those excused", tc.entries, tc.seeds**playsFlag, sum/float64(tc.seeds**playsFlag), worst)
 	}
 }
 
