--- a/internal/limits/grant_test.go
+++ b/internal/limits/grant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -215,6 +216,7 @@
 		{"named", wireWord{Start: "u", Rate: 1, NamedAgeUS: 1000, OverAgeUS: ageNever}, now, time.Millisecond, -1},
 		{"over", wireWord{Start: "u", Rate: 1, NamedAgeUS: 3000, OverAgeUS: 1000}, now.Add(-time.Second), 3 * time.Millisecond, 1001 * time.Millisecond},
 		{"over, it is not known how long ago", wireWord{Start: "u", Rate: 1, NamedAgeUS: ageNever, OverAgeUS: 1000}, time.Time{}, -1, -1},
+		{"of any age", wireWord{Start: "u", Rate: 1e300, NamedAgeUS: math.MaxInt64, OverAgeUS: math.MaxInt64}, now, mostAge, mostAge},
 		{"negative", wireWord{Start: "u", Rate: -1, NamedAgeUS: 1000}, now, -1, -1},
 		{"no name", wireWord{Rate: 1, NamedAgeUS: 1000}, now, -1, -1},
 	} {
@@ -273,3 +275,14 @@
 		t.Errorf("%d entries are remembered, want at most %d with the one that is heard", len(s.peers), mostPeers)
 	}
 }
+
+func TestHowLongAnswersMakeWait(t *testing.T) {
+	for _, tc := range []struct {
+		us   int64
+		want time.Duration
+	}{{1500, 1500 * time.Microsecond}, {0, 0}, {-1, 0}, {math.MinInt64, 0}, {math.MaxInt64, mostWait}} {
+		if got := (Answer{WaitUS: tc.us}).wait(); got != tc.want {
+			t.Errorf("%d us make wait %s, want %s", tc.us, got, tc.want)
+		}
+	}
+}
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -31,6 +31,25 @@
 // ageNever is the age of what never was.
 const ageNever = -1
 
+// What another entry says is taken within bounds, so that one with a fault costs little: words of
+// any age count as an hour old at most, limits as mostRate requests a second, and a permit is asked
+// for again after mostWait, which is longer than a granter makes anybody wait.
+const (
+	mostAge  = time.Hour
+	mostRate = 1_000_000
+	mostWait = 10 * time.Second
+)
+
+// ago returns the time of an age in microseconds before another time.
+func ago(from time.Time, ageUS int64) time.Time {
+	return from.Add(-time.Duration(min(ageUS, mostAge.Microseconds())) * time.Microsecond)
+}
+
+// wait returns how long an answer makes the asker wait.
+func (a Answer) wait() time.Duration {
+	return time.Duration(min(max(a.WaitUS, 0), mostWait.Microseconds())) * time.Microsecond
+}
+
 // Question asks for a permit to send one request to a start of an upstream. The word is what
 // the asker believes, so that the granter knows at least as much.
 type Question struct {
@@ -64,15 +83,15 @@
 // for any. That it was over is dated back to that time: it may have lain in a buffer, and the
 // upstream may have named a limit since. A word that cannot be is empty.
 func (w wireWord) decode(sent, now time.Time) Word {
-	out := Word{Start: w.Start, Rate: w.Rate}
+	out := Word{Start: w.Start, Rate: min(w.Rate, mostRate)}
 	if w.Start == "" || math.IsNaN(w.Rate) || math.IsInf(w.Rate, 0) || w.Rate < 0 {
 		return Word{}
 	}
 	if w.NamedAgeUS >= 0 {
-		out.Named = now.Add(-time.Duration(w.NamedAgeUS) * time.Microsecond)
+		out.Named = ago(now, w.NamedAgeUS)
 	}
 	if w.OverAgeUS >= 0 && !sent.IsZero() {
-		out.Over = sent.Add(-time.Duration(w.OverAgeUS) * time.Microsecond)
+		out.Over = ago(sent, w.OverAgeUS)
 	}
 	return out
 }
--- a/internal/limits/permit.go
+++ b/internal/limits/permit.go
@@ -179,7 +179,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.inForceOf(start); l != nil {
-		s.close(start, l, time.Duration(a.WaitUS)*time.Microsecond)
+		s.close(start, l, a.wait())
 	}
 	return ErrReached
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -248,7 +248,7 @@
 mutant limits-closed $limits/permit.go 's/if now\.Before\(l\.closedUntil\) \{/if now.IsZero() {/' $limits TestNoAnswer
 mutant limits-late-head $limits/limits.go 's/s\.over\(start, asked, ownAnswer\)/s.over(start, s.now(), ownAnswer)/' $limits TestLimitInForce
 mutant limits-most $limits/limits.go 's/full := len\(s\.limits\) >= mostLimits/full := false/' $limits TestLimitsAreBounded
-mutant limits-old-word $limits/message.go 's/out\.Over = sent\.Add/out.Over = now.Add/' $limits TestWords
+mutant limits-old-word $limits/message.go 's/out\.Over = ago\(sent/out.Over = ago(now/' $limits TestWords
 mutant limits-settled $limits/peers.go 's/ \|\| !p\.knows \|\| p\.asks//' $limits TestEntryThatStartsAnewAgreesWhoGrants
 mutant limits-asks $limits/peers.go 's/ \|\| p\.asks//' internal/gossip TestWhoIsToldOfLimits
 mutant limits-earlier-life $limits/peers.go 's/return known && p\.life == e\.Life/return known && p.life != ""/' $limits TestWhoMayGrant
