--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -63,7 +63,9 @@
 // found takes over the list of entries.
 func (b *gatewayBuilder) found(addresses map[string]string) {
 	b.gossip.Know(addresses)
-	b.gateway.Registered(len(addresses))
+	if _, own := addresses[b.settings.Name]; own {
+		b.gateway.Registered(len(addresses))
+	}
 }
 
 // heldRequests is what the own row in the list of entries holds of requests that end
--- a/internal/directory/again_test.go
+++ b/internal/directory/again_test.go
@@ -33,6 +33,9 @@
 		if a["other"] == "" {
 			t.Errorf("found %v, want the other entry", a)
 		}
+		if a = <-found; a["me"] == "" {
+			t.Errorf("found %v, want this entry listed as well", a)
+		}
 	case <-time.After(5 * time.Second):
 		t.Error("the list is not read again")
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,7 +41,7 @@
 }
 
 const (
-	// firstLeast and firstMost bound the mean time between reads until one has succeeded.
+	// firstLeast and firstMost bound the mean time between tries until the entry is listed.
 	firstLeast = 100 * time.Millisecond
 	firstMost  = 2 * time.Second
 	// renewEach is the number of reads between two renewals.
@@ -86,40 +86,66 @@
 
 // Run renews and reads until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	owed, first := false, firstLeast
-	for n := 0; ctx.Err() == nil; n++ {
+	d.begin(ctx)
+	owed := false
+	for n := 1; ctx.Err() == nil; n++ {
+		every := d.every()
+		if owed {
+			every = min(every, d.settings.Again)
+		}
+		select {
+		case <-ctx.Done():
+			continue
+		case <-d.soon:
+			owed = true
+		case <-time.After(around(every)):
+		}
 		listed := d.read(ctx)
 		d.note(listed)
-		if (owed || n%renewEach == 0) && !d.clockAt.IsZero() {
+		if owed || n%renewEach == 0 {
 			err := d.renew(ctx)
 			d.note(err)
 			owed = err != nil
 		}
-		if n == 0 {
-			// Entries that start together all read before any has written. Of two that
-			// write and then read, one sees the other, and tells it. Until they know
-			// each other each follows the store by itself: 1,070 calls in 6 s of 23
-			// entries while 46 upstreams appeared.
-			d.note(d.read(ctx))
-		}
-		every := d.every()
-		if owed && listed == nil {
-			every = min(every, d.settings.Again)
-		}
-		if d.clockAt.IsZero() {
-			// An entry that knows of no other judges alone, and takes what all share.
-			every = min(every, first)
-			first = min(2*first, firstMost)
+	}
+	d.leave()
+}
+
+// begin lists the own entry and reads the list, again soon until both have succeeded: an entry that
+// knows of no other judges alone, and takes what all share.
+//
+// Entries that start together all read before any has written. Of two that write and then read, one
+// sees the other, and tells it. Until they know each other each follows the store by itself: 1,070
+// calls in 6 s of 23 entries while 46 upstreams appeared.
+func (d *Directory) begin(ctx context.Context) {
+	for again := firstLeast; ctx.Err() == nil; again = min(2*again, firstMost) {
+		err := d.enlist(ctx)
+		d.note(err)
+		if err == nil {
+			return
 		}
-		pause := every/2 + time.Duration(rand.Int64N(int64(every)))
 		select {
 		case <-ctx.Done():
-		case <-d.soon:
-			owed = true
-		case <-time.After(pause):
+		case <-time.After(around(again)):
 		}
 	}
-	d.leave()
+}
+
+// enlist reads the list, which tells the store's clock, writes the own row and reads again.
+func (d *Directory) enlist(ctx context.Context) error {
+	if err := d.read(ctx); err != nil {
+		return err
+	}
+	if err := d.renew(ctx); err != nil {
+		return err
+	}
+	return d.read(ctx)
+}
+
+// around returns a time from half of a mean to one and a half times it, so that entries that start
+// together do not go on calling together.
+func around(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(rand.Int64N(int64(mean)))
 }
 
 // every is the time between two reads. Entries that are up tell each other of new
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -233,7 +233,8 @@
 mutant fault-row internal/daemon/upstreamrows.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t*r, err = u\.decode\(row\.Name, row\.Value\)\n\t*return err\n\t*\}\)/r, err := u.decode(row.Name, row.Value)/; s/\t\tvar r fleet\.Record\n//; s/.*internal\/guard"\n//' internal/daemon TestRowThatEndsNoReader
 mutant fault-generation internal/sidecar/server.go 's/err := guard\.Do\(func\(\) error \{\n\t\ts\.runner\.stream\(ctx, g, p\)\n\t\treturn nil\n\t\}\)/err := ctx.Err()\n\ts.runner.stream(ctx, g, p)/; s/.*internal\/guard"\n//' internal/sidecar TestGenerationThatEndsNoSidecar
 
-mutant first-reads internal/directory/directory.go 's/if d\.clockAt\.IsZero\(\) \{\n\t\t\t\/\/ An/if false {\n\t\t\t\/\/ An/' internal/directory TestFirstReadsThatFail
+mutant first-reads internal/directory/directory.go 's/firstMost  = 2 \* time\.Second/firstMost  = time.Hour/; s/firstLeast = 100 \* time\.Millisecond/firstLeast = time.Hour/' internal/directory TestFirstReadsThatFail
+mutant first-row internal/directory/directory.go 's/\tif err := d\.renew\(ctx\); err != nil \{\n\t\treturn err\n\t\}\n\treturn d\.read\(ctx\)/\treturn nil/' internal/directory TestFirstReadsThatFail
 
 # What upstreams in need take.
 limits=internal/limits
