--- a/internal/gateway/lateanswer_test.go
+++ b/internal/gateway/lateanswer_test.go
@@ -8,19 +8,9 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/standin"
 )
 
-// heldBack is a connection that is not read while its process does not get to run.
-type heldBack struct {
-	*net.TCPConn
-	until time.Time
-}
-
-func (h *heldBack) Read(b []byte) (int, error) {
-	time.Sleep(time.Until(h.until))
-	return h.TCPConn.Read(b)
-}
-
 // A call's answer had come before its time limit, and the entry did not get to read it until the
 // limit was over: the caller got a 504, though the answer was there. It is delivered, late.
 func TestAnswerThatCameBeforeTheTimeLimit(t *testing.T) {
@@ -41,7 +31,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &heldBack{c.(*net.TCPConn), time.Now().Add(stall)}, nil
+				return standin.NewHeldBack(c, time.Now().Add(stall)), nil
 			}, time.Now)
 			f.add("app", "app-1", tc.serve)
 			start := time.Now()
--- a/internal/sidecar/lateanswer_test.go
+++ b/internal/sidecar/lateanswer_test.go
@@ -8,18 +8,9 @@
 	"net/http/httptest"
 	"testing"
 	"time"
-)
-
-// heldBack is a connection that is not read while its process does not get to run.
-type heldBack struct {
-	net.Conn
-	until time.Time
-}
 
-func (h *heldBack) Read(b []byte) (int, error) {
-	time.Sleep(time.Until(h.until))
-	return h.Conn.Read(b)
-}
+	"github.com/sparshore/sparshore/internal/standin"
+)
 
 // A service had answered before the time limit of its call, and the sidecar did not get to run
 // until the limit was over: the call was given up as unknown, though its answer was there.
@@ -44,7 +35,10 @@
 			defer s.Close()
 			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-				return &heldBack{c, time.Now().Add(stall)}, err
+				if err != nil {
+					return nil, err
+				}
+				return standin.NewHeldBack(c, time.Now().Add(stall)), nil
 			}
 			l := &serviceLink{base: s.URL, client: &http.Client{Transport: &http.Transport{DialContext: dial}}, fence: func() int64 { return 1 }, heard: hearsNothing}
 			ctx, cancel := context.WithTimeout(t.Context(), limit)
