--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,7 @@
 	// entries.
 	began  time.Time
 	listed atomic.Bool
-	// limits knows how much upstreams in need take.
+	// limits knows how much limited upstreams take.
 	limits *limits.Set
 
 	mu sync.Mutex
@@ -110,7 +110,7 @@
 	// Told is the time within which all know what they were urged to hear, and the
 	// silence after which one must not be counted on.
 	Told func() (told, silence time.Duration)
-	// Limits is how they share what upstreams in need take.
+	// Limits is how they share what limited upstreams take.
 	Limits limits.Others
 }
 
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -18,11 +18,11 @@
 const (
 	// limitWindow is the window in which requests at an upstream count.
 	limitWindow = 2 * time.Second
-	// limitTold is the time from its first word on in which an entry has to heed a limit.
+	// limitTold is the time from its first word on in which an entry has to know of a limit.
 	limitTold = 500 * time.Millisecond
 )
 
-// limitedUpstream is an upstream in need.
+// limitedUpstream says that it takes only so many requests a second.
 type limitedUpstream struct {
 	mu      sync.Mutex
 	rate    float64
@@ -88,7 +88,7 @@
 	return counts
 }
 
-// An upstream in need named how many requests a second it takes from all entries together, and
+// A limited upstream named how many requests a second it takes from all entries together, and
 // went on getting as many as before. Of the two that did so at 8 s, one that named 2.7 had got 5,
 // 6, 11 and 4 requests in the seconds before and got 3, 7, 12 and 12 in those after; each of the
 // four entries went on choosing it, first and for retries, and the log line of no choice knew of a
@@ -228,7 +228,7 @@
 }
 
 // A hedge is sent besides, and a retry beside it must not keep the answer of the first waiting:
-// neither goes to an upstream in need.
+// neither goes to a limited upstream.
 func TestHedgesPassOverLimits(t *testing.T) {
 	f := newFixture(t)
 	f.gateway.limits.Named("a", 1000)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// heardNeed takes over the limit that an answer names which is not to a caller's request. Where
+// heardLimitAside takes over the limit that an answer names which is not to a caller's request. Where
 // it names none it says nothing.
-func (g *Gateway) heardNeed(at fleet.Upstream, header http.Header) {
+func (g *Gateway) heardLimitAside(at fleet.Upstream, header http.Header) {
 	limit, err := g.proto.Limit(header)
 	switch {
 	case err != nil:
@@ -47,7 +47,7 @@
 	}
 }
 
-// Limits returns what this entry knows of upstreams in need.
+// Limits returns what this entry knows of limited upstreams.
 func (g *Gateway) Limits() *limits.Set { return g.limits }
 
 // SweepLimits forgets the limits of upstreams that are gone.
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -27,7 +27,7 @@
 type chooser func(exclude map[string]bool) (fleet.Upstream, error)
 
 // permitted returns the upstream that choose returns, with a permit to send one request to it.
-// Upstreams in need that get as much as they take are passed over: they are no failing ones, and
+// Limited upstreams that get as much as they take are passed over: they are no failing ones, and
 // are not to learn of what they refuse. If no other can take the request it waits until a time;
 // a zero time is for a request that cannot wait. The error is that of choose, or errLimited.
 func (g *Gateway) permitted(ctx context.Context, service string, exclude map[string]bool, until time.Time, choose chooser) (fleet.Upstream, error) {
@@ -112,7 +112,7 @@
 	return false
 }
 
-// opensAt is when the first upstream in need of a service that is not excluded takes a request
+// opensAt is when the first limited upstream of a service that is not excluded takes a request
 // again.
 func (g *Gateway) opensAt(service string, exclude map[string]bool) time.Time {
 	var first time.Time
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -116,7 +116,7 @@
 	known bool
 }
 
-// New returns a Node. collect gives the own state; heard gets each peer's. What upstreams in need
+// New returns a Node. collect gives the own state; heard gets each peer's. What limited upstreams
 // take is told and heard by set.
 func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), set *limits.Set, rec *events.Recorder, now func() time.Time) *Node {
 	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, limits: set, rec: rec, now: now, start: now(), nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), peers: map[string]*peer{}}
--- a/internal/gossip/limits.go
+++ b/internal/gossip/limits.go
@@ -11,7 +11,7 @@
 	"github.com/sparshore/sparshore/internal/limits"
 )
 
-// limitsBody is what an entry tells of upstreams in need. It goes in datagrams of its own, so
+// limitsBody is what an entry tells of limited upstreams. It goes in datagrams of its own, so
 // that states do not grow and entries of the release before understand them.
 type limitsBody struct {
 	_       struct{} `cbor:",toarray"`
@@ -19,7 +19,7 @@
 	Message limits.Message
 }
 
-// Send sends a message about upstreams in need to a peer. Like any datagram it may be lost.
+// Send sends a message about limited upstreams to a peer. Like any datagram it may be lost.
 func (n *Node) Send(to string, m limits.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -28,7 +28,7 @@
 	}
 }
 
-// writeLimits writes a message about upstreams in need to a peer. It needs the lock.
+// writeLimits writes a message about limited upstreams to a peer. It needs the lock.
 func (n *Node) writeLimits(p *peer, m limits.Message, now time.Time) {
 	body, err := cbor.Marshal(limitsBody{From: n.settings.Name, Message: m})
 	if err != nil {
@@ -67,7 +67,7 @@
 	return out
 }
 
-// takeLimits takes over what a peer tells of upstreams in need.
+// takeLimits takes over what a peer tells of limited upstreams.
 func (n *Node) takeLimits(d datagram) error {
 	var b limitsBody
 	if err := cbor.Unmarshal(d.Body, &b); err != nil {
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -33,7 +33,7 @@
 }
 
 // Nothing is told of limits while there is none. All are told of news, and later only those with
-// which it is not settled that both heed limits, as with entries that start anew, also if what
+// which it is not settled that both are aware of limits, as with entries that start anew, also if what
 // they say is lost.
 func TestWhoIsToldOfLimits(t *testing.T) {
 	c := &clock{at: time.Now()}
@@ -123,7 +123,7 @@
 	}
 }
 
-// TestLimitsMessageSize bounds what entries send each other about upstreams in need: for each
+// TestLimitsMessageSize bounds what entries send each other about limited upstreams: for each
 // permit a question and an answer.
 func TestLimitsMessageSize(t *testing.T) {
 	const most = 150
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,7 +23,7 @@
 	formatSuspects = 4
 	// formatBefore is that of the release before, which does not tell how requests ran.
 	formatBefore = 3
-	// formatLimits is that of what is told of upstreams in need.
+	// formatLimits is that of what is told of limited upstreams.
 	formatLimits = 5
 )
 
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -108,7 +108,7 @@
 // here. It needs the lock.
 func (s *Set) granterOf(start string, l *limit) string {
 	granter, highest := s.name, order(start, s.name)
-	for i, name := range s.heedful() {
+	for i, name := range s.aware() {
 		h := order(start, name)
 		if s.leaves && i == 0 || h > highest || h == highest && name > granter {
 			granter, highest = name, h
--- a/internal/limits/grant_test.go
+++ b/internal/limits/grant_test.go
@@ -18,7 +18,7 @@
 	messages []Message
 }
 
-// newAmong returns the Set of an entry that hears others, all heedful, on a clock.
+// newAmong returns the Set of an entry that hears others, all aware of limits, on a clock.
 func newAmong(c *clock, name string, p *post, others ...string) *Set {
 	var heard []Entry
 	for _, other := range others {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -1,4 +1,4 @@
-// Package limits holds what upstreams in need say that they take, so many requests a second
+// Package limits holds what limited upstreams say that they take, so many requests a second
 // from all entries together, and shares it among the entries: each asks for a permit before it
 // sends a request to such an upstream.
 //
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -9,7 +9,7 @@
 type Message struct {
 	_ struct{} `cbor:",toarray"`
 	// Life tells the starts of the sender apart, and Knows is the life of the receiver in
-	// which it is known to heed limits; empty for none.
+	// which it is known to be aware of limits; empty for none.
 	Life  string
 	Knows string
 	// Asks tells that the sender has not heard that the receiver knows the same of it.
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -13,10 +13,10 @@
 
 // peer is what another entry told of itself in the messages about limits.
 type peer struct {
-	// life is the life in which it told of limits: it heeds them. An entry of an earlier
+	// life is the life in which it told of limits: it is aware of them. An entry of an earlier
 	// release tells nothing.
 	life string
-	// knows tells that it knows that this life of this entry heeds limits.
+	// knows tells that it knows that this life of this entry is aware of limits.
 	knows bool
 	// asks tells that it has not heard from this entry that this one knows it.
 	asks bool
@@ -46,20 +46,20 @@
 	maps.DeleteFunc(s.peers, func(name string, _ *peer) bool { return !heard[name] })
 }
 
-// heedful returns the names of the entries that are heard, that do not stop, and that heed
+// aware returns the names of the entries that are heard, that do not stop, and that are aware of
 // limits. It needs the lock.
-func (s *Set) heedful() []string {
+func (s *Set) aware() []string {
 	var out []string
 	for _, e := range s.others.Heard() {
-		if !e.Stops && s.heeds(e) {
+		if !e.Stops && s.isAware(e) {
 			out = append(out, e.Name)
 		}
 	}
 	return out
 }
 
-// heeds reports whether an entry is known to heed limits. It needs the lock.
-func (s *Set) heeds(e Entry) bool {
+// isAware reports whether an entry is known to be aware of limits. It needs the lock.
+func (s *Set) isAware(e Entry) bool {
 	p, known := s.peers[e.Name]
 	return known && p.life == e.Life
 }
@@ -77,8 +77,8 @@
 
 // Round returns what other entries are to be told in a round of regular messages, by name. All are
 // told of news. Later only those are that this entry and they do not know of each other that they
-// heed limits: all have to know the same ones to agree on who grants permits. It is empty while no
-// limit is in force and none was lately.
+// are aware of limits: all have to know the same ones to agree on who grants permits. It is empty
+// while no limit is in force and none was lately.
 func (s *Set) Round(others []Entry) map[string]Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/limits/trouble_test.go
+++ b/internal/limits/trouble_test.go
@@ -146,7 +146,7 @@
 // An entry that started anew while a limit was in force granted permits to itself beside the one
 // that grants them to all: 30 requests in a quarter of a second where all together may send 25, for
 // as long as it lasted. The others told it of the limit until it told of limits itself, which it
-// did to all at once at the first word; so it never heard from most of them that they heed limits,
+// did to all at once at the first word; so it never heard from most of them that they are aware of limits,
 // and took itself for the highest of few.
 func TestEntryThatStartsAnewAgreesWhoGrants(t *testing.T) {
 	for seed := range uint64(10) {
--- a/internal/sidecar/limit.go
+++ b/internal/sidecar/limit.go
@@ -16,7 +16,7 @@
 // permitWithin bounds the wait of a call that no other upstream may run for a permit.
 const permitWithin = 500 * time.Millisecond
 
-// takes heeds how many requests a second the upstream beside a sidecar says that it takes. The
+// takes keeps to how many requests a second the upstream beside a sidecar says that it takes. The
 // sidecar is the only door to it, so it shares that with nobody; entries learn when to come back.
 type takes struct {
 	// header is the header by which the upstream says so; empty if none does.
--- a/internal/sidecar/limit_test.go
+++ b/internal/sidecar/limit_test.go
@@ -21,7 +21,7 @@
 // testLimitHeader is how the upstreams of these tests say what they take.
 const testLimitHeader = "Takes"
 
-// limitedService is a plain service in need behind a sidecar.
+// limitedService is a limited plain service behind a sidecar.
 type limitedService struct {
 	server *Server
 	runs   atomic.Int64
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -236,7 +236,7 @@
 mutant first-reads internal/directory/directory.go 's/firstMost  = 2 \* time\.Second/firstMost  = time.Hour/; s/firstLeast = 100 \* time\.Millisecond/firstLeast = time.Hour/' internal/directory TestFirstReadsThatFail
 mutant first-row internal/directory/directory.go 's/\tif err := d\.renew\(ctx\); err != nil \{\n\t\treturn err\n\t\}\n\treturn d\.read\(ctx\)/\treturn nil/' internal/directory TestFirstReadsThatFail
 
-# What upstreams in need take.
+# What limited upstreams take.
 limits=internal/limits
 mutant limits-part $limits/grant.go 's/if 2\*heard > s\.listed \{/if true {/' $limits TestBothSidesOfACut
 mutant limits-begin $limits/grant.go 's/l\.grantsFrom = s\.now\(\)\.Add\(s\.others\.Told\(\)\)/l.grantsFrom = s.now()/' $limits TestGrantingBegins
