--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -239,7 +239,7 @@
 		n.rec.Note(events.GossipRejected, "", "peer", n.settings.Name, "error", err)
 		return
 	}
-	told := n.limits.Round(n.entries())
+	told := n.limits.Round(n.entries)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, p := range n.peers {
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -78,8 +78,8 @@
 // Round returns what other entries are to be told in a round of regular messages, by name. All are
 // told of news. Later only those are that this entry and they do not know of each other that they
 // are aware of limits: all have to know the same ones to agree on who grants permits. It is empty
-// while no limit is in force and none was lately.
-func (s *Set) Round(others []Entry) map[string]Message {
+// while no limit is in force and none was lately; others is not asked then.
+func (s *Set) Round(others func() []Entry) map[string]Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.now().Before(s.newsUntil)
@@ -88,7 +88,7 @@
 	}
 	out := map[string]Message{}
 	words := s.words()
-	for _, e := range others {
+	for _, e := range others() {
 		p, known := s.peers[e.Name]
 		if known && p.life != e.Life {
 			delete(s.peers, e.Name)
--- a/internal/limits/rig_test.go
+++ b/internal/limits/rig_test.go
@@ -262,22 +262,29 @@
 // entry is what others know of it. It needs the lock.
 func (e *rigEntry) entry() Entry { return Entry{Name: e.name, Life: strconv.Itoa(e.life)} }
 
+// others returns all other entries.
+func (e *rigEntry) others() []Entry {
+	e.rig.mu.Lock()
+	defer e.rig.mu.Unlock()
+	var out []Entry
+	for _, o := range e.rig.entries {
+		if o != e {
+			out = append(out, o.entry())
+		}
+	}
+	return out
+}
+
 // tellAll sends what there is to tell to those who are to hear it.
 func (e *rigEntry) tellAll(life int) {
 	r := e.rig
 	r.mu.Lock()
 	set, runs := e.set, e.runs(life)
-	var others []Entry
-	for _, o := range r.entries {
-		if o != e {
-			others = append(others, o.entry())
-		}
-	}
 	r.mu.Unlock()
 	if !runs {
 		return
 	}
-	messages, now := set.Round(others), time.Now()
+	messages, now := set.Round(e.others), time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range r.entries {
