--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -76,7 +76,7 @@
 		return protocol.EngineState{}, err
 	}
 	defer a.Close()
-	g.heardLimitAside(u, a.Header)
+	g.heardLimitNamed("", u, a.Header)
 	body, err := io.ReadAll(io.LimitReader(a, maxOrderAnswer))
 	if err != nil {
 		return protocol.EngineState{}, fmt.Errorf("read report: %w", err)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -24,26 +24,24 @@
 	if h.header.Get(g.proto.IDHeader) != rq.call.ID {
 		return
 	}
-	limit, err := g.proto.Limit(h.header)
-	switch {
-	case err != nil:
-		g.rec.Note(events.LimitRejected, rq.call.ID, "upstream", at.ID, "error", err)
-	case limit.Named:
-		g.limits.Named(at.ID, limit.Rate)
-	case h.whole:
+	if !g.heardLimitNamed(rq.call.ID, at, h.header) && h.whole {
 		g.limits.Unnamed(at.ID, h.sent)
 	}
 }
 
-// heardLimitAside takes over the limit that an answer names which is not to a caller's request. Where
-// it names none it says nothing.
-func (g *Gateway) heardLimitAside(at fleet.Upstream, header http.Header) {
+// heardLimitNamed takes over the limit that an answer names, to a request of a caller or, with an
+// empty call, to a question or order of this entry. It returns false if the answer names none.
+func (g *Gateway) heardLimitNamed(call string, at fleet.Upstream, header http.Header) bool {
 	limit, err := g.proto.Limit(header)
 	switch {
 	case err != nil:
-		g.rec.Note(events.LimitRejected, "", "upstream", at.ID, "error", err)
+		g.rec.Note(events.LimitRejected, call, "upstream", at.ID, "error", err)
+		return true
 	case limit.Named:
 		g.limits.Named(at.ID, limit.Rate)
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -333,7 +333,7 @@
 		return protocol.CopyResult{}, err
 	}
 	defer a.Close()
-	g.heardLimitAside(at, a.Header)
+	g.heardLimitNamed("", at, a.Header)
 	body, err := io.ReadAll(io.LimitReader(a, maxOrderAnswer))
 	if err != nil {
 		return protocol.CopyResult{}, err
