--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -105,6 +106,17 @@
 	directoryAgain = 2 * time.Second
 	// directoryCall bounds one call for the list of entries.
 	directoryCall = 1500 * time.Millisecond
+	// directoryHeard is the time in which an entry that starts hears one of those that are
+	// listed: some round trips, a busy processor and a lost message.
+	directoryHeard = time.Second
+	// directoryAlone bounds the pause after which an entry that found no other one looks again:
+	// many calls to the store, so that of hundreds that start together few do.
+	directoryAlone = 300 * time.Millisecond
+	// directoryTold is some round trips, and a busy processor.
+	directoryTold = 150 * time.Millisecond
+	// listedWithin is for how long a start waits for the list of entries before it reads the
+	// tables from the store: some calls, also while the store is slow.
+	listedWithin = time.Second
 	// sweepEvery is the pause between looks at lapsed upstreams and idle connections.
 	sweepEvery = 250 * time.Millisecond
 	// dialWithin bounds a new connection to an upstream: some round trips between zones.
@@ -183,12 +195,15 @@
 	// verdicts is the number of requests held for what this entry saw, as of the latest
 	// renewal of its row.
 	verdicts int
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// listed is closed by listedOnce when the list of entries was first read.
+	listed     chan struct{}
+	listedOnce sync.Once
+	ctx        context.Context
+	cancel     context.CancelFunc
 }
 
 func newGatewayBuilder(s GatewaySettings, logs io.Writer) *gatewayBuilder {
-	b := &gatewayBuilder{settings: s, reg: prometheus.NewRegistry(), watch: newRunWatch(time.Now), lag: newRunLag(time.Now)}
+	b := &gatewayBuilder{settings: s, reg: prometheus.NewRegistry(), watch: newRunWatch(time.Now), lag: newRunLag(time.Now), listed: make(chan struct{})}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.lines = logline.New(logline.Settings{Lines: s.LogLines, Queue: logQueue}, logs, time.Now)
 	b.life = newIncarnation()
@@ -198,9 +213,9 @@
 	b.store = belief.Anchored(platform.NewStore(s.Store, storeClient()), time.Now)
 	b.log = relay.NewLog(time.Now)
 	b.source = relay.New(relay.Settings{
-		Name: s.Name, Zone: s.Zone, Delegates: delegates,
+		Name: s.Name, Zone: s.Zone, Size: s.size(), Delegates: delegates, ListedWithin: listedWithin,
 		Wait: relayWait, Slack: relaySlack, Stale: relayStale, AvoidFor: relayAvoid, AvoidStaleFor: relayAvoidStale, CallEach: relayCallEach, RetryAfter: relayRetry,
-	}, b.store, b.log, b.relayPeers, b.rec, time.Now)
+	}, b.store, b.log, b.relayPeers, b.listed, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
 	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, newBadRows(events.UpstreamRejected, platform.Reason, b.reg, b.rec, time.Now))
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -15,6 +15,7 @@
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/relay"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 func (b *gatewayBuilder) gossipService() kernel.Service {
@@ -26,16 +27,17 @@
 				return nil, fmt.Errorf("--gossip-listen: %w", err)
 			}
 			b.gossip = gossip.New(gossip.Settings{
-				Name: b.settings.Name, Zone: b.settings.Zone, Life: b.life,
+				Name: b.settings.Name, Zone: b.settings.Zone, Entry: b.listedAs(), Life: b.life,
 				Every: gossipEvery, Least: gossipLeast, Urgent: gossipUrgent, Rate: gossipRate, Forget: gossipForget,
 			}, conn, b.ownState, b.peerState, b.gateway.Limits(), b.rec, time.Now)
 			return b.gossip, nil
 		},
 		Start: func(context.Context, *kernel.Registry) error {
 			b.directory = directory.New(directory.Settings{
-				Table: tableEntries, Name: b.settings.Name, Address: b.settings.GossipListen,
-				Every: directoryEvery, ReadEach: directoryReadEach, Again: directoryAgain, CallWithin: directoryCall,
-			}, b.store, b.found, directory.Carried{Value: b.heldRequests, Heard: b.heardHeld}, b.rec, time.Now)
+				Table: tableEntries, Name: b.settings.Name, Entry: b.listedAs(),
+				Every: directoryEvery, ReadEach: directoryReadEach, Again: directoryAgain, CallWithin: directoryCall, HeardWithin: directoryHeard,
+				AloneWithin: directoryAlone, ToldWithin: directoryTold,
+			}, b.store, directory.Others{Found: b.found, Heard: b.hearsOthers, Known: b.othersKnown}, directory.Carried{Value: b.heldRequests, Heard: b.heardHeld}, b.rec, time.Now)
 			go b.gossip.Run(b.ctx)
 			go b.directory.Run(b.ctx)
 			return nil
@@ -43,12 +45,27 @@
 	}
 }
 
-// relayPeers returns the entries that can be asked for tables.
+// listedAs is how this entry lists itself.
+func (b *gatewayBuilder) listedAs() roster.Entry {
+	s := b.settings
+	return roster.Entry{Address: s.GossipListen, Relay: s.RelayListen, Zone: s.Zone, Size: s.size()}
+}
+
+// hearsOthers reports whether another entry is heard.
+func (b *gatewayBuilder) hearsOthers() bool { return len(b.gossip.Heard()) > 0 }
+
+// relayPeers returns the entries that can be asked for tables. One that is listed may be asked
+// before it is heard, so that an entry that starts need not read the tables from the store.
 func (b *gatewayBuilder) relayPeers() []relay.Peer {
 	var out []relay.Peer
 	for name, p := range b.gossip.Peers() {
 		if p.State.Relay != "" {
-			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Address: p.State.Relay, Confirmed: p.State.Confirmed, StoreLost: p.State.StoreLost})
+			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Size: p.Size, Address: p.State.Relay, Confirmed: p.State.Confirmed, StoreLost: p.State.StoreLost})
+		}
+	}
+	for name, e := range b.gossip.Expected() {
+		if e.Relay != "" {
+			out = append(out, relay.Peer{Name: name, Zone: e.Zone, Size: e.Size, Address: e.Relay})
 		}
 	}
 	return out
@@ -61,13 +78,16 @@
 }
 
 // found takes over the list of entries.
-func (b *gatewayBuilder) found(addresses map[string]string) {
-	b.gossip.Know(addresses)
-	if _, own := addresses[b.settings.Name]; own {
-		b.gateway.Registered(len(addresses))
+func (b *gatewayBuilder) found(listed map[string]roster.Entry) {
+	b.gossip.Know(listed)
+	if _, own := listed[b.settings.Name]; own {
+		b.gateway.Registered(len(listed))
 	}
 }
 
+// othersKnown lets the tables be read: it is known whom to ask.
+func (b *gatewayBuilder) othersKnown() { b.listedOnce.Do(func() { close(b.listed) }) }
+
 // heldRequests is what the own row in the list of entries holds of requests that end
 // upstreams.
 func (b *gatewayBuilder) heldRequests() []byte {
--- a/internal/daemon/gatewaysettings.go
+++ b/internal/daemon/gatewaysettings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // GatewaySettings are the settings of an entry that serves a route table kept in
@@ -22,6 +24,9 @@
 	RetryExtra    float64       `arg:"--retry-extra,env:SPARSHORE_RETRY_EXTRA" default:"20" help:"attempts beyond the first allowed besides, in each window, for all entries together"`
 	RetryWindow   time.Duration `arg:"--retry-window,env:SPARSHORE_RETRY_WINDOW" default:"10s" help:"window in which attempts are counted"`
 	StopWithin    time.Duration `arg:"--stop-within,env:SPARSHORE_STOP_WITHIN" default:"8s" help:"time until a process that was told to stop is killed"`
+	CoreShare     float64       `arg:"--core-share,env:SPARSHORE_CORE_SHARE" default:"1" help:"part of a core that this process has; entries with most processor and bandwidth work for the others"`
+	Cores         int           `arg:"--cores,env:SPARSHORE_CORES" default:"1" help:"number of cores of which it has that part"`
+	LinkMbps      float64       `arg:"--link-mbps,env:SPARSHORE_LINK_MBPS" default:"1000" help:"bandwidth of the VM in Mbit/s"`
 	LogLines      int           `arg:"--log-lines,env:SPARSHORE_LOG_LINES" default:"300" help:"most log lines a second"`
 	TimelineSize  int           `arg:"--timeline-size,env:SPARSHORE_TIMELINE_SIZE" default:"512" help:"number of events kept for the time line"`
 }
@@ -54,12 +59,24 @@
 		f.addf("--retry-extra", "%v must not be negative", s.RetryExtra)
 	}
 	f.positive("--retry-window", s.RetryWindow)
+	if s.CoreShare <= 0 {
+		f.addf("--core-share", "%v must be positive", s.CoreShare)
+	}
+	f.atLeast("--cores", s.Cores, 1)
+	if s.LinkMbps <= 0 {
+		f.addf("--link-mbps", "%v must be positive", s.LinkMbps)
+	}
 	f.positive("--stop-within", s.StopWithin)
 	f.atLeast("--log-lines", s.LogLines, 1)
 	f.atLeast("--timeline-size", s.TimelineSize, 1)
 	return f.err()
 }
 
+// size is what the machine of this process can bear.
+func (s *GatewaySettings) size() roster.Size {
+	return roster.Size{Cores: s.CoreShare * float64(s.Cores), LinkMbps: s.LinkMbps}
+}
+
 // String names what a reload can and cannot change.
 func (s *GatewaySettings) String() string {
 	return fmt.Sprintf("name=%s zone=%s key-bound=%s hard=%t retry=%v+%v/%s", s.Name, s.Zone, s.KeyBound, s.KeyBoundHard, s.RetryRatio, s.RetryExtra, s.RetryWindow)
--- a/internal/directory/again_test.go
+++ b/internal/directory/again_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // An entry whose first reads of the list failed tried again 5 to 15 s later, and did not know the
@@ -24,16 +25,16 @@
 		}
 		return list(ctx, table)
 	}
-	found := make(chan map[string]string, 4)
-	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, Again: time.Hour, CallWithin: time.Second},
-		seam, func(a map[string]string) { found <- a }, nothing, events.Nop(), time.Now)
+	found := make(chan map[string]roster.Entry, 4)
+	d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: time.Hour, Again: time.Hour, CallWithin: time.Second},
+		seam, finds(func(a map[string]roster.Entry) { found <- a }), nothing, events.Nop(), time.Now)
 	go d.Run(t.Context())
 	select {
 	case a := <-found:
-		if a["other"] == "" {
+		if a["other"] == (roster.Entry{}) {
 			t.Errorf("found %v, want the other entry", a)
 		}
-		if a = <-found; a["me"] == "" {
+		if a = <-found; a["me"] == (roster.Entry{}) {
 			t.Errorf("found %v, want this entry listed as well", a)
 		}
 	case <-time.After(5 * time.Second):
--- a/internal/directory/carried_test.go
+++ b/internal/directory/carried_test.go
@@ -7,8 +7,14 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
+// finds are the others of an entry that hears none of them.
+func finds(found func(map[string]roster.Entry)) Others {
+	return Others{Found: found, Heard: func() bool { return false }, Known: func() {}}
+}
+
 // nothing is carried by entries that have nothing to keep.
 var nothing = Carried{Value: func() []byte { return nil }, Heard: func(string, []byte, time.Duration) {}}
 
@@ -42,8 +48,8 @@
 		}
 		return put(ctx, table, name, value)
 	}
-	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, CallWithin: time.Second},
-		seam, func(map[string]string) {}, carried, events.Nop(), time.Now)
+	d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: time.Hour, CallWithin: time.Second},
+		seam, finds(func(map[string]roster.Entry) {}), carried, events.Nop(), time.Now)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go d.Run(ctx)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,15 +11,16 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // Settings are the fixed numbers of a Directory.
 type Settings struct {
 	// Table is the table that holds the rows.
 	Table string
-	// Name and Address are the own entry's.
-	Name    string
-	Address string
+	// Name and Entry are the own entry's.
+	Name  string
+	Entry roster.Entry
 	// Every is the least time between two reads; every third one renews the own row.
 	Every time.Duration
 	// ReadEach is the least time between two reads of all entries together: with many
@@ -30,6 +31,23 @@
 	Again time.Duration
 	// CallWithin bounds one call to the store.
 	CallWithin time.Duration
+	// HeardWithin is the time in which one of the entries in the list is heard.
+	HeardWithin time.Duration
+	// AloneWithin bounds the pause after which an entry that found no other one looks again.
+	AloneWithin time.Duration
+	// ToldWithin is the time in which an entry that is heard tells which others there are.
+	ToldWithin time.Duration
+}
+
+// Others are the other entries.
+type Others struct {
+	// Found takes over those that are listed, by name.
+	Found func(listed map[string]roster.Entry)
+	// Heard reports whether one of them is heard. Those that hear each other tell each other of
+	// further ones.
+	Heard func() bool
+	// Known is called once those that are there are known as far as they can be soon.
+	Known func()
 }
 
 // Carried is what entries keep in their rows for those that start when all others are gone.
@@ -56,7 +74,7 @@
 type Directory struct {
 	settings Settings
 	store    *platform.Store
-	found    func(addresses map[string]string)
+	others   Others
 	carried  Carried
 	rec      *events.Recorder
 	now      func() time.Time
@@ -68,12 +86,14 @@
 	failing bool
 	// listed is the number of entries that the latest read found.
 	listed int
-	bad    badRows
+	// alone tells that it found no other one.
+	alone bool
+	bad   badRows
 }
 
-// New returns a Directory that tells found the addresses of all entries, by name.
-func New(settings Settings, store *platform.Store, found func(addresses map[string]string), carried Carried, rec *events.Recorder, now func() time.Time) *Directory {
-	return &Directory{settings: settings, store: store, found: found, carried: carried, rec: rec, now: now, soon: make(chan struct{}, 1)}
+// New returns a Directory.
+func New(settings Settings, store *platform.Store, others Others, carried Carried, rec *events.Recorder, now func() time.Time) *Directory {
+	return &Directory{settings: settings, store: store, others: others, carried: carried, rec: rec, now: now, soon: make(chan struct{}, 1)}
 }
 
 // RenewSoon writes the own row anew, because what it carries has changed.
@@ -111,35 +131,64 @@
 	d.leave()
 }
 
-// begin lists the own entry and reads the list, again soon until both have succeeded: an entry that
+// begin reads the list and lists the own entry, again soon until both have succeeded: an entry that
 // knows of no other judges alone, and takes what all share.
 //
-// Entries that start together all read before any has written. Of two that write and then read, one
-// sees the other, and tells it. Until they know each other each follows the store by itself: 1,070
-// calls in 6 s of 23 entries while 46 upstreams appeared.
+// Entries that start together find an empty list. Each looks again after a pause of random length,
+// unless one that looked before has spoken to it: entries that hear each other tell each other of
+// the rest. So few of hundreds read the list a second time.
 func (d *Directory) begin(ctx context.Context) {
-	for again := firstLeast; ctx.Err() == nil; again = min(2*again, firstMost) {
-		err := d.enlist(ctx)
+	d.again(ctx, d.enlist)
+	if d.alone {
+		d.awaitHeard(ctx, rand.N(d.settings.AloneWithin+1))
+		if d.others.Heard() {
+			pause(ctx, d.settings.ToldWithin)
+		}
+	} else {
+		d.others.Known()
+		d.awaitHeard(ctx, d.settings.HeardWithin)
+	}
+	if !d.others.Heard() {
+		d.again(ctx, d.read)
+	}
+	d.others.Known()
+}
+
+// heardEach is the pause between two looks at whether another entry is heard.
+const heardEach = 5 * time.Millisecond
+
+// awaitHeard returns once another entry is heard, after a time at most.
+func (d *Directory) awaitHeard(ctx context.Context, most time.Duration) {
+	for left := most; left > 0 && ctx.Err() == nil && !d.others.Heard(); left -= heardEach {
+		pause(ctx, min(left, heardEach))
+	}
+}
+
+// again makes a call, again soon until it has succeeded or ctx ends.
+func (d *Directory) again(ctx context.Context, call func(ctx context.Context) error) {
+	for wait := firstLeast; ctx.Err() == nil; wait = min(2*wait, firstMost) {
+		err := call(ctx)
 		d.note(err)
 		if err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(around(again)):
-		}
+		pause(ctx, around(wait))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
-// enlist reads the list, which tells the store's clock, writes the own row and reads again.
+// enlist reads the list, which tells the store's clock, and writes the own row.
 func (d *Directory) enlist(ctx context.Context) error {
 	if err := d.read(ctx); err != nil {
 		return err
 	}
-	if err := d.renew(ctx); err != nil {
-		return err
-	}
-	return d.read(ctx)
+	return d.renew(ctx)
 }
 
 // around returns a time from half of a mean to one and a half times it, so that entries that start
@@ -164,11 +213,20 @@
 	}
 }
 
+// row is the own row at a moment of the store's clock.
+func (d *Directory) row(clock time.Duration) row {
+	e := d.settings.Entry
+	return row{
+		Address: e.Address, RenewedMS: clock.Milliseconds(), RenewsEachMS: (renewEach * d.every()).Milliseconds(),
+		Relay: e.Relay, Zone: e.Zone, Cores: e.Size.Cores, LinkMbps: e.Size.LinkMbps, Carried: d.carried.Value(),
+	}
+}
+
 func (d *Directory) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.CallWithin)
 	defer cancel()
 	clock := d.clock + d.now().Sub(d.clockAt)
-	value, err := json.Marshal(row{Address: d.settings.Address, RenewedMS: clock.Milliseconds(), RenewsEachMS: (renewEach * d.every()).Milliseconds(), Carried: d.carried.Value()})
+	value, err := json.Marshal(d.row(clock))
 	if err != nil {
 		return err
 	}
@@ -201,7 +259,7 @@
 // cannot be used are left to those who wrote them.
 func (d *Directory) take(s platform.Snapshot) (old []string) {
 	d.clock, d.clockAt = s.Clock, d.now()
-	addresses := make(map[string]string, len(s.Records))
+	listed := make(map[string]roster.Entry, len(s.Records))
 	bad, told := badRows{}, 0
 	for _, r := range s.Records {
 		v, err := decodeRow(r.Value)
@@ -220,11 +278,13 @@
 		case missed > removeAfter:
 			old = append(old, r.Name)
 		case missed <= staleAfter:
-			addresses[r.Name] = v.Address
+			listed[r.Name] = v.entry()
 		}
 	}
 	d.bad = bad
-	d.listed = len(addresses)
-	d.found(addresses)
+	d.listed = len(listed)
+	_, own := listed[d.settings.Name]
+	d.alone = d.listed == 0 || own && d.listed == 1
+	d.others.Found(listed)
 	return old
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // fakeStore keeps rows and a steady clock of its own.
@@ -55,9 +56,9 @@
 func TestEntriesThatStartTogether(t *testing.T) {
 	store := &fakeStore{rows: map[string][]byte{}, clock: 1000 * time.Second}
 	seam := store.seam()
-	found := make(chan map[string]string, 4)
-	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, CallWithin: time.Second},
-		seam, func(a map[string]string) { found <- a }, nothing, events.Nop(), time.Now)
+	found := make(chan map[string]roster.Entry, 4)
+	d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: time.Hour, CallWithin: time.Second},
+		seam, finds(func(a map[string]roster.Entry) { found <- a }), nothing, events.Nop(), time.Now)
 	put := seam.Put
 	seam.Put = func(ctx context.Context, table, name string, value []byte) error {
 		// The other entry writes its row at the same time.
@@ -92,8 +93,8 @@
 		defer close(written)
 		return put(ctx, table, name, value)
 	}
-	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Hour, Again: time.Millisecond, CallWithin: time.Second},
-		seam, func(map[string]string) {}, nothing, events.Nop(), time.Now)
+	d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: time.Hour, Again: time.Millisecond, CallWithin: time.Second},
+		seam, finds(func(map[string]roster.Entry) {}), nothing, events.Nop(), time.Now)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go d.Run(ctx)
@@ -111,9 +112,9 @@
 	store.add(t, "dead", 100*time.Second)
 	store.rows["odd"] = []byte("{")
 	at := time.Now()
-	var found map[string]string
-	d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: 10 * time.Second, CallWithin: time.Second},
-		store.seam(), func(a map[string]string) { found = a }, nothing, events.Nop(), func() time.Time { return at })
+	var found map[string]roster.Entry
+	d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: 10 * time.Second, CallWithin: time.Second},
+		store.seam(), finds(func(a map[string]roster.Entry) { found = a }), nothing, events.Nop(), func() time.Time { return at })
 	if err := d.read(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -158,8 +159,8 @@
 				store.add(t, fmt.Sprintf("e%03d", i), clock)
 			}
 			var found int
-			d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: 10 * time.Second, ReadEach: 500 * time.Millisecond, CallWithin: time.Second},
-				store.seam(), func(a map[string]string) { found = len(a) }, nothing, events.Nop(), time.Now)
+			d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: 10 * time.Second, ReadEach: 500 * time.Millisecond, CallWithin: time.Second},
+				store.seam(), finds(func(a map[string]roster.Entry) { found = len(a) }), nothing, events.Nop(), time.Now)
 			if err := d.read(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/directory/row.go
+++ b/internal/directory/row.go
@@ -10,6 +10,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // ErrRow is wrapped when a row of the list of entries cannot be used.
@@ -22,6 +23,11 @@
 	RenewedMS int64 `json:"renewed_ms"`
 	// RenewsEachMS is the time after which the writer renews the row.
 	RenewsEachMS int64 `json:"renews_each_ms"`
+	// Relay, Zone, Cores and LinkMbps are as in roster.Entry; rows of an earlier release lack them.
+	Relay    string  `json:"relay,omitempty"`
+	Zone     string  `json:"zone,omitempty"`
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Carried is kept for entries that start when all others are gone.
 	Carried []byte `json:"carried,omitempty"`
 }
@@ -55,6 +61,15 @@
 	return r, nil
 }
 
+// entry is how the writer is listed. A relay address that cannot be is left out.
+func (r row) entry() roster.Entry {
+	e := roster.Entry{Address: r.Address, Zone: r.Zone, Size: roster.Size{Cores: r.Cores, LinkMbps: r.LinkMbps}}
+	if a, err := netip.ParseAddrPort(r.Relay); err == nil && a.Port() != 0 && a.Addr().Is4() {
+		e.Relay = r.Relay
+	}
+	return e
+}
+
 // missed is the number of renewals that the writer has missed at a moment of the
 // store's clock.
 func (r row) missed(clock time.Duration) float64 {
--- a/internal/directory/row_test.go
+++ b/internal/directory/row_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // TestEntriesOfOtherWriters: a row that cannot be read names no entry and is left alone; the
@@ -44,10 +45,10 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			store := &fakeStore{rows: map[string][]byte{"before": []byte(good), "m": []byte(tc.row), "z": []byte(good)}, clock: 1000 * time.Second}
-			var found map[string]string
+			var found map[string]roster.Entry
 			rec := events.Nop()
-			d := New(Settings{Table: "entries", Name: "me", Address: "10.0.0.9:1", Every: time.Second, CallWithin: time.Second},
-				store.seam(), func(a map[string]string) { found = a }, nothing, rec, time.Now)
+			d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: time.Second, CallWithin: time.Second},
+				store.seam(), finds(func(a map[string]roster.Entry) { found = a }), nothing, rec, time.Now)
 			for range 3 {
 				if err := d.read(t.Context()); err != nil {
 					t.Fatal(err)
@@ -82,7 +83,7 @@
 func TestBadRowsAreToldOnce(t *testing.T) {
 	version, rows := int64(1), 1
 	rec := events.Nop()
-	d := New(Settings{Table: "entries"}, &platform.Store{}, func(map[string]string) {}, nothing, rec, time.Now)
+	d := New(Settings{Table: "entries"}, &platform.Store{}, finds(func(map[string]roster.Entry) {}), nothing, rec, time.Now)
 	read := func() int {
 		before := len(lines(rec))
 		var s platform.Snapshot
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,6 +226,7 @@
 	defer g.mu.Unlock()
 	if heard > g.entries {
 		g.share(heard)
+		g.limits.Listed(heard)
 	}
 	for _, b := range g.budgets {
 		b.Messages(told, silence)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/sparshore/sparshore/internal/guard"
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/quarantine"
+	"github.com/sparshore/sparshore/internal/roster"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
 )
@@ -78,7 +79,9 @@
 // Peer is what is known of another entry.
 type Peer struct {
 	Address string
-	State   State
+	// Size is what its machine can bear, as far as it is listed.
+	Size  roster.Size
+	State State
 	// Heard is when the newest message came.
 	Heard time.Time
 }
@@ -93,12 +96,15 @@
 	rec      *events.Recorder
 	now      func() time.Time
 	start    time.Time
-	// nudged and urged ask for messages soon.
-	nudged chan struct{}
-	urged  chan struct{}
+	// nudged and urged ask for messages soon, greeting for one to each entry that is due to be greeted.
+	nudged   chan struct{}
+	urged    chan struct{}
+	greeting chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// greet are the entries that get a message of their own at once.
+	greet map[string]bool
 	// way is how long a message takes to and back, as a mean of the latest ones.
 	way time.Duration
 	// between is the same of the time between two messages of one peer, by group.
@@ -114,44 +120,57 @@
 	life  string
 	lost  bool
 	known bool
+	// entry is how it is listed, and listed since when.
+	entry  roster.Entry
+	listed time.Time
+	inList bool
 }
 
 // New returns a Node. collect gives the own state; heard gets each peer's. What limited upstreams
 // take is told and heard by set.
 func New(settings Settings, conn net.PacketConn, collect func() State, heard func(from string, s State), set *limits.Set, rec *events.Recorder, now func() time.Time) *Node {
-	return &Node{settings: settings, conn: conn, collect: collect, heard: heard, limits: set, rec: rec, now: now, start: now(), nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), peers: map[string]*peer{}}
+	return &Node{
+		settings: settings, conn: conn, collect: collect, heard: heard, limits: set, rec: rec, now: now, start: now(),
+		nudged: make(chan struct{}, 1), urged: make(chan struct{}, 1), greeting: make(chan struct{}, 1),
+		peers: map[string]*peer{}, greet: map[string]bool{},
+	}
 }
 
-// Know makes the addresses of the other entries known, by name; those not in
-// the list and silent are forgotten.
-func (n *Node) Know(addresses map[string]string) {
+// Know makes the other entries known, by name, as they are listed; those not in the list and
+// silent are forgotten.
+func (n *Node) Know(listed map[string]roster.Entry) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for name, address := range addresses {
-		if name == n.settings.Name {
-			continue
-		}
-		addr, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
-			continue
-		}
-		p, ok := n.peers[name]
-		if !ok {
-			p = &peer{lost: true}
-			n.peers[name] = p
-			n.Urge()
+	for name, entry := range listed {
+		if name != n.settings.Name {
+			n.know(name, entry, true)
 		}
-		p.addr, p.Address, p.known = addr, address, true
 	}
 	for name, p := range n.peers {
-		if _, listed := addresses[name]; !listed && p.lost {
+		if _, there := listed[name]; !there && p.lost {
 			delete(n.peers, name)
 		}
 	}
 	n.count()
 }
 
+// know takes over how an entry is listed, and greets one that is not heard. inList tells that it is
+// in the list of entries, and not only named by another one. It needs the lock.
+func (n *Node) know(name string, entry roster.Entry, inList bool) {
+	addr, err := net.ResolveUDPAddr("udp4", entry.Address)
+	if err != nil {
+		n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
+		return
+	}
+	p, ok := n.peers[name]
+	if !ok {
+		p = &peer{lost: true, listed: n.now()}
+		n.peers[name] = p
+		n.greetSoon(name)
+	}
+	p.addr, p.Address, p.Size, p.entry, p.known, p.inList = addr, entry.Address, entry.Size, entry, true, inList
+}
+
 // Peers returns the entries heard lately.
 func (n *Node) Peers() map[string]Peer {
 	n.mu.Lock()
@@ -165,6 +184,28 @@
 	return out
 }
 
+// expectedFor is how long a listed entry that was never heard counts as one that may be: some
+// round trips, a busy processor and a lost message.
+const expectedFor = 2 * time.Second
+
+// Expected returns the entries that were listed lately and have not been heard yet.
+func (n *Node) Expected() map[string]roster.Entry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out, now := map[string]roster.Entry{}, n.now()
+	for name, p := range n.peers {
+		if n.isExpected(p, now) {
+			out[name] = p.entry
+		}
+	}
+	return out
+}
+
+// isExpected needs the lock.
+func (n *Node) isExpected(p *peer, now time.Time) bool {
+	return p.lost && p.known && p.Heard.IsZero() && now.Sub(p.listed) < expectedFor
+}
+
 // Nudge asks for a message soon, because the own state changed in a way that
 // others should act on.
 func (n *Node) Nudge() { ask(n.nudged) }
@@ -184,6 +225,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
 	defer stop()
 	go n.receive(ctx)
+	go n.compareMembers(ctx)
 	var s schedule
 	for ctx.Err() == nil {
 		now := n.now()
@@ -200,6 +242,8 @@
 			s.ask(nudge)
 		case <-n.urged:
 			s.ask(urge)
+		case <-n.greeting:
+			n.sendGreetings()
 		case <-t.C:
 		}
 		t.Stop()
@@ -232,6 +276,27 @@
 
 // send sends the own state to the peers of some groups.
 func (n *Node) send(to ...group) {
+	n.sendTo(func(_ string, p *peer) bool { return slices.Contains(to, n.group(p)) })
+}
+
+// greetSoon sends the own state to one entry at once: one that appears needs the state of each
+// other one, and they need no more than its own. It needs the lock.
+func (n *Node) greetSoon(name string) {
+	n.greet[name] = true
+	ask(n.greeting)
+}
+
+// sendGreetings sends the own state to those that are due to be greeted.
+func (n *Node) sendGreetings() {
+	n.mu.Lock()
+	greet := n.greet
+	n.greet = map[string]bool{}
+	n.mu.Unlock()
+	n.sendTo(func(name string, _ *peer) bool { return greet[name] })
+}
+
+// sendTo sends the own state to the peers that are chosen.
+func (n *Node) sendTo(chosen func(name string, p *peer) bool) {
 	s := n.collect()
 	now := n.now()
 	version, body, err := encodeBody(n.settings, s, now.Sub(n.start), now)
@@ -243,12 +308,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, p := range n.peers {
-		g := n.group(p)
-		if _, _, forget := n.settings.timing(n.sizes[g]); !p.lost && now.Sub(p.Heard) > forget {
+		if _, _, forget := n.settings.timing(n.sizes[n.group(p)]); !p.lost && now.Sub(p.Heard) > forget {
 			p.lost = true
 			n.rec.Note(events.EntrySilent, "", "peer", name, "heard-before", now.Sub(p.Heard))
 		}
-		if !slices.Contains(to, g) {
+		if !chosen(name, p) {
 			continue
 		}
 		n.write(p, version, body, now)
@@ -296,8 +360,11 @@
 	if err != nil {
 		return err
 	}
-	if d.Format == formatLimits {
+	switch d.Format {
+	case formatLimits:
 		return n.takeLimits(d)
+	case formatMembers:
+		return n.takeMembers(d)
 	}
 	m, err := decodeState(d)
 	if err != nil {
@@ -334,13 +401,18 @@
 	appeared := p.lost
 	if appeared {
 		n.rec.Note(events.EntryHeard, "", "peer", m.body.From, "routes", m.body.Routes)
-		n.Urge()
+		n.greetSoon(m.body.From)
 	}
+	first := n.sizes == [groups]int{}
 	n.measure(m, p, now)
 	p.lost, p.addr, p.Address, p.Heard, p.echo, p.life, p.State = false, addr, addr.String(), now, m.body.Sent, m.body.Life, s
 	if appeared {
 		n.count()
 	}
+	if appeared && first {
+		// It may know of many others, which an entry that starts has to.
+		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum()})
+	}
 }
 
 // echoed reports whether a message tells which one of this process its sender had last.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/roster"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
 )
@@ -50,7 +51,7 @@
 // say delivers one message from a to b.
 func say(t *testing.T, a, b *node) {
 	t.Helper()
-	a.Know(map[string]string{b.settings.Name: "127.0.0.1:9"})
+	a.Know(map[string]roster.Entry{b.settings.Name: {Address: "127.0.0.1:9"}})
 	a.wire.sent = nil
 	a.send(near, far)
 	if len(a.wire.sent) != 1 {
@@ -86,7 +87,7 @@
 	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
 	say(t, a, b)
 	b.state = State{Routes: 7, Confirmed: c.at}
-	b.Know(map[string]string{"a": "127.0.0.1:9"})
+	b.Know(map[string]roster.Entry{"a": {Address: "127.0.0.1:9"}})
 	b.send(near, far)
 	old := b.wire.sent[len(b.wire.sent)-1]
 	sent := c.at
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // anyAddress is where the nodes of these tests are said to be.
@@ -17,7 +18,7 @@
 // rounds sends a round of messages from one node to another and returns their formats.
 func rounds(t *testing.T, from, to *node) []int {
 	t.Helper()
-	from.Know(map[string]string{to.settings.Name: "127.0.0.1:9"})
+	from.Know(map[string]roster.Entry{to.settings.Name: {Address: "127.0.0.1:9"}})
 	from.wire.sent = nil
 	from.send(near, far)
 	var formats []int
@@ -160,7 +161,7 @@
 func BenchmarkLimitsMessage(b *testing.B) {
 	c := &clock{at: time.Now()}
 	a, from := newNode(c, "a", "1"), newNode(c, "b", "1")
-	from.Know(map[string]string{"a": "127.0.0.1:9"})
+	from.Know(map[string]roster.Entry{"a": {Address: "127.0.0.1:9"}})
 	from.Send("a", limits.Message{Question: &limits.Question{ID: 1}})
 	for b.Loop() {
 		a.receiveDatagram(from.wire.sent[0], anyAddress)
--- /dev/null
+++ b/internal/gossip/members.go
@@ -0,0 +1,201 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sparshore/sparshore/internal/roster"
+)
+
+// Entries find those that the list of entries did not show them through each other: each
+// compares, at times, with one that it draws, which entries both hear.
+
+const (
+	// compareEach is the mean time between two comparisons of an entry.
+	compareEach = time.Second
+	// mostMembers bounds the entries that one message names, some 60 bytes each, so that it fits
+	// in a datagram; of more, each message names others.
+	mostMembers = 500
+	// mostPeers bounds the entries that are known: a peer that claims many takes no memory.
+	mostPeers = 8192
+)
+
+// membersBody tells which entries the sender hears, itself included.
+type membersBody struct {
+	_    struct{} `cbor:",toarray"`
+	From string
+	// Sum is of the names. The entries are named only to who told another sum.
+	Sum     uint64
+	Entries []wireEntry
+	// Asks wants to be told the entries that the sender does not name.
+	Asks bool
+}
+
+// wireEntry is a roster.Entry.
+type wireEntry struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Address string
+	Relay   string
+	Zone    string
+	// MilliCores and LinkMbps are the size of its machine.
+	MilliCores int64
+	LinkMbps   int64
+}
+
+// milli is the number of thousandths of a core in one.
+const milli = 1000
+
+func wireOf(name string, e roster.Entry) wireEntry {
+	return wireEntry{Name: name, Address: e.Address, Relay: e.Relay, Zone: e.Zone, MilliCores: int64(e.Size.Cores * milli), LinkMbps: int64(e.Size.LinkMbps)}
+}
+
+func (e wireEntry) entry() roster.Entry {
+	return roster.Entry{Address: e.Address, Relay: e.Relay, Zone: e.Zone, Size: roster.Size{Cores: float64(e.MilliCores) / milli, LinkMbps: float64(e.LinkMbps)}}
+}
+
+// compareMembers compares with one peer after another until ctx ends.
+func (n *Node) compareMembers(ctx context.Context) {
+	for {
+		t := time.NewTimer(compareEach/2 + rand.N(compareEach))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+			n.compare()
+		}
+	}
+}
+
+// compare tells a peer that is drawn the sum of the names.
+func (n *Node) compare() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.draw(); p != nil {
+		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum()})
+	}
+}
+
+// draw draws a peer that is heard; nil if there is none. It needs the lock.
+func (n *Node) draw() *peer {
+	var drawn *peer
+	heard := 0
+	for _, p := range n.peers {
+		if p.lost {
+			continue
+		}
+		heard++
+		if rand.N(heard) == 0 {
+			drawn = p
+		}
+	}
+	return drawn
+}
+
+// sum is the same at entries that hear the same ones and know the same of their machines,
+// whatever the order. It needs the lock.
+func (n *Node) sum() uint64 {
+	sum := sumOf(n.settings.Name, n.settings.Entry.Size)
+	for name, p := range n.peers {
+		if !p.lost {
+			sum ^= sumOf(name, p.Size)
+		}
+	}
+	return sum
+}
+
+func sumOf(name string, size roster.Size) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s %.0f %.0f", name, size.Cores*milli, size.LinkMbps)
+	return h.Sum64()
+}
+
+// members names the entries that are heard, and this one, but for some. Those that the list of
+// entries showed a moment ago are named as well: entries that start together learn of each other by
+// the first that reads it. It needs the lock.
+func (n *Node) members(except map[string]bool) []wireEntry {
+	out, now := []wireEntry{wireOf(n.settings.Name, n.settings.Entry)}, n.now()
+	for name, p := range n.peers {
+		switch {
+		case except[name] || len(out) >= mostMembers:
+		case !p.lost:
+			out = append(out, wireOf(name, roster.Entry{Address: p.Address, Relay: p.State.Relay, Zone: p.State.Zone, Size: p.Size}))
+		case p.inList && n.isExpected(p, now):
+			out = append(out, wireOf(name, p.entry))
+		}
+	}
+	return out
+}
+
+// takeMembers takes over which entries a peer hears.
+func (n *Node) takeMembers(d datagram) error {
+	var b membersBody
+	if err := cbor.Unmarshal(d.Body, &b); err != nil {
+		return fmt.Errorf("%w: members: %v", ErrMessage, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, ok := n.peers[b.From]
+	if !ok {
+		return nil
+	}
+	n.learn(b.Entries)
+	switch {
+	case b.Asks:
+		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum(), Entries: n.members(namesOf(b))})
+	case len(b.Entries) == 0 && b.Sum != n.sum():
+		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum(), Entries: n.members(map[string]bool{b.From: true}), Asks: true})
+	}
+	return nil
+}
+
+// namesOf returns the names that a message tells of together with their machines.
+func namesOf(b membersBody) map[string]bool {
+	out := map[string]bool{b.From: true}
+	for _, e := range b.Entries {
+		out[e.Name] = e.MilliCores > 0
+	}
+	return out
+}
+
+// learn takes over entries that a peer names, as far as they are not known. Only what such an
+// entry says itself shows that it is there. It needs the lock.
+func (n *Node) learn(named []wireEntry) {
+	for i, e := range named {
+		p, known := n.peers[e.Name]
+		if i >= mostMembers || e.Name == "" || e.Name == n.settings.Name || len(n.peers) >= mostPeers || !addressable(e.Address) {
+			continue
+		}
+		if !known {
+			n.know(e.Name, e.entry(), false)
+			continue
+		}
+		if p.Size == (roster.Size{}) {
+			p.Size = e.entry().Size
+		}
+	}
+	n.count()
+}
+
+// addressable reports whether datagrams can be sent to an address; names are not looked up.
+func addressable(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0 && a.Addr().Is4()
+}
+
+// writeMembers tells a peer which entries are heard. It needs the lock.
+func (n *Node) writeMembers(p *peer, b membersBody) {
+	body, err := cbor.Marshal(b)
+	if err != nil {
+		n.reject(p.addr, err)
+		return
+	}
+	n.write(p, formatMembers, body, n.now())
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -25,6 +25,8 @@
 	formatBefore = 3
 	// formatLimits is that of what is told of limited upstreams.
 	formatLimits = 5
+	// formatMembers is that of what entries tell each other of who they hear.
+	formatMembers = 6
 )
 
 // datagram is what is sent: the body is the same for all receivers and encoded once.
--- a/internal/gossip/timing.go
+++ b/internal/gossip/timing.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"github.com/sparshore/sparshore/internal/roster"
+)
 
 // group is a set of peers that get messages equally often.
 type group int
@@ -18,6 +22,8 @@
 	// Name is unique in the deployment; Zone is the availability zone.
 	Name string
 	Zone string
+	// Entry is how this entry is listed.
+	Entry roster.Entry
 	// Life is different for each start of the process.
 	Life string
 	// Every is the time between two messages to one peer while nothing happens.
--- a/internal/gossip/timing_test.go
+++ b/internal/gossip/timing_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"github.com/sparshore/sparshore/internal/roster"
 	"net"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
 	const way, between = 15 * time.Millisecond, 400 * time.Millisecond
 	carry := func(from, to *node) {
-		from.Know(map[string]string{to.settings.Name: "127.0.0.1:9"})
+		from.Know(map[string]roster.Entry{to.settings.Name: {Address: "127.0.0.1:9"}})
 		from.send(near, far)
 		sent := from.wire.sent[len(from.wire.sent)-1]
 		c.at = c.at.Add(way)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,11 +24,19 @@
 	version int64
 	made    time.Time
 	failing bool
-	changed chan struct{}
+	signs   signs
 	// told is the latest answer, for those that know the table up to toldAfter. One with
 	// records holds until the rows change or a call fails.
 	told      answer
 	toldAfter int64
+	// whole is the whole table, encoded; it holds until the rows change.
+	whole answer
+}
+
+// signs are channels that are closed at the next change of a table, and when it is next known to
+// be the newest.
+type signs struct {
+	changed, confirmed chan struct{}
 }
 
 type entry struct {
@@ -49,7 +58,7 @@
 func (l *Log) table(name string) *tableLog {
 	t, ok := l.tables[name]
 	if !ok {
-		t = &tableLog{rows: map[string]entry{}, floor: -1, changed: make(chan struct{})}
+		t = &tableLog{rows: map[string]entry{}, floor: -1, signs: signs{make(chan struct{}), make(chan struct{})}}
 		l.tables[name] = t
 	}
 	return t
@@ -63,6 +72,7 @@
 	t.failing = false
 	if s.Made.After(t.made) {
 		t.made = s.Made
+		t.signs.confirmed = renew(t.signs.confirmed)
 	}
 	if full {
 		l.replace(t, s)
@@ -75,13 +85,18 @@
 	}
 	t.version = max(t.version, s.Version)
 	if full || len(s.Records) > 0 {
-		close(t.changed)
-		t.changed = make(chan struct{})
-		t.told = answer{}
+		t.signs.changed = renew(t.signs.changed)
+		t.told, t.whole = answer{}, answer{}
 		l.forget(t)
 	}
 }
 
+// renew closes a channel and returns the next one.
+func renew(c chan struct{}) chan struct{} {
+	close(c)
+	return make(chan struct{})
+}
+
 // replace marks the rows that a whole table lacks as removed.
 func (l *Log) replace(t *tableLog, s platform.Snapshot) {
 	listed := make(map[string]bool, len(s.Records))
@@ -133,26 +148,46 @@
 	t.failing, t.told = true, answer{}
 }
 
-// answer is since, encoded, and a channel that is closed at the next change. Hundreds of entries ask for the same change at once, so it is
-// encoded once for all of them. Encoded for each, the delegate of 302 entries before 3,004
-// upstreams took 121 MB; with this and reads page by page 47 MB (one played day each).
-func (l *Log) answer(table string, after int64) (a answer, changed <-chan struct{}, err error) {
+// answer is since, encoded, with the signs of what comes next. Hundreds of entries ask for the same
+// change at once, so it is encoded once for all of them.
+func (l *Log) answer(table string, after int64) (answer, signs, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
 	if t.told.records == nil || t.toldAfter != after {
 		s, ok := l.since(table, after)
 		if !ok {
-			return answer{}, nil, errCannotTell
+			return answer{}, signs{}, errCannotTell
 		}
+		var err error
 		if t.told, err = answerOf(s); err != nil {
-			return answer{}, nil, err
+			return answer{}, signs{}, err
 		}
 		t.toldAfter = after
 	}
-	a = t.told
+	a := t.told
+	a.version, a.made = t.version, t.made
+	return a, t.signs, nil
+}
+
+// wholeAnswer is the whole table, encoded once for all who ask, with the signs of what comes next;
+// the error is errCannotTell while it is not known.
+func (l *Log) wholeAnswer(table string) (answer, signs, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.table(table)
+	if t.floor < 0 {
+		return answer{}, t.signs, errCannotTell
+	}
+	if t.whole.records == nil {
+		var err error
+		if t.whole, err = answerOf(l.live(t)); err != nil {
+			return answer{}, signs{}, err
+		}
+	}
+	a := t.whole
 	a.version, a.made = t.version, t.made
-	return a, t.changed, nil
+	return a, t.signs, nil
 }
 
 // since returns the rows that changed after a version. ok is false when the log cannot
@@ -168,23 +203,11 @@
 	return l.snapshot(t, after), true
 }
 
-// whole returns the whole table; ok is false when it is not known.
-func (l *Log) whole(table string) (s platform.Snapshot, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.table(table)
-	if t.floor < 0 {
-		return platform.Snapshot{}, false
-	}
-	s = l.snapshot(t, -1)
-	live := s.Records[:0]
-	for _, r := range s.Records {
-		if !r.Gone {
-			live = append(live, r)
-		}
-	}
-	s.Records = live
-	return s, true
+// live returns the whole table but for the rows that are gone. It needs the lock.
+func (l *Log) live(t *tableLog) platform.Snapshot {
+	s := l.snapshot(t, -1)
+	s.Records = slices.DeleteFunc(s.Records, func(r platform.Record) bool { return r.Gone })
+	return s
 }
 
 func (l *Log) snapshot(t *tableLog, after int64) platform.Snapshot {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -79,13 +79,20 @@
 		t.Cleanup(e.server.Close)
 		e.addr = e.server.Addr()
 		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Stale: 5 * time.Second, AvoidFor: time.Minute, AvoidStaleFor: time.Minute, RetryAfter: time.Minute},
-			e.store.seam(), e.log, func() []Peer { return d.others(name) }, events.Nop(), time.Now)
+			e.store.seam(), e.log, func() []Peer { return d.others(name) }, listed(), events.Nop(), time.Now)
 		e.seam = e.source.Platform()
 		d.entries = append(d.entries, e)
 	}
 	return d
 }
 
+// listed is that of entries that know each other.
+func listed() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
 func (d *deployment) others(name string) []Peer {
 	var out []Peer
 	for _, e := range d.entries {
@@ -367,7 +374,7 @@
 	if !ok || len(s.Records) != 1 || s.Records[0].Name != "a" || !s.Records[0].Gone {
 		t.Errorf("since 3: %+v, %v; want the removal of a", s.Records, ok)
 	}
-	if whole, _ := l.whole(table); len(whole.Records) != 1 {
+	if whole := l.live(l.table(table)); len(whole.Records) != 1 {
 		t.Errorf("whole table %+v, want b only", whole.Records)
 	}
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -28,6 +28,8 @@
 
 type listParams struct {
 	Table string `json:"table"`
+	// WaitMS is how long the question may be held until the table is known.
+	WaitMS int64 `json:"wait_ms"`
 }
 
 // wireSnapshot is a platform.Snapshot between entries. Steady times mean
@@ -55,7 +57,7 @@
 	end := time.NewTimer(time.Duration(p.WaitMS) * time.Millisecond)
 	defer end.Stop()
 	for over := false; ; {
-		a, changed, err := l.answer(p.Table, p.After)
+		a, signs, err := l.answer(p.Table, p.After)
 		if err != nil {
 			return nil, err
 		}
@@ -63,7 +65,10 @@
 			return l.encode(a, asked), nil
 		}
 		select {
-		case <-changed:
+		case <-signs.changed:
+		case <-signs.confirmed:
+			// Who asks passes it on in its turn, and would else know only older things.
+			over = true
 		case <-end.C:
 			// What is known now may have been confirmed since the question came.
 			over = true
@@ -73,21 +78,27 @@
 	}
 }
 
-func (l *Log) handleList(_ context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
+func (l *Log) handleList(ctx context.Context, _ *peer.Conn, params json.RawMessage) (any, error) {
 	var p listParams
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
 	}
 	asked := l.now()
-	s, ok := l.whole(p.Table)
-	if !ok {
-		return nil, errCannotTell
-	}
-	a, err := answerOf(s)
-	if err != nil {
-		return nil, err
+	end := time.NewTimer(time.Duration(p.WaitMS) * time.Millisecond)
+	defer end.Stop()
+	for {
+		a, signs, err := l.wholeAnswer(p.Table)
+		if !errors.Is(err, errCannotTell) {
+			return l.encode(a, asked), err
+		}
+		select {
+		case <-signs.changed:
+		case <-end.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
-	return l.encode(a, asked), nil
 }
 
 // answer is what is told to who asks for changes.
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -7,13 +7,13 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 // ErrStale is wrapped when another entry's answer is too old to go by.
@@ -25,9 +25,10 @@
 
 // Settings are the fixed numbers of a Store.
 type Settings struct {
-	// Name and Zone are the own entry's.
+	// Name, Zone and Size are the own entry's.
 	Name string
 	Zone string
+	Size roster.Size
 	// Delegates is the number of entries that follow the store for all.
 	Delegates int
 	// Wait is how long another entry holds a question for changes; it bounds how
@@ -47,12 +48,15 @@
 	// RetryAfter is the time after which an entry that did not reach the store
 	// may follow it for others again.
 	RetryAfter time.Duration
+	// ListedWithin is the time in which an entry that starts learns which others there are.
+	ListedWithin time.Duration
 }
 
 // Peer is another entry that can be asked.
 type Peer struct {
 	Name string
 	Zone string
+	Size roster.Size
 	// Address is the IP:port of its relay.
 	Address string
 	// Confirmed is the steady time for which it knew the routes to be the newest.
@@ -67,9 +71,11 @@
 	direct   *platform.Store
 	log      *Log
 	peers    func() []Peer
-	rec      *events.Recorder
-	now      func() time.Time
-	dial     func(ctx context.Context, address string) (*peer.Conn, error)
+	// listed is closed once the list of entries was read, or cannot be.
+	listed <-chan struct{}
+	rec    *events.Recorder
+	now    func() time.Time
+	dial   func(ctx context.Context, address string) (*peer.Conn, error)
 	// random returns a number from 0 up to 1.
 	random func() float64
 
@@ -85,10 +91,11 @@
 	turnAt time.Time
 }
 
-// New returns a Store over direct that keeps what it learns in log, for others.
-func New(settings Settings, direct *platform.Store, log *Log, peers func() []Peer, rec *events.Recorder, now func() time.Time) *Store {
+// New returns a Store over direct that keeps what it learns in log, for others. listed is closed
+// once the list of entries was read, and peers tells of those in it.
+func New(settings Settings, direct *platform.Store, log *Log, peers func() []Peer, listed <-chan struct{}, rec *events.Recorder, now func() time.Time) *Store {
 	return &Store{
-		settings: settings, direct: direct, log: log, peers: peers, rec: rec, now: now,
+		settings: settings, direct: direct, log: log, peers: peers, listed: listed, rec: rec, now: now,
 		dial: func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) }, random: rand.Float64,
 		conns: map[string]*peer.Conn{}, avoid: map[string]time.Time{}, asked: map[string]string{},
 	}
@@ -100,16 +107,24 @@
 	return &platform.Store{List: s.list, Changes: s.changes, Put: s.direct.Put, Remove: s.direct.Remove}
 }
 
-// list reads the whole table from the store, or from the entry with the freshest
-// answer while the store does not answer. Who lists a table knows nothing of it, so
-// an old answer is better than none; it tells its age.
+// list reads the whole table from an entry that follows it for this one, else from the store, or
+// from the entry with the freshest answer while the store does not answer. Who lists a table
+// knows nothing of it, so an old answer is better than none; it tells its age.
 func (s *Store) list(ctx context.Context, table string) (platform.Snapshot, error) {
+	s.awaitListed(ctx)
+	for range maxAsked {
+		p, ok, _ := s.source()
+		if !ok {
+			break
+		}
+		if snap, err := s.askList(ctx, p, table, s.settings.Stale); err == nil {
+			return snap, nil
+		}
+	}
 	snap, err := s.listDirect(ctx, table)
 	if err != nil {
 		for _, p := range s.freshest(unbounded) {
-			if snap, relayed := s.ask(ctx, p, methodList, listParams{Table: table}, unbounded); relayed == nil {
-				s.took(table, p.Name)
-				s.log.note(table, snap, true)
+			if snap, relayed := s.askList(ctx, p, table, unbounded); relayed == nil {
 				return snap, nil
 			}
 		}
@@ -121,6 +136,29 @@
 	return snap, nil
 }
 
+// askList asks another entry for the whole table, if what it knows is not older than oldest. One
+// that reads the table itself at that moment holds the question until it knows it.
+func (s *Store) askList(ctx context.Context, p Peer, table string, oldest time.Duration) (platform.Snapshot, error) {
+	snap, err := s.ask(ctx, p, methodList, listParams{Table: table, WaitMS: s.settings.Wait.Milliseconds()}, oldest)
+	if err == nil {
+		s.took(table, p.Name)
+		s.log.note(table, snap, true)
+	}
+	return snap, err
+}
+
+// awaitListed returns once this entry knows which others there are, or will not learn it soon:
+// hundreds of entries that start together would each read the tables from the store otherwise.
+func (s *Store) awaitListed(ctx context.Context) {
+	t := time.NewTimer(s.settings.ListedWithin)
+	defer t.Stop()
+	select {
+	case <-s.listed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // listDirect reads the whole table from the store. It leaves half of the time to
 // other entries: a store that is silent would else use it up, and an entry that
 // starts meanwhile would never learn the table.
@@ -143,7 +181,7 @@
 	for range maxAsked {
 		var p Peer
 		var ok bool
-		if p, ok, self = s.delegate(); !ok {
+		if p, ok, self = s.source(); !ok {
 			break
 		}
 		if snap, err := s.askChanges(ctx, p, table, after); err == nil {
@@ -191,14 +229,27 @@
 	s.turnAt = time.Time{}
 }
 
+// turnsMost is the number of entries that take turns at the store. The others wait until one of
+// these can tell them: with a turn for each of hundreds, one that no other can tell would wait for
+// longer than routes are trusted.
+const turnsMost = 32
+
 // turn reports whether this entry may ask the store for what no other entry can tell, and
 // takes its turn. What all know grows old at the same moment when the store falls silent,
 // so all would ask it then, and again after each failure. Each waits for a random part of
-// the time in which all have their turn, which serves for all tables. 18 entries made 865
-// calls in a day with two outages of the store, and 1,049 with a turn for each table at
-// half the time (one played day each).
+// the time in which all have their turn, which serves for all tables.
 func (s *Store) turn() bool {
-	all := float64(s.allTurns())
+	if !s.due() {
+		return false
+	}
+	ranked := s.ranked()
+	takers := ranked[:min(len(ranked), turnsMost)]
+	return slices.ContainsFunc(takers, func(p Peer) bool { return p.Name == s.settings.Name })
+}
+
+// due reports whether the turn of this entry has come, and sets the next one.
+func (s *Store) due() bool {
+	all := float64(min(len(s.peers()), turnsMost)) * float64(s.settings.CallEach)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -212,9 +263,6 @@
 	return true
 }
 
-// allTurns is the time in which each entry that is heard has its turn.
-func (s *Store) allTurns() time.Duration { return time.Duration(len(s.peers())) * s.settings.CallEach }
-
 // holdLeast is the least time for which another entry is asked to hold a question:
 // some round trips, so that questions do not follow each other at once.
 const holdLeast = 20 * time.Millisecond
@@ -275,17 +323,42 @@
 	return peer
 }
 
-// delegate returns the entry that follows the store for this one. ok is false if
-// there is none, and self tells that this entry is to follow the store itself. All
-// entries that hear each other agree on who the delegates are: the first by name that
-// reach the store. While those fail this entry, the next ones take their place.
-func (s *Store) delegate() (chosen Peer, ok, self bool) {
-	list := s.peers()
-	list = append(list, Peer{Name: s.settings.Name, Zone: s.settings.Zone, StoreLost: s.StoreLost()})
-	list = slices.DeleteFunc(list, func(p Peer) bool { return p.StoreLost })
-	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
-	for group := range slices.Chunk(list, s.settings.Delegates) {
-		for _, p := range group {
+// source returns the entry that this one asks. ok is false if there is none, and self tells that
+// this entry is to follow the store itself. All entries that hear each other agree on who the
+// delegates are: those on the largest machines that reach the store. While those fail this entry,
+// the next ones take their place.
+//
+// With many entries only the delegates of the zones ask these, and the others ask those of their
+// zone: a change crosses between zones some times only, and nobody has to tell it to hundreds.
+func (s *Store) source() (chosen Peer, ok, self bool) {
+	all := s.ranked()
+	reach := slices.DeleteFunc(slices.Clone(all), func(p Peer) bool { return p.StoreLost })
+	chosen, ok, self = s.first(reach, s.settings.Delegates)
+	if self || !roster.ByZone(len(all)) {
+		return chosen, ok, self
+	}
+	zone := slices.DeleteFunc(all, func(p Peer) bool { return p.Zone != s.settings.Zone })
+	if near, found, delegate := s.first(zone, roster.ZoneDelegates(len(zone))); found && !delegate {
+		return near, true, false
+	}
+	return chosen, ok, false
+}
+
+// ranked returns all entries that are heard and this one, those on the largest machines first.
+func (s *Store) ranked() []Peer {
+	all := append(s.peers(), Peer{Name: s.settings.Name, Zone: s.settings.Zone, Size: s.settings.Size, StoreLost: s.StoreLost()})
+	slices.SortFunc(all, func(a, b Peer) int { return roster.Compare(a.candidate(), b.candidate()) })
+	return all
+}
+
+// first returns the entry to ask among ordered ones, of which each n work together: one of the
+// first n that do not all fail this entry. self tells that this entry is among them. One of the
+// own zone is preferred; entries spread over equal ones.
+func (s *Store) first(ordered []Peer, n int) (chosen Peer, ok, self bool) {
+	for group := range slices.Chunk(ordered, n) {
+		begin := roster.Pick(s.settings.Name, len(group))
+		for i := range group {
+			p := group[(begin+i)%len(group)]
 			if p.Name == s.settings.Name {
 				return Peer{}, false, true
 			}
@@ -303,6 +376,10 @@
 	return Peer{}, false, false
 }
 
+func (p Peer) candidate() roster.Candidate {
+	return roster.Candidate{Name: p.Name, Zone: p.Zone, Size: p.Size}
+}
+
 // unbounded is the age up to which an answer is taken by who knows nothing.
 const unbounded = time.Duration(math.MaxInt64)
 
--- /dev/null
+++ b/internal/relay/zones_test.go
@@ -0,0 +1,197 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
+)
+
+// fleet is a deployment of which each entry knows all others; nothing is sent.
+type fleet struct {
+	peers   []Peer
+	sources map[string]*Store
+	zones   map[string]string
+}
+
+// newFleet returns a fleet in six zones, of which each sixth entry has a large machine. In names
+// the small ones come first.
+func newFleet(entries int, storeLost func(i int) bool) *fleet {
+	f := &fleet{sources: map[string]*Store{}, zones: map[string]string{}}
+	small, large := roster.Size{Cores: 0.144, LinkMbps: 20}, roster.Size{Cores: 1.6, LinkMbps: 1000}
+	for i := range entries {
+		p := Peer{Name: fmt.Sprintf("a-small-%04d", i), Zone: fmt.Sprint(i % 6), Size: small, StoreLost: storeLost(i)}
+		if i/6%6 == 5 {
+			p.Name, p.Size = fmt.Sprintf("large-%04d", i), large
+		}
+		f.peers = append(f.peers, p)
+		f.zones[p.Name] = p.Zone
+	}
+	for _, p := range f.peers {
+		s := New(Settings{Name: p.Name, Zone: p.Zone, Size: p.Size, Delegates: 2, RetryAfter: time.Minute}, &platform.Store{}, NewLog(time.Now), func() []Peer {
+			return slices.DeleteFunc(slices.Clone(f.peers), func(o Peer) bool { return o.Name == p.Name })
+		}, listed(), events.Nop(), time.Now)
+		if p.StoreLost {
+			s.lostAt = time.Now()
+		}
+		f.sources[p.Name] = s
+	}
+	return f
+}
+
+// TestWhoAsksWhom covers the paths by which what the store tells reaches all entries: who follows
+// it, how many ask one entry, how many times a change crosses between zones, and that each path
+// ends at an entry that follows the store.
+func TestWhoAsksWhom(t *testing.T) {
+	none := func(int) bool { return false }
+	for _, tc := range []struct {
+		name      string
+		entries   int
+		storeLost func(i int) bool
+		// followers and crossings are the most entries that follow the store, and that ask one
+		// of another zone; askers is the most that ask one entry, hops the longest path.
+		followers, crossings, askers, hops int
+	}{
+		{"some tens", 30, none, 2, 30, 20, 1},
+		{"a hundred", 103, none, 2, 68, 68, 1},
+		{"412", 412, none, 2, 12, 64, 2},
+		{"412, a third without the store", 412, func(i int) bool { return i%3 == 0 }, 2, 12, 64, 2},
+		{"412, the large without the store", 412, func(i int) bool { return i/6%6 == 5 }, 2, 12, 64, 2},
+		{"1,000", 1000, none, 2, 18, 90, 2},
+		{"2,000", 2000, none, 2, 36, 100, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(tc.entries, tc.storeLost)
+			asked, asks := map[string]int{}, map[string]string{}
+			followers, crossings := 0, 0
+			for name, s := range f.sources {
+				p, ok, self := s.source()
+				switch {
+				case self:
+					followers++
+				case !ok:
+					t.Fatalf("%s has nobody to ask", name)
+				default:
+					asks[name] = p.Name
+					asked[p.Name]++
+					if p.Zone != f.zones[name] {
+						crossings++
+					}
+				}
+			}
+			most, longest := 0, 0
+			for name, n := range asked {
+				most = max(most, n)
+				if n > 20 && tc.entries > 400 && f.sources[name].settings.Size.Cores < 1 {
+					t.Errorf("%d entries ask %s, which has a small machine", n, name)
+				}
+			}
+			for name := range f.sources {
+				hops := 0
+				for at := asks[name]; at != "" && hops <= tc.entries; at = asks[at] {
+					hops++
+				}
+				longest = max(longest, hops)
+			}
+			if followers > tc.followers || crossings > tc.crossings || most > tc.askers || longest > tc.hops {
+				t.Errorf("%d follow the store, %d ask another zone, %d ask one entry, %d hops; want at most %d, %d, %d, %d",
+					followers, crossings, most, longest, tc.followers, tc.crossings, tc.askers, tc.hops)
+			}
+		})
+	}
+}
+
+// TestDelegatesOfTheZoneFail: the next ones of the zone take their place, and where none is left,
+// those that follow the store are asked.
+func TestDelegatesOfTheZoneFail(t *testing.T) {
+	f := newFleet(412, func(int) bool { return false })
+	s := f.sources["a-small-0006"]
+	var before []string
+	for range 4 {
+		p, ok, self := s.source()
+		if !ok || self || p.Zone != s.settings.Zone || slices.Contains(before, p.Name) {
+			t.Fatalf("asks %+v after %v failed", p, before)
+		}
+		before = append(before, p.Name)
+		s.avoid[p.Name] = time.Now().Add(time.Minute)
+	}
+	for _, p := range f.peers {
+		if p.Zone == s.settings.Zone {
+			s.avoid[p.Name] = time.Now().Add(time.Minute)
+		}
+	}
+	if p, ok, self := s.source(); !ok || self || p.Zone == s.settings.Zone {
+		t.Errorf("asks %+v, %v, %v; want an entry of another zone", p, ok, self)
+	}
+}
+
+// TestConfirmationIsPassedOnAtOnce: what goes through two entries must not grow older by the time
+// for which both hold questions.
+func TestConfirmationIsPassedOnAtOnce(t *testing.T) {
+	d := newDeployment(t, "a", "b")
+	d.list()
+	d.entries[1].source.settings.Wait = 20 * time.Second
+	got := make(chan platform.Snapshot)
+	go func() {
+		s, err := d.entries[1].changes(t)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- s
+	}()
+	time.Sleep(20 * time.Millisecond)
+	made := time.Now()
+	d.entries[0].log.note(table, platform.Snapshot{Version: 5, Made: made}, false)
+	select {
+	case s := <-got:
+		if made.Sub(s.Made) > 10*time.Millisecond {
+			t.Errorf("the answer tells of %s before", made.Sub(s.Made))
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the question is held although the table was confirmed")
+	}
+}
+
+// TestTurnsOfHundreds: while the store answers nobody, hundreds of entries make no more calls than
+// some tens do, and its return is noticed within the time for which routes are trusted.
+func TestTurnsOfHundreds(t *testing.T) {
+	const each, step, away, trusted = 100 * time.Millisecond, 50 * time.Millisecond, 4 * time.Second, 3800 * time.Millisecond
+	for _, entries := range []int{103, 412, 1000} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			f := newFleet(entries, func(int) bool { return true })
+			now, i := time.Now(), uint64(0)
+			for _, s := range f.sources {
+				i++
+				s.now, s.random, s.lostAt = func() time.Time { return now }, rand.New(rand.NewPCG(i, 1)).Float64, now
+				s.settings.CallEach, s.settings.RetryAfter = each, time.Hour
+			}
+			turns := func() (n int) {
+				now = now.Add(step)
+				for _, s := range f.sources {
+					if s.turn() {
+						n++
+					}
+				}
+				return n
+			}
+			calls, longest, since := 0, time.Duration(0), now
+			for range away / step {
+				if n := turns(); n > 0 {
+					calls += n
+					longest, since = max(longest, now.Sub(since)), now
+				}
+			}
+			if most := int(away / each); calls > most*3/2 {
+				t.Errorf("%d calls in %s, want about %d", calls, away, most)
+			}
+			if longest > trusted/2 {
+				t.Errorf("nobody asked for %s, routes are trusted for %s", longest, trusted)
+			}
+		})
+	}
+}
