perf: entries that start together write their rows one after another

Cause: at a first start all of hundreds read an empty list within some ms, write their rows, of which the store takes 200 a second and refuses the rest, and read the whole list again for each try.

Change: the first looks at the list are spread over a second, so that all but the first find somebody to speak to; a row that nobody needs to find its writer is written later, 100 a second. Only a row that was refused is tried again, not the read before it.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -112,9 +112,15 @@
 	// directoryHeard is the time in which an entry that starts hears one of those that are
 	// listed: some round trips, a busy processor and a lost message.
 	directoryHeard = time.Second
+	// directoryTogether spreads the first looks at the list when a deployment starts for the first
+	// time: a hundred calls to the store, one after another.
+	directoryTogether = time.Second
 	// directoryAlone bounds the pause after which an entry that found no other one looks again:
 	// many calls to the store, so that of hundreds that start together few do.
 	directoryAlone = 300 * time.Millisecond
+	// directoryWriteEach spreads the rows of entries that start together: the store takes twice
+	// as many.
+	directoryWriteEach = 10 * time.Millisecond
 	// directoryTold is some round trips, and a busy processor.
 	directoryTold = 150 * time.Millisecond
 	// listedWithin is for how long a start waits for the list of entries before it reads the
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -37,8 +37,8 @@
 			b.directory = directory.New(directory.Settings{
 				Table: tableEntries, Name: b.settings.Name, Entry: b.listedAs(),
 				Every: directoryEvery, ReadEach: directoryReadEach, Again: directoryAgain, CallWithin: directoryCall, HeardWithin: directoryHeard,
-				AloneWithin: directoryAlone, ToldWithin: directoryTold,
-			}, b.store, directory.Others{Found: b.found, Heard: b.hearsOthers, Known: b.othersKnown}, directory.Carried{Value: b.heldRequests, Heard: b.heardHeld}, b.rec, time.Now)
+				Together: b.settings.StartTogether, TogetherWithin: directoryTogether, AloneWithin: directoryAlone, ToldWithin: directoryTold, WriteEach: directoryWriteEach,
+			}, b.store, directory.Others{Found: b.found, Heard: b.othersHeard, Known: b.othersKnown}, directory.Carried{Value: b.heldRequests, Heard: b.heardHeld}, b.rec, time.Now)
 			go b.gossip.Run(b.ctx)
 			go b.directory.Run(b.ctx)
 			return nil
@@ -52,8 +52,8 @@
 	return roster.Entry{Address: s.GossipListen, Relay: s.RelayListen, Zone: s.Zone, Size: s.size()}
 }
 
-// hearsOthers reports whether another entry is heard.
-func (b *gatewayBuilder) hearsOthers() bool { return len(b.gossip.Heard()) > 0 }
+// othersHeard is the number of other entries that are heard.
+func (b *gatewayBuilder) othersHeard() int { return len(b.gossip.Heard()) }
 
 // relayPeers returns the entries that can be asked for tables. One that is listed may be asked
 // before it is heard, so that an entry that starts need not read the tables from the store.
--- a/internal/daemon/gatewaysettings.go
+++ b/internal/daemon/gatewaysettings.go
@@ -27,6 +27,7 @@
 	CoreShare     float64       `arg:"--core-share,env:SPARSHORE_CORE_SHARE" default:"1" help:"part of a core that this process has; entries with most processor and bandwidth work for the others"`
 	Cores         int           `arg:"--cores,env:SPARSHORE_CORES" default:"1" help:"number of cores of which it has that part"`
 	LinkMbps      float64       `arg:"--link-mbps,env:SPARSHORE_LINK_MBPS" default:"1000" help:"bandwidth of the VM in Mbit/s"`
+	StartTogether bool          `arg:"--start-together,env:SPARSHORE_START_TOGETHER" help:"all processes of the deployment start for the first time, at once"`
 	LogLines      int           `arg:"--log-lines,env:SPARSHORE_LOG_LINES" default:"300" help:"most log lines a second"`
 	TimelineSize  int           `arg:"--timeline-size,env:SPARSHORE_TIMELINE_SIZE" default:"512" help:"number of events kept for the time line"`
 }
--- a/internal/directory/carried_test.go
+++ b/internal/directory/carried_test.go
@@ -12,7 +12,7 @@
 
 // finds are the others of an entry that hears none of them.
 func finds(found func(map[string]roster.Entry)) Others {
-	return Others{Found: found, Heard: func() bool { return false }, Known: func() {}}
+	return Others{Found: found, Heard: func() int { return 0 }, Known: func() {}}
 }
 
 // nothing is carried by entries that have nothing to keep.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -33,19 +33,25 @@
 	CallWithin time.Duration
 	// HeardWithin is the time in which one of the entries in the list is heard.
 	HeardWithin time.Duration
+	// Together tells that all entries start for the first time, and TogetherWithin spreads their
+	// first looks at the list: it is empty, and those that look later find the first ones.
+	Together       bool
+	TogetherWithin time.Duration
 	// AloneWithin bounds the pause after which an entry that found no other one looks again.
 	AloneWithin time.Duration
 	// ToldWithin is the time in which an entry that is heard tells which others there are.
 	ToldWithin time.Duration
+	// WriteEach is the least time between two rows of all entries together, when they start.
+	WriteEach time.Duration
 }
 
 // Others are the other entries.
 type Others struct {
 	// Found takes over those that are listed, by name.
 	Found func(listed map[string]roster.Entry)
-	// Heard reports whether one of them is heard. Those that hear each other tell each other of
+	// Heard is the number of them that are heard. Those that hear each other tell each other of
 	// further ones.
-	Heard func() bool
+	Heard func() int
 	// Known is called once those that are there are known as far as they can be soon.
 	Known func()
 }
@@ -134,24 +140,55 @@
 // begin reads the list and lists the own entry, again soon until both have succeeded: an entry that
 // knows of no other judges alone, and takes what all share.
 //
-// Entries that start together find an empty list. Each looks again after a pause of random length,
-// unless one that looked before has spoken to it: entries that hear each other tell each other of
-// the rest. So few of hundreds read the list a second time.
+// One that finds others speaks to them, and entries that hear each other tell each other of the rest.
+// So its row is in no hurry, and hundreds that start together need not find it refused: a store takes
+// some hundred a second. One that finds nobody lists itself at once and looks again.
 func (d *Directory) begin(ctx context.Context) {
-	d.again(ctx, d.enlist)
+	if d.settings.Together {
+		pause(ctx, upTo(d.settings.TogetherWithin))
+	}
+	d.again(ctx, d.read)
+	written := d.alone
 	if d.alone {
-		d.awaitHeard(ctx, rand.N(d.settings.AloneWithin+1))
-		if d.others.Heard() {
-			pause(ctx, d.settings.ToldWithin)
-		}
+		d.again(ctx, d.renew)
+		d.lookAgain(ctx)
 	} else {
 		d.others.Known()
 		d.awaitHeard(ctx, d.settings.HeardWithin)
+		if d.others.Heard() == 0 {
+			d.again(ctx, d.renew)
+			d.again(ctx, d.read)
+			written = true
+		}
+	}
+	d.others.Known()
+	if !written {
+		d.awaitSoon(ctx, upTo(time.Duration(max(d.listed, d.others.Heard()))*d.settings.WriteEach))
+		d.again(ctx, d.renew)
 	}
-	if !d.others.Heard() {
+}
+
+// lookAgain is for an entry that found nobody: others may have looked at the same moment. It looks
+// again after a pause of random length, unless one that did so before has spoken to it.
+func (d *Directory) lookAgain(ctx context.Context) {
+	d.awaitHeard(ctx, upTo(d.settings.AloneWithin))
+	if d.others.Heard() == 0 {
 		d.again(ctx, d.read)
+		return
+	}
+	pause(ctx, d.settings.ToldWithin)
+}
+
+// upTo returns a random time up to a most.
+func upTo(most time.Duration) time.Duration { return rand.N(most + 1) }
+
+// awaitSoon returns after a time, or once the own row is to be renewed soon.
+func (d *Directory) awaitSoon(ctx context.Context, most time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-d.soon:
+	case <-time.After(most):
 	}
-	d.others.Known()
 }
 
 // heardEach is the pause between two looks at whether another entry is heard.
@@ -159,7 +196,7 @@
 
 // awaitHeard returns once another entry is heard, after a time at most.
 func (d *Directory) awaitHeard(ctx context.Context, most time.Duration) {
-	for left := most; left > 0 && ctx.Err() == nil && !d.others.Heard(); left -= heardEach {
+	for left := most; left > 0 && ctx.Err() == nil && d.others.Heard() == 0; left -= heardEach {
 		pause(ctx, min(left, heardEach))
 	}
 }
@@ -183,14 +220,6 @@
 	}
 }
 
-// enlist reads the list, which tells the store's clock, and writes the own row.
-func (d *Directory) enlist(ctx context.Context) error {
-	if err := d.read(ctx); err != nil {
-		return err
-	}
-	return d.renew(ctx)
-}
-
 // around returns a time from half of a mean to one and a half times it, so that entries that start
 // together do not go on calling together.
 func around(mean time.Duration) time.Duration {
