fix: what a peer claims moves nothing that is heard otherwise

Cause: entries that a peer names would be counted and spoken to as those that are listed, so that one that claims thousands makes messages to all others rarer; a state passed on with a time to come would keep later ones of that entry from being taken.

Change: an entry that is only named counts for nothing until it is heard, is spoken to for 2 s, and 2,048 of them are remembered at most; a state that its entry cannot have sent yet, or that was held for longer than 10 s, is rejected.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -105,6 +105,49 @@
 	}
 }
 
+// TestRefusedRenewalIsWrittenSoon: a renewal that the store refused is tried again soon, and not once
+// more after it was taken.
+func TestRefusedRenewalIsWrittenSoon(t *testing.T) {
+	store := &fakeStore{rows: map[string][]byte{}, clock: 1000 * time.Second}
+	store.add(t, "other", 999*time.Second)
+	seam := store.seam()
+	put, tries := seam.Put, make(chan int, 100)
+	n := 0
+	seam.Put = func(ctx context.Context, table, name string, value []byte) error {
+		n++
+		tries <- n
+		if n == 2 {
+			return platform.ErrUnavailable
+		}
+		return put(ctx, table, name, value)
+	}
+	d := New(Settings{Table: "entries", Name: "me", Entry: roster.Entry{Address: "10.0.0.9:1"}, Every: time.Hour, Again: time.Millisecond, CallWithin: time.Second},
+		seam, finds(func(map[string]roster.Entry) {}), nothing, events.Nop(), time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.Run(ctx)
+	await := func(what string, want int) {
+		t.Helper()
+		select {
+		case got := <-tries:
+			if got != want {
+				t.Errorf("%s: write %d, want %d", what, got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: not written", what)
+		}
+	}
+	await("at the start", 1)
+	d.RenewSoon()
+	await("when asked", 2)
+	await("once the store refused it", 3)
+	select {
+	case got := <-tries:
+		t.Errorf("written once more (%d) after the store took it", got)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 func TestEntriesFindEachOther(t *testing.T) {
 	store := &fakeStore{rows: map[string][]byte{}, clock: 1000 * time.Second}
 	store.add(t, "fresh", 995*time.Second)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -140,7 +140,9 @@
 	// entry is how it is listed, and listed since when.
 	entry  roster.Entry
 	listed time.Time
-	inList bool
+	// named tells that only another entry has named it so far: it is not in the list of entries,
+	// and has not been heard.
+	named bool
 	// delegate tells that it is one of its zone, as far as known here, and doubted that one does
 	// not hear it any more.
 	delegate bool
@@ -165,7 +167,7 @@
 	defer n.mu.Unlock()
 	for name, entry := range listed {
 		if name != n.settings.Name {
-			n.know(name, entry, true)
+			n.know(name, entry, false)
 		}
 	}
 	for name, p := range n.peers {
@@ -176,9 +178,9 @@
 	n.count()
 }
 
-// know takes over how an entry is listed, and greets one that is not heard. inList tells that it is
-// in the list of entries, and not only named by another one. It needs the lock.
-func (n *Node) know(name string, entry roster.Entry, inList bool) {
+// know takes over how an entry is listed, and greets one that is not heard. named tells that it is
+// not in the list of entries, but named by another one. It needs the lock.
+func (n *Node) know(name string, entry roster.Entry, named bool) {
 	addr, err := net.ResolveUDPAddr("udp4", entry.Address)
 	if err != nil {
 		n.rec.Note(events.GossipRejected, "", "peer", name, "error", err)
@@ -190,7 +192,7 @@
 		n.peers[name] = p
 		n.greetSoon(name)
 	}
-	p.addr, p.Address, p.Size, p.entry, p.known, p.inList = addr, entry.Address, entry.Size, entry, true, inList
+	p.addr, p.Address, p.Size, p.entry, p.known, p.named = addr, entry.Address, entry.Size, entry, true, named
 }
 
 // Peers returns the entries heard lately.
@@ -325,13 +327,15 @@
 func (n *Node) count() {
 	n.sizes = [groups]int{}
 	for _, p := range n.peers {
-		n.sizes[n.group(p)]++
+		if !p.named {
+			n.sizes[n.group(p)]++
+		}
 	}
 }
 
 // send sends the own state to the peers of some groups.
 func (n *Node) send(to ...group) {
-	n.sendTo(func(_ string, p *peer) bool { return slices.Contains(to, n.group(p)) })
+	n.sendTo(func(_ string, p *peer) bool { return !p.named && slices.Contains(to, n.group(p)) })
 }
 
 // greetSoon sends the own state to one entry at once: one that appears needs the state of each
@@ -466,7 +470,7 @@
 	first := n.sizes == [groups]int{}
 	n.measure(m, p, now)
 	overtaken := m.body.Life == p.life && m.body.Sent < p.newest
-	p.lost, p.doubted, p.addr, p.Address, p.Heard, p.echo, p.life = false, false, addr, addr.String(), now, m.body.Sent, m.body.Life
+	p.lost, p.doubted, p.named, p.addr, p.Address, p.Heard, p.echo, p.life = false, false, false, addr, addr.String(), now, m.body.Sent, m.body.Life
 	if !overtaken {
 		p.State, p.newest = s, m.body.Sent
 	}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -22,8 +22,11 @@
 	// mostMembers bounds the entries that one message names, some 60 bytes each, so that it fits
 	// in a datagram; of more, each message names others.
 	mostMembers = 500
-	// mostPeers bounds the entries that are known: a peer that claims many takes no memory.
-	mostPeers = 8192
+	// mostNamed bounds the entries that others named and that have not been heard yet: a peer that
+	// claims many takes no memory, and makes this entry speak to few.
+	mostNamed = 2048
+	// longestName bounds the names in bytes.
+	longestName = 128
 )
 
 // membersBody tells which entries the sender hears, itself included.
@@ -74,10 +77,11 @@
 	}
 }
 
-// compare tells a peer that is drawn the sum of the names.
+// compare tells a peer that is drawn the sum of the names, and sees to those that others named.
 func (n *Node) compare() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.tryNamed(n.now())
 	if p := n.draw(); p != nil {
 		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum()})
 	}
@@ -127,7 +131,7 @@
 		case except[name] || len(out) >= mostMembers:
 		case !p.lost:
 			out = append(out, wireOf(name, roster.Entry{Address: p.Address, Relay: p.State.Relay, Zone: p.State.Zone, Size: p.Size}))
-		case p.inList && n.isExpected(p, now):
+		case !p.named && n.isExpected(p, now):
 			out = append(out, wireOf(name, p.entry))
 		}
 	}
@@ -168,22 +172,45 @@
 // learn takes over entries that a peer names, as far as they are not known. Only what such an
 // entry says itself shows that it is there. It needs the lock.
 func (n *Node) learn(named []wireEntry) {
-	for i, e := range named {
+	pending := n.pending()
+	for _, e := range named[:min(len(named), mostMembers)] {
 		p, known := n.peers[e.Name]
-		if i >= mostMembers || e.Name == "" || e.Name == n.settings.Name || len(n.peers) >= mostPeers || !addressable(e.Address) {
-			continue
-		}
-		if !known {
-			n.know(e.Name, e.entry(), false)
-			continue
-		}
-		if p.Size == (roster.Size{}) {
+		switch {
+		case e.Name == "" || len(e.Name) > longestName || e.Name == n.settings.Name || !addressable(e.Address):
+		case !known && pending < mostNamed:
+			n.know(e.Name, e.entry(), true)
+			pending++
+		case known && p.Size == roster.Size{}:
 			p.Size = e.entry().Size
 		}
 	}
 	n.count()
 }
 
+// pending is the number of entries that others named and that are not heard. It needs the lock.
+func (n *Node) pending() (pending int) {
+	for _, p := range n.peers {
+		if p.named {
+			pending++
+		}
+	}
+	return pending
+}
+
+// tryNamed speaks again to the entries that others named, and forgets those that do not answer. It
+// needs the lock.
+func (n *Node) tryNamed(now time.Time) {
+	for name, p := range n.peers {
+		switch {
+		case !p.named:
+		case now.Sub(p.listed) > expectedFor:
+			delete(n.peers, name)
+		default:
+			n.greetSoon(name)
+		}
+	}
+}
+
 // addressable reports whether datagrams can be sent to an address; names are not looked up.
 func addressable(address string) bool {
 	a, err := netip.ParseAddrPort(address)
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -45,6 +45,10 @@
 	// spreadWithin is the time in which all hear of news, also if the delegates of the zone fail,
 	// all others are told directly, and one message is lost.
 	spreadWithin = 4 * echoWithin
+	// mostHeld bounds how old a state may be that is passed on, and clockSlack how far the clock of
+	// its entry may be ahead of what its own messages tell.
+	mostHeld   = 10 * time.Second
+	clockSlack = time.Second
 	// mostBundle bounds a message with news, in bytes.
 	mostBundle = 16 << 10
 )
@@ -337,7 +341,11 @@
 			n.reject(addr, err)
 			continue
 		}
-		held := time.Duration(max(s.HeldUS, 0)) * time.Microsecond
+		held := time.Duration(s.HeldUS) * time.Microsecond
+		if held < 0 || held > mostHeld {
+			n.reject(addr, fmt.Errorf("%w: a state of %s was held for %s", ErrMessage, m.body.From, held))
+			continue
+		}
 		n.takePassed(m, b.Part, news{version: s.Version, body: s.Body, made: now.Add(-held)})
 	}
 	n.takeSilent(b)
@@ -372,7 +380,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p, ok := n.peers[m.body.From]
-	if !ok || p.lost || p.life != m.body.Life || m.body.Sent <= p.newest {
+	if !ok || p.lost || p.life != m.body.Life || m.body.Sent <= p.newest || n.ahead(p, m.body.Sent) {
 		return State{}, false
 	}
 	s = m.state(one.made)
@@ -393,6 +401,12 @@
 // that failed at the same moment are replaced.
 const silentToldFor = 2 * time.Second
 
+// ahead reports whether an entry cannot have sent anything yet at a time of its clock: a state of
+// such a time would keep all later ones from being taken. It needs the lock.
+func (n *Node) ahead(p *peer, sent int64) bool {
+	return time.Duration(sent-p.echo) > n.now().Sub(p.Heard)+clockSlack
+}
+
 // tellSilent has it passed on which entries of the own zone are not heard any more: those of other
 // zones would notice much later. It needs the lock.
 func (n *Node) tellSilent(now time.Time) {
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -127,7 +127,7 @@
 off open-in-stops internal/daemon/gatewayhttp.go 's/for now := time\.Now\(\); now\.Before\(most\)/for now := time.Now(); now.Before(least)/'
 off back-after-stop $gateway/stop.go 's/s := g\.stops\(\)\n/s := g.stops()\n\tif s.first.IsZero() || true {\n\t\treturn backStopping\n\t}\n/'
 off soft-keys deploy/system.toml 's/KEY_BOUND_HARD = "[^"]*"/KEY_BOUND_HARD = "true"/'
-off relayed-tables internal/relay/store.go 's/if p, ok := s\.delegate\(\); ok \{/if p, ok := s.delegate(); ok \&\& false {/'
+off relayed-tables internal/relay/store.go 's/if p, ok, self = s\.source\(\); !ok \{/if p, ok, self = s.source(); !ok || true {/'
 off asked-engines internal/daemon/gatewaystore.go 's/if _, ok := b\.members\.Settled\(\); !ok \{/if _, ok := b.members.Settled(); !ok \&\& false {/'
 off second-list internal/directory/directory.go 's/if n == 0 \{/if n < 0 {/'
 off growing-pauses internal/daemon/gateway.go 's/followGatherMost = 200/followGatherMost = 40/'
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -83,7 +83,7 @@
 mutant relay-hold-end internal/relay/server.go 's/\t\t\tover = true/\t\t\treturn l.encode(a, asked), nil/' internal/relay TestAnswerTellsTheLatest
 mutant relay-turns internal/relay/store.go 's/if self \|\| s\.turn\(\) \{/if self || s.turn() || true {/' internal/relay TestTurnsAtTheStore
 mutant relay-second-delegate internal/relay/store.go 's/for range maxAsked \{\n\t\tvar p Peer/for range 1 {\n\t\tvar p Peer/' internal/relay TestAnotherDelegate
-mutant relay-told-anew internal/relay/log.go 's/\t\tt\.told = answer\{\}\n//' internal/relay TestAnswersAreEncodedOnce
+mutant relay-told-anew internal/relay/log.go 's/t\.told, t\.whole = answer\{\}, answer\{\}/t.whole = answer{}/' internal/relay TestAnswersAreEncodedOnce
 mutant follower-pause internal/belief/follower.go 's/f\.settings\.Wait - f\.now\(\)\.Sub\(f\.confirmed\)/f.settings.Wait/' internal/belief TestPauseAfterAChange
 mutant fleet-closed internal/fleet/unreadable.go 's/ && !s\.closed\[m\.Zone\]//' internal/fleet TestClosedZone
 mutant fleet-closed-draw internal/fleet/set.go 's/m\.state == Serving && s\.mayWork\(m\)/m.state == Serving/' internal/fleet TestClosedZone
@@ -136,7 +136,7 @@
 mutant entries-pause $entry 's/ \|\| r\.RenewsEachMS <= 0 / /' internal/directory TestEntriesOfOther
 mutant entries-once $entry 's/return !known \|\| version != r\.Version/return !known || version >= 0/' internal/directory TestBadRowsAreToldOnce
 mutant entries-lines internal/directory/directory.go 's/ && told < mostLines \{/ {/' internal/directory TestBadRowsAreToldOnce
-mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRow
+mutant directory-owed internal/directory/directory.go 's/owed = err != nil/_ = err/' internal/directory TestRefusedRenewal
 
 starts=internal/fleet/starts.go
 mutant start-own-id $starts 's/case born != 0:/case false:/' internal/fleet TestStartUnderAnEarlierName
@@ -234,7 +234,7 @@
 mutant fault-generation internal/sidecar/server.go 's/err := guard\.Do\(func\(\) error \{\n\t\ts\.runner\.stream\(ctx, g, p\)\n\t\treturn nil\n\t\}\)/err := ctx.Err()\n\ts.runner.stream(ctx, g, p)/; s/.*internal\/guard"\n//' internal/sidecar TestGenerationThatEndsNoSidecar
 
 mutant first-reads internal/directory/directory.go 's/firstMost  = 2 \* time\.Second/firstMost  = time.Hour/; s/firstLeast = 100 \* time\.Millisecond/firstLeast = time.Hour/' internal/directory TestFirstReadsThatFail
-mutant first-row internal/directory/directory.go 's/\tif err := d\.renew\(ctx\); err != nil \{\n\t\treturn err\n\t\}\n\treturn d\.read\(ctx\)/\treturn nil/' internal/directory TestFirstReadsThatFail
+mutant first-row internal/directory/directory.go 's/\t\t\td\.again\(ctx, d\.renew\)\n\t\t\td\.again\(ctx, d\.read\)\n//' internal/directory TestFirstReadsThatFail
 
 # What limited upstreams take.
 limits=internal/limits
@@ -270,4 +270,26 @@
 mutant limits-sidecar-queued internal/sidecar/server.go 's/if opensAt, ok := s\.takes\.take\(context\.Background\(\)\); !ok \{/if opensAt, ok := s.takes.opensAt(), true; !ok {/' internal/sidecar TestQueuedGenerationNeedsAPermit
 mutant limits-sidecar-start internal/sidecar/limit.go 's/t\.set\.Take\(ctx, t\.starts\.current\(\)\)/t.set.Take(ctx, t.starts.incarnation+"#0")/' internal/sidecar TestLimitEndsWithItsStart
 
+spread=internal/gossip/spread.go
+members=internal/gossip/members.go
+mutant start-asks internal/relay/store.go 's/\tfor range maxAsked \{\n\t\tp, ok, _ := s\.source\(\)\n\t\tif !ok \{/\tfor range maxAsked {\n\t\tp, ok, _ := s.source()\n\t\tif ok || !ok {/' internal/relay TestStartAsksTheDelegate
+mutant start-waits internal/relay/store.go 's/\ts\.awaitListed\(ctx\)\n//' internal/relay TestStartWaitsForTheList
+mutant start-held internal/relay/server.go 's/\t\tcase <-signs\.changed:\n\t\tcase <-end\.C:\n\t\t\treturn nil, err/\t\tdefault:\n\t\t\treturn nil, err/' internal/relay TestStartAsksTheDelegate
+mutant start-together internal/directory/directory.go 's/pause\(ctx, upTo\(d\.settings\.TogetherWithin\)\)/_ = d.settings.TogetherWithin/' internal/directory TestHundredsThatStartTogether
+mutant start-rows internal/directory/directory.go 's/\t\td\.awaitSoon\(ctx, upTo\([^\n]*\n//; s/\/\/ awaitSoon returns/var _ = (*Directory).awaitSoon\n\n\/\/ awaitSoon returns/' internal/directory TestHundredsThatStartTogether
+mutant zone-delegates internal/roster/roster.go 's/return entries > directMost/return entries < 0/' internal/relay TestWhoAsksWhom
+mutant zone-size internal/roster/roster.go 's/cmp\.Compare\(b\.Size\.Cores, a\.Size\.Cores\), //' internal/roster TestDelegatesAreTheLargest
+mutant zone-more internal/roster/roster.go 's/return max\(zoneLeast, [^\n]*/return zoneLeast/' internal/roster TestWorkForOthersIsBounded
+mutant zone-confirmed internal/relay/server.go 's/case <-signs\.confirmed:/case <-chan struct{}(nil):/' internal/relay TestConfirmationIsPassedOnAtOnce
+mutant zone-turns internal/relay/store.go 's/turnsMost = 32/turnsMost = 1 << 20/' internal/relay TestTurnsOfHundreds
+mutant appears-to-all internal/gossip/gossip.go 's/n\.greetSoon\(m\.body\.From\)/n.UrgeEach()/' internal/gossip TestEntryThatAppears
+mutant urgent-direct $spread 's/if !n\.byZone\(\) \{/if n.byZone() || true {/' internal/gossip TestUrgentMessagesAreBounded
+mutant urgent-fallback $spread 's/\t\tn\.UrgeEach\(\)\n\t\tif n\.again\(\) \{\n\t\t\tn\.Urge\(\)\n\t\t\}/\t\t_ = n.again/' internal/gossip TestUrgentNewsReachesAll
+mutant urgent-ahead $spread 's/ \|\| n\.ahead\(p, m\.body\.Sent\)//' internal/gossip TestBundlesThatMoveNothing
+mutant urgent-life $spread 's/ \|\| p\.life != m\.body\.Life \|\| m\.body\.Sent/ || m.body.Sent/' internal/gossip TestBundlesThatMoveNothing
+mutant silent-untold $spread 's/\tif n\.delegate \{\n\t\tn\.tellSilent\(now\)\n\t\}\n/\t_ = n.tellSilent\n/' internal/gossip TestSilentEntriesAreForgotten
+mutant silent-believed $spread 's/min\(time\.Duration\(silentFor\*float64\(every\)\), forget\)/min(0*every, forget)/' internal/gossip TestSilenceThatIsNotTrue
+mutant named-bounded $members 's/case !known && pending < mostNamed:/case !known:/' internal/gossip TestPeerThatClaims
+mutant named-forgotten $members 's/\t\t\tdelete\(n\.peers, name\)\n/\t\t\t_ = name\n/' internal/gossip TestPeerThatClaims
+
 finish
