perf: entries compare marks, and only their zone is ordered to find whom to ask

Cause: while entries hear different ones, as in a cut, each comparison carried the whole list, 25 KB with 412 entries, and whom to ask was found by copying and ordering all entries with their states, some times a second.

Change: a comparison carries 32-bit marks, and then the entries that lack; an entry that is no delegate orders those of its zone only. Files of gossip, relay and directory are split by job.

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -180,8 +180,7 @@
 // wait is how long the store may hold the next call: until what is known here has grown
 // as old as Wait, the pause after an answer with changes included. Others ask for it and
 // go by it up to an age just above Wait; with the whole of Wait after a pause of 200 ms it
-// would be older. The gain is not measured by itself: alone it did not lessen the calls
-// of 103 entries (2,265 in 16 s without, 2,502 with it). The first call after a failure is
+// would be older. The first call after a failure is
 // answered at once, because others wait for its confirmation.
 func (f *Follower) wait() time.Duration {
 	f.mu.Lock()
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -176,8 +176,7 @@
 
 // Read reads what the caller sent. A limit that is over ends the connection only if
 // nothing has come by then: a process that did not get to run for a while finds the limit
-// and the next request due at once. With a timer beside the connection 7 of 64 played days
-// of slowed entries whose tables grow lost a request that had been passed on, 0 of 60 so.
+// and the next request due at once.
 func (c *Conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(b)
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -135,7 +135,7 @@
 // toldToStop returns when the signal to stop came, as far as the process did not run at all before
 // it noticed, and the earliest time at which it may have come if it ran in moments only. Nothing is
 // taken that would end too late by the latter. What is in flight is not given up by it: on a busy
-// machine it is a second too early at times, and generations were cut 2.7 s after the signal, of 4 s.
+// machine it is a second too early at times.
 func (b *gatewayBuilder) toldToStop() (told, earliest time.Time) {
 	told, earliest = b.watch.earliest(), b.lag.earliest()
 	if told.Before(earliest) {
@@ -158,9 +158,8 @@
 
 // awaitQuiet returns when no caller has asked anything for a while, from the time
 // least on, and at the time most in any case. A balancer that finds all entries of
-// a zone stopping sends callers to them nevertheless: when each closed its listener
-// after 2.5 s, four entries stopped a second apart turned away up to 870 tries in 34 s
-// of 60 requests a second, and 0.12 of the requests failed; 0.03 with it open.
+// a zone stopping sends callers to them nevertheless, and a closed listener turns all of
+// these away.
 func (b *gatewayBuilder) awaitQuiet(least, most time.Time) {
 	for now := time.Now(); now.Before(most); now = time.Now() {
 		if now.After(least) && b.gateway.QuietFor() >= quietFor {
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -59,11 +59,11 @@
 // before it is heard, so that an entry that starts need not read the tables from the store.
 func (b *gatewayBuilder) relayPeers() []relay.Peer {
 	var out []relay.Peer
-	for name, p := range b.gossip.Peers() {
+	b.gossip.Each(func(name string, p *gossip.Peer) {
 		if p.State.Relay != "" {
 			out = append(out, relay.Peer{Name: name, Zone: p.State.Zone, Size: p.Size, Address: p.State.Relay, Confirmed: p.State.Confirmed, StoreLost: p.State.StoreLost})
 		}
-	}
+	})
 	for name, e := range b.gossip.Expected() {
 		if e.Relay != "" {
 			out = append(out, relay.Peer{Name: name, Zone: e.Zone, Size: e.Size, Address: e.Relay})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -212,9 +212,7 @@
 
 // authenticate finds the account. Only a table that is known to be new enough
 // proves that a key is unknown. A known key that may have been revoked since is
-// served unless the operator set a hard bound: where the store is silent for 8 of
-// 34 s, refusing every key meanwhile ends 7% of a day's requests unserved, and going
-// on by the last table 0.1% (means of three played days).
+// served unless the operator set a hard bound.
 func (g *Gateway) authenticate(rq *request, trusted bool) bool {
 	if !rq.table.NeedsKey(rq.route) {
 		return true
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -14,10 +14,8 @@
 	// can take the caller at once.
 	backStopping = 50 * time.Millisecond
 	// restartTime is from the moment an entry gives up its last requests until the
-	// balancer sends callers to the one that takes its place: 0.5 s until that runs, in
-	// the logs of entries stopped in turn, up to a second until the balancer asks it,
-	// and a little more. With a second, 35 of 40 returning callers came while only
-	// stopping entries were used and were refused for good.
+	// balancer sends callers to the one that takes its place: its start, up to a second until
+	// the balancer asks it, and a little more.
 	restartTime = 1750 * time.Millisecond
 	// NoticeTime is how long the balancer goes on sending callers to an entry that
 	// is not ready: it asks each second and believes the second refusal.
@@ -126,8 +124,8 @@
 
 // backAfterStop is the time after which an entry can be expected to serve what
 // this stopping one refuses. Callers try once or twice, and the balancer believes
-// a stopping entry ready for a while: told to come back at once, two in three of
-// those that a zone with all entries stopping refused were refused for good.
+// a stopping entry ready for a while: told to come back at once, most of those that a
+// zone with all entries stopping refuses are refused for good.
 func (g *Gateway) backAfterStop() time.Duration {
 	s := g.stops()
 	switch {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -33,10 +33,12 @@
 type membersBody struct {
 	_    struct{} `cbor:",toarray"`
 	From string
-	// Sum is of the names. The entries are named only to who told another sum.
+	// Sum is of the entries. To who told another sum their marks are told, and to who told marks
+	// the entries that lack in them.
 	Sum     uint64
+	Marks   []uint32
 	Entries []wireEntry
-	// Asks wants to be told the entries that the sender does not name.
+	// Asks wants to be told the entries that lack in the marks, and marks in return.
 	Asks bool
 }
 
@@ -106,29 +108,49 @@
 // sum is the same at entries that hear the same ones and know the same of their machines,
 // whatever the order. It needs the lock.
 func (n *Node) sum() uint64 {
-	sum := sumOf(n.settings.Name, n.settings.Entry.Size)
-	for name, p := range n.peers {
+	sum := markOf(n.settings.Name, n.settings.Entry.Size)
+	for _, p := range n.peers {
 		if !p.lost {
-			sum ^= sumOf(name, p.Size)
+			sum ^= p.mark
 		}
 	}
 	return sum
 }
 
-func sumOf(name string, size roster.Size) uint64 {
+// marks are those of the entries that are heard, and of this one, in 32 bits. It needs the lock.
+func (n *Node) marks() []uint32 {
+	out := []uint32{uint32(markOf(n.settings.Name, n.settings.Entry.Size))}
+	for _, p := range n.peers {
+		if !p.lost {
+			out = append(out, uint32(p.mark))
+		}
+	}
+	return out
+}
+
+// markOf tells entries apart, and what is known of their machines.
+func markOf(name string, size roster.Size) uint64 {
 	h := fnv.New64a()
 	_, _ = fmt.Fprintf(h, "%s %.0f %.0f", name, size.Cores*milli, size.LinkMbps)
 	return h.Sum64()
 }
 
-// members names the entries that are heard, and this one, but for some. Those that the list of
-// entries showed a moment ago are named as well: entries that start together learn of each other by
-// the first that reads it. It needs the lock.
-func (n *Node) members(except map[string]bool) []wireEntry {
-	out, now := []wireEntry{wireOf(n.settings.Name, n.settings.Entry)}, n.now()
+// members names the entries that are heard, and this one, as far as they lack in marks. Those that
+// the list of entries showed a moment ago are named as well: entries that start together learn of
+// each other by the first that reads it. It needs the lock.
+func (n *Node) members(marks []uint32) []wireEntry {
+	there := make(map[uint32]bool, len(marks))
+	for _, m := range marks {
+		there[m] = true
+	}
+	var out []wireEntry
+	if own := markOf(n.settings.Name, n.settings.Entry.Size); !there[uint32(own)] {
+		out = append(out, wireOf(n.settings.Name, n.settings.Entry))
+	}
+	now := n.now()
 	for name, p := range n.peers {
 		switch {
-		case except[name] || len(out) >= mostMembers:
+		case there[uint32(p.mark)] || len(out) >= mostMembers:
 		case !p.lost:
 			out = append(out, wireOf(name, roster.Entry{Address: p.Address, Relay: p.State.Relay, Zone: p.State.Zone, Size: p.Size}))
 		case !p.named && n.isExpected(p, now):
@@ -151,24 +173,24 @@
 		return nil
 	}
 	n.learn(b.Entries)
+	answer := membersBody{From: n.settings.Name, Sum: n.sum()}
 	switch {
-	case b.Asks:
-		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum(), Entries: n.members(namesOf(b))})
-	case len(b.Entries) == 0 && b.Sum != n.sum():
-		n.writeMembers(p, membersBody{From: n.settings.Name, Sum: n.sum(), Entries: n.members(map[string]bool{b.From: true}), Asks: true})
+	case len(b.Marks) > 0:
+		if answer.Entries = n.members(b.Marks); b.Asks {
+			answer.Marks = n.marks()
+		}
+		if len(answer.Entries) == 0 && len(answer.Marks) == 0 {
+			return nil
+		}
+	case len(b.Entries) == 0 && b.Sum != answer.Sum:
+		answer.Marks, answer.Asks = n.marks(), true
+	default:
+		return nil
 	}
+	n.writeMembers(p, answer)
 	return nil
 }
 
-// namesOf returns the names that a message tells of together with their machines.
-func namesOf(b membersBody) map[string]bool {
-	out := map[string]bool{b.From: true}
-	for _, e := range b.Entries {
-		out[e.Name] = e.MilliCores > 0
-	}
-	return out
-}
-
 // learn takes over entries that a peer names, as far as they are not known. Only what such an
 // entry says itself shows that it is there. It needs the lock.
 func (n *Node) learn(named []wireEntry) {
@@ -181,7 +203,7 @@
 			n.know(e.Name, e.entry(), true)
 			pending++
 		case known && p.Size == roster.Size{}:
-			p.Size = e.entry().Size
+			p.resize(e.Name, e.entry().Size)
 		}
 	}
 	n.count()
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -8,8 +8,7 @@
 	failureCost = 4.0
 	// otherZoneCost keeps calls in the zone unless another one has a request less:
 	// a call between zones meets links that lose packets, and a packet sent again
-	// comes some 200 ms later. With 4% lost for 12 of 34 s, requests earned 0.02 more of
-	// their value than at a cost of 0.3 (mean of three runs).
+	// comes some 200 ms later.
 	otherZoneCost = 1.0
 	// failingCost puts upstreams that fail many requests behind all that do not, but
 	// before those whose connections broke.
@@ -34,9 +33,7 @@
 	engineNoiseTokens   = 400.0
 	// engineZoneTokens keeps generations in the zone unless an engine of another one
 	// has about one generation less: packets that links between zones lose pause a
-	// stream for longer than its caller allows. With 4% lost for 12 of 34 s, requests
-	// earned 0.07 more of their value than at a cost of 150 (mean of three runs), and as
-	// much without losses.
+	// stream for longer than its caller allows.
 	engineZoneTokens = 3000.0
 	// prefillWeight is what an unread prompt token counts beside a stored one:
 	// it delays the first token of whatever comes after, and four prompts in a
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -14,17 +14,13 @@
 	// some ten of one entry, on a deployment of 22 entries that get 55 a second.
 	refusalsRemembered = 4 * time.Second
 	// backSoon is the part of the objective after which a caller is told to come back
-	// while nearly all are admitted: three quarters are left to read the prompt. With an
-	// eighth of all refused, being told to come back after a second or more cost 0.02 to 0.04
-	// of worth: whoever came back then was late (means of three days, two seeds each; 250 ms
-	// and 400 ms for an objective of 1.8 s are as good).
+	// while nearly all are admitted: three quarters are left to read the prompt.
 	backSoon = 0.25
 	// BackLeast is the least time to come back, about the time in which a few of some
 	// hundred streams end.
 	BackLeast = 250 * time.Millisecond
 	// ageOfShare is how much of the overload's age a caller waits for each part of the
-	// generations that is refused. With twice and three times the load, 66 and 170 of 415
-	// and 617 long ones were refused for good, and 87 and 225 at 1 (three seeds).
+	// generations that is refused.
 	ageOfShare = 1.5
 	// BackSpread is the part by which the times told are spread to both sides, so
 	// that callers refused together do not come back together.
@@ -51,9 +47,7 @@
 // back; objective is the time in which its route wants generations to begin. While few are refused the next try very likely finds
 // room, and in time. How long an overload lasts is not known; one that has lasted for a
 // time can be expected to last as long again, so the more are refused the larger a part of
-// its age a caller waits. Callers have one or two tries: with three times the load, 306 of
-// 617 were refused for good when they were told to come back after 250 ms, and 184 when
-// after 10 s.
+// its age a caller waits. Callers have one or two tries.
 func (o *Overload) Refused(objective time.Duration, now time.Time, random float64) time.Duration {
 	soon := max(time.Duration(backSoon*float64(objective)), BackLeast)
 	o.mu.Lock()
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -34,15 +34,13 @@
 }
 
 // MoveWithin is the time in which the generations of an engine that leaves are to be copied
-// to others: the shortest notice seen. With twice the load 282 of 415 long answers were in
-// time, 268 with 0.15 s less; 8 failed, 3 with less (three seeds).
+// to others: the shortest notice.
 const MoveWithin = 1500 * time.Millisecond
 
 // Usable is the memory of an engine in tokens that generations may fill which would have to
 // be moved if it left. leavingShare is the part of all engines that lately left together;
-// while it is not 0, no more is filled than can be copied in time: with engines of 34,287
-// tokens that copy 18,300 a second filled whole, 31 of 371 long answers were cut on a day
-// of twice the usual load, most of them when their engine ended before their copy was whole.
+// while it is not 0, no more is filled than can be copied in time: an engine that is filled whole
+// ends before its copies are whole.
 func (m *MoveRoom) Usable(e *routetable.Engine, leavingShare float64, now time.Time) float64 {
 	memory := float64(e.MemoryTokens)
 	if leavingShare == 0 {
--- a/internal/quarantine/isolation.go
+++ b/internal/quarantine/isolation.go
@@ -11,9 +11,7 @@
 	// for its second try.
 	ApartIfPossible
 	// Apart is for one under which more than one ended. It is tried where no other suspect runs, while most
-	// upstreams are there. Of 10,800 sound requests beside four that end upstreams 0.87 to 0.95
-	// were served, 0.83 to 0.84 with trials anywhere and at any time (20 plays of each row of the
-	// rig of the tests, 4 entries, 9 upstreams).
+	// upstreams are there.
 	Apart
 )
 
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -18,13 +18,10 @@
 	// and with no good answer between them, do not happen to a sound request.
 	verdictEnds = 3
 	// repeatEnds is the number of ends after which this system does not send a request
-	// again by itself. Of 52,000 sound requests beside one that ends upstreams 1 was not
-	// served and 10 upstreams ended; 22 and 7 with no second try, 1 and 12 with as many as
-	// there were (300 entries, news 0.1 s old, three plays of the rig of the tests).
+	// again by itself.
 	repeatEnds = 1
-	// mostEnds bounds the ends that are remembered of one request: more than one ends at 300
-	// entries whose news is 0.7 s old, 49. What is not remembered explains no other's ends:
-	// with 16, 10 to 141 of 52,000 sound requests there were refused as held, 0 to 2 so.
+	// mostEnds bounds the ends that are remembered of one request: more than one ends at
+	// hundreds of entries whose news is old. What is not remembered explains no other's ends.
 	mostEnds = 64
 	// mostSuspects bounds the requests that are remembered: some twenty full engines.
 	mostSuspects = 1024
@@ -53,9 +50,7 @@
 	// a newer one.
 	busyFor = 2 * time.Second
 	// newsWithin is how long after the latest of three ends a request that is not held is not
-	// tried again: others that ran there are heard of or served meanwhile. Without it 1 and 47 of
-	// 10,800 sound requests beside four that end upstreams were refused as held, 0 and 3 with it
-	// (20 plays of the rig of the tests, news 10 and 100 ms old).
+	// tried again: others that ran there are heard of or served meanwhile.
 	newsWithin = time.Second
 	// awayFor is how long an upstream that ended is usually away.
 	awayFor = 2 * time.Second
@@ -177,9 +172,7 @@
 
 // explains reports whether one request that is held explains all that speaks against another one,
 // as for a sound one that many callers send. One whose ends several explain together is a
-// suspect still: beside them it may end upstreams as well. One of four such ran unrestrained
-// otherwise, and reached upstreams four times once all had to know (1 of 200 plays of the rig of
-// the tests). It needs the lock.
+// suspect still: beside them it may end upstreams as well. It needs the lock.
 func (s *Set) explains(u *suspect) bool {
 	live := u.live()
 	if len(s.explained.unexplained(u)) > 0 {
--- a/internal/quarantine/turn.go
+++ b/internal/quarantine/turn.go
@@ -29,9 +29,7 @@
 
 // myTurn reports whether this entry may try a request that may be about to be held, or that was:
 // all entries would try it at once when upstreams are back, or a quarantine is over. Turns go by
-// the time since the latest end, in an order that all entries agree on. Without turns one of four
-// requests that end upstreams reached some four times once all had to know in 4 of 200 plays of
-// the rig of the tests. It needs the lock.
+// the time since the latest end, in an order that all entries agree on. It needs the lock.
 func (s *Set) myTurn(u *suspect) bool {
 	now := s.now()
 	names := []string{s.name}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -33,9 +33,7 @@
 const (
 	tellingEnds = 1
 	// tellingBesideOthers is that while upstreams end for other causes as well: a sound request that
-	// is tried meets one of these now and then. With one 25 of 10,800 sound requests were refused as
-	// held while an upstream ended each 0.15 s, and 13 of 432,000 beside four requests that end
-	// upstreams (20 and 800 plays of the rig of the tests).
+	// is tried meets one of these now and then.
 	tellingBesideOthers = 2
 	// mostStray is the number of ends, in strayWithin about the latest one of a request, at which
 	// only requests ran that ran at no other one, above which upstreams end by themselves.
--- a/internal/relay/records.go
+++ b/internal/relay/records.go
@@ -27,9 +27,7 @@
 var errTooLarge = errors.New("records are too large")
 
 // encodeRecords packs rows for other entries. Tables repeat themselves, and each side goes
-// over the message that carries them several times: with four thousand routes it has
-// 135 KB and not 1 MB, and costs 1.9 ms of a processor for each asker and not 23
-// (BenchmarkLargeAnswer).
+// over the message that carries them several times (BenchmarkLargeAnswer).
 func encodeRecords(rows []platform.Record) ([]byte, error) {
 	list := make([]wireRecord, len(rows))
 	for i, r := range rows {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,10 +17,6 @@
 // ErrStale is wrapped when another entry's answer is too old to go by.
 var ErrStale = errors.New("the other entry's answer is too old")
 
-// ErrNotAsked is answered while no other entry can tell and it is left to others to
-// ask the store itself.
-var ErrNotAsked = errors.New("other entries ask the store")
-
 // Settings are the fixed numbers of a Store.
 type Settings struct {
 	// Name, Zone and Size are the own entry's.
@@ -229,48 +223,13 @@
 	s.turnAt = time.Time{}
 }
 
-// turnsMost is the number of entries that take turns at the store. The others wait until one of
-// these can tell them: with a turn for each of hundreds, one that no other can tell would wait for
-// longer than routes are trusted.
-const turnsMost = 32
-
-// turn reports whether this entry may ask the store for what no other entry can tell, and
-// takes its turn. What all know grows old at the same moment when the store falls silent,
-// so all would ask it then, and again after each failure. Each waits for a random part of
-// the time in which all have their turn, which serves for all tables.
-func (s *Store) turn() bool {
-	if !s.due() {
-		return false
-	}
-	ranked := s.ranked()
-	takers := ranked[:min(len(ranked), turnsMost)]
-	return slices.ContainsFunc(takers, func(p Peer) bool { return p.Name == s.settings.Name })
-}
-
-// due reports whether the turn of this entry has come, and sets the next one.
-func (s *Store) due() bool {
-	all := float64(min(len(s.peers()), turnsMost)) * float64(s.settings.CallEach)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if s.turnAt.IsZero() {
-		s.turnAt = now.Add(time.Duration(s.random() * all))
-	}
-	if now.Before(s.turnAt) {
-		return false
-	}
-	s.turnAt = now.Add(time.Duration((0.5 + s.random()) * all))
-	return true
-}
-
 // holdLeast is the least time for which another entry is asked to hold a question:
 // some round trips, so that questions do not follow each other at once.
 const holdLeast = 20 * time.Millisecond
 
 // hold is how long another entry may hold a question for changes. It ends when what
-// is known here reaches the age from which it is not gone by: an entry asked a
-// delegate that had just been cut off, and served by routes 2.3 s old with a bound of
-// 2 s.
+// is known here reaches the age from which it is not gone by: a delegate that was just cut off
+// holds it for longer.
 func (s *Store) hold(table string) time.Duration {
 	made := s.log.made(table)
 	if made.IsZero() {
@@ -323,85 +282,6 @@
 	return peer
 }
 
-// source returns the entry that this one asks. ok is false if there is none, and self tells that
-// this entry is to follow the store itself. All entries that hear each other agree on who the
-// delegates are: those on the largest machines that reach the store. While those fail this entry,
-// the next ones take their place.
-//
-// With many entries only the delegates of the zones ask these, and the others ask those of their
-// zone: a change crosses between zones some times only, and nobody has to tell it to hundreds.
-func (s *Store) source() (chosen Peer, ok, self bool) {
-	all := s.ranked()
-	reach := slices.DeleteFunc(slices.Clone(all), func(p Peer) bool { return p.StoreLost })
-	chosen, ok, self = s.first(reach, s.settings.Delegates)
-	if self || !roster.ByZone(len(all)) {
-		return chosen, ok, self
-	}
-	zone := slices.DeleteFunc(all, func(p Peer) bool { return p.Zone != s.settings.Zone })
-	if near, found, delegate := s.first(zone, roster.ZoneDelegates(len(zone))); found && !delegate {
-		return near, true, false
-	}
-	return chosen, ok, false
-}
-
-// ranked returns all entries that are heard and this one, those on the largest machines first.
-func (s *Store) ranked() []Peer {
-	all := append(s.peers(), Peer{Name: s.settings.Name, Zone: s.settings.Zone, Size: s.settings.Size, StoreLost: s.StoreLost()})
-	slices.SortFunc(all, func(a, b Peer) int { return roster.Compare(a.candidate(), b.candidate()) })
-	return all
-}
-
-// first returns the entry to ask among ordered ones, of which each n work together: one of the
-// first n that do not all fail this entry. self tells that this entry is among them. One of the
-// own zone is preferred; entries spread over equal ones.
-func (s *Store) first(ordered []Peer, n int) (chosen Peer, ok, self bool) {
-	for group := range slices.Chunk(ordered, n) {
-		begin := roster.Pick(s.settings.Name, len(group))
-		for i := range group {
-			p := group[(begin+i)%len(group)]
-			if p.Name == s.settings.Name {
-				return Peer{}, false, true
-			}
-			if s.avoided(p.Name) {
-				continue
-			}
-			if !ok || p.Zone == s.settings.Zone && chosen.Zone != s.settings.Zone {
-				chosen, ok = p, true
-			}
-		}
-		if ok {
-			return chosen, true, false
-		}
-	}
-	return Peer{}, false, false
-}
-
-func (p Peer) candidate() roster.Candidate {
-	return roster.Candidate{Name: p.Name, Zone: p.Zone, Size: p.Size}
-}
-
-// unbounded is the age up to which an answer is taken by who knows nothing.
-const unbounded = time.Duration(math.MaxInt64)
-
-// freshest returns the entries with a confirmation that is not older than oldest,
-// the newest first.
-func (s *Store) freshest(oldest time.Duration) []Peer {
-	list := slices.DeleteFunc(s.peers(), func(p Peer) bool {
-		return p.Confirmed.IsZero() || s.now().Sub(p.Confirmed) > oldest || s.avoided(p.Name)
-	})
-	slices.SortFunc(list, func(a, b Peer) int { return b.Confirmed.Compare(a.Confirmed) })
-	return list[:min(maxAsked, len(list))]
-}
-
-// maxAsked bounds the entries that are asked when the store does not answer.
-const maxAsked = 2
-
-func (s *Store) avoided(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.now().Before(s.avoid[name])
-}
-
 // ask asks another entry. One that fails or knows only older things than oldest
 // is not asked again for a while.
 func (s *Store) ask(ctx context.Context, p Peer, method string, params any, oldest time.Duration) (platform.Snapshot, error) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -74,7 +74,7 @@
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Repeats\), keptPart\*share\)/float64(u.Repeats)/' internal/routing TestIdleEntries
 mutant link-pairs internal/link/link.go 's/if p\.otherRequest\(c, req, resp\) \{/if false {/' internal/link TestAnswerToTheRequestBefore
 mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && quiet\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionsAreKept'
-mutant gossip-life internal/gossip/gossip.go 's/ && m\.echo\.Life == n\.settings\.Life//' internal/gossip TestEchoOfAnEarlierLife
+mutant gossip-life internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Life//' internal/gossip TestEchoOfAnEarlierLife
 mutant relay-stale internal/relay/store.go 's/err == nil && age > oldest \{/false \&\& age > oldest {/' internal/relay TestWhenTheDelegate
 mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.firstHand \{/if m.state == Lapsed {/' internal/fleet TestUpstreamComesBack
 mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) <= r\.table\.Version\(\) \{/if false {/' $gateway TestRoutesOnlyGoUp
@@ -229,12 +229,12 @@
 # Faults of this program over what was read.
 mutant fault-table internal/belief/routes.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)/table, err := r.decode(rec.Value)/; s/\tvar table \*routetable\.Table\n//; s/.*internal\/guard"\n//' internal/belief TestTableThatEndsNoReader
 mutant fault-message internal/peer/conn.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t*result, err = h\(ctx, c, params\)\n\t*return err\n\t*\}\)/result, err = h(ctx, c, params)/' internal/peer TestMessageThatEndsNoReader
-mutant fault-gossip internal/gossip/gossip.go 's/if err := guard\.Do\(func\(\) error \{ return n\.read\(b, addr\) \}\); err/if err := n.read(b, addr); err/; s/.*internal\/guard"\n//' internal/gossip TestMessageThatEndsNoReader
+mutant fault-gossip internal/gossip/exchange.go 's/if err := guard\.Do\(func\(\) error \{ return n\.read\(b, addr\) \}\); err/if err := n.read(b, addr); err/; s/.*internal\/guard"\n//' internal/gossip TestMessageThatEndsNoReader
 mutant fault-row internal/daemon/upstreamrows.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t*r, err = u\.decode\(row\.Name, row\.Value\)\n\t*return err\n\t*\}\)/r, err := u.decode(row.Name, row.Value)/; s/\t\tvar r fleet\.Record\n//; s/.*internal\/guard"\n//' internal/daemon TestRowThatEndsNoReader
 mutant fault-generation internal/sidecar/server.go 's/err := guard\.Do\(func\(\) error \{\n\t\ts\.runner\.stream\(ctx, g, p\)\n\t\treturn nil\n\t\}\)/err := ctx.Err()\n\ts.runner.stream(ctx, g, p)/; s/.*internal\/guard"\n//' internal/sidecar TestGenerationThatEndsNoSidecar
 
 mutant first-reads internal/directory/directory.go 's/firstMost  = 2 \* time\.Second/firstMost  = time.Hour/; s/firstLeast = 100 \* time\.Millisecond/firstLeast = time.Hour/' internal/directory TestFirstReadsThatFail
-mutant first-row internal/directory/directory.go 's/\t\t\td\.again\(ctx, d\.renew\)\n\t\t\td\.again\(ctx, d\.read\)\n//' internal/directory TestFirstReadsThatFail
+mutant first-row internal/directory/begin.go 's/\t\t\td\.again\(ctx, d\.renew\)\n\t\t\td\.again\(ctx, d\.read\)\n//' internal/directory TestFirstReadsThatFail
 
 # What limited upstreams take.
 limits=internal/limits
@@ -275,20 +275,20 @@
 mutant start-asks internal/relay/store.go 's/\tfor range maxAsked \{\n\t\tp, ok, _ := s\.source\(\)\n\t\tif !ok \{/\tfor range maxAsked {\n\t\tp, ok, _ := s.source()\n\t\tif ok || !ok {/' internal/relay TestStartAsksTheDelegate
 mutant start-waits internal/relay/store.go 's/\ts\.awaitListed\(ctx\)\n//' internal/relay TestStartWaitsForTheList
 mutant start-held internal/relay/server.go 's/\t\tcase <-signs\.changed:\n\t\tcase <-end\.C:\n\t\t\treturn nil, err/\t\tdefault:\n\t\t\treturn nil, err/' internal/relay TestStartAsksTheDelegate
-mutant start-together internal/directory/directory.go 's/pause\(ctx, upTo\(d\.settings\.TogetherWithin\)\)/_ = d.settings.TogetherWithin/' internal/directory TestHundredsThatStartTogether
-mutant start-rows internal/directory/directory.go 's/\t\td\.awaitSoon\(ctx, upTo\([^\n]*\n//; s/\/\/ awaitSoon returns/var _ = (*Directory).awaitSoon\n\n\/\/ awaitSoon returns/' internal/directory TestHundredsThatStartTogether
+mutant start-together internal/directory/begin.go 's/pause\(ctx, upTo\(d\.settings\.TogetherWithin\)\)/_ = d.settings.TogetherWithin/' internal/directory TestHundredsThatStartTogether
+mutant start-rows internal/directory/begin.go 's/\t\td\.awaitSoon\(ctx, upTo\([^\n]*\n//; s/\/\/ awaitSoon returns/var _ = (*Directory).awaitSoon\n\n\/\/ awaitSoon returns/' internal/directory TestHundredsThatStartTogether
 mutant zone-delegates internal/roster/roster.go 's/return entries > directMost/return entries < 0/' internal/relay TestWhoAsksWhom
 mutant zone-size internal/roster/roster.go 's/cmp\.Compare\(b\.Size\.Cores, a\.Size\.Cores\), //' internal/roster TestDelegatesAreTheLargest
 mutant zone-more internal/roster/roster.go 's/return max\(zoneLeast, [^\n]*/return zoneLeast/' internal/roster TestWorkForOthersIsBounded
 mutant zone-confirmed internal/relay/server.go 's/case <-signs\.confirmed:/case <-chan struct{}(nil):/' internal/relay TestConfirmationIsPassedOnAtOnce
-mutant zone-turns internal/relay/store.go 's/turnsMost = 32/turnsMost = 1 << 20/' internal/relay TestTurnsOfHundreds
-mutant appears-to-all internal/gossip/gossip.go 's/n\.greetSoon\(m\.body\.From\)/n.UrgeEach()/' internal/gossip TestEntryThatAppears
+mutant zone-turns internal/relay/turns.go 's/turnsMost = 32/turnsMost = 1 << 20/' internal/relay TestTurnsOfHundreds
+mutant appears-to-all internal/gossip/exchange.go 's/n\.greetSoon\(m\.body\.From\)/n.UrgeEach()/' internal/gossip TestEntryThatAppears
 mutant urgent-direct $spread 's/if !n\.byZone\(\) \{/if n.byZone() || true {/' internal/gossip TestUrgentMessagesAreBounded
 mutant urgent-fallback $spread 's/\t\tn\.UrgeEach\(\)\n\t\tif n\.again\(\) \{\n\t\t\tn\.Urge\(\)\n\t\t\}/\t\t_ = n.again/' internal/gossip TestUrgentNewsReachesAll
-mutant urgent-ahead $spread 's/ \|\| n\.ahead\(p, m\.body\.Sent\)//' internal/gossip TestBundlesThatMoveNothing
-mutant urgent-life $spread 's/ \|\| p\.life != m\.body\.Life \|\| m\.body\.Sent/ || m.body.Sent/' internal/gossip TestBundlesThatMoveNothing
+mutant urgent-ahead internal/gossip/bundle.go 's/ \|\| n\.ahead\(p, m\.body\.Sent\)//' internal/gossip TestBundlesThatMoveNothing
+mutant urgent-life internal/gossip/bundle.go 's/ \|\| p\.life != m\.body\.Life \|\| m\.body\.Sent/ || m.body.Sent/' internal/gossip TestBundlesThatMoveNothing
 mutant silent-untold $spread 's/\tif n\.delegate \{\n\t\tn\.tellSilent\(now\)\n\t\}\n/\t_ = n.tellSilent\n/' internal/gossip TestSilentEntriesAreForgotten
-mutant silent-believed $spread 's/min\(time\.Duration\(silentFor\*float64\(every\)\), forget\)/min(0*every, forget)/' internal/gossip TestSilenceThatIsNotTrue
+mutant silent-believed internal/gossip/silent.go 's/min\(time\.Duration\(silentFor\*float64\(every\)\), forget\)/min(0*every, forget)/' internal/gossip TestSilenceThatIsNotTrue
 mutant named-bounded $members 's/case !known && pending < mostNamed:/case !known:/' internal/gossip TestPeerThatClaims
 mutant named-forgotten $members 's/\t\t\tdelete\(n\.peers, name\)\n/\t\t\t_ = name\n/' internal/gossip TestPeerThatClaims
 
