fix: the size of a machine is the same however an entry learns of it

Cause: a size goes through rows as a number and through messages in thousandths of a core; entries that learn it in different ways could order equal machines differently, and so not agree on the delegates. Found by reading.

Change: sizes are rounded when they are made.

--- a/internal/daemon/gatewaysettings.go
+++ b/internal/daemon/gatewaysettings.go
@@ -75,7 +75,7 @@
 
 // size is what the machine of this process can bear.
 func (s *GatewaySettings) size() roster.Size {
-	return roster.Size{Cores: s.CoreShare * float64(s.Cores), LinkMbps: s.LinkMbps}
+	return roster.NewSize(s.CoreShare*float64(s.Cores), s.LinkMbps)
 }
 
 // String names what a reload can and cannot change.
--- a/internal/directory/row.go
+++ b/internal/directory/row.go
@@ -63,7 +63,7 @@
 
 // entry is how the writer is listed. A relay address that cannot be is left out.
 func (r row) entry() roster.Entry {
-	e := roster.Entry{Address: r.Address, Zone: r.Zone, Size: roster.Size{Cores: r.Cores, LinkMbps: r.LinkMbps}}
+	e := roster.Entry{Address: r.Address, Zone: r.Zone, Size: roster.NewSize(r.Cores, r.LinkMbps)}
 	if a, err := netip.ParseAddrPort(r.Relay); err == nil && a.Port() != 0 && a.Addr().Is4() {
 		e.Relay = r.Relay
 	}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -54,15 +54,12 @@
 	LinkMbps   int64
 }
 
-// milli is the number of thousandths of a core in one.
-const milli = 1000
-
 func wireOf(name string, e roster.Entry) wireEntry {
-	return wireEntry{Name: name, Address: e.Address, Relay: e.Relay, Zone: e.Zone, MilliCores: int64(e.Size.Cores * milli), LinkMbps: int64(e.Size.LinkMbps)}
+	return wireEntry{Name: name, Address: e.Address, Relay: e.Relay, Zone: e.Zone, MilliCores: e.Size.MilliCores(), LinkMbps: int64(e.Size.LinkMbps)}
 }
 
 func (e wireEntry) entry() roster.Entry {
-	return roster.Entry{Address: e.Address, Relay: e.Relay, Zone: e.Zone, Size: roster.Size{Cores: float64(e.MilliCores) / milli, LinkMbps: float64(e.LinkMbps)}}
+	return roster.Entry{Address: e.Address, Relay: e.Relay, Zone: e.Zone, Size: roster.NewSize(float64(e.MilliCores)/roster.Milli, float64(e.LinkMbps))}
 }
 
 // compareMembers compares with one peer after another until ctx ends.
@@ -131,7 +128,7 @@
 // markOf tells entries apart, and what is known of their machines.
 func markOf(name string, size roster.Size) uint64 {
 	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%s %.0f %.0f", name, size.Cores*milli, size.LinkMbps)
+	_, _ = fmt.Fprintf(h, "%s %d %.0f", name, size.MilliCores(), size.LinkMbps)
 	return h.Sum64()
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -16,6 +17,18 @@
 	LinkMbps float64
 }
 
+// Milli is the number of thousandths in one.
+const Milli = 1000
+
+// NewSize returns a size to a thousandth of a core and whole Mbit/s, so that entries which learn it
+// in different ways agree on it.
+func NewSize(cores, linkMbps float64) Size {
+	return Size{Cores: math.Round(cores*Milli) / Milli, LinkMbps: math.Round(linkMbps)}
+}
+
+// MilliCores is the processor in thousandths of a core.
+func (s Size) MilliCores() int64 { return int64(math.Round(s.Cores * Milli)) }
+
 // Entry is an entry of the deployment as the list of entries, or another entry, names it.
 type Entry struct {
 	// Address is the IP:port for datagrams, Relay the one for questions about tables; the
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -54,3 +54,14 @@
 		})
 	}
 }
+
+// TestSizeIsTheSameHoweverItIsLearnt: a size that goes through a row, or in thousandths through a
+// message, compares as equal to the original.
+func TestSizeIsTheSameHoweverItIsLearnt(t *testing.T) {
+	for _, cores := range []float64{0.1 * 3, 1.001, 0.8 * 2, 0.144, 0.57, 1.0 / 3} {
+		size := NewSize(cores, 99.9999)
+		if got := NewSize(float64(size.MilliCores())/1000, size.LinkMbps); got != size {
+			t.Errorf("%v cores: %+v through a message, want %+v", cores, got, size)
+		}
+	}
+}
