feat: logs tell what an answer says of its upstream itself

All that an entry sends to upstreams goes through one function, which reads the head of the answer and notes it. Nothing is decided by it yet. A 421 is left out: whoever has the address now says nothing of the one meant.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,7 +35,7 @@
 	var begun atomic.Bool
 	silent := time.AfterFunc(startWithin(rq.route), func() { g.startsLate(rq, st.at, toRead, &begun) })
 	defer silent.Stop()
-	answer, err := g.link.Do(ctx, st.at.Address, req)
+	answer, err := g.exchange(ctx, st.at, req)
 	if err != nil {
 		return s.noAnswer(ctx, st, err)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -272,7 +272,7 @@
 	sent := g.now()
 	req := g.proto.Forward(&rq.call, rq.attempt(u), sent)
 	req.Body = rq.body
-	a, err := g.link.Do(ctx, u.Address, req)
+	a, err := g.exchange(ctx, u, req)
 	if err != nil {
 		return result{upstream: u.ID, err: err}
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -40,6 +40,7 @@
 	testFrom     = "Test-From"
 	testBack     = "Test-Back-Ms"
 	testLimit    = "Test-Limit"
+	testLeaving  = "Test-Leaving"
 )
 
 func testProtocol() protocol.Protocol {
@@ -83,6 +84,13 @@
 			}
 			return protocol.Limit{Named: text != "", Rate: rate}, nil
 		},
+		Notice: func(status int, h http.Header, now time.Time) protocol.Notice {
+			n := protocol.Notice{Leaving: status != http.StatusMisdirectedRequest && h.Get(testLeaving) != ""}
+			if ms, err := strconv.Atoi(h.Get(testBack)); err == nil && status == http.StatusServiceUnavailable {
+				n.RestUntil = now.Add(time.Duration(ms) * time.Millisecond)
+			}
+			return n
+		},
 		ComeBack: func(h http.Header, now time.Time) time.Time {
 			ms, err := strconv.Atoi(h.Get(testBack))
 			if err != nil {
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -71,7 +71,7 @@
 }
 
 func (g *Gateway) askState(ctx context.Context, u fleet.Upstream) (protocol.EngineState, error) {
-	a, err := g.link.Do(ctx, u.Address, g.proto.Report())
+	a, err := g.exchange(ctx, u, g.proto.Report())
 	if err != nil {
 		return protocol.EngineState{}, err
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -273,7 +273,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseWithin)
 		defer cancel()
-		a, err := g.link.Do(ctx, held.at.Address, g.proto.Release(held.copy.Handle))
+		a, err := g.exchange(ctx, held.at, g.proto.Release(held.copy.Handle))
 		if err != nil {
 			g.rec.Note(events.CopyNotReleased, call, "at", held.at.ID, "error", err)
 			return
@@ -328,7 +328,7 @@
 var errOrderAnswer = errors.New("answer to an order is too long")
 
 func (g *Gateway) order(ctx context.Context, at fleet.Upstream, req link.Request) (protocol.CopyResult, error) {
-	a, err := g.link.Do(ctx, at.Address, req)
+	a, err := g.exchange(ctx, at, req)
 	if err != nil {
 		return protocol.CopyResult{}, err
 	}
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// exchange sends one request to an upstream and takes over what the head of its answer says of
+// the upstream itself. All that this entry sends to upstreams goes through it, so no use of an
+// answer can pass over what it says.
+func (g *Gateway) exchange(ctx context.Context, to fleet.Upstream, req link.Request) (*link.Answer, error) {
+	a, err := g.link.Do(ctx, to.Address, req)
+	if err != nil {
+		return nil, err
+	}
+	if n := g.proto.Notice(a.Status, a.Header, g.now()); n != (protocol.Notice{}) {
+		g.heardNotice(req.ID, to, n)
+	}
+	return a, nil
+}
+
+// heardNotice takes over what an answer says of its upstream; call is empty for an answer to a
+// question or order of this entry.
+func (g *Gateway) heardNotice(call string, from fleet.Upstream, n protocol.Notice) {
+	u, known := g.fleet.Get(from.ID)
+	g.rec.Note(events.UpstreamNotice, call, "upstream", from.ID, "leaving", n.Leaving, "rest", max(n.RestUntil.Sub(g.now()), 0), "known", !known || u.State() == fleet.Leaving)
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -129,6 +129,15 @@
 	Rate  float64
 }
 
+// Notice is what the head of an answer says of its upstream itself, whatever became of the request.
+type Notice struct {
+	// Leaving tells that the upstream is about to leave.
+	Leaving bool
+	// RestUntil is the steady time until which the upstream wants no requests from this
+	// process; zero if it does not say.
+	RestUntil time.Time
+}
+
 // Refusal is a final answer of the system's own.
 type Refusal struct {
 	Status int
@@ -154,6 +163,8 @@
 	// Limit reads what an upstream's answer says of its limit; an error tells that this
 	// cannot be read.
 	Limit func(h http.Header) (Limit, error)
+	// Notice reads what an upstream's answer says of the upstream itself.
+	Notice func(status int, h http.Header, now time.Time) Notice
 	// ComeBack returns the steady time from which an upstream that refused a request wants
 	// others again; zero if it does not say.
 	ComeBack func(h http.Header, now time.Time) time.Time
