--- /dev/null
+++ b/internal/gateway/notice_test.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// answeringAs answers as another handler does, with headers set before.
+func answeringAs(serve http.HandlerFunc, header ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for i := 0; i+1 < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
+		serve(w, r)
+	}
+}
+
+// serveUnable does not say whether the request ran.
+func serveUnable(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// An upstream that said in an answer that it leaves went on getting requests until the store or a
+// report told of the leave.
+func TestUpstreamThatSaidItLeavesGetsNoRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		path   string
+		answer http.HandlerFunc
+	}{
+		{"in a good answer", pathOnce, serveOK},
+		{"in a failure", pathOnce, serveError},
+		{"in a refusal", pathOnce, serveNotRun},
+		{"in an answer without proof", pathOnce, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }},
+		{"in an answer that breaks off", pathSafe, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("ok"))
+			panic(http.ErrAbortHandler)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			leaves := f.add("app", "leaves", answeringAs(tc.answer, testLeaving, "1"))
+			f.add("app", "stays", serveOK)
+			for leaves.runs() == 0 {
+				f.ask(tc.path)
+			}
+			for range 60 {
+				f.ask(tc.path)
+			}
+			if n := leaves.runs(); n != 1 {
+				t.Errorf("it got %d requests, want none after its answer", n)
+			}
+			if known := f.fleet.KnownLeaving(); len(known) != 1 || known[0] != "leaves" {
+				t.Errorf("other entries are told of %v, want of the one that leaves", known)
+			}
+		})
+	}
+}
+
+// The same of an engine: its stream tells it at the head, seconds before its end.
+func TestEngineThatSaidItLeavesAtTheHeadOfAStream(t *testing.T) {
+	f := newFixture(t)
+	leaves := &engine{stopped: make(chan struct{}), pace: 20 * time.Millisecond}
+	leaves.upstream = f.add("llm", "leaves", answeringAs(leaves.serve, testLeaving, "1"))
+	f.addEngine("stays")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for leaves.runs() == 0 {
+			f.ask(pathStream)
+		}
+	}()
+	for leaves.runs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	before := leaves.runs()
+	var asks sync.WaitGroup
+	for range 8 {
+		asks.Go(func() { f.ask(pathStream) })
+	}
+	asks.Wait()
+	if n := leaves.runs() - before; n != 0 {
+		t.Errorf("it got %d generations after the head of its answer, want none", n)
+	}
+	<-done
+}
+
+// An upstream that asked for a time of rest got requests 2 s later at the latest, and all that came
+// once it had answered one of them.
+func TestUpstreamThatAskedForRestGetsNoRequests(t *testing.T) {
+	const rest = 2600 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		answer http.HandlerFunc
+	}{
+		{"in a refusal", serveNotRun},
+		{"in a 503 that says nothing of the request", serveUnable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			var turned atomic.Int64
+			rests := f.add("app", "rests", func(w http.ResponseWriter, r *http.Request) {
+				if turned.Add(1) == 1 {
+					answeringAs(tc.answer, testBack, "2600")(w, r)
+					return
+				}
+				serveOK(w, r)
+			})
+			f.add("app", "works", serveOK)
+			for rests.runs() == 0 {
+				f.ask(pathOnce)
+			}
+			asked := time.Now()
+			for time.Since(asked) < rest-100*time.Millisecond {
+				if got := f.ask(pathOnce); got.status != http.StatusOK {
+					t.Fatalf("status %d, want 200 of the other one", got.status)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			if n := rests.runs() - 1; n != 0 {
+				t.Errorf("it got %d requests while it rested, want none", n)
+			}
+			for time.Since(asked) < rest+time.Second {
+				f.ask(pathOnce)
+				time.Sleep(5 * time.Millisecond)
+			}
+			if rests.runs() == 1 {
+				t.Error("it gets no work within a second of the end of its rest")
+			}
+		})
+	}
+}
+
+// While all upstreams of a service rested, a request went to the one that was avoided least.
+func TestAllUpstreamsRest(t *testing.T) {
+	f := newFixture(t)
+	var list []*upstream
+	for _, u := range []struct{ id, back string }{{"a", "1500"}, {"b", "2500"}} {
+		list = append(list, f.add("app", u.id, answeringAs(serveNotRun, testBack, u.back)))
+	}
+	for list[0].runs() == 0 || list[1].runs() == 0 {
+		f.ask(pathOnce)
+	}
+	asked := time.Now()
+	for time.Since(asked) < time.Second {
+		begun := time.Now()
+		got := f.ask(pathOnce)
+		if took := time.Since(begun); got.status != http.StatusServiceUnavailable || took > 100*time.Millisecond {
+			t.Fatalf("status %d after %s, want 503 within 100 ms", got.status, took)
+		}
+		if got.header.Get(testBack) == "" {
+			t.Fatal("no time to come back")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, u := range list {
+		if n := u.runs(); n > 2 {
+			t.Errorf("%s got %d requests while it rested", u.id, n-1)
+		}
+	}
+}
