fix: an upstream that says in an answer that it leaves gets no more requests

The header was read nowhere: entries heard of a leave from the row, an engine's report and 421 only. While the store is away the row says nothing, and a plain upstream has no report.

The head of every answer counts now, whatever the answer is and whatever it was for; the mark is on the start that was asked, so a late answer says nothing of the next one. The other entries are told at once. Others are told for as long as the record does not say it, 32 upstreams at most. An upstream that lapsed and then said that it leaves was forgotten with the lapse, and served when its row came back: its row clears the time after which it is forgotten.

TestUpstreamThatSaidItLeavesGetsNoRequests: 33 requests after the answer -> 0; TestEngineThatSaidItLeavesAtTheHeadOfAStream: 1 -> 0.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -143,9 +143,7 @@
 	b.fleet.PeerFaults(from, s.Faults)
 	b.fleet.PeerFailures(from, s.Failures)
 	b.gateway.Quarantine().Hear(from, s.Suspects)
-	for _, id := range s.Leaving {
-		b.fleet.MarkLeaving(id, from)
-	}
+	b.fleet.PeerLeaving(from, s.Leaving)
 	if !s.Confirmed.IsZero() {
 		b.routes.Confirm(s.Routes, s.Confirmed)
 	}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -175,6 +175,8 @@
 	}
 	r.Version = max(r.Version, m.Version)
 	m.Record = r
+	// While its row is there, it is neither lapsed nor gone.
+	m.until = time.Time{}
 	s.release(m)
 	m.coldUntil = s.now().Add(r.ColdFor)
 	if r.Leaving {
@@ -182,7 +184,7 @@
 		return r.ID, s.leave(m, "own record")
 	}
 	if m.state != Serving && !m.firstHand {
-		m.state, m.until = Serving, time.Time{}
+		m.state = Serving
 		s.serving = nil
 		s.rec.Note(events.UpstreamBack, "", "upstream", r.ID)
 	}
@@ -266,17 +268,41 @@
 // ReportedLeaving notes that an upstream said of itself that it leaves.
 func (s *Set) ReportedLeaving(id string) { s.mark(id, "own report", true) }
 
-func (s *Set) mark(id, source string, firstHand bool) {
+// AnsweredLeaving notes that an upstream said in an answer that it leaves; it returns whether
+// that is news.
+func (s *Set) AnsweredLeaving(id string) bool { return s.mark(id, "own answer", true) }
+
+// PeerLeaving takes over which upstreams said themselves that they leave, by the word of another
+// entry. An upstream never takes such a word back, so no record does either.
+func (s *Set) PeerLeaving(entry string, ids []string) {
+	for _, id := range ids {
+		s.mark(id, entry, true)
+	}
+}
+
+// mark notes that an upstream leaves; firstHand tells that it said so itself. It returns whether
+// that is news.
+func (s *Set) mark(id, source string, firstHand bool) bool {
 	s.mu.Lock()
 	m, ok := s.byID[id]
-	left := ok && s.leave(m, source)
-	if ok && firstHand {
-		s.said(m)
+	if !ok {
+		s.mu.Unlock()
+		return false
+	}
+	if m.state == Lapsed {
+		// Its row may be away for longer than a lapse lasts.
+		m.until = later(m.until, s.now().Add(keepGone))
+	}
+	left := s.leave(m, source)
+	news := left
+	if firstHand {
+		news = s.said(m)
 	}
 	s.mu.Unlock()
 	if left {
 		s.changed(id)
 	}
+	return news
 }
 
 // Get returns one upstream.
@@ -361,11 +387,14 @@
 	return s.serving[service]
 }
 
-// said notes that an upstream itself said that it leaves. It needs the lock.
-func (s *Set) said(m *member) {
-	if !m.firstHand {
-		m.firstHand, m.saidAt = true, s.now()
+// said notes that an upstream itself said that it leaves; it returns whether that is news. It needs
+// the lock.
+func (s *Set) said(m *member) bool {
+	if m.firstHand {
+		return false
 	}
+	m.firstHand, m.saidAt = true, s.now()
+	return true
 }
 
 // tellLeaving is how long other entries are told of an upstream that leaves: some
@@ -373,14 +402,26 @@
 // within 3 s doubled the size of all messages.
 const tellLeaving = 2 * time.Second
 
-// KnownLeaving returns the upstreams that lately said themselves that they leave.
+// mostUnwritten bounds the upstreams of which others are told for longer, since their records do
+// not say that they leave.
+const mostUnwritten = 32
+
+// KnownLeaving returns the upstreams that lately said themselves that they leave, and those whose
+// records do not say so: an entry that starts now learns it from nothing else.
 func (s *Set) KnownLeaving() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now, unwritten := s.now(), 0
 	var out []string
 	for id, m := range s.byID {
-		if m.state == Leaving && m.firstHand && now.Sub(m.saidAt) < tellLeaving {
+		if m.state != Leaving || !m.firstHand {
+			continue
+		}
+		lately := now.Sub(m.saidAt) < tellLeaving
+		if !lately && !m.Leaving {
+			unwritten++
+		}
+		if lately || !m.Leaving && unwritten <= mostUnwritten {
 			out = append(out, id)
 		}
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -28,4 +28,14 @@
 func (g *Gateway) heardNotice(call string, from fleet.Upstream, n protocol.Notice) {
 	u, known := g.fleet.Get(from.ID)
 	g.rec.Note(events.UpstreamNotice, call, "upstream", from.ID, "leaving", n.Leaving, "rest", max(n.RestUntil.Sub(g.now()), 0), "known", !known || u.State() == fleet.Leaving)
+	if n.Leaving && g.fleet.AnsweredLeaving(from.ID) {
+		// The others send it their next requests until they know.
+		g.others.Urge()
+	}
+}
+
+// takesWork reports whether an upstream that was chosen still takes work.
+func (g *Gateway) takesWork(id string) bool {
+	u, known := g.fleet.Get(id)
+	return known && u.State() != fleet.Leaving
 }
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/protocol"
 )
 
 // answeringAs answers as another handler does, with headers set before.
@@ -38,6 +41,7 @@
 		{"in an answer that breaks off", pathSafe, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "10")
 			_, _ = w.Write([]byte("ok"))
+			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}},
 	} {
@@ -64,7 +68,7 @@
 // The same of an engine: its stream tells it at the head, seconds before its end.
 func TestEngineThatSaidItLeavesAtTheHeadOfAStream(t *testing.T) {
 	f := newFixture(t)
-	leaves := &engine{stopped: make(chan struct{}), pace: 20 * time.Millisecond}
+	leaves := &engine{stopped: make(chan struct{}), pace: 20 * time.Millisecond, copies: []protocol.CopyResult{{Outcome: protocol.NoRoom}}}
 	leaves.upstream = f.add("llm", "leaves", answeringAs(leaves.serve, testLeaving, "1"))
 	f.addEngine("stays")
 	done := make(chan struct{})
@@ -165,3 +169,22 @@
 		}
 	}
 }
+
+// A row that was written before the answer, or read late, brought an upstream back that an entry
+// knew only from another one to leave.
+func TestRowFromBeforeTheLeaveBringsNothingBack(t *testing.T) {
+	f := newFixture(t)
+	leaves := f.add("app", "leaves", serveOK)
+	f.add("app", "stays", serveOK)
+	f.fleet.PeerLeaving("other entry", []string{"leaves"})
+	f.fleet.Update(f.records, nil, true, time.Time{})
+	for range 20 {
+		f.ask(pathOnce)
+	}
+	if n := leaves.runs(); n != 0 {
+		t.Errorf("it got %d requests, want none", n)
+	}
+	if u, _ := f.fleet.Get("leaves"); u.State() != fleet.Leaving {
+		t.Error("it does not count as leaving")
+	}
+}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -60,7 +60,7 @@
 		err = g.limits.Take(ctx, u.ID)
 		g.met.permitted(err)
 		switch {
-		case err == nil:
+		case err == nil && g.takesWork(u.ID):
 			return u, nil
 		case ctx.Err() != nil:
 			return fleet.Upstream{}, ctx.Err()
