fix: an upstream that asks for a time of rest gets it

The time was cut at 2 s, the first good answer within it ended it for all, it was heeded for refusals that state that nothing was run only, and where all upstreams of a service rest the one avoided least got every request.

A rest is now apart from what is avoided: it holds whatever answers in between, of several ends the latest, for one start. An upstream that rests is no candidate of any choice: first tries, retries, hedges, trials of suspects, targets of moves. Where all rest, callers are refused at once with the end of the first rest, 10 ms after one another in the order in which they were refused, all within a second.

--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -61,6 +61,7 @@
 	failures  float64
 	avoid     time.Time
 	faultAt   time.Time
+	rest      time.Time
 }
 
 // State returns whether the upstream takes new work.
@@ -80,6 +81,13 @@
 // AvoidUntil returns until when the upstream is to be used only if no other can.
 func (u Upstream) AvoidUntil() time.Time { return u.avoid }
 
+// RestUntil returns until when the upstream wants no requests of this entry, by its own word; zero
+// if it never asked for that.
+func (u Upstream) RestUntil() time.Time { return u.rest }
+
+// Rests reports whether the upstream wants no requests of this entry now.
+func (u Upstream) Rests(now time.Time) bool { return now.Before(u.rest) }
+
 // Set holds all upstreams.
 type Set struct {
 	rec *events.Recorder
@@ -97,6 +105,8 @@
 	serving map[string][]string
 	// closed are the zones whose upstreams get no new work.
 	closed map[string]bool
+	// restsUntil is not before the end of any upstream's rest.
+	restsUntil time.Time
 }
 
 type member struct {
@@ -111,6 +121,8 @@
 	unreadable bool
 	// until ends a lapse, or the time for which one that left is remembered.
 	until time.Time
+	// restUsed is set once a request went to it while it rested.
+	restUsed bool
 	// ownFault is when a request of this entry last met a fault.
 	ownFault time.Time
 	// failedAt are the times at which it lately failed requests of this entry, and
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,8 +78,8 @@
 		g.giveUp(ctx, rq, "no upstream took it in time")
 	case len(c.tried) == 0 && rq.run.Isolation() == quarantine.Apart:
 		g.refuse(rq, http.StatusServiceUnavailable, quarantine.ErrOnTrial.Error(), backTurn)
-	case len(c.tried) == 0 && c.limited:
-		g.refuse(rq, http.StatusServiceUnavailable, errLimited.Error(), g.backAfterLimit(rq))
+	case len(c.tried) == 0 && c.limited != nil:
+		g.refuse(rq, http.StatusServiceUnavailable, c.limited.Error(), g.backAfterLimit(rq))
 	case len(c.tried) == 0:
 		g.refuse(rq, http.StatusServiceUnavailable, "no upstream", backNoUpstream)
 	default:
@@ -96,8 +96,8 @@
 	results chan result
 	// failed are the upstreams that answered with an error of their own.
 	failed []string
-	// limited tells that the latest choice found no upstream because of limits.
-	limited bool
+	// limited is the error of the latest choice if it found no upstream because of limits or rests.
+	limited error
 }
 
 // run tries upstreams until one gives a good answer or no more may be tried. It
@@ -114,7 +114,7 @@
 			if c.take(r) {
 				return r, true
 			}
-			if r.usable() {
+			if r.usable() && !c.g.asksForRest(r.status, r.header) {
 				c.failed = append(c.failed, r.upstream)
 			}
 			if !best.usable() {
@@ -213,11 +213,14 @@
 // launch sends the request to the best upstream that has not had it.
 func (c *callRun) launch(ctx context.Context, reason string) bool {
 	u, err := c.choose(ctx)
-	c.limited = errors.Is(err, errLimited)
+	c.limited = nil
+	if errors.Is(err, errLimited) {
+		c.limited = err
+	}
 	if err != nil || !c.rq.run.MaySend() {
 		return false
 	}
-	if c.g.limits.Any() {
+	if c.g.limits.Any() || c.g.fleet.AnyRests() {
 		// Callers that are refused come back the later the smaller the part that is not.
 		c.g.overload(c.rq.service.Name).Admitted(c.g.now())
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -32,10 +33,18 @@
 		// The others send it their next requests until they know.
 		g.others.Urge()
 	}
+	if !n.RestUntil.IsZero() {
+		g.fleet.Rest(from.ID, n.RestUntil)
+	}
+}
+
+// asksForRest reports whether an answer says that its upstream wants no requests for a time.
+func (g *Gateway) asksForRest(status int, header http.Header) bool {
+	return !g.proto.Notice(status, header, g.now()).RestUntil.IsZero()
 }
 
 // takesWork reports whether an upstream that was chosen still takes work.
 func (g *Gateway) takesWork(id string) bool {
 	u, known := g.fleet.Get(id)
-	return known && u.State() != fleet.Leaving
+	return known && u.State() != fleet.Leaving && !u.Rests(g.now())
 }
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -188,3 +188,115 @@
 		t.Error("it does not count as leaving")
 	}
 }
+
+// The same of an engine, whose generations are chosen for otherwise, while others work and while it
+// is the only one.
+func TestEngineThatAskedForRestGetsNoGenerations(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		other bool
+		want  int
+	}{{"beside another one", true, http.StatusOK}, {"alone", false, http.StatusServiceUnavailable}} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			rests := f.add("llm", "rests", answeringAs(serveNotRun, testBack, "1500"))
+			if tc.other {
+				f.addEngine("works")
+			}
+			for rests.runs() == 0 {
+				f.ask(pathStream)
+			}
+			asked := time.Now()
+			for time.Since(asked) < time.Second {
+				begun := time.Now()
+				got := f.ask(pathStream)
+				if got.status != tc.want {
+					t.Fatalf("status %d, want %d", got.status, tc.want)
+				}
+				if took := time.Since(begun); !tc.other && (took > 100*time.Millisecond || got.header.Get(testBack) == "") {
+					t.Fatalf("refused after %s with %q to come back, want within 100 ms with a time", took, got.header.Get(testBack))
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if n := rests.runs() - 1; n != 0 {
+				t.Errorf("it got %d generations while it rested, want none", n)
+			}
+		})
+	}
+}
+
+// A slow request was sent to an upstream that rested as well.
+func TestNoHedgeToAnUpstreamThatRests(t *testing.T) {
+	f := newFixture(t)
+	rests := f.add("app", "rests", answeringAs(serveNotRun, testBack, "2000"))
+	for rests.runs() == 0 {
+		f.ask(pathSafe)
+	}
+	f.add("app", "slow", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		serveOK(w, r)
+	})
+	for range 4 {
+		if got := f.ask(pathSafe); got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+	}
+	if n := rests.runs(); n != 1 {
+		t.Errorf("it got %d requests, want none while it rests", n-1)
+	}
+}
+
+// A good answer that was under way when the upstream asked for rest ended the rest.
+func TestAnswerUnderWayEndsNoRest(t *testing.T) {
+	f := newFixture(t)
+	var turns atomic.Int64
+	held := make(chan struct{})
+	rests := f.add("app", "rests", func(w http.ResponseWriter, r *http.Request) {
+		switch turns.Add(1) {
+		case 1:
+			<-held
+			serveOK(w, r)
+		case 2:
+			answeringAs(serveNotRun, testBack, "2000")(w, r)
+		default:
+			serveOK(w, r)
+		}
+	})
+	var first sync.WaitGroup
+	first.Go(func() { f.ask(pathOnce) })
+	for rests.runs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.ask(pathOnce)
+	close(held)
+	first.Wait()
+	for range 20 {
+		f.ask(pathOnce)
+	}
+	if n := rests.runs(); n != 2 {
+		t.Errorf("it got %d requests while it rested, want none", n-2)
+	}
+}
+
+// Callers that are refused while all upstreams rest come back one after another, the first of them
+// first, and none later than a second after the rest.
+func TestCallersComeBackInOrderAfterARest(t *testing.T) {
+	f := newFixture(t)
+	opens := time.Now().Add(time.Second)
+	last := opens
+	for i := range 100 {
+		at := f.gateway.returnAt("app", opens)
+		if at.Before(last) || i > 0 && at.Sub(last) != returnEach {
+			t.Fatalf("caller %d comes back %s after the one before, want %s", i, at.Sub(last), returnEach)
+		}
+		last = at
+	}
+	for range 1000 {
+		if at := f.gateway.returnAt("app", opens); at.Before(opens) || at.Sub(opens) > returnWithin {
+			t.Fatalf("a caller comes back %s after the rest, want within %s", at.Sub(opens), returnWithin)
+		}
+	}
+	if at := f.gateway.returnAt("app", opens.Add(time.Minute)); !at.Equal(opens.Add(time.Minute)) {
+		t.Errorf("the first caller of the next rest comes back %s after it, want at its end", at.Sub(opens.Add(time.Minute)))
+	}
+}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -14,6 +16,9 @@
 // errLimited: each upstream that could take the request gets as much as it says it takes.
 var errLimited = errors.New("the upstreams take no more requests now")
 
+// errResting: each upstream that could take the request asked for a time of rest.
+var errResting = fmt.Errorf("%w: they asked for rest", errLimited)
+
 const (
 	// permitShare is the part of a route's objective for which a request waits for a permit
 	// where no other upstream can take it: the answer still comes in time.
@@ -28,7 +33,7 @@
 
 // permitted returns the upstream that choose returns, with a permit to send one request to it.
 // Limited upstreams that get as much as they take are passed over: they are no failing ones, and
-// are not to learn of what they refuse. If no other can take the request it waits until a time;
+// are not to learn of what they refuse. So are those that rest. If no other can take the request it waits until a time;
 // a zero time is for a request that cannot wait. The error is that of choose, or errLimited.
 func (g *Gateway) permitted(ctx context.Context, service string, exclude map[string]bool, until time.Time, choose chooser) (fleet.Upstream, error) {
 	for {
@@ -46,14 +51,21 @@
 // permittedNow is permitted without a wait, but for the answer of the entry that grants permits.
 func (g *Gateway) permittedNow(ctx context.Context, service string, exclude map[string]bool, choose chooser) (fleet.Upstream, error) {
 	if !g.limits.Any() {
-		return choose(exclude)
+		u, err := choose(exclude)
+		if err != nil && g.allRest(service, exclude) {
+			err = errResting
+		}
+		return u, err
 	}
 	reached := g.limits.Closed()
 	for {
 		u, err := choose(union(exclude, reached))
 		if err != nil {
-			if g.anyOf(service, reached) {
-				return fleet.Upstream{}, errLimited
+			switch {
+			case g.anyOf(service, reached):
+				err = errLimited
+			case g.allRest(service, exclude):
+				err = errResting
 			}
 			return fleet.Upstream{}, err
 		}
@@ -69,8 +81,15 @@
 	}
 }
 
-// await waits for a permit for one upstream until a time.
+// await waits for a permit for one upstream, and for the end of its rest, until a time. Nothing
+// else can take the request, so it may use what is left to it during a rest.
 func (g *Gateway) await(ctx context.Context, upstream string, until time.Time) error {
+	for !g.fleet.TakeDuringRest(upstream) {
+		u, known := g.fleet.Get(upstream)
+		if !known || u.RestUntil().After(until) || !g.sleepUntil(ctx, u.RestUntil()) {
+			return errResting
+		}
+	}
 	for {
 		err := g.limits.Take(ctx, upstream)
 		if err == nil {
@@ -112,12 +131,33 @@
 	return false
 }
 
-// opensAt is when the first limited upstream of a service that is not excluded takes a request
-// again.
+// allRest reports whether each upstream of a service that is not excluded rests, and any does.
+func (g *Gateway) allRest(service string, exclude map[string]bool) bool {
+	if !g.fleet.AnyRests() {
+		return false
+	}
+	now, found := g.now(), false
+	for _, u := range g.fleet.Of(service) {
+		if exclude[u.ID] {
+			continue
+		}
+		if !u.Rests(now) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// opensAt is when the first upstream of a service that is limited or rests, and is not excluded,
+// takes a request again.
 func (g *Gateway) opensAt(service string, exclude map[string]bool) time.Time {
 	var first time.Time
 	for _, u := range g.fleet.Of(service) {
 		at := g.limits.OpensAt(u.ID)
+		if u.RestUntil().After(at) {
+			at = u.RestUntil()
+		}
 		if !exclude[u.ID] && !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
@@ -128,7 +168,36 @@
 // backAfterLimit is the time after which a caller should come back whose request no upstream
 // takes now: not before one does, and the later the more callers are refused.
 func (g *Gateway) backAfterLimit(rq *request) time.Duration {
-	return max(g.opensAt(rq.service.Name, nil).Sub(g.now()), g.backAfterOverload(rq))
+	overload := g.backAfterOverload(rq)
+	opens := g.opensAt(rq.service.Name, nil)
+	if g.allRest(rq.service.Name, nil) {
+		return g.returnAt(rq.service.Name, opens).Sub(g.now())
+	}
+	return max(opens.Sub(g.now()), overload)
+}
+
+const (
+	// returnEach is the time between two callers that come back after a rest.
+	returnEach = 10 * time.Millisecond
+	// returnWithin is the time from the end of a rest within which callers come back.
+	returnWithin = time.Second
+)
+
+// returnAt is when a caller should come back to a service of which all upstreams rest: from the end
+// of the first rest on, one after another in the order in which they were refused. More than can
+// come so within returnWithin come at any time in it.
+func (g *Gateway) returnAt(service string, opens time.Time) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := g.returns[service]
+	if at.Before(opens) {
+		at = opens
+	}
+	if at.Sub(opens) > returnWithin {
+		return opens.Add(time.Duration(rand.Int64N(int64(returnWithin))))
+	}
+	g.returns[service] = at.Add(returnEach)
+	return at
 }
 
 // unlimited adds to the upstreams that a request is not to be sent to all that named a limit:
