fix: a service behind a sidecar that asks for a time of rest gets it

The same cause on the path with sidecars: Retry-After of the upstream's own 503 was passed on and read by nobody, so a service that asked for 2 s of rest got each call as before. The sidecar is the only door to it: it refuses calls and generations unrun until the latest end that was asked for, tells entries of that end, and they go elsewhere or tell callers when to come back. A later start has not asked.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -26,6 +26,8 @@
 	// heard gets the heads of answers: when each was asked for, and whether it came whole and
 	// is no failure.
 	heard func(h http.Header, asked time.Time, whole bool)
+	// noticed, if set, gets the head of each answer as soon as it has come.
+	noticed func(status int, h http.Header)
 }
 
 func newServiceLink(base string, fence func() int64) *serviceLink {
@@ -83,6 +85,9 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if l.noticed != nil {
+		l.noticed(resp.StatusCode, resp.Header)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	l.heard(resp.Header, asked, err == nil && resp.StatusCode < http.StatusInternalServerError)
 	if err != nil {
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -26,6 +26,8 @@
 	// heard gets the heads of answers to generations: when each was asked for, and whether
 	// it is no failure.
 	heard func(h http.Header, asked time.Time, whole bool)
+	// noticed, if set, gets the head of each answer as soon as it has come.
+	noticed func(status int, h http.Header)
 }
 
 const orderTimeout = 2 * time.Second
@@ -76,6 +78,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", errEngine, err)
 	}
+	if e.noticed != nil {
+		e.noticed(resp.StatusCode, resp.Header)
+	}
 	e.heard(resp.Header, asked, resp.StatusCode == http.StatusOK)
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
--- a/internal/sidecar/limit.go
+++ b/internal/sidecar/limit.go
@@ -10,7 +10,7 @@
 	"github.com/sparshore/sparshore/internal/protocol"
 )
 
-// takesNoMore is the reason that entries get for a request beyond what the upstream takes.
+// takesNoMore is the reason that entries get for a request beyond what the upstream takes or wants.
 const takesNoMore = "the upstream takes no more requests now"
 
 // permitWithin bounds the wait of a call that no other upstream may run for a permit.
@@ -23,12 +23,14 @@
 	header string
 	starts *starts
 	set    *limits.Set
-	rec    *events.Recorder
-	now    func() time.Time
+	// notices is what else the upstream says of itself.
+	notices *notices
+	rec     *events.Recorder
+	now     func() time.Time
 }
 
 func newTakes(header string, starts *starts, rec *events.Recorder, now func() time.Time) *takes {
-	t := &takes{header: header, starts: starts, set: limits.New("", "", limits.Alone(), rec, now), rec: rec, now: now}
+	t := &takes{header: header, starts: starts, set: limits.New("", "", limits.Alone(), rec, now), notices: newNotices(starts, rec, now), rec: rec, now: now}
 	t.set.Listed(1)
 	return t
 }
@@ -53,6 +55,9 @@
 
 // take takes a permit to send one request. If there is none it returns when there may be one.
 func (t *takes) take(ctx context.Context) (opensAt time.Time, ok bool) {
+	if at := t.notices.opensAt(); at.After(t.now()) {
+		return at, false
+	}
 	if t.set.Take(ctx, t.starts.current()) == nil {
 		return time.Time{}, true
 	}
@@ -75,7 +80,13 @@
 }
 
 // opensAt is when there may be a permit again; zero or past if there may be one now.
-func (t *takes) opensAt() time.Time { return t.set.OpensAt(t.starts.current()) }
+func (t *takes) opensAt() time.Time {
+	limited, wanted := t.set.OpensAt(t.starts.current()), t.notices.opensAt()
+	if wanted.After(limited) {
+		return wanted
+	}
+	return limited
+}
 
 // sweep forgets the limits of earlier starts of the upstream.
 func (t *takes) sweep() {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -84,9 +84,9 @@
 	link := newEngineLink(settings.URL, l.Fence)
 	starts := newStarts(settings.URL, identity.Incarnation())
 	takes := newTakes(settings.LimitHeader, starts, rec, now)
-	link.heard = takes.heard
+	link.heard, link.noticed = takes.heard, takes.notices.heard
 	service := newServiceLink(settings.URL, l.Fence)
-	service.heard = takes.heard
+	service.heard, service.noticed = takes.heard, takes.notices.heard
 	return &Server{
 		settings:    settings,
 		identity:    identity,
