fix: a service behind a sidecar that says in an answer that it leaves gets no more calls

The sidecar refuses them unrun, entries go elsewhere, and since no answer tells any more, it looks each 100 ms whether the service has ended; the next start gets calls at once. One that is still there after a minute gets one request, the answer to which tells.

TestServiceThatSaidItLeavesGetsNoCalls: each call was run before (the header had no reader).

--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -69,6 +69,7 @@
 	CallWindow    time.Duration `arg:"--call-window,env:SPARSHORE_CALL_WINDOW" default:"24h" help:"time a call identifier is remembered"`
 	AnswerBytes   int           `arg:"--answer-bytes,env:SPARSHORE_ANSWER_BYTES" default:"33554432" help:"bytes of kept answers of all calls"`
 	CallTimeout   time.Duration `arg:"--call-timeout,env:SPARSHORE_CALL_TIMEOUT" default:"30s" help:"time limit of one call to the upstream"`
+	LeavingHeader string        `arg:"--leaving-header,env:SPARSHORE_LEAVING_HEADER" default:"X-Leaving" help:"header of the upstream's answers by which it says that it leaves; empty if it does not"`
 	LimitHeader   string        `arg:"--limit-header,env:SPARSHORE_LIMIT_HEADER" default:"X-Requests-Per-Second" help:"header of the upstream's answers by which it says how many requests a second it takes; empty if it does not"`
 	LeaseTerm     time.Duration `arg:"--lease-term,env:SPARSHORE_LEASE_TERM" default:"10m" help:"how long the right to run callers' keys outlasts the table service"`
 	Skew          time.Duration `arg:"--skew,env:SPARSHORE_SKEW" default:"2s" help:"bound on the difference of two clocks"`
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -12,53 +13,99 @@
 // notices keeps to what the upstream beside a sidecar says of itself in its answers. The sidecar is
 // the only door to it, so what it was asked for holds for all entries.
 type notices struct {
-	starts *starts
+	// leavingHeader is the header by which the upstream says that it leaves; empty if it does not.
+	leavingHeader string
+	starts        *starts
 	rec    *events.Recorder
 	now    func() time.Time
 
 	mu sync.Mutex
-	// start is the start of the upstream that the rest is for.
+	// start is the start of the upstream that said what follows.
 	start string
 	// rest is until when it wants no requests.
 	rest time.Time
+	// leavesUntil is until when it counts as leaving; zero if it did not say so.
+	leavesUntil time.Time
 }
 
+const (
+	// leavesFor is how long an upstream that said that it leaves gets no requests. One that is
+	// still there after that gets one, the answer to which tells.
+	leavesFor = time.Minute
+	// leavesLook is the pause between two looks at whether it ended.
+	leavesLook = 100 * time.Millisecond
+	// backLeaving is the time after which to ask again for requests that no other upstream takes:
+	// about that in which the next start is there.
+	backLeaving = time.Second
+)
+
 func newNotices(starts *starts, rec *events.Recorder, now func() time.Time) *notices {
 	return &notices{starts: starts, rec: rec, now: now}
 }
 
 // heard takes over what the head of an answer says.
 func (n *notices) heard(status int, h http.Header) {
-	if status != http.StatusServiceUnavailable {
-		return
+	now, start := n.now(), n.starts.current()
+	leaving := n.leavingHeader != "" && protocol.ParseLeaving(h.Get(n.leavingHeader))
+	var rest time.Time
+	if status == http.StatusServiceUnavailable {
+		rest = protocol.ParseRetryAfter(h.Get("Retry-After"), now)
 	}
-	now := n.now()
-	until := protocol.ParseRetryAfter(h.Get("Retry-After"), now)
-	if until.IsZero() {
+	if !leaving && rest.IsZero() {
 		return
 	}
-	start := n.starts.current()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.begin(start)
-	if until.After(n.rest) {
-		n.rest = until
-		n.rec.Note(events.UpstreamNotice, "", "upstream", start, "rest", until.Sub(now))
+	news := leaving && !n.leavesUntil.After(now)
+	if news {
+		go n.watch(start)
+	}
+	if leaving {
+		n.leavesUntil = now.Add(leavesFor)
+	}
+	if rest.After(n.rest) {
+		n.rest, news = rest, true
+	}
+	if news {
+		n.rec.Note(events.UpstreamNotice, "", "upstream", start, "leaving", leaving, "rest", max(rest.Sub(now), 0))
+	}
+}
+
+// watch looks whether a start that leaves has ended: it gets no requests, so no answer tells.
+func (n *notices) watch(start string) {
+	for n.leaves(start) {
+		n.starts.ended(context.Background())
+		time.Sleep(leavesLook)
+	}
+}
+
+// leaves reports whether a start is there and counts as leaving.
+func (n *notices) leaves(start string) bool {
+	if n.starts.current() != start {
+		return false
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.start == start && n.now().Before(n.leavesUntil)
 }
 
 // begin forgets what an earlier start said. It needs the lock.
 func (n *notices) begin(start string) {
 	if n.start != start {
-		n.start, n.rest = start, time.Time{}
+		n.start, n.rest, n.leavesUntil = start, time.Time{}, time.Time{}
 	}
 }
 
-// opensAt is from when on the upstream wants requests; zero or past if it does now.
+// opensAt is from when on the upstream wants requests; zero or past if it does now. For one that
+// leaves that is not known.
 func (n *notices) opensAt() time.Time {
 	start := n.starts.current()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.begin(start)
+	if now := n.now(); now.Before(n.leavesUntil) && n.rest.Before(now.Add(backLeaving)) {
+		return now.Add(backLeaving)
+	}
 	return n.rest
 }
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -92,3 +94,67 @@
 		t.Errorf("a later start gets no calls for %s", time.Until(at))
 	}
 }
+
+// testLeavingHeader is how the upstreams of these tests say that they leave.
+const testLeavingHeader = "Leaves"
+
+// A service behind a sidecar that said in an answer that it leaves got all calls as before, and was
+// lost with them.
+func TestServiceThatSaidItLeavesGetsNoCalls(t *testing.T) {
+	n := newNoticingService(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testLeavingHeader, "1")
+		_, _ = w.Write([]byte("ok"))
+	})
+	n.server.takes.notices.leavingHeader = testLeavingHeader
+	if r := n.repeatable(t); r.Outcome != Done {
+		t.Fatalf("the answer that says so is %s: %s", r.Outcome, r.Reason)
+	}
+	for _, call := range []func(*testing.T) invokeResult{n.repeatable, n.once, n.repeatable} {
+		if r := call(t); r.Outcome != NotRun || r.RetryAt == 0 {
+			t.Errorf("a call is %+v, want it refused unrun with a time to come back", r)
+		}
+	}
+	if runs := n.runs.Load(); runs != 1 {
+		t.Errorf("it got %d calls after its answer, want none", runs-1)
+	}
+	if n.server.Load().OpensMS == 0 {
+		t.Error("entries are not told to send calls elsewhere")
+	}
+}
+
+// Once the start that leaves has ended, and the next one is there, that one gets calls, although no
+// answer broke off.
+func TestLeaveOfAServiceEndsWithItsStart(t *testing.T) {
+	n := newNoticingService(t, func(http.ResponseWriter, *http.Request) {})
+	notices := n.server.takes.notices
+	notices.leavingHeader = testLeavingHeader
+	address, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.server.starts.dial = func(ctx context.Context) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address.Addr().String())
+	}
+	notices.heard(http.StatusOK, http.Header{testLeavingHeader: {"1"}})
+	if _, ok := n.server.takes.take(t.Context()); ok {
+		t.Fatal("it gets calls")
+	}
+	_ = address.Close()
+	time.Sleep(3 * leavesLook)
+	if _, ok := n.server.takes.take(t.Context()); ok {
+		t.Error("it gets calls while it is down")
+	}
+	later, err := net.Listen("tcp", address.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = later.Close() }()
+	for begun := time.Now(); ; time.Sleep(leavesLook) {
+		if _, ok := n.server.takes.take(t.Context()); ok {
+			return
+		}
+		if time.Since(begun) > 5*time.Second {
+			t.Fatal("the next start gets no calls")
+		}
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -46,6 +46,9 @@
 	// LimitHeader is the header of the upstream's answers by which it says how many
 	// requests a second it takes; empty if it says nothing of that.
 	LimitHeader string
+	// LeavingHeader is the header of the upstream's answers by which it says that it leaves;
+	// empty if it says nothing of that.
+	LeavingHeader string
 }
 
 // Server is the part of the sidecar that entries talk to.
@@ -84,6 +87,7 @@
 	link := newEngineLink(settings.URL, l.Fence)
 	starts := newStarts(settings.URL, identity.Incarnation())
 	takes := newTakes(settings.LimitHeader, starts, rec, now)
+	takes.notices.leavingHeader = settings.LeavingHeader
 	link.heard, link.noticed = takes.heard, takes.notices.heard
 	service := newServiceLink(settings.URL, l.Fence)
 	service.heard, service.noticed = takes.heard, takes.notices.heard
