--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -16,8 +16,8 @@
 	// leavingHeader is the header by which the upstream says that it leaves; empty if it does not.
 	leavingHeader string
 	starts        *starts
-	rec    *events.Recorder
-	now    func() time.Time
+	rec           *events.Recorder
+	now           func() time.Time
 
 	mu sync.Mutex
 	// start is the start of the upstream that said what follows.
