--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -148,6 +149,7 @@
 	for _, u := range []struct{ id, back string }{{"a", "1500"}, {"b", "2500"}} {
 		list = append(list, f.add("app", u.id, answeringAs(serveNotRun, testBack, u.back)))
 	}
+	first := time.Now()
 	for list[0].runs() == 0 || list[1].runs() == 0 {
 		f.ask(pathOnce)
 	}
@@ -158,8 +160,11 @@
 		if took := time.Since(begun); got.status != http.StatusServiceUnavailable || took > 100*time.Millisecond {
 			t.Fatalf("status %d after %s, want 503 within 100 ms", got.status, took)
 		}
-		if got.header.Get(testBack) == "" {
-			t.Fatal("no time to come back")
+		ms, err := strconv.Atoi(got.header.Get(testBack))
+		back := begun.Add(time.Duration(ms) * time.Millisecond)
+		// Times are cut to ms.
+		if least, most := first.Add(1500*time.Millisecond), asked.Add(1600*time.Millisecond+returnWithin); err != nil || back.Before(least.Add(-100*time.Millisecond)) || back.After(most) {
+			t.Fatalf("come back %s after the first rest ends, want at its end, one after another", back.Sub(least))
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -25,4 +25,8 @@
 # An upstream whose row cannot be used goes on getting work.
 soak spoilt-row internal/fleet/unreadable.go 's/return !m\.unreadable && /return /'
 
+# What an upstream says of itself in answers is not heeded.
+soak answer-leaving internal/gateway/notice.go 's/if n\.Leaving && g\.fleet\.AnsweredLeaving\(from\.ID\)/if false \&\& g.fleet.AnsweredLeaving(from.ID)/'
+soak answer-rest internal/gateway/notice.go 's/if !n\.RestUntil\.IsZero\(\)/if false/'
+
 finish
