fix: callers come back in order on both paths; answers to releases name limits

On the path with sidecars all callers were told the same moment, the end of the first rest: the order of returns is one type for both paths now. The answer to an order that gives up a copy named a limit that nobody read; orders and questions are heard where they are sent.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/inflight"
 	"github.com/sparshore/sparshore/internal/membership"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/rollout"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -66,6 +67,8 @@
 
 	// quarantine knows the requests that end upstreams.
 	quarantine *quarantine.Set
+	// returns orders callers that were refused while no upstream of their pool took work.
+	returns placement.Returns
 
 	draining atomic.Bool
 	joined   atomic.Bool
@@ -280,7 +283,7 @@
 	if first.IsZero() {
 		return e.now().Add(overloadRetry)
 	}
-	return first
+	return e.returns.At(pool.Name, first)
 }
 
 func (e *Entry) candidate(u config.Upstream, p *membership.Peer) routing.Candidate {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,8 +90,8 @@
 	moving  map[string]bool
 	// overloads are by service.
 	overloads map[string]*placement.Overload
-	// returns is when the next caller of a service should come back, whose upstreams all rested.
-	returns map[string]time.Time
+	// returns orders callers that were refused while all upstreams of their service rested.
+	returns placement.Returns
 	// inquired tells when each engine was last asked for its state.
 	inquired map[string]time.Time
 	// looking are the upstreams of which it is being found out whether they ended.
@@ -121,7 +121,7 @@
 	g := &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, ledger: newLedger(now), prefixes: newPrefixes(), entries: 1,
-		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{}, returns: map[string]time.Time{},
+		budgets: map[string]*routing.Window{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		inquired: map[string]time.Time{}, looking: map[string]bool{}, others: others,
 		quarantine: quarantine.New(rec, now, others.Urge), limits: limits.New(settings.Name, settings.Life, others.Limits, rec, now), began: now(),
 	}
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -76,7 +76,6 @@
 		return protocol.EngineState{}, err
 	}
 	defer a.Close()
-	g.heardLimitNamed("", u, a.Header)
 	body, err := io.ReadAll(io.LimitReader(a, maxOrderAnswer))
 	if err != nil {
 		return protocol.EngineState{}, fmt.Errorf("read report: %w", err)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -333,7 +333,6 @@
 		return protocol.CopyResult{}, err
 	}
 	defer a.Close()
-	g.heardLimitNamed("", at, a.Header)
 	body, err := io.ReadAll(io.LimitReader(a, maxOrderAnswer))
 	if err != nil {
 		return protocol.CopyResult{}, err
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -21,6 +21,10 @@
 	if n := g.proto.Notice(a.Status, a.Header, g.now()); n != (protocol.Notice{}) {
 		g.heardNotice(req.ID, to, n)
 	}
+	if req.ID == "" {
+		// What an answer to a caller's request says of a limit counts once it is known whose it is.
+		g.heardLimitNamed("", to, a.Header)
+	}
 	return a, nil
 }
 
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 )
 
@@ -163,7 +164,7 @@
 		ms, err := strconv.Atoi(got.header.Get(testBack))
 		back := begun.Add(time.Duration(ms) * time.Millisecond)
 		// Times are cut to ms.
-		if least, most := first.Add(1500*time.Millisecond), asked.Add(1600*time.Millisecond+returnWithin); err != nil || back.Before(least.Add(-100*time.Millisecond)) || back.After(most) {
+		if least, most := first.Add(1500*time.Millisecond), asked.Add(1600*time.Millisecond+placement.ReturnWithin); err != nil || back.Before(least.Add(-100*time.Millisecond)) || back.After(most) {
 			t.Fatalf("come back %s after the first rest ends, want at its end, one after another", back.Sub(least))
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -283,25 +284,15 @@
 	}
 }
 
-// Callers that are refused while all upstreams rest come back one after another, the first of them
-// first, and none later than a second after the rest.
-func TestCallersComeBackInOrderAfterARest(t *testing.T) {
+// What an engine says in its answer to an order to give up a copy was passed over.
+func TestAnswerToAReleaseSaysWhatTheEngineTakes(t *testing.T) {
 	f := newFixture(t)
-	opens := time.Now().Add(time.Second)
-	last := opens
-	for i := range 100 {
-		at := f.gateway.returnAt("app", opens)
-		if at.Before(last) || i > 0 && at.Sub(last) != returnEach {
-			t.Fatalf("caller %d comes back %s after the one before, want %s", i, at.Sub(last), returnEach)
+	f.add("llm", "holds", answeringAs(func(http.ResponseWriter, *http.Request) {}, testLimit, "2", testLeaving, "1"))
+	u, _ := f.fleet.Get("holds")
+	f.gateway.release("r", heldCopy{copy: protocol.Copy{Handle: "h"}, at: u})
+	for begun := time.Now(); !f.gateway.limits.Any() || len(f.fleet.KnownLeaving()) == 0; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			t.Fatalf("limit known: %v; leaving %v", f.gateway.limits.Any(), f.fleet.KnownLeaving())
 		}
-		last = at
-	}
-	for range 1000 {
-		if at := f.gateway.returnAt("app", opens); at.Before(opens) || at.Sub(opens) > returnWithin {
-			t.Fatalf("a caller comes back %s after the rest, want within %s", at.Sub(opens), returnWithin)
-		}
-	}
-	if at := f.gateway.returnAt("app", opens.Add(time.Minute)); !at.Equal(opens.Add(time.Minute)) {
-		t.Errorf("the first caller of the next rest comes back %s after it, want at its end", at.Sub(opens.Add(time.Minute)))
 	}
 }
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -171,35 +170,11 @@
 	overload := g.backAfterOverload(rq)
 	opens := g.opensAt(rq.service.Name, nil)
 	if g.allRest(rq.service.Name, nil) {
-		return g.returnAt(rq.service.Name, opens).Sub(g.now())
+		return g.returns.At(rq.service.Name, opens).Sub(g.now())
 	}
 	return max(opens.Sub(g.now()), overload)
 }
 
-const (
-	// returnEach is the time between two callers that come back after a rest.
-	returnEach = 10 * time.Millisecond
-	// returnWithin is the time from the end of a rest within which callers come back.
-	returnWithin = time.Second
-)
-
-// returnAt is when a caller should come back to a service of which all upstreams rest: from the end
-// of the first rest on, one after another in the order in which they were refused. More than can
-// come so within returnWithin come at any time in it.
-func (g *Gateway) returnAt(service string, opens time.Time) time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	at := g.returns[service]
-	if at.Before(opens) {
-		at = opens
-	}
-	if at.Sub(opens) > returnWithin {
-		return opens.Add(time.Duration(rand.Int64N(int64(returnWithin))))
-	}
-	g.returns[service] = at.Add(returnEach)
-	return at
-}
-
 // unlimited adds to the upstreams that a request is not to be sent to all that named a limit:
 // for requests that are sent besides, and for those that cannot wait for a permit.
 func (g *Gateway) unlimited(exclude map[string]bool) map[string]bool {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -298,7 +298,7 @@
 mutant rest-at-once $gateway/permit.go 's/if err != nil && g\.allRest\(service, exclude\)/if false/' internal/gateway TestAllUpstreamsRest
 mutant rest-latest internal/fleet/rest.go 's/m\.rest = later\(m\.rest, (.*)\)\n/m.rest = $1\n/' internal/fleet TestLatestRestHolds
 mutant rest-one internal/fleet/rest.go 's/m\.Rests\(s\.now\(\)\) && m\.restUsed/false/' internal/fleet TestOneRequestDuringARest
-mutant rest-order $gateway/permit.go 's/\tg\.returns\[service\] = at\.Add\(returnEach\)\n//' internal/gateway TestCallersComeBackInOrder
+mutant rest-order internal/placement/returns.go 's/\tr\.next\[service\] = at\.Add\(ReturnEach\)\n//' internal/placement TestCallersComeBackInOrder
 mutant leaving-peer internal/fleet/set.go 's/s\.mark\(id, entry, true\)/s.mark(id, entry, false)/' internal/fleet TestUpstreamThatSaidItLeavesNever
 mutant leaving-lapsed internal/fleet/set.go 's/if m\.state == Lapsed \{\n\t\t\/\/ Its/if false {\n\t\t\/\/ Its/; s/\tm\.until = time\.Time\{\}\n\ts\.release/\ts.release/' internal/fleet TestUpstreamThatSaidItLeavesNever
 mutant leaving-told internal/fleet/set.go 's/if lately \|\| !m\.Leaving && unwritten <= mostUnwritten/if lately/' internal/fleet TestLeaveThatNoRecord
