--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -51,6 +51,7 @@
 
 	mu        sync.Mutex
 	version   int64
+	era       int64
 	synced    bool
 	confirmed time.Time
 	failures  int
@@ -141,6 +142,7 @@
 	if err != nil {
 		return err
 	}
+	f.noteEra(s)
 	f.succeeded(s)
 	if full || len(s.Records) > 0 {
 		f.apply(s, full)
@@ -193,6 +195,16 @@
 	return min(max(left, least), f.settings.Wait)
 }
 
+// noteEra tells that the store came back from an older copy.
+func (f *Follower) noteEra(s platform.Snapshot) {
+	if f.era != 0 && s.Era != 0 && s.Era != f.era {
+		f.rec.Note(events.StoreCameBack, "", "table", f.settings.Table, "era", s.Era, "before", f.era, "version", s.Version, "known-version", f.version)
+	}
+	if s.Era != 0 {
+		f.era = s.Era
+	}
+}
+
 func (f *Follower) succeeded(s platform.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -100,6 +100,7 @@
 	RegisterFailed     ID = 604
 	SourceChanged      ID = 605
 	RelayFailed        ID = 606
+	StoreCameBack      ID = 607
 )
 
 // Kind describes one event kind.
@@ -212,6 +213,7 @@
 	{StoreHistoryGone, "store-history-gone", "The store dropped the changes since the last answer; the table is read anew."},
 	{SourceChanged, "source-changed", "A table is followed through another source: the store, or an entry that follows it."},
 	{RelayFailed, "relay-failed", "Another entry could not pass on a table; the store is asked itself."},
+	{StoreCameBack, "store-came-back", "The store came back from an older copy of itself: its versions go on from `version` in a new `era`, and rows may be older than what is known of them."},
 	{RegisterFailed, "register-failed", "An entry could not write or read the list of entries."},
 }
 
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -25,8 +25,12 @@
 // Snapshot is what the store answered about a table.
 type Snapshot struct {
 	Records []Record
-	// Version is the store's newest version at the time of the answer.
+	// Version is the store's newest version at the time of the answer. Versions of different
+	// eras say nothing of each other.
 	Version int64
+	// Era rises each time the store comes back from an older copy of itself, when versions go
+	// back and are given out again; 0 if the store does not state it.
+	Era int64
 	// Clock is the store's steady clock at the time of the answer.
 	Clock time.Duration
 	// Made is a steady time of this process that is not after the moment at
