fix: versions of the store count within the era in which it gave them out

Callers were refused with 404, and requests reached upstreams that leave, seconds after the store had taken the change: a store that comes back from a copy gives versions out again, and every reader kept the higher of two. A follower asked for what came after 39 of a store at 36; it read the whole table after each 410, until three rows were written between two of its reads: then the question was answered, and those rows were never read. Delegates passed rows on under versions of before, to entries that asked with versions of before.

A follower keeps (era, version). An answer of a later era makes it read the whole table before anything is taken over or confirmed; one of an earlier era is none; a read of pages of two eras is none. The log of a delegate begins anew with the era; who asks in an earlier one is told so at once. Entries of earlier releases state no era: what they say counts until a return was seen.

--- a/internal/belief/cameback_test.go
+++ b/internal/belief/cameback_test.go
@@ -140,3 +140,66 @@
 		}
 	}
 }
+
+// An answer of an era whose rows are not read yet confirmed what was known from before, and so did
+// one made before the return.
+func TestOnlyReadErasConfirm(t *testing.T) {
+	answer := func(era, version int64) func() (platform.Snapshot, error) {
+		return func() (platform.Snapshot, error) { return platform.Snapshot{Era: era, Version: version}, nil }
+	}
+	for _, tc := range []struct {
+		name     string
+		answers  []func() (platform.Snapshot, error)
+		confirms int
+		lists    int
+	}{
+		{"one era", []func() (platform.Snapshot, error){answer(1, 5), answer(1, 6)}, 2, 1},
+		{"changes of a later era", []func() (platform.Snapshot, error){answer(1, 5), answer(2, 6)}, 1, 1},
+		{"and its whole table", []func() (platform.Snapshot, error){answer(1, 5), answer(2, 6), answer(2, 6)}, 2, 2},
+		{"changes of an earlier era", []func() (platform.Snapshot, error){answer(2, 5), answer(1, 9)}, 1, 1},
+		{"the whole table of an earlier era", []func() (platform.Snapshot, error){answer(2, 5), errorOf(platform.ErrHistoryGone), answer(1, 9)}, 1, 2},
+		{"a return during the read", []func() (platform.Snapshot, error){answer(1, 5), errorOf(platform.ErrHistoryGone), errorOf(platform.ErrCameBack), answer(2, 4)}, 2, 3},
+		{"a store that states no era", []func() (platform.Snapshot, error){answer(0, 5), answer(0, 6)}, 2, 1},
+		{"an era that was not stated before", []func() (platform.Snapshot, error){answer(0, 5), answer(1, 6), answer(1, 6)}, 2, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, confirms := newScript(tc.answers...), 0
+			s.Follower.confirm = func(time.Time) { confirms++ }
+			s.play(t)
+			if confirms != tc.confirms || s.lists != tc.lists {
+				t.Errorf("confirmed %d times with %d whole tables, want %d with %d", confirms, s.lists, tc.confirms, tc.lists)
+			}
+		})
+	}
+}
+
+func errorOf(err error) func() (platform.Snapshot, error) {
+	return func() (platform.Snapshot, error) { return platform.Snapshot{}, err }
+}
+
+// Once rows had time to be written again, the whole table is read once more.
+func TestTableIsReadOnceMoreAfterAReturn(t *testing.T) {
+	f := newFollowed()
+	f.settings.RestoreFor = 5 * time.Second
+	f.rows.Put("t", "a", "1")
+	f.turns(t, 2)
+	f.rows.ComeBack(f.rows.Copy())
+	lists, restored := 0, 0
+	f.apply = func(s platform.Snapshot, full bool) {
+		if full {
+			lists++
+		}
+		if s.Restored {
+			restored++
+		}
+	}
+	f.turns(t, 5)
+	if settled, ok := f.Settled(); lists != 1 || restored != 1 || !ok || settled.Sub(f.at) != 5*time.Second {
+		t.Errorf("%d whole tables, %d of them of the return, settled in %s; want one that settles in 5 s", lists, restored, settled.Sub(f.at))
+	}
+	f.at = f.at.Add(5 * time.Second)
+	f.turns(t, 5)
+	if lists != 2 || restored != 1 {
+		t.Errorf("%d whole tables, %d of them of the return, want one more", lists, restored)
+	}
+}
--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	// SettleFor is how long after an outage the rows may still be incomplete:
 	// rows that lapsed while the store was away need time to come back.
 	SettleFor time.Duration
+	// RestoreFor is how long after the store came back from an older copy its rows may still
+	// be written again. Then the whole table is read once more.
+	RestoreFor time.Duration
 	// Gather is the pause after an answer with changes: those that come close
 	// together share a call. While changes go on coming it doubles, up to GatherMost.
 	Gather     time.Duration
@@ -56,6 +60,8 @@
 	confirmed time.Time
 	failures  int
 	settled   time.Time
+	// listAt is when the whole table is to be read once more; zero for not.
+	listAt    time.Time
 	interrupt context.CancelFunc
 	// busy counts the answers with changes that came in quick succession.
 	busy int
@@ -117,7 +123,7 @@
 // step makes one call and takes over its answer, which confirms the belief for
 // the moment at which the store made it.
 func (f *Follower) step(ctx context.Context) error {
-	sent, full := f.now(), !f.synced
+	sent, full := f.now(), f.wantsAll()
 	within := f.settings.Wait + f.settings.Slack
 	if full {
 		within = max(within, f.settings.ListWithin)
@@ -134,16 +140,23 @@
 	} else {
 		s, err = f.store.Changes(ctx, f.settings.Table, f.version, f.wait())
 	}
-	if errors.Is(err, platform.ErrHistoryGone) {
+	if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrCameBack) {
 		f.synced = false
-		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version)
+		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version, "era", f.era)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.noteEra(s)
-	f.succeeded(s)
+	switch {
+	case s.Era != 0 && s.Era < f.era:
+		return fmt.Errorf("%w: era %d, known %d", errOlderEra, s.Era, f.era)
+	case s.Era > f.era && !full:
+		// Its versions cannot be compared with the known one, so rows may be passed over.
+		f.synced = false
+		return nil
+	}
+	f.succeeded(&s, full)
 	if full || len(s.Records) > 0 {
 		f.apply(s, full)
 		defer f.sleep(ctx, f.gather(f.now().Sub(sent)))
@@ -195,17 +208,17 @@
 	return min(max(left, least), f.settings.Wait)
 }
 
-// noteEra tells that the store came back from an older copy.
-func (f *Follower) noteEra(s platform.Snapshot) {
-	if f.era != 0 && s.Era != 0 && s.Era != f.era {
-		f.rec.Note(events.StoreCameBack, "", "table", f.settings.Table, "era", s.Era, "before", f.era, "version", s.Version, "known-version", f.version)
-	}
-	if s.Era != 0 {
-		f.era = s.Era
-	}
+// errOlderEra is for an answer made before the store came back from a copy.
+var errOlderEra = errors.New("answer is older than the store's return from a copy")
+
+// wantsAll reports whether the whole table is to be read.
+func (f *Follower) wantsAll() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.synced || !f.listAt.IsZero() && !f.now().Before(f.listAt)
 }
 
-func (f *Follower) succeeded(s platform.Snapshot) {
+func (f *Follower) succeeded(s *platform.Snapshot, full bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failures > 0 {
@@ -214,7 +227,20 @@
 	}
 	f.failures = 0
 	f.synced = true
-	f.version = max(f.version, s.Version)
+	if full {
+		f.listAt = time.Time{}
+	}
+	if s.Era <= f.era {
+		f.version = max(f.version, s.Version)
+		return
+	}
+	if f.era != 0 {
+		s.Restored = true
+		f.settled = f.now().Add(f.settings.RestoreFor)
+		f.listAt = f.settled
+		f.rec.Note(events.StoreCameBack, "", "table", f.settings.Table, "era", s.Era, "before", f.era, "version", s.Version, "known-version", f.version)
+	}
+	f.era, f.version = s.Era, s.Version
 }
 
 // failed notes the first failure of a row of them and backs off.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -10,6 +10,10 @@
 // version: the table must be read anew.
 var ErrHistoryGone = errors.New("the store has dropped its history")
 
+// ErrCameBack is wrapped when the store came back from an older copy of itself in the middle of a
+// read: what was read is of no one moment.
+var ErrCameBack = errors.New("the store came back from a copy during the read")
+
 // ErrUnavailable is wrapped when the store refused a call and did nothing.
 var ErrUnavailable = errors.New("the store refused the call")
 
@@ -33,6 +37,9 @@
 	Era int64
 	// Clock is the store's steady clock at the time of the answer.
 	Clock time.Duration
+	// Restored marks the first whole table of a later era: its rows may be older than what is
+	// known of them, some may be missing, and both may be written again. A Follower sets it.
+	Restored bool
 	// Made is a steady time of this process that is not after the moment at
 	// which the answer was the newest; the zero time if none is known.
 	Made time.Time
--- a/internal/relay/cameback_test.go
+++ b/internal/relay/cameback_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -203,3 +205,60 @@
 	}
 	return ""
 }
+
+// Entries of an earlier release state no era. What they answer and ask is taken as before until the
+// store came back from a copy; from then on it tells nothing.
+func TestErasBesideAnEarlierRelease(t *testing.T) {
+	snap := func(era, version int64) platform.Snapshot {
+		return platform.Snapshot{Era: era, Version: version, Made: time.Now(), Records: []platform.Record{{Name: "a", Version: version}}}
+	}
+	l := NewLog(time.Now)
+	l.note(table, snap(1, 38), true)
+	l.note(table, snap(1, 39), false)
+	if a, _, err := l.answer(table, 38, 0); err != nil || len(a.records) == 0 || a.era != 1 {
+		t.Errorf("an earlier release is answered %v, %v before a return, want the changes", a, err)
+	}
+	if !l.tells(table, 0) {
+		t.Error("what an earlier release answers tells nothing before a return")
+	}
+	l.note(table, snap(2, 36), false)
+	if _, _, err := l.wholeAnswer(table); !errors.Is(err, errCannotTell) {
+		t.Errorf("the whole table is told before it is read in the later era: %v", err)
+	}
+	l.note(table, snap(2, 35), true)
+	l.note(table, snap(2, 36), false)
+	if _, _, err := l.answer(table, 39, 0); !errors.Is(err, errCannotTell) {
+		t.Errorf("an earlier release is answered after a return: %v", err)
+	}
+	if l.tells(table, 0) || l.tells(table, 1) || !l.tells(table, 2) || !l.tells(table, 3) {
+		t.Error("answers of an earlier release or era tell something after a return, or later ones nothing")
+	}
+	if a, _, err := l.answer(table, 39, 1); err != nil || !a.over || a.era != 2 || len(a.records) != 0 {
+		t.Errorf("who asks in the earlier era is answered %+v, %v, want the later era at once", a, err)
+	}
+	if a, _, err := l.answer(table, 35, 2); err != nil || len(a.records) == 0 {
+		t.Errorf("who asks in the same era is answered %+v, %v, want the changes", a, err)
+	}
+	l.note(table, snap(1, 50), true)
+	if a, _, err := l.answer(table, 36, 2); err != nil || a.version != 36 {
+		t.Errorf("version %d, %v after an answer of the earlier era, want 36", a.version, err)
+	}
+}
+
+// A question that an entry holds ends when the store has come back, whoever asks.
+func TestHeldQuestionEndsWithTheEra(t *testing.T) {
+	l := NewLog(time.Now)
+	l.note(table, platform.Snapshot{Era: 1, Version: 39, Made: time.Now()}, true)
+	params, err := json.Marshal(changesParams{Table: table, After: 39, Era: 1, WaitMS: 10_000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(30*time.Millisecond, func() {
+		l.note(table, platform.Snapshot{Era: 2, Version: 36, Made: time.Now()}, true)
+	})
+	begun := time.Now()
+	got, err := l.handleChanges(t.Context(), nil, params)
+	if w, ok := got.(wireSnapshot); err != nil || !ok || w.Era != 2 || time.Since(begun) > 5*time.Second {
+		t.Errorf("%+v, %v after %s, want the later era at once", got, err, time.Since(begun))
+	}
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -22,9 +22,13 @@
 	// floor is the version from which the log knows all changes.
 	floor   int64
 	version int64
-	made    time.Time
-	failing bool
-	signs   signs
+	// era is that of the store in which the rows were read, and returned is set once the
+	// store came back from a copy. See platform.Snapshot.
+	era      int64
+	returned bool
+	made     time.Time
+	failing  bool
+	signs    signs
 	// told is the latest answer, for those that know the table up to toldAfter. One with
 	// records holds until the rows change or a call fails.
 	told      answer
@@ -69,6 +73,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
+	if !t.enter(s.Era, full) {
+		return
+	}
 	t.failing = false
 	if s.Made.After(t.made) {
 		t.made = s.Made
@@ -91,6 +98,50 @@
 	}
 }
 
+// enter begins a later era of the store, of which only a whole table tells. It returns false for an
+// answer that tells nothing: of an earlier era, or of changes in one whose table is not known.
+func (t *tableLog) enter(era int64, full bool) bool {
+	switch {
+	case era == 0 || era == t.era:
+		return true
+	case era < t.era:
+		return false
+	}
+	known := t.era != 0 || t.floor >= 0
+	t.returned = t.returned || t.era != 0
+	t.era = era
+	if known {
+		t.rows, t.floor, t.version = map[string]entry{}, -1, 0
+		t.told, t.whole = answer{}, answer{}
+		// Who waits has to read the whole table.
+		t.signs.changed = renew(t.signs.changed)
+	}
+	return full
+}
+
+// comparable reports whether versions that an asker knows in an era, 0 if it does not say, can be
+// compared with those here.
+func (t *tableLog) comparable(era int64) bool { return era == 0 || t.era == 0 || era == t.era }
+
+// tells reports whether an answer made in an era, 0 if it is not stated, tells anything: one of an
+// earlier era does not, nor does one that may be.
+func (l *Log) tells(table string, era int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.table(table)
+	if era == 0 {
+		return !t.returned
+	}
+	return era >= t.era
+}
+
+// era returns the era of the store in which a table was last read.
+func (l *Log) era(table string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table(table).era
+}
+
 // renew closes a channel and returns the next one.
 func renew(c chan struct{}) chan struct{} {
 	close(c)
@@ -150,10 +201,17 @@
 
 // answer is since, encoded, with the signs of what comes next. Hundreds of entries ask for the same
 // change at once, so it is encoded once for all of them.
-func (l *Log) answer(table string, after int64) (answer, signs, error) {
+func (l *Log) answer(table string, after, era int64) (answer, signs, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
+	switch {
+	case !t.comparable(era):
+		// The era tells the asker to read the whole table.
+		return answer{version: t.version, era: t.era, made: t.made, over: true}, t.signs, nil
+	case era == 0 && t.returned:
+		return answer{}, signs{}, errCannotTell
+	}
 	if t.told.records == nil || t.toldAfter != after {
 		s, ok := l.since(table, after)
 		if !ok {
@@ -166,7 +224,7 @@
 		t.toldAfter = after
 	}
 	a := t.told
-	a.version, a.made = t.version, t.made
+	a.version, a.era, a.made = t.version, t.era, t.made
 	return a, t.signs, nil
 }
 
@@ -186,7 +244,7 @@
 		}
 	}
 	a := t.whole
-	a.version, a.made = t.version, t.made
+	a.version, a.era, a.made = t.version, t.era, t.made
 	return a, t.signs, nil
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -473,7 +473,7 @@
 	}
 	ask := func(after int64) answer {
 		t.Helper()
-		a, _, err := l.answer(table, after)
+		a, _, err := l.answer(table, after, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -133,7 +133,7 @@
 // askList asks another entry for the whole table, if what it knows is not older than oldest. One
 // that reads the table itself at that moment holds the question until it knows it.
 func (s *Store) askList(ctx context.Context, p Peer, table string, oldest time.Duration) (platform.Snapshot, error) {
-	snap, err := s.ask(ctx, p, methodList, listParams{Table: table, WaitMS: s.settings.Wait.Milliseconds()}, oldest)
+	snap, err := s.ask(ctx, p, methodList, table, listParams{Table: table, WaitMS: s.settings.Wait.Milliseconds()}, oldest)
 	if err == nil {
 		s.took(table, p.Name)
 		s.log.note(table, snap, true)
@@ -206,8 +206,8 @@
 
 // askChanges asks another entry for changes and takes over its answer.
 func (s *Store) askChanges(ctx context.Context, p Peer, table string, after int64) (platform.Snapshot, error) {
-	params := changesParams{Table: table, After: after, WaitMS: s.hold(table).Milliseconds()}
-	snap, err := s.ask(ctx, p, methodChanges, params, s.settings.Stale)
+	params := changesParams{Table: table, After: after, Era: s.log.era(table), WaitMS: s.hold(table).Milliseconds()}
+	snap, err := s.ask(ctx, p, methodChanges, table, params, s.settings.Stale)
 	if err == nil {
 		s.answered(table, p.Name, snap)
 	}
@@ -284,11 +284,14 @@
 
 // ask asks another entry. One that fails or knows only older things than oldest
 // is not asked again for a while.
-func (s *Store) ask(ctx context.Context, p Peer, method string, params any, oldest time.Duration) (platform.Snapshot, error) {
+func (s *Store) ask(ctx context.Context, p Peer, method, table string, params any, oldest time.Duration) (platform.Snapshot, error) {
 	snap, err := s.call(ctx, p, method, params)
 	if age := s.now().Sub(snap.Made); err == nil && age > oldest {
 		err = fmt.Errorf("%w: %s knew the table of %s ago", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
+	if err == nil && !s.log.tells(table, snap.Era) {
+		err = fmt.Errorf("%w: %s answers from before the store came back from a copy", ErrStale, p.Name)
+	}
 	if err != nil && !givenUp(ctx) {
 		avoid := s.settings.AvoidFor
 		if errors.Is(err, ErrStale) {
