--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -24,6 +24,8 @@
 	// refused is set while the row cannot be used, refusedRow is its version.
 	refused    bool
 	refusedRow int64
+	// olderRow is the version of the latest row with a table that is older than the one in force.
+	olderRow int64
 }
 
 // NewRoutes returns an empty belief; row names the row that holds the table.
@@ -43,15 +45,16 @@
 func (r *Routes) Apply(s platform.Snapshot, _ bool) {
 	for _, rec := range s.Records {
 		if rec.Name == r.row && !rec.Gone {
-			r.offer(rec)
+			r.offer(rec, s.Restored)
 		}
 	}
 }
 
 // offer takes over a stored table if it is newer than the one in force. One that cannot be
 // used is refused and the last good one stays; a version of the row is told once, since
-// each answer that holds the whole table repeats it.
-func (r *Routes) offer(rec platform.Record) {
+// each answer that holds the whole table repeats it. In a store that came back from a copy an
+// earlier table stands until the later one is written again: it changes nothing.
+func (r *Routes) offer(rec platform.Record, restored bool) {
 	var table *routetable.Table
 	err := guard.Do(func() (err error) {
 		table, err = r.decode(rec.Value)
@@ -66,8 +69,15 @@
 		r.refused, r.refusedRow = true, rec.Version
 		return
 	}
-	r.refused = false
-	if r.table != nil && table.Version() <= r.table.Version() {
+	r.refused = r.refused && restored
+	if r.table != nil && table.Version() < r.table.Version() {
+		if r.olderRow != rec.Version {
+			r.rec.Note(events.RoutesOlder, "", "row", rec.Version, "version", table.Version(), "in-force", r.table.Version(), "restored", restored)
+		}
+		r.olderRow = rec.Version
+		return
+	}
+	if r.table != nil && table.Version() == r.table.Version() {
 		return
 	}
 	before := routetable.Version(0)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -93,6 +93,7 @@
 	RoutesRejected     ID = 511
 	RoutesUnconfirmed  ID = 512
 	RoutesConfirmed    ID = 513
+	RoutesOlder        ID = 514
 	PlatformFailed     ID = 600
 	StoreLost          ID = 601
 	StoreRegained      ID = 602
@@ -207,6 +208,7 @@
 	{RoutesRejected, "routes-rejected", "A route table cannot be used; the last good one stays in force."},
 	{RoutesUnconfirmed, "routes-unconfirmed", "The route table was not confirmed for so long that requests with unknown keys, or with any keys where the bound is hard, are refused unrun."},
 	{RoutesConfirmed, "routes-confirmed", "The route table is confirmed again and proves which keys are valid."},
+	{RoutesOlder, "routes-older", "The store has an older route table than the one in force, which stays; with `restored` the store came back from a copy, and the later one is to be written again. One that is meant needs a higher version."},
 	{PlatformFailed, "platform-failed", "A call to a platform store failed; it is tried again with back-off."},
 	{StoreLost, "store-lost", "A call that follows a table of the store failed; the last known rows stay in use."},
 	{StoreRegained, "store-regained", "The store answers again."},
