fix: what is known of upstreams outlives a copy of the store

Versions of rows were compared across the store's return: an upstream that started again after it got no work, and one whose row went kept getting it, until the versions had caught up; a row of the copy brought back an upstream whose row had gone. Each entry writes its own row again, spread over the time in which the store takes the rows of all.

--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -15,7 +16,7 @@
 func followSettings(table string, wait time.Duration) belief.Settings {
 	return belief.Settings{
 		Table: table, Wait: wait, Slack: followSlack, ListWithin: followList,
-		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor, Gather: followGather, GatherMost: followGatherMost,
+		PauseLeast: followPauseLeast, PauseMost: followPauseMost, SettleFor: settleFor, RestoreFor: restoreFor, Gather: followGather, GatherMost: followGatherMost,
 	}
 }
 
@@ -32,6 +33,10 @@
 // applyUpstreams hands the rows of upstreams to the fleet.
 func (b *gatewayBuilder) applyUpstreams(s product.Snapshot, full bool) {
 	settled, _ := b.members.Settled()
+	if s.Restored {
+		b.upstreams.restore(s.Records, settled)
+		return
+	}
 	b.upstreams.apply(s.Records, full, settled)
 }
 
@@ -42,9 +47,19 @@
 	return func(s product.Snapshot, full bool) {
 		b.routes.Apply(s, full)
 		zones.Apply(s, full)
+		if s.Restored {
+			b.listAgain()
+		}
 	}
 }
 
+// listAgain writes the own row anew some time after the store came back from a copy, which may lack
+// it. Entries spread over the time in which the store takes the rows of all.
+func (b *gatewayBuilder) listAgain() {
+	entries := len(b.gossip.Peers()) + 1
+	time.AfterFunc(time.Duration(rand.Int64N(int64(entries)*int64(directoryWriteEach)+1)), b.directory.RenewSoon)
+}
+
 func (b *gatewayBuilder) followService() kernel.Service {
 	return kernel.Service{
 		Name:  serviceFollow,
--- a/internal/daemon/upstreamrows.go
+++ b/internal/daemon/upstreamrows.go
@@ -29,6 +29,12 @@
 	u.fleet.UpdateAll(records, unreadable, gone, full, settled)
 }
 
+// restore is apply for the first whole table after the store came back from a copy.
+func (u *upstreamRows) restore(rows []product.Record, settled time.Time) {
+	records, unreadable, _ := u.changes(rows, true)
+	u.fleet.Restore(records, unreadable, settled)
+}
+
 // changes decodes changed rows. One answer may hold several changes of a row, in order;
 // the last one counts.
 func (u *upstreamRows) changes(rows []product.Record, full bool) (records []fleet.Record, unreadable []string, gone []fleet.Gone) {
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -105,6 +105,8 @@
 	serving map[string][]string
 	// closed are the zones whose upstreams get no new work.
 	closed map[string]bool
+	// restored is set while the first records after the store came back from a copy are taken over.
+	restored bool
 	// restsUntil is not before the end of any upstream's rest.
 	restsUntil time.Time
 }
@@ -187,15 +189,19 @@
 	}
 	r.Version = max(r.Version, m.Version)
 	m.Record = r
-	// While its row is there, it is neither lapsed nor gone.
-	m.until = time.Time{}
 	s.release(m)
+	// A copy may be from before its row went.
+	stale := s.restored && m.state == Leaving
+	if !stale {
+		// While its row is there, it is neither lapsed nor gone.
+		m.until = time.Time{}
+	}
 	m.coldUntil = s.now().Add(r.ColdFor)
 	if r.Leaving {
 		s.said(m)
 		return r.ID, s.leave(m, "own record")
 	}
-	if m.state != Serving && !m.firstHand {
+	if m.state != Serving && !m.firstHand && !stale {
 		m.state = Serving
 		s.serving = nil
 		s.rec.Note(events.UpstreamBack, "", "upstream", r.ID)
