--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -8,13 +8,13 @@
 //   - what an upstream said itself holds, and one whose row was gone stays gone, until its row is
 //     written again or a later whole table still has it;
 //   - of two starts the one that was born later holds, since versions of before say nothing of
-//     those after;
+//     those after, until the next word of the store on it;
 //   - one that is missing has until settled to write its row again.
 func (s *Set) Restore(records []Record, unreadable []string, settled time.Time) {
 	s.mu.Lock()
 	s.restored = true
 	for _, m := range s.byID {
-		m.Version = 0
+		m.Version, m.unwritten = 0, true
 	}
 	s.mu.Unlock()
 	s.update(records, unreadable, nil, true, settled)
--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -33,6 +33,18 @@
 			now(f, start("a", 200, 37))
 		}, 200},
 		{"it had started again before the table was read", nil, func(f *fixture) { restore(f, other, start("a", 200, 37)) }, 200},
+		{"it starts again with a clock that jumped back", nil, func(f *fixture) {
+			restore(f, other)
+			now(f, start("a", 60, 38))
+		}, 60},
+		{"that, before the table was read", nil, func(f *fixture) {
+			restore(f, other, start("a", 60, 37))
+			list(f, other, start("a", 60, 37))
+		}, 60},
+		{"that, and the copy has the start before", func(f *fixture) { now(f, start("a", 60, 52)) }, func(f *fixture) {
+			restore(f, other, start("a", 100, 30))
+			now(f, start("a", 60, 38))
+		}, 60},
 		{"its row goes", nil, func(f *fixture) {
 			restore(f, other, start("a", 100, 30))
 			f.Update(nil, []Gone{{Name: "a", Version: 38}}, false, time.Time{})
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -119,6 +119,9 @@
 	firstHand bool
 	// saidAt is when that was learnt.
 	saidAt time.Time
+	// unwritten is set from the store's return from a copy until a row of this start is read: what is
+	// known of it is from before.
+	unwritten bool
 	// unreadable is set while its record is there but cannot be read.
 	unreadable bool
 	// until ends a lapse, or the time for which one that left is remembered.
@@ -188,7 +191,7 @@
 		m = s.begin(r)
 	}
 	r.Version = max(r.Version, m.Version)
-	m.Record = r
+	m.Record, m.unwritten = r, false
 	s.release(m)
 	// A copy may be from before its row went.
 	stale := s.restored && m.state == Leaving
--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -41,7 +41,9 @@
 	if !known || r.ID == m.ID {
 		return r, true
 	}
-	if older(r, m.Record) {
+	// The store's next word after its return holds, whatever is known from before.
+	holds := m.unwritten && !s.restored
+	if !holds && older(r, m.Record) {
 		s.rec.Note(events.UpstreamOldNews, "", "upstream", m.ID, "news", "record of "+r.ID, "version", r.Version, "known-version", m.Version)
 		return Record{}, false
 	}
