fix: an entry that starts after the store came back learns the later routes

Callers with a key that had been taken away were served by an entry that started between the store's return from a copy and the moment at which the operator wrote the table again: it knew the copy's table only, although all others had the later one in force. What it learns so confirms nothing.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -192,6 +192,8 @@
 	log    *relay.Log
 	source *relay.Store
 	routes *belief.Routes
+	// behind tells when others know later routes than the store.
+	behind belief.Behind
 	fleet  *fleet.Set
 	// upstreams takes over the rows of the fleet.
 	upstreams *upstreamRows
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -16,6 +16,7 @@
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/relay"
 	"github.com/sparshore/sparshore/internal/roster"
+	"github.com/sparshore/sparshore/platform"
 )
 
 func (b *gatewayBuilder) gossipService() kernel.Service {
@@ -147,4 +148,20 @@
 	if !s.Confirmed.IsZero() {
 		b.routes.Confirm(s.Routes, s.Confirmed)
 	}
+	if table, _ := b.routes.Current(); table != nil && b.behind.Hear(table.Version(), s.Routes, time.Now()) {
+		go b.catchUp(from)
+	}
+}
+
+// catchUp takes the route table of another entry that has a later one: the store came back from a
+// copy and does not have it.
+func (b *gatewayBuilder) catchUp(from string) {
+	ctx, cancel := context.WithTimeout(b.ctx, relaySlack)
+	defer cancel()
+	s, err := b.source.ListFrom(ctx, from, platform.TableRoutes)
+	if err != nil {
+		b.rec.Note(events.RelayFailed, "", "peer", from, "error", err)
+		return
+	}
+	b.routes.Learn(from, s.Records)
 }
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -46,6 +46,9 @@
 	zones := belief.NewZones(platform.ClosedZone, b.fleet.CloseZones)
 	return func(s product.Snapshot, full bool) {
 		b.routes.Apply(s, full)
+		if row, ok := b.routes.Kept(); ok {
+			b.log.Keep(platform.TableRoutes, row)
+		}
 		zones.Apply(s, full)
 		if s.Restored {
 			b.listAgain()
--- a/internal/relay/cameback_test.go
+++ b/internal/relay/cameback_test.go
@@ -262,3 +262,23 @@
 		t.Errorf("%+v, %v after %s, want the later era at once", got, err, time.Since(begun))
 	}
 }
+
+// What an entry keeps in the place of an older row reaches those who list the table from it, until
+// the store has a later one.
+func TestKeptRowIsToldOn(t *testing.T) {
+	value := func(l *Log) string {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return string(l.live(l.table(table)).Records[0].Value)
+	}
+	l := NewLog(time.Now)
+	l.note(table, platform.Snapshot{Era: 2, Version: 36, Records: []platform.Record{{Name: "config", Version: 5, Value: []byte("52")}}}, true)
+	l.Keep(table, platform.Record{Name: "config", Version: 39, Value: []byte("59")})
+	if got := value(l); got != "59" {
+		t.Errorf("told is %s, want the kept row", got)
+	}
+	l.note(table, platform.Snapshot{Era: 2, Version: 38, Records: []platform.Record{{Name: "config", Version: 38, Value: []byte("60")}}}, false)
+	if got := value(l); got != "60" {
+		t.Errorf("told is %s, want the store's later row", got)
+	}
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -142,6 +142,17 @@
 	return l.table(table).era
 }
 
+// Keep puts a row in the place of an older one that the store came back with, for those who ask
+// here, until the store has a later one.
+func (l *Log) Keep(table string, row platform.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.table(table)
+	row.Version = t.version
+	t.rows[row.Name] = l.entryOf(row)
+	t.told, t.whole = answer{}, answer{}
+}
+
 // renew closes a channel and returns the next one.
 func renew(c chan struct{}) chan struct{} {
 	close(c)
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -141,6 +141,20 @@
 	return snap, err
 }
 
+// ListFrom returns what one entry knows of a table, for an entry that hears from it that it knows
+// later rows. What it tells is taken for no answer of the store.
+func (s *Store) ListFrom(ctx context.Context, name, table string) (platform.Snapshot, error) {
+	for _, p := range s.peers() {
+		if p.Name == name {
+			return s.call(ctx, p, methodList, listParams{Table: table})
+		}
+	}
+	return platform.Snapshot{}, fmt.Errorf("%w: %s", errNotHeard, name)
+}
+
+// errNotHeard is for an entry that is not heard any more.
+var errNotHeard = errors.New("the entry is not heard")
+
 // awaitListed returns once this entry knows which others there are, or will not learn it soon:
 // hundreds of entries that start together would each read the tables from the store otherwise.
 func (s *Store) awaitListed(ctx context.Context) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -307,4 +307,19 @@
 mutant sidecar-leaving internal/sidecar/notice.go 's/\t\tn\.leavesUntil = now\.Add\(leavesFor\)\n//' internal/sidecar TestServiceThatSaidItLeaves
 mutant sidecar-start internal/sidecar/notice.go 's/if n\.start != start \{/if false {/' internal/sidecar TestRestOfAServiceEnds
 
+mutant era-changes internal/belief/follower.go 's/case s\.Era > f\.era && !full:/case false:/' internal/belief TestRowsAtVersionsGivenOutAgain
+mutant era-version internal/belief/follower.go 's/f\.era, f\.version = s\.Era, s\.Version/f.era, f.version = s.Era, max(f.version, s.Version)/' internal/belief TestFollowerOfAStoreThatComesBack
+mutant era-older internal/belief/follower.go 's/case s\.Era != 0 && s\.Era < f\.era:/case false:/' internal/belief TestOnlyReadErasConfirm
+mutant era-again internal/belief/follower.go 's/\t\tf\.listAt = f\.settled\n//' internal/belief TestTableIsReadOnceMore
+mutant era-pages platform/store.go 's/if rows\.era != out\.Era \{/if false {/' platform TestReturnBetweenTwoPages
+mutant era-log internal/relay/log.go 's/\tif known \{\n\t\tt\.rows/\tif known \&\& false {\n\t\tt.rows/' internal/relay TestErasBesideAnEarlierRelease
+mutant era-asker internal/relay/log.go 's/case !t\.comparable\(era\):/case false \&\& !t.comparable(era):/' internal/relay TestErasBesideAnEarlierRelease
+mutant era-unstated internal/relay/log.go 's/case era == 0 && t\.returned:/case false:/' internal/relay TestErasBesideAnEarlierRelease
+mutant restored-gone internal/fleet/set.go 's/stale := s\.restored && m\.state == Leaving/stale := false/' internal/fleet TestFleetAfterTheStoreCameBack
+mutant restored-version internal/fleet/restored.go 's/m\.Version, m\.unwritten = 0, true/m.unwritten = m.unwritten || false/' internal/fleet TestFleetAfterTheStoreCameBack
+mutant restored-next internal/fleet/starts.go 's/holds := m\.unwritten && !s\.restored/holds := false/' internal/fleet TestFleetAfterTheStoreCameBack
+mutant restored-zones internal/belief/zones.go 's/if !full \|\| s\.Restored/if !full/' internal/belief TestOperatorsRows
+mutant restored-routes internal/belief/routes.go 's/table\.Version\(\) < r\.table\.Version\(\) \{/false {/' internal/belief TestOperatorsRows
+mutant behind-kept internal/belief/routes.go 's/r\.olderRow, r\.older = rec\.Version, true/r.olderRow = rec.Version/' internal/belief TestEntryThatStartsAfterAReturn
+
 finish
