--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -307,7 +307,7 @@
 mutant sidecar-leaving internal/sidecar/notice.go 's/\t\tn\.leavesUntil = now\.Add\(leavesFor\)\n//' internal/sidecar TestServiceThatSaidItLeaves
 mutant sidecar-start internal/sidecar/notice.go 's/if n\.start != start \{/if false {/' internal/sidecar TestRestOfAServiceEnds
 
-mutant era-changes internal/belief/follower.go 's/case s\.Era > f\.era && !full:/case false:/' internal/belief TestRowsAtVersionsGivenOutAgain
+mutant era-changes internal/belief/follower.go 's/case s\.Era > f\.era && !full:/case false:/' internal/belief TestOnlyReadErasConfirm
 mutant era-version internal/belief/follower.go 's/f\.era, f\.version = s\.Era, s\.Version/f.era, f.version = s.Era, max(f.version, s.Version)/' internal/belief TestFollowerOfAStoreThatComesBack
 mutant era-older internal/belief/follower.go 's/case s\.Era != 0 && s\.Era < f\.era:/case false:/' internal/belief TestOnlyReadErasConfirm
 mutant era-again internal/belief/follower.go 's/\t\tf\.listAt = f\.settled\n//' internal/belief TestTableIsReadOnceMore
