perf: a route table that is on its way is not asked for

Hundreds of entries that a large table reaches later than 0.7 s after the first ones would each have asked another one for all of it. The store must have confirmed the own table since others were heard with a later one: then it does not have that one.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -148,7 +148,7 @@
 	if !s.Confirmed.IsZero() {
 		b.routes.Confirm(s.Routes, s.Confirmed)
 	}
-	if table, _ := b.routes.Current(); table != nil && b.behind.Hear(table.Version(), s.Routes, time.Now()) {
+	if table, confirmed := b.routes.Current(); table != nil && b.behind.Hear(table.Version(), s.Routes, confirmed, time.Now()) {
 		go b.catchUp(from)
 	}
 }
