fix: what an upstream says in the answer to a try that lost is heard

A request that is cancelled before the head of its answer has come keeps its connection for 50 ms; one whose time is over, or that ends with the entry's stop, does not, and nothing is sent after the cancellation.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -136,6 +136,8 @@
 	// idleUnknown and idleMargin keep requests from crossing an upstream's close.
 	idleUnknown = 300 * time.Millisecond
 	idleMargin  = 700 * time.Millisecond
+	// headWithin is the time in which a refusal of a request that was just sent comes.
+	headWithin = 50 * time.Millisecond
 	// silentAfter ends connections to upstreams whose VM stopped acknowledging.
 	silentAfter = 3 * time.Second
 	// callerIdle and callerHeader bound callers' connections while no routes are
@@ -234,7 +236,7 @@
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
 	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, newBadRows(events.UpstreamRejected, platform.Reason, b.reg, b.rec, time.Now))
 	proto := platform.NewProtocol()
-	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, IDHeader: proto.IDHeader}, dialer(), time.Now)
+	b.pool = link.New(link.Settings{DialWithin: dialWithin, IdleUnknown: idleUnknown, IdleMargin: idleMargin, HeadWithin: headWithin, IDHeader: proto.IDHeader}, dialer(), time.Now)
 	b.gateway = gateway.New(gateway.Settings{
 		Name: s.Name, Life: b.life, Zone: s.Zone, RoutesTrusted: s.KeyBound - trustMargin, HardKeyBound: s.KeyBoundHard,
 		RetryRatio: s.RetryRatio * retryShare, RetryExtra: s.RetryExtra * retryShare, RetryWindow: s.RetryWindow,
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -296,3 +297,46 @@
 		}
 	}
 }
+
+// A second try that lost was given up before its answer had come, so that its upstream's asking for
+// rest, or its leave, was heard by nobody.
+func TestAnswerOfATryThatLostIsHeard(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		leave func(f *fixture, r *http.Request)
+	}{
+		{"a hedge", func(*fixture, *http.Request) {}},
+		{"of a caller who left", func(_ *fixture, r *http.Request) {
+			ctx, cancel := context.WithTimeout(r.Context(), 55*time.Millisecond)
+			t.Cleanup(cancel)
+			*r = *r.WithContext(ctx)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			both := make(chan struct{}, 2)
+			// Whoever is asked first takes its time; the other one asks for rest a little later than the
+			// first answer comes.
+			var first atomic.Bool
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if !first.Swap(true) {
+					<-both
+					time.Sleep(10 * time.Millisecond)
+					serveOK(w, r)
+					return
+				}
+				both <- struct{}{}
+				time.Sleep(25 * time.Millisecond)
+				answeringAs(serveNotRun, testBack, "2000")(w, r)
+			}
+			f.add("app", "a", serve)
+			f.add("app", "b", serve)
+			f.ask(pathSafe, func(r *http.Request) { tc.leave(f, r) })
+			for begun := time.Now(); !f.fleet.AnyRests(); time.Sleep(time.Millisecond) {
+				if time.Since(begun) > time.Second {
+					t.Fatal("nobody heard that the upstream wants rest")
+				}
+			}
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,9 @@
 	// IdleMargin is taken off the time an upstream says it keeps a connection,
 	// so that a request does not cross its close.
 	IdleMargin time.Duration
+	// HeadWithin is how long after a request was cancelled the head of its answer is waited
+	// for: what an upstream says of itself there counts for the next ones.
+	HeadWithin time.Duration
 	// IDHeader is the header by which an answer names its request.
 	IDHeader string
 }
@@ -62,6 +66,8 @@
 	*late
 	address string
 	r       *bufio.Reader
+	// heard is set once the head of the answer under way was read.
+	heard   atomic.Bool
 	expires time.Time
 	lastID  string
 }
@@ -104,14 +110,17 @@
 }
 
 // Do sends one request and reads the head of its answer. When ctx ends, also while the body is
-// read, what has come by then can be read, and the connection is closed.
+// read, what has come by then can be read, and the connection is closed; if ctx is cancelled before
+// the head has come, HeadWithin later.
 func (p *Pool) Do(ctx context.Context, address string, req Request) (*Answer, error) {
 	c, err := p.connect(ctx, address, req.Fresh)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, c.end)
+	c.heard.Store(false)
+	stop := context.AfterFunc(ctx, func() { p.giveUp(ctx, c) })
 	a, err := p.exchange(c, req)
+	c.heard.Store(true)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -121,6 +130,16 @@
 	return a, nil
 }
 
+// giveUp ends the time of a request whose context has ended. One that was cancelled for a reason of
+// its own ends at once, as one whose time is over does.
+func (p *Pool) giveUp(ctx context.Context, c *conn) {
+	if c.heard.Load() || !errors.Is(context.Cause(ctx), context.Canceled) {
+		c.end()
+		return
+	}
+	time.AfterFunc(p.settings.HeadWithin, c.end)
+}
+
 // connect takes an idle connection that is still open, or makes a new one.
 func (p *Pool) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	if !fresh {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -322,4 +322,6 @@
 mutant restored-routes internal/belief/routes.go 's/table\.Version\(\) < r\.table\.Version\(\) \{/false {/' internal/belief TestOperatorsRows
 mutant behind-kept internal/belief/routes.go 's/r\.olderRow, r\.older = rec\.Version, true/r.olderRow = rec.Version/' internal/belief TestEntryThatStartsAfterAReturn
 
+mutant answer-cancelled internal/link/link.go 's/if c\.heard\.Load\(\) \|\| /if true || /' internal/gateway TestAnswerOfATryThatLost
+
 finish
