refactor: what upstreams ask for with Retry-After is called back-off

The code had the word of the users' pages. Identifiers, log attributes (back-off) and the state that sparshorectl shows change; nothing else. The soak's mutant follows.

--- a/internal/daemon/gatewaystatus.go
+++ b/internal/daemon/gatewaystatus.go
@@ -57,7 +57,7 @@
 // The states of upstreams and entries for operators.
 const (
 	stateUp        = "up"
-	stateResting   = "resting"
+	stateBackOff   = "back-off"
 	stateLeaving   = "leaving"
 	stateLapsed    = "lapsed"
 	stateSuspected = "suspected"
@@ -105,8 +105,8 @@
 		return stateLeaving
 	case u.State() == fleet.Lapsed:
 		return stateLapsed
-	case u.Rests(now):
-		return stateResting
+	case u.InBackOff(now):
+		return stateBackOff
 	case u.Suspect(now) || u.AvoidUntil().After(now):
 		return stateSuspected
 	default:
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -156,7 +156,7 @@
 	{LimitGranter, "limit-granter", "Another entry than `before` grants the permits for requests to an upstream that named a limit."},
 	{LimitReached, "limit-reached", "There is no permit for a request to an upstream that named a limit; the next one may be had in `next-in`, from `granter`. Requests go elsewhere until then. A line a second at most; `times` counts."},
 	{LimitNoAnswer, "limit-no-answer", "The entry that grants permits did not answer; the upstream gets no requests of this entry until it asks again."},
-	{UpstreamNotice, "upstream-notice", "An answer says that its upstream leaves (`leaving`), or for how long it wants no requests of this entry (`rest`); `known` tells that it was known to leave."},
+	{UpstreamNotice, "upstream-notice", "An answer says that its upstream leaves (`leaving`), or for how long it wants no requests of this entry (`back-off`); `known` tells that it was known to leave."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with a time to come back."},
--- a/internal/fleet/rest_test.go
+++ b/internal/fleet/backoff_test.go
@@ -14,24 +14,24 @@
 		want time.Duration
 	}{
 		{"alone", func(*fixture) {}, 3 * time.Second},
-		{"before a shorter one", func(f *fixture) { f.Rest("a", f.at.Add(time.Second)) }, 3 * time.Second},
-		{"before a longer one", func(f *fixture) { f.Rest("a", f.at.Add(4*time.Second)) }, 4 * time.Second},
+		{"before a shorter one", func(f *fixture) { f.BackOff("a", f.at.Add(time.Second)) }, 3 * time.Second},
+		{"before a longer one", func(f *fixture) { f.BackOff("a", f.at.Add(4*time.Second)) }, 4 * time.Second},
 		{"before a good answer", func(f *fixture) { f.Note("a", Served) }, 3 * time.Second},
 		{"before its row", func(f *fixture) { f.Update([]Record{record("a")}, nil, true, time.Time{}) }, 3 * time.Second},
-		{"before a time that cannot be meant", func(f *fixture) { f.Rest("a", f.at.Add(1000*time.Hour)) }, mostRest},
+		{"before a time that cannot be meant", func(f *fixture) { f.BackOff("a", f.at.Add(1000*time.Hour)) }, mostBackOff},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture()
 			f.Update([]Record{record("a"), record("b")}, nil, true, time.Time{})
 			begun := f.at
-			f.Rest("a", begun.Add(3*time.Second))
+			f.BackOff("a", begun.Add(3*time.Second))
 			tc.news(f)
 			u, _ := f.Get("a")
-			if got := u.RestUntil().Sub(begun); got != tc.want {
+			if got := u.BackOffUntil().Sub(begun); got != tc.want {
 				t.Errorf("rests for %s, want %s", got, tc.want)
 			}
 			f.at = begun.Add(tc.want)
-			if u.Rests(f.at) || f.AnyRests() {
+			if u.InBackOff(f.at) || f.AnyBackOff() {
 				t.Error("still rests at the end of the time")
 			}
 		})
@@ -43,9 +43,9 @@
 	f.Update([]Record{start("a", 100, 5)}, nil, true, time.Time{})
 	first := f.working("a")[0]
 	f.Update([]Record{start("a", 200, 8)}, nil, false, time.Time{})
-	f.Rest(first, f.at.Add(time.Minute))
+	f.BackOff(first, f.at.Add(time.Minute))
 	for _, u := range f.Of("llm") {
-		if u.Rests(f.at) {
+		if u.InBackOff(f.at) {
 			t.Errorf("%s rests by the word of the start before", u.ID)
 		}
 	}
@@ -54,22 +54,22 @@
 func TestOneRequestDuringARest(t *testing.T) {
 	f := newFixture()
 	f.Update([]Record{record("a")}, nil, true, time.Time{})
-	f.Rest("a", f.at.Add(time.Second))
-	if !f.TakeDuringRest("a") || f.TakeDuringRest("a") {
+	f.BackOff("a", f.at.Add(time.Second))
+	if !f.TakeDuringBackOff("a") || f.TakeDuringBackOff("a") {
 		t.Error("not exactly one request may go")
 	}
-	f.Rest("a", f.at.Add(2*time.Second))
-	if f.TakeDuringRest("a") {
+	f.BackOff("a", f.at.Add(2*time.Second))
+	if f.TakeDuringBackOff("a") {
 		t.Error("another one may go once the rest was put off")
 	}
 	f.at = f.at.Add(3 * time.Second)
 	for range 2 {
-		if !f.TakeDuringRest("a") {
+		if !f.TakeDuringBackOff("a") {
 			t.Error("a request may not go after the rest")
 		}
 	}
-	f.Rest("a", f.at.Add(time.Second))
-	if !f.TakeDuringRest("a") {
+	f.BackOff("a", f.at.Add(time.Second))
+	if !f.TakeDuringBackOff("a") {
 		t.Error("none may go in the next rest")
 	}
 }
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -61,7 +61,7 @@
 	failures  float64
 	avoid     time.Time
 	faultAt   time.Time
-	rest      time.Time
+	backOff   time.Time
 }
 
 // State returns whether the upstream takes new work.
@@ -81,12 +81,12 @@
 // AvoidUntil returns until when the upstream is to be used only if no other can.
 func (u Upstream) AvoidUntil() time.Time { return u.avoid }
 
-// RestUntil returns until when the upstream wants no requests of this entry, by its own word; zero
+// BackOffUntil returns until when the upstream wants no requests of this entry, by its own word; zero
 // if it never asked for that.
-func (u Upstream) RestUntil() time.Time { return u.rest }
+func (u Upstream) BackOffUntil() time.Time { return u.backOff }
 
-// Rests reports whether the upstream wants no requests of this entry now.
-func (u Upstream) Rests(now time.Time) bool { return now.Before(u.rest) }
+// InBackOff reports whether the upstream wants no requests of this entry now.
+func (u Upstream) InBackOff(now time.Time) bool { return now.Before(u.backOff) }
 
 // Set holds all upstreams.
 type Set struct {
@@ -107,8 +107,8 @@
 	closed map[string]bool
 	// restored is set while the first records after the store came back from a copy are taken over.
 	restored bool
-	// restsUntil is not before the end of any upstream's rest.
-	restsUntil time.Time
+	// backOffUntil is not before the end of any upstream's back-off.
+	backOffUntil time.Time
 }
 
 type member struct {
@@ -126,8 +126,8 @@
 	unreadable bool
 	// until ends a lapse, or the time for which one that left is remembered.
 	until time.Time
-	// restUsed is set once a request went to it while it rested.
-	restUsed bool
+	// backOffUsed is set once a request went to it while it rested.
+	backOffUsed bool
 	// ownFault is when a request of this entry last met a fault.
 	ownFault time.Time
 	// failedAt are the times at which it lately failed requests of this entry, and
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,7 @@
 	full := memory > 0 && load.Held > int(crowdedMemory*float64(memory))
 	crowded := queued || full
 	g.rec.Note(events.StreamStartsLate, rq.call.ID, "upstream", upstream, "after", g.now().Sub(rq.start), "reading", reading, "held", load.Held, "crowded", crowded)
-	if u, known := g.fleet.Get(upstream); crowded || known && u.Rests(g.now()) {
+	if u, known := g.fleet.Get(upstream); crowded || known && u.InBackOff(g.now()) {
 		return
 	}
 	// An engine that does not tell is judged by its silence.
@@ -144,8 +144,8 @@
 // failed handles an engine's own failure. Before the first event it is passed
 // on; after it, the answer cannot become a failure any more.
 func (s *stream) failed(ctx context.Context, st step, answer *link.Answer) outcome {
-	// A time limit that passed at the engine is no fault of it, nor is that it asks for rest.
-	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout && !s.g.asksForRest(answer.Status, answer.Header) {
+	// A time limit that passed at the engine is no fault of it, nor is that it asks to back off.
+	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout && !s.g.asksBackOff(answer.Status, answer.Header) {
 		s.g.faulty(st.at.ID)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -96,7 +96,7 @@
 	results chan result
 	// failed are the upstreams that answered with an error of their own.
 	failed []string
-	// limited is the error of the latest choice if it found no upstream because of limits or rests.
+	// limited is the error of the latest choice if it found no upstream because of limits or back-off.
 	limited error
 }
 
@@ -114,7 +114,7 @@
 			if c.take(r) {
 				return r, true
 			}
-			if r.usable() && !c.g.asksForRest(r.status, r.header) {
+			if r.usable() && !c.g.asksBackOff(r.status, r.header) {
 				c.failed = append(c.failed, r.upstream)
 			}
 			if !best.usable() {
@@ -220,7 +220,7 @@
 	if err != nil || !c.rq.run.MaySend() {
 		return false
 	}
-	if c.g.limits.Any() || c.g.fleet.AnyRests() {
+	if c.g.limits.Any() || c.g.fleet.AnyBackOff() {
 		// Callers that are refused come back the later the smaller the part that is not.
 		c.g.overload(c.rq.service.Name).Admitted(c.g.now())
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -36,7 +36,7 @@
 	trials := g.quarantine.Trials()
 	out := make([]placement.Candidate, 0, len(list))
 	for _, u := range list {
-		if !exclude[u.ID] && !u.Rests(now) {
+		if !exclude[u.ID] && !u.InBackOff(now) {
 			load, rate := g.ledger.known(u.ID, now)
 			out = append(out, placement.Candidate{Upstream: u, Load: load, Rate: rate, Trial: trials[u.ID]})
 		}
@@ -79,7 +79,7 @@
 // least, since that ends with it. In the rig of internal/quarantine, 4 entries, one request
 // that ends three or four upstreams cut 1 to 3 sound runs so, 5 to 8 anywhere.
 func (g *Gateway) admitTrial(s *stream, exclude map[string]bool) (fleet.Upstream, bool) {
-	list := slices.DeleteFunc(g.fleet.Of(s.rq.service.Name), func(u fleet.Upstream) bool { return u.AvoidUntil().After(g.now()) || u.Rests(g.now()) })
+	list := slices.DeleteFunc(g.fleet.Of(s.rq.service.Name), func(u fleet.Upstream) bool { return u.AvoidUntil().After(g.now()) || u.InBackOff(g.now()) })
 	running := make(map[string]int, len(list))
 	for _, u := range list {
 		running[u.ID] = g.ledger.total(u.ID).Running
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -94,7 +94,7 @@
 	list := g.fleet.Of(rq.service.Name)
 	ended, now, there := g.quarantine.EndedLately(), g.now(), len(list)
 	for _, u := range list {
-		if _, gone := ended[u.ID]; gone || u.AvoidUntil().After(now) || u.Rests(now) {
+		if _, gone := ended[u.ID]; gone || u.AvoidUntil().After(now) || u.InBackOff(now) {
 			out[u.ID] = true
 			there--
 		}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -87,7 +87,7 @@
 		Notice: func(status int, h http.Header, now time.Time) protocol.Notice {
 			n := protocol.Notice{Leaving: status != http.StatusMisdirectedRequest && h.Get(testLeaving) != ""}
 			if ms, err := strconv.Atoi(h.Get(testBack)); err == nil && status == http.StatusServiceUnavailable {
-				n.RestUntil = now.Add(time.Duration(ms) * time.Millisecond)
+				n.BackOffUntil = now.Add(time.Duration(ms) * time.Millisecond)
 			}
 			return n
 		},
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -32,7 +32,7 @@
 
 // inquire asks one engine whether it leaves.
 func (g *Gateway) inquire(ctx context.Context, u fleet.Upstream, why string) {
-	if u, known := g.fleet.Get(u.ID); !known || u.Rests(g.now()) || !g.mayInquire(u.ID) {
+	if u, known := g.fleet.Get(u.ID); !known || u.InBackOff(g.now()) || !g.mayInquire(u.ID) {
 		return
 	}
 	// What is learnt is noted; nobody waits for more.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -32,23 +32,23 @@
 // question or order of this entry.
 func (g *Gateway) heardNotice(call string, from fleet.Upstream, n protocol.Notice) {
 	u, known := g.fleet.Get(from.ID)
-	g.rec.Note(events.UpstreamNotice, call, "upstream", from.ID, "leaving", n.Leaving, "rest", max(n.RestUntil.Sub(g.now()), 0), "known", !known || u.State() == fleet.Leaving)
+	g.rec.Note(events.UpstreamNotice, call, "upstream", from.ID, "leaving", n.Leaving, "back-off", max(n.BackOffUntil.Sub(g.now()), 0), "known", !known || u.State() == fleet.Leaving)
 	if n.Leaving && g.fleet.AnsweredLeaving(from.ID) {
 		// The others send it their next requests until they know.
 		g.others.Urge()
 	}
-	if !n.RestUntil.IsZero() {
-		g.fleet.Rest(from.ID, n.RestUntil)
+	if !n.BackOffUntil.IsZero() {
+		g.fleet.BackOff(from.ID, n.BackOffUntil)
 	}
 }
 
-// asksForRest reports whether an answer says that its upstream wants no requests for a time.
-func (g *Gateway) asksForRest(status int, header http.Header) bool {
-	return !g.proto.Notice(status, header, g.now()).RestUntil.IsZero()
+// asksBackOff reports whether an answer says that its upstream wants no requests for a time.
+func (g *Gateway) asksBackOff(status int, header http.Header) bool {
+	return !g.proto.Notice(status, header, g.now()).BackOffUntil.IsZero()
 }
 
 // takesWork reports whether an upstream that was chosen still takes work.
 func (g *Gateway) takesWork(id string) bool {
 	u, known := g.fleet.Get(id)
-	return known && u.State() != fleet.Leaving && !u.Rests(g.now())
+	return known && u.State() != fleet.Leaving && !u.InBackOff(g.now())
 }
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -332,7 +332,7 @@
 			f.add("app", "a", serve)
 			f.add("app", "b", serve)
 			f.ask(pathSafe, func(r *http.Request) { tc.leave(f, r) })
-			for begun := time.Now(); !f.fleet.AnyRests(); time.Sleep(time.Millisecond) {
+			for begun := time.Now(); !f.fleet.AnyBackOff(); time.Sleep(time.Millisecond) {
 				if time.Since(begun) > time.Second {
 					t.Fatal("nobody heard that the upstream wants rest")
 				}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -15,8 +15,8 @@
 // errLimited: each upstream that could take the request gets as much as it says it takes.
 var errLimited = errors.New("the upstreams take no more requests now")
 
-// errResting: each upstream that could take the request asked for a time of rest.
-var errResting = fmt.Errorf("%w: they asked for rest", errLimited)
+// errBackOff: each upstream that could take the request asked to back off.
+var errBackOff = fmt.Errorf("%w: they asked to back off", errLimited)
 
 const (
 	// permitShare is the part of a route's objective for which a request waits for a permit
@@ -32,7 +32,7 @@
 
 // permitted returns the upstream that choose returns, with a permit to send one request to it.
 // Limited upstreams that get as much as they take are passed over: they are no failing ones, and
-// are not to learn of what they refuse. So are those that rest. If no other can take the request it waits until a time;
+// are not to learn of what they refuse. So are those in back-off. If no other can take the request it waits until a time;
 // a zero time is for a request that cannot wait. The error is that of choose, or errLimited.
 func (g *Gateway) permitted(ctx context.Context, service string, exclude map[string]bool, until time.Time, choose chooser) (fleet.Upstream, error) {
 	for {
@@ -51,8 +51,8 @@
 func (g *Gateway) permittedNow(ctx context.Context, service string, exclude map[string]bool, choose chooser) (fleet.Upstream, error) {
 	if !g.limits.Any() {
 		u, err := choose(exclude)
-		if err != nil && g.allRest(service, exclude) {
-			err = errResting
+		if err != nil && g.allInBackOff(service, exclude) {
+			err = errBackOff
 		}
 		return u, err
 	}
@@ -63,8 +63,8 @@
 			switch {
 			case g.anyOf(service, reached):
 				err = errLimited
-			case g.allRest(service, exclude):
-				err = errResting
+			case g.allInBackOff(service, exclude):
+				err = errBackOff
 			}
 			return fleet.Upstream{}, err
 		}
@@ -80,13 +80,13 @@
 	}
 }
 
-// await waits for a permit for one upstream, and for the end of its rest, until a time. Nothing
-// else can take the request, so it may use what is left to it during a rest.
+// await waits for a permit for one upstream, and for the end of its back-off, until a time. Nothing
+// else can take the request, so it may use what is left to it during a back-off.
 func (g *Gateway) await(ctx context.Context, upstream string, until time.Time) error {
-	for !g.fleet.TakeDuringRest(upstream) {
+	for !g.fleet.TakeDuringBackOff(upstream) {
 		u, known := g.fleet.Get(upstream)
-		if !known || u.RestUntil().After(until) || !g.sleepUntil(ctx, u.RestUntil()) {
-			return errResting
+		if !known || u.BackOffUntil().After(until) || !g.sleepUntil(ctx, u.BackOffUntil()) {
+			return errBackOff
 		}
 	}
 	for {
@@ -130,9 +130,9 @@
 	return false
 }
 
-// allRest reports whether each upstream of a service that is not excluded rests, and any does.
-func (g *Gateway) allRest(service string, exclude map[string]bool) bool {
-	if !g.fleet.AnyRests() {
+// allInBackOff reports whether each upstream of a service that is not excluded is in back-off, and any is.
+func (g *Gateway) allInBackOff(service string, exclude map[string]bool) bool {
+	if !g.fleet.AnyBackOff() {
 		return false
 	}
 	now, found := g.now(), false
@@ -140,7 +140,7 @@
 		if exclude[u.ID] {
 			continue
 		}
-		if !u.Rests(now) {
+		if !u.InBackOff(now) {
 			return false
 		}
 		found = true
@@ -148,14 +148,14 @@
 	return found
 }
 
-// opensAt is when the first upstream of a service that is limited or rests, and is not excluded,
+// opensAt is when the first upstream of a service that is limited or in back-off, and is not excluded,
 // takes a request again.
 func (g *Gateway) opensAt(service string, exclude map[string]bool) time.Time {
 	var first time.Time
 	for _, u := range g.fleet.Of(service) {
 		at := g.limits.OpensAt(u.ID)
-		if u.RestUntil().After(at) {
-			at = u.RestUntil()
+		if u.BackOffUntil().After(at) {
+			at = u.BackOffUntil()
 		}
 		if !exclude[u.ID] && !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
@@ -169,7 +169,7 @@
 func (g *Gateway) backAfterLimit(rq *request) time.Duration {
 	overload := g.backAfterOverload(rq)
 	opens := g.opensAt(rq.service.Name, nil)
-	if g.allRest(rq.service.Name, nil) {
+	if g.allInBackOff(rq.service.Name, nil) {
 		return g.returns.At(rq.service.Name, opens).Sub(g.now())
 	}
 	return max(opens.Sub(g.now()), overload)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -293,7 +293,7 @@
 	}
 	status, back := http.StatusBadGateway, time.Duration(0)
 	switch {
-	case !rq.sent && g.allRest(rq.service.Name, nil):
+	case !rq.sent && g.allInBackOff(rq.service.Name, nil):
 		status, back = http.StatusServiceUnavailable, g.backAfterLimit(rq)
 	case !rq.sent:
 		status, back = http.StatusServiceUnavailable, backBusy
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -133,9 +133,9 @@
 type Notice struct {
 	// Leaving tells that the upstream is about to leave.
 	Leaving bool
-	// RestUntil is the steady time until which the upstream wants no requests from this
+	// BackOffUntil is the steady time until which the upstream wants no requests from this
 	// process; zero if it does not say.
-	RestUntil time.Time
+	BackOffUntil time.Time
 }
 
 // Refusal is a final answer of the system's own.
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -22,8 +22,8 @@
 	mu sync.Mutex
 	// start is the start of the upstream that said what follows.
 	start string
-	// rest is until when it wants no requests.
-	rest time.Time
+	// backOff is until when it wants no requests.
+	backOff time.Time
 	// leavesUntil is until when it counts as leaving; zero if it did not say so.
 	leavesUntil time.Time
 }
@@ -47,11 +47,11 @@
 func (n *notices) heard(status int, h http.Header) {
 	now, start := n.now(), n.starts.current()
 	leaving := n.leavingHeader != "" && protocol.ParseLeaving(h.Get(n.leavingHeader))
-	var rest time.Time
+	var until time.Time
 	if status == http.StatusServiceUnavailable {
-		rest = protocol.ParseRetryAfter(h.Get("Retry-After"), now)
+		until = protocol.ParseRetryAfter(h.Get("Retry-After"), now)
 	}
-	if !leaving && rest.IsZero() {
+	if !leaving && until.IsZero() {
 		return
 	}
 	n.mu.Lock()
@@ -64,11 +64,11 @@
 	if leaving {
 		n.leavesUntil = now.Add(leavesFor)
 	}
-	if rest.After(n.rest) {
-		n.rest, news = rest, true
+	if until.After(n.backOff) {
+		n.backOff, news = until, true
 	}
 	if news {
-		n.rec.Note(events.UpstreamNotice, "", "upstream", start, "leaving", leaving, "rest", max(rest.Sub(now), 0))
+		n.rec.Note(events.UpstreamNotice, "", "upstream", start, "leaving", leaving, "back-off", max(until.Sub(now), 0))
 	}
 }
 
@@ -93,7 +93,7 @@
 // begin forgets what an earlier start said. It needs the lock.
 func (n *notices) begin(start string) {
 	if n.start != start {
-		n.start, n.rest, n.leavesUntil = start, time.Time{}, time.Time{}
+		n.start, n.backOff, n.leavesUntil = start, time.Time{}, time.Time{}
 	}
 }
 
@@ -104,8 +104,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.begin(start)
-	if now := n.now(); now.Before(n.leavesUntil) && n.rest.Before(now.Add(backLeaving)) {
+	if now := n.now(); now.Before(n.leavesUntil) && n.backOff.Before(now.Add(backLeaving)) {
 		return now.Add(backLeaving)
 	}
-	return n.rest
+	return n.backOff
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -293,17 +293,17 @@
 mutant named-forgotten $members 's/\t\t\tdelete\(n\.peers, name\)\n/\t\t\t_ = name\n/' internal/gossip TestPeerThatClaims
 
 mutant answer-leaving $gateway/notice.go 's/if n\.Leaving && g\.fleet\.AnsweredLeaving\(from\.ID\)/if false \&\& g.fleet.AnsweredLeaving(from.ID)/' internal/gateway TestUpstreamThatSaidItLeaves
-mutant answer-rest $gateway/notice.go 's/if !n\.RestUntil\.IsZero\(\)/if false/' internal/gateway TestUpstreamThatAskedForRest
-mutant rest-candidate $gateway/choose.go 's/ && !u\.Rests\(now\) \{/ {/' internal/gateway TestAllUpstreamsRest
-mutant rest-at-once $gateway/permit.go 's/if err != nil && g\.allRest\(service, exclude\)/if false/' internal/gateway TestAllUpstreamsRest
-mutant rest-latest internal/fleet/rest.go 's/m\.rest = later\(m\.rest, (.*)\)\n/m.rest = $1\n/' internal/fleet TestLatestRestHolds
-mutant rest-one internal/fleet/rest.go 's/m\.Rests\(s\.now\(\)\) && m\.restUsed/false/' internal/fleet TestOneRequestDuringARest
+mutant answer-rest $gateway/notice.go 's/if !n\.BackOffUntil\.IsZero\(\)/if false/' internal/gateway TestUpstreamThatAskedForRest
+mutant rest-candidate $gateway/choose.go 's/ && !u\.InBackOff\(now\) \{/ {/' internal/gateway TestAllUpstreamsRest
+mutant rest-at-once $gateway/permit.go 's/if err != nil && g\.allInBackOff\(service, exclude\)/if false/' internal/gateway TestAllUpstreamsRest
+mutant rest-latest internal/fleet/backoff.go 's/m\.backOff = later\(m\.backOff, (.*)\)\n/m.backOff = $1\n/' internal/fleet TestLatestRestHolds
+mutant rest-one internal/fleet/backoff.go 's/m\.InBackOff\(s\.now\(\)\) && m\.backOffUsed/false/' internal/fleet TestOneRequestDuringARest
 mutant rest-order internal/placement/returns.go 's/\tr\.next\[service\] = at\.Add\(ReturnEach\)\n//' internal/placement TestCallersComeBackInOrder
 mutant leaving-peer internal/fleet/set.go 's/s\.mark\(id, entry, true\)/s.mark(id, entry, false)/' internal/fleet TestUpstreamThatSaidItLeavesNever
 mutant leaving-lapsed internal/fleet/set.go 's/if m\.state == Lapsed \{\n\t\t\/\/ Its/if false {\n\t\t\/\/ Its/; s/\tm\.until = time\.Time\{\}\n\ts\.release/\ts.release/' internal/fleet TestUpstreamThatSaidItLeavesNever
 mutant leaving-told internal/fleet/set.go 's/if lately \|\| !m\.Leaving && unwritten <= mostUnwritten/if lately/' internal/fleet TestLeaveThatNoRecord
 mutant leaving-421 platform/caller.go 's/if status == http\.StatusMisdirectedRequest \{\n\t\treturn n/if false {\n\t\treturn n/' platform TestNotice
-mutant sidecar-rest internal/sidecar/notice.go 's/if rest\.After\(n\.rest\)/if false/' internal/sidecar TestServiceThatAskedForRest
+mutant sidecar-rest internal/sidecar/notice.go 's/if until\.After\(n\.backOff\)/if false/' internal/sidecar TestServiceThatAskedForRest
 mutant sidecar-leaving internal/sidecar/notice.go 's/\t\tn\.leavesUntil = now\.Add\(leavesFor\)\n//' internal/sidecar TestServiceThatSaidItLeaves
 mutant sidecar-start internal/sidecar/notice.go 's/if n\.start != start \{/if false {/' internal/sidecar TestRestOfAServiceEnds
 
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -27,6 +27,6 @@
 
 # What an upstream says of itself in answers is not heeded.
 soak answer-leaving internal/gateway/notice.go 's/if n\.Leaving && g\.fleet\.AnsweredLeaving\(from\.ID\)/if false \&\& g.fleet.AnsweredLeaving(from.ID)/'
-soak answer-rest internal/gateway/notice.go 's/if !n\.RestUntil\.IsZero\(\)/if false/'
+soak answer-rest internal/gateway/notice.go 's/if !n\.BackOffUntil\.IsZero\(\)/if false/'
 
 finish
