fix: back-off that a start asks for before its record is read is kept

What was heard from the birth of the later start on goes over to it when its record is read; back-off that the earlier one asked for does not.

--- a/internal/fleet/backoff.go
+++ b/internal/fleet/backoff.go
@@ -19,10 +19,19 @@
 	if !m.InBackOff(now) {
 		m.backOffUsed = false
 	}
+	m.backOffAt = now
 	m.backOff = later(m.backOff, earlier(until, now.Add(mostBackOff)))
 	s.backOffUntil = later(s.backOffUntil, m.backOff)
 }
 
+// takeBackOff takes over what was heard for the start before, nil if there was none, from when this
+// one was born on: its answers were taken for those of the other one until its record was read.
+func (m *member) takeBackOff(before *member) {
+	if before != nil && before.ID != m.ID && before.backOffAt.UnixMilli() >= m.Born {
+		m.backOff, m.backOffAt, m.backOffUsed = before.backOff, before.backOffAt, before.backOffUsed
+	}
+}
+
 // AnyBackOff reports whether any upstream may want no requests of this entry now.
 func (s *Set) AnyBackOff() bool {
 	s.mu.Lock()
--- a/internal/fleet/backoff_test.go
+++ b/internal/fleet/backoff_test.go
@@ -73,3 +73,24 @@
 		t.Error("none may go in the next rest")
 	}
 }
+
+// A start that asked for back-off before its record was read got requests again once that was read: the
+// time had been kept for the start before.
+func TestBackOffAskedBeforeTheRecordIsRead(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		born time.Duration
+		want bool
+	}{{"by the later start", -time.Millisecond, true}, {"by the earlier one", time.Millisecond, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture()
+			f.Update([]Record{start("a", 100, 5)}, nil, true, time.Time{})
+			f.BackOff(f.working("a")[0], f.at.Add(time.Second))
+			f.Update([]Record{start("a", f.at.Add(tc.born).UnixMilli(), 8)}, nil, false, time.Time{})
+			u, _ := f.Get(f.working("a")[0])
+			if got := u.InBackOff(f.at); got != tc.want {
+				t.Errorf("the later start is in back-off: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -126,6 +126,8 @@
 	unreadable bool
 	// until ends a lapse, or the time for which one that left is remembered.
 	until time.Time
+	// backOffAt is when it last asked for back-off.
+	backOffAt time.Time
 	// backOffUsed is set once a request went to it while it rested.
 	backOffUsed bool
 	// ownFault is when a request of this entry last met a fault.
@@ -182,6 +184,7 @@
 // put takes over one record; it returns the identifier of the start that the record is
 // of, and whether that begins to leave.
 func (s *Set) put(r Record) (id string, began bool) {
+	before := s.present[r.Name]
 	r, ok := s.latest(r)
 	if !ok {
 		return "", false
@@ -189,6 +192,7 @@
 	m, ok := s.byID[r.ID]
 	if !ok {
 		m = s.begin(r)
+		m.takeBackOff(before)
 	}
 	r.Version = max(r.Version, m.Version)
 	m.Record, m.unwritten = r, false
--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -61,7 +61,7 @@
 
 // begin makes a start known. It needs the lock.
 func (s *Set) begin(r Record) *member {
-	m := &member{}
+	m := &member{Upstream: Upstream{Record: r}}
 	s.byID[r.ID], s.present[r.Name] = m, m
 	s.serving = nil
 	s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "name", r.Name, "born", r.Born, "version", r.Version, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
