fix: a sound request is not held together with what explains all its ends

Callers of a sound request that many send alike got 503 for ten minutes, since it ran beside a request that ends upstreams. Where no end tells a request apart, all with five ends were held in one verdict; and one that was held later was so although held ones explained each of its ends.

In a verdict by number a request is left out that another one of it covers: that one ran at all of its ends and at more. One without an end that is not explained is not held at all. Two that ran at the same ends are both held, as before.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -89,7 +89,7 @@
 	stray := o.stray()
 	for u, ends := range o {
 		live := u.live()
-		if len(live) < verdictEnds {
+		if len(live) < verdictEnds || len(ends) == 0 {
 			continue
 		}
 		telling := o.telling(u)
@@ -108,7 +108,19 @@
 	if surest != nil {
 		return []*suspect{surest}
 	}
-	return last
+	return o.widest(last)
+}
+
+// widest leaves out those of some requests that another one of them covers.
+func (o openEnds) widest(list []*suspect) []*suspect {
+	return slices.DeleteFunc(slices.Clone(list), func(u *suspect) bool {
+		return slices.ContainsFunc(list, func(other *suspect) bool { return o.covers(other, u) })
+	})
+}
+
+// covers reports whether a request ran at all ends of another one, and at more: it explains them.
+func (o openEnds) covers(u, other *suspect) bool {
+	return len(o[u]) > len(o[other]) && !slices.ContainsFunc(o[other], func(start string) bool { return !slices.Contains(o[u], start) })
 }
 
 // stray returns the ends at which only requests ran that ran at no other one, and when they came.
