fix: a verdict waits until the others that ran there can have been heard of

Callers of a sound request that many send alike got 503 for ten minutes. It had run as a suspect at three upstreams, and at each of them what ended it ran as well, sent by another entry, whose news came 0.1 to 0.7 s later. An end at which a request was no suspect waited 0.3 s for others, one at which it was did not.

An entry that hears others waits a second, the time in which a request with three ends is not tried anyway, so no upstream ends for the wait: its callers get a time to come back in place of a refusal for minutes. One that hears no other is as quick as before.

--- a/internal/quarantine/bystanders_test.go
+++ b/internal/quarantine/bystanders_test.go
@@ -58,7 +58,7 @@
 	if held := f.heldOf("sound"); held != "" {
 		t.Error("held before others that ran there can have been heard of")
 	}
-	f.Hear("other", []Word{told("ends them", "1 | 2 3 4", f.clock)})
+	f.Hear("other", []Word{told("ends them", "1 | 2 3 4 5", f.clock)})
 	f.clock = f.clock.Add(newsWithin)
 	if held := f.heldOf("sound", "ends them"); held != "ends them" {
 		t.Errorf("held %q, want what ended all of them", held)
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -49,8 +49,8 @@
 	// busyFor is how long another entry's word that it runs a suspect is gone by without
 	// a newer one.
 	busyFor = 2 * time.Second
-	// newsWithin is how long after the latest of three ends a request that is not held is not
-	// tried again: others that ran there are heard of or served meanwhile.
+	// newsWithin is the time in which others that ran at an end are heard of from other entries,
+	// or served. A request that is not held is not tried again so long after the latest of three.
 	newsWithin = time.Second
 	// awayFor is how long an upstream that ended is usually away.
 	awayFor = 2 * time.Second
@@ -302,8 +302,9 @@
 // judge holds those that are to blame for all that is known by now, and lets go of others:
 // while news is under way a sound request may look guilty. It needs the lock.
 func (s *Set) judge() {
+	peers := s.hearsPeers()
 	for _, u := range s.suspects {
-		u.noteTold(s.now())
+		u.noteTold(s.now(), peers)
 	}
 	held, e := judge(s.suspects)
 	s.explained = e
@@ -323,6 +324,16 @@
 	s.wake()
 }
 
+// hearsPeers reports whether another entry was heard of lately. It needs the lock.
+func (s *Set) hearsPeers() bool {
+	for _, at := range s.heardAt {
+		if s.now().Sub(at) < peerFor {
+			return true
+		}
+	}
+	return false
+}
+
 // Sweep settles what can be settled by now and forgets what is old. replaced tells whether
 // a later start took the place of one.
 func (s *Set) Sweep(replaced func(start string) bool) {
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -149,10 +149,19 @@
 	return slices.DeleteFunc(slices.Clone(ends), func(start string) bool { return u.ends[start].kind == firstRun })
 }
 
-// noteTold notes of which ends the others that ran there had time to be heard of.
-func (u *suspect) noteTold(now time.Time) {
+// noteTold notes of which ends the others that ran there had time to be heard of; peers tells whether
+// other entries may still tell of some.
+func (u *suspect) noteTold(now time.Time, peers bool) {
 	for start, e := range u.ends {
-		if !e.told && now.Sub(e.at) >= aloneAfter {
+		within := aloneAfter
+		switch {
+		case peers:
+			within = newsWithin
+		case e.kind == triedRun:
+			// It ran once at a time, and the entry itself knows of all others.
+			within = 0
+		}
+		if !e.told && now.Sub(e.at) >= within {
 			e.told = true
 			u.ends[start] = e
 		}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -42,7 +42,7 @@
 	strayWithin = 10 * time.Second
 )
 
-// aloneAfter is the time in which others that ran at an end are heard of: two messages of entries.
+// aloneAfter is the time in which an entry itself learns which requests ran at an end.
 const aloneAfter = 300 * time.Millisecond
 
 // judge returns the requests that are to blame for what is known by now, and which ends they
@@ -157,8 +157,8 @@
 }
 
 // telling returns the ends that tell a request apart from all others: it ran there as a suspect,
-// and none did of which more is known; or it is the only one left that ran there. Those of
-// which nobody told how it ran count, too.
+// and none did of which more is known; or it is the only one left that ran there. The others had
+// time to be heard of. Ends of which nobody told how it ran count, too.
 func (o openEnds) telling(u *suspect) []string {
 	return slices.DeleteFunc(slices.Clone(o[u]), func(start string) bool {
 		e := u.ends[start]
@@ -166,7 +166,7 @@
 		case firstRun:
 			return !e.told || o.others(u, start, func(*suspect) bool { return true })
 		case triedRun:
-			return o.others(u, start, func(other *suspect) bool { return other.ends[start].kind == triedRun || len(o[other]) > 1 })
+			return !e.told || o.others(u, start, func(other *suspect) bool { return other.ends[start].kind == triedRun || len(o[other]) > 1 })
 		default:
 			return false
 		}
