fix: a request that ends upstreams is held although sound ones ran beside it

A request that had ended three or four upstreams went to one more, and cut all that ran there. Sound requests that had run beside it at two of its ends counted as further ones that may end upstreams: while there are others, two ends have to tell a request apart, and an end at which one of them ran tells nothing.

One that ran only where another one ran as well, and not at all of its ends, is explained by it: it is no sign of a second cause, and while there is no other sign it takes no weight from an end.

--- a/internal/quarantine/scale_test.go
+++ b/internal/quarantine/scale_test.go
@@ -278,7 +278,7 @@
 	synctest.Wait()
 }
 
-var rigSound = flag.Int("rig.sound", 10000, "sound requests that each row of the rig with one request that ends upstreams sends at least")
+var rigSound = flag.Int("rig.sound", 40000, "sound requests that each row of the rig with one request that ends upstreams sends at least")
 
 // TestOneRequestAgainstManyEntries plays a request that ends upstreams, sent some times a
 // second at any of many entries, which hear of each other late. Without a memory of it each
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -92,11 +92,12 @@
 		if len(live) < verdictEnds || len(ends) == 0 {
 			continue
 		}
-		telling := o.telling(u)
+		needed := o.tellingNeeded(u, stray)
+		telling := o.telling(u, needed == tellingEnds)
 		switch {
 		case len(live) >= mostUnclear && len(u.tried(live)) >= verdictEnds:
 			last = append(last, u)
-		case len(telling) < o.tellingNeeded(u, stray):
+		case len(telling) < needed:
 		case o.stoodOut(u, telling):
 			if surest == nil || o.surer(u, surest) {
 				surest = u
@@ -137,7 +138,8 @@
 }
 
 // tellingNeeded is the number of ends that are to tell a request apart from others: more while
-// upstreams end that no request has in common, or another request has more than one.
+// upstreams end that no request has in common, or another request has more than one that it does
+// not cover.
 func (o openEnds) tellingNeeded(u *suspect, stray map[string]time.Time) int {
 	latest, n := u.latestEnd(), 0
 	for _, at := range stray {
@@ -149,7 +151,7 @@
 		return tellingBesideOthers
 	}
 	for other, ends := range o {
-		if other != u && len(ends) > 1 && latest.Sub(other.latestEnd()).Abs() < strayWithin {
+		if other != u && len(ends) > 1 && !o.covers(u, other) && latest.Sub(other.latestEnd()).Abs() < strayWithin {
 			return tellingBesideOthers
 		}
 	}
@@ -158,15 +160,18 @@
 
 // telling returns the ends that tell a request apart from all others: it ran there as a suspect,
 // and none did of which more is known; or it is the only one left that ran there. The others had
-// time to be heard of. Ends of which nobody told how it ran count, too.
-func (o openEnds) telling(u *suspect) []string {
+// time to be heard of. Ends of which nobody told how it ran count, too. With alone, no other one ends
+// upstreams as far as is known, and those that the request covers do not count.
+func (o openEnds) telling(u *suspect, alone bool) []string {
 	return slices.DeleteFunc(slices.Clone(o[u]), func(start string) bool {
 		e := u.ends[start]
 		switch e.kind {
 		case firstRun:
 			return !e.told || o.others(u, start, func(*suspect) bool { return true })
 		case triedRun:
-			return !e.told || o.others(u, start, func(other *suspect) bool { return other.ends[start].kind == triedRun || len(o[other]) > 1 })
+			return !e.told || o.others(u, start, func(other *suspect) bool {
+				return (other.ends[start].kind == triedRun || len(o[other]) > 1) && !(alone && o.covers(u, other))
+			})
 		default:
 			return false
 		}
