test: changes after the table of entries before sidecars was restored

After a restore from a copy that lacks the version in force, the next change gets that version again. Each process answers its activation with the mark it has, of another change, and the operator is told that the change is accepted; none runs it. A process that starts meanwhile runs the copy's configuration.

--- /dev/null
+++ b/internal/rollout/restored_test.go
@@ -0,0 +1,163 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/config"
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+// copyRows returns a function that restores the table from the copy that is made now.
+func (f *fakePlatform) copyRows() (restore func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := maps.Clone(f.rows)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.rows = maps.Clone(rows)
+	}
+}
+
+// follow lets processes follow the head for a while.
+func (f *fleet) follow(t *testing.T, within time.Duration, who ...int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, i := range who {
+		wg.Go(func() { f.coordinator(i).Follow(ctx, time.Second) })
+	}
+	wg.Wait()
+}
+
+// accepted submits a change that must be accepted, and in force at each process.
+func (f *fleet) accepted(t *testing.T, who int, c Change) config.Version {
+	t.Helper()
+	out := f.coordinator(who).Submit(t.Context(), c)
+	if out.State() != Accepted {
+		t.Fatalf("change %s: %+v, want accepted", c.ID, out)
+	}
+	f.runs(t, c)
+	return out.Version()
+}
+
+// runs checks that a change is in force at each process.
+func (f *fleet) runs(t *testing.T, c Change) {
+	t.Helper()
+	cfg, err := config.Parse("candidate", c.Source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, s := range f.stores {
+		if a := s.Active(); a == nil || a.Config().Hash() != cfg.Hash() {
+			t.Errorf("process %d does not run change %s, which was accepted; it has version %d in force", i, c.ID, a.Version())
+		}
+	}
+}
+
+// After the table was restored from an older copy the version in force was given out again. A change
+// was answered as accepted that no process took: each had that version, of another change.
+func TestChangeAcceptedThatNoProcessTookAfterTheTableWasRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		f.accepted(t, 0, Change{ID: "c1", Source: source(1)})
+		restore := f.platform.copyRows()
+		f.accepted(t, 0, Change{ID: "c2", Base: 1, Source: source(2)})
+		restore()
+		c := Change{ID: "c3", Base: 1, Source: source(3)}
+		if out := f.coordinator(1).Submit(t.Context(), c); out.State() == Accepted {
+			f.runs(t, c)
+		}
+		f.accepted(t, 2, Change{ID: "c4", Base: f.stores[0].Active().Version(), Source: source(4)})
+	})
+}
+
+// A process that started after the table was restored from an older copy ran the configuration of the
+// copy, and the others the later one, for as long as no operator changed it.
+func TestProcessesDisagreedAfterTheTableWasRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		f.accepted(t, 0, Change{ID: "c1", Source: source(1)})
+		restore := f.platform.copyRows()
+		last := Change{ID: "c2", Base: 1, Source: source(2)}
+		f.accepted(t, 0, last)
+		restore()
+		f.stores[3] = NewStore("p3", "z3", events.Nop())
+		f.follow(t, 5*time.Second, 0, 1, 2, 3)
+		f.runs(t, last)
+		if out, err := f.coordinator(3).Status(t.Context(), last.ID); err != nil || out.State() != Accepted {
+			t.Errorf("status of the change in force: %+v, %v; it was accepted", out, err)
+		}
+		f.accepted(t, 3, Change{ID: "c3", Base: 2, Source: source(3)})
+	})
+}
+
+// TestRandomRestores submits changes from racing coordinators while the table is restored from copies
+// at any moment, and checks that what was accepted is in force at each process until a later change is.
+func TestRandomRestores(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(4)
+				rng := rand.New(rand.NewPCG(seed, 1))
+				last := Change{ID: "c0", Source: source(1)}
+				f.accepted(t, 0, last)
+				restore := f.platform.copyRows()
+				for n := 1; n < 40; n++ {
+					if rng.IntN(3) == 0 {
+						restore = f.platform.copyRows()
+					}
+					if rng.IntN(3) == 0 {
+						restore()
+					}
+					if rng.IntN(4) == 0 {
+						f.follow(t, time.Second, 0, 1, 2, 3)
+					}
+					base := f.stores[rng.IntN(4)].Active().Version()
+					c := Change{ID: fmt.Sprint("c", n), Base: base - config.Version(rng.IntN(2)), Source: source(n%9 + 2)}
+					out := f.coordinator(rng.IntN(4)).Submit(t.Context(), c)
+					if out.State() == Accepted {
+						last = c
+					}
+					f.runs(t, last)
+					if t.Failed() {
+						t.Fatalf("round %d, after %+v", n, out)
+					}
+				}
+			})
+		})
+	}
+}
+
+// The copy may lack the rows of a change whose content is still to be read, and the object store may be
+// away: what is in force stays, and the head is written once it can be.
+func TestHeadIsWrittenAgainOnceTheTableTakesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		restore := f.platform.copyRows()
+		last := Change{ID: "c1", Source: source(1)}
+		f.accepted(t, 0, last)
+		restore()
+		f.platform.out = true
+		if err := f.coordinator(0).Refresh(t.Context()); !errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Errorf("refresh while the table is away: %v", err)
+		}
+		f.platform.out = false
+		f.follow(t, 3*time.Second, 0, 1)
+		f.runs(t, last)
+		h, _, err := f.coordinator(0).readHead(t.Context())
+		if err != nil || h.Version != 1 || !h.Accepted {
+			t.Errorf("head %+v, %v; want version 1, accepted", h, err)
+		}
+	})
+}
