fix: a table restored from a copy gives no version out again

Operators of entries before sidecars were told that a change is accepted which no process ran, after the platform's table was restored from an older copy; and a process that started then ran the copy's configuration for as long as nobody changed it.

Cause: versions count up from what the table holds, and an activation was answered with a mark only. This table states no era, so what processes have in force has to tell.

- A process that has more in force than the head says writes the head again, with the row of its change, before it goes by it: as it follows the head, and before it coordinates a change.
- A process that is asked to hold a change refuses one that would get a version that it has in force.
All on the VM list are asked, so a version is not given out again while any of them runs it.
- An activation tells the change in force, not its version only.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -89,6 +89,7 @@
 	ChangeAccepted     ID = 505
 	ConfigActivated    ID = 506
 	ConfigStale        ID = 507
+	ConfigRestored     ID = 508
 	RoutesLoaded       ID = 510
 	RoutesRejected     ID = 511
 	RoutesUnconfirmed  ID = 512
@@ -204,6 +205,7 @@
 	{ChangeAccepted, "change-accepted", "A configuration change is in force at every process."},
 	{ConfigActivated, "config-activated", "A process went to a higher configuration version."},
 	{ConfigStale, "config-stale", "A process was offered a version that is not higher than its own."},
+	{ConfigRestored, "config-restored", "A process gave the table the version in force again: the table had lost it."},
 	{RoutesLoaded, "routes-loaded", "An entry went to a newer route table."},
 	{RoutesRejected, "routes-rejected", "A route table cannot be used; the last good one stays in force."},
 	{RoutesUnconfirmed, "routes-unconfirmed", "The route table was not confirmed for so long that requests with unknown keys, or with any keys where the bound is hard, are refused unrun."},
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -167,12 +167,17 @@
 	return Outcome{state: Refused, version: v, reasons: []string{fmt.Sprintf(format, args...)}}
 }
 
+// wonBy refuses a change because another one took its version.
+func wonBy(h head) Outcome {
+	return refused(h.Version, "version %d by %s won the race", h.Version, h.By)
+}
+
 func (c *Coordinator) submit(ctx context.Context, ch Change) Outcome {
 	cfg, err := config.Parse("candidate", ch.Source)
 	if err != nil {
 		return refused(ch.Base, "%v", err)
 	}
-	h, revision, err := c.readHead(ctx)
+	h, revision, err := c.latestHead(ctx)
 	if err != nil {
 		return refused(ch.Base, "the table cannot be read: %v", err)
 	}
@@ -185,7 +190,10 @@
 	if err := c.putSource(ctx, cfg); err != nil {
 		return refused(h.Version, "the object store: %v", err)
 	}
-	if reasons := c.stageEverywhere(ctx, ch, cfg); len(reasons) > 0 {
+	if reasons := c.stageEverywhere(ctx, ch, h.Version+1, cfg); len(reasons) > 0 {
+		if later, _, err := c.readHead(ctx); err == nil && later.Version > h.Version {
+			return wonBy(later)
+		}
 		return Outcome{state: Refused, version: h.Version, reasons: reasons}
 	}
 	next := head{Version: h.Version + 1, Hash: cfg.Hash(), Change: ch.ID, By: ch.By, HomesSince: h.HomesSince}
@@ -241,11 +249,11 @@
 // stageEverywhere returns what stands against the change, nothing if every
 // process on the list holds it. A process that does not answer is asked again
 // until the deadline, since the VM list may lag behind its end.
-func (c *Coordinator) stageEverywhere(ctx context.Context, ch Change, cfg *config.Config) []string {
+func (c *Coordinator) stageEverywhere(ctx context.Context, ch Change, v config.Version, cfg *config.Config) []string {
 	ctx, cancel := context.WithTimeout(ctx, c.deadlines.Stage)
 	defer cancel()
 	held := map[string]bool{}
-	cand := c.candidate(ch, cfg)
+	cand := c.candidate(ch, v, cfg)
 	var last []string
 	for {
 		missing, refusals := c.stageRound(ctx, cand, held)
@@ -276,9 +284,9 @@
 
 // candidate prepares what is sent to every process: the list of chunks, and the
 // content of those that are not part of what is in force here.
-func (c *Coordinator) candidate(ch Change, cfg *config.Config) candidate {
+func (c *Coordinator) candidate(ch Change, v config.Version, cfg *config.Config) candidate {
 	chunks := split(cfg.Canonical())
-	cand := candidate{all: partsOf(chunks), params: stageParams{Change: ch.ID, Hash: cfg.Hash(), Parts: parts{}}}
+	cand := candidate{all: partsOf(chunks), params: stageParams{Change: ch.ID, Version: v, Hash: cfg.Hash(), Parts: parts{}}}
 	known := c.store.knownParts()
 	for _, k := range chunks {
 		cand.params.Chunks = append(cand.params.Chunks, k.hash)
@@ -397,7 +405,7 @@
 	if h.Change == next.Change {
 		return c.confirm(ctx, h)
 	}
-	return refused(h.Version, "version %d by %s won the race", h.Version, h.By)
+	return wonBy(h)
 }
 
 // settleCommit finds out whether a commit without a reply took effect. done is
@@ -412,7 +420,7 @@
 		if errors.Is(err, platform.ErrNotFound) {
 			h, _, err := c.readHead(ctx)
 			if err == nil && h.Version >= next.Version {
-				return refused(h.Version, "version %d by %s won the race", h.Version, h.By), false
+				return wonBy(h), false
 			}
 		}
 		pause := retryPause + rand.N(retryPause)
@@ -473,8 +481,8 @@
 		switch {
 		case results[i].err != nil:
 			missing = append(missing, fmt.Sprintf("zone %s, process %s: %v", t.zone, t.name, results[i].err))
-		case results[i].value.Mark < config.MarkOf(h.Version, h.Accepted):
-			missing = append(missing, fmt.Sprintf("zone %s, process %s: still at a lower version", t.zone, t.name))
+		case !results[i].value.runs(h):
+			missing = append(missing, fmt.Sprintf("zone %s, process %s: still at a lower version, or at another change of this one", t.zone, t.name))
 		}
 	}
 	slices.Sort(missing)
--- a/internal/rollout/follow.go
+++ b/internal/rollout/follow.go
@@ -13,7 +13,7 @@
 
 // Refresh reads the head and takes it if it is higher than what is in force.
 func (c *Coordinator) Refresh(ctx context.Context) error {
-	h, _, err := c.readHead(ctx)
+	h, _, err := c.latestHead(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/rollout/restored_test.go
+++ b/internal/rollout/restored_test.go
@@ -161,3 +161,33 @@
 		}
 	})
 }
+
+// An earlier release states neither the version that a change is to get nor the change in force.
+func TestRestoreBesideAnEarlierRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.accepted(t, 0, Change{ID: "c1", Source: source(1)})
+		if r := f.stores[0].stageParts(stageParams{Change: "c2", Hash: "none", Version: 1}); r.Refused == "" {
+			t.Error("the version in force is given out again")
+		}
+		if r := f.stores[0].stageParts(stageParams{Change: "c2", Chunks: []string{"unknown"}}); r.Refused != "" || len(r.Missing) != 1 {
+			t.Errorf("a coordinator of an earlier release gets %+v, want the question for what is missing", r)
+		}
+		h := head{Version: 1, Change: "c1", Accepted: true}
+		for _, tc := range []struct {
+			name   string
+			result activateResult
+			want   bool
+		}{
+			{"the change", activateResult{Mark: config.MarkOf(1, true), Change: "c1"}, true},
+			{"another change of this version", activateResult{Mark: config.MarkOf(1, true), Change: "c2"}, false},
+			{"a later version", activateResult{Mark: config.MarkOf(2, false), Change: "c2"}, true},
+			{"a lower version", activateResult{Mark: config.MarkOf(0, true)}, false},
+			{"this version of an earlier release", activateResult{Mark: config.MarkOf(1, true)}, true},
+		} {
+			if got := tc.result.runs(h); got != tc.want {
+				t.Errorf("%s: in force %v, want %v", tc.name, got, tc.want)
+			}
+		}
+	})
+}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -49,11 +49,13 @@
 // stageParams carries a candidate as a list of chunks, and the content of those
 // that the receiver is not thought to have.
 type stageParams struct {
-	Change string       `json:"change"`
-	Hash   string       `json:"hash"`
-	Chunks []string     `json:"chunks"`
-	Parts  parts        `json:"parts"`
-	Stamp  events.Stamp `json:"stamp"`
+	Change string `json:"change"`
+	// Version is the one that the change is to get; 0 from an earlier release.
+	Version config.Version `json:"version,omitempty"`
+	Hash    string         `json:"hash"`
+	Chunks  []string       `json:"chunks"`
+	Parts   parts          `json:"parts"`
+	Stamp   events.Stamp   `json:"stamp"`
 }
 
 type stageResult struct {
@@ -71,8 +73,16 @@
 }
 
 type activateResult struct {
-	Mark  config.Mark  `json:"mark"`
-	Stamp events.Stamp `json:"stamp"`
+	Mark config.Mark `json:"mark"`
+	// Change is the one in force; empty from an earlier release.
+	Change string       `json:"change,omitempty"`
+	Stamp  events.Stamp `json:"stamp"`
+}
+
+// runs reports whether what an activation left in force is a head, or later.
+func (r activateResult) runs(h head) bool {
+	another := r.Mark.Version() == h.Version && r.Change != "" && r.Change != h.Change
+	return r.Mark >= config.MarkOf(h.Version, h.Accepted) && !another
 }
 
 type getResult struct {
@@ -162,6 +172,10 @@
 }
 
 func (s *Store) stageParts(p stageParams) stageResult {
+	if inForce := s.Active().Version(); p.Version != 0 && p.Version <= inForce {
+		// The table may have lost what it acknowledged, and give versions out again.
+		return stageResult{Refused: fmt.Sprintf("version %d is in force here, the change would get version %d", inForce, p.Version)}
+	}
 	form, missing, err := join(p.Chunks, p.Parts, s.knownParts())
 	if err != nil {
 		return stageResult{Missing: missing}
@@ -201,7 +215,8 @@
 			return nil, err
 		}
 	}
-	return activateResult{Mark: s.Mark(), Stamp: s.rec.Now()}, nil
+	h, _ := s.inForce()
+	return activateResult{Mark: config.MarkOf(h.Version, h.Accepted), Change: h.Change, Stamp: s.rec.Now()}, nil
 }
 
 func (s *Store) handleGet(context.Context, *peer.Conn, json.RawMessage) (any, error) {
@@ -228,6 +243,23 @@
 	return s.takeForm(r.Head, r.Form)
 }
 
+// inForce returns the head and the configuration in force; the configuration is nil if none is.
+func (s *Store) inForce() (head, *config.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active == nil {
+		return head{}, nil
+	}
+	return s.head, s.active.Config()
+}
+
+// ahead reports whether more is known here than a head says: it is of a table that has lost what it
+// acknowledged.
+func (s *Store) ahead(h head) bool {
+	own, cfg := s.inForce()
+	return cfg != nil && (own.Version > h.Version || own.Change == h.Change && own.Accepted && !h.Accepted)
+}
+
 // takeForm brings a committed configuration into force if it is higher.
 func (s *Store) takeForm(h head, form []byte) error {
 	if config.MarkOf(h.Version, h.Accepted) <= s.Mark() {
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -77,6 +77,7 @@
 			"gone":     cmdGone,
 			"cut":      cmdCut,
 			"outage":   cmdOutage,
+			"table":    cmdTable,
 			"list":     cmdList,
 			"ask":      cmdAsk,
 			"tokens":   cmdTokens,
@@ -284,6 +285,12 @@
 	})
 }
 
+// table backup|restore: copies the platform's table, or restores it from the latest copy.
+func cmdTable(ts *testscript.TestScript, _ bool, args []string) {
+	c := worldOf(ts).cluster
+	c.control(c.stores+"/control/"+args[0], nil)
+}
+
 // list NAME ZONE STATE: the VM list's word on a process's VM.
 func cmdList(ts *testscript.TestScript, _ bool, args []string) {
 	worldOf(ts).cluster.listVM(args[0], args[1], args[2])
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -23,9 +23,11 @@
 type Platform struct {
 	now func() time.Time
 
-	mu      sync.Mutex
-	faults  platformFaults
-	items   map[string]map[string]dynamoItem
+	mu     sync.Mutex
+	faults platformFaults
+	items  map[string]map[string]dynamoItem
+	// backup is the copy of the table that it can be restored from.
+	backup  map[string]map[string]dynamoItem
 	objects map[string][]byte
 	vms     map[string]vmChange
 	counts  map[string]int
@@ -71,6 +73,8 @@
 func (p *Platform) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/control/faults", p.setFaults).Methods(http.MethodPut)
+	r.HandleFunc("/control/backup", p.backUp).Methods(http.MethodPut)
+	r.HandleFunc("/control/restore", p.restore).Methods(http.MethodPut)
 	r.HandleFunc("/control/vms", p.setVM).Methods(http.MethodPut)
 	r.HandleFunc("/control/counts", p.getCounts).Methods(http.MethodGet)
 	r.HandleFunc("/v1/vms", p.listVMs).Methods(http.MethodGet)
