fix: a lease is kept though its table was restored from an older copy

After the platform's table was restored from a copy older than a sidecar's lease, the sidecar took the lease for the first that there ever was: calls with a key that may have run at an earlier holder ran again. Or the copy named that earlier holder, and keys were refused until its deadline.

A row with an earlier fence than one's own is known to be older. While the lease is valid nobody else can have held it, so it goes on, with its fence and its time; once it has lapsed a new one is taken, with a higher fence, and never as the first. A sidecar that starts after the restore knows only the row: the table states no era. That stays open.

TestHolderAfterTheTableWasRestored and TestLapsedHolderAfterTheTableWasRestored failed before: first true, fence 1 in place of 2; refused until 1m1s.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -106,6 +106,7 @@
 	if err != nil {
 		return err
 	}
+	stored = l.known(stored, now)
 	mine := stored.Holder == l.holder
 	freeAt := time.UnixMilli(stored.Until).Add(l.settings.Skew)
 	if !mine && stored.Until != 0 && now.Before(freeAt) {
@@ -122,18 +123,34 @@
 	return nil
 }
 
+// known returns what is known of the lease. A row with an earlier fence than that of this process is
+// from a table that was restored from an older copy. While the lease is valid nobody else can have held it
+// since; otherwise a holder may have come and gone of which the table tells nothing.
+func (l *Lease) known(stored row, now time.Time) row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if stored.Fence >= l.fence {
+		return stored
+	}
+	if now.Before(l.until) {
+		return row{Holder: l.holder, Until: l.until.UnixMilli(), Fence: l.fence}
+	}
+	stored.Fence = l.fence
+	return stored
+}
+
 func (l *Lease) hold(next row, before int64, mine bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.released {
 		return
 	}
-	l.until = time.UnixMilli(next.Until)
-	l.fence = next.Fence
 	if !mine || l.since.IsZero() {
 		l.since = now
-		l.first = before == 0
+		l.first = before == 0 && l.fence == 0
 	}
+	l.until = time.UnixMilli(next.Until)
+	l.fence = next.Fence
 }
 
 func (l *Lease) isReleased() bool {
