fix: a start that said that it leaves before its record was read is avoided

An upstream that started again under its identifier and said in an answer that it leaves, both while the store was away, got one more request once its record of before the leave was read: the answer had been taken for one of the start before, and the later start counts as another one.

It is avoided for the two heartbeats in which its record can say so: used only if nothing else can take a request. It is not taken to leave, since an upstream's clock may be wrong, and nothing takes a leave back.

TestLeaveSaidBeforeTheRecordIsRead failed before.

--- a/internal/fleet/said_test.go
+++ b/internal/fleet/said_test.go
@@ -82,3 +82,27 @@
 		t.Errorf("others are told of %d upstreams, want %d", n, mostUnwritten)
 	}
 }
+
+// A start that said that it leaves before its record was read got requests again once that was read: the
+// word had been kept for the start before.
+func TestLeaveSaidBeforeTheRecordIsRead(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		born time.Duration
+		want bool
+	}{{"by the later start", -time.Millisecond, true}, {"by the earlier one", time.Millisecond, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture()
+			f.Update([]Record{start("a", 100, 5), start("b", 100, 6)}, nil, true, time.Time{})
+			f.AnsweredLeaving(f.working("a")[0])
+			f.Update([]Record{start("a", f.at.Add(tc.born).UnixMilli(), 8)}, nil, false, time.Time{})
+			u, _ := f.Get(f.working("a")[0])
+			if got := u.AvoidUntil().After(f.at); got != tc.want {
+				t.Errorf("the later start is avoided until its own record can say it: %v, want %v", got, tc.want)
+			}
+			if f.at = f.at.Add(recordWithin); u.AvoidUntil().After(f.at) {
+				t.Error("it is avoided for longer")
+			}
+		})
+	}
+}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -193,6 +193,7 @@
 	if !ok {
 		m = s.begin(r)
 		m.takeBackOff(before)
+		s.doubt(m, before)
 	}
 	r.Version = max(r.Version, m.Version)
 	m.Record, m.unwritten = r, false
--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
 )
@@ -68,6 +69,27 @@
 	return m
 }
 
+const (
+	// recordWithin is the time in which the record of an upstream tells that it leaves: two heartbeats.
+	recordWithin = 3 * time.Second
+	// unreadWithin bounds how long after its birth the record of a start is read: the store was away.
+	unreadWithin = time.Minute
+)
+
+// doubt has a start avoided until its own record can tell that it leaves, if the one before, nil if there
+// was none, is said to leave since this one was born: its answers were taken for those of the other one.
+// It is not taken to leave, since the clocks of upstreams jump, and that would be for good. It needs the
+// lock.
+func (s *Set) doubt(m, before *member) {
+	if before == nil || before.ID == m.ID || !before.firstHand {
+		return
+	}
+	born := time.UnixMilli(m.Born)
+	if !before.saidAt.Before(born) && before.saidAt.Before(born.Add(unreadWithin)) {
+		m.avoid = s.now().Add(recordWithin)
+	}
+}
+
 // end forgets a start because a later one is there, as after a crash: its process is
 // gone, with all that it held, so it gets no time to come back and nothing is moved away
 // from it. Its streams see their connections break. It needs the lock.
