refactor: what restores of the store are counted by is called an epoch

Names, log lines, events and the questions between entries change with it; none of them was in a release.

--- a/internal/belief/cameback_test.go
+++ b/internal/belief/epochs_test.go
@@ -69,7 +69,7 @@
 	return ""
 }
 
-// The store came back from a copy, and what was written at versions that it gave out again was never
+// The store was restored from a copy, and what was written at versions that it gave out again was never
 // read: a follower asked for what came after the version that it knew from before.
 func TestRowsAtVersionsGivenOutAgainAreRead(t *testing.T) {
 	for _, tc := range []struct {
@@ -113,7 +113,7 @@
 
 // Writes, copies, returns and reads in any order: once nothing is written any more, all is known as
 // it stands in the store.
-func TestFollowerOfAStoreThatComesBackAgainAndAgain(t *testing.T) {
+func TestFollowerOfAStoreThatIsRestoredAgainAndAgain(t *testing.T) {
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		f := newFollowed()
@@ -141,11 +141,11 @@
 	}
 }
 
-// An answer of an era whose rows are not read yet confirmed what was known from before, and so did
+// An answer of an epoch whose rows are not read yet confirmed what was known from before, and so did
 // one made before the return.
-func TestOnlyReadErasConfirm(t *testing.T) {
-	answer := func(era, version int64) func() (platform.Snapshot, error) {
-		return func() (platform.Snapshot, error) { return platform.Snapshot{Era: era, Version: version}, nil }
+func TestOnlyReadEpochsConfirm(t *testing.T) {
+	answer := func(epoch, version int64) func() (platform.Snapshot, error) {
+		return func() (platform.Snapshot, error) { return platform.Snapshot{Epoch: epoch, Version: version}, nil }
 	}
 	for _, tc := range []struct {
 		name     string
@@ -153,14 +153,14 @@
 		confirms int
 		lists    int
 	}{
-		{"one era", []func() (platform.Snapshot, error){answer(1, 5), answer(1, 6)}, 2, 1},
-		{"changes of a later era", []func() (platform.Snapshot, error){answer(1, 5), answer(2, 6)}, 1, 1},
+		{"one epoch", []func() (platform.Snapshot, error){answer(1, 5), answer(1, 6)}, 2, 1},
+		{"changes of a later epoch", []func() (platform.Snapshot, error){answer(1, 5), answer(2, 6)}, 1, 1},
 		{"and its whole table", []func() (platform.Snapshot, error){answer(1, 5), answer(2, 6), answer(2, 6)}, 2, 2},
-		{"changes of an earlier era", []func() (platform.Snapshot, error){answer(2, 5), answer(1, 9)}, 1, 1},
-		{"the whole table of an earlier era", []func() (platform.Snapshot, error){answer(2, 5), errorOf(platform.ErrHistoryGone), answer(1, 9)}, 1, 2},
-		{"a return during the read", []func() (platform.Snapshot, error){answer(1, 5), errorOf(platform.ErrHistoryGone), errorOf(platform.ErrCameBack), answer(2, 4)}, 2, 3},
-		{"a store that states no era", []func() (platform.Snapshot, error){answer(0, 5), answer(0, 6)}, 2, 1},
-		{"an era that was not stated before", []func() (platform.Snapshot, error){answer(0, 5), answer(1, 6), answer(1, 6)}, 2, 2},
+		{"changes of an earlier epoch", []func() (platform.Snapshot, error){answer(2, 5), answer(1, 9)}, 1, 1},
+		{"the whole table of an earlier epoch", []func() (platform.Snapshot, error){answer(2, 5), errorOf(platform.ErrHistoryGone), answer(1, 9)}, 1, 2},
+		{"a return during the read", []func() (platform.Snapshot, error){answer(1, 5), errorOf(platform.ErrHistoryGone), errorOf(platform.ErrRestored), answer(2, 4)}, 2, 3},
+		{"a store that states no epoch", []func() (platform.Snapshot, error){answer(0, 5), answer(0, 6)}, 2, 1},
+		{"an epoch that was not stated before", []func() (platform.Snapshot, error){answer(0, 5), answer(1, 6), answer(1, 6)}, 2, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s, confirms := newScript(tc.answers...), 0
--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -55,7 +55,7 @@
 
 	mu        sync.Mutex
 	version   int64
-	era       int64
+	epoch     int64
 	synced    bool
 	confirmed time.Time
 	failures  int
@@ -140,18 +140,18 @@
 	} else {
 		s, err = f.store.Changes(ctx, f.settings.Table, f.version, f.wait())
 	}
-	if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrCameBack) {
+	if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrRestored) {
 		f.synced = false
-		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version, "era", f.era)
+		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version, "epoch", f.epoch)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	switch {
-	case s.Era != 0 && s.Era < f.era:
-		return fmt.Errorf("%w: era %d, known %d", errOlderEra, s.Era, f.era)
-	case s.Era > f.era && !full:
+	case s.Epoch != 0 && s.Epoch < f.epoch:
+		return fmt.Errorf("%w: epoch %d, known %d", errOlderEpoch, s.Epoch, f.epoch)
+	case s.Epoch > f.epoch && !full:
 		// Its versions cannot be compared with the known one, so rows may be passed over.
 		f.synced = false
 		return nil
@@ -208,8 +208,8 @@
 	return min(max(left, least), f.settings.Wait)
 }
 
-// errOlderEra is for an answer made before the store came back from a copy.
-var errOlderEra = errors.New("answer is older than the store's return from a copy")
+// errOlderEpoch is for an answer made before the store was restored from a copy.
+var errOlderEpoch = errors.New("answer is older than the store's return from a copy")
 
 // wantsAll reports whether the whole table is to be read.
 func (f *Follower) wantsAll() bool {
@@ -230,17 +230,17 @@
 	if full {
 		f.listAt = time.Time{}
 	}
-	if s.Era <= f.era {
+	if s.Epoch <= f.epoch {
 		f.version = max(f.version, s.Version)
 		return
 	}
-	if f.era != 0 {
+	if f.epoch != 0 {
 		s.Restored = true
 		f.settled = f.now().Add(f.settings.RestoreFor)
 		f.listAt = f.settled
-		f.rec.Note(events.StoreCameBack, "", "table", f.settings.Table, "era", s.Era, "before", f.era, "version", s.Version, "known-version", f.version)
+		f.rec.Note(events.StoreRestored, "", "table", f.settings.Table, "epoch", s.Epoch, "before", f.epoch, "version", s.Version, "known-version", f.version)
 	}
-	f.era, f.version = s.Era, s.Version
+	f.epoch, f.version = s.Epoch, s.Version
 }
 
 // failed notes the first failure of a row of them and backs off.
--- a/internal/belief/restored_test.go
+++ b/internal/belief/restored_test.go
@@ -11,7 +11,7 @@
 )
 
 // The copy had an older route table, or none, and rows of zones that were closed or opened since.
-func TestOperatorsRowsAfterTheStoreCameBack(t *testing.T) {
+func TestOperatorsRowsAfterTheStoreWasRestored(t *testing.T) {
 	restored := func(records ...platform.Record) platform.Snapshot {
 		return platform.Snapshot{Records: records, Restored: true}
 	}
--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -94,7 +94,7 @@
 
 // offer takes over a stored table if it is newer than the one in force. One that cannot be
 // used is refused and the last good one stays; a version of the row is told once, since
-// each answer that holds the whole table repeats it. In a store that came back from a copy an
+// each answer that holds the whole table repeats it. In a store that was restored from a copy an
 // earlier table stands until the later one is written again: it changes nothing.
 func (r *Routes) offer(rec platform.Record, restored bool) {
 	table, err := r.decoded(rec)
--- a/internal/belief/zones.go
+++ b/internal/belief/zones.go
@@ -21,7 +21,7 @@
 }
 
 // Apply takes over the store's answer; full marks one that holds the whole table. It is
-// called by one goroutine. In a store that came back from a copy the rows of zones that were closed
+// called by one goroutine. In a store that was restored from a copy the rows of zones that were closed
 // since may be missing: these stay closed until the whole table is read once more.
 func (z *Zones) Apply(s platform.Snapshot, full bool) {
 	closed := map[string]bool{}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -81,7 +81,7 @@
 	// settleFor is how long after an outage lapsed upstreams have to come back:
 	// the platform's operators state about two seconds.
 	settleFor = 2200 * time.Millisecond
-	// restoreFor is how long after the store came back from a copy rows may still be written
+	// restoreFor is how long after the store was restored from a copy rows may still be written
 	// again, and those of upstreams that ended meanwhile go: some heartbeats.
 	restoreFor = 5 * time.Second
 	// trustMargin is taken off the key bound: the store's feed may be silent for
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// listAgain writes the own row anew some time after the store came back from a copy, which may lack
+// listAgain writes the own row anew some time after the store was restored from a copy, which may lack
 // it. Entries spread over the time in which the store takes the rows of all.
 func (b *gatewayBuilder) listAgain() {
 	entries := len(b.gossip.Peers()) + 1
--- a/internal/daemon/upstreamrows.go
+++ b/internal/daemon/upstreamrows.go
@@ -29,7 +29,7 @@
 	u.fleet.UpdateAll(records, unreadable, gone, full, settled)
 }
 
-// restore is apply for the first whole table after the store came back from a copy.
+// restore is apply for the first whole table after the store was restored from a copy.
 func (u *upstreamRows) restore(rows []product.Record, settled time.Time) {
 	records, unreadable, _ := u.changes(rows, true)
 	u.fleet.Restore(records, unreadable, settled)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -102,7 +102,7 @@
 	RegisterFailed     ID = 604
 	SourceChanged      ID = 605
 	RelayFailed        ID = 606
-	StoreCameBack      ID = 607
+	StoreRestored      ID = 607
 )
 
 // Kind describes one event kind.
@@ -210,14 +210,14 @@
 	{RoutesRejected, "routes-rejected", "A route table cannot be used; the last good one stays in force."},
 	{RoutesUnconfirmed, "routes-unconfirmed", "The route table was not confirmed for so long that requests with unknown keys, or with any keys where the bound is hard, are refused unrun."},
 	{RoutesConfirmed, "routes-confirmed", "The route table is confirmed again and proves which keys are valid."},
-	{RoutesOlder, "routes-older", "The store has an older route table than the one in force, which stays; with `restored` the store came back from a copy, and the later one is to be written again. One that is meant needs a higher version."},
+	{RoutesOlder, "routes-older", "The store has an older route table than the one in force, which stays; with `restored` the store was restored from a copy, and the later one is to be written again. One that is meant needs a higher version."},
 	{PlatformFailed, "platform-failed", "A call to a platform store failed; it is tried again with back-off."},
 	{StoreLost, "store-lost", "A call that follows a table of the store failed; the last known rows stay in use."},
 	{StoreRegained, "store-regained", "The store answers again."},
 	{StoreHistoryGone, "store-history-gone", "The store dropped the changes since the last answer; the table is read anew."},
 	{SourceChanged, "source-changed", "A table is followed through another source: the store, or an entry that follows it."},
 	{RelayFailed, "relay-failed", "Another entry could not pass on a table; the store is asked itself."},
-	{StoreCameBack, "store-came-back", "The store came back from an older copy of itself: its versions go on from `version` in a new `era`, and rows may be older than what is known of them."},
+	{StoreRestored, "store-restored", "The store was restored from an older copy of itself: its versions go on from `version` in a new `epoch`, and rows may be older than what is known of them."},
 	{RegisterFailed, "register-failed", "An entry could not write or read the list of entries."},
 }
 
--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// After the store came back from a copy its versions were below those that the fleet knew: an
+// After the store was restored from a copy its versions were below those that the fleet knew: an
 // upstream that started again got no work, one whose row went kept it, and rows of the copy brought
 // back those that had left.
-func TestFleetAfterTheStoreCameBack(t *testing.T) {
+func TestFleetAfterTheStoreWasRestored(t *testing.T) {
 	const settles = 5 * time.Second
 	restore := func(f *fixture, records ...Record) { f.Restore(records, nil, f.at.Add(settles)) }
 	now := func(f *fixture, records ...Record) { f.Update(records, nil, false, f.at.Add(settles)) }
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -105,7 +105,7 @@
 	serving map[string][]string
 	// closed are the zones whose upstreams get no new work.
 	closed map[string]bool
-	// restored is set while the first records after the store came back from a copy are taken over.
+	// restored is set while the first records after the store was restored from a copy are taken over.
 	restored bool
 	// backOffUntil is not before the end of any upstream's back-off.
 	backOffUntil time.Time
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -10,9 +10,9 @@
 // version: the table must be read anew.
 var ErrHistoryGone = errors.New("the store has dropped its history")
 
-// ErrCameBack is wrapped when the store came back from an older copy of itself in the middle of a
+// ErrRestored is wrapped when the store was restored from an older copy of itself in the middle of a
 // read: what was read is of no one moment.
-var ErrCameBack = errors.New("the store came back from a copy during the read")
+var ErrRestored = errors.New("the store was restored from a copy during the read")
 
 // ErrUnavailable is wrapped when the store refused a call and did nothing.
 var ErrUnavailable = errors.New("the store refused the call")
@@ -30,14 +30,14 @@
 type Snapshot struct {
 	Records []Record
 	// Version is the store's newest version at the time of the answer. Versions of different
-	// eras say nothing of each other.
+	// epochs say nothing of each other.
 	Version int64
-	// Era rises each time the store comes back from an older copy of itself, when versions go
+	// Epoch rises each time the store is restored from an older copy of itself, when versions go
 	// back and are given out again; 0 if the store does not state it.
-	Era int64
+	Epoch int64
 	// Clock is the store's steady clock at the time of the answer.
 	Clock time.Duration
-	// Restored marks the first whole table of a later era: its rows may be older than what is
+	// Restored marks the first whole table of a later epoch: its rows may be older than what is
 	// known of them, some may be missing, and both may be written again. A Follower sets it.
 	Restored bool
 	// Made is a steady time of this process that is not after the moment at
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -170,7 +170,8 @@
 			return !e.told || o.others(u, start, func(*suspect) bool { return true })
 		case triedRun:
 			return !e.told || o.others(u, start, func(other *suspect) bool {
-				return (other.ends[start].kind == triedRun || len(o[other]) > 1) && !(alone && o.covers(u, other))
+				suspicious := other.ends[start].kind == triedRun || len(o[other]) > 1
+				return suspicious && (!alone || !o.covers(u, other))
 			})
 		default:
 			return false
--- a/internal/relay/cameback_test.go
+++ b/internal/relay/epochs_test.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// A store came back from a copy, and entries that ask others, or are asked, went by the versions of
+// A store was restored from a copy, and entries that ask others, or are asked, went by the versions of
 // before: some never learnt rows that were written at versions given out again.
-func TestEntriesKnowAllAfterTheStoreCameBack(t *testing.T) {
+func TestEntriesKnowAllAfterTheStoreWasRestored(t *testing.T) {
 	var seeds sync.WaitGroup
 	for seed := range uint64(12) {
 		seeds.Go(func() {
@@ -206,16 +206,16 @@
 	return ""
 }
 
-// Entries of an earlier release state no era. What they answer and ask is taken as before until the
-// store came back from a copy; from then on it tells nothing.
-func TestErasBesideAnEarlierRelease(t *testing.T) {
-	snap := func(era, version int64) platform.Snapshot {
-		return platform.Snapshot{Era: era, Version: version, Made: time.Now(), Records: []platform.Record{{Name: "a", Version: version}}}
+// Entries of an earlier release state no epoch. What they answer and ask is taken as before until the
+// store was restored from a copy; from then on it tells nothing.
+func TestEpochsBesideAnEarlierRelease(t *testing.T) {
+	snap := func(epoch, version int64) platform.Snapshot {
+		return platform.Snapshot{Epoch: epoch, Version: version, Made: time.Now(), Records: []platform.Record{{Name: "a", Version: version}}}
 	}
 	l := NewLog(time.Now)
 	l.note(table, snap(1, 38), true)
 	l.note(table, snap(1, 39), false)
-	if a, _, err := l.answer(table, 38, 0); err != nil || len(a.records) == 0 || a.era != 1 {
+	if a, _, err := l.answer(table, 38, 0); err != nil || len(a.records) == 0 || a.epoch != 1 {
 		t.Errorf("an earlier release is answered %v, %v before a return, want the changes", a, err)
 	}
 	if !l.tells(table, 0) {
@@ -223,7 +223,7 @@
 	}
 	l.note(table, snap(2, 36), false)
 	if _, _, err := l.wholeAnswer(table); !errors.Is(err, errCannotTell) {
-		t.Errorf("the whole table is told before it is read in the later era: %v", err)
+		t.Errorf("the whole table is told before it is read in the later epoch: %v", err)
 	}
 	l.note(table, snap(2, 35), true)
 	l.note(table, snap(2, 36), false)
@@ -231,35 +231,35 @@
 		t.Errorf("an earlier release is answered after a return: %v", err)
 	}
 	if l.tells(table, 0) || l.tells(table, 1) || !l.tells(table, 2) || !l.tells(table, 3) {
-		t.Error("answers of an earlier release or era tell something after a return, or later ones nothing")
+		t.Error("answers of an earlier release or epoch tell something after a return, or later ones nothing")
 	}
-	if a, _, err := l.answer(table, 39, 1); err != nil || !a.over || a.era != 2 || len(a.records) != 0 {
-		t.Errorf("who asks in the earlier era is answered %+v, %v, want the later era at once", a, err)
+	if a, _, err := l.answer(table, 39, 1); err != nil || !a.over || a.epoch != 2 || len(a.records) != 0 {
+		t.Errorf("who asks in the earlier epoch is answered %+v, %v, want the later epoch at once", a, err)
 	}
 	if a, _, err := l.answer(table, 35, 2); err != nil || len(a.records) == 0 {
-		t.Errorf("who asks in the same era is answered %+v, %v, want the changes", a, err)
+		t.Errorf("who asks in the same epoch is answered %+v, %v, want the changes", a, err)
 	}
 	l.note(table, snap(1, 50), true)
 	if a, _, err := l.answer(table, 36, 2); err != nil || a.version != 36 {
-		t.Errorf("version %d, %v after an answer of the earlier era, want 36", a.version, err)
+		t.Errorf("version %d, %v after an answer of the earlier epoch, want 36", a.version, err)
 	}
 }
 
 // A question that an entry holds ends when the store has come back, whoever asks.
-func TestHeldQuestionEndsWithTheEra(t *testing.T) {
+func TestHeldQuestionEndsWithTheEpoch(t *testing.T) {
 	l := NewLog(time.Now)
-	l.note(table, platform.Snapshot{Era: 1, Version: 39, Made: time.Now()}, true)
-	params, err := json.Marshal(changesParams{Table: table, After: 39, Era: 1, WaitMS: 10_000})
+	l.note(table, platform.Snapshot{Epoch: 1, Version: 39, Made: time.Now()}, true)
+	params, err := json.Marshal(changesParams{Table: table, After: 39, Epoch: 1, WaitMS: 10_000})
 	if err != nil {
 		t.Fatal(err)
 	}
 	time.AfterFunc(30*time.Millisecond, func() {
-		l.note(table, platform.Snapshot{Era: 2, Version: 36, Made: time.Now()}, true)
+		l.note(table, platform.Snapshot{Epoch: 2, Version: 36, Made: time.Now()}, true)
 	})
 	begun := time.Now()
 	got, err := l.handleChanges(t.Context(), nil, params)
-	if w, ok := got.(wireSnapshot); err != nil || !ok || w.Era != 2 || time.Since(begun) > 5*time.Second {
-		t.Errorf("%+v, %v after %s, want the later era at once", got, err, time.Since(begun))
+	if w, ok := got.(wireSnapshot); err != nil || !ok || w.Epoch != 2 || time.Since(begun) > 5*time.Second {
+		t.Errorf("%+v, %v after %s, want the later epoch at once", got, err, time.Since(begun))
 	}
 }
 
@@ -272,12 +272,12 @@
 		return string(l.live(l.table(table)).Records[0].Value)
 	}
 	l := NewLog(time.Now)
-	l.note(table, platform.Snapshot{Era: 2, Version: 36, Records: []platform.Record{{Name: "config", Version: 5, Value: []byte("52")}}}, true)
+	l.note(table, platform.Snapshot{Epoch: 2, Version: 36, Records: []platform.Record{{Name: "config", Version: 5, Value: []byte("52")}}}, true)
 	l.Keep(table, platform.Record{Name: "config", Version: 39, Value: []byte("59")})
 	if got := value(l); got != "59" {
 		t.Errorf("told is %s, want the kept row", got)
 	}
-	l.note(table, platform.Snapshot{Era: 2, Version: 38, Records: []platform.Record{{Name: "config", Version: 38, Value: []byte("60")}}}, false)
+	l.note(table, platform.Snapshot{Epoch: 2, Version: 38, Records: []platform.Record{{Name: "config", Version: 38, Value: []byte("60")}}}, false)
 	if got := value(l); got != "60" {
 		t.Errorf("told is %s, want the store's later row", got)
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -22,9 +22,9 @@
 	// floor is the version from which the log knows all changes.
 	floor   int64
 	version int64
-	// era is that of the store in which the rows were read, and returned is set once the
-	// store came back from a copy. See platform.Snapshot.
-	era      int64
+	// epoch is that of the store in which the rows were read, and returned is set once the
+	// store was restored from a copy. See platform.Snapshot.
+	epoch    int64
 	returned bool
 	made     time.Time
 	failing  bool
@@ -73,7 +73,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
-	if !t.enter(s.Era, full) {
+	if !t.enter(s.Epoch, full) {
 		return
 	}
 	t.failing = false
@@ -98,18 +98,18 @@
 	}
 }
 
-// enter begins a later era of the store, of which only a whole table tells. It returns false for an
-// answer that tells nothing: of an earlier era, or of changes in one whose table is not known.
-func (t *tableLog) enter(era int64, full bool) bool {
+// enter begins a later epoch of the store, of which only a whole table tells. It returns false for an
+// answer that tells nothing: of an earlier epoch, or of changes in one whose table is not known.
+func (t *tableLog) enter(epoch int64, full bool) bool {
 	switch {
-	case era == 0 || era == t.era:
+	case epoch == 0 || epoch == t.epoch:
 		return true
-	case era < t.era:
+	case epoch < t.epoch:
 		return false
 	}
-	known := t.era != 0 || t.floor >= 0
-	t.returned = t.returned || t.era != 0
-	t.era = era
+	known := t.epoch != 0 || t.floor >= 0
+	t.returned = t.returned || t.epoch != 0
+	t.epoch = epoch
 	if known {
 		t.rows, t.floor, t.version = map[string]entry{}, -1, 0
 		t.told, t.whole = answer{}, answer{}
@@ -119,27 +119,29 @@
 	return full
 }
 
-// comparable reports whether versions that an asker knows in an era, 0 if it does not say, can be
+// comparable reports whether versions that an asker knows in an epoch, 0 if it does not say, can be
 // compared with those here.
-func (t *tableLog) comparable(era int64) bool { return era == 0 || t.era == 0 || era == t.era }
+func (t *tableLog) comparable(epoch int64) bool {
+	return epoch == 0 || t.epoch == 0 || epoch == t.epoch
+}
 
-// tells reports whether an answer made in an era, 0 if it is not stated, tells anything: one of an
-// earlier era does not, nor does one that may be.
-func (l *Log) tells(table string, era int64) bool {
+// tells reports whether an answer made in an epoch, 0 if it is not stated, tells anything: one of an
+// earlier epoch does not, nor does one that may be.
+func (l *Log) tells(table string, epoch int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
-	if era == 0 {
+	if epoch == 0 {
 		return !t.returned
 	}
-	return era >= t.era
+	return epoch >= t.epoch
 }
 
-// era returns the era of the store in which a table was last read.
-func (l *Log) era(table string) int64 {
+// epoch returns the epoch of the store in which a table was last read.
+func (l *Log) epoch(table string) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table(table).era
+	return l.table(table).epoch
 }
 
 // Keep puts a row in the place of an older one that the store came back with, for those who ask
@@ -212,15 +214,15 @@
 
 // answer is since, encoded, with the signs of what comes next. Hundreds of entries ask for the same
 // change at once, so it is encoded once for all of them.
-func (l *Log) answer(table string, after, era int64) (answer, signs, error) {
+func (l *Log) answer(table string, after, epoch int64) (answer, signs, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
 	switch {
-	case !t.comparable(era):
-		// The era tells the asker to read the whole table.
-		return answer{version: t.version, era: t.era, made: t.made, over: true}, t.signs, nil
-	case era == 0 && t.returned:
+	case !t.comparable(epoch):
+		// The epoch tells the asker to read the whole table.
+		return answer{version: t.version, epoch: t.epoch, made: t.made, over: true}, t.signs, nil
+	case epoch == 0 && t.returned:
 		return answer{}, signs{}, errCannotTell
 	}
 	if t.told.records == nil || t.toldAfter != after {
@@ -235,7 +237,7 @@
 		t.toldAfter = after
 	}
 	a := t.told
-	a.version, a.era, a.made = t.version, t.era, t.made
+	a.version, a.epoch, a.made = t.version, t.epoch, t.made
 	return a, t.signs, nil
 }
 
@@ -255,7 +257,7 @@
 		}
 	}
 	a := t.whole
-	a.version, a.era, a.made = t.version, t.era, t.made
+	a.version, a.epoch, a.made = t.version, t.epoch, t.made
 	return a, t.signs, nil
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -23,8 +23,8 @@
 type changesParams struct {
 	Table string `json:"table"`
 	After int64  `json:"after"`
-	// Era is that of the store in which After counts; entries of earlier releases do not say.
-	Era    int64 `json:"era,omitempty"`
+	// Epoch is that of the store in which After counts; entries of earlier releases do not say.
+	Epoch  int64 `json:"epoch,omitempty"`
 	WaitMS int64 `json:"wait_ms"`
 }
 
@@ -40,7 +40,7 @@
 	// Records are packed once for all who ask the same.
 	Records []byte `json:"records,omitempty"`
 	Version int64  `json:"version"`
-	Era     int64  `json:"era,omitempty"`
+	Epoch   int64  `json:"epoch,omitempty"`
 	AgeMS   int64  `json:"age_ms"`
 	// HeldMS is for how long the question was held, rounded down.
 	HeldMS int64 `json:"held_ms"`
@@ -60,7 +60,7 @@
 	end := time.NewTimer(time.Duration(p.WaitMS) * time.Millisecond)
 	defer end.Stop()
 	for over := false; ; {
-		a, signs, err := l.answer(p.Table, p.After, p.Era)
+		a, signs, err := l.answer(p.Table, p.After, p.Epoch)
 		if err != nil {
 			return nil, err
 		}
@@ -108,7 +108,7 @@
 type answer struct {
 	records []byte
 	version int64
-	era     int64
+	epoch   int64
 	made    time.Time
 	// over ends a question at once, whatever there is to tell.
 	over bool
@@ -127,13 +127,13 @@
 
 func (l *Log) encode(a answer, asked time.Time) wireSnapshot {
 	now := l.now()
-	return wireSnapshot{Records: a.records, Version: a.version, Era: a.era, AgeMS: now.Sub(a.made).Milliseconds() + 1, HeldMS: now.Sub(asked).Milliseconds()}
+	return wireSnapshot{Records: a.records, Version: a.version, Epoch: a.epoch, AgeMS: now.Sub(a.made).Milliseconds() + 1, HeldMS: now.Sub(asked).Milliseconds()}
 }
 
 // decode turns an answer into a Snapshot. The age was taken at least as long after
 // the question was sent as it was held, so what is made of it is never too young.
 func (w wireSnapshot) decode(sent time.Time) (platform.Snapshot, error) {
-	s := platform.Snapshot{Version: w.Version, Era: w.Era, Made: sent.Add(time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond)}
+	s := platform.Snapshot{Version: w.Version, Epoch: w.Epoch, Made: sent.Add(time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond)}
 	if len(w.Records) == 0 {
 		return s, nil
 	}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -220,7 +220,7 @@
 
 // askChanges asks another entry for changes and takes over its answer.
 func (s *Store) askChanges(ctx context.Context, p Peer, table string, after int64) (platform.Snapshot, error) {
-	params := changesParams{Table: table, After: after, Era: s.log.era(table), WaitMS: s.hold(table).Milliseconds()}
+	params := changesParams{Table: table, After: after, Epoch: s.log.epoch(table), WaitMS: s.hold(table).Milliseconds()}
 	snap, err := s.ask(ctx, p, methodChanges, table, params, s.settings.Stale)
 	if err == nil {
 		s.answered(table, p.Name, snap)
@@ -303,8 +303,8 @@
 	if age := s.now().Sub(snap.Made); err == nil && age > oldest {
 		err = fmt.Errorf("%w: %s knew the table of %s ago", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
-	if err == nil && !s.log.tells(table, snap.Era) {
-		err = fmt.Errorf("%w: %s answers from before the store came back from a copy", ErrStale, p.Name)
+	if err == nil && !s.log.tells(table, snap.Epoch) {
+		err = fmt.Errorf("%w: %s answers from before the store was restored from a copy", ErrStale, p.Name)
 	}
 	if err != nil && !givenUp(ctx) {
 		avoid := s.settings.AvoidFor
--- a/internal/rollout/restored_test.go
+++ b/internal/rollout/restored_test.go
@@ -41,14 +41,13 @@
 }
 
 // accepted submits a change that must be accepted, and in force at each process.
-func (f *fleet) accepted(t *testing.T, who int, c Change) config.Version {
+func (f *fleet) accepted(t *testing.T, who int, c Change) {
 	t.Helper()
 	out := f.coordinator(who).Submit(t.Context(), c)
 	if out.State() != Accepted {
 		t.Fatalf("change %s: %+v, want accepted", c.ID, out)
 	}
 	f.runs(t, c)
-	return out.Version()
 }
 
 // runs checks that a change is in force at each process.
@@ -162,16 +161,48 @@
 	})
 }
 
+// The copy may lack only the mark that the head is in force, and the object store the content: both are
+// written again.
+func TestMarkOfTheHeadAfterTheTableWasRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.onActivate = func(int) error { return errCut }
+		last := Change{ID: "c1", Source: source(1)}
+		if out := f.coordinator(0).Submit(t.Context(), last); out.State() != Committed {
+			t.Fatalf("outcome %+v, want committed", out)
+		}
+		f.onActivate = nil
+		restore := f.platform.copyRows()
+		f.follow(t, 3*time.Second, 0)
+		f.runs(t, last)
+		restore()
+		clear(f.platform.objects)
+		if err := f.coordinator(1).Refresh(t.Context()); err != nil {
+			t.Error(err)
+		}
+		h, _, err := f.coordinator(1).readHead(t.Context())
+		if err != nil || !h.Accepted || f.platform.objects[h.Hash] == nil {
+			t.Errorf("head %+v, %v; want it accepted, with its content", h, err)
+		}
+	})
+}
+
 // An earlier release states neither the version that a change is to get nor the change in force.
 func TestRestoreBesideAnEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1)
 		f.accepted(t, 0, Change{ID: "c1", Source: source(1)})
-		if r := f.stores[0].stageParts(stageParams{Change: "c2", Hash: "none", Version: 1}); r.Refused == "" {
-			t.Error("the version in force is given out again")
+		cfg, err := config.Parse("candidate", source(2))
+		if err != nil {
+			t.Fatal(err)
 		}
-		if r := f.stores[0].stageParts(stageParams{Change: "c2", Chunks: []string{"unknown"}}); r.Refused != "" || len(r.Missing) != 1 {
-			t.Errorf("a coordinator of an earlier release gets %+v, want the question for what is missing", r)
+		c := f.coordinator(0)
+		for version, refused := range map[config.Version]bool{1: true, 2: false, 0: false} {
+			cand := c.candidate(Change{ID: "c2"}, version, cfg)
+			cand.params.Parts = cand.all
+			if r := f.stores[0].stageParts(cand.params); (r.Refused != "") != refused {
+				t.Errorf("a change that would get version %d: %+v, want it refused: %v", version, r, refused)
+			}
 		}
 		h := head{Version: 1, Change: "c1", Accepted: true}
 		for _, tc := range []struct {
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -17,7 +17,7 @@
 	mu      sync.Mutex
 	rows    map[string]platform.Record
 	version int64
-	era     int64
+	epoch   int64
 	changed chan struct{}
 	began   time.Time
 }
@@ -28,9 +28,9 @@
 	version int64
 }
 
-// NewRows returns an empty store in its first era.
+// NewRows returns an empty store in its first epoch.
 func NewRows() *Rows {
-	return &Rows{rows: map[string]platform.Record{}, era: 1, changed: make(chan struct{}), began: time.Now()}
+	return &Rows{rows: map[string]platform.Record{}, epoch: 1, changed: make(chan struct{}), began: time.Now()}
 }
 
 // Platform returns the store behind the product's seam.
@@ -87,12 +87,12 @@
 	return RowsCopy{rows: maps.Clone(r.rows), version: r.version}
 }
 
-// ComeBack goes on from a copy, in the next era. Calls that wait end with the history gone.
+// ComeBack goes on from a copy, in the next epoch. Calls that wait end with the history gone.
 func (r *Rows) ComeBack(c RowsCopy) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rows, r.version = maps.Clone(c.rows), c.version
-	r.era++
+	r.epoch++
 	r.tell()
 }
 
@@ -114,7 +114,7 @@
 // snapshot returns the rows of a table after a version, in the order of their versions. It needs
 // the lock.
 func (r *Rows) snapshot(table string, after int64) platform.Snapshot {
-	s := platform.Snapshot{Version: r.version, Era: r.era, Clock: time.Since(r.began)}
+	s := platform.Snapshot{Version: r.version, Epoch: r.epoch, Clock: time.Since(r.began)}
 	for key, row := range r.rows {
 		if name, ok := strings.CutPrefix(key, table+"/"); ok && name == row.Name && row.Version > after {
 			s.Records = append(s.Records, row)
@@ -128,11 +128,11 @@
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	r.mu.Lock()
-	era := r.era
+	epoch := r.epoch
 	r.mu.Unlock()
 	for over := false; ; {
 		r.mu.Lock()
-		s, changed, gone := r.snapshot(table, after), r.changed, after > r.version || r.era != era
+		s, changed, gone := r.snapshot(table, after), r.changed, after > r.version || r.epoch != epoch
 		r.mu.Unlock()
 		switch {
 		case gone:
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -307,21 +307,37 @@
 mutant sidecar-leaving internal/sidecar/notice.go 's/\t\tn\.leavesUntil = now\.Add\(leavesFor\)\n//' internal/sidecar TestServiceThatSaidItLeaves
 mutant sidecar-start internal/sidecar/notice.go 's/if n\.start != start \{/if false {/' internal/sidecar TestRestOfAServiceEnds
 
-mutant era-changes internal/belief/follower.go 's/case s\.Era > f\.era && !full:/case false:/' internal/belief TestOnlyReadErasConfirm
-mutant era-version internal/belief/follower.go 's/f\.era, f\.version = s\.Era, s\.Version/f.era, f.version = s.Era, max(f.version, s.Version)/' internal/belief TestFollowerOfAStoreThatComesBack
-mutant era-older internal/belief/follower.go 's/case s\.Era != 0 && s\.Era < f\.era:/case false:/' internal/belief TestOnlyReadErasConfirm
-mutant era-again internal/belief/follower.go 's/\t\tf\.listAt = f\.settled\n//' internal/belief TestTableIsReadOnceMore
-mutant era-pages platform/store.go 's/if rows\.era != out\.Era \{/if false {/' platform TestReturnBetweenTwoPages
-mutant era-log internal/relay/log.go 's/\tif known \{\n\t\tt\.rows/\tif known \&\& false {\n\t\tt.rows/' internal/relay TestErasBesideAnEarlierRelease
-mutant era-asker internal/relay/log.go 's/case !t\.comparable\(era\):/case false \&\& !t.comparable(era):/' internal/relay TestErasBesideAnEarlierRelease
-mutant era-unstated internal/relay/log.go 's/case era == 0 && t\.returned:/case false:/' internal/relay TestErasBesideAnEarlierRelease
-mutant restored-gone internal/fleet/set.go 's/stale := s\.restored && m\.state == Leaving/stale := false/' internal/fleet TestFleetAfterTheStoreCameBack
-mutant restored-version internal/fleet/restored.go 's/m\.Version, m\.unwritten = 0, true/m.unwritten = m.unwritten || false/' internal/fleet TestFleetAfterTheStoreCameBack
-mutant restored-next internal/fleet/starts.go 's/holds := m\.unwritten && !s\.restored/holds := false/' internal/fleet TestFleetAfterTheStoreCameBack
+mutant epoch-changes internal/belief/follower.go 's/case s\.Epoch > f\.epoch && !full:/case false:/' internal/belief TestOnlyReadEpochsConfirm
+mutant epoch-version internal/belief/follower.go 's/f\.epoch, f\.version = s\.Epoch, s\.Version/f.epoch, f.version = s.Epoch, max(f.version, s.Version)/' internal/belief TestFollowerOfAStoreThatIsRestored
+mutant epoch-older internal/belief/follower.go 's/case s\.Epoch != 0 && s\.Epoch < f\.epoch:/case false:/' internal/belief TestOnlyReadEpochsConfirm
+mutant epoch-again internal/belief/follower.go 's/\t\tf\.listAt = f\.settled\n//' internal/belief TestTableIsReadOnceMore
+mutant epoch-pages platform/store.go 's/if rows\.epoch != out\.Epoch \{/if false {/' platform TestReturnBetweenTwoPages
+mutant epoch-log internal/relay/log.go 's/\tif known \{\n\t\tt\.rows/\tif known \&\& false {\n\t\tt.rows/' internal/relay TestEpochsBesideAnEarlierRelease
+mutant epoch-asker internal/relay/log.go 's/case !t\.comparable\(epoch\):/case false \&\& !t.comparable(epoch):/' internal/relay TestEpochsBesideAnEarlierRelease
+mutant epoch-unstated internal/relay/log.go 's/case epoch == 0 && t\.returned:/case false:/' internal/relay TestEpochsBesideAnEarlierRelease
+mutant restored-gone internal/fleet/set.go 's/stale := s\.restored && m\.state == Leaving/stale := false/' internal/fleet TestFleetAfterTheStoreWasRestored
+mutant restored-version internal/fleet/restored.go 's/m\.Version, m\.unwritten = 0, true/m.unwritten = m.unwritten || false/' internal/fleet TestFleetAfterTheStoreWasRestored
+mutant restored-next internal/fleet/starts.go 's/holds := m\.unwritten && !s\.restored/holds := false/' internal/fleet TestFleetAfterTheStoreWasRestored
 mutant restored-zones internal/belief/zones.go 's/if !full \|\| s\.Restored/if !full/' internal/belief TestOperatorsRows
 mutant restored-routes internal/belief/routes.go 's/table\.Version\(\) < r\.table\.Version\(\) \{/false {/' internal/belief TestOperatorsRows
 mutant behind-kept internal/belief/routes.go 's/r\.olderRow, r\.older = rec\.Version, true/r.olderRow = rec.Version/' internal/belief TestEntryThatStartsAfterAReturn
 
+mutant leaving-unread internal/fleet/starts.go 's/\t\tm\.avoid = s\.now\(\)\.Add\(recordWithin\)\n//' internal/fleet TestLeaveSaidBefore
+mutant head-ahead $store 's/own\.Version > h\.Version \|\| //' internal/rollout TestProcessesDisagreed
+mutant head-accepted $store 's/ \|\| own\.Change == h\.Change && own\.Accepted && !h\.Accepted//' internal/rollout TestMarkOfTheHead
+mutant head-version $store 's/p\.Version != 0 && p\.Version <= inForce/false/' internal/rollout TestRestoreBeside
+mutant head-change $store 's/another := [^\n]*/another := false/' internal/rollout TestRestoreBeside
+mutant head-content internal/rollout/restore.go 's/return c\.putObject\(ctx, cfg\.Hash\(\), cfg\.Canonical\(\)\)/return nil/' internal/rollout TestMarkOfTheHead
+mutant lease-known internal/lease/lease.go 's/if stored\.Fence >= l\.fence \{/if true {/' internal/lease TestHolderAfter
+mutant lease-first internal/lease/lease.go 's/l\.first = before == 0 && l\.fence == 0/l.first = before == 0/' internal/lease TestLapsedHolder
+mutant lease-lapsed internal/lease/lease.go 's/if now\.Before\(l\.until\) \{/if true {/' internal/lease TestLapsedHolder
+
+mutant held-covered internal/quarantine/verdict.go 's/return o\.widest\(last\)/return last/' $held TestSoundRequestHeldWith
+mutant held-covered-alone internal/quarantine/verdict.go 's/ \|\| len\(ends\) == 0//' $held TestSoundRequestHeldWith
+mutant held-told internal/quarantine/verdict.go 's/return !e\.told \|\| o\.others\(u, start, func\(other \*suspect\) bool \{\n/return o.others(u, start, func(other *suspect) bool {\n/' $held TestSoundRequestHeldBefore
+mutant held-peers internal/quarantine/suspect.go 's/within = newsWithin/within = 0/' $held TestSoundRequestHeldBefore
+mutant held-bystanders internal/quarantine/verdict.go 's/len\(ends\) > 1 && !o\.covers\(u, other\)/len(ends) > 1/' $held TestRequestNotHeld
+
 mutant answer-cancelled internal/link/link.go 's/if c\.heard\.Load\(\) \|\| /if true || /' internal/gateway TestAnswerOfATryThatLost
 
 finish
--- a/spec/all.sh
+++ b/spec/all.sh
@@ -10,7 +10,7 @@
   for property in atMostOnce notRun doneRan; do echo "once.pml $property holds -DTICKET"; done
   for property in atMostOnce notRun doneRan; do echo "once.pml $property holds -DHOLE"; done
   for property in oneWinner acceptedHolds neverLower refusedNowhere oneAnswer; do echo "rollout.pml $property holds"; done
-  for property in neverBack upToDate; do echo "eras.pml $property holds"; done
+  for property in neverBack upToDate; do echo "epochs.pml $property holds"; done
   cat <<'LIST'
 once.pml atMostOnce holds -DNO_LOOK
 once.pml notRun holds -DNO_LOOK
@@ -30,10 +30,10 @@
 rollout.pml acceptedHolds fails -DNO_RELIST
 rollout.pml acceptedHolds fails -DNO_JOIN
 rollout.pml acceptedHolds fails -DNO_SERVE
-eras.pml upToDate fails -DNO_ERA
-eras.pml upToDate fails -DNO_LIST
-eras.pml upToDate fails -DNO_LOG
-eras.pml neverBack fails -DNO_OWN
+epochs.pml upToDate fails -DNO_EPOCH
+epochs.pml upToDate fails -DNO_LIST
+epochs.pml upToDate fails -DNO_LOG
+epochs.pml neverBack fails -DNO_OWN
 LIST
 )
 echo "$checks" | xargs -P "${JOBS:-4}" -L 1 ./check.sh
--- a/spec/eras.pml
+++ b/spec/epochs.pml
@@ -1,5 +1,5 @@
 /*
- * A store that comes back from an older copy of itself, checked exhaustively by
+ * A store that is restored from an older copy of itself, checked exhaustively by
  * spin.
  *
  * One row counts: an operator writes it with rising numbers of its own, and writes
@@ -15,22 +15,22 @@
  *   take       belief.Routes.offer
  *
  * Safeguards, removed by -DNO_<name>:
- *   ERA        a version is compared within its era only
- *   LIST       changes of a later era are not taken over before the whole table
+ *   EPOCH      a version is compared within its epoch only
+ *   LIST       changes of a later epoch are not taken over before the whole table
  *   OWN        what a row says of itself decides whether it is newer
- *   LOG        the delegate's log begins anew with the era
+ *   LOG        the delegate's log begins anew with the epoch
  */
 
 #define MOST_VER 3
 #define MOST_TOP 2
 
-byte ver = 0, era = 1, row = 0, rowVer = 0;
+byte ver = 0, epoch = 1, row = 0, rowVer = 0;
 byte copyVer = 0, copyRow = 0, copyRowVer = 0;
 byte top = 0;           /* the operator's latest number */
 byte returns = 0, copies = 0;
 
 /* The delegate's log, which holds the row as it got it. */
-byte logEra = 0, logVer = 0, logRow = 0, logRowVer = 0;
+byte logEpoch = 0, logVer = 0, logRow = 0, logRowVer = 0;
 bool logKnown = false;
 
 bool wentBack = false;  /* an entry went back to an older row */
@@ -69,14 +69,14 @@
 active proctype Store() {
 end:	do
 	:: atomic { copies < 2 -> copies++; copyVer = ver; copyRow = row; copyRowVer = rowVer }
-	:: atomic { returns < 2 -> returns++; era++; ver = copyVer; row = copyRow; rowVer = copyRowVer }
+	:: atomic { returns < 2 -> returns++; epoch++; ver = copyVer; row = copyRow; rowVer = copyRowVer }
 	od
 }
 
 /* Reads the whole table. */
-inline list(e, v, inForce, synced, srcEra, srcVer, srcRow) {
-	e = srcEra;
-#ifdef NO_ERA
+inline list(e, v, inForce, synced, srcEpoch, srcVer, srcRow) {
+	e = srcEpoch;
+#ifdef NO_EPOCH
 	v = (srcVer > v -> srcVer : v);
 #else
 	v = srcVer;
@@ -87,23 +87,23 @@
 }
 
 /* Reads the changes after a version. */
-inline changes(e, v, inForce, synced, srcEra, srcVer, srcRow, srcRowVer) {
+inline changes(e, v, inForce, synced, srcEpoch, srcVer, srcRow, srcRowVer) {
 	if
 	:: v > srcVer -> synced = false
-#ifndef NO_ERA
-	:: v <= srcVer && srcEra != e ->
+#ifndef NO_EPOCH
+	:: v <= srcVer && srcEpoch != e ->
 #ifdef NO_LIST
 		if
 		:: srcRowVer > v -> take(inForce, srcRow)
 		:: else -> skip
 		fi;
-		e = srcEra;
+		e = srcEpoch;
 		v = srcVer;
 		confirm(inForce, srcRow)
 #else
 		synced = false
 #endif
-	:: v <= srcVer && srcEra == e ->
+	:: v <= srcVer && srcEpoch == e ->
 #else
 	:: v <= srcVer ->
 #endif
@@ -121,7 +121,7 @@
 	logVer = (ver > logVer -> ver : logVer);
 	logRow = row; logRowVer = rowVer; logKnown = true
 #else
-	logEra = era; logVer = ver; logRow = row; logRowVer = rowVer; logKnown = true
+	logEpoch = epoch; logVer = ver; logRow = row; logRowVer = rowVer; logKnown = true
 #endif
 }
 
@@ -129,8 +129,8 @@
 	byte e = 0, v = 0, inForce = 0;
 	bool synced = false;
 end:	do
-	:: atomic { !synced -> list(e, v, inForce, synced, era, ver, row); note() }
-	:: atomic { synced -> changes(e, v, inForce, synced, era, ver, row, rowVer);
+	:: atomic { !synced -> list(e, v, inForce, synced, epoch, ver, row); note() }
+	:: atomic { synced -> changes(e, v, inForce, synced, epoch, ver, row, rowVer);
 		if
 		:: synced -> note()
 		:: else -> skip
@@ -142,11 +142,11 @@
 	byte e = 0, v = 0, inForce = 0;
 	bool synced = false;
 end:	do
-	:: atomic { !synced -> list(e, v, inForce, synced, era, ver, row) }
-	:: atomic { synced -> changes(e, v, inForce, synced, era, ver, row, rowVer) }
-	:: atomic { !synced && logKnown && logEra >= e -> list(e, v, inForce, synced, logEra, logVer, logRow) }
-	:: atomic { synced && logKnown && logEra >= e && (v <= logVer || logEra > e) ->
-		changes(e, v, inForce, synced, logEra, logVer, logRow, logRowVer) }
+	:: atomic { !synced -> list(e, v, inForce, synced, epoch, ver, row) }
+	:: atomic { synced -> changes(e, v, inForce, synced, epoch, ver, row, rowVer) }
+	:: atomic { !synced && logKnown && logEpoch >= e -> list(e, v, inForce, synced, logEpoch, logVer, logRow) }
+	:: atomic { synced && logKnown && logEpoch >= e && (v <= logVer || logEpoch > e) ->
+		changes(e, v, inForce, synced, logEpoch, logVer, logRow, logRowVer) }
 	/* killed; the next one begins with nothing */
 	:: atomic { e = 0; v = 0; inForce = 0; synced = false }
 	od
