fix: a write over a row is over the row that was read, not over its revision

A coordinator that had read the head before the platform's table was restored from a copy overwrote a change that another one had committed since at the same revision: revisions count up from what the table holds, so they are given out again. Both operators were told of version 3, one of them that it is accepted while no process ran it.

A write states the value that was read beside its revision; the head names its change, so no two are alike. The same for leases. The stand-in knows the condition.

TestRevisionGivenOutAgain fails without the value: accepted in place of refused, and change c3 in force nowhere.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -102,7 +102,7 @@
 		return ErrReleased
 	}
 	now := l.now()
-	stored, revision, err := l.read(ctx)
+	stored, before, err := l.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -116,10 +116,10 @@
 	if !mine {
 		next.Fence++
 	}
-	if err := l.write(ctx, next, revision+1); err != nil {
+	if err := l.write(ctx, next, before); err != nil {
 		return err
 	}
-	l.hold(next, revision, mine, now)
+	l.hold(next, before.Revision, mine, now)
 	return nil
 }
 
@@ -169,37 +169,39 @@
 	if !held {
 		return nil
 	}
-	stored, revision, err := l.read(ctx)
+	stored, before, err := l.read(ctx)
 	if err != nil {
 		return err
 	}
 	if stored.Holder != l.holder {
 		return nil
 	}
-	return l.write(ctx, row{Holder: l.holder, Fence: fence}, revision+1)
+	return l.write(ctx, row{Holder: l.holder, Fence: fence}, before)
 }
 
-func (l *Lease) read(ctx context.Context) (row, int64, error) {
+// read returns the lease and its row, which are empty if there is none.
+func (l *Lease) read(ctx context.Context) (row, platform.Row, error) {
 	r, err := l.table.Get(ctx, l.key)
 	if errors.Is(err, platform.ErrNotFound) {
-		return row{}, 0, nil
+		return row{}, platform.Row{}, nil
 	}
 	if err != nil {
-		return row{}, 0, fmt.Errorf("lease %s: %w", l.key.Name, err)
+		return row{}, platform.Row{}, fmt.Errorf("lease %s: %w", l.key.Name, err)
 	}
 	var v row
 	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return row{}, 0, fmt.Errorf("lease %s: %w", l.key.Name, err)
+		return row{}, platform.Row{}, fmt.Errorf("lease %s: %w", l.key.Name, err)
 	}
-	return v, r.Revision, nil
+	return v, r, nil
 }
 
-func (l *Lease) write(ctx context.Context, v row, revision int64) error {
+// write writes the lease over the row that was read.
+func (l *Lease) write(ctx context.Context, v row, before platform.Row) error {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("lease %s: %w", l.key.Name, err)
 	}
-	err = l.table.Commit(ctx, platform.Write{Row: platform.Row{Key: l.key, Revision: revision, Value: b}})
+	err = l.table.Commit(ctx, platform.Write{Row: platform.Row{Key: l.key, Revision: before.Revision + 1, Value: b}, Was: before.Value})
 	if err != nil {
 		return fmt.Errorf("lease %s: %w", l.key.Name, err)
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -35,7 +36,7 @@
 			switch {
 			case f.out:
 				return platform.ErrUnknownOutcome
-			case w.Revision != f.row.Revision+1:
+			case w.Revision != f.row.Revision+1 || writes[0].Was != nil && !bytes.Equal(writes[0].Was, f.row.Value):
 				return platform.ErrConflict
 			}
 			f.row = w
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// Of two rows at one revision, as a table has before and after it was restored, a write is meant for one.
+func TestCommitOverTheValueThatWasRead(t *testing.T) {
+	f := start(t)
+	for _, tc := range []struct {
+		name string
+		w    platform.Write
+		want error
+	}{
+		{"the first row", row("a", 1, "x"), nil},
+		{"over another value", platform.Write{Row: row("a", 2, "z").Row, Was: []byte("y")}, platform.ErrConflict},
+		{"over the value", platform.Write{Row: row("a", 2, "z").Row, Was: []byte("x")}, nil},
+		{"over any value", row("a", 3, "w"), nil},
+		{"over another revision", platform.Write{Row: row("a", 3, "v").Row, Was: []byte("w")}, platform.ErrConflict},
+	} {
+		if err := f.table.Commit(t.Context(), tc.w); !errors.Is(err, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.name, err, tc.want)
+		}
+	}
+}
+
 func TestLostReplyLeavesTheOutcomeUnknownButTheWriteDone(t *testing.T) {
 	f := start(t)
 	f.control(t, "/control/faults", `{"lose_replies": 1}`)
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -44,9 +44,11 @@
 }
 
 // Write is one conditional write: Row.Revision is the revision after it, and
-// the row must be at Row.Revision-1 before.
+// the row must be at Row.Revision-1 before. If Was is set the row must hold that
+// value, too: a table that was restored from a copy gives revisions out again.
 type Write struct {
 	Row Row
+	Was []byte
 }
 
 // Table is the transactional table service.
@@ -137,7 +139,7 @@
 func (d *dynamo) commit(ctx context.Context, writes ...Write) error {
 	in := &dynamodb.TransactWriteItemsInput{}
 	for _, w := range writes {
-		in.TransactItems = append(in.TransactItems, types.TransactWriteItem{Put: d.put(w.Row)})
+		in.TransactItems = append(in.TransactItems, types.TransactWriteItem{Put: d.put(w)})
 	}
 	_, err := d.client.TransactWriteItems(ctx, in)
 	var cancelled *types.TransactionCanceledException
@@ -151,7 +153,8 @@
 	}
 }
 
-func (d *dynamo) put(r Row) *types.Put {
+func (d *dynamo) put(w Write) *types.Put {
+	r := w.Row
 	item := keyItem(r.Key)
 	item[attrRevision] = number(r.Revision)
 	item[attrValue] = &types.AttributeValueMemberB{Value: r.Value}
@@ -162,6 +165,10 @@
 	}
 	p.ConditionExpression = aws.String(attrRevision + " = :r")
 	p.ExpressionAttributeValues = map[string]types.AttributeValue{":r": number(r.Revision - 1)}
+	if w.Was != nil {
+		p.ConditionExpression = aws.String(attrRevision + " = :r AND " + attrValue + " = :v")
+		p.ExpressionAttributeValues[":v"] = &types.AttributeValueMemberB{Value: w.Was}
+	}
 	return p
 }
 
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -177,7 +177,7 @@
 	if err != nil {
 		return refused(ch.Base, "%v", err)
 	}
-	h, revision, err := c.latestHead(ctx)
+	h, before, err := c.latestHead(ctx)
 	if err != nil {
 		return refused(ch.Base, "the table cannot be read: %v", err)
 	}
@@ -202,7 +202,7 @@
 	} else if active := c.store.Active(); active.Version() != h.Version || !config.SameHomes(active.Config(), cfg) {
 		next.HomesSince = 0
 	}
-	return c.commit(ctx, next, revision)
+	return c.commit(ctx, next, before)
 }
 
 // putSource stores what the operator wrote and the canonical form. Writing them
@@ -230,20 +230,30 @@
 	return err
 }
 
-func (c *Coordinator) readHead(ctx context.Context) (head, int64, error) {
+// readHead returns the head and its row, which are empty if there is none.
+func (c *Coordinator) readHead(ctx context.Context) (head, platform.Row, error) {
 	r, err := c.table.Get(ctx, headKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return head{}, 0, nil
+		return head{}, platform.Row{}, nil
 	}
 	if err != nil {
 		c.rec.Note(events.PlatformFailed, "", "error", err)
-		return head{}, 0, err
+		return head{}, platform.Row{}, err
 	}
 	var h head
 	if err := json.Unmarshal(r.Value, &h); err != nil {
-		return head{}, 0, fmt.Errorf("head row: %w", err)
+		return head{}, platform.Row{}, fmt.Errorf("head row: %w", err)
 	}
-	return h, r.Revision, nil
+	return h, r, nil
+}
+
+// writeHead is the write of a head over the row that was read.
+func writeHead(h head, before platform.Row) (platform.Write, error) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return platform.Write{}, fmt.Errorf("head row: %w", err)
+	}
+	return platform.Write{Row: platform.Row{Key: headKey, Revision: before.Revision + 1, Value: value}, Was: before.Value}, nil
 }
 
 // stageEverywhere returns what stands against the change, nothing if every
@@ -370,17 +380,16 @@
 
 // commit writes the head. A lost reply is settled by reading the change's own
 // row, so nothing is said that is not known.
-func (c *Coordinator) commit(ctx context.Context, next head, revision int64) Outcome {
-	headValue, err := json.Marshal(next)
+func (c *Coordinator) commit(ctx context.Context, next head, before platform.Row) Outcome {
+	write, err := writeHead(next, before)
 	if err != nil {
-		return refused(next.Version-1, "head row: %v", err)
+		return refused(next.Version-1, "%v", err)
 	}
 	changeValue, err := json.Marshal(changeRow{Version: next.Version, By: next.By, At: c.now().UnixMilli()})
 	if err != nil {
 		return refused(next.Version-1, "change row: %v", err)
 	}
-	err = c.table.Commit(ctx,
-		platform.Write{Row: platform.Row{Key: headKey, Revision: revision + 1, Value: headValue}},
+	err = c.table.Commit(ctx, write,
 		platform.Write{Row: platform.Row{Key: platform.Key{Group: changeGroup, Name: next.Change}, Revision: 1, Value: changeValue}},
 	)
 	switch {
@@ -492,7 +501,7 @@
 // recordAccepted marks the head as in force everywhere; from now on keys have
 // the homes of this version.
 func (c *Coordinator) recordAccepted(ctx context.Context, h head) (head, error) {
-	stored, revision, err := c.readHead(ctx)
+	stored, before, err := c.readHead(ctx)
 	if err != nil {
 		return h, err
 	}
@@ -503,12 +512,11 @@
 	if stored.HomesSince == 0 {
 		stored.HomesSince = c.now().UnixMilli()
 	}
-	b, err := json.Marshal(stored)
+	write, err := writeHead(stored, before)
 	if err != nil {
-		return h, fmt.Errorf("head row: %w", err)
+		return h, err
 	}
-	err = c.table.Commit(ctx, platform.Write{Row: platform.Row{Key: headKey, Revision: revision + 1, Value: b}})
-	if err != nil {
+	if err := c.table.Commit(ctx, write); err != nil {
 		return c.markedByAnother(ctx, h, err)
 	}
 	c.rec.Note(events.ChangeInForce, h.Change, "version", h.Version)
--- a/internal/rollout/restore.go
+++ b/internal/rollout/restore.go
@@ -13,25 +13,25 @@
 
 // latestHead reads the head. A table that was restored from an older copy is given back what is in force
 // here first: its versions would be given out again, to other changes.
-func (c *Coordinator) latestHead(ctx context.Context) (head, int64, error) {
-	h, revision, err := c.readHead(ctx)
+func (c *Coordinator) latestHead(ctx context.Context) (head, platform.Row, error) {
+	h, row, err := c.readHead(ctx)
 	if err != nil || !c.store.ahead(h) {
-		return h, revision, err
+		return h, row, err
 	}
-	if err := c.restoreHead(ctx, h, revision); err != nil {
-		return head{}, 0, err
+	if err := c.restoreHead(ctx, h, row); err != nil {
+		return head{}, platform.Row{}, err
 	}
 	return c.readHead(ctx)
 }
 
-// restoreHead writes what is in force here in the place of an older head, which is at a revision. That
+// restoreHead writes what is in force here in the place of an older head, whose row was read. That
 // another process was quicker is no error.
-func (c *Coordinator) restoreHead(ctx context.Context, older head, revision int64) error {
+func (c *Coordinator) restoreHead(ctx context.Context, older head, row platform.Row) error {
 	own, cfg := c.store.inForce()
 	if err := c.restoreContent(ctx, cfg); err != nil {
 		return fmt.Errorf("content of version %d: %w", own.Version, err)
 	}
-	writes, err := c.writesOf(ctx, own, revision)
+	writes, err := c.writesOf(ctx, own, row)
 	if err != nil {
 		return err
 	}
@@ -56,20 +56,21 @@
 	return err
 }
 
-// writesOf returns the writes of a committed head over the one at a revision: its row, and the row of its
-// change unless that is there.
-func (c *Coordinator) writesOf(ctx context.Context, h head, revision int64) ([]platform.Write, error) {
-	value, err := json.Marshal(h)
+// writesOf returns the writes of a committed head over the row that was read: its own, and that of its
+// change unless it is there.
+func (c *Coordinator) writesOf(ctx context.Context, h head, before platform.Row) ([]platform.Write, error) {
+	write, err := writeHead(h, before)
 	if err != nil {
-		return nil, fmt.Errorf("head row: %w", err)
+		return nil, err
 	}
-	writes := []platform.Write{{Row: platform.Row{Key: headKey, Revision: revision + 1, Value: value}}}
+	writes := []platform.Write{write}
 	change := platform.Key{Group: changeGroup, Name: h.Change}
 	_, err = c.table.Get(ctx, change)
 	if !errors.Is(err, platform.ErrNotFound) {
 		return writes, err
 	}
-	if value, err = json.Marshal(changeRow{Version: h.Version, By: h.By, At: c.now().UnixMilli()}); err != nil {
+	value, err := json.Marshal(changeRow{Version: h.Version, By: h.By, At: c.now().UnixMilli()})
+	if err != nil {
 		return nil, fmt.Errorf("change row: %w", err)
 	}
 	return append(writes, platform.Write{Row: platform.Row{Key: change, Revision: 1, Value: value}}), nil
--- a/internal/rollout/restored_test.go
+++ b/internal/rollout/restored_test.go
@@ -187,6 +187,37 @@
 	})
 }
 
+// Revisions of the head's row were given out again, and a coordinator that had read the row before the
+// restore overwrote a change that had been committed since at the same revision.
+func TestRevisionGivenOutAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.accepted(t, 0, Change{ID: "c1", Source: source(1)})
+		restore := f.platform.copyRows()
+		f.accepted(t, 0, Change{ID: "c2", Base: 1, Source: source(2)})
+		table := f.platform.table()
+		commit := table.Commit
+		var once sync.Once
+		table.Commit = func(ctx context.Context, writes ...platform.Write) error {
+			once.Do(func() {
+				restore()
+				f.onActivate = func(int) error { return errCut }
+				if out := f.coordinator(1).Submit(ctx, Change{ID: "c3", Base: 2, Source: source(3)}); out.State() != Committed {
+					t.Errorf("outcome %+v, want committed", out)
+				}
+				f.onActivate = nil
+			})
+			return commit(ctx, writes...)
+		}
+		late := NewCoordinator(f.stores[0], table, f.platform.store(), f.targets, events.Nop(), DefaultDeadlines(), time.Now)
+		if out := late.Submit(t.Context(), Change{ID: "c4", Base: 2, Source: source(4)}); out.State() != Refused {
+			t.Errorf("the change that came too late: %+v, want refused", out)
+		}
+		f.follow(t, 3*time.Second, 0, 1)
+		f.runs(t, Change{ID: "c3", Source: source(3)})
+	})
+}
+
 // An earlier release states neither the version that a change is to get nor the change in force.
 func TestRestoreBesideAnEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -54,7 +55,8 @@
 		return platform.ErrUnknownOutcome
 	}
 	for _, w := range writes {
-		if f.rows[w.Row.Key].Revision != w.Row.Revision-1 {
+		before := f.rows[w.Row.Key]
+		if before.Revision != w.Row.Revision-1 || w.Was != nil && !bytes.Equal(before.Value, w.Was) {
 			return platform.ErrConflict
 		}
 	}
--- a/internal/standin/dynamo.go
+++ b/internal/standin/dynamo.go
@@ -139,7 +139,8 @@
 	return reasons, true
 }
 
-// holds evaluates the two forms of condition that the system writes.
+// holds evaluates the forms of condition that the system writes: that the row is not there, or that
+// it has a revision, and a value if one is given.
 func (p *Platform) holds(put *dynamoPut) bool {
 	old, exists := p.items[put.Item.text("grp")][put.Item.text("nam")]
 	if strings.HasPrefix(put.ConditionExpression, "attribute_not_exists(") {
@@ -147,5 +148,9 @@
 	}
 	want := put.ExpressionAttributeValues[":r"].N
 	have := old["rev"].N
-	return exists && want != nil && have != nil && *want == *have
+	if !exists || want == nil || have == nil || *want != *have {
+		return false
+	}
+	was := put.ExpressionAttributeValues[":v"].B
+	return was == nil || old["val"].B != nil && *was == *old["val"].B
 }
