fix: a head is marked as accepted by its change, not by its version

A change that was committed right before the platform's table was restored, and taken by processes only afterwards, had the head of another change marked as in force everywhere: both have one version, and the mark went by that.

spec/restored.pml models the head while its table is restored: what is answered as accepted is in force and stays so, a change replaces the one it was made from, and in the end no process is left behind. Each safeguard that is removed breaks one of these. The model shows what is left, too: of two changes committed as one version, one of them lost by a restore before any process had taken it, processes may run either until the next change; both operators were told that theirs is not in force everywhere.

TestAnotherChangeOfTheVersionIsNotMarked failed before: no error, and the head of the other change marked.

--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -498,6 +498,10 @@
 	return missing
 }
 
+// errOtherChange is returned for a change whose version the table has of another one: it was restored
+// from a copy.
+var errOtherChange = errors.New("the version is of another change")
+
 // recordAccepted marks the head as in force everywhere; from now on keys have
 // the homes of this version.
 func (c *Coordinator) recordAccepted(ctx context.Context, h head) (head, error) {
@@ -505,7 +509,10 @@
 	if err != nil {
 		return h, err
 	}
-	if stored.Version != h.Version || stored.Accepted {
+	switch {
+	case stored.Version == h.Version && stored.Change != h.Change:
+		return h, fmt.Errorf("%w: %s by %s", errOtherChange, stored.Change, stored.By)
+	case stored.Version != h.Version || stored.Accepted:
 		return stored, nil
 	}
 	stored.Accepted = true
@@ -531,7 +538,7 @@
 	if err != nil {
 		return h, errors.Join(cause, err)
 	}
-	if stored.Version == h.Version && stored.Accepted || stored.Version > h.Version {
+	if stored.Change == h.Change && stored.Accepted || stored.Version > h.Version {
 		return stored, nil
 	}
 	return h, cause
--- a/internal/rollout/restored_test.go
+++ b/internal/rollout/restored_test.go
@@ -218,6 +218,31 @@
 	})
 }
 
+// A change that was committed before the table was restored, and taken only then, had another one's head
+// marked as in force everywhere: they have one version.
+func TestAnotherChangeOfTheVersionIsNotMarked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.accepted(t, 0, Change{ID: "c1", Source: source(1)})
+		restore := f.platform.copyRows()
+		f.onActivate = func(int) error { return errCut }
+		lost := head{Version: 2, Change: "lost"}
+		if out := f.coordinator(0).Submit(t.Context(), Change{ID: lost.Change, Base: 1, Source: source(2)}); out.State() != Committed {
+			t.Fatalf("outcome %+v, want committed", out)
+		}
+		restore()
+		if out := f.coordinator(0).Submit(t.Context(), Change{ID: "kept", Base: 1, Source: source(3)}); out.State() != Committed {
+			t.Fatalf("outcome %+v, want committed", out)
+		}
+		if _, err := f.coordinator(0).recordAccepted(t.Context(), lost); !errors.Is(err, errOtherChange) {
+			t.Errorf("mark the lost change: %v, want %v", err, errOtherChange)
+		}
+		if h, _, err := f.coordinator(0).readHead(t.Context()); err != nil || h.Change != "kept" || h.Accepted {
+			t.Errorf("head %+v, %v; want the change that was kept, not marked", h, err)
+		}
+	})
+}
+
 // An earlier release states neither the version that a change is to get nor the change in force.
 func TestRestoreBesideAnEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/spec/all.sh
+++ b/spec/all.sh
@@ -11,7 +11,9 @@
   for property in atMostOnce notRun doneRan; do echo "once.pml $property holds -DHOLE"; done
   for property in oneWinner acceptedHolds neverLower refusedNowhere oneAnswer; do echo "rollout.pml $property holds"; done
   for property in neverBack upToDate; do echo "epochs.pml $property holds"; done
+  for property in noFalseAnswer acceptedStays upToDate; do echo "restored.pml $property holds"; done
   cat <<'LIST'
+restored.pml overWhatWasRead holds -DTHIRD
 once.pml atMostOnce holds -DNO_LOOK
 once.pml notRun holds -DNO_LOOK
 once.pml noLateRun holds -DHOLE -DFENCED
@@ -30,6 +32,10 @@
 rollout.pml acceptedHolds fails -DNO_RELIST
 rollout.pml acceptedHolds fails -DNO_JOIN
 rollout.pml acceptedHolds fails -DNO_SERVE
+restored.pml noFalseAnswer fails -DNO_CHANGE
+restored.pml acceptedStays fails -DNO_CHANGE
+restored.pml upToDate fails -DNO_AHEAD
+restored.pml overWhatWasRead fails -DTHIRD -DNO_VALUE
 epochs.pml upToDate fails -DNO_EPOCH
 epochs.pml upToDate fails -DNO_LIST
 epochs.pml upToDate fails -DNO_LOG
