--- a/internal/quarantine/several_test.go
+++ b/internal/quarantine/several_test.go
@@ -53,7 +53,7 @@
 }
 
 func (w row) String() string {
-	return fmt.Sprintf("%d entries, %d upstreams, %d culprits, news %s old, %.2f alike, stop %s, rolling %s", w.entries, w.upstreams, w.culprits, w.delay, w.common, w.stops, w.rolls)
+	return fmt.Sprintf("%d entries %d upstreams %d culprits news %s old %.2f alike stop %s rolling %s", w.entries, w.upstreams, w.culprits, w.delay, w.common, w.stops, w.rolls)
 }
 
 func newCrowd(w row, seed uint64) *crowd {
