--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,7 +45,7 @@
 mutant gateway-silent-load $gateway/gateway.go 's/g\.ledger\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfSilentEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.pace\.rest\(rq\.call\.MaxOutput,/g.pace.rest(rq.call.Hint,/' $gateway TestStoppingGatewayDoubtsTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.far:/case false:/' $gateway TestBackAfterStop
-mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\(deadline\.Add\(-AnswerSpare\)[^\n]*\n//' $gateway TestStopAnswersWhatIsInFlight
+mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\(end\.Add\(-AnswerSpare\)[^\n]*\n//' $gateway TestStopAnswersWhatIsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
 
 connlimit=internal/connlimit
@@ -76,8 +76,8 @@
 mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && quiet\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionsAreKept'
 mutant gossip-life internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Life//' internal/gossip TestEchoOfAnEarlierLife
 mutant relay-stale internal/relay/store.go 's/err == nil && age > oldest \{/false \&\& age > oldest {/' internal/relay TestWhenTheDelegate
-mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.firstHand \{/if m.state == Lapsed {/' internal/fleet TestUpstreamComesBack
-mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) <= r\.table\.Version\(\) \{/if false {/' $gateway TestRoutesOnlyGoUp
+mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.firstHand && !stale \{/if m.state == Lapsed \&\& !stale {/' internal/fleet TestUpstreamComesBack
+mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) < r\.table\.Version\(\) \{/if false {/' $gateway TestRoutesOnlyGoUp
 
 mutant placement-old-news $placement/spread.go 's/unheardMargin \* z\.rate/0 * z.rate/' $gateway TestOldNews
 mutant relay-hold-end internal/relay/server.go 's/\t\t\tover = true/\t\t\treturn l.encode(a, asked), nil/' internal/relay TestAnswerTellsTheLatest
@@ -142,7 +142,7 @@
 mutant start-own-id $starts 's/case born != 0:/case false:/' internal/fleet TestStartUnderAnEarlierName
 mutant start-id-unique $starts 's/return name \+ startMark\n/return name\n/' internal/fleet TestStartIdentifiers
 mutant start-ended $starts 's/\ts\.forget\(m\)\n\ts\.rec/\ts.rec/' internal/fleet 'TestNewsOfAnEarlierStart|TestStartUnderAnEarlierName'
-mutant start-old-news $starts 's/if older\(r, m\.Record\) \{/if false {/' internal/fleet TestNewsOfAnEarlierStart
+mutant start-old-news $starts 's/if !holds && older\(r, m\.Record\) \{/if !holds \&\& false {/' internal/fleet TestNewsOfAnEarlierStart
 mutant start-version-first $starts 's/r\.Version == 0 \|\| than\.Version == 0 \|\| r\.Version == than\.Version/true/' internal/fleet TestNewsOfAnEarlierStart
 mutant start-birth-unversioned $starts 's/return r\.Born < than\.Born/return false/' internal/fleet TestNewsOfAnEarlierStart
 mutant start-no-birth $starts 's/known && r\.Born == 0/false/' internal/fleet TestRecordWithoutABirth
@@ -173,7 +173,7 @@
 mutant held-doubles $held/suspect.go 's/hold = min\(2\*hold, holdMost\)/hold = min(hold, holdMost)/' $held TestOneTryAfterAQuarantine
 mutant held-stood-out $held/verdict.go 's/case o\.stoodOut\(u, telling\):/case true:/' $held TestJudge
 mutant held-explained $held/verdict.go 's/open\[u\] = e\.unexplained\(u\)/open[u] = u.live()/' $held TestJudge
-mutant held-telling $held/verdict.go 's/case len\(telling\) < o\.tellingNeeded\(u, stray\):/case len(telling)+len(stray) < 0:/' $held 'TestSoundRequestThatRanBesideTwoOthers|TestSoundRequestsBesideSeveral'
+mutant held-telling $held/verdict.go 's/case len\(telling\) < needed:/case len(telling)+needed < 0:/' $held 'TestSoundRequestThatRanBesideTwoOthers|TestSoundRequestsBesideSeveral'
 mutant held-first-run $held/verdict.go 's/return !e\.told \|\| o\.others\(u, start, func\(\*suspect\) bool \{ return true \}\)/return false/' $held TestSoundRequestThatRanBesideTwoOthers
 mutant held-stray $held/verdict.go 's/if n > mostStray \{/if n < 0 {/; s/\t\tif latest\.Sub/\t\tif n >= 0 \&\& latest.Sub/' $held 'TestSoundRequestsBesideSeveralCulprits/.*rolling_150ms' -rig.seeds=20
 mutant held-later-start $held/laterstart.go 's/for n := 1; s\.endedBefore/for n := 1; n < 0 \&\& s.endedBefore/' $held TestLaterStart
@@ -260,7 +260,7 @@
 mutant limits-copy $gateway/continue.go 's/if err := s\.g\.await\(ctx, held\.at\.ID, s\.g\.now\(\)\.Add\(goOnWithin\)\); err != nil/if err := ctx.Err(); err != nil/' $gateway TestMovedGenerationNeedsAPermit
 mutant limits-target $gateway/choose.go 's/g\.chooseTargetAmong\(s, from, g\.unlimited\(exclude\)\)/g.chooseTargetAmong(s, from, exclude)/' $gateway TestMovesPassOverLimits
 mutant limits-other-answer $gateway/limits.go 's/if h\.header\.Get\(g\.proto\.IDHeader\) != rq\.call\.ID \{/if h.header == nil {/' $gateway 'TestLimitInAnotherAnswer|TestWhatEndsALimit'
-mutant limits-failure $gateway/limits.go 's/case h\.whole:/default:/' $gateway TestWhatEndsALimit
+mutant limits-failure $gateway/limits.go 's/ && h\.whole \{/ {/' $gateway TestWhatEndsALimit
 mutant limits-stop $gateway/stop.go 's/\tg\.limits\.Leave\(\)\n//' $gateway TestStoppingEntryLeavesGranting
 mutant limits-wait $gateway/permit.go 's/if at\.After\(until\) \|\|/if !at.IsZero() ||/' $gateway TestResumedGenerationHasAPermit
 mutant limits-callers platform/caller.go 's/headerNotRun, headerLimit,/headerNotRun,/' platform TestLimitInHeaders
