test: a copy outlasts its generation by more than the wait for a head

Two mutants of scripts/mutants.sh: fault-table did not build since the decoder has a function of its own, and gateway-copy-outlasts survived since the link waits 50 ms for the head of an answer to a cancelled request: the test's copy was answered within these. It takes twice that now. Both are noticed.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -183,6 +183,9 @@
 	pathLater  = "/later/"
 )
 
+// testHeadWithin is how long the link waits for the head of an answer to a cancelled request.
+const testHeadWithin = 50 * time.Millisecond
+
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, rec: events.Nop()}
@@ -190,7 +193,7 @@
 	f.routes = belief.NewRoutes("routes", decode, f.rec, time.Now)
 	f.fleet = fleet.New(f.rec, time.Now, func(id string) { f.gateway.Evacuate(id) })
 	d := &net.Dialer{}
-	pool := link.New(link.Settings{DialWithin: time.Second, IdleUnknown: time.Minute, HeadWithin: 50 * time.Millisecond, IDHeader: testID},
+	pool := link.New(link.Settings{DialWithin: time.Second, IdleUnknown: time.Minute, HeadWithin: testHeadWithin, IDHeader: testID},
 		func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp4", address)
 		}, time.Now)
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -27,6 +27,8 @@
 	if got := <-result; got.err != nil || got.body != wholeStream() {
 		t.Fatalf("%v, %q; want every event once", got.err, got.body)
 	}
+	// For so long the link waits for an answer whatever becomes of the request.
+	time.Sleep(2 * testHeadWithin)
 	close(source.copyWait)
 	deadline := time.Now().Add(5 * time.Second)
 	for target.released() == 0 {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -227,7 +227,7 @@
 mutant stop-stall-looked internal/daemon/runwatch.go 's/w\.stalledFrom, w\.stalledTo = w\.ranAt, now/w.stalledFrom = w.ranAt/' internal/daemon TestRunWatch
 
 # Faults of this program over what was read.
-mutant fault-table internal/belief/routes.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)/table, err := r.decode(rec.Value)/; s/\tvar table \*routetable\.Table\n//; s/.*internal\/guard"\n//' internal/belief TestTableThatEndsNoReader
+mutant fault-table internal/belief/routes.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)\n\treturn table, err/return r.decode(rec.Value)/; s/.*internal\/guard"\n//' internal/belief TestTableThatEndsNoReader
 mutant fault-message internal/peer/conn.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t*result, err = h\(ctx, c, params\)\n\t*return err\n\t*\}\)/result, err = h(ctx, c, params)/' internal/peer TestMessageThatEndsNoReader
 mutant fault-gossip internal/gossip/exchange.go 's/if err := guard\.Do\(func\(\) error \{ return n\.read\(b, addr\) \}\); err/if err := n.read(b, addr); err/; s/.*internal\/guard"\n//' internal/gossip TestMessageThatEndsNoReader
 mutant fault-row internal/daemon/upstreamrows.go 's/err := guard\.Do\(func\(\) \(err error\) \{\n\t*r, err = u\.decode\(row\.Name, row\.Value\)\n\t*return err\n\t*\}\)/r, err := u.decode(row.Name, row.Value)/; s/\t\tvar r fleet\.Record\n//; s/.*internal\/guard"\n//' internal/daemon TestRowThatEndsNoReader
