test: a full upstream that says when to come back, in a 503 and in a 429

Since a 503 with a time is heeded as back-off, the mutant limits-come-back survived: the time of other refusals was read in no test. It is noticed now.

--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -366,23 +367,29 @@
 // An upstream that refused a request and said when to come back got the next one 150 ms later all
 // the same.
 func TestUpstreamThatSaysWhenToComeBack(t *testing.T) {
-	f := newFixture(t)
-	full := f.add("app", "full", func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(testBack, "1000")
-		serveNotRun(w, r)
-	})
-	f.add("app", "good", serveOK)
-	begun := time.Now()
-	for full.runs() == 0 {
-		f.ask(pathOnce)
-	}
-	for time.Since(begun) < 600*time.Millisecond {
-		if got := f.ask(pathOnce); got.status != http.StatusOK {
-			t.Fatalf("status %d, want 200", got.status)
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	if n := full.runs(); n != 1 {
-		t.Errorf("it got %d requests, want none before its time", n)
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			full := f.add("app", "full", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(testBack, "1000")
+				w.Header().Set(testNotRun, "1")
+				w.WriteHeader(status)
+			})
+			f.add("app", "good", serveOK)
+			begun := time.Now()
+			for full.runs() == 0 {
+				f.ask(pathOnce)
+			}
+			for time.Since(begun) < 600*time.Millisecond {
+				if got := f.ask(pathOnce); got.status != http.StatusOK {
+					t.Fatalf("status %d, want 200", got.status)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			if n := full.runs(); n != 1 {
+				t.Errorf("it got %d requests, want none before its time", n)
+			}
+		})
 	}
 }
