fix(gateway): a stop beside a pause cuts no stream early

Cause: a signal carries no time. A process that did not run cannot tell when in that time the signal came, or whether it came up to 250 ms after it. The stop counted everything in flight from the earliest possible time, so a stream was cut earlier by the pause, by what came after it and by up to a tick. In the soak's own log: resumed, SIGTERM 168 ms later, noticed after 12 ms, counted from 440 ms before, the stream cut 3.22 s after the signal.

Change: each request is ended by the time whose error costs its caller least. New requests are judged by the earliest possible time, as before: another entry can serve them. Requests without any answer yet are given up by the estimate from pauses, as before, so that they get a 504 or 503 even if the process is killed soon after (measured: 504 when given up, an end of file when killed). An answer that has begun goes on as if the signal had been sent when it was noticed: its caller sees the same end of file whether it is cut or the process is killed. The first event and the end of unanswered requests are decided in one step.

Two trials did not hold and are not here: a detector that takes a pause to be over after two ticks 10 ms apart (a signal in a pause of 1.5 s was noticed 72 ms after it, after two such ticks, and 4 calls were lost in the kill), and giving up all requests by the time of the notice (kills with calls unanswered).

--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -22,7 +24,7 @@
 	go func() { inFlight <- f.ask(pathOnce) }()
 	<-begun
 	now := time.Now()
-	f.gateway.DrainUntil(now.Add(50*time.Millisecond), now.Add(time.Second))
+	f.gateway.DrainUntil(now.Add(50*time.Millisecond), now.Add(time.Second), now.Add(time.Second))
 	time.Sleep(60 * time.Millisecond)
 	if got := f.ask(pathOnce); got.status != http.StatusServiceUnavailable {
 		t.Errorf("status %d for a request after the earlier deadline, want 503", got.status)
@@ -31,3 +33,59 @@
 		t.Errorf("status %d for a request in flight, want 200", got.status)
 	}
 }
+
+// TestBegunAnswerOutlastsUnansweredDeadline guards against a planned stop that cuts streams long before
+// its end, because the gateway did not run when the signal came and counts its time from before that.
+func TestBegunAnswerOutlastsUnansweredDeadline(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	f.add("llm", "eng-1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testProof, "p")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = io.WriteString(w, "id: 2\ndata: y\n\n")
+	})
+	resp, err := f.open(pathStream)
+	if err != nil {
+		close(release)
+		t.Fatal(err)
+	}
+	now := time.Now()
+	f.gateway.DrainUntil(now, now.Add(AnswerReserve), now.Add(time.Minute))
+	<-f.gateway.unansweredStopped.Done()
+	// A cut of the stream would happen now.
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if got := readAnswer(resp); got.err != nil || got.body != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+		t.Errorf("body %q, %v; want the whole stream", got.body, got.err)
+	}
+}
+
+// TestUnansweredRequestsAreGivenUpFirst guards against requests that get no answer because the gateway is killed
+// before it gives them up: it noticed the signal late.
+func TestUnansweredRequestsAreGivenUpFirst(t *testing.T) {
+	for _, path := range []string{pathOnce, pathStream} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t)
+			begun, release := make(chan struct{}, 1), make(chan struct{})
+			defer close(release)
+			serve := func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(testProof, "p")
+				_ = http.NewResponseController(w).Flush()
+				begun <- struct{}{}
+				<-release
+			}
+			f.add("app", "app-1", serve)
+			f.add("llm", "eng-1", serve)
+			go func() {
+				<-begun
+				now := time.Now()
+				f.gateway.DrainUntil(now, now.Add(AnswerReserve), now.Add(time.Minute))
+			}()
+			if got := f.ask(path); got.status != http.StatusGatewayTimeout || !strings.Contains(got.body, errStopped.Error()) {
+				t.Errorf("status %d, %q, %v; want 504 because of the stop", got.status, got.body, got.err)
+			}
+		})
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -293,6 +293,16 @@
 
 // ask sends a caller's request and reads the whole answer.
 func (f *fixture) ask(path string, change ...func(r *http.Request)) answer {
+	f.t.Helper()
+	resp, err := f.open(path, change...)
+	if err != nil {
+		return answer{err: err}
+	}
+	return readAnswer(resp)
+}
+
+// open sends a caller's request and waits for the head of the answer.
+func (f *fixture) open(path string, change ...func(r *http.Request)) (*http.Response, error) {
 	f.t.Helper()
 	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.server.URL+path, strings.NewReader("body"))
 	if err != nil {
@@ -303,10 +313,11 @@
 	for _, c := range change {
 		c(r)
 	}
-	resp, err := f.server.Client().Do(r)
-	if err != nil {
-		return answer{err: err}
-	}
+	return f.server.Client().Do(r)
+}
+
+// readAnswer reads the rest of an answer.
+func readAnswer(resp *http.Response) answer {
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	return answer{status: resp.StatusCode, body: string(b), header: resp.Header, closes: resp.Close, err: err}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,9 +63,12 @@
 	// stopNoticedAt is when the load balancer has noticed the stop.
 	stopBy        atomicTime
 	stopNoticedAt atomicTime
-	// stopping is cancelled by giveUpAll when a planned stop gives up the requests in flight.
-	stopping  context.Context
-	giveUpAll context.CancelCauseFunc
+	// unansweredStopped is cancelled by giveUpUnanswered when a planned stop gives up the requests in
+	// flight whose answer has not begun, stopping by giveUpAll when it gives up the others.
+	unansweredStopped context.Context
+	giveUpUnanswered  context.CancelFunc
+	stopping          context.Context
+	giveUpAll         context.CancelCauseFunc
 	// inFlight is the number of callers' requests; lastRequestAt is when the latest one started or
 	// ended.
 	inFlight      atomic.Int64
@@ -129,6 +132,7 @@
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), startedAt: now(),
 	}
 	reg.MustRegister(newLimitRates(g.limits.List))
+	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
 	return g
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,6 +25,9 @@
 		}
 		id, n := lastEventID(b)
 		if first {
+			if !s.headSent && !s.rq.beginAnswer() {
+				return streamBroken
+			}
 			started()
 			s.recordFirstEvent(st, answer, sent)
 			if st.from == nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,9 @@
 	// conn is the caller's connection; nil if it is not known.
 	conn *connlimit.Conn
 	w    http.ResponseWriter
+	// beginAnswer is called before the answer begins. It returns false if a planned stop has given up
+	// the request.
+	beginAnswer func() bool
 	// sent is set once an upstream may have received the request.
 	sent     bool
 	attempts int
@@ -79,8 +82,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
 	defer cancel()
-	ctx, release := g.untilStop(ctx)
+	ctx, beginAnswer, release := g.untilStop(ctx)
 	defer release()
+	rq.beginAnswer = beginAnswer
 	if !g.checkQuarantine(ctx, rq) {
 		return
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -30,29 +30,40 @@
 // Drain reports this entry as not ready to the load balancer and as stopping to the other
 // entries. Requests that still arrive are served if they are expected to end before the
 // deadline.
-func (g *Gateway) Drain(deadline time.Time) { g.DrainUntil(deadline, deadline) }
+func (g *Gateway) Drain(deadline time.Time) { g.DrainUntil(deadline, deadline, deadline) }
 
 // DrainUntil is Drain for an entry that cannot tell how late it noticed the signal to stop. New
-// requests are served if they are expected to end before last, the earlier deadline. Requests in
-// flight are given up only at end, the later deadline, because a generation that is given up too
-// early is lost for nothing.
-func (g *Gateway) DrainUntil(last, end time.Time) {
+// requests are served if they are expected to end before last, the earliest deadline. Requests in
+// flight whose answer has not begun are given up at unanswered, so that their callers get an answer
+// even if the process is killed soon after. Answers that have begun go on until end: they are lost
+// when they are cut.
+func (g *Gateway) DrainUntil(last, unanswered, end time.Time) {
 	g.stopNoticedAt.Store(g.now().Add(ReadinessLag))
 	g.stopBy.Store(last)
+	time.AfterFunc(unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
 	time.AfterFunc(end.Add(-AnswerReserve).Sub(g.now()), g.GiveUp)
 	g.limits.StopGranting()
 	g.peers.SendNow()
 }
 
-// GiveUp ends the requests in flight at the end of a planned stop; their callers get an answer.
-func (g *Gateway) GiveUp() { g.giveUpAll(errStopped) }
+// GiveUp ends all requests in flight at the end of a planned stop. Callers whose answer has not begun
+// get one.
+func (g *Gateway) GiveUp() {
+	g.giveUpUnanswered()
+	g.giveUpAll(errStopped)
+}
 
-// untilStop returns a context that is also cancelled when a planned stop gives up the requests
-// in flight, so that their callers get an answer and not a closed connection.
-func (g *Gateway) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+// untilStop returns a context that is also cancelled when a planned stop gives up the request, so that its
+// caller gets an answer and not a closed connection. beginAnswer must be called before the answer begins;
+// it returns false if the request has been given up. After it has returned true, the
+// request is given up only with the answers that have begun.
+func (g *Gateway) untilStop(ctx context.Context) (_ context.Context, beginAnswer func() bool, release context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	unhook := context.AfterFunc(g.stopping, func() { cancel(errStopped) })
-	return ctx, func() {
+	stop := func() { cancel(errStopped) }
+	beginAnswer = context.AfterFunc(g.unansweredStopped, stop)
+	unhook := context.AfterFunc(g.stopping, stop)
+	return ctx, beginAnswer, func() {
+		beginAnswer()
 		unhook()
 		cancel(context.Canceled)
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,7 +45,7 @@
 mutant gateway-silent-load $gateway/gateway.go 's/g\.loads\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfUnreachableEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.eventInterval\.remaining\(rq\.call\.MaxOutput,/g.eventInterval.remaining(rq.call.Hint,/' $gateway TestStoppingGatewayIgnoresTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.anyServes:/case false:/' $gateway TestRetryDelayAfterStop
-mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\(end\.Add\(-AnswerReserve\)[^\n]*\n//' $gateway TestStopAnswersRequestsInFlight
+mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n//g' $gateway TestStopAnswersRequestsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
 
 connlimit=internal/connlimit
@@ -219,7 +219,11 @@
 mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/signalled, earliest = b\.stalls\.earliestSignal\(\), /signalled, earliest = time.Now(), /' internal/daemon TestStopSignalTimes
 mutant stop-in-pieces internal/daemon/runlag.go 's/t\.late$/false/m; s/late = t\.late/late = false/' internal/daemon TestLagDetector
 mutant stop-lag-asked internal/daemon/gatewayhttp.go 's/, b\.lags\.earliestSignal\(\)$/, time.Now()/m' internal/daemon TestStopSignalTimes
-mutant stop-gives-up-late internal/gateway/stop.go 's/time\.AfterFunc\(end\.Add/time.AfterFunc(last.Add/' internal/gateway TestDrainUntilKeepsRequestsInFlight
+mutant stop-gives-up-late internal/gateway/stop.go 's/time\.AfterFunc\(unanswered\.Add/time.AfterFunc(last.Add/' internal/gateway TestDrainUntilKeepsRequestsInFlight
+mutant stop-cuts-begun internal/gateway/stop.go 's/time\.AfterFunc\(end\.Add/time.AfterFunc(unanswered.Add/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
+mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
+mutant stop-unanswered-first internal/gateway/stop.go 's/time\.AfterFunc\(unanswered\.Add/time.AfterFunc(end.Add/' internal/gateway TestUnansweredRequestsAreGivenUpFirst
+mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/, noticed\.Add\(within\)$/, signalled.Add(within)/m' platform/soak TestStopBesidePauseCutsNoStreamEarly
 mutant stop-takes-by-last internal/gateway/stop.go 's/g\.stopBy\.Store\(last\)/g.stopBy.Store(end)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
 mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
 mutant stop-waits-sidecar internal/daemon/sidecar.go 's/if !b\.server\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/leaving'
