fix(gateway): callers return after the latest end of a stop

Callers saw: where all entries stop, a caller is told to come back when the first of them has been replaced. An entry that noticed its stop late told it up to the length of its pause too early. The caller then found no entry and used up one of its few retries.

Cause: the time that peers and callers hear was the earliest possible end of the stop, which is meant for new requests.

Change: they hear the latest one. A caller that waits longer by a pause loses that time, one that returns too early loses a retry. TestRetryDelayAfterLateNoticedStop fails before: 2.75 s instead of 7.75 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,10 +59,12 @@
 	met      *metrics
 	now      func() time.Time
 	loads    *loadTracker
-	// stopBy is when requests have to end in a planned stop, and zero if none is under way.
-	// stopNoticedAt is when the load balancer has noticed the stop.
-	stopBy        atomicTime
-	stopNoticedAt atomicTime
+	// stopBy is when a planned stop ends this entry at the latest, and zero if none is under way. New
+	// requests have to end before lastRequestEnd. stopNoticedAt is when the load balancer has noticed
+	// the stop.
+	stopBy         atomicTime
+	lastRequestEnd atomicTime
+	stopNoticedAt  atomicTime
 	// unansweredStopped is cancelled by giveUpUnanswered when a planned stop gives up the requests in
 	// flight whose answer has not begun, stopping by giveUpAll when it gives up the others.
 	unansweredStopped context.Context
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -39,7 +39,8 @@
 // when they are cut.
 func (g *Gateway) DrainUntil(last, unanswered, end time.Time) {
 	g.stopNoticedAt.Store(g.now().Add(ReadinessLag))
-	g.stopBy.Store(last)
+	g.lastRequestEnd.Store(last)
+	g.stopBy.Store(end)
 	time.AfterFunc(unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
 	time.AfterFunc(end.Add(-AnswerReserve).Sub(g.now()), g.GiveUp)
 	g.limits.StopGranting()
@@ -69,13 +70,14 @@
 	}
 }
 
-// StopDeadline returns the time by which requests have to end in a planned stop. It is zero if no stop
-// is in progress.
+// StopDeadline returns the latest time at which a planned stop ends this entry. It is zero if no stop is in
+// progress. Callers that have to wait for the replacement are told to return by it: one that returns
+// too early uses up one of its few retries.
 func (g *Gateway) StopDeadline() time.Time { return g.stopBy.Load() }
 
 // stopsBefore reports whether a planned stop would give up a request that takes d from now.
 func (g *Gateway) stopsBefore(d time.Duration) bool {
-	by := g.StopDeadline()
+	by := g.lastRequestEnd.Load()
 	return !by.IsZero() && g.now().Add(d).After(by)
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// TestRetryDelayAfterLateNoticedStop guards against callers that return before the replacement of an entry
+// that noticed its stop late. They find no entry and use up a retry.
+func TestRetryDelayAfterLateNoticedStop(t *testing.T) {
+	f := newFixture(t)
+	now := time.Now()
+	f.gateway.now = func() time.Time { return now }
+	f.gateway.DrainUntil(now.Add(time.Second), now.Add(2*time.Second), now.Add(6*time.Second))
+	if got, want := f.gateway.retryDelayAfterStop(), 6*time.Second+restartTime; (got - want).Abs() > time.Millisecond {
+		t.Errorf("retry delay %s, want %s", got, want)
+	}
+}
+
 func TestIdleFor(t *testing.T) {
 	f := newFixture(t)
 	began, release := make(chan struct{}), make(chan struct{})
