fix: a broken answer does not end the limit of an upstream

Callers' requests reached an upstream beyond the rate that it announces: while its answers were broken, all gateways sent it whatever they had, up to 59 requests in 4 s where 24 are allowed.

Cause: a limit ends with a whole answer that names none. The gateway took an answer for whole once its body had ended, also if more bytes followed it or only the close of the connection marked its end. It knew both and closed such connections, but not the code that ends limits. An upstream that sends broken answers may leave out the limit as well.

Requests have no permit (limit -1) until an answer names the limit again, 0.7 to 1.1 s later. No granter changed and no request of the excess had a permit.

Change: link.Answer.Clean tells whether an answer ended as its head says and nothing has followed. Only a clean answer ends a limit. The head of a stream ends it only if the stream is framed, as its end counts only then.

The new cases of TestAnswersThatEndALimit failed before ("the limit has ended: true, want false").

A repeated answer that arrives later than the first one is still not noticed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -294,7 +294,7 @@
 	if r.err != nil {
 		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err)
 	}
-	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final()})
+	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final() && a.Clean()})
 	return r
 }
 
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -290,6 +291,17 @@
 			w.Header().Set(testID, "another")
 			serveOK(w, r)
 		}, false},
+		{"a complete answer that closes the connection", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Connection", "close")
+			serveOK(w, r)
+		}, true},
+		{"an answer that only the close of the connection ends", func(w http.ResponseWriter, r *http.Request) {
+			serveRaw(w, rawHead(r)+"\r\nok")
+		}, false},
+		{"an answer that is sent twice", func(w http.ResponseWriter, r *http.Request) {
+			answer := rawHead(r) + "Content-Length: 2\r\n\r\nok"
+			serveRaw(w, answer+answer)
+		}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
@@ -304,6 +316,47 @@
 	}
 }
 
+// TestStreamsThatEndALimit: a stream whose end nothing marks does not end a limit, since it counts as
+// broken.
+func TestStreamsThatEndALimit(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		serve http.HandlerFunc
+		over  bool
+	}{
+		{"a complete stream", serveShortStream, true},
+		{"a stream that only the close of the connection ends", func(w http.ResponseWriter, r *http.Request) {
+			serveRaw(w, rawHead(r)+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n")
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add("llm", "e", tc.serve)
+			f.gateway.limits.NoteLimit("e", 1000)
+			time.Sleep(100 * time.Millisecond)
+			f.ask(pathStream)
+			if over := !f.gateway.limits.Any(); over != tc.over {
+				t.Errorf("the limit has ended: %v, want %v", over, tc.over)
+			}
+		})
+	}
+}
+
+// rawHead returns the status line and the first headers of a successful answer.
+func rawHead(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\n" + testID + ": " + r.Header.Get(testID) + "\r\n" + testProof + ": p\r\n"
+}
+
+// serveRaw writes text unchanged and closes the connection.
+func serveRaw(w http.ResponseWriter, text string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, text)
+	_ = c.Close()
+}
+
 // TestLimitInAnswerToAnotherRequestIsIgnored: a limit in an answer to another request does not
 // apply to the upstream that the request was sent to.
 func TestLimitInAnswerToAnotherRequestIsIgnored(t *testing.T) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -14,9 +14,9 @@
 	// sentAt is when the request was sent.
 	sentAt time.Time
 	header http.Header
-	// complete is set if the upstream ran the request and its answer is not an error. Only
-	// then does an answer without a limit mean that there is none: an error or a broken answer
-	// may lack the limit for other reasons.
+	// complete is set if the upstream ran the request and its answer is not an error and is correct
+	// HTTP as far as it was read. Only then does an answer without a limit mean that there is none:
+	// an error or a broken answer may lack the limit for other reasons.
 	complete bool
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -330,8 +330,12 @@
 	a.pool.putIdle(a.conn, a.Header)
 }
 
+// Clean reports whether the body was read to an end that its head announces, and nothing more has
+// been received. Otherwise the upstream does not write its answers correctly.
+func (a *Answer) Clean() bool { return a.eof && a.Framed && a.conn.r.Buffered() == 0 }
+
 func (a *Answer) reusable() bool {
-	if !a.eof || a.close || !a.Framed || a.conn.r.Buffered() > 0 {
+	if a.close || !a.Clean() {
 		return false
 	}
 	select {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -169,6 +169,43 @@
 	}
 }
 
+// Guards against taking an answer for correct whose end only the connection marks, or that more bytes
+// follow.
+func TestCleanAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		answer string
+		clean  bool
+	}{
+		{"Content-Length", "Content-Length: 2\n\nok", true},
+		{"chunked", "Transfer-Encoding: chunked\n\n2\nok\n0\n\n", true},
+		{"Connection: close", "Content-Length: 2\nConnection: close\n\nok", true},
+		{"body ended by the end of the connection", "\nok", false},
+		{"second answer", "Content-Length: 2\n\nokHTTP/1.1 200 OK\nContent-Length: 2\n\nok", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(t, r)
+				writeText(c, "HTTP/1.1 200 OK\n"+tc.answer)
+			})
+			a, err := newPool().Do(t.Context(), u.address, request("1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			if a.Clean() {
+				t.Error("the answer is clean before its body was read")
+			}
+			if _, err := io.ReadAll(a); err != nil {
+				t.Fatal(err)
+			}
+			if a.Clean() != tc.clean {
+				t.Errorf("the answer is clean: %v, want %v", a.Clean(), tc.clean)
+			}
+		})
+	}
+}
+
 func TestErrorTellsWhetherRequestWasSent(t *testing.T) {
 	dead, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -261,6 +261,10 @@
 mutant limits-target $gateway/choose.go 's/g\.chooseTargetAmong\(s, from, g\.excludeLimited\(exclude\)\)/g.chooseTargetAmong(s, from, exclude)/' $gateway TestMovesPreferUnlimitedEngines
 mutant limits-other-answer $gateway/limits.go 's/if h\.header\.Get\(g\.proto\.IDHeader\) != rq\.call\.ID \{/if h.header == nil {/' $gateway 'TestLimitInAnswerToAnotherRequest|TestAnswersThatEndALimit'
 mutant limits-failure $gateway/limits.go 's/ && h\.complete \{/ {/' $gateway TestAnswersThatEndALimit
+mutant limits-broken-answer $gateway/call.go 's/r\.final\(\) && a\.Clean\(\)/r.final()/' $gateway TestAnswersThatEndALimit
+mutant limits-broken-stream $gateway/attempt.go 's/answer\.Framed && g\.proto\.Complete/g.proto.Complete/' $gateway TestStreamsThatEndALimit
+mutant link-surplus internal/link/link.go 's/a\.Framed && a\.conn\.r\.Buffered\(\) == 0/a.Framed/' internal/link TestCleanAnswers
+mutant link-framed internal/link/link.go 's/a\.eof && a\.Framed && /a.eof \&\& /' internal/link TestCleanAnswers
 mutant limits-stop $gateway/stop.go 's/\tg\.limits\.StopGranting\(\)\n//' $gateway TestStoppingEntryHandsOverGranting
 mutant limits-wait $gateway/permit.go 's/if at\.After\(until\) \|\|/if !at.IsZero() ||/' $gateway TestResumedGenerationWaitsForAPermit
 mutant limits-callers platform/caller.go 's/headerNotRun, headerLimit,/headerNotRun,/' platform TestLimitHeaderOfRequestAndResponse
