fix: of entries that stop together one grants permits, not each

An upstream that announces a rate limit got up to the whole limit from each entry while all of them stopped, for example in a rolling restart whose stops overlap.

Cause: a stopping entry chose the first entry that does not stop as the granter, and itself if there was none. Each of them then granted with a bucket of its own, and with the whole limit, as it still hears most of the entries.

Evidence: in the logs of a rolling stop of three gateways two of them name themselves as the granter of one upstream, 60 ms apart, and go on until they end. The soak counts no requests of gateways that stop, so it did not report this.

Change: the candidates are the entries that do not stop, this one included, or all entries if all stop. The highest hash decides among them in both cases. Two mutants follow the code, one is new.

--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -107,10 +107,10 @@
 // granterOf returns the entry that grants permits for an incarnation. It creates the bucket when this
 // entry becomes the granter, and drops it when another one does. The caller must hold s.mu.
 func (s *Set) granterOf(incarnation string, l *limit) string {
-	granter, highest := s.name, rendezvousHash(incarnation, s.name)
-	for i, name := range s.granterCandidates() {
+	granter, highest := "", uint64(0)
+	for _, name := range s.granterCandidates() {
 		h := rendezvousHash(incarnation, name)
-		if s.stopping && i == 0 || h > highest || h == highest && name > granter {
+		if granter == "" || h > highest || h == highest && name > granter {
 			granter, highest = name, h
 		}
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -124,7 +124,8 @@
 	s.entryCount = n
 }
 
-// StopGranting makes another entry grant permits, if there is one, because this entry stops.
+// StopGranting makes another entry grant permits, if there is one that does not stop, because this
+// entry stops.
 func (s *Set) StopGranting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -46,16 +46,28 @@
 	maps.DeleteFunc(s.peers, func(name string, _ *peer) bool { return !live[name] })
 }
 
-// granterCandidates returns the names of the other entries that send gossip, are not stopping and
-// support limits. The caller must hold s.mu.
+// granterCandidates returns the names of the entries that may grant permits: this one and those that
+// send gossip and support limits, without those that are stopping unless all are. The caller must
+// hold s.mu.
 func (s *Set) granterCandidates() []string {
-	var out []string
+	var serving, stopping []string
+	add := func(name string, stops bool) {
+		if stops {
+			stopping = append(stopping, name)
+		} else {
+			serving = append(serving, name)
+		}
+	}
+	add(s.name, s.stopping)
 	for _, e := range s.others.LivePeers() {
-		if !e.Stops && s.supportsLimits(e) {
-			out = append(out, e.Name)
+		if s.supportsLimits(e) {
+			add(e.Name, e.Stops)
 		}
 	}
-	return out
+	if len(serving) == 0 {
+		return stopping
+	}
+	return serving
 }
 
 // supportsLimits reports whether the current incarnation of an entry is known to support limits. The
--- a/internal/limits/rig_test.go
+++ b/internal/limits/rig_test.go
@@ -80,6 +80,8 @@
 	// disturbedAt when a fault of the entry last began or ended.
 	startedAt, frozenAt, partitionedAt, disturbedAt time.Time
 	frozen                                          bool
+	// stopping is set when the entry is about to stop.
+	stopping bool
 	// informedAt is when the entry first learned of the limit.
 	informedAt time.Time
 	// roundPending is set while an urgent round is scheduled.
@@ -139,7 +141,7 @@
 	defer r.mu.Unlock()
 	e.lastIncarnation++
 	incarnation := e.lastIncarnation
-	e.incarnation = incarnation
+	e.incarnation, e.stopping = incarnation, false
 	e.startedAt, e.informedAt, e.ownLimiter, e.roundPending = time.Now(), time.Time{}, nil, false
 	e.set = New(e.name, strconv.Itoa(incarnation), Peers{
 		LivePeers: func() []Entry {
@@ -181,6 +183,15 @@
 	e.incarnation, e.disturbedAt = 0, time.Now()
 }
 
+// stopGranting announces that the entry is about to stop.
+func (e *rigEntry) stopGranting() {
+	e.rig.mu.Lock()
+	e.stopping = true
+	set := e.set
+	e.rig.mu.Unlock()
+	set.StopGranting()
+}
+
 // freeze suspends an entry or lets it run again.
 func (e *rigEntry) freeze(frozen bool) {
 	e.rig.mu.Lock()
@@ -261,7 +272,9 @@
 }
 
 // asPeer returns what gossip reports about this entry. The caller must hold the rig's lock.
-func (e *rigEntry) asPeer() Entry { return Entry{Name: e.name, Life: strconv.Itoa(e.incarnation)} }
+func (e *rigEntry) asPeer() Entry {
+	return Entry{Name: e.name, Life: strconv.Itoa(e.incarnation), Stops: e.stopping}
+}
 
 // others returns all other entries.
 func (e *rigEntry) others() []Entry {
--- a/internal/limits/share_test.go
+++ b/internal/limits/share_test.go
@@ -95,6 +95,43 @@
 	}
 }
 
+// Guards against each of several entries that stop at once granting the whole limit: four of them
+// sent four times as much as the upstream takes.
+func TestEntriesThatStopTogetherKeepTheLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		entries int
+		stops   int
+	}{
+		{"some stop", 4, 3},
+		{"all stop", 4, 4},
+		{"all of many stop", 30, 30},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const limit = 100.0
+				r := newRig(1, tc.entries, 3*time.Millisecond, 0.02)
+				r.limit(limit)
+				go r.generateLoad(6*limit, 20*time.Second)
+				time.Sleep(5 * time.Second)
+				for _, e := range r.all()[:tc.stops] {
+					e.stopGranting()
+				}
+				time.Sleep(time.Second)
+				from := time.Now()
+				time.Sleep(10 * time.Second)
+				used := r.usedShare(from)
+				t.Logf("%.2f of the limit used", used)
+				if used < 0.9 || used > 1.1 {
+					t.Errorf("%.2f of the limit used, want 0.90 to 1.10", used)
+				}
+				time.Sleep(5 * time.Second)
+				r.stop()
+			})
+		})
+	}
+}
+
 // Guards against entries with few callers being served less often than those with many: the next
 // permit goes to the entry that asks first.
 func TestNoEntryStarves(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -242,7 +242,8 @@
 mutant limits-begin $limits/grant.go 's/l\.grantsFrom = s\.now\(\)\.Add\(s\.others\.BroadcastTime\(\)\)/l.grantsFrom = s.now()/' $limits TestNewGranterWaitsAndStartsEmpty
 mutant limits-other-granter $limits/grant.go 's/case s\.granterOf\(observed\.Start, l\) != s\.name:/case s.granterOf(observed.Start, l) == "":/' $limits TestAnswers
 mutant limits-asked-twice $limits/grant.go 's/if !repeated \{/if _ = repeated; true {/' $limits TestAnswers
-mutant limits-leaves $limits/grant.go 's/s\.stopping && i == 0 \|\| /i < 0 || /' $limits TestStoppingGranterHandsOver
+mutant limits-leaves $limits/peers.go 's/add\(s\.name, s\.stopping\)/add(s.name, false)/' $limits TestStoppingGranterHandsOver
+mutant limits-all-stop $limits/peers.go 's/return stopping\n/return []string{s.name}\n/' $limits TestEntriesThatStopTogetherKeepTheLimit
 mutant limits-least $limits/grant.go 's/max\(l\.rate\*s\.share\(\), minGrantRate\)/l.rate * s.share()/' $limits TestGrantedRate
 mutant limits-not-listed $limits/grant.go 's/\tif s\.entryCount == 0 \{\n\t\treturn 0\n\t\}\n//' $limits TestGrantedRate
 mutant limits-order $limits/grant.go 's/return mix\(h\.Sum64\(\)\)/return h.Sum64()/' $limits TestGrantersAreSpread
@@ -254,7 +255,7 @@
 mutant limits-asks $limits/peers.go 's/ \|\| p\.wantsAck//' internal/gossip TestReceiversOfLimitMessages
 mutant limits-earlier-life $limits/peers.go 's/return known && p\.incarnation == e\.Life/return known && p.incarnation != ""/' $limits TestGranterCandidates
 mutant limits-silent internal/gossip/limits.go 's/ && now\.Sub\(p\.Heard\) <= staleAfter//; s/staleAfter, now := n\.staleAfter\(\), n\.now\(\)/_ = n.staleAfter()/' internal/gossip TestStalePeersAreNotLive
-mutant limits-stops $limits/peers.go 's/!e\.Stops && //' $limits TestGranterCandidates
+mutant limits-stops $limits/peers.go 's/add\(e\.Name, e\.Stops\)/add(e.Name, false)/' $limits TestGranterCandidates
 mutant limits-lay internal/gossip/limits.go 's/at := n\.start\.Add\(time\.Duration\(e\.Sent\) \+ time\.Duration\(e\.HeldUS\)\*time\.Microsecond\)/at := n.now()/' internal/gossip TestSentNotBefore
 mutant limits-no-permit $gateway/permit.go 's/err = g\.limits\.Take\(ctx, u\.ID\)/err = ctx.Err()/' $gateway TestRateLimitOfUpstreamIsObeyed
 mutant limits-copy $gateway/continue.go 's/if err := s\.g\.awaitPermit\(ctx, held\.at\.ID, s\.g\.now\(\)\.Add\(resumeWait\)\); err != nil/if err := ctx.Err(); err != nil/' $gateway TestMovedGenerationNeedsAPermit
