test(gateway): the caller of a losing attempt disconnects after it has begun

Cause: the test. Its caller disconnected 55 ms after it asked, the second attempt starts 45 ms after the first, and its upstream answered 25 ms later. Beside load either no second attempt had begun, or its answer came later than the 50 ms for which the link of the tests waits for it. The gateway is right in both cases.

Change: the test forces the order. The caller disconnects once the second attempt has reached its upstream, and that upstream answers 15 ms after the gateway has answered or has noticed the disconnect, as before. The link waits 30 s for the head in place of 50 ms, so only a link that does not wait fails the test. The assertion on the backoff and its limit of 1 s stay; new is one on the caller: 200, or no answer if it disconnects.

--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -10,6 +13,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 )
@@ -306,37 +310,57 @@
 // An attempt whose request is answered by another attempt, or whose caller disconnects, must not be
 // abandoned before its answer arrives: the answer may ask for backoff or announce leaving.
 func TestNoticeInAnswerOfLosingAttemptIsApplied(t *testing.T) {
+	// giveUpTime is longer than a cancelled attempt runs if it does not wait for its answer.
+	const giveUpTime = 15 * time.Millisecond
 	for _, tc := range []struct {
-		name   string
-		change func(f *fixture, r *http.Request)
+		name        string
+		disconnects bool
 	}{
-		{"another attempt is answered first", func(*fixture, *http.Request) {}},
-		{"the caller disconnects", func(_ *fixture, r *http.Request) {
-			ctx, cancel := context.WithTimeout(r.Context(), 55*time.Millisecond)
-			t.Cleanup(cancel)
-			*r = *r.WithContext(ctx)
-		}},
+		{"another attempt is answered first", false},
+		{"the caller disconnects", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
-			secondBegun := make(chan struct{}, 2)
-			// The upstream that gets the first attempt answers after the second attempt has begun.
-			// The other upstream asks for backoff a little later.
+			f.gateway.link = link.New(link.Settings{DialTimeout: time.Second, DefaultIdleTimeout: time.Minute, HeadGrace: testTimeout, IDHeader: testID},
+				func(ctx context.Context, address string) (net.Conn, error) {
+					return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+				}, time.Now)
+			ended := f.serveOne()
+			// The first attempt is answered once the second has reached its upstream, or never if the caller
+			// disconnects then. The second upstream asks for backoff after the request has ended.
+			secondBegun := make(chan struct{})
+			firstAnswered := secondBegun
+			if tc.disconnects {
+				firstAnswered = nil
+			}
 			var first atomic.Bool
 			serve := func(w http.ResponseWriter, r *http.Request) {
 				if !first.Swap(true) {
-					f.holdUntil(secondBegun)
-					time.Sleep(10 * time.Millisecond)
+					f.holdUntil(firstAnswered)
 					serveOK(w, r)
 					return
 				}
-				secondBegun <- struct{}{}
-				time.Sleep(25 * time.Millisecond)
+				close(secondBegun)
+				f.holdUntil(ended)
+				time.Sleep(giveUpTime)
 				withHeaders(serveNotRun, testRetryMs, "2000")(w, r)
 			}
 			f.add("app", "a", serve)
 			f.add("app", "b", serve)
-			f.ask(pathSafe, func(r *http.Request) { tc.change(f, r) })
+			got := f.ask(pathSafe, func(r *http.Request) {
+				if !tc.disconnects {
+					return
+				}
+				ctx, cancel := context.WithCancel(r.Context())
+				go func() {
+					f.holdUntil(secondBegun)
+					cancel()
+				}()
+				*r = *r.WithContext(ctx)
+			})
+			if disconnected := errors.Is(got.err, context.Canceled); disconnected != tc.disconnects || !disconnected && got.status != http.StatusOK {
+				t.Fatalf("status %d, %v; want 200, or no answer if the caller disconnects", got.status, got.err)
+			}
 			for begun := time.Now(); !f.fleet.AnyBackOff(); time.Sleep(time.Millisecond) {
 				if time.Since(begun) > time.Second {
 					t.Fatal("the backoff that the upstream asked for was not applied")
@@ -345,3 +369,15 @@
 		})
 	}
 }
+
+// serveOne serves a single request of a caller, and closes the returned channel when the gateway has
+// answered it or has noticed that the caller disconnected.
+func (f *fixture) serveOne() (ended <-chan struct{}) {
+	signal := make(chan struct{})
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		context.AfterFunc(r.Context(), func() { close(signal) })
+		f.gateway.ServeHTTP(w, r)
+	}))
+	f.t.Cleanup(f.server.Close)
+	return signal
+}
