test(standin): a port of FreePort is free beside forks

FreePort holds syscall.ForkLock since, and no test failed without it. TestFreePortBesideForks listens on 3,000 ports right after FreePort returned them, while four goroutines start processes.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -341,4 +341,6 @@
 
 mutant answer-cancelled internal/link/link.go 's/if c\.headRead\.Load\(\) \|\| /if true || /' internal/gateway TestNoticeInAnswerOfLosingAttempt
 
+mutant port-fork internal/standin/port.go 's/\tsyscall\.ForkLock\.RLock\(\)\n\tdefer syscall\.ForkLock\.RUnlock\(\)\n/\tsyscall.ForkLock.RLock()\n\tsyscall.ForkLock.RUnlock()\n/' internal/standin TestFreePortBesideForks
+
 finish
