--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -22,7 +22,7 @@
 	})
 	inFlight := make(chan answer, 1)
 	go func() { inFlight <- f.ask(pathOnce) }()
-	<-begun
+	f.waitSignal("the request has reached the upstream", begun)
 	now := time.Now()
 	f.gateway.DrainUntil(now.Add(50*time.Millisecond), now.Add(time.Second), now.Add(time.Second))
 	time.Sleep(60 * time.Millisecond)
@@ -43,10 +43,10 @@
 		w.Header().Set(testProof, "p")
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
 		_ = http.NewResponseController(w).Flush()
-		<-release
+		f.holdUntil(release)
 		_, _ = io.WriteString(w, "id: 2\ndata: y\n\n")
 	})
-	resp, err := f.open(pathStream)
+	resp, err := f.open(t.Context(), pathStream)
 	if err != nil {
 		close(release)
 		t.Fatal(err)
@@ -74,12 +74,12 @@
 				w.Header().Set(testProof, "p")
 				_ = http.NewResponseController(w).Flush()
 				begun <- struct{}{}
-				<-release
+				f.holdUntil(release)
 			}
 			f.add("app", "app-1", serve)
 			f.add("llm", "eng-1", serve)
 			go func() {
-				<-begun
+				f.holdUntil(begun)
 				now := time.Now()
 				f.gateway.DrainUntil(now, now.Add(AnswerReserve), now.Add(time.Minute))
 			}()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -94,7 +94,7 @@
 	began, release := make(chan struct{}), make(chan struct{})
 	f.add("app", "a", func(w http.ResponseWriter, r *http.Request) {
 		close(began)
-		<-release
+		f.holdUntil(release)
 		serveOK(w, r)
 	})
 	ended := make(chan struct{})
@@ -102,7 +102,7 @@
 		defer close(ended)
 		f.ask(pathSafe)
 	}()
-	<-began
+	f.waitSignal("the request has reached the upstream", began)
 	if got := f.gateway.IdleFor(); got != 0 {
 		t.Errorf("quiet for %s while a request is in flight", got)
 	}
@@ -135,7 +135,7 @@
 			defer close(release)
 			serve := func(http.ResponseWriter, *http.Request) {
 				begun <- struct{}{}
-				<-release
+				f.holdUntil(release)
 			}
 			f.add("app", "app-1", serve)
 			f.add("llm", "eng-1", serve)
