fix(gateway): a request that a stop gives up is cancelled at once

Cause: the stop function of context.AfterFunc returns false as soon as the function has started in its goroutine, which may not have cancelled the request yet. Look and end were two steps.

Change: beginAnswer cancels the request itself before it returns false.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -55,17 +55,25 @@
 }
 
 // untilStop returns a context that is also cancelled when a planned stop gives up the request, so that its
-// caller gets an answer and not a closed connection. beginAnswer must be called before the answer begins;
-// it returns false if the request has been given up. After it has returned true, the
-// request is given up only with the answers that have begun.
+// caller gets an answer and not a closed connection. beginAnswer must be called before a streamed answer
+// begins. It returns false if the request has been given up, and ctx is cancelled then. After it has
+// returned true, the request is given up only with the answers that have begun.
 func (g *Gateway) untilStop(ctx context.Context) (_ context.Context, beginAnswer func() bool, release context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := func() { cancel(errStopped) }
-	beginAnswer = context.AfterFunc(g.unansweredStopped, stop)
-	unhook := context.AfterFunc(g.stopping, stop)
+	giveUp := func() { cancel(errStopped) }
+	unhookUnanswered := context.AfterFunc(g.unansweredStopped, giveUp)
+	unhookAll := context.AfterFunc(g.stopping, giveUp)
+	beginAnswer = func() bool {
+		if unhookUnanswered() {
+			return true
+		}
+		// giveUp has started in another goroutine and may not have cancelled ctx yet.
+		giveUp()
+		return false
+	}
 	return ctx, beginAnswer, func() {
-		beginAnswer()
-		unhook()
+		unhookUnanswered()
+		unhookAll()
 		cancel(context.Canceled)
 	}
 }
