fix(daemon): a stop that is noticed late keeps its listener

Found by review.

Cause: the listener closed by the earliest possible end of the stop, which is meant for requests that would end too late. Those get a 503 and a time to return; a refused connection tells its caller neither.

Change: it closes by the latest possible end. Requests are refused by the earliest, as before. TestLateNoticedStopKeepsListener failed before: connection refused 0.5 s after the stop was noticed.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -123,7 +123,7 @@
 	lastRequestEnd, deadline := earliest.Add(within), noticed.Add(within)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", noticed.Sub(signalled), "at-most", noticed.Sub(earliest))
 	b.gateway.DrainUntil(lastRequestEnd, signalled.Add(within), deadline)
-	b.awaitQuiet(time.Now().Add(min(gateway.ReadinessLag, b.settings.StopWithin/3)), lastRequestEnd.Add(-closeReserve))
+	b.awaitQuiet(time.Now().Add(min(gateway.ReadinessLag, b.settings.StopWithin/3)), deadline.Add(-closeReserve))
 	ctx = context.WithoutCancel(ctx)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerReserve))
 	defer cancel()
