fix(gateway): callers of unsent requests return after a stop

Found by review. Callers saw: a request that a stop gives up before it was sent, because it waits for a permit or in quarantine, got 503 and 250 ms; one that the same stop refuses got up to 7.75 s. It returned before another entry could serve it and used up a retry.

Cause: giveUp took the delay of busy upstreams. Change: it takes the one of the stop. TestRetryDelayOfUnsentRequestGivenUp failed before.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -294,11 +294,14 @@
 // giveUp answers a request that got no answer from an upstream. If the request was never sent,
 // the caller may retry it; otherwise the status allows that it has run.
 func (g *Gateway) giveUp(ctx context.Context, rq *request, reason string) {
-	if errors.Is(context.Cause(ctx), errStopped) {
+	stopped := errors.Is(context.Cause(ctx), errStopped)
+	if stopped {
 		reason = errStopped.Error()
 	}
 	status, retryAfter := http.StatusBadGateway, time.Duration(0)
 	switch {
+	case !rq.sent && stopped:
+		status, retryAfter = http.StatusServiceUnavailable, g.retryDelayAfterStop()
 	case !rq.sent && g.allInBackOff(rq.service.Name, nil):
 		status, retryAfter = http.StatusServiceUnavailable, g.retryDelayAfterLimit(rq)
 	case !rq.sent:
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 func TestStoppingGatewayRefusesLongStreams(t *testing.T) {
@@ -89,6 +93,24 @@
 	}
 }
 
+// TestRetryDelayOfUnsentRequestGivenUp guards against callers whose request was given up before it was sent and
+// that return before another entry can serve them.
+func TestRetryDelayOfUnsentRequestGivenUp(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.Drain(time.Now().Add(6 * time.Second))
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(errStopped)
+	w := httptest.NewRecorder()
+	f.gateway.giveUp(ctx, &request{w: w, service: &routetable.Service{Name: "app"}, start: time.Now(), caller: t.Context()}, "")
+	ms, err := strconv.Atoi(w.Header().Get(testRetryMs))
+	if err != nil || w.Code != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, %v; want 503 with a retry delay", w.Code, err)
+	}
+	if got, want := time.Duration(ms)*time.Millisecond, 6*time.Second+restartTime; got > want || got < want-time.Second {
+		t.Errorf("retry delay %s, want %s", got, want)
+	}
+}
+
 func TestIdleFor(t *testing.T) {
 	f := newFixture(t)
 	began, release := make(chan struct{}), make(chan struct{})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -227,6 +227,7 @@
 mutant stop-given-up-goes-on internal/gateway/stop.go 's/\t\tgiveUp\(\)\n\t\treturn false/\t\treturn false/' internal/gateway TestGivenUpRequestIsCancelledAtOnce
 mutant stop-begins-after-end internal/gateway/stop.go 's/\tg\.giveUpUnanswered\(\)\n\tg\.giveUpAll/\tg.giveUpAll/' internal/gateway TestNoAnswerBeginsAfterGiveUp
 mutant stop-closes-early internal/daemon/gatewayhttp.go 's/deadline\.Add\(-closeReserve\)/lastRequestEnd.Add(-closeReserve)/' internal/daemon TestLateNoticedStopKeepsListener
+mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
 mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastRequestEnd\.Store\(last\)/g.lastRequestEnd.Store(end)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
 mutant stop-return-early internal/gateway/stop.go 's/g\.stopBy\.Store\(end\)/g.stopBy.Store(last)/' internal/gateway TestRetryDelayAfterLateNoticedStop
 mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
