test(scenario): a process that exits ends the wait for its start

Seen: TestScripts/stream_bad_engine failed with "Get http://127.0.0.1:20059/livez: connection refused" 20 s after the start of a process.

Cause of the misleading text: the wait looked only at the port, not at the process, which had exited at once. The exit status was not reported.

Change: a process that exits by itself ends the wait, and the error states its name, its exit status and the end of its log. No check of a scenario is changed.

--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -162,34 +162,50 @@
 	return args
 }
 
-func (c *cluster) launch(p *process) error {
+var errExited = errors.New("the process has exited")
+
+// launch starts a process. The returned channel receives an error that wraps errExited
+// if the process exits by itself. An end by a signal is not reported: a test that kills
+// a process may start it again while it waits.
+func (c *cluster) launch(p *process) (<-chan error, error) {
 	log, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p.cmd = exec.Command("sparshored", p.args...)
 	p.cmd.Env = append(os.Environ(), "SPARSHORE_OPERATORS=op="+config.HashKey(opToken))
 	p.cmd.Env = append(p.cmd.Env, c.env...)
 	p.cmd.Stderr = log
 	if err := p.cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	p.done = make(chan struct{})
+	exited := make(chan error, 1)
 	go func() {
 		_ = p.cmd.Wait()
 		_ = log.Close()
+		if s := p.cmd.ProcessState; s.Exited() {
+			exited <- fmt.Errorf("%w: %s", errExited, s)
+		}
 		close(p.done)
 	}()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.procs[p.name] = p
-	return nil
+	return exited, nil
 }
 
-// waitServing waits until a process answers its liveness probe. The error quotes
-// the end of the process's log.
-func (c *cluster) waitServing(p *process) error {
-	err := waitFor(func() error { return checkOK(p.baseURL + "/livez") })
+// waitServing waits until a process answers its liveness probe or has exited. The error
+// quotes the end of the process's log.
+func (c *cluster) waitServing(p *process, exited <-chan error) error {
+	err := waitFor(func() error {
+		select {
+		case err := <-exited:
+			return err
+		default:
+			return checkOK(p.baseURL + "/livez")
+		}
+	})
 	if err == nil {
 		return nil
 	}
@@ -217,7 +233,8 @@
 	args := append([]string{role[0]}, c.commonFlags(name, zone, peerAddr, httpAddr)...)
 	args = append(args, role[1:]...)
 	p := &process{name: name, args: append(args, flags...), peerAddr: peerAddr, baseURL: "http://" + httpAddr}
-	if err := c.launch(p); err != nil {
+	exited, err := c.launch(p)
+	if err != nil {
 		return err
 	}
 	proxy, err := standin.NewTCPProxy("127.0.0.1:0", peerAddr)
@@ -226,7 +243,7 @@
 	}
 	c.proxies[name] = proxy
 	c.listVM(name, zone, "live")
-	return c.waitServing(p)
+	return c.waitServing(p, exited)
 }
 
 func (c *cluster) listVM(name, zone, state string) {
@@ -288,10 +305,11 @@
 func (c *cluster) restart(name string) error {
 	p := c.proc(name)
 	<-p.done
-	if err := c.launch(p); err != nil {
+	exited, err := c.launch(p)
+	if err != nil {
 		return err
 	}
-	return c.waitServing(p)
+	return c.waitServing(p, exited)
 }
 
 func (c *cluster) proc(name string) *process {
@@ -444,14 +462,14 @@
 	return nil
 }
 
-// waitFor retries f until it succeeds or waitTimeout has passed, and returns the
-// last error. The timeout is long, so that results don't depend on the speed of the
-// machine.
+// waitFor retries f until it succeeds, reports that a process has exited, or
+// waitTimeout has passed, and returns the last error. The timeout is long, so that
+// results don't depend on the speed of the machine.
 func waitFor(f func() error) error {
 	deadline := time.Now().Add(waitTimeout)
 	for {
 		err := f()
-		if err == nil || time.Now().After(deadline) {
+		if err == nil || errors.Is(err, errExited) || time.Now().After(deadline) {
 			return err
 		}
 		time.Sleep(pollInterval)
