--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -120,9 +120,9 @@
 	signalled, earliest := b.stopSignalTimes()
 	noticed := time.Now()
 	within := b.settings.StopWithin - stopReserve
-	lastRequestEnd, deadline := earliest.Add(within), noticed.Add(within)
+	deadline := noticed.Add(within)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", noticed.Sub(signalled), "at-most", noticed.Sub(earliest))
-	b.gateway.DrainUntil(lastRequestEnd, signalled.Add(within), deadline)
+	b.gateway.DrainUntil(gateway.StopDeadlines{NewRequests: earliest.Add(within), Unanswered: signalled.Add(within), End: deadline})
 	b.awaitQuiet(time.Now().Add(min(gateway.ReadinessLag, b.settings.StopWithin/3)), deadline.Add(-closeReserve))
 	ctx = context.WithoutCancel(ctx)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerReserve))
@@ -138,12 +138,11 @@
 // account only times in which the process did not run at all before it noticed the signal. earliest
 // also allows for a process that ran only for moments, and is never later.
 //
-// A signal carries no time, so both may be too early, and each request is ended by the time whose error
-// costs its caller least. New requests that would end too late by earliest are refused: another entry
-// can serve them. Unanswered requests in flight are given up by signalled, because earliest is up to a
-// second too early on a busy machine: they get an answer before the process may be killed. An answer
-// that has begun goes on as if the signal had been sent when it was noticed: its caller sees the same
-// whether it is cut or the process is killed, and a cut that is too early loses it for nothing.
+// A signal carries no time, so both may be too early, and each kind of request is ended by the time whose
+// error costs its caller least. New requests that would end too late by earliest are refused: another
+// entry can serve them. Unanswered requests are given up by signalled, because earliest is up to a second
+// too early on a busy machine. The listener and answers that have begun end as if the signal had been
+// sent when it was noticed: callers see the same whether the process ends them or is killed.
 func (b *gatewayBuilder) stopSignalTimes() (signalled, earliest time.Time) {
 	signalled, earliest = b.stalls.earliestSignal(), b.lags.earliestSignal()
 	if signalled.Before(earliest) {
--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -24,7 +24,7 @@
 	go func() { inFlight <- f.ask(pathOnce) }()
 	f.waitSignal("the request has reached the upstream", begun)
 	now := time.Now()
-	f.gateway.DrainUntil(now.Add(50*time.Millisecond), now.Add(time.Second), now.Add(time.Second))
+	f.gateway.DrainUntil(StopDeadlines{NewRequests: now.Add(50 * time.Millisecond), Unanswered: now.Add(time.Second), End: now.Add(time.Second)})
 	time.Sleep(60 * time.Millisecond)
 	if got := f.ask(pathOnce); got.status != http.StatusServiceUnavailable {
 		t.Errorf("status %d for a request after the earlier deadline, want 503", got.status)
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	now := time.Now()
-	f.gateway.DrainUntil(now, now.Add(AnswerReserve), now.Add(time.Minute))
+	f.gateway.DrainUntil(StopDeadlines{NewRequests: now, Unanswered: now.Add(AnswerReserve), End: now.Add(time.Minute)})
 	<-f.gateway.unansweredStopped.Done()
 	// A cut of the stream would happen now.
 	time.Sleep(50 * time.Millisecond)
@@ -81,7 +81,7 @@
 			go func() {
 				f.holdUntil(begun)
 				now := time.Now()
-				f.gateway.DrainUntil(now, now.Add(AnswerReserve), now.Add(time.Minute))
+				f.gateway.DrainUntil(StopDeadlines{NewRequests: now, Unanswered: now.Add(AnswerReserve), End: now.Add(time.Minute)})
 			}()
 			if got := f.ask(path); got.status != http.StatusGatewayTimeout || !strings.Contains(got.body, errStopped.Error()) {
 				t.Errorf("status %d, %q, %v; want 504 because of the stop", got.status, got.body, got.err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,10 +59,10 @@
 	met      *metrics
 	now      func() time.Time
 	loads    *loadTracker
-	// stopBy is when a planned stop ends this entry at the latest, and zero if none is under way. New
+	// latestEnd is when a planned stop ends this entry at the latest, and zero if none is under way. New
 	// requests have to end before lastRequestEnd. stopNoticedAt is when the load balancer has noticed
 	// the stop.
-	stopBy         atomicTime
+	latestEnd      atomicTime
 	lastRequestEnd atomicTime
 	stopNoticedAt  atomicTime
 	// unansweredStopped is cancelled by giveUpUnanswered when a planned stop gives up the requests in
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,22 +27,33 @@
 	AnswerReserve = 100 * time.Millisecond
 )
 
+// StopDeadlines are the times at which a planned stop ends requests. An entry that cannot tell how late it
+// noticed the signal to stop has a time for each kind of request.
+type StopDeadlines struct {
+	// NewRequests is the time before which requests that still arrive have to end. Others are refused.
+	NewRequests time.Time
+	// Unanswered is when requests in flight whose answer has not begun are given up, so that their
+	// callers get an answer even if the process is killed soon after.
+	Unanswered time.Time
+	// End is when answers that have begun are given up. They are lost when they are cut, so this is the
+	// latest time.
+	End time.Time
+}
+
 // Drain reports this entry as not ready to the load balancer and as stopping to the other
 // entries. Requests that still arrive are served if they are expected to end before the
 // deadline.
-func (g *Gateway) Drain(deadline time.Time) { g.DrainUntil(deadline, deadline, deadline) }
-
-// DrainUntil is Drain for an entry that cannot tell how late it noticed the signal to stop. New
-// requests are served if they are expected to end before last, the earliest deadline. Requests in
-// flight whose answer has not begun are given up at unanswered, so that their callers get an answer
-// even if the process is killed soon after. Answers that have begun go on until end: they are lost
-// when they are cut.
-func (g *Gateway) DrainUntil(last, unanswered, end time.Time) {
+func (g *Gateway) Drain(deadline time.Time) {
+	g.DrainUntil(StopDeadlines{NewRequests: deadline, Unanswered: deadline, End: deadline})
+}
+
+// DrainUntil is Drain with a deadline for each kind of request.
+func (g *Gateway) DrainUntil(d StopDeadlines) {
 	g.stopNoticedAt.Store(g.now().Add(ReadinessLag))
-	g.lastRequestEnd.Store(last)
-	g.stopBy.Store(end)
-	time.AfterFunc(unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
-	time.AfterFunc(end.Add(-AnswerReserve).Sub(g.now()), g.GiveUp)
+	g.latestEnd.Store(d.End)
+	g.lastRequestEnd.Store(d.NewRequests)
+	time.AfterFunc(d.Unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
+	time.AfterFunc(d.End.Add(-AnswerReserve).Sub(g.now()), g.GiveUp)
 	g.limits.StopGranting()
 	g.peers.SendNow()
 }
@@ -81,7 +92,7 @@
 // StopDeadline returns the latest time at which a planned stop ends this entry. It is zero if no stop is in
 // progress. Callers that have to wait for the replacement are told to return by it: one that returns
 // too early uses up one of its few retries.
-func (g *Gateway) StopDeadline() time.Time { return g.stopBy.Load() }
+func (g *Gateway) StopDeadline() time.Time { return g.latestEnd.Load() }
 
 // stopsBefore reports whether a planned stop would give up a request that takes d from now.
 func (g *Gateway) stopsBefore(d time.Duration) bool {
@@ -117,8 +128,8 @@
 	sameZoneServes, anyServes bool
 	// sameZoneStops is set if another entry of this zone stops.
 	sameZoneStops bool
-	// firstStop is the earliest time at which a stopping entry gives up its requests, and
-	// lastSameZoneStop the latest such time in this zone. Both include this entry.
+	// firstStop is the earliest time at which a stopping entry has ended, and lastSameZoneStop the
+	// latest such time in this zone. Both include this entry.
 	firstStop, lastSameZoneStop time.Time
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -87,7 +87,7 @@
 	f := newFixture(t)
 	now := time.Now()
 	f.gateway.now = func() time.Time { return now }
-	f.gateway.DrainUntil(now.Add(time.Second), now.Add(2*time.Second), now.Add(6*time.Second))
+	f.gateway.DrainUntil(StopDeadlines{NewRequests: now.Add(time.Second), Unanswered: now.Add(2 * time.Second), End: now.Add(6 * time.Second)})
 	if got, want := f.gateway.retryDelayAfterStop(), 6*time.Second+restartTime; (got - want).Abs() > time.Millisecond {
 		t.Errorf("retry delay %s, want %s", got, want)
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -219,17 +219,17 @@
 mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/signalled, earliest = b\.stalls\.earliestSignal\(\), /signalled, earliest = time.Now(), /' internal/daemon TestStopSignalTimes
 mutant stop-in-pieces internal/daemon/runlag.go 's/t\.late$/false/m; s/late = t\.late/late = false/' internal/daemon TestLagDetector
 mutant stop-lag-asked internal/daemon/gatewayhttp.go 's/, b\.lags\.earliestSignal\(\)$/, time.Now()/m' internal/daemon TestStopSignalTimes
-mutant stop-gives-up-late internal/gateway/stop.go 's/time\.AfterFunc\(unanswered\.Add/time.AfterFunc(last.Add/' internal/gateway TestDrainUntilKeepsRequestsInFlight
-mutant stop-cuts-begun internal/gateway/stop.go 's/time\.AfterFunc\(end\.Add/time.AfterFunc(unanswered.Add/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
+mutant stop-gives-up-late internal/gateway/stop.go 's/AfterFunc\(d\.Unanswered\.Add/AfterFunc(d.NewRequests.Add/' internal/gateway TestDrainUntilKeepsRequestsInFlight
+mutant stop-cuts-begun internal/gateway/stop.go 's/AfterFunc\(d\.End\.Add/AfterFunc(d.Unanswered.Add/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
-mutant stop-unanswered-first internal/gateway/stop.go 's/time\.AfterFunc\(unanswered\.Add/time.AfterFunc(end.Add/' internal/gateway TestUnansweredRequestsAreGivenUpFirst
-mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/, noticed\.Add\(within\)$/, signalled.Add(within)/m' platform/soak TestStopBesidePauseCutsNoStreamEarly
+mutant stop-unanswered-first internal/gateway/stop.go 's/AfterFunc\(d\.Unanswered\.Add/AfterFunc(d.End.Add/' internal/gateway TestUnansweredRequestsAreGivenUpFirst
+mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/deadline := noticed\.Add\(within\)$/deadline := signalled.Add(within)/m' platform/soak TestStopBesidePauseCutsNoStreamEarly
 mutant stop-given-up-goes-on internal/gateway/stop.go 's/\t\tgiveUp\(\)\n\t\treturn false/\t\treturn false/' internal/gateway TestGivenUpRequestIsCancelledAtOnce
 mutant stop-begins-after-end internal/gateway/stop.go 's/\tg\.giveUpUnanswered\(\)\n\tg\.giveUpAll/\tg.giveUpAll/' internal/gateway TestNoAnswerBeginsAfterGiveUp
-mutant stop-closes-early internal/daemon/gatewayhttp.go 's/deadline\.Add\(-closeReserve\)/lastRequestEnd.Add(-closeReserve)/' internal/daemon TestLateNoticedStopKeepsListener
+mutant stop-closes-early internal/daemon/gatewayhttp.go 's/deadline\.Add\(-closeReserve\)/earliest.Add(within-closeReserve)/' internal/daemon TestLateNoticedStopKeepsListener
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
-mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastRequestEnd\.Store\(last\)/g.lastRequestEnd.Store(end)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
-mutant stop-return-early internal/gateway/stop.go 's/g\.stopBy\.Store\(end\)/g.stopBy.Store(last)/' internal/gateway TestRetryDelayAfterLateNoticedStop
+mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastRequestEnd\.Store\(d\.NewRequests\)/g.lastRequestEnd.Store(d.End)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
+mutant stop-return-early internal/gateway/stop.go 's/g\.latestEnd\.Store\(d\.End\)/g.latestEnd.Store(d.NewRequests)/' internal/gateway TestRetryDelayAfterLateNoticedStop
 mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
 mutant stop-waits-sidecar internal/daemon/sidecar.go 's/if !b\.server\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/leaving'
 mutant stop-waits-gateway internal/daemon/gatewayhttp.go 's/if err := b\.callers\.connections\.Drain\(drainCtx\); err != nil \{/if err := drainCtx.Err(); err != nil {/' internal/daemon TestStopAnswersRequestRead
