fix(daemon): the listener of a late stop closes before a kill

The change before kept the listener open until the latest end of the stop.

Change: it closes by the estimate from pauses again, but not before the load balancer has noticed the stop, which is what TestLateNoticedStopKeepsListener guards.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -123,7 +123,8 @@
 	deadline := noticed.Add(within)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", noticed.Sub(signalled), "at-most", noticed.Sub(earliest))
 	b.gateway.DrainUntil(gateway.StopDeadlines{NewRequests: earliest.Add(within), Unanswered: signalled.Add(within), End: deadline})
-	b.awaitQuiet(time.Now().Add(min(gateway.ReadinessLag, b.settings.StopWithin/3)), deadline.Add(-closeReserve))
+	notBefore := noticed.Add(min(gateway.ReadinessLag, b.settings.StopWithin/3))
+	b.awaitQuiet(notBefore, closeBy(signalled.Add(within-closeReserve), notBefore, deadline.Add(-closeReserve)))
 	ctx = context.WithoutCancel(ctx)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerReserve))
 	defer cancel()
@@ -134,6 +135,20 @@
 	return b.callers.server.Close()
 }
 
+// closeBy returns when the listener closes at the latest. At the kill, a connection that is still accepted ends
+// without an answer, whereas a refused one can be repeated, so that is by the estimate of when the signal was
+// sent. But as long as the load balancer sends callers, they are answered.
+func closeBy(beforeKill, balancerNoticed, end time.Time) time.Time {
+	at := beforeKill
+	if at.Before(balancerNoticed) {
+		at = balancerNoticed
+	}
+	if at.After(end) {
+		at = end
+	}
+	return at
+}
+
 // stopSignalTimes returns two estimates of when the stop signal was sent. signalled takes into
 // account only times in which the process did not run at all before it noticed the signal. earliest
 // also allows for a process that ran only for moments, and is never later.
@@ -141,8 +156,8 @@
 // A signal carries no time, so both may be too early, and each kind of request is ended by the time whose
 // error costs its caller least. New requests that would end too late by earliest are refused: another
 // entry can serve them. Unanswered requests are given up by signalled, because earliest is up to a second
-// too early on a busy machine. The listener and answers that have begun end as if the signal had been
-// sent when it was noticed: callers see the same whether the process ends them or is killed.
+// too early on a busy machine. Answers that have begun go on as if the signal had been sent when it was
+// noticed: their callers see the same whether they are cut or the process is killed.
 func (b *gatewayBuilder) stopSignalTimes() (signalled, earliest time.Time) {
 	signalled, earliest = b.stalls.earliestSignal(), b.lags.earliestSignal()
 	if signalled.Before(earliest) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -226,7 +226,7 @@
 mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/deadline := noticed\.Add\(within\)$/deadline := signalled.Add(within)/m' platform/soak TestStopBesidePauseCutsNoStreamEarly
 mutant stop-given-up-goes-on internal/gateway/stop.go 's/\t\tgiveUp\(\)\n\t\treturn false/\t\treturn false/' internal/gateway TestGivenUpRequestIsCancelledAtOnce
 mutant stop-begins-after-end internal/gateway/stop.go 's/\tg\.giveUpUnanswered\(\)\n\tg\.giveUpAll/\tg.giveUpAll/' internal/gateway TestNoAnswerBeginsAfterGiveUp
-mutant stop-closes-early internal/daemon/gatewayhttp.go 's/deadline\.Add\(-closeReserve\)/earliest.Add(within-closeReserve)/' internal/daemon TestLateNoticedStopKeepsListener
+mutant stop-closes-early internal/daemon/gatewayhttp.go 's/if at\.Before\(balancerNoticed\)/if false/' internal/daemon TestLateNoticedStopKeepsListener
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
 mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastRequestEnd\.Store\(d\.NewRequests\)/g.lastRequestEnd.Store(d.End)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
 mutant stop-return-early internal/gateway/stop.go 's/g\.latestEnd\.Store\(d\.End\)/g.latestEnd.Store(d.NewRequests)/' internal/gateway TestRetryDelayAfterLateNoticedStop
