test: no first process is started while FreePort probes a port

Cause: os.StartProcess checks at its first use whether process handles work. The check (os.checkPidfd) clones the process once without syscall.ForkLock, which FreePort holds while it probes. The clone inherits the socket of the probe, and the port stays in use until the clone has been scheduled and has exited.

Change: before FreePort probes its first port, it makes package os run that check.

--- a/internal/standin/port.go
+++ b/internal/standin/port.go
@@ -37,6 +37,7 @@
 // claimPortRange claims the first range that no other process holds, starting at one that depends on the
 // process ID.
 func claimPortRange() (portRange, error) {
+	awaitHandleCheck()
 	for i := range portRanges {
 		k := (os.Getpid() + i) % portRanges
 		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstLockPort+k)); err == nil {
@@ -46,6 +47,15 @@
 	return portRange{}, errNoPort
 }
 
+// awaitHandleCheck makes package os run its check of process handles, which clones the process once
+// without syscall.ForkLock. Otherwise the check runs when the first process is started, and its clone
+// may inherit the socket of a probe.
+func awaitHandleCheck() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+}
+
 var errNoPort = errors.New("no free port in the ranges for tests")
 
 // FreePort returns a loopback address that is free for TCP and UDP. Other test processes do not use
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -344,6 +344,8 @@
 mutant held-peers internal/quarantine/suspect.go 's/within = peerReportTime/within = 0/' $held TestNoQuarantineBefore
 mutant held-bystanders internal/quarantine/verdict.go 's/len\(crashes\) > 1 && !o\.covers\(u, other\)/len(crashes) > 1/' $held TestBystandersDoNotDelay
 
+mutant port-first-fork internal/standin/port.go 's/\tawaitHandleCheck\(\)\n//' internal/standin TestFreePortBesideFirstFork
+
 mutant answer-cancelled internal/link/link.go 's/if c\.headRead\.Load\(\) \|\| /if true || /' internal/gateway TestNoticeInAnswerOfLosingAttempt
 
 finish
