test(standin): the port of a closed proxy is free at once

Seen: in the soak, an upstream that took over the address of one that had just ended could fail with "bind: address already in use"; upstreams that restart at their address moved to another port in place of that.

Cause: a process that is being started holds a copy of every socket until its exec has closed them. Closing the proxy's listener leaves the copy listening. The soak starts gateways at any time.

Change: TCPProxy.Close shuts the listener down before it closes it, which ends the listening for all copies. Closing it under syscall.ForkLock is not enough: the lock is released before the exec has closed the copies.

--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -14,7 +15,7 @@
 // carry no bytes, as on a link that drops all packets, and new connections hang. It can also cut only the
 // direction from target to client, or delay the bytes of each read.
 type TCPProxy struct {
-	listener net.Listener
+	listener *net.TCPListener
 	target   string
 
 	mu         sync.Mutex
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &TCPProxy{listener: l, target: to, conns: map[net.Conn]struct{}{}}
+	p := &TCPProxy{listener: l.(*net.TCPListener), target: to, conns: map[net.Conn]struct{}{}}
 	p.cond = sync.NewCond(&p.mu)
 	go p.accept()
 	return p, nil
@@ -84,7 +85,7 @@
 
 // Close stops listening and closes all connections.
 func (p *TCPProxy) Close() {
-	_ = p.listener.Close()
+	p.closeListener()
 	p.mu.Lock()
 	p.closed = true
 	p.cond.Broadcast()
@@ -92,6 +93,15 @@
 	p.Reset()
 }
 
+// closeListener frees the port at once. Closing alone does not: a process that is being started holds a
+// copy of the socket until its exec.
+func (p *TCPProxy) closeListener() {
+	if c, err := p.listener.SyscallConn(); err == nil {
+		_ = c.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
+	_ = p.listener.Close()
+}
+
 func (p *TCPProxy) accept() {
 	for {
 		c, err := p.listener.Accept()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -345,6 +345,7 @@
 mutant held-bystanders internal/quarantine/verdict.go 's/len\(crashes\) > 1 && !o\.covers\(u, other\)/len(crashes) > 1/' $held TestBystandersDoNotDelay
 
 mutant port-first-fork internal/standin/port.go 's/\tawaitHandleCheck\(\)\n//' internal/standin TestFreePortBesideFirstFork
+mutant port-closed internal/standin/relay.go 's/\t\t_ = c\.Control\([^\n]*\n/\t\t_, _ = c, syscall.Shutdown\n/' internal/standin TestClosedProxyFreesItsPort
 
 mutant answer-cancelled internal/link/link.go 's/if c\.headRead\.Load\(\) \|\| /if true || /' internal/gateway TestNoticeInAnswerOfLosingAttempt
 
