fix(daemon): a stop awaits the responses of what it gives up

Cause: after it gave up the last requests it waited 0.1 s for their responses, whatever was left of its time.

Change: it waits until 50 ms before the end of its time, and 0.1 s at least as before. TestResponsesAreAwaitedUntilTheEndOfAStop failed before.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -168,6 +168,9 @@
 	closeReserve = 200 * time.Millisecond
 	// stopReserve is the part of the stop time that remains when requests in flight are given up.
 	stopReserve = 250 * time.Millisecond
+	// exitReserve is the part of the stop time that remains for the other services once the last
+	// responses have been awaited. Most of them have nothing left to do.
+	exitReserve = 50 * time.Millisecond
 	// retryBudgetShare is the part of the allowed additional attempts that entries use. The rest
 	// compensates for windows that differ between entries.
 	retryBudgetShare = 0.85
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -130,7 +130,7 @@
 	defer cancel()
 	if err := b.callers.connections.Drain(drainCtx); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
-		b.giveUp(ctx)
+		b.giveUp(ctx, noticed.Add(b.settings.StopWithin-exitReserve))
 	}
 	return b.callers.server.Close()
 }
@@ -166,12 +166,16 @@
 	return signalled, earliest
 }
 
-// giveUp lets the gateway answer the requests that are still in flight. The time for that runs from
-// now: if the process was not scheduled in time, the end of the stop has passed as well, and
-// connections would be closed before the responses are written.
-func (b *gatewayBuilder) giveUp(ctx context.Context) {
+// giveUp lets the gateway answer the requests that are still in flight, and waits until the responses are
+// written, until end at most. If the process was not scheduled in time, end may have passed as well, and
+// connections would be closed before the responses are written; gateway.AnswerReserve is waited in
+// any case.
+func (b *gatewayBuilder) giveUp(ctx context.Context, end time.Time) {
 	b.gateway.GiveUp()
-	ctx, cancel := context.WithTimeout(ctx, gateway.AnswerReserve)
+	if least := time.Now().Add(gateway.AnswerReserve); end.Before(least) {
+		end = least
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := b.callers.connections.Drain(ctx); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -112,6 +112,48 @@
 	}
 }
 
+// TestResponsesAreAwaitedUntilTheEndOfAStop guards against a gateway that answers the requests which it gives
+// up, but closes the connections before the responses are written although it need not end yet.
+func TestResponsesAreAwaitedUntilTheEndOfAStop(t *testing.T) {
+	b := &gatewayBuilder{gateway: newGatewayWithoutRoutes(), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now), settings: GatewaySettings{Listen: "127.0.0.1:0"}}
+	service, address := b.callerService(), make(chan net.Addr, 1)
+	begun, release := make(chan struct{}), make(chan struct{})
+	b.callers.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	b.callers.server.BaseContext = func(l net.Listener) context.Context {
+		address <- l.Addr()
+		return context.Background()
+	}
+	if err := service.Start(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan error, 1)
+	go func() {
+		resp, err := http.Post("http://"+(<-address).String()+"/", "text/plain", nil)
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		answers <- err
+	}()
+	<-begun
+	ended := make(chan error, 1)
+	go func() {
+		b.giveUp(t.Context(), time.Now().Add(time.Minute))
+		ended <- b.callers.server.Close()
+	}()
+	time.Sleep(3 * gateway.AnswerReserve)
+	close(release)
+	if err := <-answers; err != nil {
+		t.Errorf("a request that was given up got no response: %v", err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // newGatewayWithUpstream returns a gateway that sends every request to one upstream.
 func newGatewayWithUpstream(t *testing.T, serve http.HandlerFunc) *gateway.Gateway {
 	t.Helper()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,7 +56,7 @@
 mutant connection-stop-shutdown internal/daemon/gatewayhttp.go 's/b\.callers\.connections\.Drain\(drainCtx\)/b.callers.server.Shutdown(drainCtx)/' internal/daemon TestStopAnswersRequestRead
 mutant connection-last-answer $connlimit/answerwriter.go 's/if w\.limiter\.isDraining\(\) \{/if false {/' $connlimit TestDrain
 mutant connection-accepting $connlimit/connlimit.go 's/\t\t\t<-listener\.done\n/\t\t\t_ = listener.done\n/' $connlimit TestDrainWaits
-mutant connection-late-stop internal/daemon/gatewayhttp.go 's/\t\tb\.giveUp\(ctx\)\n/\t\t_ = b.giveUp\n/' internal/daemon TestLateStop
+mutant connection-late-stop internal/daemon/gatewayhttp.go 's/\t\tb\.giveUp\(ctx, [^\n]*\n/\t\t_ = b.giveUp\n/' internal/daemon TestLateStop
 mutant gateway-at-the-end $gateway/call.go 's/return c\.answerAtDeadline\(ctx, best\), true/_ = c.answerAtDeadline\n\t\t\treturn result{err: ctx.Err()}, true/' $gateway 'TestAnswerReadyAtDeadline|TestUpstreamErrorIsPreferred'
 mutant gateway-panic-answered $gateway/request.go 's/if connlimit\.ResponseStarted\(rq\.w\) \{/if true {/' $gateway TestPanicIsAnswered
 mutant relay-packed internal/relay/records.go 's/return s2\.Encode\(nil, b\), nil/return s2.EncodeBetter(nil, b)[:0:0], nil/' internal/relay TestRecordsRoundTrip
@@ -228,6 +228,7 @@
 mutant stop-begins-after-end internal/gateway/stop.go 's/\tg\.giveUpUnanswered\(\)\n\tg\.giveUpAll/\tg.giveUpAll/' internal/gateway TestNoAnswerBeginsAfterGiveUp
 mutant stop-closes-early internal/daemon/gatewayhttp.go 's/if at\.Before\(balancerNoticed\)/if false/' internal/daemon TestLateNoticedStopKeepsListener
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
+mutant stop-awaits-responses internal/daemon/gatewayhttp.go 's/if least := time\.Now\(\)\.Add\(gateway\.AnswerReserve\); end\.Before\(least\) \{/if least := time.Now().Add(gateway.AnswerReserve); true {/' internal/daemon TestResponsesAreAwaitedUntilTheEndOfAStop
 mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastRequestEnd\.Store\(d\.NewRequests\)/g.lastRequestEnd.Store(d.End)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
 mutant stop-return-early internal/gateway/stop.go 's/g\.latestEnd\.Store\(d\.End\)/g.latestEnd.Store(d.NewRequests)/' internal/gateway TestRetryDelayAfterLateNoticedStop
 mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
