fix(gateway): a call waits at its deadline until the link has read the answer

Callers got a 504 for a call whose answer had arrived before its deadline, if the process paused twice about the deadline.

Cause: when a request ends, the link gives its reader 100 ms to read what has been received (closeDelay). The call waited 50 ms for it. A pause after the deadline used them up while the answer was still to be read.

Change: the call waits up to 250 ms. The limit stays below half a second after the deadline.

TestCallWaitsAtDeadlineForReadAnswers runs on virtual time and failed before: "status 0, context canceled; want an answer: true".

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,8 +33,9 @@
 const maxBuffered = 8 << 20
 
 // finalAnswerWait limits the wait for running attempts once the deadline has passed. They return
-// at once unless the process gets no CPU time.
-const finalAnswerWait = 50 * time.Millisecond
+// at once unless the process gets no CPU time. It is longer than the time for which the link keeps
+// the connection of an ended request open, so that no answer that the link reads is lost.
+const finalAnswerWait = 250 * time.Millisecond
 
 // result is the outcome of one attempt of a plain call.
 type result struct {
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -373,6 +374,36 @@
 	}
 }
 
+// maxHeldAfterTimeout is how long after its deadline a call must have been answered.
+const maxHeldAfterTimeout = 500 * time.Millisecond
+
+// TestCallWaitsAtDeadlineForReadAnswers guards against a 504 for a call whose answer the link still
+// reads: the link gives a reader that gets no CPU time 100 ms before it closes the connection, and
+// the call gave up earlier.
+func TestCallWaitsAtDeadlineForReadAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		delay time.Duration
+		final bool
+	}{{100 * time.Millisecond, true}, {time.Second, false}} {
+		t.Run(tc.delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				cancel()
+				c := &callRun{rq: &request{}, running: 1, results: make(chan result, 1)}
+				time.AfterFunc(tc.delay, func() { c.results <- result{status: http.StatusOK, verdict: protocol.Ran} })
+				start := time.Now()
+				got := c.answerAtDeadline(ctx, result{})
+				if got.final() != tc.final {
+					t.Errorf("status %d, %v; want an answer: %v", got.status, got.err, tc.final)
+				}
+				if took := time.Since(start); took >= maxHeldAfterTimeout {
+					t.Errorf("took %s, want less than %s", took, maxHeldAfterTimeout)
+				}
+			})
+		})
+	}
+}
+
 // TestUpstreamErrorIsPreferredToTimeout guards against a 504 that replaces an upstream's error:
 // the call is retried after the error, and the second upstream hangs until the deadline.
 func TestUpstreamErrorIsPreferredToTimeout(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -58,6 +58,7 @@
 mutant connection-accepting $connlimit/connlimit.go 's/\t\t\t<-listener\.done\n/\t\t\t_ = listener.done\n/' $connlimit TestDrainWaits
 mutant connection-late-stop internal/daemon/gatewayhttp.go 's/\t\tb\.giveUp\(ctx\)\n/\t\t_ = b.giveUp\n/' internal/daemon TestLateStop
 mutant gateway-at-the-end $gateway/call.go 's/return c\.answerAtDeadline\(ctx, best\), true/_ = c.answerAtDeadline\n\t\t\treturn result{err: ctx.Err()}, true/' $gateway 'TestAnswerReadyAtDeadline|TestUpstreamErrorIsPreferred'
+mutant gateway-wait-at-the-end $gateway/call.go 's/const finalAnswerWait = [^\n]*/const finalAnswerWait = 50 * time.Millisecond/' $gateway TestCallWaitsAtDeadline
 mutant gateway-panic-answered $gateway/request.go 's/if connlimit\.ResponseStarted\(rq\.w\) \{/if true {/' $gateway TestPanicIsAnswered
 mutant relay-packed internal/relay/records.go 's/return s2\.Encode\(nil, b\), nil/return s2.EncodeBetter(nil, b)[:0:0], nil/' internal/relay TestRecordsRoundTrip
 mutant placement-overload-age $placement/overload.go 's/min\(ageFactor\*share, 1\)/0*share/' internal/placement TestRetryAfterGrowsWithOverload
