--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -153,15 +153,6 @@
 	})
 }
 
-// completeTrials returns those of the given crashes at which the request may have run as a suspect
-// and after which peers had time to report what else ran there. A crash of an unknown kind counts.
-func (u *suspect) completeTrials(crashes []string) []string {
-	return slices.DeleteFunc(u.trialCrashes(crashes), func(incarnation string) bool {
-		c := u.crashes[incarnation]
-		return c.kind == trialRun && !c.complete
-	})
-}
-
 // markComplete marks the crashes for which there was enough time to learn which other requests ran
 // there. hasPeers tells whether peers may still report some.
 func (u *suspect) markComplete(now time.Time, hasPeers bool) {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -99,7 +99,7 @@
 		needed := o.distinctiveNeeded(u, spontaneous)
 		distinctive := o.distinctive(u, needed == minDistinctive)
 		switch {
-		case len(active) >= ambiguousThreshold && len(u.completeTrials(active)) >= quarantineThreshold:
+		case len(active) >= ambiguousThreshold && len(u.trialCrashes(active)) >= quarantineThreshold:
 			ambiguous = append(ambiguous, u)
 		case len(distinctive) < needed:
 		case o.leadsAtAny(u, distinctive):
