--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -20,9 +20,6 @@
 	quarantineThreshold = 3
 	// maxRetryCrashes is the number of crashes up to which an entry repeats a request on its own.
 	maxRetryCrashes = 1
-	// minSerializedCrashes is the number of crashes from which a request that another one explains
-	// still runs once at a time: both may be poison requests.
-	minSerializedCrashes = 2
 	// maxCrashes bounds the crashes remembered of one request. A poison request causes fewer, even
 	// at hundreds of entries that get gossip late. A forgotten crash no longer explains the crashes
 	// of other requests.
@@ -173,9 +170,6 @@
 // that are not confirmed yet. The caller must hold the lock.
 func (s *Set) suspicion(u *suspect) int {
 	if s.explainedByOne(u) {
-		if len(u.activeCrashes()) >= minSerializedCrashes {
-			return 1 + u.unconfirmed()
-		}
 		return u.unconfirmed()
 	}
 	return len(u.activeCrashes()) + u.unconfirmed()
