fix: release requests that quarantined ones explain together

What callers saw: a harmless request that ran beside several poison requests was refused for ten minutes, even after all of these were quarantined.

No single poison request explains all its crashes, so nothing released it.

Change: a quarantined request is released, on trial, once each of its crashes also counts against a quarantined request that crashed upstreams without it. Two requests that cannot be told apart stay quarantined.

Evidence: TestHarmlessRequestReleasedOncePoisonRequestsAreKnown fails without the change: quarantined "first poison harmless second poison", want only the poison requests.

--- a/internal/quarantine/bystanders_test.go
+++ b/internal/quarantine/bystanders_test.go
@@ -89,3 +89,39 @@
 		t.Errorf("quarantined %q, want only the poison request", quarantined)
 	}
 }
+
+// TestHarmlessRequestReleasedOncePoisonRequestsAreKnown guards against refusing a harmless request
+// for ten minutes although the poison requests beside which it ran are quarantined. Other suspects
+// ran at all crashes, so the requests were quarantined by their number of crashes, and no poison
+// request alone explained all crashes of the harmless one.
+func TestHarmlessRequestReleasedOncePoisonRequestsAreKnown(t *testing.T) {
+	f := newTestSet(t)
+	reports := []Report{
+		reportOf("harmless", "1 2 | 3 4 5", f.clock), reportOf("first poison", "1 | 3 6 7 8", f.clock),
+		reportOf("second poison", "2 | 4 5 9 10 11", f.clock),
+	}
+	for _, incarnation := range []string{"3", "4", "5", "6", "7", "8", "9", "10", "11"} {
+		reports = append(reports, reportOf("bystander at "+incarnation, "| "+incarnation, f.clock))
+	}
+	f.Merge("other", reports)
+	f.clock = f.clock.Add(confirmTimeout)
+	if quarantined := f.quarantinedOf("first poison", "harmless", "second poison"); quarantined != "first poison second poison" {
+		t.Errorf("quarantined %q, want only the poison requests", quarantined)
+	}
+	if run := f.enter("harmless"); !run.Suspected() {
+		t.Error("released without a trial")
+	}
+}
+
+// TestIndistinguishableRequestsStayQuarantined guards against releasing one of two requests that
+// ran at the same crashes: either may be the cause.
+func TestIndistinguishableRequestsStayQuarantined(t *testing.T) {
+	f := newTestSet(t)
+	f.Merge("other", []Report{
+		reportOf("a", "1 2 | 3 4 5", f.clock), reportOf("b", "1 2 | 3 4 5", f.clock),
+	})
+	f.clock = f.clock.Add(confirmTimeout)
+	if quarantined := f.quarantinedOf("a", "b"); quarantined != "a b" {
+		t.Errorf("quarantined %q, want both", quarantined)
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -69,6 +69,7 @@
 	for {
 		next := open.nextToQuarantine()
 		if len(next) == 0 {
+			releaseRedundant(quarantined)
 			return quarantined, e
 		}
 		e.add(next)
@@ -82,6 +83,52 @@
 	}
 }
 
+// releaseRedundant releases the requests whose crashes other quarantined requests explain without
+// them, those with the least evidence first. When a harmless request ran beside several poison
+// requests, it may have been quarantined before these crashed upstreams on their own. It then runs
+// on trial until it is served.
+func releaseRedundant(quarantined map[*suspect]bool) {
+	list := slices.SortedFunc(maps.Keys(quarantined), func(a, b *suspect) int {
+		return cmp.Or(
+			cmp.Compare(a.ownTrials(quarantined), b.ownTrials(quarantined)),
+			cmp.Compare(len(a.activeCrashes()), len(b.activeCrashes())),
+			bytes.Compare(a.fingerprint[:], b.fingerprint[:]),
+		)
+	})
+	for _, u := range list {
+		if u.isRedundant(quarantined) {
+			delete(quarantined, u)
+		}
+	}
+}
+
+// isRedundant reports whether each crash of a request also counts against a quarantined one that
+// crashed upstreams without it.
+func (u *suspect) isRedundant(quarantined map[*suspect]bool) bool {
+	return !slices.ContainsFunc(u.activeCrashes(), func(incarnation string) bool {
+		for other := range quarantined {
+			if other != u && other.countsCrash(incarnation) && other.ownTrials(map[*suspect]bool{u: true}) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// ownTrials returns the number of trial crashes of a request at which none of the others ran.
+func (u *suspect) ownTrials(others map[*suspect]bool) (n int) {
+	for _, incarnation := range u.trialCrashes(u.activeCrashes()) {
+		own := true
+		for other := range others {
+			own = own && (other == u || !other.countsCrash(incarnation))
+		}
+		if own {
+			n++
+		}
+	}
+	return n
+}
+
 // openCrashes maps the requests that are not quarantined to their unexplained crashes.
 type openCrashes map[*suspect][]string
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -338,6 +338,8 @@
 mutant held-told internal/quarantine/verdict.go 's/return !c\.complete \|\| o\.anyOther\(u, incarnation, func\(other \*suspect\) bool \{\n/return o.anyOther(u, incarnation, func(other *suspect) bool {\n/' $held TestNoQuarantineBefore
 mutant held-peers internal/quarantine/suspect.go 's/within = peerReportTime/within = 0/' $held TestNoQuarantineBefore
 mutant held-bystanders internal/quarantine/verdict.go 's/len\(crashes\) > 1 && !o\.covers\(u, other\)/len(crashes) > 1/' $held TestBystandersDoNotDelay
+mutant held-redundant internal/quarantine/verdict.go 's/\t\t\treleaseRedundant\(quarantined\)\n//' $held TestHarmlessRequestReleased
+mutant held-indistinguishable internal/quarantine/verdict.go 's/ && other\.ownTrials\(map\[\*suspect\]bool\{u: true\}\) > 0//' $held TestIndistinguishable
 
 mutant answer-cancelled internal/link/link.go 's/if c\.headRead\.Load\(\) \|\| /if true || /' internal/gateway TestNoticeInAnswerOfLosingAttempt
 
