--- a/internal/daemon/latelistener_test.go
+++ b/internal/daemon/latelistener_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"testing"
 	"time"
@@ -18,15 +17,7 @@
 	b := &gatewayBuilder{stalls: newStallDetector(time.Now), gateway: newGatewayWithoutRoutes(), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now),
 		settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: 4 * time.Second}}
 	b.stalls.lastTick = time.Now().Add(-3300 * time.Millisecond)
-	service, address := b.callerService(), make(chan net.Addr, 1)
-	b.callers.server.BaseContext = func(l net.Listener) context.Context {
-		address <- l.Addr()
-		return context.Background()
-	}
-	if err := service.Start(t.Context(), nil); err != nil {
-		t.Fatal(err)
-	}
-	to, noticed, stopped := (<-address).String(), time.Now(), make(chan error, 1)
+	to, noticed, stopped := startCallerService(t, b, b.gateway), time.Now(), make(chan error, 1)
 	go func() { stopped <- b.drain(t.Context(), nil) }()
 	// Even if the signal came when the stall began, the gateway is not killed yet.
 	time.Sleep(500 * time.Millisecond)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -85,17 +85,10 @@
 			close(started)
 			<-release
 		})
-		service, address := b.callerService(), make(chan net.Addr, 1)
-		b.callers.server.BaseContext = func(l net.Listener) context.Context {
-			address <- l.Addr()
-			return context.Background()
-		}
-		if err := service.Start(t.Context(), nil); err != nil {
-			t.Fatal(err)
-		}
+		address := startCallerService(t, b, b.gateway)
 		answers := make(chan error, 1)
 		go func() {
-			resp, err := http.Post("http://"+(<-address).String()+"/", "text/plain", nil)
+			resp, err := http.Post("http://"+address+"/", "text/plain", nil)
 			if err == nil {
 				_ = resp.Body.Close()
 			}
@@ -116,23 +109,15 @@
 // up, but closes the connections before the responses are written although it need not end yet.
 func TestResponsesAreAwaitedUntilTheEndOfAStop(t *testing.T) {
 	b := &gatewayBuilder{gateway: newGatewayWithoutRoutes(), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now), settings: GatewaySettings{Listen: "127.0.0.1:0"}}
-	service, address := b.callerService(), make(chan net.Addr, 1)
 	begun, release := make(chan struct{}), make(chan struct{})
-	b.callers.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	address := startCallerService(t, b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		<-release
 		w.WriteHeader(http.StatusGatewayTimeout)
-	})
-	b.callers.server.BaseContext = func(l net.Listener) context.Context {
-		address <- l.Addr()
-		return context.Background()
-	}
-	if err := service.Start(t.Context(), nil); err != nil {
-		t.Fatal(err)
-	}
+	}))
 	answers := make(chan error, 1)
 	go func() {
-		resp, err := http.Post("http://"+(<-address).String()+"/", "text/plain", nil)
+		resp, err := http.Post("http://"+address+"/", "text/plain", nil)
 		if err == nil {
 			err = resp.Body.Close()
 		}
@@ -154,6 +139,21 @@
 	}
 }
 
+// startCallerService serves callers with a handler and returns the address.
+func startCallerService(t *testing.T, b *gatewayBuilder, h http.Handler) string {
+	t.Helper()
+	service, address := b.callerService(), make(chan net.Addr, 1)
+	b.callers.server.Handler = h
+	b.callers.server.BaseContext = func(l net.Listener) context.Context {
+		address <- l.Addr()
+		return context.Background()
+	}
+	if err := service.Start(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	return (<-address).String()
+}
+
 // newGatewayWithUpstream returns a gateway that sends every request to one upstream.
 func newGatewayWithUpstream(t *testing.T, serve http.HandlerFunc) *gateway.Gateway {
 	t.Helper()
--- a/internal/standin/port_test.go
+++ b/internal/standin/port_test.go
@@ -10,24 +10,8 @@
 // TestFreePortBesideForks guards against a port that is in use when FreePort returns it: a process that is
 // forked during a probe inherits the probe's socket until its exec.
 func TestFreePortBesideForks(t *testing.T) {
-	const ports, forkers = 3000, 4
-	stop := make(chan struct{})
-	var forks sync.WaitGroup
-	for range forkers {
-		forks.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if err := exec.Command("true").Run(); err != nil {
-					t.Error(err)
-					return
-				}
-			}
-		})
-	}
+	const ports = 3000
+	stopForks := forkRepeatedly(t)
 	inUse := 0
 	for range ports {
 		addr, err := FreePort()
@@ -42,9 +26,35 @@
 		}
 		_ = l.Close()
 	}
-	close(stop)
-	forks.Wait()
+	stopForks()
 	if inUse > 0 {
 		t.Errorf("%d of %d ports were in use when FreePort returned them", inUse, ports)
 	}
 }
+
+// forkRepeatedly starts processes one after the other, in several goroutines, until the returned function is
+// called.
+func forkRepeatedly(t *testing.T) (stop func()) {
+	const forkers = 4
+	ended := make(chan struct{})
+	var forks sync.WaitGroup
+	for range forkers {
+		forks.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				if err := exec.Command("true").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	return func() {
+		close(ended)
+		forks.Wait()
+	}
+}
