--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -124,7 +124,7 @@
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", noticed.Sub(signalled), "at-most", noticed.Sub(earliest))
 	b.gateway.DrainUntil(gateway.StopDeadlines{NewRequests: earliest.Add(within), Unanswered: signalled.Add(within), End: deadline})
 	notBefore := noticed.Add(min(gateway.ReadinessLag, b.settings.StopWithin/3))
-	b.awaitQuiet(notBefore, closeBy(signalled.Add(within-closeReserve), notBefore, deadline.Add(-closeReserve)))
+	b.awaitQuiet(notBefore, closeBy(earliest.Add(within-closeReserve), notBefore, deadline.Add(-closeReserve)))
 	ctx = context.WithoutCancel(ctx)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerReserve))
 	defer cancel()
@@ -136,8 +136,8 @@
 }
 
 // closeBy returns when the listener closes at the latest. At the kill, a connection that is still accepted ends
-// without an answer, whereas a refused one can be repeated, so that is by the estimate of when the signal was
-// sent. But as long as the load balancer sends callers, they are answered.
+// without an answer, whereas a refused one can be repeated, so that is before the earliest time of a kill.
+// But as long as the load balancer sends callers, they are answered.
 func closeBy(beforeKill, balancerNoticed, end time.Time) time.Time {
 	at := beforeKill
 	if at.Before(balancerNoticed) {
