test(standin): a process of the tests claims more ports when its range is used up

Cause: a process had one range of 500 ports. Before that, ports were handed out again from the start, also those of a server that was down and about to start again.

--- a/internal/standin/port_test.go
+++ b/internal/standin/port_test.go
@@ -32,6 +32,22 @@
 	}
 }
 
+// TestFreePortReturnsEachPortOnce guards against a port that is handed out again while the server that had it
+// is down: a process that needs more ports than one range has claims another one.
+func TestFreePortReturnsEachPortOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range portCount + 1 {
+		addr, err := FreePort()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[addr] {
+			t.Fatalf("%s was handed out twice", addr)
+		}
+		seen[addr] = true
+	}
+}
+
 // forkRepeatedly starts processes one after the other, in several goroutines, until the returned function is
 // called.
 func forkRepeatedly(t *testing.T) (stop func()) {
