feat(relay): failed calls tell the age of their connection and their time limit

Lines of store-lost and relay-failed did not tell whether a call failed on a new connection or on one that had been open, nor how much time it had left when it began, so that a silent connection, a lost peer and a deadline spent by an earlier attempt looked the same.

--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -75,7 +75,7 @@
 	random func() float64
 
 	mu         sync.Mutex
-	conns      map[string]*peer.Conn
+	conns      map[string]openConn
 	avoidUntil map[string]time.Time
 	sources    map[string]string
 	// storeFailedAt is when a direct call to the store last failed. It is zero once a later call
@@ -92,7 +92,7 @@
 	return &Store{
 		settings: settings, direct: direct, log: log, peers: peers, peersReady: peersReady, rec: rec, now: now,
 		dial: func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) }, random: rand.Float64,
-		conns: map[string]*peer.Conn{}, avoidUntil: map[string]time.Time{}, sources: map[string]string{},
+		conns: map[string]openConn{}, avoidUntil: map[string]time.Time{}, sources: map[string]string{},
 	}
 }
 
@@ -317,51 +317,67 @@
 		s.mu.Lock()
 		s.avoidUntil[p.Name] = s.now().Add(avoid)
 		s.mu.Unlock()
-		s.rec.Note(events.RelayFailed, "", "peer", p.Name, "error", err)
+		s.rec.Note(events.RelayFailed, "", "peer", p.Name, "table", table, "error", err)
 	}
 	return snap, err
 }
 
+// openConn is a connection to a peer and the time at which it was opened.
+type openConn struct {
+	*peer.Conn
+	openedAt time.Time
+}
+
 func (s *Store) call(ctx context.Context, p Peer, method string, params any) (platform.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Wait+s.settings.Slack)
 	defer cancel()
+	sent := s.now()
 	c, err := s.conn(ctx, p.Address)
 	if err != nil {
-		return platform.Snapshot{}, err
+		return platform.Snapshot{}, fmt.Errorf("%w (%s)", err, timeLimit(ctx, sent))
 	}
-	sent := s.now()
 	var w wireSnapshot
 	if err := c.Call(ctx, method, params, &w); err != nil {
 		if !errors.Is(err, peer.ErrRefused) && !callerCancelled(ctx) {
 			s.closeConn(p.Address, c)
 		}
-		return platform.Snapshot{}, err
+		return platform.Snapshot{}, fmt.Errorf("%w (connection open for %s, %s)", err, sent.Sub(c.openedAt).Round(time.Millisecond), timeLimit(ctx, sent))
 	}
 	return w.decode(sent)
 }
 
-func (s *Store) conn(ctx context.Context, address string) (*peer.Conn, error) {
+// timeLimit describes the time that a call had when it began.
+func timeLimit(ctx context.Context, began time.Time) string {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return "no time limit"
+	}
+	return "time limit " + deadline.Sub(began).Round(time.Millisecond).String()
+}
+
+func (s *Store) conn(ctx context.Context, address string) (openConn, error) {
 	s.mu.Lock()
 	c, ok := s.conns[address]
 	s.mu.Unlock()
 	if ok {
 		return c, nil
 	}
-	c, err := s.dial(ctx, address)
+	opened, err := s.dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return openConn{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if other, ok := s.conns[address]; ok {
-		c.Close()
+		opened.Close()
 		return other, nil
 	}
+	c = openConn{Conn: opened, openedAt: s.now()}
 	s.conns[address] = c
 	return c, nil
 }
 
-func (s *Store) closeConn(address string, c *peer.Conn) {
+func (s *Store) closeConn(address string, c openConn) {
 	c.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
