feat(gateway): log a used up retry budget and entries that run anew

Neither a log nor a metric told what an entry counts for its retry budget, or that another entry's counts start anew with a new process. retries-used-up, entry-restarted and sparshore_gateway_retry_use tell these apart.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -140,7 +140,7 @@
 // applyPeerState applies the state that another gateway gossiped.
 func (b *gatewayBuilder) applyPeerState(from string, s gossip.State) {
 	b.gateway.SetPeerLoad(from, s.Loads)
-	b.gateway.SetPeerRetryUse(from, s.Retries, s.LastReceived)
+	b.gateway.SetPeerRetryUse(from, s.Incarnation, s.Retries, s.LastReceived)
 	b.fleet.PeerFaults(from, s.Faults)
 	b.fleet.PeerFailures(from, s.Failures)
 	b.gateway.Quarantine().Merge(from, s.Suspects)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -41,6 +41,8 @@
 	LimitReached       ID = 144
 	LimitNoAnswer      ID = 145
 	UpstreamNotice     ID = 146
+	RetriesUsedUp      ID = 147
+	EntryRestarted     ID = 148
 	RequestReceived    ID = 200
 	RequestRouted      ID = 201
 	RequestRefused     ID = 202
@@ -157,6 +159,8 @@
 	{LimitReached, "limit-reached", "No permit is available for a request to an upstream with a rate limit; the next one is available in `next-in`, from `granter`. Requests go to other upstreams until then. Logged at most once a second; `times` counts the occurrences."},
 	{LimitNoAnswer, "limit-no-answer", "The entry that grants permits did not answer; this entry sends the upstream no requests until it asks for permits again."},
 	{UpstreamNotice, "upstream-notice", "An answer announced that its upstream is leaving (`leaving`), or how long the upstream asks this entry to back off (`back-off`); `known` tells whether it was already known to be leaving."},
+	{RetriesUsedUp, "retries-used-up", "The retry budget of a service allows no further attempt now; `requests` and `extra` are what this entry counts in the window. Logged at most once a second for each service; `times` counts the occurrences."},
+	{EntryRestarted, "entry-restarted", "Another entry runs as a new process; `requests` and `extra` are the use of the retry budgets, over all services, that its earlier process reported last, `ago` the time since then."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream's sidecar."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with the time after which the caller may retry."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -190,7 +190,7 @@
 	if r.mayHaveRun() && (!c.rq.route.Repeats() || c.rq.attempts >= c.rq.route.MaxAttempts || !c.rq.run.MayRepeat()) {
 		return false
 	}
-	if len(c.tried) >= maxSends || !c.g.budget(c.rq.service.Name).TakeExtra(0) {
+	if len(c.tried) >= maxSends || !c.g.takeExtra(c.rq.service.Name, 0) {
 		return false
 	}
 	return c.launch(ctx, "retry")
@@ -201,7 +201,7 @@
 	if !c.rq.route.Repeats() || c.rq.attempts >= c.rq.route.MaxAttempts || c.running == 0 || c.rq.run.Suspected() {
 		return
 	}
-	if !c.g.budget(c.rq.service.Name).TakeExtra(hedgeReserve) {
+	if !c.g.takeExtra(c.rq.service.Name, hedgeReserve) {
 		return
 	}
 	if c.launch(ctx, "hedge") {
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/quarantine"
-	"github.com/sparshore/sparshore/internal/routing"
 )
 
 // nextAfterNotRun chooses the next step after an engine refused an attempt without running it.
@@ -16,7 +15,7 @@
 		// The copy command that stopped the generation may provide another copy.
 		return s.nextAfterBreak(ctx, exclude)
 	}
-	if ctx.Err() != nil || s.rq.attempts >= maxSends || !s.rq.run.MaySend() || !s.g.budget(s.rq.service.Name).TakeExtra(0) {
+	if ctx.Err() != nil || s.rq.attempts >= maxSends || !s.rq.run.MaySend() || !s.g.takeExtra(s.rq.service.Name, 0) {
 		return step{}, false
 	}
 	at, err := s.admit(ctx, exclude)
@@ -42,9 +41,8 @@
 		s.notResumedWhy = quarantine.ErrQuarantined.Error()
 		return step{}, false
 	}
-	budget := s.g.budget(s.rq.service.Name)
 	if ok {
-		if !s.awaitRetryBudget(ctx, budget) {
+		if !s.awaitRetryBudget(ctx) {
 			s.notResumedWhy = "the retry budget is used up"
 			return step{}, false
 		}
@@ -54,7 +52,7 @@
 		}
 		return step{at: held.at, from: &held.copy, why: "copy"}, true
 	}
-	if !s.rq.route.Repeats() || s.rq.attempts >= s.rq.route.MaxAttempts || !s.rq.run.MayRepeat() || !budget.TakeExtra(0) {
+	if !s.rq.route.Repeats() || s.rq.attempts >= s.rq.route.MaxAttempts || !s.rq.run.MayRepeat() || !s.g.takeExtra(s.rq.service.Name, 0) {
 		return step{}, false
 	}
 	// The caller is waiting for the rest of an answer, so a crowded engine is better than none.
@@ -76,9 +74,9 @@
 
 // awaitRetryBudget takes an attempt from the retry budget, waiting up to resumeWait until there is
 // one.
-func (s *stream) awaitRetryBudget(ctx context.Context, budget *routing.SharedBudget) bool {
+func (s *stream) awaitRetryBudget(ctx context.Context) bool {
 	deadline := s.g.now().Add(resumeWait)
-	for !budget.TakeExtra(0) {
+	for !s.g.takeExtra(s.rq.service.Name, 0) {
 		if ctx.Err() != nil || s.g.now().After(deadline) {
 			return false
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,10 @@
 	budgets map[string]*routing.SharedBudget
 	streams map[string]map[*stream]bool
 	moving  map[string]bool
+	// retryPeers holds what the other entries reported last of their use of the retry budgets.
+	retryPeers map[string]retryPeer
+	// retriesUsedUp counts, by service, the attempts that the retry budgets did not allow.
+	retriesUsedUp map[string]usedUp
 	// overloads holds the overload state of each service.
 	overloads map[string]*placement.Overload
 	// retryTimes staggers the retries of callers that were refused while all upstreams of their
@@ -129,11 +133,11 @@
 	g := &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, loads: newLoadTracker(now), prefixes: newPrefixes(), entries: 1,
-		budgets: map[string]*routing.SharedBudget{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
+		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), startedAt: now(),
 	}
-	reg.MustRegister(newLimitRates(g.limits.List))
+	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
 	return g
@@ -253,36 +257,3 @@
 		b.SetEntries(entries)
 	}
 }
-
-// RetryUse returns this entry's use of the retry budgets by service.
-func (g *Gateway) RetryUse() map[string]routing.Use {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := make(map[string]routing.Use, len(g.budgets))
-	for service, b := range g.budgets {
-		out[service] = b.Use()
-	}
-	return out
-}
-
-// SetPeerRetryUse records another entry's use of the retry budgets, and when that entry last
-// received a message from this one.
-func (g *Gateway) SetPeerRetryUse(name string, uses map[string]routing.Use, lastReceived time.Time) {
-	for service, u := range uses {
-		g.budget(service).RecordPeerReport(name, u, lastReceived)
-	}
-}
-
-// budget returns the retry budget of a service.
-func (g *Gateway) budget(service string) *routing.SharedBudget {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b, ok := g.budgets[service]
-	if !ok {
-		b = routing.NewSharedBudget(g.settings.RetryRatio, g.settings.RetryExtra, g.settings.RetryWindow, g.now)
-		b.SetEntries(g.entries)
-		b.SetMessageTimes(g.peers.DeliveryTimes())
-		g.budgets[service] = b
-	}
-	return b
-}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/routing"
 )
 
 // metrics are the gateway's counters and histograms.
@@ -81,3 +82,24 @@
 		c <- prometheus.MustNewConstMetric(l.desc, prometheus.GaugeValue, s.Rate, s.Upstream)
 	}
 }
+
+// retryUse is the collector for this entry's use of the retry budgets.
+type retryUse struct {
+	use  func() map[string]routing.Use
+	desc *prometheus.Desc
+}
+
+func newRetryUse(use func() map[string]routing.Use) *retryUse {
+	return &retryUse{use: use, desc: prometheus.NewDesc("sparshore_gateway_retry_use", "What this entry counts for the retry budget of a service in the present window, by kind: requests of callers, or extra attempts.", []string{"service", "kind"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (r *retryUse) Describe(ch chan<- *prometheus.Desc) { ch <- r.desc }
+
+// Collect implements prometheus.Collector.
+func (r *retryUse) Collect(ch chan<- prometheus.Metric) {
+	for service, u := range r.use() {
+		ch <- prometheus.MustNewConstMetric(r.desc, prometheus.GaugeValue, float64(u.Requests), service, "requests")
+		ch <- prometheus.MustNewConstMetric(r.desc, prometheus.GaugeValue, float64(u.Extra), service, "extra")
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -196,7 +196,7 @@
 func (m message) state(now time.Time) State {
 	b := m.body
 	s := State{
-		Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: m.decodeSuspects(now),
+		Incarnation: b.Life, Zone: b.Zone, Relay: b.Relay, Routes: routetable.Version(b.Routes), StoreLost: b.Lost, Leaving: b.Leaving, Failures: b.Failures, Suspects: m.decodeSuspects(now),
 		Loads: make(map[string]Load, len(b.Loads)), Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
 	}
 	for id, l := range b.Loads {
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -87,6 +87,8 @@
 func TestMessageArrivesAsSent(t *testing.T) {
 	now := time.Now()
 	want := busyState(now)
+	// encodeState encodes the state for this process.
+	want.Incarnation = "73b131248192"
 	want.StopBy, want.StoreLost, want.Leaving = now.Add(time.Second), true, []string{"e"}
 	want.Faults = map[string]time.Time{"e": now.Add(-time.Second)}
 	want.Failures = map[string]int{"f": 3}
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -32,6 +32,8 @@
 
 // State is what an entry reports to the other entries.
 type State struct {
+	// Incarnation identifies the process of the entry. It is encoded from Settings.
+	Incarnation string
 	// Zone is the availability zone of the entry.
 	Zone string
 	// Relay is the IP:port at which the entry serves data of the store to other entries.
