fix(relay): calls to peers have time of their own, and old connections may be silent

Cause: one attempt used up the time of the next. The call to the store, the calls to peers before it and those after it shared one deadline, and a failure for lack of time counted against the peer. So did a failure on a connection that had been open, which says nothing about the peer, and a refusal of a peer whose own call to the store had just failed.

Change: each call has a time limit of its own; it still ends when its caller is interrupted. A call whose answer is overdue on a connection that was open before is repeated on a new one. A peer is avoided only for a call that fails on a new connection, and for the time of a stale answer if it refuses.

Evidence: TestChangesAreLateThroughSilentPeers, TestSilentStoreUsesUpTheTimeOfPeers, TestPeersUseUpTheTimeOfTheStore, TestInterruptedCallGoesOn and TestPeersThatCannotAnswer; without the safeguards they fail (four mutants). TestListFromPeerWhenStoreDoesNotAnswer checked the store's half of the time only through the peers', so it checks it directly.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -65,6 +65,8 @@
 	// answer. An engine that leaves gives notice of about 1.5 s.
 	relayWait          = 500 * time.Millisecond
 	relayTimeoutMargin = 250 * time.Millisecond
+	// relayOverdue is how late an answer of an entry may be before the call is repeated on a new connection.
+	relayOverdue = 150 * time.Millisecond
 	// relayMaxAge is the age beyond which data from a delegate is not used. It is slightly longer
 	// than the age of that data in normal operation and shorter than the age up to which routes are
 	// trusted.
@@ -261,7 +263,7 @@
 	b.relayLog = relay.NewLog(time.Now)
 	b.source = relay.New(relay.Settings{
 		Name: s.Name, Zone: s.Zone, Size: s.size(), Delegates: delegateCount, PeerListTimeout: listedTimeout,
-		Wait: relayWait, Slack: relayTimeoutMargin, MaxAge: relayMaxAge, AvoidFor: relayAvoidFailed, AvoidStaleFor: relayAvoidStale, StoreCallInterval: relayCallInterval, RetryAfter: relayRetryInterval,
+		Wait: relayWait, Slack: relayTimeoutMargin, Overdue: relayOverdue, StoreSlack: followTimeoutMargin, MaxAge: relayMaxAge, AvoidFor: relayAvoidFailed, AvoidStaleFor: relayAvoidStale, StoreCallInterval: relayCallInterval, RetryAfter: relayRetryInterval,
 	}, b.store, b.relayLog, b.relayPeers, b.listed, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -106,6 +106,7 @@
 	SourceChanged       ID = 605
 	RelayFailed         ID = 606
 	StoreRestored       ID = 607
+	ConnectionSilent    ID = 608
 )
 
 // Kind describes one event kind.
@@ -225,6 +226,7 @@
 	{SourceChanged, "source-changed", "A table is followed through another source: the store, or an entry that follows the store."},
 	{RelayFailed, "relay-failed", "Another entry could not relay a table; the store is queried directly."},
 	{StoreRestored, "store-restored", "The store was restored from an older copy of itself: its versions continue from `version` in a new `epoch`, and records may be older than the known ones."},
+	{ConnectionSilent, "connection-silent", "A call was answered on a new connection, but not on one that was open before, which is closed. Other calls on older connections to the same process are repeated at once."},
 	{RegisterFailed, "register-failed", "An entry could not write or read the list of entries."},
 }
 
--- a/internal/relay/epochs_test.go
+++ b/internal/relay/epochs_test.go
@@ -84,7 +84,7 @@
 		t.Cleanup(server.Close)
 		m.addr = server.Addr()
 		m.source = New(Settings{
-			Name: m.name, Zone: "z", Delegates: 2, Wait: 60 * time.Millisecond, Slack: 200 * time.Millisecond, MaxAge: 400 * time.Millisecond,
+			Name: m.name, Zone: "z", Delegates: 2, Wait: 60 * time.Millisecond, Slack: 200 * time.Millisecond, Overdue: 200 * time.Millisecond, StoreSlack: 200 * time.Millisecond, MaxAge: 400 * time.Millisecond,
 			AvoidFor: 100 * time.Millisecond, AvoidStaleFor: 50 * time.Millisecond, StoreCallInterval: time.Millisecond, RetryAfter: 200 * time.Millisecond,
 		}, belief.WithAnswerTimes(f.storeFor(m), time.Now), m.log, func() []Peer { return f.others(m) }, closedChannel(), events.Nop(), time.Now)
 		f.list = append(f.list, m)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -80,7 +80,7 @@
 		e.server.Start()
 		t.Cleanup(e.server.Close)
 		e.addr = e.server.Addr()
-		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, MaxAge: 5 * time.Second, AvoidFor: time.Minute, AvoidStaleFor: time.Minute, RetryAfter: time.Minute},
+		e.source = New(Settings{Name: name, Zone: "z", Delegates: 1, Wait: 100 * time.Millisecond, Slack: time.Second, Overdue: time.Second, StoreSlack: time.Second, MaxAge: 5 * time.Second, AvoidFor: time.Minute, AvoidStaleFor: time.Minute, RetryAfter: time.Minute},
 			e.store.platformStore(), e.log, func() []Peer { return d.others(name) }, closedChannel(), events.Nop(), time.Now)
 		e.relayed = e.source.Platform()
 		d.entries = append(d.entries, e)
@@ -240,6 +240,9 @@
 	d.list()
 	direct := d.entries[0].source.direct
 	direct.List = func(ctx context.Context, _ string) (platform.Snapshot, error) {
+		if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) > 600*time.Millisecond {
+			t.Errorf("the store may use %s of a second", time.Until(deadline))
+		}
 		<-ctx.Done()
 		return platform.Snapshot{}, ctx.Err()
 	}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -31,6 +31,11 @@
 	Wait time.Duration
 	// Slack is the time beyond Wait after which a call to a peer times out.
 	Slack time.Duration
+	// Overdue is the time beyond Wait after which a call on a connection that was open before is repeated
+	// on a new one, which has Slack for it.
+	Overdue time.Duration
+	// StoreSlack is the time beyond the hold time after which a call for changes to the store times out.
+	StoreSlack time.Duration
 	// MaxAge is the age from which the answer of a peer is not used any more.
 	MaxAge time.Duration
 	// AvoidFor is how long a peer is not asked after a failed call, and AvoidStaleFor after an
@@ -134,7 +139,7 @@
 // askList asks a peer for the whole table and rejects an answer that is older than oldest. A peer
 // that is itself reading the table from the store holds the call until it has read the table.
 func (s *Store) askList(ctx context.Context, p Peer, table string, oldest time.Duration) (platform.Snapshot, error) {
-	snap, err := s.ask(ctx, p, methodList, table, listParams{Table: table, WaitMS: s.settings.Wait.Milliseconds()}, oldest)
+	snap, err := s.ask(ctx, p, query{method: methodList, table: table, wait: s.settings.Wait}, oldest)
 	if err == nil {
 		s.recordSource(table, p.Name)
 		s.log.apply(table, snap, true)
@@ -148,7 +153,7 @@
 func (s *Store) ListFrom(ctx context.Context, name, table string) (platform.Snapshot, error) {
 	for _, p := range s.peers() {
 		if p.Name == name {
-			return s.call(ctx, p, methodList, listParams{Table: table})
+			return s.callRepeated(ctx, p, query{method: methodList, table: table})
 		}
 	}
 	return platform.Snapshot{}, fmt.Errorf("%w: %s", errUnknownPeer, name)
@@ -201,8 +206,7 @@
 	err := ErrNotOwnTurn
 	if self || s.takeTurn() {
 		var snap platform.Snapshot
-		snap, err = s.direct.Changes(ctx, table, after, wait)
-		s.recordStoreResult(ctx, err)
+		snap, err = s.changesDirect(ctx, table, after, wait)
 		switch {
 		case err == nil:
 			s.applyChanges(table, "", snap)
@@ -220,10 +224,20 @@
 	return platform.Snapshot{}, err
 }
 
+// changesDirect asks the store for changes. The call has a time limit of its own, whatever the calls to peers
+// before it took.
+func (s *Store) changesDirect(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
+	limited, cancel := ownTimeout(ctx, wait+s.settings.StoreSlack)
+	defer cancel()
+	snap, err := s.direct.Changes(limited, table, after, wait)
+	s.recordStoreResult(limited, err)
+	return snap, err
+}
+
 // askChanges asks a peer for changes and applies its answer.
 func (s *Store) askChanges(ctx context.Context, p Peer, table string, after int64) (platform.Snapshot, error) {
-	params := changesParams{Table: table, After: after, Epoch: s.log.epoch(table), WaitMS: s.longPollWait(table).Milliseconds()}
-	snap, err := s.ask(ctx, p, methodChanges, table, params, s.settings.MaxAge)
+	q := query{method: methodChanges, table: table, after: after, epoch: s.log.epoch(table), wait: s.longPollWait(table)}
+	snap, err := s.ask(ctx, p, q, s.settings.MaxAge)
 	if err == nil {
 		s.applyChanges(table, p.Name, snap)
 	}
@@ -269,10 +283,6 @@
 	}
 }
 
-// callerCancelled reports whether the caller cancelled a call. Such a failure shows nothing about
-// the remote side, and other calls may be in flight on the same connection.
-func callerCancelled(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
-
 // StoreLost reports whether this entry recently failed to reach the store, so that another one
 // must be a delegate in its place.
 func (s *Store) StoreLost() bool {
@@ -299,44 +309,28 @@
 	return peer
 }
 
-// ask calls a peer. A peer that fails, or whose answer is older than oldest or of an earlier
-// epoch, is not asked again for a while.
-func (s *Store) ask(ctx context.Context, p Peer, method, table string, params any, oldest time.Duration) (platform.Snapshot, error) {
-	snap, err := s.call(ctx, p, method, params)
+// ask calls a peer. A peer that fails on a new connection is not asked again for a while, and for a shorter
+// while if it refuses the call, or if its answer is older than oldest or of an earlier epoch.
+func (s *Store) ask(ctx context.Context, p Peer, q query, oldest time.Duration) (platform.Snapshot, error) {
+	snap, err := s.callRepeated(ctx, p, q)
 	if age := s.now().Sub(snap.AsOf); err == nil && age > oldest {
 		err = fmt.Errorf("%w: table of %s is %s old", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
-	if err == nil && !s.log.acceptsEpoch(table, snap.Epoch) {
+	if err == nil && !s.log.acceptsEpoch(q.table, snap.Epoch) {
 		err = fmt.Errorf("%w: %s answered from before the store was restored from a copy", ErrStale, p.Name)
 	}
-	if err != nil && !callerCancelled(ctx) {
-		avoid := s.settings.AvoidFor
-		if errors.Is(err, ErrStale) {
-			avoid = s.settings.AvoidStaleFor
-		}
-		s.mu.Lock()
-		s.avoidUntil[p.Name] = s.now().Add(avoid)
-		s.mu.Unlock()
-		s.rec.Note(events.RelayFailed, "", "peer", p.Name, "table", table, "error", err)
+	if err == nil || callerCancelled(ctx) {
+		return snap, err
 	}
-	return snap, err
-}
-
-// openConn is a connection to a peer and the time at which it was opened.
-type openConn struct {
-	*peer.Conn
-	openedAt time.Time
-}
-
-func (s *Store) call(ctx context.Context, p Peer, method string, params any) (platform.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.settings.Wait+s.settings.Slack)
-	defer cancel()
-	sent := s.now()
-	var w wireSnapshot
-	if err := s.callPeer(ctx, p, method, params, &w); err != nil {
-		return platform.Snapshot{}, err
+	avoid := s.settings.AvoidFor
+	if errors.Is(err, ErrStale) || errors.Is(err, peer.ErrRefused) {
+		avoid = s.settings.AvoidStaleFor
 	}
-	return w.decode(sent)
+	s.mu.Lock()
+	s.avoidUntil[p.Name] = s.now().Add(avoid)
+	s.mu.Unlock()
+	s.rec.Note(events.RelayFailed, "", "peer", p.Name, "table", q.table, "avoided-for", avoid, "error", err)
+	return snap, err
 }
 
 // CallPeer calls a method of the named peer.
@@ -348,59 +342,3 @@
 	}
 	return fmt.Errorf("%w: %s", errUnknownPeer, name)
 }
-
-// callPeer calls a method of a peer and closes the connection if the call fails.
-func (s *Store) callPeer(ctx context.Context, p Peer, method string, params, result any) error {
-	began := s.now()
-	c, err := s.conn(ctx, p.Address)
-	if err != nil {
-		return fmt.Errorf("%w (%s)", err, timeLimit(ctx, began))
-	}
-	if err := c.Call(ctx, method, params, result); err != nil {
-		if !errors.Is(err, peer.ErrRefused) && !callerCancelled(ctx) {
-			s.closeConn(p.Address, c)
-		}
-		return fmt.Errorf("%w (connection open for %s, %s)", err, began.Sub(c.openedAt).Round(time.Millisecond), timeLimit(ctx, began))
-	}
-	return nil
-}
-
-// timeLimit describes the time that a call had when it began.
-func timeLimit(ctx context.Context, began time.Time) string {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return "no time limit"
-	}
-	return "time limit " + deadline.Sub(began).Round(time.Millisecond).String()
-}
-
-func (s *Store) conn(ctx context.Context, address string) (openConn, error) {
-	s.mu.Lock()
-	c, ok := s.conns[address]
-	s.mu.Unlock()
-	if ok {
-		return c, nil
-	}
-	opened, err := s.dial(ctx, address)
-	if err != nil {
-		return openConn{}, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if other, ok := s.conns[address]; ok {
-		opened.Close()
-		return other, nil
-	}
-	c = openConn{Conn: opened, openedAt: s.now()}
-	s.conns[address] = c
-	return c, nil
-}
-
-func (s *Store) closeConn(address string, c openConn) {
-	c.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.conns[address] == c {
-		delete(s.conns, address)
-	}
-}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -376,4 +376,9 @@
 mutant retries-stored-late internal/retryuse/retryuse.go 's/known := k\.restoreStored\(ctx\)/known := k.restoreStored(ctx) || k.restoreStored(ctx)/' internal/retryuse TestNewProcessLearns
 mutant retries-ahead internal/retryuse/retryuse.go 's/bucket\{0, 0, int64\(since\)\}/bucket{}/' internal/retryuse TestUseIsStored
 
+mutant relay-silent internal/relay/call.go 's/callerCancelled\(ctx\) \{\n\t\treturn snap, err/true {\n\t\treturn snap, err/' internal/relay TestChangesAreLate
+mutant relay-own-time internal/relay/call.go 's/context\.WithTimeout\(context\.WithoutCancel\(ctx\), d\)/context.WithTimeout(ctx, d)/' internal/relay 'TestSilentStoreUsesUp|TestPeersUseUp'
+mutant relay-cancelled internal/relay/call.go 's/\t\tif callerCancelled\(ctx\) \{\n\t\t\tcancel\(\)/\t\tif callerCancelled(ctx) {\n\t\t\t_ = cancel/' internal/relay TestInterruptedCall
+mutant relay-refused internal/relay/store.go 's/ \|\| errors\.Is\(err, peer\.ErrRefused\) \{/ {/' internal/relay TestPeersThatCannotAnswer
+
 finish
