fix(platform): calls to the store are repeated on new connections

Callers saw changes late beside connections to the store that had fallen silent while new ones worked: 'handled by version 3 or older; version 7 was acked more than 2000 ms before'.

Cause: a held call to the store ended only with its time limit, 2.1 s, which is longer than a change may take. The next call took another idle connection of the same pool, silent as well, for as long again.

Change: package reconnect sends a call again on a new connection once its answer is overdue, and takes the answer that comes first. If that is the new one, other calls on connections of that age are sent again at once, and idle ones are dropped. Writes are not sent twice; the next one uses a new connection. How soon an answer is overdue follows how late answers came, so that a slow store gets no more calls, and calls on new connections without a hold time are not repeated, so neither does a store that is down.

Five mutants.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,6 +46,11 @@
 	upstreamsWait = 1800 * time.Millisecond
 	// followTimeoutMargin is added to the timeout of such a call for the network and a late answer.
 	followTimeoutMargin = 700 * time.Millisecond
+	// storeOverdueMin is how late an answer of the store may be before the call is repeated on a new
+	// connection: many round trips. A store that is slow gets up to storeOverdueMax, of which
+	// followTimeoutMargin leaves some time for the repetition.
+	storeOverdueMin = 150 * time.Millisecond
+	storeOverdueMax = 550 * time.Millisecond
 	// followListTimeout bounds a read of a whole table. Such a read takes several pages, each with
 	// its own timeout, on the slowest network.
 	followListTimeout = 10 * time.Second
@@ -259,7 +264,7 @@
 	log := newLogger(b.logWriter).WithValues("process", s.Name, "incarnation", b.incarnation)
 	b.rec = events.New(log, s.Name, b.incarnation, s.TimelineSize, time.Now)
 	b.reg.MustRegister(collectors.NewGoCollector())
-	b.store = belief.WithAnswerTimes(platform.NewStore(s.Store, storeClient()), time.Now)
+	b.store = belief.WithAnswerTimes(platform.NewStore(s.Store, b.storeClient()), time.Now)
 	b.relayLog = relay.NewLog(time.Now)
 	b.source = relay.New(relay.Settings{
 		Name: s.Name, Zone: s.Zone, Size: s.size(), Delegates: delegateCount, PeerListTimeout: listedTimeout,
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -10,6 +10,7 @@
 	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/kernel"
 	product "github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/reconnect"
 	"github.com/sparshore/sparshore/platform"
 )
 
@@ -20,14 +21,16 @@
 	}
 }
 
-// storeClient returns an HTTP client that keeps few connections: one for each table that is
-// followed and one for other calls.
-func storeClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 3,
-		DisableCompression:  true,
-	}}
+// storeClient returns a client that keeps few connections: one for each table that is followed and one for
+// other calls.
+func (b *gatewayBuilder) storeClient() *reconnect.Client {
+	return reconnect.New(reconnect.Settings{OverdueMin: storeOverdueMin, OverdueMax: storeOverdueMax, MaxBody: platform.MaxResponseBytes}, func() *http.Transport {
+		return &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 3,
+			DisableCompression:  true,
+		}
+	}, b.rec, time.Now)
 }
 
 // applyUpstreams applies rows of the upstreams table to the fleet.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -376,6 +376,12 @@
 mutant retries-stored-late internal/retryuse/retryuse.go 's/known := k\.restoreStored\(ctx\)/known := k.restoreStored(ctx) || k.restoreStored(ctx)/' internal/retryuse TestNewProcessLearns
 mutant retries-ahead internal/retryuse/retryuse.go 's/bucket\{0, 0, int64\(since\)\}/bucket{}/' internal/retryuse TestUseIsStored
 
+reconnect=internal/reconnect
+mutant silent-repeat $reconnect/reconnect.go 's/next := c\.replace\(first\)/next := first/' $reconnect TestCallWaits
+mutant silent-others $reconnect/reconnect.go 's/\t\tc\.markSilent\(first\)\n//' $reconnect TestOtherCalls
+mutant silent-slow $reconnect/reconnect.go 's/latenessFactor\*c\.lateness/0*c.lateness/' $reconnect TestSlowServer
+mutant silent-write $reconnect/reconnect.go 's/\tif !req\.Repeatable \{/\tif false {/' $reconnect TestWriteIsRepeated
+mutant silent-server $reconnect/reconnect.go 's/if !used\.reused\(\) && req\.Held == 0 \{/if false {/' $reconnect TestSilentServer
 mutant relay-silent internal/relay/call.go 's/callerCancelled\(ctx\) \{\n\t\treturn snap, err/true {\n\t\treturn snap, err/' internal/relay TestChangesAreLate
 mutant relay-own-time internal/relay/call.go 's/context\.WithTimeout\(context\.WithoutCancel\(ctx\), d\)/context.WithTimeout(ctx, d)/' internal/relay 'TestSilentStoreUsesUp|TestPeersUseUp'
 mutant relay-cancelled internal/relay/call.go 's/\t\tif callerCancelled\(ctx\) \{\n\t\t\tcancel\(\)/\t\tif callerCancelled(ctx) {\n\t\t\t_ = cancel/' internal/relay TestInterruptedCall
