fix(platform): a call that got no answer drops the idle connections

Found by a look for the cause of late changes elsewhere: the clients of the table service, the object store and the VM list used the idle connections of one pool one after the other, and each that had fallen silent cost a call its limit of 2 s, while a lease of a sidecar ran out. They drop the idle connections after a call without an answer now.

--- a/internal/platform/objects.go
+++ b/internal/platform/objects.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
@@ -36,7 +35,7 @@
 		RetryMaxAttempts:           callAttempts,
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
-		HTTPClient:                 &http.Client{Timeout: callTimeout},
+		HTTPClient:                 newHTTPClient(),
 	})
 	b := &bucketClient{client: client, bucket: bucket}
 	return &Objects{Put: b.put, Get: b.get}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -83,7 +82,7 @@
 		Region:           region,
 		Credentials:      credentials.NewStaticCredentialsProvider(creds.Key, creds.Secret, ""),
 		RetryMaxAttempts: callAttempts,
-		HTTPClient:       &http.Client{Timeout: callTimeout},
+		HTTPClient:       newHTTPClient(),
 	})
 	d := &dynamo{client: client, table: name}
 	return &Table{Get: d.get, List: d.list, Commit: d.commit}
