fix(retryuse): ask other entries before the store, and store large use only

Other entries are asked first, so a start beside others needs no call. The use is stored from two fifths of the share on, and again when it has grown by a fifth of it; less is covered by what entries leave of the budgets.

--- a/internal/retryuse/retryuse.go
+++ b/internal/retryuse/retryuse.go
@@ -78,6 +78,8 @@
 	// stored holds, by service, the extra attempts of this process at the last write, which was at storedAt.
 	stored   map[string]int
 	storedAt time.Time
+	// asking is done once the other entries are not asked any more.
+	asking sync.WaitGroup
 }
 
 // New returns a Keeper; Run starts its work.
@@ -106,20 +108,34 @@
 	}
 }
 
-// restore asks the store and the other entries for the use of earlier processes, until one of them knows it
-// or it is out of the window. The store counts only if it answers the first call: an earlier process that
-// did not reach it has used more than it stored.
+// restore asks the other entries for the use of earlier processes, then the store if none of them knows it. If
+// neither does, it goes on asking the other entries until the use is out of the window.
 func (k *Keeper) restore(ctx context.Context) {
 	end := k.now().Add(k.settings.Window)
-	known := k.restoreStored(ctx)
-	if known {
+	k.awaitPeers(ctx, end)
+	if _, told := k.askPeers(ctx); told {
 		k.budgets.Restored()
-	}
-	select {
-	case <-k.peers.Ready:
-	case <-ctx.Done():
 		return
 	}
+	known := k.restoreStored(ctx)
+	k.asking.Go(func() { k.restoreFromPeers(ctx, end, known) })
+}
+
+// awaitPeers waits until there are other entries to ask, or it is known that there are none, until end at most.
+func (k *Keeper) awaitPeers(ctx context.Context, end time.Time) {
+	for k.now().Before(end) && ctx.Err() == nil && len(k.peers.Names()) == 0 {
+		select {
+		case <-k.peers.Ready:
+			return
+		default:
+			k.sleep(ctx)
+		}
+	}
+}
+
+// restoreFromPeers asks the other entries until one knows the use of earlier processes, or until end. If the
+// store knows it, one answer is enough: it may tell of later use.
+func (k *Keeper) restoreFromPeers(ctx context.Context, end time.Time, known bool) {
 	for k.now().Before(end) && ctx.Err() == nil {
 		asked, told := k.askPeers(ctx)
 		if told {
@@ -179,8 +195,9 @@
 	Used map[string][]bucket `json:"used"`
 }
 
-// restoreStored reads the table once and restores what earlier processes of this entry stored. It reports
-// whether the store answered.
+// restoreStored reads the table and restores what earlier processes of this entry stored. It reports whether
+// the store answered. It is called once: an earlier process that did not reach the store has used more than it
+// stored.
 func (k *Keeper) restoreStored(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
 	defer cancel()
@@ -204,6 +221,7 @@
 		}
 	}
 	k.apply("store", used, true)
+	k.budgets.Restored()
 	if len(expired) > 0 {
 		// Rows that cannot be removed now are removed by the next entry that starts.
 		_ = k.store.Remove(ctx, k.settings.Table, expired[:min(len(expired), maxRemoved)]...)
@@ -251,35 +269,30 @@
 	k.rec.Note(events.RetryUseRestored, "", "source", source, "complete", complete, "requests", sum.Requests, "extra", sum.Extra)
 }
 
-// storeUse stores the use of this entry if it made extra attempts since the last write and the next write is
-// due. A failed write is repeated with the next check.
+const (
+	// storeFrom is the part of an entry's share of a budget from which its use is stored. Less is covered by
+	// what entries leave of the budgets, and usual failures cost no calls.
+	storeFrom = 0.4
+	// storeGrowth is the part of the share after which the use is stored again.
+	storeGrowth = 0.2
+)
+
+// growth returns the number of extra attempts after which a use is stored again.
+func growth(u routing.Usage) int { return max(int(storeGrowth*u.Share), 1) }
+
+// storeUse stores the use of this entry if much of a budget is used, it has grown since the last write, and
+// the next write is due. A failed write is repeated with the next check.
 func (k *Keeper) storeUse(ctx context.Context) {
-	usage := k.budgets.Usage()
-	row, changed := storedRow{Used: map[string][]bucket{}}, false
+	usage, due := k.budgets.Usage(), false
 	for service, u := range usage {
-		since := u.Taken - k.stored[service]
-		changed = changed || since > 0
-		row.Used[service] = encode(u.Buckets)
-		if since > 0 {
-			// As many may follow until the next write.
-			row.Used[service] = append(row.Used[service], bucket{0, 0, int64(since)})
-		}
+		due = due || float64(u.Extra()) >= storeFrom*u.Share && u.Taken-k.stored[service] >= growth(u)
 	}
-	if !changed || k.now().Sub(k.storedAt) < k.peers.StoreInterval() {
+	if !due || k.now().Sub(k.storedAt) < k.peers.StoreInterval() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
 	defer cancel()
-	if k.clockAt.IsZero() {
-		if _, err := k.readTable(ctx); err != nil {
-			return
-		}
-	}
-	row.AtMS = (k.clock + k.now().Sub(k.clockAt)).Milliseconds()
-	value, err := json.Marshal(row)
-	if err == nil {
-		err = k.store.Put(ctx, k.settings.Table, k.settings.Name, value)
-	}
+	err := k.write(ctx, usage)
 	k.storedAt = k.now()
 	if err != nil {
 		k.rec.Note(events.RetryUseStoreFailed, "", "error", err)
@@ -290,6 +303,27 @@
 	}
 }
 
+// write writes the row of this entry. It counts the extra attempts that may follow until the next write.
+func (k *Keeper) write(ctx context.Context, usage map[string]routing.Usage) error {
+	if k.clockAt.IsZero() {
+		if _, err := k.readTable(ctx); err != nil {
+			return err
+		}
+	}
+	row := storedRow{AtMS: (k.clock + k.now().Sub(k.clockAt)).Milliseconds(), Used: map[string][]bucket{}}
+	for service, u := range usage {
+		row.Used[service] = encode(u.Buckets)
+		if u.Taken > k.stored[service] {
+			row.Used[service] = append(row.Used[service], bucket{0, 0, int64(growth(u))})
+		}
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	return k.store.Put(ctx, k.settings.Table, k.settings.Name, value)
+}
+
 // methodUsage is the method by which an entry asks another one for the use of its earlier processes.
 const methodUsage = "retries.usage"
 
--- a/internal/routing/window.go
+++ b/internal/routing/window.go
@@ -106,17 +106,27 @@
 // Usage is what an entry has used of a budget.
 type Usage struct {
 	Buckets []Bucket
+	// Share is the number of extra attempts that the entry may make in the window without borrowing.
+	Share float64
 	// Taken is the number of extra attempts that its present process has made in all.
 	Taken int
 }
 
+// Extra returns the number of extra attempts in the window.
+func (u Usage) Extra() (n int) {
+	for _, b := range u.Buckets {
+		n += b.Extra
+	}
+	return n
+}
+
 // Usage returns what this entry has used in the window, earlier processes included.
 func (w *SharedBudget) Usage() Usage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	now := w.now()
-	return Usage{Buckets: append(w.own.history(now, w.span), w.earlier.history(now, w.span)...), Taken: w.taken}
+	return Usage{Buckets: append(w.own.history(now, w.span), w.earlier.history(now, w.span)...), Share: w.share(w.use()), Taken: w.taken}
 }
 
 // SetRestarted sets when this process of the entry started, if there were earlier ones.
