--- a/internal/relay/epochs_test.go
+++ b/internal/relay/epochs_test.go
@@ -25,8 +25,8 @@
 	log    *Log
 	source *Store
 	addr   string
-	// storeCutOff makes calls of this entry to the store fail.
-	storeCutOff atomic.Bool
+	// storeCutOff makes calls of this entry to the store fail, storeSilent leaves them without an answer.
+	storeCutOff, storeSilent atomic.Bool
 
 	mu    sync.Mutex
 	known map[string]string
@@ -102,25 +102,28 @@
 // storeFor returns the store as seen by one entry.
 func (f *followers) storeFor(m *member) *platform.Store {
 	direct := f.store.Store()
-	reaches := func() error {
-		if f.storeDown.Load() || m.storeCutOff.Load() {
+	reaches := func(ctx context.Context) error {
+		if m.storeSilent.Load() {
+			<-ctx.Done()
+		}
+		if f.storeDown.Load() || m.storeCutOff.Load() || m.storeSilent.Load() {
 			return errDown
 		}
 		return nil
 	}
 	return &platform.Store{
 		List: func(ctx context.Context, table string) (platform.Snapshot, error) {
-			if err := reaches(); err != nil {
+			if err := reaches(ctx); err != nil {
 				return platform.Snapshot{}, err
 			}
 			return direct.List(ctx, table)
 		},
 		Changes: func(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
-			if err := reaches(); err != nil {
+			if err := reaches(ctx); err != nil {
 				return platform.Snapshot{}, err
 			}
 			s, err := direct.Changes(ctx, table, after, wait)
-			if lost := reaches(); lost != nil {
+			if lost := reaches(ctx); lost != nil {
 				return platform.Snapshot{}, lost
 			}
 			return s, err
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"flag"
+	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -183,3 +186,52 @@
 		})
 	}
 }
+
+// manyEntries is the largest number of entries in TestEntriesCutFromTheStoreAreLate.
+var manyEntries = flag.Int("relay.entries", 30, "largest number of entries in TestEntriesCutFromTheStoreAreLate")
+
+// TestEntriesCutFromTheStoreAreLate guards against entries that learn of changes late because their calls to
+// the store get no answer, though other entries reach it. The delegates are among them.
+func TestEntriesCutFromTheStoreAreLate(t *testing.T) {
+	for _, entries := range []int{4, *manyEntries} {
+		for _, part := range []int{3, 2} {
+			for _, restored := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d entries with 1 in %d cut and restored %t", entries, part, restored), func(t *testing.T) {
+					newFollowers(t, entries).cutSilently(t, entries/part, restored)
+				})
+			}
+		}
+	}
+}
+
+// cutSilently cuts the first entries from the store and checks that all entries learn of changes, also if the
+// store was restored from a copy at that moment.
+func (f *followers) cutSilently(t *testing.T, cut int, restored bool) {
+	t.Helper()
+	const within = 2 * time.Second
+	f.store.Put(table, "row", "kept")
+	if diff := f.convergesWithin(t, within); diff != "" {
+		t.Fatal("at the start: " + diff)
+	}
+	backup := f.store.Backup()
+	f.store.Put(table, "row", "lost")
+	time.Sleep(50 * time.Millisecond)
+	for _, m := range f.list[:cut] {
+		m.storeSilent.Store(true)
+	}
+	if restored {
+		f.store.Restore(backup)
+	}
+	var took []time.Duration
+	for n := range 5 {
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		f.store.Put(table, "row", fmt.Sprint("change ", n))
+		if diff := f.convergesWithin(t, within); diff != "" {
+			t.Errorf("change %d after %s: %s", n, within, diff)
+		}
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	t.Logf("all entries have a change after %s in the middle, %s at worst", took[len(took)/2], took[len(took)-1])
+}
--- a/internal/routing/restart_test.go
+++ b/internal/routing/restart_test.go
@@ -139,15 +139,15 @@
 			killed int
 			kills  int
 		}{
-			{"none", 0, 0},
-			{"one, once", 1, 1},
-			{"one, four times", 1, 4},
-			{"half, twice", entries / 2, 2},
-			{"half, four times", entries / 2, 4},
-			{"all, once", entries, 1},
-			{"all, four times", entries, 4},
+			{"none killed", 0, 0},
+			{"one killed once", 1, 1},
+			{"one killed four times", 1, 4},
+			{"half killed twice", entries / 2, 2},
+			{"half killed four times", entries / 2, 4},
+			{"all killed once", entries, 1},
+			{"all killed four times", entries, 4},
 		} {
-			t.Run(fmt.Sprintf("%d entries, %s", entries, tc.name), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d entries with %s", entries, tc.name), func(t *testing.T) {
 				r := newBudgetRig(entries, 0.2, 80)
 				for step := range 250 {
 					if step%10 == 0 {
