--- a/internal/relay/epochs_test.go
+++ b/internal/relay/epochs_test.go
@@ -141,11 +141,14 @@
 	return out
 }
 
-// convergesWithin waits until all entries have the rows of the store. It returns a difference that
-// is left when the time is over, or an empty string.
-func (f *followers) convergesWithin(t *testing.T, d time.Duration) string {
+// convergeTimeout is the time in which all entries must have the rows of the store.
+const convergeTimeout = 2 * time.Second
+
+// converges waits until all entries have the rows of the store. It returns a difference that is left after
+// convergeTimeout, or an empty string.
+func (f *followers) converges(t *testing.T) string {
 	t.Helper()
-	for end := time.Now().Add(d); ; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(convergeTimeout); ; time.Sleep(5 * time.Millisecond) {
 		s, err := f.store.Store().List(t.Context(), table)
 		if err != nil {
 			return err.Error()
@@ -188,7 +191,7 @@
 		}
 	}
 	write(5, "kept ")
-	if diff := f.convergesWithin(t, 2*time.Second); diff != "" {
+	if diff := f.converges(t); diff != "" {
 		return "at the start: " + diff
 	}
 	for n := range 3 {
@@ -205,7 +208,7 @@
 		write(1+rng.IntN(8), "again ")
 		pause(100)
 		cut.storeCutOff.Store(false)
-		if diff := f.convergesWithin(t, 2*time.Second); diff != "" {
+		if diff := f.converges(t); diff != "" {
 			return fmt.Sprintf("after restore %d: %s", n+1, diff)
 		}
 	}
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -208,9 +208,8 @@
 // store was restored from a copy at that moment.
 func (f *followers) cutSilently(t *testing.T, cut int, restored bool) {
 	t.Helper()
-	const within = 2 * time.Second
 	f.store.Put(table, "row", "kept")
-	if diff := f.convergesWithin(t, within); diff != "" {
+	if diff := f.converges(t); diff != "" {
 		t.Fatal("at the start: " + diff)
 	}
 	backup := f.store.Backup()
@@ -227,8 +226,8 @@
 		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
 		f.store.Put(table, "row", fmt.Sprint("change ", n))
-		if diff := f.convergesWithin(t, within); diff != "" {
-			t.Errorf("change %d after %s: %s", n, within, diff)
+		if diff := f.converges(t); diff != "" {
+			t.Errorf("change %d after %s: %s", n, convergeTimeout, diff)
 		}
 		took = append(took, time.Since(began))
 	}
