--- a/internal/reconnect/reconnect.go
+++ b/internal/reconnect/reconnect.go
@@ -80,8 +80,8 @@
 	again bool
 }
 
-// Do sends a request and reads the whole answer. It returns the error of the connection that was opened last
-// if no answer comes before ctx ends.
+// Do sends a request and reads the whole answer. If no answer comes before ctx ends, it returns the error of
+// the attempt that failed last.
 func (c *Client) Do(ctx context.Context, req Request) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -170,6 +170,7 @@
 	defer c.mu.Unlock()
 	if c.pool == old {
 		c.pool = &pool{transport: c.connect(), silent: make(chan struct{})}
+		// The transport also closes connections that become idle after this.
 		old.transport.CloseIdleConnections()
 	}
 	return c.pool
--- a/internal/reconnect/reconnect_test.go
+++ b/internal/reconnect/reconnect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -179,3 +180,46 @@
 		t.Errorf("%d requests, want 1", n)
 	}
 }
+
+// TestReplacedConnectionsStayOpen guards against connections that nobody uses any more, because their answer
+// came after they were replaced.
+func TestReplacedConnectionsStayOpen(t *testing.T) {
+	s := newServer(t)
+	var open atomic.Int64
+	c := New(Settings{OverdueMin: overdue, OverdueMax: overdue, MaxBody: 1 << 20}, func() *http.Transport {
+		d := &net.Dialer{}
+		return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			open.Add(1)
+			return &countedConn{Conn: conn, open: &open}, nil
+		}}
+	}, events.Nop(), time.Now)
+	for range 4 {
+		s.delay.Store(0)
+		call(t, c, s.held(0))
+		s.delay.Store(int64(overdue + overdue/2))
+		call(t, c, s.held(0))
+	}
+	for end := time.Now().Add(limit / 2); open.Load() > 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want the one in use and one being replaced at most", open.Load())
+		}
+	}
+}
+
+// countedConn counts down open once it is closed.
+type countedConn struct {
+	net.Conn
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -386,6 +386,7 @@
 mutant relay-own-time internal/relay/call.go 's/context\.WithTimeout\(context\.WithoutCancel\(ctx\), d\)/context.WithTimeout(ctx, d)/' internal/relay 'TestSilentStoreUsesUp|TestPeersUseUp'
 mutant relay-cancelled internal/relay/call.go 's/\t\tif callerCancelled\(ctx\) \{\n\t\t\tcancel\(\)/\t\tif callerCancelled(ctx) {\n\t\t\t_ = cancel/' internal/relay TestInterruptedCall
 mutant relay-refused internal/relay/store.go 's/ \|\| errors\.Is\(err, peer\.ErrRefused\) \{/ {/' internal/relay TestPeersThatCannotAnswer
+mutant silent-replaced $reconnect/reconnect.go 's/old\.transport\.CloseIdleConnections\(\)/_ = old/' $reconnect TestReplacedConnections
 mutant silent-idle internal/platform/httpclient.go 's/f\.transport\.CloseIdleConnections\(\)/_ = f/' internal/platform TestEachSilent
 
 finish
