--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -377,16 +377,16 @@
 mutant retries-ahead internal/retryuse/retryuse.go 's/bucket\{0, 0, int64\(growth\(u\)\)\}/bucket{}/' internal/retryuse TestUseIsStored
 
 reconnect=internal/reconnect
-mutant silent-repeat $reconnect/reconnect.go 's/next := c\.replace\(first\)/next := first/' $reconnect TestCallWaits
-mutant silent-others $reconnect/reconnect.go 's/\t\tc\.markSilent\(first\)\n//' $reconnect TestOtherCalls
-mutant silent-slow $reconnect/reconnect.go 's/latenessFactor\*c\.lateness/0*c.lateness/' $reconnect TestSlowServer
-mutant silent-write $reconnect/reconnect.go 's/\tif !req\.Repeatable \{/\tif false {/' $reconnect TestWriteIsRepeated
-mutant silent-server $reconnect/reconnect.go 's/if !used\.reused\(\) && req\.Held == 0 \{/if false {/' $reconnect TestSilentServer
+mutant reconnect-repeat $reconnect/reconnect.go 's/next := c\.replace\(first\)/next := first/' $reconnect TestCallWaits
+mutant reconnect-others $reconnect/reconnect.go 's/\t\tc\.markSilent\(first\)\n//' $reconnect TestOtherCalls
+mutant reconnect-slow $reconnect/reconnect.go 's/latenessFactor\*c\.lateness/0*c.lateness/' $reconnect TestSlowServer
+mutant reconnect-write $reconnect/reconnect.go 's/\tif !req\.Repeatable \{/\tif false {/' $reconnect TestWriteIsRepeated
+mutant reconnect-server $reconnect/reconnect.go 's/if !used\.reused\(\) && req\.Held == 0 \{/if false {/' $reconnect TestSilentServer
 mutant relay-silent internal/relay/call.go 's/callerCancelled\(ctx\) \{\n\t\treturn snap, err/true {\n\t\treturn snap, err/' internal/relay TestChangesAreLate
 mutant relay-own-time internal/relay/call.go 's/context\.WithTimeout\(context\.WithoutCancel\(ctx\), d\)/context.WithTimeout(ctx, d)/' internal/relay 'TestSilentStoreUsesUp|TestPeersUseUp'
 mutant relay-cancelled internal/relay/call.go 's/\t\tif callerCancelled\(ctx\) \{\n\t\t\tcancel\(\)/\t\tif callerCancelled(ctx) {\n\t\t\t_ = cancel/' internal/relay TestInterruptedCall
 mutant relay-refused internal/relay/store.go 's/ \|\| errors\.Is\(err, peer\.ErrRefused\) \{/ {/' internal/relay TestPeersThatCannotAnswer
-mutant silent-replaced $reconnect/reconnect.go 's/old\.transport\.CloseIdleConnections\(\)/_ = old/' $reconnect TestReplacedConnections
-mutant silent-idle internal/platform/httpclient.go 's/f\.transport\.CloseIdleConnections\(\)/_ = f/' internal/platform TestEachSilent
+mutant reconnect-replaced $reconnect/reconnect.go 's/old\.transport\.CloseIdleConnections\(\)/_ = old/' $reconnect TestReplacedConnections
+mutant reconnect-idle internal/platform/httpclient.go 's/f\.transport\.CloseIdleConnections\(\)/_ = f/' internal/platform TestEachSilent
 
 finish
