fix(relay): turns at the store go to entries of all places in the order of delegates

Callers of every zone would have been served by old routes for as long as a fault cut off the entries that come first as delegates, for example all of the first zone: with 300 entries, half of them cut silently, no entry had a change within 100 s (one process, real times).

Cause: while nobody gets a table from the delegates, 32 entries call the store in turns. They were the 32 that come first as delegates, so they were cut as well; and candidates for delegates are tried two at a time, each for as long as a call to the store takes, and again from the first ones after 4 s. The class: a fallback that fails for the same reason as what it stands in for.

Change: who takes turns follows from a hash of the name. (FNV did not mix names that differ in their last digits well enough: the 32 stood together again.)

--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/standin"
 )
@@ -234,3 +235,24 @@
 	slices.Sort(took)
 	t.Logf("all entries have a change after %s in the middle, %s at worst", took[len(took)/2], took[len(took)-1])
 }
+
+// TestTurnsGoToTheNextDelegates guards against turns that only entries have which a fault of the delegates, such
+// as that of a zone, is likely to cut off as well.
+func TestTurnsGoToTheNextDelegates(t *testing.T) {
+	const entries = 300
+	var all []Peer
+	for i := range entries {
+		all = append(all, Peer{Name: fmt.Sprintf("front-%c-%d", 'a'+rune(i/100), i%100), Zone: "z"})
+	}
+	ranked(all)
+	takers := [3]int{}
+	for i, own := range all {
+		s := New(Settings{Name: own.Name, Zone: "z"}, nil, nil, func() []Peer { return slices.Delete(slices.Clone(all), i, i+1) }, closedChannel(), events.Nop(), time.Now)
+		if s.takeTurn() {
+			takers[i*len(takers)/entries]++
+		}
+	}
+	if slices.Min(takers[:]) < maxTurnTakers/6 || takers[0]+takers[1]+takers[2] != maxTurnTakers {
+		t.Errorf("turns of %d entries in the order of delegates %v, want %d spread evenly", entries, takers, maxTurnTakers)
+	}
+}
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -1,8 +1,9 @@
 package relay
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
-	"slices"
 	"time"
 )
 
@@ -23,9 +24,21 @@
 	if !s.turnDue() {
 		return false
 	}
-	all := ranked(append(s.peers(), s.ownPeer()))
-	takers := all[:min(len(all), maxTurnTakers)]
-	return slices.ContainsFunc(takers, func(p Peer) bool { return p.Name == s.settings.Name })
+	own, before := turnOrder(s.settings.Name), 0
+	for _, p := range s.peers() {
+		if turnOrder(p.Name) < own {
+			before++
+		}
+	}
+	return before < maxTurnTakers
+}
+
+// turnOrder returns the place of an entry in the order of those that take turns. It does not depend on machines
+// and the order of names, as the choice of delegates does: a fault that cuts off the delegates, such as that of a
+// zone, may cut off all entries that come next to them.
+func turnOrder(name string) uint64 {
+	sum := sha256.Sum256([]byte(name))
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 // turnDue reports whether the turn of this entry has come, and schedules the next one if so.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -385,6 +385,7 @@
 mutant relay-silent internal/relay/call.go 's/callerCancelled\(ctx\) \{\n\t\treturn snap, err/true {\n\t\treturn snap, err/' internal/relay TestChangesAreLate
 mutant relay-own-time internal/relay/call.go 's/context\.WithTimeout\(context\.WithoutCancel\(ctx\), d\)/context.WithTimeout(ctx, d)/' internal/relay 'TestSilentStoreUsesUp|TestPeersUseUp'
 mutant relay-cancelled internal/relay/call.go 's/\t\tif callerCancelled\(ctx\) \{\n\t\t\tcancel\(\)/\t\tif callerCancelled(ctx) {\n\t\t\t_ = cancel/' internal/relay TestInterruptedCall
+mutant relay-turn-order internal/relay/turns.go 's/if turnOrder\(p\.Name\) < own \{/_ = own\n\t\tif p.Name < s.settings.Name {/' internal/relay TestTurnsGoToTheNext
 mutant relay-refused internal/relay/store.go 's/ \|\| errors\.Is\(err, peer\.ErrRefused\) \{/ {/' internal/relay TestPeersThatCannotAnswer
 mutant reconnect-replaced $reconnect/reconnect.go 's/old\.transport\.CloseIdleConnections\(\)/_ = old/' $reconnect TestReplacedConnections
 mutant reconnect-idle internal/platform/httpclient.go 's/f\.transport\.CloseIdleConnections\(\)/_ = f/' internal/platform TestEachSilent
