feat(gateway): log how a planned stop answers the requests that it gives up

At the end of a stop nothing told how many requests were given up, how long their responses took and for how much of that time the process ran, so a response that was lost there could not be traced.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -132,6 +132,7 @@
 		b.rec.Note(events.DrainTooShort, "", "error", err)
 		b.giveUp(ctx, noticed.Add(b.settings.StopWithin-exitReserve))
 	}
+	b.gateway.NoteGivenUp(b.callers.connections.Open())
 	return b.callers.server.Close()
 }
 
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -84,6 +84,7 @@
 	LeaseReleased       ID = 412
 	DrainStarted        ID = 420
 	DrainTooShort       ID = 421
+	RequestsGivenUp     ID = 422
 	ChangeSubmitted     ID = 500
 	ChangeStaged        ID = 501
 	ChangeRefused       ID = 502
@@ -205,6 +206,7 @@
 	{LeaseReleased, "lease-released", "A sidecar released its lease in a planned stop."},
 	{DrainStarted, "drain-started", "An upstream accepts no new work and finishes its requests in flight."},
 	{DrainTooShort, "drain-too-short", "A planned stop reached its deadline with requests in flight."},
+	{RequestsGivenUp, "requests-given-up", "A planned stop gave up `requests` without an answer and refused them. `took` is the time since it gave up the first, `unwritten` the number of connections whose responses are not written yet. `run-share` is the part of the time in which the process ran before, `longest-pause` the longest time in which it did not."},
 	{ChangeSubmitted, "change-submitted", "An operator submitted a configuration change."},
 	{ChangeStaged, "change-staged", "A process validated a candidate configuration and holds it without putting it into force."},
 	{ChangeRefused, "change-refused", "A configuration change was refused and is in force nowhere."},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,9 @@
 	giveUpUnanswered  context.CancelFunc
 	stopping          context.Context
 	giveUpAll         context.CancelCauseFunc
+	unanswered        unansweredRequests
+	// running measures this process near the end of a planned stop.
+	running runMeter
 	// inFlight is the number of callers' requests; lastRequestAt is when the latest one started or
 	// ended.
 	inFlight      atomic.Int64
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
 )
 
 // errStopped is the cause with which requests in flight are cancelled at the end of a planned
@@ -25,6 +27,9 @@
 	// are given up: a few round trips, and one scheduling delay of a process that shares its
 	// processor.
 	AnswerReserve = 100 * time.Millisecond
+	// measureTime is how long before requests are given up it is measured for how much of the time this
+	// process runs.
+	measureTime = 2 * time.Second
 )
 
 // StopDeadlines are the times at which a planned stop ends requests. An entry that cannot tell how late it
@@ -53,6 +58,7 @@
 	g.latestEnd.Store(d.End)
 	g.lastRequestEnd.Store(d.NewRequests)
 	time.AfterFunc(d.Unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
+	go g.measureRunning(d.Unanswered.Add(-AnswerReserve))
 	time.AfterFunc(d.End.Add(-AnswerReserve).Sub(g.now()), g.GiveUp)
 	g.limits.StopGranting()
 	g.peers.SendNow()
@@ -65,6 +71,35 @@
 	g.giveUpAll(errStopped)
 }
 
+// measureRunning measures for how much of the time this process runs, from measureTime before requests are given
+// up until they have been answered. It costs too much to be done all the time.
+func (g *Gateway) measureRunning(giveUpAt time.Time) {
+	time.Sleep(giveUpAt.Add(-measureTime).Sub(g.now()))
+	end := time.NewTimer(giveUpAt.Add(runWindow).Sub(g.now()))
+	defer end.Stop()
+	ticker := time.NewTicker(runInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-end.C:
+			return
+		case <-ticker.C:
+			g.running.tick(g.now())
+		}
+	}
+}
+
+// NoteGivenUp logs how a planned stop answered the requests that it gave up, if there were any. open is the
+// number of connections whose responses are not written yet.
+func (g *Gateway) NoteGivenUp(open int) {
+	givenUp, firstAt := g.unanswered.counts()
+	if givenUp == 0 {
+		return
+	}
+	share, pause := g.running.report()
+	g.rec.Note(events.RequestsGivenUp, "", "requests", givenUp, "unwritten", open, "took", g.now().Sub(firstAt), "run-share", share, "longest-pause", pause)
+}
+
 // untilStop returns a context that is also cancelled when a planned stop gives up the request, so that its
 // caller gets an answer and not a closed connection. beginAnswer must be called before a streamed answer
 // begins. It returns false if the request has been given up, and ctx is cancelled then. After it has
@@ -72,9 +107,14 @@
 func (g *Gateway) untilStop(ctx context.Context) (_ context.Context, beginAnswer func() bool, release context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	giveUp := func() { cancel(errStopped) }
-	unhookUnanswered := context.AfterFunc(g.unansweredStopped, giveUp)
+	remove := g.unanswered.add()
+	unhookUnanswered := context.AfterFunc(g.unansweredStopped, func() {
+		g.unanswered.noteGivenUp(g.now())
+		giveUp()
+	})
 	unhookAll := context.AfterFunc(g.stopping, giveUp)
 	beginAnswer = func() bool {
+		remove()
 		if unhookUnanswered() {
 			return true
 		}
@@ -83,6 +123,7 @@
 		return false
 	}
 	return ctx, beginAnswer, func() {
+		remove()
 		unhookUnanswered()
 		unhookAll()
 		cancel(context.Canceled)
