perf(link): the last look at a connection needs little memory

A planned stop gives up all requests without an answer at one moment, and each looks once more at its connection. The look took 64 KiB, nearly always for nothing: a third of the processor time of giving up 3,000 requests in one process (profile), most of it for the garbage collector.

The first read takes 1 KiB.

--- a/internal/link/late.go
+++ b/internal/link/late.go
@@ -17,8 +17,10 @@
 	// maxDrained bounds in bytes how much of an answer is read after the end of the request. By
 	// then the answer is in the kernel's receive buffer.
 	maxDrained = 4 << 20
-	// drainChunk is the size in bytes of one read from that buffer.
-	drainChunk = 64 << 10
+	// firstDrainChunk is the size in bytes of the first read from that buffer, which is nearly always empty:
+	// many requests may end at one moment. drainChunk is the size of the following reads.
+	firstDrainChunk = 1 << 10
+	drainChunk      = 64 << 10
 )
 
 // deadlineConn is a connection whose reads end with the request, but which first returns the bytes
@@ -82,7 +84,7 @@
 	if err != nil {
 		return
 	}
-	chunk := make([]byte, drainChunk)
+	chunk := make([]byte, firstDrainChunk)
 	for len(c.received) < maxDrained {
 		n, readErr := 0, error(nil)
 		// Control is used because it ignores the deadline, which RawConn.Read obeys.
@@ -101,5 +103,8 @@
 			return
 		}
 		c.received = append(c.received, chunk[:n]...)
+		if len(chunk) < drainChunk {
+			chunk = make([]byte, drainChunk)
+		}
 	}
 }
