fix(daemon): connections with unwritten responses are closed last

Callers saw: requests that a gateway gave up at the end of its stop got an end of file though their 504 was decided and the gateway was not killed.

Cause: the wait for responses ends 50 ms before the end of the stop, and the connections were closed then, before the other services stopped. Closing them early helps nobody.

Change: connections are closed by a service of their own, after those that requests in flight depend on, 5 ms before the end of the stop.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,6 +31,7 @@
 	serviceFollow    kernel.Name = "follow"
 	serviceGossip    kernel.Name = "gossip"
 	serviceCallers   kernel.Name = "callers"
+	serviceResponses kernel.Name = "responses"
 	serviceReadiness kernel.Name = "readiness"
 	serviceMetrics   kernel.Name = "metrics"
 	serviceLog       kernel.Name = "log"
@@ -179,6 +180,8 @@
 	// exitReserve is the part of the stop time that remains for the other services once the last
 	// responses have been awaited. Most of them have nothing left to do.
 	exitReserve = 50 * time.Millisecond
+	// logReserve is the part of the stop time that remains to log the end when connections are closed.
+	logReserve = 5 * time.Millisecond
 	// retryBudgetShare is the part of the allowed additional attempts that entries use. The rest
 	// compensates for windows that differ between entries.
 	retryBudgetShare = 0.85
@@ -208,6 +211,7 @@
 	b := newGatewayBuilder(s, logs)
 	return kernel.Run(ctx, kernel.Limits{Start: startLimit, Stop: s.StopWithin}, []kernel.Service{
 		b.logService(),
+		b.responseService(),
 		b.metricsService(),
 		b.relayService(),
 		b.gossipService(),
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -65,7 +65,29 @@
 		b.rec.Note(events.AnswerUndelivered, request, "caller", c.Caller(), "ended-here", c.EndReason(), "error", err)
 	})
 	b.callers = &httpServer{server: &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}, connections: connections}
-	return b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
+	service := b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
+	service.Stop = nil
+	return service
+}
+
+// responseService closes the connections of callers. It stops after the services that requests in flight depend
+// on: responses that are not written yet at the end of drain need only the process.
+func (b *gatewayBuilder) responseService() kernel.Service {
+	return kernel.Service{
+		Name:  serviceResponses,
+		Build: func(*kernel.Registry) (any, error) { return b.callers, nil },
+		Stop: func(ctx context.Context, _ *kernel.Registry) error {
+			if end, ok := ctx.Deadline(); ok {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithDeadline(ctx, end.Add(-logReserve))
+				defer cancel()
+			}
+			if err := b.callers.stop(ctx); err != nil {
+				b.rec.Note(events.DrainTooShort, "", "listener", "--listen", "error", err)
+			}
+			return nil
+		},
+	}
 }
 
 // callerLimits returns the limits that the operator set for connections of callers.
@@ -115,7 +137,8 @@
 }
 
 // drain stops serving callers. It waits until the load balancer has noticed, still serves the
-// callers that it sends, waits for the requests in flight and gives up those that are left.
+// callers that it sends, waits for the requests in flight and gives up those that are left. Connections
+// whose responses are not written by then stay open until responseService stops.
 func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
 	signalled, earliest := b.stopSignalTimes()
 	noticed := time.Now()
@@ -133,7 +156,7 @@
 		b.giveUp(ctx, noticed.Add(b.settings.StopWithin-exitReserve))
 	}
 	b.gateway.NoteGivenUp(b.callers.connections.Open())
-	return b.callers.server.Close()
+	return nil
 }
 
 // closeBy returns when the listener closes at the latest. At the kill, a connection that is still accepted ends
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -18,6 +18,7 @@
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gateway"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/kernel"
 	"github.com/sparshore/sparshore/internal/link"
 	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
@@ -142,18 +143,26 @@
 // startCallerService serves callers with a handler and returns the address.
 func startCallerService(t *testing.T, b *gatewayBuilder, h http.Handler) string {
 	t.Helper()
-	service, address := b.callerService(), make(chan net.Addr, 1)
-	b.callers.server.Handler = h
-	b.callers.server.BaseContext = func(l net.Listener) context.Context {
-		address <- l.Addr()
-		return context.Background()
-	}
+	service, address := listenForCallers(b, h)
 	if err := service.Start(t.Context(), nil); err != nil {
 		t.Fatal(err)
 	}
 	return (<-address).String()
 }
 
+// listenForCallers returns the service that serves callers with a handler, and receives its address once it has
+// started.
+func listenForCallers(b *gatewayBuilder, h http.Handler) (service kernel.Service, address <-chan net.Addr) {
+	listening := make(chan net.Addr, 1)
+	service = b.callerService()
+	b.callers.server.Handler = h
+	b.callers.server.BaseContext = func(l net.Listener) context.Context {
+		listening <- l.Addr()
+		return context.Background()
+	}
+	return service, listening
+}
+
 // newGatewayWithUpstream returns a gateway that sends every request to one upstream.
 func newGatewayWithUpstream(t *testing.T, serve http.HandlerFunc) *gateway.Gateway {
 	t.Helper()
