--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -66,7 +66,7 @@
 	})
 	b.callers = &httpServer{server: &http.Server{Handler: b.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}, connections: connections}
 	service := b.listenService(serviceCallers, "--listen", b.settings.Listen, b.callers)
-	service.Stop = nil
+	service.Stop = nil // The connections are closed by responseService.
 	return service
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,7 +45,7 @@
 mutant gateway-silent-load $gateway/gateway.go 's/g\.loads\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfUnreachableEntries
 mutant gateway-stop-longest $gateway/request.go 's/g\.eventInterval\.remaining\(rq\.call\.MaxOutput,/g.eventInterval.remaining(rq.call.Hint,/' $gateway TestStoppingGatewayIgnoresTheHint
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.anyServes:/case false:/' $gateway TestRetryDelayAfterStop
-mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n//g' $gateway TestStopAnswersRequestsInFlight
+mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n|\tgo g\.paceGivingUp\([^\n]*\n//g' $gateway TestStopAnswersRequestsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
 
 connlimit=internal/connlimit
