--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -93,9 +93,9 @@
 	}
 }
 
-// giveUpInTime gives up the requests without an answer that could not be answered by end and AnswerReserve
-// together with the others, if all were given up at end. On a machine that is not busy, AnswerReserve is
-// enough for those that take it up.
+// giveUpInTime gives up the requests without an answer that could not be answered in time if they were all given
+// up at end. A process that runs all the time has AnswerReserve after end for that. One that runs for a share of
+// the time needs 1/share as long, and the additional time has to lie before end.
 func (g *Gateway) giveUpInTime(end time.Time) {
 	share, pause := g.running.report()
 	left := float64(max(end.Sub(g.now())-pause, 0))
