--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -82,9 +82,7 @@
 				ctx, cancel = context.WithDeadline(ctx, end.Add(-logReserve))
 				defer cancel()
 			}
-			if err := b.callers.stop(ctx); err != nil {
-				b.rec.Note(events.DrainTooShort, "", "listener", "--listen", "error", err)
-			}
+			b.stopServer(ctx, "--listen", b.callers)
 			return nil
 		},
 	}
@@ -114,14 +112,19 @@
 			return nil
 		},
 		Stop: func(ctx context.Context, _ *kernel.Registry) error {
-			if err := s.stop(ctx); err != nil {
-				b.rec.Note(events.DrainTooShort, "", "listener", flag, "error", err)
-			}
+			b.stopServer(ctx, flag, s)
 			return nil
 		},
 	}
 }
 
+// stopServer stops a server and logs if it closed connections with requests in flight.
+func (b *gatewayBuilder) stopServer(ctx context.Context, flag string, s *httpServer) {
+	if err := s.stop(ctx); err != nil {
+		b.rec.Note(events.DrainTooShort, "", "listener", flag, "error", err)
+	}
+}
+
 // gatewayService starts last and therefore stops first: requests in flight are finished before the
 // services that they depend on stop.
 func (b *gatewayBuilder) gatewayService() kernel.Service {
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -49,11 +49,16 @@
 
 // RetryUsage returns what this entry, earlier processes included, has used of the retry budgets, by service.
 func (g *Gateway) RetryUsage() map[string]routing.Usage {
+	return fromBudgets(g, (*routing.SharedBudget).Usage)
+}
+
+// fromBudgets returns what read returns for each retry budget, by service.
+func fromBudgets[T any](g *Gateway, read func(b *routing.SharedBudget) T) map[string]T {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make(map[string]routing.Usage, len(g.budgets))
+	out := make(map[string]T, len(g.budgets))
 	for service, b := range g.budgets {
-		out[service] = b.Usage()
+		out[service] = read(b)
 	}
 	return out
 }
@@ -101,13 +106,7 @@
 
 // RetryUse returns this entry's use of the retry budgets by service.
 func (g *Gateway) RetryUse() map[string]routing.Use {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := make(map[string]routing.Use, len(g.budgets))
-	for service, b := range g.budgets {
-		out[service] = b.Use()
-	}
-	return out
+	return fromBudgets(g, (*routing.SharedBudget).Use)
 }
 
 // SetPeerRetryUse records another entry's use of the retry budgets, and when that entry last
