feat(gateway): log the software version of the upstreams of a stream

Callers got streams whose events came from engines of two software versions, and no log line told the versions apart: the field of an upstream's row was checked and dropped.

No choice uses it yet.

--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -27,6 +27,9 @@
 	Address string
 	Zone    string
 	Slots   int
+	// Software is the version of the upstream's software. Upstreams of several versions may serve the
+	// same service.
+	Software string
 	// Leaving is set by an upstream that takes no new work because it is about to stop.
 	Leaving bool
 	// ColdFor is how much longer the upstream runs slowly after its start, counted from the time at
--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -66,7 +66,7 @@
 	m := &member{Upstream: Upstream{Record: r}}
 	s.byID[r.ID], s.byName[r.Name] = m, m
 	s.serving = nil
-	s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "name", r.Name, "born", r.Born, "version", r.Version, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
+	s.rec.Note(events.UpstreamJoined, "", "upstream", r.ID, "name", r.Name, "born", r.Born, "version", r.Version, "software", r.Software, "service", r.Service, "zone", r.Zone, "address", r.Address, "cold-for", r.ColdFor)
 	return m
 }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -177,7 +177,7 @@
 	s.mu.Unlock()
 	claim := g.loads.add(target.ID, load)
 	defer claim.release()
-	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "events", s.eventCount(), "need", s.expectedTokens())
+	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "from-software", from.Software, "to-software", target.Software, "events", s.eventCount(), "need", s.expectedTokens())
 	r := g.sendCopyCommand(s, from, target, false)
 	switch r.Outcome {
 	case protocol.Copied:
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -33,6 +33,9 @@
 	Hint int
 	// LastEvent identifies the last event that the caller received; it is set when the caller resumes a stream.
 	LastEvent string
+	// Resumes is the ID of the request whose answer began the stream that the caller resumes; empty if the
+	// caller does not state it.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt.
