fix(gateway): a resumed stream without a rest is answered

Callers that had the last event of a stream, but not the end of its answer, and resumed it got 502 at each try: engines answer with an empty stream, which counted as broken, was sent to a second engine and given up.

A whole answer without events is passed on if the caller stated a last event.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,7 +60,7 @@
 		Forward: func(c *protocol.Call, a protocol.Attempt, now time.Time) link.Request {
 			h := c.Header.Clone()
 			h.Set(testUpstream, a.Upstream)
-			h.Set(testLastEvent, a.LastEvent)
+			h.Set(testLastEvent, cmp.Or(a.LastEvent, c.LastEvent))
 			h.Set(testDeadline, strconv.FormatInt(a.Deadline.Sub(now).Milliseconds(), 10))
 			if a.From != nil {
 				h.Set(testFrom, a.From.Handle)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -91,7 +91,12 @@
 
 // answerEnded handles the end of an attempt's answer, which is complete or has broken off.
 func (s *stream) answerEnded(ctx context.Context, st step, answer *link.Answer, rest []byte, err error) outcome {
-	if errors.Is(err, io.EOF) && answer.Framed && len(rest) == 0 && s.headSent {
+	whole := errors.Is(err, io.EOF) && answer.Framed && len(rest) == 0
+	// A caller that had the last event, but not the end of the answer, resumes a stream without a rest.
+	if whole && !s.headSent && s.rq.call.LastEvent != "" && s.rq.beginAnswer() {
+		s.recordFirstEvent(st, answer, s.g.now())
+	}
+	if whole && s.headSent {
 		now := s.g.now()
 		s.rq.run.Served()
 		s.g.met.ended("stream")
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -197,6 +197,20 @@
 	}
 }
 
+// TestResumedStreamWithoutARestFails guards against a 502 for a caller that had the last event of a stream,
+// but not the end of its answer.
+func TestResumedStreamWithoutARestFails(t *testing.T) {
+	f := newFixture(t)
+	engines := []*engine{f.addEngine("a"), f.addEngine("b")}
+	got := f.ask(pathResume, func(r *http.Request) { r.Header.Set(testLastEvent, strconv.Itoa(lastTestEvent)) })
+	if got.err != nil || got.status != http.StatusOK || got.body != "" || got.header.Get(testProof) == "" {
+		t.Errorf("%d, %v, %q, proof %q; want an empty answer of an engine", got.status, got.err, got.body, got.header.Get(testProof))
+	}
+	if n := engines[0].runs() + engines[1].runs(); n != 1 {
+		t.Errorf("%d runs, want one", n)
+	}
+}
+
 func TestRefusedStreamGoesToAnotherEngine(t *testing.T) {
 	f := newFixture(t)
 	f.add("llm", "full", serveNotRun)
