fix(gateway): streams go on at the software version that began them

The cause: the version in an upstream's row was checked and dropped, so every choice of an engine for the rest of a stream was made as for a new one: moves, resumption after a break, the attempt after a refusal in the middle of an answer, and the request of a caller that resumes.

A stream is now bound to the version of the engine that wrote its first event, and all of these choices are made among engines of that version. What nobody knows goes on only if the service had one version for as long as a stream runs; it is refused unrun otherwise, as is a stream whose version no engine has.

Each of eight parts of the change, taken out alone, makes one of the new tests fail (scripts/mutants.sh).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/logline"
+	"github.com/sparshore/sparshore/internal/origin"
 	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/relay"
 	"github.com/sparshore/sparshore/internal/retryuse"
@@ -295,6 +296,12 @@
 			BroadcastTime: func() time.Duration { return b.gossip.BroadcastTime() },
 			RoundTrip:     func() time.Duration { return b.gossip.RoundTrip() },
 		},
+		Origins: origin.Peers{
+			Live:      func() []string { return b.gossip.LivePeerNames() },
+			Known:     func() []string { return b.gossip.PeerNames() },
+			Send:      func(to string, m origin.Message) { b.gossip.SendOrigins(to, m) },
+			RoundTrip: func() time.Duration { return b.gossip.RoundTrip() },
+		},
 	}, b.rec, b.reg, time.Now)
 	b.gateway.Quarantine().SetName(s.Name)
 	b.retryUse = b.newRetryUse()
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -33,7 +33,7 @@
 			b.gossip = gossip.New(gossip.Settings{
 				Name: b.settings.Name, Zone: b.settings.Zone, Entry: b.ownEntry(), Incarnation: b.incarnation,
 				Interval: gossipInterval, MinInterval: gossipIntervalMin, UrgentInterval: gossipUrgentIntervalMin, Rate: gossipRate, UrgentRate: gossipUrgentRate, SilenceTimeout: gossipPeerTimeout,
-			}, conn, b.ownState, b.applyPeerState, b.gateway.Limits(), b.rec, time.Now)
+			}, conn, b.ownState, b.applyPeerState, b.gateway.Limits(), b.gateway.Origins(), b.rec, time.Now)
 			registerGossipMetrics(b.reg, b.gossip.Stats)
 			return b.gossip, nil
 		},
@@ -180,6 +180,7 @@
 // applyPeerState applies the state that another gateway gossiped.
 func (b *gatewayBuilder) applyPeerState(from string, s gossip.State) {
 	b.gateway.SetPeerLoad(from, s.Loads)
+	b.gateway.Origins().PeerSeen(from, s.Incarnation)
 	b.gateway.SetPeerRetryUse(from, s.Incarnation, s.Retries, s.LastReceived)
 	b.fleet.PeerFaults(from, s.Faults)
 	b.fleet.PeerFailures(from, s.Failures)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -68,6 +68,7 @@
 	RequestHeld         ID = 220
 	RequestCleared      ID = 221
 	RequestForgotten    ID = 222
+	StreamOrigin        ID = 223
 	GenerationQueued    ID = 300
 	GenerationAdmitted  ID = 301
 	GenerationPaused    ID = 302
@@ -190,6 +191,7 @@
 	{RequestHeld, "request-held", "A request crashed one upstream after another (`upstreams`) and is in quarantine: every entry refuses it at once."},
 	{RequestCleared, "request-cleared", "A request under which upstreams crashed is no longer a suspect: an upstream served it, or an operator lifted its quarantine (`why`)."},
 	{RequestForgotten, "request-forgotten", "More requests under which upstreams crashed are recorded than the limit allows; the least important record was dropped."},
+	{StreamOrigin, "stream-origin", "An entry looked for the software version that began the stream that a caller resumes (`resumes`); `source` tells how it was learned: from this entry's own `record`, from another entry (`peer`), or because it is the `only version`. Otherwise the caller is refused: with `nobody` no entry knows the stream, with `no answer` not all entries answered, with `not named` the caller did not name the request that began it."},
 	{GenerationQueued, "generation-queued", "A sidecar queues a generation until memory allows it to run."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation was preempted by others and keeps its place."},
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -113,6 +113,8 @@
 	// restoring is set while Restore applies the first records after the store was restored from a
 	// backup.
 	restoring bool
+	// software holds when an upstream of each software version was last known, by service and version.
+	software map[string]map[string]time.Time
 	// anyBackOffUntil is at or after the end of every upstream's backoff.
 	anyBackOffUntil time.Time
 }
@@ -148,7 +150,7 @@
 // New returns an empty Set. It calls onLeaving, without locks held, with the ID of each upstream
 // that begins to leave.
 func New(rec *events.Recorder, now func() time.Time, onLeaving func(id string)) *Set {
-	return &Set{rec: rec, now: now, byID: map[string]*member{}, byName: map[string]*member{}, onLeaving: onLeaving, departures: map[string][]time.Time{}}
+	return &Set{rec: rec, now: now, byID: map[string]*member{}, byName: map[string]*member{}, onLeaving: onLeaving, departures: map[string][]time.Time{}, software: map[string]map[string]time.Time{}}
 }
 
 // Update applies records of upstreams and removals of rows. full marks the records as the complete
@@ -204,6 +206,7 @@
 	}
 	r.Version = max(r.Version, m.Version)
 	m.Record, m.predatesRestore = r, false
+	s.noteSoftware(r)
 	s.release(m)
 	// A backup may be older than the removal of the row.
 	stale := s.restoring && m.state == Leaving
@@ -273,6 +276,7 @@
 func (s *Set) Sweep() {
 	s.mu.Lock()
 	now := s.now()
+	s.sweepSoftware(now)
 	var departed []string
 	for id, m := range s.byID {
 		if m.expiresAt.IsZero() || now.Before(m.expiresAt) {
--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -104,6 +104,7 @@
 
 // remove deletes all state of an incarnation. The caller must hold s.mu.
 func (s *Set) remove(m *member) {
+	s.noteSoftware(m.Record)
 	delete(s.byID, m.ID)
 	delete(s.byName, m.Name)
 	s.serving = nil
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -64,6 +64,9 @@
 			return u, nil
 		}
 	}
+	if s.begun() {
+		return g.admitAmong(s.available(), s, exclude)
+	}
 	sample, complete := g.fleet.Sample(service, maxSampledEngines, rand.IntN)
 	u, err := g.admitAmong(sample, s, exclude)
 	if err == nil || complete {
@@ -81,7 +84,7 @@
 // test rig of internal/quarantine with 4 entries, one request that crashes three or four upstreams
 // cut 1 to 3 healthy requests with this rule, and 5 to 8 if it ran on any engine.
 func (g *Gateway) admitSuspect(s *stream, exclude map[string]bool) (fleet.Upstream, bool) {
-	list := slices.DeleteFunc(g.fleet.Available(s.rq.service.Name), func(u fleet.Upstream) bool { return u.AvoidUntil().After(g.now()) || u.InBackOff(g.now()) })
+	list := slices.DeleteFunc(s.available(), func(u fleet.Upstream) bool { return u.AvoidUntil().After(g.now()) || u.InBackOff(g.now()) })
 	running := make(map[string]int, len(list))
 	for _, u := range list {
 		running[u.ID] = g.loads.total(u.ID).Running
@@ -109,7 +112,7 @@
 // chooseEngine returns the best engine for the rest of a generation, even if all are overloaded.
 func (g *Gateway) chooseEngine(s *stream, exclude map[string]bool) (fleet.Upstream, bool) {
 	view := g.view(true)
-	return view.Cheapest(g.candidates(g.fleet.Available(s.rq.service.Name), exclude, view.Now), g.generationOf(s.rq, view.Now))
+	return view.Cheapest(g.candidates(s.available(), exclude, view.Now), g.generationOf(s.rq, view.Now))
 }
 
 // chooseTarget returns the engine that a generation moves to. An engine that stated a rate limit
@@ -124,7 +127,7 @@
 
 func (g *Gateway) chooseTargetAmong(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
 	view := g.view(true)
-	return view.Target(g.candidates(g.fleet.Available(s.rq.service.Name), exclude, view.Now), s.remainingDemand(), from.Zone)
+	return view.Target(g.candidates(s.available(), exclude, view.Now), s.remainingDemand(), from.Zone)
 }
 
 // chooseUpstream returns the best upstream of a plain service that is not excluded.
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -29,6 +29,7 @@
 // nextAfterBreak chooses where a generation whose answer broke off continues: at a copy of its
 // memory, or without one where the route allows that.
 func (s *stream) nextAfterBreak(ctx context.Context, exclude map[string]bool) (step, bool) {
+	s.noteRestart()
 	held, ok := s.takeCopy()
 	if !ok {
 		s.awaitHandover(ctx)
@@ -87,15 +88,15 @@
 }
 
 // takeCopy removes and returns the copy to try next; each copy can be used only once. It skips
-// the copies that were lost when their engine restarted: an attempt there would be refused and
-// still count as a repeat.
+// the copies that were lost when their engine restarted, where an attempt would be refused and still
+// count as a repeat, and those at engines of another software version.
 func (s *stream) takeCopy() (held heldCopy, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.copies) > 0 {
 		held = s.copies[0]
 		s.copies = s.copies[1:]
-		if s.g.incarnationKnown(held.at.ID) {
+		if s.g.incarnationKnown(held.at.ID) && s.software.fits(held.at) {
 			return held, true
 		}
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -23,6 +23,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -38,6 +39,7 @@
 	testNotRun    = "Test-Not-Run"
 	testProof     = "Test-Proof"
 	testLastEvent = "Test-Last-Event"
+	testResumes   = "Test-Resumes"
 	testFrom      = "Test-From"
 	testRetryMs   = "Test-Back-Ms"
 	testLimit     = "Test-Limit"
@@ -50,7 +52,7 @@
 		Decode: func(r *http.Request, now time.Time) protocol.Call {
 			c := protocol.Call{
 				ID: r.Header.Get(testID), Key: r.Header.Get(testKey), Method: r.Method, Target: r.RequestURI, Host: "host",
-				Header: http.Header{testID: {r.Header.Get(testID)}}, Prompt: 1000, MaxOutput: 1000, LastEvent: r.Header.Get(testLastEvent),
+				Header: http.Header{testID: {r.Header.Get(testID)}}, Prompt: 1000, MaxOutput: 1000, LastEvent: r.Header.Get(testLastEvent), Resumes: r.Header.Get(testResumes),
 			}
 			if ms, err := strconv.Atoi(r.Header.Get(testDeadline)); err == nil {
 				c.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
@@ -168,6 +170,8 @@
 	rec     *events.Recorder
 	server  *httptest.Server
 	records []fleet.Record
+	// software is the version of the upstreams that are added.
+	software string
 	// lastServer is the server of the upstream that was added last.
 	lastServer *httptest.Server
 	// peers are the other entries that are reachable.
@@ -202,7 +206,7 @@
 		f.routes, f.fleet, pool, testProtocol(), Peers{
 			SendSoon: func() {}, SendNow: func() {}, DeliveryTimes: func() (delivery, silence time.Duration) { return 0, 0 }, LivePeers: func() map[string]gossip.Peer { return f.peers },
 			Delay:  func(string, bool) time.Duration { return f.delay },
-			Limits: limits.Alone(),
+			Limits: limits.Alone(), Origins: origin.Alone(),
 		}, f.rec, prometheus.NewRegistry(), time.Now)
 	f.gateway.SetListedEntries(1)
 	f.server = httptest.NewServer(f.gateway)
@@ -289,7 +293,7 @@
 	f.t.Cleanup(s.Close)
 	f.lastServer = s
 	u.address = strings.TrimPrefix(s.URL, "http://")
-	f.records = append(f.records, fleet.Record{Name: id, Service: service, Address: u.address, Slots: 6})
+	f.records = append(f.records, fleet.Record{Name: id, Service: service, Address: u.address, Slots: 6, Software: f.software})
 	f.fleet.Update(f.records, nil, true, time.Time{})
 	return u
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -98,6 +99,8 @@
 	retriesRestored atomic.Bool
 	// limits tracks the rate limits that upstreams state.
 	limits *limits.Set
+	// origins tracks which software version began each stream that its caller may resume.
+	origins *origin.Set
 
 	mu sync.Mutex
 	// entries is the number of entries that share the retry budgets.
@@ -136,6 +139,8 @@
 	DeliveryTimes func() (delivery, silence time.Duration)
 	// Limits is how entries share the capacity of rate-limited upstreams.
 	Limits limits.Peers
+	// Origins is how entries report to each other which software version began a stream.
+	Origins origin.Peers
 }
 
 // New returns a Gateway.
@@ -145,7 +150,7 @@
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, loads: newLoadTracker(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
 		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
-		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), startedAt: now(),
+		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
 	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/routing"
 )
 
@@ -18,6 +19,7 @@
 	moves           *prometheus.CounterVec
 	unansweredTotal *prometheus.CounterVec
 	permits         *prometheus.CounterVec
+	resumptions     *prometheus.CounterVec
 	quarantined     prometheus.Counter
 	answer          prometheus.Histogram
 	firstEvent      prometheus.Histogram
@@ -43,13 +45,14 @@
 		moves:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
 		unansweredTotal: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a complete answer, by cause."}, []string{"cause"}),
 		permits:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_permits_total", Help: "Permits requested for sending to rate-limited upstreams, by result."}, []string{"result"}),
+		resumptions:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_resumptions_total", Help: "Streams that callers resumed, by how the software version that began them was learned."}, []string{"source"}),
 		quarantined:     prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams crashed while running them."}),
 		answer:          prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the complete answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
 		firstEvent:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
 		gap:             prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be current."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.quarantined, m.answer, m.firstEvent, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.quarantined, m.answer, m.firstEvent, m.gap)
 	return m
 }
 
@@ -57,6 +60,7 @@
 func (m *metrics) ended(end string)                  { m.answers.WithLabelValues(end).Inc() }
 func (m *metrics) attempted(reason string)           { m.attempts.WithLabelValues(reason).Inc() }
 func (m *metrics) permitted(err error)               { m.permits.WithLabelValues(permitResult(err)).Inc() }
+func (m *metrics) resumed(source origin.Source)      { m.resumptions.WithLabelValues(string(source)).Inc() }
 func (m *metrics) moved(result string)               { m.moves.WithLabelValues(result).Inc() }
 func (m *metrics) unanswered(cause string)           { m.unansweredTotal.WithLabelValues(cause).Inc() }
 func (m *metrics) observeAnswer(d time.Duration)     { m.answer.Observe(d.Seconds()) }
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -10,6 +10,7 @@
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/placement"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // errLimited means that every upstream that could take the request has reached the rate limit
@@ -190,17 +191,29 @@
 	return union(exclude, g.limits.Starts())
 }
 
-// admit chooses the engine for a new generation and takes a permit for it.
+// admit chooses the engine for a generation and takes a permit for it. The caller of a stream that has begun
+// waits for the rest of an answer, so a crowded engine is better than none.
 func (s *stream) admit(ctx context.Context, exclude map[string]bool) (fleet.Upstream, error) {
+	begun := s.begun()
+	if begun {
+		exclude = s.excludeOtherSoftware(exclude)
+	}
 	return s.g.chooseWithPermit(ctx, s.rq.service.Name, exclude, s.rq.permitDeadline(), func(exclude map[string]bool) (fleet.Upstream, error) {
-		return s.g.admitEngine(s, exclude)
+		u, err := s.g.admitEngine(s, exclude)
+		if err == nil || !begun || s.rq.run.Isolation() == quarantine.Apart {
+			return u, err
+		}
+		if u, ok := s.g.chooseEngine(s, exclude); ok {
+			return u, nil
+		}
+		return fleet.Upstream{}, err
 	})
 }
 
 // admitResumed chooses an engine for the rest of an answer and takes a permit for it. It may wait
 // longer than admit because the caller already has the beginning of the answer.
 func (s *stream) admitResumed(ctx context.Context, exclude map[string]bool) (fleet.Upstream, error) {
-	return s.g.chooseWithPermit(ctx, s.rq.service.Name, exclude, s.g.now().Add(resumeWait), func(exclude map[string]bool) (fleet.Upstream, error) {
+	return s.g.chooseWithPermit(ctx, s.rq.service.Name, s.excludeOtherSoftware(exclude), s.g.now().Add(resumeWait), func(exclude map[string]bool) (fleet.Upstream, error) {
 		u, ok := s.g.chooseEngine(s, exclude)
 		if !ok {
 			return fleet.Upstream{}, placement.ErrNone
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -83,6 +83,7 @@
 		return
 	}
 	s.headSent = true
+	s.begin(st.at)
 	g.proto.CopyHeaders(answer.Header, s.rq.w.Header())
 	s.rq.w.WriteHeader(answer.Status)
 	s.timeToFirstEvent = now.Sub(s.rq.start)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,8 @@
 	// conn is the caller's connection; nil if it is not known.
 	conn *connlimit.Conn
 	w    http.ResponseWriter
+	// software tells at which software version the stream goes on that the caller resumes.
+	software streamSoftware
 	// beginAnswer is called before the answer begins. It returns false if a planned stop has given up
 	// the request.
 	beginAnswer func() bool
@@ -89,6 +91,9 @@
 		return
 	}
 	defer rq.run.Leave()
+	if !g.findOrigin(ctx, rq) {
+		return
+	}
 	g.budget(rq.service.Name).Request()
 	if rq.service.Engine != nil {
 		g.generate(ctx, rq)
@@ -279,6 +284,8 @@
 		g.giveUp(ctx, rq, "no engine took it in time")
 		return
 	case errors.Is(why, placement.ErrTooLarge):
+	case rq.software.begun && len(g.fleet.AvailableOf(rq.service.Name, rq.software.version)) == 0:
+		why = errVersionGone
 	case rq.run.Isolation() == quarantine.Apart:
 		why, retryAfter = quarantine.ErrOnTrial, suspectRetryDelay
 	case errors.Is(why, placement.ErrNone):
--- /dev/null
+++ b/internal/gateway/software.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/origin"
+)
+
+// The reasons for refusing to resume a stream.
+var (
+	errOriginUnknown   = errors.New("the software version that began this stream is not known")
+	errOriginNotSought = errors.New("other entries have not said which software version began this stream")
+	errVersionGone     = errors.New("no engine of the software version that began this stream serves")
+)
+
+// originRetryDelay is the retry delay of a caller that resumes a stream while other entries do not answer.
+const originRetryDelay = 300 * time.Millisecond
+
+// streamSoftware tells at which software version a stream may go on. What engines of two versions write does
+// not fit together.
+type streamSoftware struct {
+	// begun is set once the caller has an event. Before that, any version will do.
+	begun bool
+	// version began the stream. known is unset if it cannot be told which one did.
+	version string
+	known   bool
+}
+
+// fits reports whether a stream may go on at an upstream.
+func (v streamSoftware) fits(u fleet.Upstream) bool {
+	return !v.begun || v.known && u.Software == v.version
+}
+
+// The sources of the software version of a resumed stream, besides those of package origin.
+const (
+	// sourceOnlyVersion means that no other version served for as long as the stream may have run.
+	sourceOnlyVersion origin.Source = "only version"
+	// sourceNotNamed means that the caller does not name the request that began the stream.
+	sourceNotNamed origin.Source = "not named"
+)
+
+// findOrigin finds out which software version began the stream that a caller resumes. It refuses the request
+// and returns false if that cannot be told.
+func (g *Gateway) findOrigin(ctx context.Context, rq *request) bool {
+	if rq.service.Engine == nil || !rq.call.ResumesStream() {
+		return true
+	}
+	asked, source, o := g.now(), sourceNotNamed, origin.Origin{}
+	if rq.call.Resumes != "" {
+		o, source = g.origins.Lookup(ctx, origin.KeyOf(rq.call.Resumes))
+	}
+	if source == origin.FromNobody || source == sourceNotNamed {
+		if versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longestStream(rq))); len(versions) == 1 {
+			o, source = origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
+		}
+	}
+	g.met.resumed(source)
+	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "took", g.now().Sub(asked))
+	switch source {
+	case origin.FromRecord, origin.FromPeer, sourceOnlyVersion:
+		rq.software = streamSoftware{begun: true, version: o.Software, known: true}
+		g.returnToService(rq, o.Service)
+		return true
+	case origin.NoAnswer:
+		g.refuse(rq, http.StatusServiceUnavailable, errOriginNotSought.Error(), originRetryDelay)
+	default:
+		g.refuse(rq, http.StatusServiceUnavailable, errOriginUnknown.Error(), 0)
+	}
+	return false
+}
+
+// returnToService makes a resumed stream go to the service that began it, if its route still leads there.
+func (g *Gateway) returnToService(rq *request, name string) {
+	for _, share := range rq.route.Shares {
+		if share.Service != name {
+			continue
+		}
+		if service, ok := rq.table.Service(name); ok && service.Engine != nil {
+			rq.service = service
+		}
+	}
+}
+
+// longestStream returns how long before now a stream that is resumed may have begun.
+func longestStream(rq *request) time.Duration {
+	timeout := rq.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return max(2*timeout, rq.call.Deadline.Sub(rq.start))
+}
+
+// resumableUntil returns the time until which the caller of a stream may resume it.
+func resumableUntil(rq *request) time.Time {
+	if !rq.call.Deadline.IsZero() {
+		return rq.call.Deadline
+	}
+	return rq.start.Add(longestStream(rq))
+}
+
+// begin records that an engine wrote the first event of an answer. Other entries learn the software version
+// before the caller has the event, so that the caller can resume the stream if this entry ends.
+func (s *stream) begin(at fleet.Upstream) {
+	s.mu.Lock()
+	if !s.software.begun {
+		s.software = streamSoftware{begun: true, version: at.Software, known: s.g.softwareCertain(at)}
+	}
+	software := s.software
+	s.mu.Unlock()
+	if !software.known || !s.rq.route.Repeats() {
+		return
+	}
+	id := s.rq.call.ID
+	if s.rq.call.Resumes != "" {
+		id = s.rq.call.Resumes
+	}
+	s.g.origins.Began(origin.KeyOf(id), origin.Origin{Service: s.rq.service.Name, Software: software.version}, resumableUntil(s.rq))
+}
+
+// softwareCertain reports whether a request that was sent to an upstream ran at the software version that was
+// known of it. Until the row of a later incarnation is read, requests for the earlier one may run there.
+func (g *Gateway) softwareCertain(at fleet.Upstream) bool {
+	latest, known := g.fleet.Latest(at.Name)
+	return !known || latest.Software == at.Software
+}
+
+// noteRestart makes a stream end where it is if its engine has started again with other software: the stream
+// may have run at either version.
+func (s *stream) noteRestart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.software.begun && s.software.known && !s.g.softwareCertain(s.at) {
+		s.software.known = false
+	}
+}
+
+// fits reports whether the stream may go on at an engine.
+func (s *stream) fits(u fleet.Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.software.fits(u)
+}
+
+// available returns the engines that take new work and that the stream may run at.
+func (s *stream) available() []fleet.Upstream {
+	s.mu.Lock()
+	software := s.software
+	s.mu.Unlock()
+	switch {
+	case !software.begun:
+		return s.g.fleet.Available(s.rq.service.Name)
+	case !software.known:
+		return nil
+	}
+	return s.g.fleet.AvailableOf(s.rq.service.Name, software.version)
+}
+
+// excludeOtherSoftware adds to exclude the engines at which the stream may not go on.
+func (s *stream) excludeOtherSoftware(exclude map[string]bool) map[string]bool {
+	others := map[string]bool{}
+	for _, u := range s.g.fleet.Available(s.rq.service.Name) {
+		if !s.fits(u) {
+			others[u.ID] = true
+		}
+	}
+	return union(exclude, others)
+}
+
+// begun reports whether the caller has a part of the stream, from this answer or an earlier one.
+func (s *stream) begun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.software.begun
+}
+
+// Origins returns the set of streams and the software versions that began them.
+func (g *Gateway) Origins() *origin.Set { return g.origins }
--- /dev/null
+++ b/internal/gateway/software_test.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// addEngineOf adds an engine of a software version.
+func (f *fixture) addEngineOf(id, software string) *engine {
+	f.software = software
+	return f.addEngine(id)
+}
+
+// resumes returns a change to a request that resumes the stream which the answer to another one began.
+func resumes(first, lastEvent string) func(r *http.Request) {
+	return func(r *http.Request) {
+		r.Header.Set(testResumes, first)
+		r.Header.Set(testLastEvent, lastEvent)
+	}
+}
+
+// checkOneVersion reports an error if engines of two software versions ran requests.
+func checkOneVersion(t *testing.T, f *fixture, engines []*engine) {
+	t.Helper()
+	ran := map[string]int{}
+	for _, e := range engines {
+		if u, ok := f.fleet.Get(e.id); ok {
+			ran[u.Software] += e.runs()
+		}
+	}
+	versions := 0
+	for _, n := range ran {
+		if n > 0 {
+			versions++
+		}
+	}
+	if versions != 1 {
+		t.Errorf("runs by version: %v, want one version", ran)
+	}
+}
+
+// TestStreamGoesOnAtAnotherSoftwareVersion guards against streams whose engine is lost or leaves and that go
+// on at an engine of another software version.
+func TestStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		path    string
+		disturb func(e *engine)
+		leave   bool
+		// mayBeCut is set if too few engines of one version are left to complete the stream.
+		mayBeCut bool
+	}{
+		{name: "its engine is lost", path: pathResume, disturb: func(e *engine) { e.breakAfter = 7 }, mayBeCut: true},
+		{name: "its engine is lost and the next one refuses the rest", path: pathResume, disturb: func(e *engine) { e.breakAfter, e.refuseRest = 7, 1 }, mayBeCut: true},
+		{name: "its engine leaves", path: pathStream, disturb: func(e *engine) { e.copies = []protocol.CopyResult{{Handle: "h1"}} }, leave: true},
+		{name: "its engine leaves and its copies are refused", path: pathResume, disturb: func(e *engine) { e.copies, e.refuse = []protocol.CopyResult{{Handle: "h1"}}, 2 }, leave: true, mayBeCut: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			for range 8 {
+				f := newFixture(t)
+				var engines []*engine
+				for _, id := range []string{"a1", "b1", "c2", "d2", "e2", "f2"} {
+					e := f.addEngineOf(id, "v"+id[1:])
+					tc.disturb(e)
+					engines = append(engines, e)
+				}
+				result := make(chan answer, 1)
+				go func() { result <- f.ask(tc.path) }()
+				if tc.leave {
+					id := f.waitRunning()
+					time.Sleep(5 * time.Millisecond)
+					f.leave(id)
+				}
+				got := <-result
+				if whole := wholeStream(); !strings.HasPrefix(whole, got.body) || !tc.mayBeCut && got.body != whole {
+					t.Errorf("%v, %q; want each event once", got.err, got.body)
+				}
+				checkOneVersion(t, f, engines)
+			}
+		})
+	}
+}
+
+// TestCallerResumesStreamAtAnotherSoftwareVersion guards against streams that callers resume at an entry
+// that chooses an engine as for a new stream.
+func TestCallerResumesStreamAtAnotherSoftwareVersion(t *testing.T) {
+	f := newFixture(t)
+	var engines []*engine
+	for _, id := range []string{"a1", "b2", "c2", "d2"} {
+		engines = append(engines, f.addEngineOf(id, "v"+id[1:]))
+	}
+	f.gateway.Origins().Began(origin.KeyOf("first"), origin.Origin{Service: "llm", Software: "v1"}, time.Now().Add(time.Minute))
+	rest := wholeStream()[strings.Index(wholeStream(), "id: 8\n"):]
+	for range 8 {
+		if got := f.ask(pathResume, resumes("first", "7")); got.err != nil || got.body != rest {
+			t.Errorf("%d, %v, %q; want the rest of the stream", got.status, got.err, got.body)
+		}
+	}
+	checkOneVersion(t, f, engines)
+}
+
+// TestStreamIsResumedThroughOneEntry checks that an entry knows the streams that it began itself.
+func TestStreamIsResumedThroughOneEntry(t *testing.T) {
+	f := newFixture(t)
+	var engines []*engine
+	for _, id := range []string{"a1", "b2", "c3"} {
+		e := f.addEngineOf(id, "v"+id[1:])
+		e.breakAfter = 7
+		engines = append(engines, e)
+	}
+	first := func(r *http.Request) { r.Header.Set(testID, "first") }
+	if got := f.ask(pathResume, first); got.err == nil {
+		t.Fatal("a stream that no other engine may go on with is complete")
+	}
+	if got := f.ask(pathResume, resumes("first", "7")); got.err != nil || got.status != http.StatusOK {
+		t.Errorf("%d, %v; want the rest of the stream", got.status, got.err)
+	}
+	checkOneVersion(t, f, engines)
+}
+
+// TestResumedStreamOfUnknownVersion covers callers that resume a stream whose software version this entry
+// cannot tell, or that no engine has.
+func TestResumedStreamOfUnknownVersion(t *testing.T) {
+	lateAnswers := origin.Alone()
+	lateAnswers.Live = func() []string { return []string{"entry-2"} }
+	lateAnswers.Known = lateAnswers.Live
+	for _, tc := range []struct {
+		name     string
+		versions []string
+		peers    origin.Peers
+		first    string
+		want     int
+		reason   error
+		retry    bool
+	}{
+		{"one version serves", []string{"v1", "v1"}, origin.Alone(), "unknown", http.StatusOK, nil, false},
+		{"two versions serve", []string{"v1", "v2"}, origin.Alone(), "unknown", http.StatusServiceUnavailable, errOriginUnknown, false},
+		{"the caller does not name its first request", []string{"v1", "v2"}, origin.Alone(), "", http.StatusServiceUnavailable, errOriginUnknown, false},
+		{"the caller does not name its first request and one version serves", []string{"v1"}, origin.Alone(), "", http.StatusOK, nil, false},
+		{"another entry does not answer", []string{"v1", "v2"}, lateAnswers, "unknown", http.StatusServiceUnavailable, errOriginNotSought, true},
+		{"another entry does not answer and one version serves", []string{"v1"}, lateAnswers, "unknown", http.StatusServiceUnavailable, errOriginNotSought, true},
+		{"its version is gone", []string{"v2", "v3"}, origin.Alone(), "first", http.StatusServiceUnavailable, errVersionGone, false},
+		{"its version is gone and one other serves", []string{"v2"}, origin.Alone(), "first", http.StatusServiceUnavailable, errVersionGone, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.gateway.origins = origin.New(tc.peers, f.rec, time.Now)
+			for i, version := range tc.versions {
+				f.addEngineOf(string(rune('a'+i)), version)
+			}
+			f.gateway.Origins().Began(origin.KeyOf("first"), origin.Origin{Service: "llm", Software: "v1"}, time.Now().Add(time.Minute))
+			got := f.ask(pathResume, resumes(tc.first, "7"))
+			if got.status != tc.want || tc.reason != nil && !strings.Contains(got.body, tc.reason.Error()) {
+				t.Errorf("%d, %q; want %d, %v", got.status, got.body, tc.want, tc.reason)
+			}
+			if retry := got.header.Get(testRetryMs) != ""; retry != tc.retry {
+				t.Errorf("retry time stated: %v, want %v", retry, tc.retry)
+			}
+		})
+	}
+}
+
+// TestRestartWithOtherSoftwareEndsTheStream guards against a stream that goes on at the version that its
+// engine had before a restart, although it may have run after it.
+func TestRestartWithOtherSoftwareEndsTheStream(t *testing.T) {
+	f := newFixture(t)
+	e := f.addEngineOf("a", "v1")
+	ctx, cancel := context.WithTimeout(t.Context(), callerTimeout)
+	defer cancel()
+	resp, err := f.open(ctx, pathResume)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addEngineOf("b", "v1")
+	f.records[0].Born, f.records[0].Software = 2, "v2"
+	f.fleet.Update(f.records, nil, true, time.Time{})
+	e.crash()
+	if got := readAnswer(resp); got.err == nil {
+		t.Error("the stream went on")
+	}
+}
+
+// TestRowOfAnEngineChangesItsSoftware checks that copies at engines whose version turns out to be another
+// one are not used.
+func TestRowOfAnEngineChangesItsSoftware(t *testing.T) {
+	f := newFixture(t)
+	f.addEngineOf("a", "v2")
+	u, _ := f.fleet.Get("a")
+	s := &stream{g: f.gateway, software: streamSoftware{begun: true, version: "v1", known: true}, copies: []heldCopy{{at: u}, {at: fleet.Upstream{Record: fleet.Record{ID: "gone", Software: "v1"}}}}}
+	if held, ok := s.takeCopy(); ok {
+		t.Errorf("the copy at %s of %s is used", held.at.ID, held.at.Software)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,6 +31,8 @@
 	notResumedWhy string
 
 	mu sync.Mutex
+	// software tells at which software version the stream may go on.
+	software streamSoftware
 	// at is the engine that runs the generation.
 	at fleet.Upstream
 	// lastEvent is the ID of the last event that the caller has, and events their number.
@@ -82,7 +84,7 @@
 
 // generate serves a request for a model engine.
 func (g *Gateway) generate(ctx context.Context, rq *request) {
-	s := &stream{g: g, rq: rq, flush: http.NewResponseController(rq.w).Flush, lastEvent: rq.call.LastEvent}
+	s := &stream{g: g, rq: rq, flush: http.NewResponseController(rq.w).Flush, lastEvent: rq.call.LastEvent, software: rq.software}
 	defer s.end()
 	exclude := map[string]bool{}
 	at, err := s.admit(ctx, nil)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -35,6 +35,8 @@
 	copies []protocol.CopyResult
 	// refuse is the number of attempts to resume from a copy that are refused without a run.
 	refuse int
+	// refuseRest is the number of attempts to resume without a copy that are refused without a run.
+	refuseRest int
 	// breakAfter breaks off the first answer after this event, in the middle of the next.
 	breakAfter int
 	// copyWait, if set, delays the answers to copy commands until it is closed.
@@ -114,6 +116,10 @@
 	if refused {
 		e.refuse--
 	}
+	if r.Header.Get(testLastEvent) != "" && r.Header.Get(testFrom) == "" && e.refuseRest > 0 {
+		e.refuseRest--
+		refused = true
+	}
 	breakAfter, stopped := e.breakAfter, e.stopped
 	e.breakAfter = 0
 	e.mu.Unlock()
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -105,6 +105,8 @@
 		return n.receiveLimits(d)
 	case formatMembers:
 		return n.receiveMembers(d)
+	case formatOrigins:
+		return n.receiveOrigins(d)
 	case formatBundle:
 		return n.receiveBundle(d, addr)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/origin"
 )
 
 // Node sends the state of one entry to its peers and keeps the states that they send.
@@ -22,6 +23,7 @@
 	collect  func() State
 	received func(from string, s State)
 	limits   *limits.Set
+	origins  *origin.Set
 	rec      *events.Recorder
 	now      func() time.Time
 	start    time.Time
@@ -59,10 +61,11 @@
 }
 
 // New returns a Node. It calls collect for the own state and received with each new state of a peer.
-// limitSet produces and handles the messages about rate limits of upstreams.
-func New(settings Settings, conn net.PacketConn, collect func() State, received func(from string, s State), limitSet *limits.Set, rec *events.Recorder, now func() time.Time) *Node {
+// limitSet produces and handles the messages about rate limits of upstreams, and origins handles those about
+// the origins of streams.
+func New(settings Settings, conn net.PacketConn, collect func() State, received func(from string, s State), limitSet *limits.Set, origins *origin.Set, rec *events.Recorder, now func() time.Time) *Node {
 	return &Node{
-		settings: settings, conn: conn, collect: collect, received: received, limits: limitSet, rec: rec, now: now, start: now(),
+		settings: settings, conn: conn, collect: collect, received: received, limits: limitSet, origins: origins, rec: rec, now: now, start: now(),
 		soonRequested: make(chan struct{}, 1), spreadRequested: make(chan struct{}, 1), broadcastRequested: make(chan struct{}, 1), greetDue: make(chan struct{}, 1), forwardDue: make(chan struct{}, 1),
 		peers: map[string]*peer{}, greet: map[string]bool{}, outbox: newOutbox(),
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/roster"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -44,7 +45,7 @@
 		Broadcast: func() {}, BroadcastTime: func() time.Duration { return time.Second }, RoundTrip: func() time.Duration { return 0 },
 	}, events.Nop(), c.now)
 	n.Node = New(Settings{Name: name, Incarnation: incarnation, Interval: time.Second, SilenceTimeout: 3 * time.Second, Rate: 100}, n.conn,
-		func() State { return n.state }, func(_ string, s State) { n.received = s }, n.limits, events.Nop(), c.now)
+		func() State { return n.state }, func(_ string, s State) { n.received = s }, n.limits, origin.New(origin.Alone(), events.Nop(), c.now), events.Nop(), c.now)
 	return n
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -30,6 +30,8 @@
 	formatMembers = 6
 	// formatBundle is the format of forwarded states.
 	formatBundle = 7
+	// formatOrigins is the format of messages about the software versions that began streams.
+	formatOrigins = 8
 )
 
 // datagram is the outer structure of all messages. The body is the same for all receivers and is
--- a/internal/gossip/rig_test.go
+++ b/internal/gossip/rig_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/limits"
+	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/roster"
 )
 
@@ -120,7 +121,7 @@
 	}, events.Nop(), time.Now)
 	timing := rigSettings(e.name, e.entry, "1")
 	timing.Interval = max(timing.Interval, r.every)
-	e.node = New(timing, &rigConn{e}, e.state, e.received, set, events.Nop(), time.Now)
+	e.node = New(timing, &rigConn{e}, e.state, e.received, set, origin.New(origin.Alone(), events.Nop(), time.Now), events.Nop(), time.Now)
 	ctx, cancel := context.WithCancel(r.ctx)
 	e.cancel, e.ended, e.addr = cancel, ctx.Done(), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address))
 	r.mu.Lock()
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -1,13 +1,13 @@
 package limits
 
 import (
-	"hash/fnv"
 	"math"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/roster"
 )
 
 const (
@@ -109,7 +109,7 @@
 func (s *Set) granterOf(incarnation string, l *limit) string {
 	granter, highest := "", uint64(0)
 	for _, name := range s.granterCandidates() {
-		h := rendezvousHash(incarnation, name)
+		h := roster.RendezvousHash(incarnation, name)
 		if granter == "" || h > highest || h == highest && name > granter {
 			granter, highest = name, h
 		}
@@ -132,23 +132,6 @@
 	return granter
 }
 
-// rendezvousHash ranks an entry among those that may grant permits for an incarnation.
-func rendezvousHash(incarnation, entry string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(incarnation))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(entry))
-	// The last bytes of the input hardly change the high bits of its FNV hash.
-	return mix(h.Sum64())
-}
-
-// mix spreads each bit of a number over all bits. It is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // grant takes a permit from this entry's bucket. It returns 0, or the time until a permit may be
 // available. The caller must hold s.mu.
 func (s *Set) grant(l *limit) time.Duration {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -38,6 +38,9 @@
 	Resumes string
 }
 
+// ResumesStream reports whether the caller resumes a stream that an earlier answer began.
+func (c *Call) ResumesStream() bool { return c.LastEvent != "" || c.Resumes != "" }
+
 // PromptPart is a part of a prompt.
 type PromptPart struct {
 	// ID is equal for equal text that follows the same earlier parts.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -402,4 +402,14 @@
 mutant reconnect-replaced $reconnect/reconnect.go 's/old\.transport\.CloseIdleConnections\(\)/_ = old/' $reconnect TestReplacedConnections
 mutant reconnect-idle internal/platform/httpclient.go 's/f\.transport\.CloseIdleConnections\(\)/_ = f/' internal/platform TestEachSilent
 
+# Streams go on at any software version, or entries do not tell each other which one began them.
+mutant software-target $gateway/choose.go 's/return view\.Target\(g\.candidates\(s\.available\(\)/return view.Target(g.candidates(g.fleet.Available(s.rq.service.Name)/' $gateway TestStreamGoesOnAtAnother
+mutant software-begun $gateway/software.go 's/s\.software = streamSoftware\{begun: true, version: at/s.software = streamSoftware{version: at/' $gateway TestStreamGoesOnAtAnother
+mutant software-caller $gateway/software.go 's/!rq\.call\.ResumesStream\(\)/true/' $gateway 'TestCallerResumes|TestStreamIsResumed'
+mutant software-unknown $gateway/software.go 's/len\(versions\) == 1/len(versions) > 0/' $gateway TestResumedStreamOfUnknown
+mutant software-restart $gateway/continue.go 's/\ts\.noteRestart\(\)\n//' $gateway TestRestartWithOther
+mutant software-copy $gateway/continue.go 's/ && s\.software\.fits\(held\.at\)//' $gateway TestRowOfAnEngine
+mutant origin-handover internal/origin/origin.go 's/if before != incarnation \{/if before != before {/' internal/origin TestStartedEntries
+mutant origin-report internal/origin/origin.go 's/\t\ts\.peers\.Send\(name, m\)\n\t\}\n\}\n\n\/\/ store/\t\t_ = name\n\t\t_ = m\n\t}\n}\n\n\/\/ store/' internal/origin TestOriginOf
+
 finish
