feat(gateway): log the parts of a prompt that other requests may share

Callers of whole services lost streams to requests that crash engines and differ in their bodies, and no log line told what they have in common.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -169,7 +169,7 @@
 	{RetryUseRestored, "retry-use-restored", "A starting entry learned from `source` what its earlier processes used of the retry budgets; `complete` tells whether that is all. It makes no extra attempts before."},
 	{RetryUseStoreFailed, "retry-use-store-failed", "An entry could not store its use of the retry budgets; it tries again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
-	{RequestRouted, "request-routed", "An entry sent a request to an upstream. For a stream, `software` is the version of the upstream's software, `after-event` the last event that the caller has, and `resumes` the request whose answer began the stream, if the caller resumes one."},
+	{RequestRouted, "request-routed", "An entry sent a request to an upstream. For a stream, `software` is the version of the upstream's software, `after-event` the last event that the caller has, `resumes` the request whose answer began the stream, if the caller resumes one, and `parts` the parts of its prompt that other requests may share."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with the time after which the caller may retry."},
 	{RequestRetried, "request-retried", "A request that provably did not run is retried on another upstream."},
 	{RequestEnded, "request-ended", "A caller received the last byte of its answer."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -99,11 +100,20 @@
 	g, rq := s.g, s.rq
 	load := g.loads.total(st.at.ID)
 	g.met.attempted(st.why)
-	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "software", st.at.Software, "why", st.why, "resumes", rq.call.Resumes,
+	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "software", st.at.Software, "why", st.why, "resumes", rq.call.Resumes, "parts", partIDs(rq.call.Shared),
 		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens, "unread", load.Prefill, "news-delay", g.peers.Delay(st.at.Zone, true), "limit", g.limits.Rate(st.at.ID),
 		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.tableAge)
 }
 
+// partIDs returns the IDs of the parts of a prompt that others may share, separated by spaces.
+func partIDs(parts []protocol.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, " ")
+}
+
 // judge evaluates the head of an answer. done is false if an event stream follows.
 func (s *stream) judge(ctx context.Context, st step, answer *link.Answer) (o outcome, done bool) {
 	g, rq := s.g, s.rq
