--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,13 +105,16 @@
 		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.tableAge)
 }
 
+// maxPartBytes bounds the IDs of prompt parts in one log line.
+const maxPartBytes = 256
+
 // partIDs returns the IDs of the parts of a prompt that others may share, separated by spaces.
 func partIDs(parts []protocol.PromptPart) string {
 	ids := make([]string, len(parts))
 	for i, p := range parts {
 		ids[i] = p.ID
 	}
-	return strings.Join(ids, " ")
+	return events.Excerpt(strings.Join(ids, " "), maxPartBytes)
 }
 
 // judge evaluates the head of an answer. done is false if an event stream follows.
