fix(quarantine): requests that share a prompt part which crashes upstreams

The cause: the quarantine knew a request by its target, account and whole body, so each of these requests was a new one that reached the threshold alone or never.

Each part of a prompt but the last is now a suspect of its own. A part is quarantined after three crashes under different requests, if no request with it was served in between, or within ten seconds before. Requests with it are refused at once. A part that is only suspected never makes requests wait, and a request whose part has two crashes is not repeated. Parts that ran at the same crashes cannot be told apart: a prompt without one of them is tried, one request at a time. While upstreams also crash for other causes, a part needs more crashes than these have moments.

Eight parts of the change, taken out alone, each make a new test fail.

--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -21,12 +22,13 @@
 
 type quarantineListCommand struct{}
 
-// suspectRequest is a request that was running when upstreams crashed. It is in quarantine if
+// suspectRequest is a request that was running when upstreams crashed, or a part of the prompts of such requests. It is in quarantine if
 // QuarantinedAt is set.
 type suspectRequest struct {
 	Fingerprint      string     `json:"fingerprint"`
 	Route            string     `json:"route"`
 	Account          string     `json:"account,omitempty"`
+	PromptPart       string     `json:"prompt_part,omitempty"`
 	Crashes          []string   `json:"upstreams_ended"`
 	LatestCrash      time.Time  `json:"latest_end"`
 	QuarantinedAt    *time.Time `json:"held_since,omitempty"`
@@ -48,9 +50,9 @@
 	}
 	rows := make([][]any, 0, len(b.Requests))
 	for _, r := range b.Requests {
-		rows = append(rows, []any{r.Fingerprint, r.Route, r.Account, len(r.Crashes), r.LatestCrash.Format(time.RFC3339), formatTime(r.QuarantinedAt), formatTime(r.QuarantinedUntil), r.Refused})
+		rows = append(rows, []any{r.Fingerprint, r.Route, r.Account, cmp.Or(r.PromptPart, "-"), len(r.Crashes), r.LatestCrash.Format(time.RFC3339), formatTime(r.QuarantinedAt), formatTime(r.QuarantinedUntil), r.Refused})
 	}
-	return env.table("FINGERPRINT\tROUTE\tACCOUNT\tENDED\tLATEST END\tHELD SINCE\tTRIED AGAIN\tREFUSED", rows, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d")
+	return env.table("FINGERPRINT\tROUTE\tACCOUNT\tPROMPT PART\tENDED\tLATEST END\tHELD SINCE\tTRIED AGAIN\tREFUSED", rows, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d")
 }
 
 // formatTime formats a time, or nil as a dash.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,7 +169,7 @@
 		err = errAnswerTooLong
 	}
 	if err == nil {
-		s.rq.run.Served()
+		s.rq.run.AnsweredWithError()
 	}
 	retryable := s.rq.route.Repeats() && s.rq.attempts < s.rq.route.MaxAttempts && answer.Status >= http.StatusInternalServerError
 	if s.headSent || err != nil || retryable && ctx.Err() == nil {
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -33,7 +33,7 @@
 // request.
 func (g *Gateway) checkQuarantine(ctx context.Context, rq *request) bool {
 	wait := time.Duration(suspectWaitShare * float64(rq.route.Objective))
-	run, err := g.quarantine.Enter(ctx, quarantine.Request{Fingerprint: rq.fingerprint, Route: rq.route.Name, Account: rq.account}, wait)
+	run, err := g.quarantine.Enter(ctx, quarantine.Request{Fingerprint: rq.fingerprint, Route: rq.route.Name, Account: rq.account}, wait, promptParts(rq)...)
 	switch {
 	case err == nil:
 		rq.run = run
@@ -49,6 +49,19 @@
 	return false
 }
 
+// promptParts returns the parts of a request's prompt that other requests may share, as the quarantine knows
+// them.
+func promptParts(rq *request) []quarantine.Request {
+	if rq.service.Engine == nil {
+		return nil
+	}
+	parts := make([]quarantine.Request, len(rq.call.Shared))
+	for i, p := range rq.call.Shared {
+		parts[i] = quarantine.PartOf(rq.service.Name, rq.route.Name, p.ID)
+	}
+	return parts
+}
+
 // recordBrokenAnswer records that an upstream's answer broke off and starts a probe to find out
 // whether the upstream crashed. A leaving upstream ends as planned, and a request that was not sent
 // cannot have crashed it.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -48,7 +48,7 @@
 	out := make([]View, 0, len(listed))
 	for _, u := range listed {
 		v := View{
-			Request: Request{Fingerprint: u.fingerprint, Route: u.route, Account: u.account},
+			Request: Request{Fingerprint: u.fingerprint, Route: u.route, Account: u.account, Part: u.part},
 			Crashes: slices.Sorted(slices.Values(u.activeCrashes())), Latest: u.latestCrash(),
 			QuarantinedAt: u.quarantinedAt, Refused: u.refused,
 		}
@@ -87,6 +87,7 @@
 	Fingerprint string     `json:"fingerprint"`
 	Route       string     `json:"route"`
 	Account     string     `json:"account,omitempty"`
+	Part        string     `json:"prompt_part,omitempty"`
 	Ends        []string   `json:"upstreams_ended"`
 	Latest      time.Time  `json:"latest_end"`
 	Held        *time.Time `json:"held_since,omitempty"`
@@ -111,7 +112,7 @@
 	out := listBody{Requests: []viewBody{}}
 	for _, v := range s.List() {
 		b := viewBody{
-			Fingerprint: v.Fingerprint.String(), Route: v.Route, Account: v.Account,
+			Fingerprint: v.Fingerprint.String(), Route: v.Route, Account: v.Account, Part: v.Part,
 			Ends: v.Crashes, Latest: v.Latest, Refused: v.Refused,
 		}
 		if !v.QuarantinedAt.IsZero() {
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -22,7 +22,7 @@
 func Encode(reports []Report, now time.Time) []Message {
 	var out []Message
 	for _, w := range reports {
-		m := Message{Fingerprint: w.Fingerprint[:], Route: w.Route, Account: w.Account, Void: w.Voided, Runs: w.Runs}
+		m := Message{Fingerprint: w.Fingerprint[:], Route: w.Route, Account: w.wireAccount(), Void: w.Voided, Runs: w.Runs}
 		if len(w.Crashes) > 0 {
 			m.EndAgesMS = make(map[string]int64, len(w.Crashes))
 		}
@@ -38,7 +38,8 @@
 func Decode(messages []Message, now time.Time) []Report {
 	var out []Report
 	for _, m := range messages {
-		w := Report{Request: Request{Route: m.Route, Account: m.Account}, Voided: m.Void, Runs: m.Runs}
+		w := Report{Request: Request{Route: m.Route}, Voided: m.Void, Runs: m.Runs}
+		w.setWireAccount(m.Account)
 		if len(m.Fingerprint) != len(w.Fingerprint) {
 			continue
 		}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -10,6 +11,8 @@
 type Run struct {
 	set     *Set
 	request Request
+	// parts are the parts of the request's prompt.
+	parts []Request
 
 	// The set's lock guards the fields below.
 
@@ -22,6 +25,8 @@
 	// trialOver is set once other runs with the same fingerprint no longer wait for this one.
 	trialOver bool
 	finished  bool
+	// partTrials are the quarantined parts that this run tries.
+	partTrials []Fingerprint
 }
 
 // Route returns the name of the request's route.
@@ -43,6 +48,11 @@
 	s := r.set
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, p := range r.parts {
+		if u, ok := s.suspects[p.Fingerprint]; ok && s.suspicion(u) > maxRetryCrashes {
+			return false
+		}
+	}
 	u, ok := s.suspects[r.request.Fingerprint]
 	if !ok || !s.restricted(u) {
 		return true
@@ -56,10 +66,25 @@
 func (r *Run) MaySend() bool {
 	r.set.mu.Lock()
 	defer r.set.mu.Unlock()
+	if !r.partsMaySend() {
+		return false
+	}
 	u, ok := r.set.suspects[r.request.Fingerprint]
 	return !ok || u.quarantinedAt.IsZero() || r.probation && r.sentAt.IsZero()
 }
 
+// partsMaySend reports whether no part of the prompt was quarantined since the run began, or the run is the
+// trial of that part and has not been sent. The caller must hold the lock.
+func (r *Run) partsMaySend() bool {
+	for _, p := range r.parts {
+		u, ok := r.set.suspects[p.Fingerprint]
+		if ok && !u.quarantinedAt.IsZero() && (!r.sentAt.IsZero() || !slices.Contains(r.partTrials, p.Fingerprint)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Sent notes that the request is being sent to an upstream whose shared name is unknown. A run
 // whose trial was over starts a new one.
 func (r *Run) Sent() { r.SentTo("") }
@@ -105,22 +130,46 @@
 // request. The caller must hold the lock.
 func (r *Run) responseLost(routedTo, actualIncarnation string) {
 	s := r.set
-	if s.servedRecently(r.request.Fingerprint) {
+	for _, p := range r.parts {
+		s.noteLostResponse(p, actualIncarnation, lostResponse{at: s.now(), routedTo: routedTo, kind: ordinaryRun})
+	}
+	lost := lostResponse{at: s.now(), routedTo: routedTo, kind: trialRun}
+	if !r.onTrial {
+		lost.kind = ordinaryRun
+	}
+	s.noteLostResponse(r.request, actualIncarnation, lost)
+}
+
+// noteLostResponse notes a lost response to a request, or to one with a part. The caller must hold the lock.
+func (s *Set) noteLostResponse(q Request, actualIncarnation string, lost lostResponse) {
+	if s.servedRecently(q.Fingerprint) {
 		return
 	}
-	u := s.getOrAdd(r.request)
+	u := s.getOrAdd(q)
 	if _, known := u.crashes[actualIncarnation]; known {
 		return
 	}
-	lost := lostResponse{at: s.now(), routedTo: routedTo, kind: trialRun}
-	if !r.onTrial || u.lostResponses[actualIncarnation].kind == ordinaryRun {
+	if u.lostResponses[actualIncarnation].kind == ordinaryRun {
 		lost.kind = ordinaryRun
 	}
 	u.lostResponses[actualIncarnation] = lost
 }
 
-// Served notes that an upstream completed the response, which clears the request of suspicion.
+// Served notes that an upstream completed the response, which clears the request and the parts of its prompt
+// of suspicion.
 func (r *Run) Served() {
+	r.AnsweredWithError()
+	s := r.set
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range r.parts {
+		s.servePart(p.Fingerprint)
+	}
+}
+
+// AnsweredWithError notes that an upstream completed a response that reports an error. That clears the
+// request, but not the parts of its prompt, of which the upstream wrote nothing.
+func (r *Run) AnsweredWithError() {
 	s := r.set
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,7 +190,7 @@
 	u.quarantinedAt = time.Time{}
 	if voided > 0 {
 		s.rec.Note(events.RequestCleared, "", "fingerprint", u.fingerprint, "route", u.route,
-			"account", u.account, "why", reason, "ends", voided, "held", wasQuarantined)
+			"account", u.account, "part", u.part, "why", reason, "ends", voided, "held", wasQuarantined)
 		s.gossipNow()
 	}
 	s.updateQuarantines()
@@ -163,14 +212,27 @@
 	r.trialOver = true
 	delete(r.set.trials, r)
 	f := r.request.Fingerprint
-	if r.set.running[f]--; r.set.running[f] <= 0 {
-		delete(r.set.running, f)
+	r.set.endRun(f)
+	for _, part := range r.partTrials {
+		r.set.endRun(part)
 	}
+	r.partTrials = nil
 	if _, ok := r.set.suspects[f]; ok {
 		r.set.notifyWaiters()
 	}
 }
 
+// endRun counts one run less of a request, or of a part on trial. The caller must hold the lock.
+func (s *Set) endRun(f Fingerprint) {
+	if s.running[f]--; s.running[f] <= 0 {
+		delete(s.running, f)
+	}
+	if u, ok := s.suspects[f]; ok && u.isPart() {
+		s.notifyWaiters()
+		s.gossipNow()
+	}
+}
+
 // Leave ends the run.
 func (r *Run) Leave() {
 	s := r.set
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -25,8 +25,8 @@
 	// of other requests.
 	maxCrashes = 64
 	// maxSuspects bounds the suspects remembered. It is about the number of requests that twenty
-	// fully loaded engines run.
-	maxSuspects = 1024
+	// fully loaded engines run, with the parts of their prompts.
+	maxSuspects = 4096
 	// minQuarantine is the first quarantine period. Finding out whether the request still crashes
 	// upstreams costs one upstream, so the period doubles with each crash, up to maxQuarantine.
 	minQuarantine = 10 * time.Minute
@@ -80,6 +80,8 @@
 	explained explained
 	// served maps requests served here recently to the time of the latest response.
 	served map[Fingerprint]time.Time
+	// servedParts does the same for parts of prompts.
+	servedParts map[Fingerprint]time.Time
 	// running counts, by request, the runs here whose trial is not over.
 	running map[Fingerprint]int
 	// trials maps the runs of suspects at this entry to their upstreams.
@@ -107,27 +109,31 @@
 func New(rec *events.Recorder, now func() time.Time, gossipNow func()) *Set {
 	return &Set{
 		rec: rec, now: now, gossipNow: gossipNow, suspects: map[Fingerprint]*suspect{},
-		running: map[Fingerprint]int{}, served: map[Fingerprint]time.Time{}, trials: map[*Run]string{},
+		running: map[Fingerprint]int{}, served: map[Fingerprint]time.Time{}, servedParts: map[Fingerprint]time.Time{}, trials: map[*Run]string{},
 		lastReportAt: map[string]time.Time{},
 		peerRuns:     map[string]peerSnapshot{}, changed: make(chan struct{}),
 	}
 }
 
-// Request identifies a request to operators.
+// Request identifies a request to operators, or a part of prompts.
 type Request struct {
 	Fingerprint Fingerprint
 	Route       string
 	Account     string
+	// Part is the ID of the part of prompts, empty for a request. The fingerprint of a part does not depend
+	// on the route, which is one of those on which requests with it came.
+	Part string
 }
 
 // Enter begins to serve a request. A suspect runs once at a time: Enter waits until it may run, at
 // most for the given time, and then returns ErrOnTrial. For a quarantined request it returns
 // ErrQuarantined at once. Without this wait, a poison request sent 30 times a second to 300 entries
-// crashed 13 or 14 upstreams instead of 10 (three simulations, gossip delayed by 0.1 s).
-func (s *Set) Enter(ctx context.Context, r Request, wait time.Duration) (*Run, error) {
+// crashed 13 or 14 upstreams instead of 10 (three simulations, gossip delayed by 0.1 s). parts are the parts of
+// its prompt, as PartOf returns them.
+func (s *Set) Enter(ctx context.Context, r Request, wait time.Duration, parts ...Request) (*Run, error) {
 	var expired <-chan time.Time
 	for {
-		run, changed, err := s.enter(r)
+		run, changed, err := s.enter(r, parts)
 		if err == nil || errors.Is(err, ErrQuarantined) {
 			return run, err
 		}
@@ -146,10 +152,18 @@
 	}
 }
 
-func (s *Set) enter(r Request) (*Run, <-chan struct{}, error) {
+func (s *Set) enter(r Request, parts []Request) (*Run, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	run := &Run{set: s, request: r}
+	run := &Run{set: s, request: r, parts: parts}
+	refused, trials := s.refusedPart(parts)
+	if refused != nil {
+		refused.refused++
+		return nil, nil, ErrQuarantined
+	}
+	if slices.ContainsFunc(trials, s.partBusy) {
+		return nil, s.changed, ErrOnTrial
+	}
 	if u, ok := s.suspects[r.Fingerprint]; ok && s.restricted(u) {
 		if !u.quarantinedAt.IsZero() && s.now().Before(u.quarantinedUntil()) {
 			u.refused++
@@ -162,6 +176,11 @@
 		run.probation, run.onTrial = !u.quarantinedAt.IsZero(), true
 		defer s.gossipNow()
 	}
+	for _, u := range trials {
+		run.partTrials = append(run.partTrials, u.fingerprint)
+		s.running[u.fingerprint]++
+		defer s.gossipNow()
+	}
 	s.running[r.Fingerprint]++
 	return run, nil, nil
 }
@@ -234,7 +253,7 @@
 		s.suspects[r.Fingerprint] = u
 	}
 	if u.route == "" {
-		u.route, u.account = r.Route, r.Account
+		u.route, u.account, u.part = r.Route, r.Account, r.Part
 	}
 	return u
 }
@@ -280,7 +299,7 @@
 				u.setRunKind(actualIncarnation, lost.kind)
 				s.voidIfServed(u, actualIncarnation)
 				s.rec.Note(events.RequestSuspected, "", "fingerprint", u.fingerprint, "route", u.route,
-					"account", u.account, "upstream", actualIncarnation, "ends", len(u.activeCrashes()),
+					"account", u.account, "part", u.part, "upstream", actualIncarnation, "ends", len(u.activeCrashes()),
 					"on-trial", lost.kind == trialRun)
 			}
 		}
@@ -294,7 +313,10 @@
 
 // servedRecently reports whether this entry served the request recently. The caller must hold the
 // lock.
-func (s *Set) servedRecently(f Fingerprint) bool { return s.now().Sub(s.served[f]) < servedTTL }
+func (s *Set) servedRecently(f Fingerprint) bool {
+	now := s.now()
+	return now.Sub(s.served[f]) < servedTTL || now.Sub(s.servedParts[f]) < partServedTTL
+}
 
 // voidIfServed voids a crash if this entry served the request recently. The caller must hold the
 // lock.
@@ -338,12 +360,12 @@
 				s.localQuarantines++
 			}
 			s.rec.Note(events.RequestHeld, "", "fingerprint", u.fingerprint, "route", u.route,
-				"account", u.account, "ends", len(u.activeCrashes()),
+				"account", u.account, "part", u.part, "ends", len(u.activeCrashes()),
 				"upstreams", slices.Sorted(slices.Values(u.activeCrashes())), "for", u.quarantinedUntil().Sub(s.now()))
 		case !quarantined[u] && wasQuarantined:
 			u.quarantinedAt = time.Time{}
 			s.rec.Note(events.RequestCleared, "", "fingerprint", u.fingerprint, "route", u.route,
-				"account", u.account, "why", "other requests account for its crashes, or it was served",
+				"account", u.account, "part", u.part, "why", "other requests account for its crashes, or it was served",
 				"ends", len(u.activeCrashes()), "held", true)
 		}
 	}
@@ -367,6 +389,7 @@
 	now := s.now()
 	maps.DeleteFunc(s.lastReportAt, func(_ string, at time.Time) bool { return now.Sub(at) >= peerTTL })
 	maps.DeleteFunc(s.served, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= servedTTL })
+	maps.DeleteFunc(s.servedParts, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= partServedTTL })
 	replacedIncarnations := map[string]bool{}
 	for f, u := range s.suspects {
 		for actualIncarnation, lost := range u.lostResponses {
--- a/internal/quarantine/several_test.go
+++ b/internal/quarantine/several_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,8 @@
 	// reachedBy and crashesBy hold, for each poison request, when it reached upstreams and when it
 	// crashed them.
 	reachedBy, crashesBy map[string][]time.Time
+	// partsOf returns the parts of a request's prompt, by its name; nil if requests have none.
+	partsOf func(name string) []Request
 	// quarantinedNames counts, by name, the harmless requests refused as quarantined.
 	quarantinedNames map[string]int
 }
@@ -74,7 +77,11 @@
 // serve serves a request at an entry as the gateway does.
 func (c *multiRig) serve(entry int, name string, poison bool) {
 	e := c.entries[entry]
-	run, err := e.Enter(context.Background(), request(name), 250*time.Millisecond)
+	var parts []Request
+	if c.partsOf != nil {
+		parts = c.partsOf(name)
+	}
+	run, err := e.Enter(context.Background(), request(name), 250*time.Millisecond, parts...)
 	if err != nil {
 		if errors.Is(err, ErrQuarantined) && !poison {
 			c.mu.Lock()
@@ -107,6 +114,10 @@
 // runNamedOn is runOn with results for each poison request.
 func (c *multiRig) runNamedOn(u *rigUpstream, crashed chan struct{}, name string, poison bool) bool {
 	before := 0
+	if poison && c.partsOf != nil {
+		// No two requests with a bad part are alike.
+		name = name[:strings.LastIndexByte(name, ' ')]
+	}
 	if poison {
 		c.mu.Lock()
 		c.reachedBy[name] = append(c.reachedBy[name], time.Now())
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -10,6 +10,11 @@
 	fingerprint Fingerprint
 	route       string
 	account     string
+	// part is the ID of the part of prompts; empty if the suspect is a request.
+	part string
+	// doubtful is set for a quarantined part that may be harmless, so that requests with it are tried one at
+	// a time.
+	doubtful bool
 	// crashes maps the incarnations that crashed while they ran the request.
 	crashes map[string]crash
 	// lostResponses maps the incarnations whose response to the request was lost; it is not known yet
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -61,10 +61,15 @@
 // quarantined instead, 0 to 107 and 461 were refused, respectively. The price is 3.5 crashes for
 // each poison request instead of 2.7, where a crash shared by two of them counted for both.
 func attribute(suspects map[Fingerprint]*suspect) (quarantined map[*suspect]bool, e explained) {
-	e, quarantined = explained{}, map[*suspect]bool{}
+	e = explained{}
+	parts := attributeParts(suspects, e)
+	defer func() { maps.Copy(quarantined, parts) }()
+	quarantined = map[*suspect]bool{}
 	open := make(openCrashes, len(suspects))
 	for _, u := range suspects {
-		open[u] = u.activeCrashes()
+		if !u.isPart() {
+			open[u] = e.unexplained(u)
+		}
 	}
 	for {
 		next := open.nextToQuarantine()
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -103,6 +103,7 @@
 			Fingerprint: u.fingerprint,
 			Route:       u.route[:min(len(u.route), maxNameBytes)],
 			Account:     u.account[:min(len(u.account), maxNameBytes)],
+			Part:        u.part,
 		},
 		Crashes: map[string]time.Time{}, Runs: s.runsHere(u),
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -412,4 +412,15 @@
 mutant origin-handover internal/origin/origin.go 's/if before != incarnation \{/if before != before {/' internal/origin TestStartedEntries
 mutant origin-report internal/origin/origin.go 's/\t\ts\.peers\.Send\(name, m\)\n\t\}\n\}\n\n\/\/ store/\t\t_ = name\n\t\t_ = m\n\t}\n}\n\n\/\/ store/' internal/origin TestOriginOf
 
+# Prompt parts are no suspects, or harmless ones are taken for bad ones.
+quarantine=internal/quarantine
+mutant part-suspects $quarantine/run.go 's/for _, p := range r\.parts \{\n\t\ts\.noteLostResponse/for _, p := range r.parts[:0] {\n\t\ts.noteLostResponse/' $quarantine TestPartWithDifferent
+mutant part-served $quarantine/run.go 's/for _, p := range r\.parts \{\n\t\ts\.servePart/for _, p := range r.parts[:0] {\n\t\ts.servePart/' $quarantine TestPartWithDifferent
+mutant part-one-request $quarantine/partverdict.go 's/ && differentRequests\(u, suspects\)//' $quarantine TestPartWithDifferent
+mutant part-twins $quarantine/part.go 's/ && s\.allTwinsIn\(u, parts\)//' $quarantine 'TestPartWithDifferent|TestTrialTells'
+mutant part-redundant $quarantine/partverdict.go 's/releaseRedundantParts\(quarantined\)\n\t\t\treturn/return/' $quarantine TestPartWithDifferent
+mutant part-repeat $quarantine/run.go 's/s\.suspicion\(u\) > maxRetryCrashes \{/s.suspicion(u) < 0 {/' $quarantine TestRequestWithSuspected
+mutant part-names $quarantine/message.go 's/w\.wireAccount\(\)/w.Account/' $quarantine TestPartsAreReported
+mutant part-other-causes $quarantine/partverdict.go 's/return len\(moments\) > maxOtherMoments\*n/return false/' $quarantine TestHarmlessParts -rig.seeds=6
+
 finish
