fix(gateway): streams that end with their connection are whole

The cause: only an answer with a length or chunks could be complete. An engine that crashes or stops a generation for a move closes the connection as well, so the end of an unframed answer after a whole event now counts as its end if the engine still accepts connections and did not stop the generation for a move. One that ends inside an event, or with a reset, is broken off as before.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -225,6 +225,9 @@
 		s.recordFinalCopy(done, from, r.Handle, from)
 	case protocol.NoSuchGeneration:
 		g.met.moved("ended")
+		s.mu.Lock()
+		s.endedBeforeStop = true
+		s.mu.Unlock()
 	default:
 		g.moveFailed(s, from, "the generation could not be stopped")
 	}
@@ -239,7 +242,7 @@
 	if s.ended || s.at.ID != from.ID || s.handover != nil {
 		return nil, false
 	}
-	s.handover = make(chan struct{})
+	s.handover, s.endedBeforeStop = make(chan struct{}), false
 	s.copies = []heldCopy{{copy: protocol.Copy{Source: from.Address, Handle: handle}, at: target}}
 	return s.handover, true
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -90,9 +90,20 @@
 	g.met.observeFirstEvent(s.timeToFirstEvent)
 }
 
+// closedAtItsEnd reports whether the end of a connection, after a whole event, is the end of an answer that has
+// neither a length nor chunks. An engine that crashes, or that stops a generation for a move, closes the
+// connection as well.
+func (s *stream) closedAtItsEnd(ctx context.Context, st step) bool {
+	s.awaitHandover(ctx)
+	s.mu.Lock()
+	stopped := s.handover != nil && !s.endedBeforeStop
+	s.mu.Unlock()
+	return !stopped && s.g.incarnationKnown(st.at.ID) && s.g.link.CheckReachable(ctx, st.at.Address) == nil
+}
+
 // answerEnded handles the end of an attempt's answer, which is complete or has broken off.
 func (s *stream) answerEnded(ctx context.Context, st step, answer *link.Answer, rest []byte, err error) outcome {
-	whole := errors.Is(err, io.EOF) && answer.Framed && len(rest) == 0
+	whole := errors.Is(err, io.EOF) && len(rest) == 0 && (answer.Framed || s.closedAtItsEnd(ctx, st))
 	// A caller that had the last event, but not the end of the answer, resumes a stream without a rest.
 	if whole && !s.headSent && s.rq.call.LastEvent != "" && s.rq.beginAnswer() {
 		s.recordFirstEvent(st, answer, s.g.now())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,7 +51,9 @@
 	// handover is set from the decision to stop the generation for a move until it has
 	// resumed. It is closed when the engine has answered the command to stop.
 	handover chan struct{}
-	ended    bool
+	// endedBeforeStop is set if the engine answered the command to stop the generation that it had ended.
+	endedBeforeStop bool
+	ended           bool
 }
 
 // heldCopy is a copy of a generation's memory and the engine that holds it.
--- /dev/null
+++ b/internal/gateway/unframed_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/protocol"
+)
+
+// serveUnframed answers with a stream that has neither a length nor chunks, up to an event, and a part of the
+// next one if torn is set. The end of the connection ends it.
+func serveUnframed(w http.ResponseWriter, r *http.Request, last int, torn bool, beforeClose func()) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: p\r\n\r\n", testID, r.Header.Get(testID), testProof)
+	from := 0
+	_, _ = fmt.Sscan(r.Header.Get(testLastEvent), &from)
+	for i := from + 1; i <= last; i++ {
+		_, _ = fmt.Fprintf(c, "id: %d\ndata: x\n\n", i)
+		time.Sleep(time.Millisecond)
+	}
+	if torn {
+		_, _ = fmt.Fprintf(c, "id: %d\nda", last+1)
+	}
+	beforeClose()
+}
+
+// TestUnframedStreamIsTakenForABrokenOne guards against whole streams that are aborted, or sent again, because
+// only the end of the connection marks their end, and against broken ones that look whole.
+func TestUnframedStreamIsTakenForABrokenOne(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		path string
+		last int
+		torn bool
+		// crash makes the engine's address refuse connections before the stream ends.
+		crash bool
+		whole bool
+		runs  int
+	}{
+		{name: "whole", path: pathStream, last: lastTestEvent, whole: true, runs: 1},
+		{name: "whole on a resumable route", path: pathResume, last: lastTestEvent, whole: true, runs: 1},
+		{name: "torn", path: pathStream, last: 7, torn: true, runs: 1},
+		{name: "torn on a resumable route", path: pathResume, last: 7, torn: true, whole: true, runs: 2},
+		{name: "its engine crashes after an event", path: pathStream, last: 7, crash: true, runs: 1},
+		{name: "its engine crashes after an event on a resumable route", path: pathResume, last: 7, crash: true, whole: true, runs: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			var server *httptest.Server
+			first := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+				serveUnframed(w, r, tc.last, tc.torn, func() {
+					if tc.crash {
+						_ = server.Listener.Close()
+					}
+				})
+			})
+			server = f.lastServer
+			result := make(chan answer, 1)
+			go func() { result <- f.ask(tc.path) }()
+			for first.runs() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			second := f.addEngine("b")
+			got := <-result
+			if whole := got.err == nil && got.body == wholeStream(); whole != tc.whole || !strings.HasPrefix(wholeStream(), got.body) {
+				t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, tc.whole)
+			}
+			if n := first.runs() + second.runs(); n != tc.runs {
+				t.Errorf("%d runs, want %d", n, tc.runs)
+			}
+		})
+	}
+}
+
+// TestUnframedStreamThatIsMovedLooksWhole guards against a stream that ends where its engine stopped it for a
+// move.
+func TestUnframedStreamThatIsMovedLooksWhole(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// ended is set if the stream is complete before the engine gets the command to stop it.
+		ended bool
+		runs  int
+	}{
+		{"stopped", false, 1},
+		{"complete before it is stopped", true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			stop := make(chan struct{})
+			source := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case strings.HasPrefix(r.URL.Path, "/copy") && r.URL.Query().Get("last") == "true":
+					if tc.ended {
+						_, _ = fmt.Fprintf(w, `{"Outcome":%d}`, protocol.NoSuchGeneration)
+						return
+					}
+					close(stop)
+					_, _ = w.Write([]byte(`{"Handle":"h2"}`))
+				case strings.HasPrefix(r.URL.Path, "/copy"):
+					_, _ = w.Write([]byte(`{"Handle":"h1"}`))
+					if tc.ended {
+						close(stop)
+					}
+				case r.URL.Path == "/report":
+					_, _ = w.Write([]byte("serving"))
+				default:
+					last := 7
+					if tc.ended {
+						last = lastTestEvent
+					}
+					serveUnframed(w, r, last, false, func() { f.holdUntil(stop) })
+				}
+			})
+			result := make(chan answer, 1)
+			go func() { result <- f.ask(pathStream) }()
+			for source.runs() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			target := f.addEngine("b")
+			target.copies = []protocol.CopyResult{{Handle: "h"}}
+			time.Sleep(100 * time.Millisecond)
+			f.leave("a")
+			if got := <-result; got.err != nil || got.body != wholeStream() {
+				t.Errorf("%v, %q; want the whole stream", got.err, got.body)
+			}
+			if target.runs() != tc.runs {
+				t.Errorf("%d runs at the target, want %d", target.runs(), tc.runs)
+			}
+		})
+	}
+}
