--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -13,9 +13,9 @@
 
 // The reasons for refusing to resume a stream.
 var (
-	errOriginUnknown   = errors.New("the software version that began this stream is not known")
-	errOriginNotSought = errors.New("other entries have not said which software version began this stream")
-	errVersionGone     = errors.New("no engine of the software version that began this stream serves")
+	errOriginUnknown     = errors.New("the software version that began this stream is not known")
+	errOriginNotAnswered = errors.New("other entries have not said which software version began this stream")
+	errVersionGone       = errors.New("no engine of the software version that began this stream serves")
 )
 
 // originRetryDelay is the retry delay of a caller that resumes a stream while other entries do not answer.
@@ -67,7 +67,11 @@
 		g.returnToService(rq, o.Service)
 		return true
 	case origin.NoAnswer:
-		g.refuse(rq, http.StatusServiceUnavailable, errOriginNotSought.Error(), originRetryDelay)
+		if ctx.Err() != nil {
+			g.giveUp(ctx, rq, errOriginNotAnswered.Error())
+			return false
+		}
+		g.refuse(rq, http.StatusServiceUnavailable, errOriginNotAnswered.Error(), originRetryDelay)
 	default:
 		g.refuse(rq, http.StatusServiceUnavailable, errOriginUnknown.Error(), 0)
 	}
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -145,8 +145,8 @@
 		{"two versions serve", []string{"v1", "v2"}, origin.Alone(), "unknown", http.StatusServiceUnavailable, errOriginUnknown, false},
 		{"the caller does not name its first request", []string{"v1", "v2"}, origin.Alone(), "", http.StatusServiceUnavailable, errOriginUnknown, false},
 		{"the caller does not name its first request and one version serves", []string{"v1"}, origin.Alone(), "", http.StatusOK, nil, false},
-		{"another entry does not answer", []string{"v1", "v2"}, lateAnswers, "unknown", http.StatusServiceUnavailable, errOriginNotSought, true},
-		{"another entry does not answer and one version serves", []string{"v1"}, lateAnswers, "unknown", http.StatusServiceUnavailable, errOriginNotSought, true},
+		{"another entry does not answer", []string{"v1", "v2"}, lateAnswers, "unknown", http.StatusServiceUnavailable, errOriginNotAnswered, true},
+		{"another entry does not answer and one version serves", []string{"v1"}, lateAnswers, "unknown", http.StatusServiceUnavailable, errOriginNotAnswered, true},
 		{"its version is gone", []string{"v2", "v3"}, origin.Alone(), "first", http.StatusServiceUnavailable, errVersionGone, false},
 		{"its version is gone and one other serves", []string{"v2"}, origin.Alone(), "first", http.StatusServiceUnavailable, errVersionGone, false},
 	} {
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -121,7 +121,8 @@
 	if _, known := s.servedParts[f]; known || len(s.servedParts) < maxServedParts {
 		s.servedParts[f] = s.now()
 	}
-	if u, ok := s.suspects[f]; ok {
+	u, ok := s.suspects[f]
+	if ok && len(u.activeCrashes())+len(u.lostResponses) > 0 {
 		s.clear(u, "a request with it was served")
 	}
 }
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -30,12 +30,16 @@
 // part with the most unexplained crashes goes first, together with those that cannot be told apart from it.
 func attributeParts(suspects map[Fingerprint]*suspect, e explained) map[*suspect]bool {
 	quarantined := map[*suspect]bool{}
-	open, times := openCrashes{}, crashTimes(suspects)
+	open := openCrashes{}
 	for _, u := range suspects {
 		if u.isPart() && u.enoughCrashesOfParts() && differentRequests(u, suspects) {
 			open[u] = u.activeCrashes()
 		}
 	}
+	if len(open) == 0 {
+		return quarantined
+	}
+	times := crashTimes(suspects)
 	for {
 		next := open.nextParts(times, e)
 		if len(next) == 0 {
