--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,6 +153,7 @@
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
 	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
+	registerOriginMetrics(reg, g.origins.Size)
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -67,6 +67,20 @@
 func (m *metrics) observeFirstEvent(d time.Duration) { m.firstEvent.Observe(d.Seconds()) }
 func (m *metrics) observeMoveGap(d time.Duration)    { m.gap.Observe(d.Seconds()) }
 
+// registerOriginMetrics registers the metrics about the streams whose origins this entry keeps.
+func registerOriginMetrics(reg prometheus.Registerer, size func() (kept, dropped int)) {
+	reg.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_stream_origins", Help: "Streams whose software version this entry keeps, its own and those of other entries."}, func() float64 {
+			kept, _ := size()
+			return float64(kept)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "sparshore_gateway_stream_origins_dropped_total", Help: "Streams whose software version this entry forgot early for lack of room."}, func() float64 {
+			_, dropped := size()
+			return float64(dropped)
+		}),
+	)
+}
+
 // limitRates exports the rate limits in force by upstream.
 type limitRates struct {
 	list func() []limits.State
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -97,7 +97,8 @@
 	questions map[Key]*question
 	// incarnations holds the incarnation of each entry that has got the streams that it is a holder of.
 	incarnations map[string]string
-	dropped      int
+	// dropped counts the streams that were forgotten for lack of room.
+	dropped int
 }
 
 // New returns an empty Set.
@@ -173,11 +174,10 @@
 
 // Lookup returns the origin of a stream. With the sources FromNobody and NoAnswer there is none.
 func (s *Set) Lookup(ctx context.Context, k Key) (Origin, Source) {
-	s.mu.Lock()
-	if r, ok := s.records[k]; ok {
-		s.mu.Unlock()
-		return r.Origin, FromRecord
+	if o, ok := s.known(k); ok {
+		return o, FromRecord
 	}
+	s.mu.Lock()
 	q, asked := s.questions[k]
 	if !asked {
 		q = &question{unknownAt: map[string]bool{}, answered: make(chan struct{}), progress: make(chan struct{}, 1)}
@@ -226,6 +226,7 @@
 	}
 }
 
+// known returns the origin of a stream if this entry keeps it.
 func (s *Set) known(k Key) (Origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -66,7 +66,7 @@
 		if !ok || u.quarantinedAt.IsZero() {
 			continue
 		}
-		if s.now().Before(u.quarantinedUntil()) && !u.doubtful && s.allTwinsIn(u, parts) {
+		if s.now().Before(u.quarantinedUntil()) && !u.doubtful && s.hasIndistinguishable(u, parts) {
 			return u, nil
 		}
 		trials = append(trials, u)
@@ -74,10 +74,10 @@
 	return nil, trials
 }
 
-// allTwinsIn reports whether a prompt has all quarantined parts that cannot be told apart from one of them,
+// hasIndistinguishable reports whether a prompt has all quarantined parts that cannot be told apart from one of them,
 // because they ran at the same crashes. Any of these parts may be the cause, so a prompt without some of
 // them is tried. The caller must hold the lock.
-func (s *Set) allTwinsIn(u *suspect, parts []Request) bool {
+func (s *Set) hasIndistinguishable(u *suspect, parts []Request) bool {
 	for _, other := range s.suspects {
 		if other == u || !other.isPart() || other.quarantinedAt.IsZero() || !sameCrashes(u, other) {
 			continue
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -417,7 +417,7 @@
 mutant part-suspects $quarantine/run.go 's/for _, p := range r\.parts \{\n\t\ts\.noteLostResponse/for _, p := range r.parts[:0] {\n\t\ts.noteLostResponse/' $quarantine TestPartWithDifferent
 mutant part-served $quarantine/run.go 's/for _, p := range r\.parts \{\n\t\ts\.servePart/for _, p := range r.parts[:0] {\n\t\ts.servePart/' $quarantine TestPartWithDifferent
 mutant part-one-request $quarantine/partverdict.go 's/ && differentRequests\(u, suspects\)//' $quarantine TestPartWithDifferent
-mutant part-twins $quarantine/part.go 's/ && s\.allTwinsIn\(u, parts\)//' $quarantine 'TestPartWithDifferent|TestTrialTells'
+mutant part-indistinguishable $quarantine/part.go 's/ && s\.hasIndistinguishable\(u, parts\)//' $quarantine 'TestPartWithDifferent|TestTrialTells'
 mutant part-redundant $quarantine/partverdict.go 's/releaseRedundantParts\(quarantined\)\n\t\t\treturn/return/' $quarantine TestPartWithDifferent
 mutant part-repeat $quarantine/run.go 's/s\.suspicion\(u\) > maxRetryCrashes \{/s.suspicion(u) < 0 {/' $quarantine TestRequestWithSuspected
 mutant part-names $quarantine/message.go 's/w\.wireAccount\(\)/w.Account/' $quarantine TestPartsAreReported
