--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -32,6 +32,16 @@
 	beforeClose()
 }
 
+// serveRest answers with the rest of a stream, in chunks. Unlike an engine, it can be added while a request runs.
+func serveRest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testProof, "p")
+	from := 0
+	_, _ = fmt.Sscan(r.Header.Get(testLastEvent), &from)
+	for i := from + 1; i <= lastTestEvent; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+	}
+}
+
 // TestUnframedStreamIsTakenForABrokenOne guards against whole streams that are aborted, or sent again, because
 // only the end of the connection marks their end, and against broken ones that look whole.
 func TestUnframedStreamIsTakenForABrokenOne(t *testing.T) {
@@ -68,7 +78,7 @@
 			for first.runs() == 0 {
 				time.Sleep(time.Millisecond)
 			}
-			second := f.addEngine("b")
+			second := f.add("llm", "b", serveRest)
 			got := <-result
 			if whole := got.err == nil && got.body == wholeStream(); whole != tc.whole || !strings.HasPrefix(wholeStream(), got.body) {
 				t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, tc.whole)
@@ -124,8 +134,7 @@
 			for source.runs() == 0 {
 				time.Sleep(time.Millisecond)
 			}
-			target := f.addEngine("b")
-			target.copies = []protocol.CopyResult{{Handle: "h"}}
+			target := f.add("llm", "b", serveRest)
 			time.Sleep(100 * time.Millisecond)
 			f.leave("a")
 			if got := <-result; got.err != nil || got.body != wholeStream() {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -144,7 +144,9 @@
 		}, NoAnswer},
 		{"it was never begun", 4, 0, func(n *network) {
 			for _, s := range n.sets {
+				s.mu.Lock()
 				delete(s.records, KeyOf("r"))
+				s.mu.Unlock()
 			}
 		}, FromNobody},
 	} {
