--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -22,15 +22,19 @@
 // headers: those that stay the same in a repeated request add no information, and others, such as
 // the request ID, differ each time. BenchmarkFingerprintOf takes 3.4 us for a body of 4 KiB.
 func FingerprintOf(method, host, target, account string, body []byte) Fingerprint {
+	return hashOf(body, method, host, target, account)
+}
+
+// hashOf hashes texts, each preceded by its length, and a body.
+func hashOf(body []byte, texts ...string) (f Fingerprint) {
 	h := sha256.New()
 	var size [8]byte
-	for _, part := range []string{method, host, target, account} {
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+	for _, text := range texts {
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
 		_, _ = h.Write(size[:])
-		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte(text))
 	}
 	_, _ = h.Write(body)
-	var f Fingerprint
 	copy(f[:], h.Sum(nil))
 	return f
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,8 +1,7 @@
 package quarantine
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
+	"slices"
 	"strings"
 	"time"
 )
@@ -26,16 +25,7 @@
 // PartOf returns the suspect that a part of a prompt is, by its ID. Services are kept apart: a part that
 // crashes the upstreams of one service may be harmless at others.
 func PartOf(service, route, id string) Request {
-	h := sha256.New()
-	var size [8]byte
-	for _, text := range []string{partMark, service, id} {
-		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
-		_, _ = h.Write(size[:])
-		_, _ = h.Write([]byte(text))
-	}
-	r := Request{Route: route, Part: id[:min(len(id), maxNameBytes)]}
-	copy(r.Fingerprint[:], h.Sum(nil))
-	return r
+	return Request{Fingerprint: hashOf(nil, partMark, service, id), Route: route, Part: id[:min(len(id), maxNameBytes)]}
 }
 
 // wireAccount returns the account of a suspect in messages.
@@ -74,30 +64,21 @@
 	return nil, trials
 }
 
-// hasIndistinguishable reports whether a prompt has all quarantined parts that cannot be told apart from one of them,
-// because they ran at the same crashes. Any of these parts may be the cause, so a prompt without some of
+// hasIndistinguishable reports whether a prompt has all quarantined parts that cannot be told apart from one of
+// them, because they ran at the same crashes. Any of these parts may be the cause, so a prompt without some of
 // them is tried. The caller must hold the lock.
 func (s *Set) hasIndistinguishable(u *suspect, parts []Request) bool {
 	for _, other := range s.suspects {
 		if other == u || !other.isPart() || other.quarantinedAt.IsZero() || !sameCrashes(u, other) {
 			continue
 		}
-		if !containsPart(parts, other.fingerprint) {
+		if !slices.ContainsFunc(parts, func(p Request) bool { return p.Fingerprint == other.fingerprint }) {
 			return false
 		}
 	}
 	return true
 }
 
-func containsPart(parts []Request, f Fingerprint) bool {
-	for _, p := range parts {
-		if p.Fingerprint == f {
-			return true
-		}
-	}
-	return false
-}
-
 // sameCrashes reports whether the same crashes count against two suspects.
 func sameCrashes(a, b *suspect) bool {
 	active := a.activeCrashes()
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -165,12 +166,7 @@
 // releaseRedundantParts releases the parts all of whose crashes other quarantined parts explain that crashed
 // upstreams without them. A harmless part that comes with several bad ones has more crashes than each.
 func releaseRedundantParts(quarantined map[*suspect]bool) {
-	list := make([]*suspect, 0, len(quarantined))
-	for u := range quarantined {
-		list = append(list, u)
-	}
-	slices.SortFunc(list, func(a, b *suspect) int { return bytes.Compare(a.fingerprint[:], b.fingerprint[:]) })
-	for _, u := range list {
+	for _, u := range slices.SortedFunc(maps.Keys(quarantined), func(a, b *suspect) int { return bytes.Compare(a.fingerprint[:], b.fingerprint[:]) }) {
 		if u.isRedundantPart(quarantined) {
 			delete(quarantined, u)
 		}
