--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/guard"
 	"github.com/sparshore/sparshore/internal/roster"
@@ -74,6 +76,25 @@
 	_, _ = n.conn.WriteTo(b, p.addr)
 }
 
+// writeEncoded encodes a body and sends it to a peer. The caller must hold n.mu.
+func (n *Node) writeEncoded(p *peer, version int, body any, now time.Time) {
+	b, err := cbor.Marshal(body)
+	if err != nil {
+		n.reject(p.addr, err)
+		return
+	}
+	n.write(p, version, b, now)
+}
+
+// writeTo sends a body to a peer by its name, if its address is known.
+func (n *Node) writeTo(name string, version int, body any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p, ok := n.peers[name]; ok && p.addr != nil {
+		n.writeEncoded(p, version, body, n.now())
+	}
+}
+
 // maxDatagram is the largest datagram over IPv4 in bytes.
 const maxDatagram = 65507
 
--- a/internal/gossip/limits.go
+++ b/internal/gossip/limits.go
@@ -21,21 +21,12 @@
 
 // Send sends a message about rate limits of upstreams to a peer. Like any datagram it may be lost.
 func (n *Node) Send(to string, m limits.Message) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if p, ok := n.peers[to]; ok && p.addr != nil {
-		n.writeLimits(p, m, n.now())
-	}
+	n.writeTo(to, formatLimits, limitsBody{From: n.settings.Name, Message: m})
 }
 
 // writeLimits sends a message about rate limits of upstreams to a peer. The caller must hold n.mu.
 func (n *Node) writeLimits(p *peer, m limits.Message, now time.Time) {
-	body, err := cbor.Marshal(limitsBody{From: n.settings.Name, Message: m})
-	if err != nil {
-		n.reject(p.addr, err)
-		return
-	}
-	n.write(p, formatLimits, body, now)
+	n.writeEncoded(p, formatLimits, limitsBody{From: n.settings.Name, Message: m}, now)
 }
 
 // limitEntries returns all peers, silent ones included.
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -241,10 +241,5 @@
 
 // writeMembers sends a membersBody to a peer. The caller must hold n.mu.
 func (n *Node) writeMembers(p *peer, b membersBody) {
-	body, err := cbor.Marshal(b)
-	if err != nil {
-		n.reject(p.addr, err)
-		return
-	}
-	n.write(p, formatMembers, body, n.now())
+	n.writeEncoded(p, formatMembers, b, n.now())
 }
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -17,18 +17,7 @@
 
 // SendOrigins sends a message about the origins of streams to a peer. Like any datagram it may be lost.
 func (n *Node) SendOrigins(to string, m origin.Message) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	p, ok := n.peers[to]
-	if !ok || p.addr == nil {
-		return
-	}
-	body, err := cbor.Marshal(originBody{From: n.settings.Name, Message: m})
-	if err != nil {
-		n.reject(p.addr, err)
-		return
-	}
-	n.write(p, formatOrigins, body, n.now())
+	n.writeTo(to, formatOrigins, originBody{From: n.settings.Name, Message: m})
 }
 
 // LivePeerNames returns the names of the live peers.
