--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -195,10 +195,7 @@
 // waits for the rest of an answer, so a crowded engine is better than none.
 func (s *stream) admit(ctx context.Context, exclude map[string]bool) (fleet.Upstream, error) {
 	begun := s.begun()
-	if begun {
-		exclude = s.excludeOtherSoftware(exclude)
-	}
-	return s.g.chooseWithPermit(ctx, s.rq.service.Name, exclude, s.rq.permitDeadline(), func(exclude map[string]bool) (fleet.Upstream, error) {
+	return s.g.chooseWithPermit(ctx, s.rq.service.Name, s.excludeOtherSoftware(exclude), s.rq.permitDeadline(), func(exclude map[string]bool) (fleet.Upstream, error) {
 		u, err := s.g.admitEngine(s, exclude)
 		if err == nil || !begun || s.rq.run.Isolation() == quarantine.Apart {
 			return u, err
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -166,6 +166,9 @@
 
 // excludeOtherSoftware adds to exclude the engines at which the stream may not go on.
 func (s *stream) excludeOtherSoftware(exclude map[string]bool) map[string]bool {
+	if !s.begun() {
+		return exclude
+	}
 	others := map[string]bool{}
 	for _, u := range s.g.fleet.Available(s.rq.service.Name) {
 		if !s.fits(u) {
