test: mutants follow the code that they change

Six of them no longer applied since versions are read, served parts are remembered, copies are chosen by version and hashes moved, so the script stopped at the first. Each of the six is killed again.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -107,7 +107,7 @@
 mutant rows-most $rows 's/ \|\| n > float64\(most\) \{/ {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-address $rows 's/a\.Port\(\) == 0 \|\| //' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-host $rows 's/ \|\| a\.Addr\(\)\.IsUnspecified\(\)//' platform TestDecodeUpstreamRejectsInvalidFields
-mutant rows-version $rows 's/case string, float64:/case string, float64, bool:/' platform TestDecodeUpstreamRejectsInvalidFields
+mutant rows-version $rows 's/\tcase float64:\n\t\treturn strconv/\tcase bool:\n\t\treturn \"true\"\n\tcase float64:\n\t\treturn strconv/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.nonEmptyString("state")/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-cold platform/upstreams.go 's/if cold > maxColdMS \{/if false {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestDecodeUpstreamAcceptsValidRows
@@ -155,7 +155,7 @@
 mutant start-copy-target $gateway/move.go 's/if !g\.incarnationKnown\(target\.ID\) \{/if false {/' $gateway TestCopyToAnEndedIncarnation
 mutant start-orders $gateway/move.go 's/if !g\.incarnationKnown\(from\.ID\) \{/if false {/' $gateway TestNothingIsMovedFromAnEndedIncarnation
 mutant start-release $gateway/move.go 's/if !g\.incarnationKnown\(held\.at\.ID\) \{/if false {/' $gateway TestCopiesHeldByAnEndedIncarnation
-mutant start-copies $gateway/continue.go 's/if s\.g\.incarnationKnown\(held\.at\.ID\) \{/if true {/' $gateway TestCopiesHeldByAnEndedIncarnation
+mutant start-copies $gateway/continue.go 's/if s\.g\.incarnationKnown\(held\.at\.ID\) && /if /' $gateway TestCopiesHeldByAnEndedIncarnation
 mutant start-wire-name $gateway/request.go 's/Upstream: u\.Name,/Upstream: u.ID,/' $gateway TestCallsToAnEndedIncarnation
 mutant start-row platform/upstreams.go 's/Born: f\.born\(\), //' platform TestBornFieldOfUpstreamRow
 mutant start-reported platform/engine.go 's/\t\tStartedAt:  r\.Born,\n//' platform TestBornFieldOfEngineReport
@@ -166,7 +166,7 @@
 mutant held-turns $held/set.go 's/s\.running\[r\.Fingerprint\] > 0 \|\| //' $held TestSuspectWaitsForItsTurn
 mutant held-elsewhere $held/set.go 's/ \|\| s\.runsAtPeer\(r\.Fingerprint\) \|\|/ ||/' $held TestSuspectWaitsForRunAtPeer
 mutant held-unclear $held/set.go 's/ \|\| s\.decisionPending\(u\) \{/ {/' $held TestUnconfirmedCrashesDelayNextTrial
-mutant held-served-lately $held/set.go 's/return s\.now\(\)\.Sub\(s\.served\[f\]\) < servedTTL/return false/' $held TestRecentlyServedRequestIsNotSuspected
+mutant held-served-lately $held/set.go 's/return now\.Sub\(s\.served\[f\]\) < servedTTL \|\| /return /' $held TestRecentlyServedRequestIsNotSuspected
 mutant held-served-bound $held/run.go 's/if len\(s\.served\) < maxServed \{/if true {/' $held TestServedRequestsAreBounded
 mutant held-cleared $held/run.go 's/\ts\.clear\(u, "it was served"\)\n/\t_ = u\n/' $held TestServedRequestIsCleared
 mutant held-repeat $held/run.go 's/s\.suspicion\(u\) <= maxRetryCrashes/true/' $held TestServedRequestIsCleared
@@ -197,7 +197,7 @@
 mutant held-settled $held/set.go 's/case now\.Sub\(lost\.at\) > confirmTimeout:/case now.Sub(lost.at) > 24*time.Hour:/' $held TestConfirmationOfLostResponses
 mutant held-alive $held/set.go 's/lost\.alive = true/lost.alive = false/' $held TestConfirmationOfLostResponses
 mutant held-replaced $held/set.go 's/case replaced\(lost\.routedTo\):/case false:/' $held TestConfirmationOfLostResponses
-mutant held-account $held/fingerprint.go 's/\{method, host, target, account\}/{method, host, target}/' $held TestFingerprintOf
+mutant held-account $held/fingerprint.go 's/hashOf\(body, method, host, target, account\)/hashOf(body, method, host, target)/' $held TestFingerprintOf
 mutant held-parts $held/fingerprint.go 's/\t\t_, _ = h\.Write\(size\[:\]\)\n//' $held TestFingerprintOf
 mutant held-ended $gateway/crashing.go 's/\t\tg\.quarantine\.ConfirmCrash\(upstream\.ID\)\n//' $gateway TestOnlyCrashesMakeASuspect
 mutant held-leaving $gateway/crashing.go 's/known && u\.State\(\) == fleet\.Leaving/known \&\& u.State() < 0/' $gateway TestOnlyCrashesMakeASuspect
@@ -269,7 +269,7 @@
 mutant limits-all-stop $limits/peers.go 's/return stopping\n/return []string{s.name}\n/' $limits TestEntriesThatStopTogetherKeepTheLimit
 mutant limits-least $limits/grant.go 's/max\(l\.rate\*s\.share\(\), minGrantRate\)/l.rate * s.share()/' $limits TestGrantedRate
 mutant limits-not-listed $limits/grant.go 's/\tif s\.entryCount == 0 \{\n\t\treturn 0\n\t\}\n//' $limits TestGrantedRate
-mutant limits-order $limits/grant.go 's/return mix\(h\.Sum64\(\)\)/return h.Sum64()/' $limits TestGrantersAreSpread
+mutant limits-order internal/roster/rendezvous.go 's/return mix\(h\.Sum64\(\)\)/return h.Sum64()/' $limits TestGrantersAreSpread
 mutant limits-closed $limits/permit.go 's/if now\.Before\(l\.closedUntil\) \{/if now.IsZero() {/' $limits TestNoAnswer
 mutant limits-late-head $limits/limits.go 's/s\.noteNoLimit\(incarnation, sent, ownAnswer\)/s.noteNoLimit(incarnation, s.now(), ownAnswer)/' $limits TestLimitInForce
 mutant limits-most $limits/limits.go 's/full := len\(s\.limits\) >= maxLimits/full := false/' $limits TestLimitsAreBounded
@@ -418,7 +418,7 @@
 mutant part-served $quarantine/run.go 's/for _, p := range r\.parts \{\n\t\ts\.servePart/for _, p := range r.parts[:0] {\n\t\ts.servePart/' $quarantine TestPartWithDifferent
 mutant part-one-request $quarantine/partverdict.go 's/ && differentRequests\(u, suspects\)//' $quarantine TestPartWithDifferent
 mutant part-indistinguishable $quarantine/part.go 's/ && s\.hasIndistinguishable\(u, parts\)//' $quarantine 'TestPartWithDifferent|TestTrialTells'
-mutant part-redundant $quarantine/partverdict.go 's/releaseRedundantParts\(quarantined\)\n\t\t\treturn/return/' $quarantine TestPartWithDifferent
+mutant part-redundant $quarantine/partverdict.go 's/\t\t\treleaseRedundantParts\(quarantined\)\n//' $quarantine TestPartWithDifferent
 mutant part-repeat $quarantine/run.go 's/s\.suspicion\(u\) > maxRetryCrashes \{/s.suspicion(u) < 0 {/' $quarantine TestRequestWithSuspected
 mutant part-names $quarantine/message.go 's/w\.wireAccount\(\)/w.Account/' $quarantine TestPartsAreReported
 mutant part-other-causes $quarantine/partverdict.go 's/return len\(moments\) > maxOtherMoments\*n/return false/' $quarantine TestHarmlessParts -rig.seeds=6
