feat(gossip): report the pace of engines beside their load

Three integers follow the load of an engine. The previous release ignores them, and its messages have none.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -96,8 +98,44 @@
 	Suspects []quarantine.Message
 }
 
-// wireLoad holds the fields of a Load: Running, Tokens, Prefill and Held.
-type wireLoad [4]int
+// wireLoad holds what an entry reports about an upstream: the fields of a Load (Running, Tokens, Prefill
+// and Held), and, if the entry measured the upstream's pace, the time between two events of a stream in
+// microseconds, the number of samples and the age of the latest one in milliseconds. Entries of the
+// previous release ignore what follows the load.
+type wireLoad []int
+
+// The lengths of a wireLoad without and with a pace.
+const (
+	wireLoadFields = 4
+	wirePaceFields = 7
+)
+
+func encodeLoad(l Load) wireLoad { return wireLoad{l.Running, l.Tokens, l.Prefill, l.Held} }
+
+// load returns the load; fields that are missing are 0.
+func (w wireLoad) load() Load {
+	var f [wireLoadFields]int
+	copy(f[:], w)
+	return Load{Running: f[0], Tokens: f[1], Prefill: f[2], Held: f[3]}
+}
+
+// appendPace adds a pace to a load.
+func (w wireLoad) appendPace(r pace.Report, now time.Time) wireLoad {
+	return append(w, int(r.Interval.Microseconds()), r.Samples, int(now.Sub(r.At).Milliseconds()))
+}
+
+// maxWireInt bounds the numbers of a pace, so that no conversion to a duration overflows.
+const maxWireInt = 1 << 40
+
+// pace returns the pace that follows the load; ok is false if there is none. Values that cannot be right
+// are left to the receiver to reject.
+func (w wireLoad) pace(now time.Time) (r pace.Report, ok bool) {
+	if len(w) < wirePaceFields {
+		return pace.Report{}, false
+	}
+	clamp := func(v int) time.Duration { return time.Duration(min(max(v, -maxWireInt), maxWireInt)) }
+	return pace.Report{Interval: clamp(w[4]) * time.Microsecond, Samples: w[5], At: now.Add(-clamp(w[6]) * time.Millisecond)}, true
+}
 
 // wireUse holds the fields of a routing.Use: Requests and Extra.
 type wireUse [2]int
@@ -135,8 +173,9 @@
 		b.StopsInMS = max(s.StopBy.Sub(now).Milliseconds(), 1)
 	}
 	for id, l := range s.Loads {
-		b.Loads[id] = wireLoad{l.Running, l.Tokens, l.Prefill, l.Held}
+		b.Loads[id] = encodeLoad(l)
 	}
+	addPaces(b.Loads, s.Paces, now)
 	for id, at := range s.Faults {
 		b.FaultAgesMS[id] = now.Sub(at).Milliseconds()
 	}
@@ -146,6 +185,23 @@
 	return b
 }
 
+// addPaces adds paces to the loads of their upstreams. Of the upstreams without load, it adds the
+// pace.MaxReports with the latest samples, so that a message does not grow with their number.
+func addPaces(loads map[string]wireLoad, paces map[string]pace.Report, now time.Time) {
+	var idle []string
+	for id, r := range paces {
+		if l, ok := loads[id]; ok {
+			loads[id] = l.appendPace(r, now)
+			continue
+		}
+		idle = append(idle, id)
+	}
+	slices.SortFunc(idle, func(a, b string) int { return paces[b].At.Compare(paces[a].At) })
+	for _, id := range idle[:min(len(idle), pace.MaxReports)] {
+		loads[id] = encodeLoad(Load{}).appendPace(paces[id], now)
+	}
+}
+
 // encodeDatagram encodes the datagram for one receiver.
 func encodeDatagram(version int, e echo, body []byte) ([]byte, error) {
 	return cbor.Marshal(datagram{Format: version, Echo: e, Body: body})
@@ -202,7 +258,15 @@
 		Loads: make(map[string]Load, len(b.Loads)), Faults: make(map[string]time.Time, len(b.FaultAgesMS)), Retries: make(map[string]routing.Use, len(b.Retries)),
 	}
 	for id, l := range b.Loads {
-		s.Loads[id] = Load{Running: l[0], Tokens: l[1], Prefill: l[2], Held: l[3]}
+		if load := l.load(); load != (Load{}) {
+			s.Loads[id] = load
+		}
+		if r, ok := l.pace(now); ok {
+			if s.Paces == nil {
+				s.Paces = map[string]pace.Report{}
+			}
+			s.Paces[id] = r
+		}
 	}
 	if b.StopsInMS > 0 {
 		s.StopBy = now.Add(time.Duration(b.StopsInMS) * time.Millisecond)
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -49,6 +50,8 @@
 	StoreLost bool
 	// Loads is the load that the entry has placed on each upstream.
 	Loads map[string]Load
+	// Paces holds what the entry measured of the pace of engines.
+	Paces map[string]pace.Report
 	// Leaving lists the upstreams that are known to be leaving.
 	Leaving []string
 	// Faults holds, by upstream, the monotonic time of the latest fault that the entry's requests met
