--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -45,6 +45,9 @@
 	// Objective is the target latency: the time within which an answer, or the first event of a
 	// stream, has its full value for the caller.
 	Objective time.Duration
+	// MaxPause is the longest pause between two events with which a stream is still in time; 0 if the
+	// operator states none.
+	MaxPause time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
 	// Shares are the services that answer, by weight.
