feat(placement): charge for pauses that callers do not allow

Cause: all engines counted as equally fast, so long streams ran on slow engines and prompts were read beside them there. Change: an engine costs more by the probability that it pauses the generation, or that reading its prompt pauses the streams it has, for longer than the route allows, and that the first event is late. Without a bound on pauses nothing changes.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -19,7 +19,7 @@
 		if anyHealthy && !v.healthy(c, g.Repeatable) {
 			return 0, false
 		}
-		if err := Room(c.Load, g, c.CachedTokens, usable, v.ReadToken); err != nil {
+		if err := Room(c.Load, g, c.CachedTokens, usable, v.readToken(c)); err != nil {
 			reason = err
 			return 0, false
 		}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -88,7 +88,7 @@
 	if v.Now.Before(c.AvoidUntil()) {
 		cost += avoidedCost
 	}
-	return cost + engineNoiseTokens*v.Random()
+	return cost + v.pauseCost(c, g) + v.startCost(c, g) + engineNoiseTokens*v.Random()
 }
 
 // remainingPrefill estimates the number of prompt tokens that an engine still has to prefill: it
@@ -96,6 +96,6 @@
 // visible difference in the model of 144 engines in the tests of internal/gateway: with reports
 // 350 ms old, 26 of 7,600 generations begin late with it and 22 without.
 func (v *View) remainingPrefill(c *Candidate) float64 {
-	readSince := float64(v.Delay(c.Zone)) / float64(max(v.ReadToken, 1))
+	readSince := float64(v.Delay(c.Zone)) / float64(max(v.readToken(c), 1))
 	return max(float64(c.Load.Prefill)-readSince, 0)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,6 +12,7 @@
 
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -51,6 +52,9 @@
 	Delay func(zone string) time.Duration
 	// ReadToken is the time in which an engine prefills one prompt token.
 	ReadToken time.Duration
+	// Pace is what is known of the speed of each engine; nil if nothing is, or no operator bounds the
+	// pauses of streams.
+	Pace *pace.Profile
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -64,6 +68,11 @@
 	Output int
 	// StartBy is the time left until the generation should begin; 0 means no limit.
 	StartBy time.Duration
+	// MaxPause is the longest pause between two events with which the answer is still in time; 0 means
+	// no limit.
+	MaxPause time.Duration
+	// Copied marks a running generation that goes on from a copy of its memory, so that no prompt is read.
+	Copied bool
 	// Brief marks a generation that is expected to end within the notice that an engine gets
 	// before it leaves.
 	Brief bool
