feat(gateway): measure the pace of engines and place streams by it

Streams of routes with a bound on pauses are measured over eight events, and the estimates go to the other entries.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -167,7 +167,7 @@
 // ownState returns the state that this gateway gossips to the others.
 func (b *gatewayBuilder) ownState() gossip.State {
 	s := gossip.State{
-		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(),
+		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Paces: b.gateway.Paces(),
 		StopBy: b.gateway.StopDeadline(), StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Failures: b.fleet.Failures(), Retries: b.gateway.RetryUse(), Suspects: b.gateway.Quarantine().Reports(),
 	}
 	table, confirmed := b.routes.Current()
@@ -180,6 +180,7 @@
 // applyPeerState applies the state that another gateway gossiped.
 func (b *gatewayBuilder) applyPeerState(from string, s gossip.State) {
 	b.gateway.SetPeerLoad(from, s.Loads)
+	b.gateway.SetPeerPaces(from, s.Paces)
 	b.gateway.Origins().PeerSeen(from, s.Incarnation)
 	b.gateway.SetPeerRetryUse(from, s.Incarnation, s.Retries, s.LastReceived)
 	b.fleet.PeerFaults(from, s.Faults)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -69,6 +69,9 @@
 	RequestCleared      ID = 221
 	RequestForgotten    ID = 222
 	StreamOrigin        ID = 223
+	EngineSlow          ID = 224
+	EngineNotSlow       ID = 225
+	PaceRejected        ID = 226
 	GenerationQueued    ID = 300
 	GenerationAdmitted  ID = 301
 	GenerationPaused    ID = 302
@@ -192,6 +195,9 @@
 	{RequestCleared, "request-cleared", "A request under which upstreams crashed is no longer a suspect: an upstream served it, or an operator lifted its quarantine (`why`)."},
 	{RequestForgotten, "request-forgotten", "More requests under which upstreams crashed are recorded than the limit allows; the least important record was dropped."},
 	{StreamOrigin, "stream-origin", "An entry looked for the software version that began the stream that a caller resumes (`resumes`); `source` tells how it was learned: from this entry's own `record`, from another entry (`peer`), or because it is the `only version`. Otherwise the caller is refused: with `nobody` no entry knows the stream, with `no answer` not all entries answered, with `not named` the caller did not name the request that began it."},
+	{EngineSlow, "engine-slow", "An engine began to count as slow: its pace, the time between two events of a stream, is `interval`, while the median of its service is `typical`. `entries` entries observed it. Long streams go elsewhere while there is room."},
+	{EngineNotSlow, "engine-not-slow", "An engine no longer counts as slow."},
+	{PaceRejected, "pace-rejected", "Reports of another entry about the pace of engines were invalid; they are dropped and change nothing."},
 	{GenerationQueued, "generation-queued", "A sidecar queues a generation until memory allows it to run."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation was preempted by others and keeps its place."},
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -44,9 +44,16 @@
 	return out
 }
 
+// engineView is view for the engines of a service.
+func (g *Gateway) engineView(service string) *placement.View {
+	v := g.view(true)
+	v.Pace = g.paces.Profile(service, v.Now)
+	return v
+}
+
 // generationOf returns the demand of a request on an engine at the given time.
 func (g *Gateway) generationOf(rq *request, now time.Time) *placement.Generation {
-	gen := &placement.Generation{Engine: rq.service.Engine, Prompt: rq.call.Prompt, Output: expectedOutput(&rq.call), Repeatable: rq.route.Repeats()}
+	gen := &placement.Generation{Engine: rq.service.Engine, Prompt: rq.call.Prompt, Output: expectedOutput(&rq.call), MaxPause: rq.route.MaxPause, Repeatable: rq.route.Repeats()}
 	if rq.route.Objective > 0 {
 		gen.StartBy = rq.start.Add(time.Duration(startShare * float64(rq.route.Objective))).Sub(now)
 	}
@@ -100,7 +107,7 @@
 
 // admitAmong is admitEngine for a list of engines.
 func (g *Gateway) admitAmong(list []fleet.Upstream, s *stream, exclude map[string]bool) (fleet.Upstream, error) {
-	view := g.view(true)
+	view := g.engineView(s.rq.service.Name)
 	candidates := g.candidates(list, exclude, view.Now)
 	for i := range candidates {
 		candidates[i].CachedTokens = g.prefixes.cachedTokens(candidates[i].ID, s.rq.call.Shared, view.Now)
@@ -111,7 +118,7 @@
 
 // chooseEngine returns the best engine for the rest of a generation, even if all are overloaded.
 func (g *Gateway) chooseEngine(s *stream, exclude map[string]bool) (fleet.Upstream, bool) {
-	view := g.view(true)
+	view := g.engineView(s.rq.service.Name)
 	return view.Cheapest(g.candidates(s.available(), exclude, view.Now), g.generationOf(s.rq, view.Now))
 }
 
@@ -126,7 +133,7 @@
 }
 
 func (g *Gateway) chooseTargetAmong(s *stream, from fleet.Upstream, exclude map[string]bool) (fleet.Upstream, bool) {
-	view := g.view(true)
+	view := g.engineView(s.rq.service.Name)
 	return view.Target(g.candidates(s.available(), exclude, view.Now), s.remainingDemand(), from.Zone)
 }
 
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -43,7 +43,7 @@
 		return step{}, false
 	}
 	if ok {
-		if !s.awaitRetryBudget(ctx) {
+		if !s.takeReservedAttempt() && !s.awaitRetryBudget(ctx) {
 			s.notResumedWhy = "the retry budget is used up"
 			return step{}, false
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -87,7 +88,11 @@
 	readTime      readTime
 	moveRoom      placement.MoveReserve
 	prefixes      *prefixes
-	trusted       atomic.Bool
+	// paces tracks how fast engines generate.
+	paces *pace.Set
+	// relocating is set while a generation is moved away from a slow engine.
+	relocating atomic.Bool
+	trusted    atomic.Bool
 	// quarantine tracks the requests that crash upstreams.
 	quarantine *quarantine.Set
 	// startedAt is when this entry started. entriesListed is set once it has read the list of
@@ -152,6 +157,7 @@
 		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
+	g.paces = pace.New(g.recordPaceChange)
 	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
 	registerOriginMetrics(reg, g.origins.Size)
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
@@ -235,6 +241,7 @@
 func (g *Gateway) ForgetUnreachable() {
 	peers := g.peers.LivePeers()
 	g.loads.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
+	g.paces.Keep(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok })
 	g.prefixes.sweep(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }, g.now())
 }
 
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -393,7 +393,7 @@
 	f.addEngine("limited")
 	f.addEngine("free")
 	f.gateway.limits.NoteLimit("limited", 100)
-	s := &stream{g: f.gateway, rq: &request{service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, EventTokens: 4}}}}
+	s := &stream{g: f.gateway, rq: &request{route: &routetable.Route{}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, EventTokens: 4}}}}
 	for range 20 {
 		if u, ok := f.gateway.chooseTarget(s, fleet.Upstream{}, nil); !ok || u.ID != "free" {
 			t.Fatalf("it moves to %q (%v), want the engine without a limit", u.ID, ok)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -146,7 +146,7 @@
 			return
 		}
 		exclude[target.ID] = true
-		tryNext := g.moveTo(s, from, target)
+		tryNext := g.moveTo(s, from, target, "its engine leaves")
 		if !tryNext {
 			return
 		}
@@ -166,18 +166,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held, engine := s.heldTokens(), s.rq.service.Engine
-	return &placement.Generation{Engine: engine, Prompt: held, Output: max(s.expectedTokens()-held, engine.EventTokens), Repeatable: true}
+	return &placement.Generation{Engine: engine, Prompt: held, Output: max(s.expectedTokens()-held, s.events*engine.EventTokens/2, engine.EventTokens), MaxPause: s.rq.route.MaxPause, Copied: true, Repeatable: true}
 }
 
 // moveTo moves a generation to one engine. It returns true if another target should be
 // tried.
-func (g *Gateway) moveTo(s *stream, from, target fleet.Upstream) (tryNext bool) {
+func (g *Gateway) moveTo(s *stream, from, target fleet.Upstream, why string) (tryNext bool) {
 	s.mu.Lock()
 	load := gossip.Load{Running: 1, Tokens: s.expectedTokens(), Held: s.heldTokens()}
 	s.mu.Unlock()
 	claim := g.loads.add(target.ID, load)
 	defer claim.release()
-	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "from-software", from.Software, "to-software", target.Software, "events", s.eventCount(), "need", s.expectedTokens())
+	g.rec.Note(events.StreamMoveStarted, s.rq.call.ID, "from", from.ID, "to", target.ID, "why", why, "from-software", from.Software, "to-software", target.Software, "events", s.eventCount(), "need", s.expectedTokens())
 	r := g.sendCopyCommand(s, from, target, false)
 	switch r.Outcome {
 	case protocol.Copied:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -31,9 +31,10 @@
 			started()
 			s.recordFirstEvent(st, answer, sent)
 			if st.from == nil {
-				g.readTime.note(g.now().Sub(sent), s.unreadTokens)
+				s.noteStart(st.at, g.now().Sub(sent))
 			}
 			first = false
+			s.segment = segmentMeter{}
 			if answer.Closing() {
 				go g.queryIfDue(ctx, st.at, "it closes its connection")
 			}
@@ -44,6 +45,7 @@
 		}
 		s.advance(id, n)
 		s.recordPause()
+		s.measurePace(st.at, n)
 		if s.timeToFirstEvent > 0 && s.lastAt.Sub(s.rq.start) > s.timeToFirstEvent+suspectBlockTime {
 			s.rq.run.EndTrial()
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,8 @@
 	longestPause   time.Duration
 	longestPauseAt int
 	lastAt         time.Time
+	// segment measures the pace of the engine.
+	segment segmentMeter
 	// notResumedWhy is the reason why a generation that could have been resumed was not.
 	notResumedWhy string
 
@@ -54,6 +56,8 @@
 	// endedBeforeStop is set if the engine answered the command to stop the generation that it had ended.
 	endedBeforeStop bool
 	ended           bool
+	// attemptTaken is set if the next attempt was already taken from the retry budget.
+	attemptTaken bool
 }
 
 // heldCopy is a copy of a generation's memory and the engine that holds it.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -506,7 +506,7 @@
 		loads[fmt.Sprintf("near-%d", i)] = load(i)
 	}
 	f.gateway.loads.setPeer("other", loads)
-	s := &stream{g: f.gateway, rq: &request{call: protocol.Call{Prompt: 1000, MaxOutput: 1000}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000}}}}
+	s := &stream{g: f.gateway, rq: &request{call: protocol.Call{Prompt: 1000, MaxOutput: 1000}, route: &routetable.Route{}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000}}}}
 	drawn := map[string]int{}
 	for range 700 {
 		u, ok := f.gateway.chooseTarget(s, fleet.Upstream{Record: fleet.Record{ID: "source", Name: "source", Zone: "a"}}, nil)
@@ -538,7 +538,7 @@
 	from, _ := f.fleet.Get("a")
 	target, _ := f.fleet.Get("b")
 	s := &stream{g: f.gateway, ended: true, at: from, rq: &request{call: protocol.Call{ID: "r"}, caller: t.Context(), service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}}}
-	if f.gateway.moveTo(s, from, target) {
+	if f.gateway.moveTo(s, from, target, "its engine leaves") {
 		t.Error("another target would be tried")
 	}
 	deadline := time.Now().Add(5 * time.Second)
