feat(placement): count work by the time that an engine needs for it

Cause: a fast engine counted as loaded as a slow one with the same streams, though it ends them sooner. Streams that last longer hold memory longer, and more of them are lost when entries or engines fail. Change: held memory and unread prompts, the new generation included, count by the engine's pace.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -69,7 +69,9 @@
 // engineCost returns the cost of placing a generation on an engine, in tokens of KV memory;
 // lower is better.
 func (v *View) engineCost(c *Candidate, g *Generation) float64 {
-	cost := float64(c.Load.Tokens) + prefillWeight*v.remainingPrefill(c) + engineFailureTokens*c.FailureRate()
+	// A slower engine needs more time for the same work, and holds its memory for longer.
+	work := float64(c.Load.Tokens+g.totalTokens()) + prefillWeight*(v.remainingPrefill(c)+float64(g.Prompt))
+	cost := work*v.Pace.Slowdown(c.ID) + engineFailureTokens*c.FailureRate()
 	if overflow := float64(c.Load.Tokens + g.totalTokens() - g.Engine.MemoryTokens); overflow > 0 {
 		cost += overflowWeight * overflow
 	}
