feat(placement): headroom for urgent brief generations

Cause: a burst of long generations fills the memory of all engines and queues prompts at the few engines that still have room, so urgent brief generations start late.

Change: each gateway forecasts the brief generations of equal or more urgent rank (account priority, then route priority) from the arrivals that it sees and the number of live gateways. A generation that is not brief leaves free, at each engine: whole places for two standard deviations of the concurrent brief ones, at engines that all gateways choose alike by a hash; the time in which the next brief one has to begin; and room for what other gateways are expected to have placed there without this one knowing. Without brief generations of such a rank nothing changes. The metrics sparshore_gateway_headroom_tokens and ..._headroom_refusals_total show it, and the refusal's reason names it.

--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -382,6 +382,13 @@
 	return serving
 }
 
+// ServingCount returns the number of serving upstreams of a service.
+func (s *Set) ServingCount(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.servingIDs(service))
+}
+
 // lapsed returns the lapsed upstreams of a service. The caller must hold s.mu.
 func (s *Set) lapsed(service string) []Upstream {
 	var out []Upstream
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -47,6 +47,7 @@
 // generationOf returns the demand of a request on an engine at the given time.
 func (g *Gateway) generationOf(rq *request, now time.Time) *placement.Generation {
 	gen := &placement.Generation{Engine: rq.service.Engine, Prompt: rq.call.Prompt, Output: expectedOutput(&rq.call), Repeatable: rq.route.Repeats()}
+	gen.Rank = placement.Rank{Account: rq.accountPriority, Route: rq.route.Priority}
 	if rq.route.Objective > 0 {
 		gen.StartBy = rq.start.Add(time.Duration(startShare * float64(rq.route.Objective))).Sub(now)
 	}
@@ -106,7 +107,11 @@
 		candidates[i].CachedTokens = g.prefixes.cachedTokens(candidates[i].ID, s.rq.call.Shared, view.Now)
 	}
 	usable := g.moveRoom.Usable(s.rq.service.Engine, g.fleet.LeavingShare(s.rq.service.Name), view.Now)
-	return view.Admit(candidates, g.generationOf(s.rq, view.Now), usable)
+	gen := g.generationOf(s.rq, view.Now)
+	if !s.begun() {
+		gen.Headroom = g.headroom(s.rq.service.Name, gen, view.Now)
+	}
+	return view.Admit(candidates, gen, usable)
 }
 
 // chooseEngine returns the best engine for the rest of a generation, even if all are overloaded.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,8 @@
 	// entries.
 	startedAt     time.Time
 	entriesListed atomic.Bool
+	// liveEntries is the number of reachable entries with this one, as counted by CountReachable.
+	liveEntries atomic.Int64
 	// retriesRestored is set once it is known what earlier processes of this entry used of the retry
 	// budgets.
 	retriesRestored atomic.Bool
@@ -114,6 +116,8 @@
 	retriesUsedUp map[string]usedUp
 	// overloads holds the overload state of each service.
 	overloads map[string]*placement.Overload
+	// briefForecasts holds the forecast of brief generations of each service.
+	briefForecasts map[string]*placement.BriefForecast
 	// retryTimes staggers the retries of callers that were refused while all upstreams of their
 	// service were in backoff.
 	retryTimes placement.RetrySchedule
@@ -152,7 +156,7 @@
 		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
-	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
+	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse), newHeadroomGauge(g.headroomByService))
 	registerOriginMetrics(reg, g.origins.Size)
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
@@ -264,6 +268,7 @@
 // since an entry that reaches no other entry must not take the whole budget.
 func (g *Gateway) CountReachable() {
 	reachable := len(g.peers.LivePeers()) + 1
+	g.liveEntries.Store(int64(reachable))
 	deliveryTime, silenceLimit := g.peers.DeliveryTimes()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,9 +21,11 @@
 	permits         *prometheus.CounterVec
 	resumptions     *prometheus.CounterVec
 	quarantined     prometheus.Counter
-	answer          prometheus.Histogram
-	firstEvent      prometheus.Histogram
-	gap             prometheus.Histogram
+	// headroomRefusals counts generations refused for the memory reserved for brief ones.
+	headroomRefusals prometheus.Counter
+	answer           prometheus.Histogram
+	firstEvent       prometheus.Histogram
+	gap              prometheus.Histogram
 }
 
 // Values of the cause label for requests that end without a complete answer.
@@ -39,20 +41,21 @@
 // newMetrics registers the metrics; age returns the age of the route table in seconds.
 func newMetrics(reg prometheus.Registerer, age func() float64) *metrics {
 	m := &metrics{
-		refusals:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_refusals_total", Help: "Requests that the gateway answered itself instead of an upstream, by status."}, []string{"status"}),
-		answers:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_answers_total", Help: "Finished requests, by result."}, []string{"end"}),
-		attempts:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_attempts_total", Help: "Requests sent to upstreams, by reason."}, []string{"reason"}),
-		moves:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
-		unansweredTotal: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a complete answer, by cause."}, []string{"cause"}),
-		permits:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_permits_total", Help: "Permits requested for sending to rate-limited upstreams, by result."}, []string{"result"}),
-		resumptions:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_resumptions_total", Help: "Streams that callers resumed, by how the software version that began them was learned."}, []string{"source"}),
-		quarantined:     prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams crashed while running them."}),
-		answer:          prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the complete answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
-		firstEvent:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
-		gap:             prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+		refusals:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_refusals_total", Help: "Requests that the gateway answered itself instead of an upstream, by status."}, []string{"status"}),
+		answers:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_answers_total", Help: "Finished requests, by result."}, []string{"end"}),
+		attempts:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_attempts_total", Help: "Requests sent to upstreams, by reason."}, []string{"reason"}),
+		moves:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_moves_total", Help: "Moves of running generations, by result."}, []string{"result"}),
+		unansweredTotal:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a complete answer, by cause."}, []string{"cause"}),
+		permits:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_permits_total", Help: "Permits requested for sending to rate-limited upstreams, by result."}, []string{"result"}),
+		resumptions:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_resumptions_total", Help: "Streams that callers resumed, by how the software version that began them was learned."}, []string{"source"}),
+		quarantined:      prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams crashed while running them."}),
+		headroomRefusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_headroom_refusals_total", Help: "Generations refused because the free memory of all engines is reserved for brief ones."}),
+		answer:           prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the complete answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
+		firstEvent:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
+		gap:              prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be current."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.quarantined, m.answer, m.firstEvent, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.quarantined, m.headroomRefusals, m.answer, m.firstEvent, m.gap)
 	return m
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,6 +28,8 @@
 	route    *routetable.Route
 	service  *routetable.Service
 	account  string
+	// accountPriority is the priority of the account; 0 is the most urgent.
+	accountPriority int
 	// fingerprint is the same each time the caller sends the request. run tracks this request in
 	// the quarantine of requests that crash upstreams.
 	fingerprint quarantine.Fingerprint
@@ -236,7 +238,7 @@
 		g.refuse(rq, http.StatusUnauthorized, "no account holds this key", 0)
 		return false
 	}
-	rq.account = account.Name
+	rq.account, rq.accountPriority = account.Name, account.Priority
 	return true
 }
 
@@ -293,6 +295,9 @@
 	case errors.Is(why, errLimited):
 		retryAfter = g.retryDelayAfterLimit(rq)
 	default:
+		if errors.Is(why, placement.ErrHeadroom) {
+			g.met.headroomRefusals.Inc()
+		}
 		retryAfter = g.retryDelayAfterOverload(rq)
 	}
 	g.refuse(rq, http.StatusServiceUnavailable, why.Error(), retryAfter)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"errors"
 	"math"
 	"slices"
 
@@ -10,17 +11,21 @@
 // Admit chooses an engine with room for a new generation; if there is none, the error tells
 // why. Engines that are avoided or had a recent fault are used only if all engines of the list
 // are. usable is the memory of each engine, in tokens, that may be filled with generations that
-// have to move if the engine leaves.
+// have to move if the engine leaves. ErrHeadroom takes precedence over other reasons, since without
+// the reserve the generation would have found room.
 func (v *View) Admit(list []Candidate, g *Generation, usable float64) (fleet.Upstream, error) {
 	anyHealthy := slices.ContainsFunc(list, func(c Candidate) bool { return v.healthy(&c, g.Repeatable) })
 	reason := ErrNone
+	unreported := v.unreportedLoad(list, g, usable)
 	costPerRequest := float64(g.totalTokens()) + prefillWeight*float64(g.Prompt)
 	u, ok := v.spread(list, costPerRequest, func(c *Candidate) (float64, bool) {
 		if anyHealthy && !v.healthy(c, g.Repeatable) {
 			return 0, false
 		}
-		if err := Room(c.Load, g, c.CachedTokens, usable, v.ReadToken); err != nil {
-			reason = err
+		if err := v.roomBeside(c, g, usable, unreported); err != nil {
+			if !errors.Is(reason, ErrHeadroom) {
+				reason = err
+			}
 			return 0, false
 		}
 		return v.engineCost(c, g) - prefillWeight*float64(c.CachedTokens), true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,6 +22,7 @@
 	ErrMemory   = errors.New("the memory of all engines is taken")
 	ErrSlots    = errors.New("the slots of all engines are taken")
 	ErrPrompts  = errors.New("too many prompts wait to be read")
+	ErrHeadroom = errors.New("the free memory of all engines is reserved for brief generations")
 )
 
 // Candidate is an upstream with its known load.
@@ -67,6 +68,10 @@
 	// Brief marks a generation that is expected to end within the notice that an engine gets
 	// before it leaves.
 	Brief bool
+	// Rank tells how urgent the generation is, and Headroom what it has to leave free for brief
+	// generations of an equal or more urgent rank.
+	Rank     Rank
+	Headroom Headroom
 	// Repeatable marks a generation that may be sent again after a failure. Such generations probe
 	// whether an engine that had a fault has recovered.
 	Repeatable bool
