--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,7 +94,7 @@
 	defer s.end()
 	exclude := map[string]bool{}
 	g.recordBrief(rq)
-	at, err := s.admit(ctx, nil)
+	at, err := s.admitOrWait(ctx)
 	if err != nil {
 		g.refuseGeneration(ctx, rq, err)
 		return
--- a/internal/placement/headroom_test.go
+++ b/internal/placement/headroom_test.go
@@ -22,11 +22,11 @@
 	briefHold   = 500 * time.Millisecond
 )
 
-func briefGeneration(r Rank) *Generation {
+func briefOfRank(r Rank) *Generation {
 	return &Generation{Engine: headroomEngine, Prompt: briefTokens - 12, Output: 12, Brief: true, Rank: r}
 }
 
-func longGeneration(r Rank) *Generation {
+func longOfRank(r Rank) *Generation {
 	return &Generation{Engine: headroomEngine, Prompt: 3000, Output: 748, Rank: r}
 }
 
@@ -55,18 +55,18 @@
 		asking    *Generation
 		min, max  float64
 	}{
-		{"no brief generations", briefGeneration(urgent), 0, 4, 0, longGeneration(normal), 0, 0},
-		{"only long generations", longGeneration(urgent), 40, 4, 0, longGeneration(normal), 0, 0},
-		{"brief ones of lower rank", briefGeneration(Rank{Route: 2}), 40, 4, 0, longGeneration(normal), 0, 0},
-		{"brief ones of a less urgent account", briefGeneration(Rank{Account: 2}), 40, 4, 0, longGeneration(Rank{Account: 1, Route: 3}), 0, 0},
-		{"brief ones of a more urgent account", briefGeneration(Rank{Account: 0, Route: 3}), 40, 4, 0, longGeneration(Rank{Account: 1}), 0.8 * places, 1.2 * places},
-		{"equal rank", briefGeneration(normal), 40, 4, 0, longGeneration(normal), 0.8 * places, 1.2 * places},
-		{"one gateway", briefGeneration(urgent), 40, 1, 0, longGeneration(normal), 0.8 * places, 1.2 * places},
-		{"30 gateways", briefGeneration(urgent), 40, 30, 0, longGeneration(normal), 0.7 * places, 1.3 * places},
-		{"300 gateways", briefGeneration(urgent), 40, 300, 0, longGeneration(normal), 0.5 * places, 1.5 * places},
-		{"none for brief generations", briefGeneration(urgent), 40, 4, 0, briefGeneration(normal), 0, 0},
-		{"arrivals that ended long ago", briefGeneration(urgent), 40, 4, 5 * time.Minute, longGeneration(normal), 0, 0.02 * places},
-		{"at most a share of the memory", briefGeneration(urgent), 40000, 4, 0, longGeneration(normal),
+		{"no brief generations", briefOfRank(urgent), 0, 4, 0, longOfRank(normal), 0, 0},
+		{"only long generations", longOfRank(urgent), 40, 4, 0, longOfRank(normal), 0, 0},
+		{"brief ones of lower rank", briefOfRank(Rank{Route: 2}), 40, 4, 0, longOfRank(normal), 0, 0},
+		{"brief ones of a less urgent account", briefOfRank(Rank{Account: 2}), 40, 4, 0, longOfRank(Rank{Account: 1, Route: 3}), 0, 0},
+		{"brief ones of a more urgent account", briefOfRank(Rank{Account: 0, Route: 3}), 40, 4, 0, longOfRank(Rank{Account: 1}), 0.8 * places, 1.2 * places},
+		{"equal rank", briefOfRank(normal), 40, 4, 0, longOfRank(normal), 0.8 * places, 1.2 * places},
+		{"one gateway", briefOfRank(urgent), 40, 1, 0, longOfRank(normal), 0.8 * places, 1.2 * places},
+		{"30 gateways", briefOfRank(urgent), 40, 30, 0, longOfRank(normal), 0.7 * places, 1.3 * places},
+		{"300 gateways", briefOfRank(urgent), 40, 300, 0, longOfRank(normal), 0.5 * places, 1.5 * places},
+		{"none for brief generations", briefOfRank(urgent), 40, 4, 0, briefOfRank(normal), 0, 0},
+		{"arrivals that ended long ago", briefOfRank(urgent), 40, 4, 5 * time.Minute, longOfRank(normal), 0, 0.02 * places},
+		{"at most a share of the memory", briefOfRank(urgent), 40000, 4, 0, longOfRank(normal),
 			0.9 * engines * maxHeadroomShare * 27000 / (headroomSizeMargin * briefTokens), engines * maxHeadroomShare * 27000 / (headroomSizeMargin * briefTokens)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -87,11 +87,11 @@
 // generations at four gateways: long ones would otherwise go on to take the memory that it needs.
 func TestForecastFollowsBurst(t *testing.T) {
 	f, now := &BriefForecast{}, time.Now()
-	g := briefGeneration(Rank{})
+	g := briefOfRank(Rank{})
 	arrive(f, g, 200*time.Millisecond, time.Minute, now)
-	before := f.Headroom(longGeneration(Rank{}), 4, 48, now).places
+	before := f.Headroom(longOfRank(Rank{}), 4, 48, now).places
 	arrive(f, g, 50*time.Millisecond, time.Second, now.Add(time.Second))
-	if after := f.Headroom(longGeneration(Rank{}), 4, 48, now.Add(time.Second)).places; after < 1.3*before {
+	if after := f.Headroom(longOfRank(Rank{}), 4, 48, now.Add(time.Second)).places; after < 1.3*before {
 		t.Errorf("%.2f places after a second at four times the rate, %.2f before", after, before)
 	}
 }
@@ -101,7 +101,7 @@
 func TestForecastBoundsRanks(t *testing.T) {
 	f := &BriefForecast{}
 	for i := range 10 * maxForecastRanks {
-		f.Arrived(briefGeneration(Rank{Route: i}), briefHold, time.Now())
+		f.Arrived(briefOfRank(Rank{Route: i}), briefHold, time.Now())
 	}
 	if got := len(f.byRank); got > maxForecastRanks {
 		t.Errorf("%d ranks, want at most %d", got, maxForecastRanks)
@@ -136,7 +136,7 @@
 	// The next brief one begins in time if at most 8571 prompt tokens, with its own, wait.
 	reading := reserve
 	reading.prompt, reading.startBy = briefTokens-12, 1200*time.Millisecond
-	long, brief := longGeneration(Rank{Route: 1}), briefGeneration(Rank{})
+	long, brief := longOfRank(Rank{Route: 1}), briefOfRank(Rank{})
 	large := &Generation{Engine: headroomEngine, Prompt: 12000, Output: 100, Rank: Rank{Route: 1}}
 	none, two := gossip.Load{}, gossip.Load{Running: 1, Held: 6000, Prefill: 6000, Tokens: 7500}
 	for _, tc := range []struct {
@@ -179,7 +179,7 @@
 // last engine of the list lacks: operators would otherwise look for memory that is not taken.
 func TestAdmitNamesHeadroom(t *testing.T) {
 	v := benchView()
-	g := longGeneration(Rank{Route: 1})
+	g := longOfRank(Rank{Route: 1})
 	g.Headroom = Headroom{places: 1, tokens: headroomSizeMargin * briefTokens}
 	list := benchCandidates(2, gossip.Load{Running: 5, Held: 21000, Tokens: 22500})
 	list[1].Load = gossip.Load{Running: 24, Held: 26000, Tokens: 26500}
@@ -206,16 +206,16 @@
 	v, list := benchView(), benchCandidates(48, gossip.Load{Running: 4, Held: 15000, Tokens: 17000})
 	f := &BriefForecast{}
 	for i := range 4 {
-		arrive(f, briefGeneration(Rank{Route: i}), 100*time.Millisecond, time.Minute, v.Now)
+		arrive(f, briefOfRank(Rank{Route: i}), 100*time.Millisecond, time.Minute, v.Now)
 	}
 	b.Run("without headroom", func(b *testing.B) {
 		for b.Loop() {
-			_, _ = v.Admit(list, longGeneration(Rank{Route: 4}), float64(headroomEngine.MemoryTokens))
+			_, _ = v.Admit(list, longOfRank(Rank{Route: 4}), float64(headroomEngine.MemoryTokens))
 		}
 	})
 	b.Run("with headroom", func(b *testing.B) {
 		for b.Loop() {
-			g := longGeneration(Rank{Route: 4})
+			g := longOfRank(Rank{Route: 4})
 			g.Headroom = f.Headroom(g, 30, 48, v.Now)
 			_, _ = v.Admit(list, g, float64(headroomEngine.MemoryTokens))
 		}
