test(placement): replay of surges at several gateways

Cause: the replay had one gateway that knows all loads, so it could not show what urgent generations lose while gateways learn of each other late.

Change: loads have surges, several gateways, an age of the state of the others, and a time for which the gateways have run before; the variants without the headroom and with a queue by deadline are compared.

--- a/internal/placement/replay/compare.go
+++ b/internal/placement/replay/compare.go
@@ -18,6 +18,7 @@
 	{"ranks at the engines", Variant{SendRanks: true}},
 	{"a sixth of the memory kept", Variant{AlwaysReserve: true}},
 	{"come back late", Variant{LateRetryAfter: true}},
+	{"no headroom", Variant{NoHeadroom: true}},
 }
 
 // Summary is the result of a load over several seeds: the mean worth and sums of the other
--- a/internal/placement/replay/load.go
+++ b/internal/placement/replay/load.go
@@ -1,10 +1,11 @@
 // Package replay simulates loads against the decisions of internal/placement, on virtual time
 // and with the engines of internal/enginemodel: engines prefill prompts in chunks between the
 // decode steps of running streams, preempt when memory runs out, leave in waves after a notice,
-// are replaced by empty ones, and differ in speed. One entry decides with exact loads.
+// are replaced by empty ones, and differ in speed. One gateway decides with exact loads, or several
+// do that know what the others placed as it was some time ago.
 // internal/bench and the tests of this package run it. It tells which of two variants of the
-// decisions serves a load better; how much better depends on what it leaves out: links, late
-// load reports, several entries, and memory shared between prompts.
+// decisions serves a load better; how much better depends on what it leaves out: links, and
+// memory shared between prompts.
 package replay
 
 import (
@@ -26,10 +27,26 @@
 	Spread                    float64
 	// Objective is the time to the first token within which a generation counts as in time.
 	Objective time.Duration
+	// Surge changes the rate of arrivals for a time.
+	Surge Surge
 	// Worth is the value of a generation in time; a late one has lateShare of it.
 	Worth float64
 }
 
+// Surge multiplies a rate by Factor from From until Until. The zero value changes nothing.
+type Surge struct {
+	From, Until time.Duration
+	Factor      float64
+}
+
+// factor returns the factor of the rate at a time, in seconds.
+func (s Surge) factor(at float64) float64 {
+	if at >= s.From.Seconds() && at < s.Until.Seconds() {
+		return s.Factor
+	}
+	return 1
+}
+
 // Load describes the generations that arrive and the engines that serve them.
 type Load struct {
 	Kinds   []Kind
@@ -47,6 +64,13 @@
 	// Duration is the time in which generations arrive.
 	Duration time.Duration
 	Seed     uint64
+	// Gateways is the number of gateways; each generation arrives at a random one. 0 means 1.
+	// Gateways know what the others placed as it was StateAge ago.
+	Gateways int
+	StateAge time.Duration
+	// WarmUp is the time before the load for which the gateways have counted arrivals at its
+	// rates without surges.
+	WarmUp time.Duration
 }
 
 // CrowdedLoad is a load for which memory is short: a sixth of the engines leaves every 3.3 s
@@ -86,7 +110,7 @@
 	for i := range l.Kinds {
 		k := &l.Kinds[i]
 		for at := 0.0; ; {
-			at += r.ExpFloat64() / k.PerSecond
+			at += r.ExpFloat64() / (k.PerSecond * k.Surge.factor(at))
 			if at >= l.Duration.Seconds() {
 				break
 			}
--- a/internal/placement/replay/pool.go
+++ b/internal/placement/replay/pool.go
@@ -23,6 +23,8 @@
 	leavesAt, replacedAt time.Duration
 	// linkBusyUntil is the end of the last copy that is queued on the link of the engine.
 	linkBusyUntil time.Duration
+	// placements counts recent placements of generations.
+	placements placement.Decaying
 }
 
 // newEngine starts an engine at a position of the pool.
@@ -53,12 +55,16 @@
 	}
 }
 
+// moveRetryInterval is the time in which an engine without room refuses a copy, after which the
+// gateway tries another engine.
+const moveRetryInterval = 10 * time.Millisecond
+
 // moveGenerations queues copies of the generations that have begun at a leaving engine, the
 // longest first. The link of the engine carries one copy at a time.
 func (s *simulation) moveGenerations(e *engine) {
 	var movable []*generation
-	for _, id := range s.runningIDs {
-		if g := s.running[id]; g.host == e && g.target == nil && g.generated > 0 && g.kind.MaxOutput-g.generated > tokensPerEvent*tokensPerEvent {
+	for _, g := range s.inOrder {
+		if g.host == e && g.target == nil && s.now >= g.moveAgainAt && g.generated > 0 && g.kind.MaxOutput-g.generated > tokensPerEvent*tokensPerEvent {
 			movable = append(movable, g)
 		}
 	}
@@ -66,7 +72,7 @@
 	for _, g := range movable {
 		held := g.prompt + g.generated
 		rest := &placement.Generation{Engine: s.engineSpec(), Prompt: held, Output: max(g.expected()-g.generated, tokensPerEvent), Repeatable: true}
-		u, ok := s.view().Target(s.candidates(e), rest, "")
+		u, ok := s.view().Target(s.candidates(g.gateway, e), rest, "")
 		if !ok {
 			continue
 		}
@@ -74,6 +80,7 @@
 		room := target.model.Reserve(held)
 		s.moveRoom.Record(room, s.start.Add(s.now))
 		if !room {
+			g.moveAgainAt = s.now + moveRetryInterval
 			continue
 		}
 		e.linkBusyUntil = max(e.linkBusyUntil, s.now) + time.Duration(held)*copyTimePerToken
@@ -103,8 +110,8 @@
 			}
 		}
 	}
-	for _, id := range slices.Clone(s.runningIDs) {
-		if g := s.running[id]; g.target != nil && s.now >= g.copyDoneAt {
+	for _, g := range slices.Clone(s.inOrder) {
+		if g.target != nil && s.now >= g.copyDoneAt {
 			// Cancel cannot fail: the generation runs at this engine.
 			_ = g.host.model.Cancel(g.id)
 			g.target.model.Release(g.copiedTokens)
@@ -116,8 +123,8 @@
 // stop ends an engine and aborts what runs there.
 func (s *simulation) stop(e *engine) {
 	e.leavesAt, e.tokens = -1, nil
-	for _, id := range slices.Clone(s.runningIDs) {
-		if g := s.running[id]; g.host == e {
+	for _, g := range slices.Clone(s.inOrder) {
+		if g.host == e {
 			s.updateOutcome(g.kind, func(o *Outcome) { o.Aborted++ })
 			s.remove(g)
 		}
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -23,6 +23,11 @@
 	AlwaysReserve bool
 	// LateRetryAfter asks callers to retry after the age of the overload, at least a second.
 	LateRetryAfter bool
+	// NoHeadroom lets long generations take the memory that brief ones will need.
+	NoHeadroom bool
+	// DeadlineQueue lets generations without room wait at their gateway, in the order of the times
+	// by which they have to begin, instead of refusing them.
+	DeadlineQueue bool
 }
 
 // Outcome counts the generations of one kind by their outcome.
@@ -65,12 +70,16 @@
 	// firstArrival is the time of the first attempt of the caller.
 	firstArrival time.Duration
 	attempts     int
-	host         *engine
+	// gateway is the index of the gateway of the latest attempt.
+	gateway int
+	host    *engine
 	// generatedBefore and generated are the numbers of tokens that the caller has received:
 	// from earlier engines, and in all.
 	generatedBefore, generated int
 	firstToken, lastToken      time.Duration
 	stalled                    bool
+	// moveAgainAt is when the next attempt to copy the generation may begin.
+	moveAgainAt time.Duration
 	// copyDoneAt is when the copy to target is complete; target holds memory for copiedTokens
 	// until then.
 	copyDoneAt   time.Duration
@@ -80,16 +89,20 @@
 
 // simulation is the state of a run.
 type simulation struct {
-	load       Load
-	variant    Variant
-	random     *rand.Rand
-	start      time.Time
-	now        time.Duration
-	engines    []*engine
-	started    int
-	running    map[string]*generation
-	runningIDs []string
-	overload   placement.Overload
+	load    Load
+	variant Variant
+	random  *rand.Rand
+	start   time.Time
+	now     time.Duration
+	engines []*engine
+	started int
+	running map[string]*generation
+	// inOrder holds the running generations in the order in which they began to run.
+	inOrder   []*generation
+	gateways  []*gatewayState
+	snapshots []snapshot
+	// queue holds the generations that wait for room, for DeadlineQueue.
+	queue []*generation
 	// firstRefusal and lastRefusal describe the current overload for LateRetryAfter.
 	firstRefusal, lastRefusal time.Duration
 	moveRoom                  placement.MoveReserve
@@ -106,9 +119,13 @@
 		load: load, variant: variant, random: rand.New(rand.NewPCG(load.Seed, load.Seed)), start: time.Unix(0, 0),
 		running: map[string]*generation{}, result: Result{Kinds: map[string]Outcome{}}, lastRefusal: -time.Hour,
 	}
+	for range max(load.Gateways, 1) {
+		s.gateways = append(s.gateways, &gatewayState{})
+	}
 	for i := range load.Engines {
 		s.engines = append(s.engines, s.newEngine(i))
 	}
+	s.warmUp()
 	pending := make([]*generation, 0, 1024)
 	for i, a := range load.arrivals(s.random) {
 		a.id = fmt.Sprintf("g%d", i)
@@ -120,6 +137,8 @@
 	slices.SortStableFunc(pending, byTime)
 	nextWave := load.LeaveInterval
 	for end := load.Duration + time.Minute; s.now < end; s.now += tick {
+		s.takeSnapshot()
+		s.serveQueue()
 		for len(pending) > 0 && pending[0].due() <= s.now {
 			g := pending[0]
 			pending = pending[1:]
@@ -134,6 +153,9 @@
 			s.beginLeaving()
 		}
 		s.step()
+		if s.now > load.Duration && len(pending)+len(s.queue)+len(s.running) == 0 {
+			break
+		}
 	}
 	for _, e := range s.engines {
 		s.result.Preempted += e.model.Preemptions()
@@ -158,25 +180,16 @@
 	return &routetable.Engine{Slots: s.load.Slots, MemoryTokens: s.load.MemoryTokens, EventTokens: tokensPerEvent, Moves: true, CopyRate: 1 / copyTimePerToken.Seconds()}
 }
 
-// candidates returns the engines that take new generations, with their loads, but not except.
-func (s *simulation) candidates(except *engine) []placement.Candidate {
-	loads := map[*engine]gossip.Load{}
-	for _, id := range s.runningIDs {
-		g := s.running[id]
-		loads[g.host] = loads[g.host].Add(g.load())
-		if g.target != nil {
-			moved := g.load()
-			moved.Prefill = 0
-			loads[g.target] = loads[g.target].Add(moved)
-		}
-	}
-	var out []placement.Candidate
+// candidates returns the engines that take new generations, with their loads as a gateway knows
+// them, but not except.
+func (s *simulation) candidates(gateway int, except *engine) []placement.Candidate {
+	loads, rates := s.knownLoads(gateway)
+	out := make([]placement.Candidate, 0, len(s.engines))
 	for _, e := range s.engines {
 		if e == except || e.leavesAt > 0 || e.replacedAt > 0 {
 			continue
 		}
-		c := placement.Candidate{Upstream: fleet.Upstream{Record: fleet.Record{ID: e.id, Service: "llm"}}, Load: loads[e]}
-		out = append(out, c)
+		out = append(out, placement.Candidate{Upstream: fleet.Upstream{Record: fleet.Record{ID: e.id, Service: "llm"}}, Load: loads[e], Rate: rates[e]})
 	}
 	return out
 }
@@ -197,45 +210,93 @@
 // expected returns the output length that an entry assumes.
 func (g *generation) expected() int { return min(int(hintMargin*float64(g.hint)), g.kind.MaxOutput) }
 
-// view returns the context of a decision, with exact loads.
+// view returns the context of a decision.
 func (s *simulation) view() *placement.View {
 	return &placement.View{
 		Now: s.start.Add(s.now), Random: s.random.Float64, ReadToken: readTimePerToken,
-		Delay: func(string) time.Duration { return 0 },
+		Delay: func(string) time.Duration { return s.load.StateAge },
 	}
 }
 
 // admit places a generation on an engine or refuses it. ok reports whether the refused caller
 // retries, after retryAfter.
 func (s *simulation) admit(g *generation) (retryAfter time.Duration, ok bool) {
-	now := s.start.Add(s.now)
-	leavingShare := s.load.LeaveShare
-	usable := s.moveRoom.Usable(s.engineSpec(), leavingShare, now)
-	if s.variant.AlwaysReserve {
-		usable = (1 - leavingShare) * float64(s.load.MemoryTokens)
-	}
-	want := &placement.Generation{
-		Engine: s.engineSpec(), Prompt: g.prompt, Output: g.expected(), Brief: g.expected() < maxBriefTokens,
-		StartBy: g.firstArrival + g.kind.Objective*4/5 - s.now,
+	if len(s.gateways) > 1 {
+		g.gateway = s.random.IntN(len(s.gateways))
 	}
-	u, err := s.view().Admit(s.candidates(nil), want, usable)
+	now := s.start.Add(s.now)
+	s.gateways[g.gateway].forecast.Arrived(s.want(g), g.expectedHold(), now)
+	err := s.place(g)
 	g.attempts++
 	if err == nil {
-		s.overload.Admitted(now)
-		s.submit(g, s.engine(u.ID), 0)
 		return 0, false
 	}
-	delay := s.overload.Refused(g.kind.Objective, now, s.random.Float64())
+	if s.variant.DeadlineQueue {
+		s.enqueue(g)
+		return 0, false
+	}
+	delay := s.gateways[g.gateway].overload.Refused(g.kind.Objective, now, s.random.Float64())
 	if s.variant.LateRetryAfter {
 		delay = s.lateRetryAfter()
 	}
 	if g.attempts > 1 {
-		s.updateOutcome(g.kind, func(o *Outcome) { o.Refused++ })
+		s.refuse(g)
 		return 0, false
 	}
 	return delay, true
 }
 
+// refuse records that a caller got its last refusal.
+func (s *simulation) refuse(g *generation) {
+	s.updateOutcome(g.kind, func(o *Outcome) { o.Refused++ })
+}
+
+// place places a generation on an engine that has room.
+func (s *simulation) place(g *generation) error {
+	now := s.start.Add(s.now)
+	usable := s.moveRoom.Usable(s.engineSpec(), s.load.LeaveShare, now)
+	if s.variant.AlwaysReserve {
+		usable = (1 - s.load.LeaveShare) * float64(s.load.MemoryTokens)
+	}
+	want, list, gateway := s.want(g), s.candidates(g.gateway, nil), s.gateways[g.gateway]
+	if !s.variant.NoHeadroom {
+		want.Headroom = gateway.forecast.Headroom(want, len(s.gateways), len(list), now)
+	}
+	u, err := s.view().Admit(list, want, usable)
+	if err != nil {
+		return err
+	}
+	gateway.overload.Admitted(now)
+	e := s.engine(u.ID)
+	e.placements = e.placements.Add(1, now, placementDecay)
+	s.submit(g, e, 0)
+	return nil
+}
+
+// startShare is the part of the objective within which a generation has to be expected to begin.
+const startShare = 0.8
+
+// startBy returns the time by which the generation has to be expected to begin.
+func (g *generation) startBy() time.Duration {
+	return g.firstArrival + time.Duration(startShare*float64(g.kind.Objective))
+}
+
+// want returns the demand of a generation on an engine.
+func (s *simulation) want(g *generation) *placement.Generation {
+	return &placement.Generation{
+		Engine: s.engineSpec(), Prompt: g.prompt, Output: g.expected(), Brief: g.expected() < maxBriefTokens,
+		StartBy: g.startBy() - s.now, Rank: placement.Rank{Route: g.kind.Rank},
+	}
+}
+
+// eventInterval is the time between two events that a gateway assumes.
+const eventInterval = 35 * time.Millisecond
+
+// expectedHold returns the time for which the generation is expected to hold its memory.
+func (g *generation) expectedHold() time.Duration {
+	return time.Duration(g.prompt)*readTimePerToken + time.Duration(g.expected()/tokensPerEvent)*eventInterval
+}
+
 // lateRetryAfter returns the age of the overload, at least a second, with jitter.
 func (s *simulation) lateRetryAfter() time.Duration {
 	if s.now-s.lastRefusal > 2*time.Second {
@@ -259,7 +320,7 @@
 	g.host, g.target, g.generatedBefore = e, nil, g.generated
 	if _, ok := s.running[g.id]; !ok {
 		s.running[g.id] = g
-		s.runningIDs = append(s.runningIDs, g.id)
+		s.inOrder = append(s.inOrder, g)
 	}
 	// Submit cannot fail: the IDs are made by this package and unique.
 	_ = e.model.Submit(enginemodel.Job{ID: g.id, Prompt: g.prompt + g.generated, Output: g.output - g.generated, Priority: rank, CopiedTokens: copied})
@@ -271,7 +332,7 @@
 		g.target.model.Release(g.copiedTokens)
 	}
 	delete(s.running, g.id)
-	s.runningIDs = slices.DeleteFunc(s.runningIDs, func(id string) bool { return id == g.id })
+	s.inOrder = slices.DeleteFunc(s.inOrder, func(o *generation) bool { return o == g })
 }
 
 // finish records a generation that has completed.
