feat(daemon): setting SPARSHORE_MEMORY_MB of gateways

An eighth of the VM's memory is for buffered requests and responses. The setting is checked and documented, but nothing uses it yet. A value below 0, not a number or beyond 16 TiB keeps the gateway from starting.

--- a/internal/daemon/gatewaysettings.go
+++ b/internal/daemon/gatewaysettings.go
@@ -27,6 +27,7 @@
 	CoreShare     float64       `arg:"--core-share,env:SPARSHORE_CORE_SHARE" default:"1" help:"part of each core that this process may use; entries with the most processor time and bandwidth do shared work for the others"`
 	Cores         int           `arg:"--cores,env:SPARSHORE_CORES" default:"1" help:"number of cores that this process may use in part"`
 	LinkMbps      float64       `arg:"--link-mbps,env:SPARSHORE_LINK_MBPS" default:"1000" help:"bandwidth of the VM in Mbit/s"`
+	MemoryMB      float64       `arg:"--memory-mb,env:SPARSHORE_MEMORY_MB" default:"0" help:"memory of the VM in MiB; an eighth of it is for buffered requests and responses; 0 for no limit on these"`
 	StartTogether bool          `arg:"--start-together,env:SPARSHORE_START_TOGETHER" help:"set if all processes of the deployment start together for the first time"`
 	LogLines      int           `arg:"--log-lines,env:SPARSHORE_LOG_LINES" default:"300" help:"maximum number of log lines a second"`
 	TimelineSize  int           `arg:"--timeline-size,env:SPARSHORE_TIMELINE_SIZE" default:"512" help:"number of events kept for the timeline"`
@@ -36,6 +37,15 @@
 // second and may be one second late.
 const minKeyBound = 2 * time.Second
 
+const (
+	// bufferShare is the divisor of the VM's memory that is for buffered requests and responses. The
+	// rest is for the program, its connections and the memory that is not collected yet, which may be
+	// as much again as what is in use.
+	bufferShare = 8
+	// maxMemoryMB is beyond all VMs; a larger value was meant in bytes or KB.
+	maxMemoryMB = 16 << 20
+)
+
 // Check returns an error that lists every invalid setting.
 func (s *GatewaySettings) Check() error {
 	var f faults
@@ -67,6 +77,10 @@
 	if s.LinkMbps <= 0 {
 		f.addf("--link-mbps", "%v must be positive", s.LinkMbps)
 	}
+	// A value that is not a number fails both comparisons.
+	if !(s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB) {
+		f.addf("--memory-mb", "%v must be between 0 and %d", s.MemoryMB, maxMemoryMB)
+	}
 	f.positive("--stop-within", s.StopWithin)
 	f.atLeast("--log-lines", s.LogLines, 1)
 	f.atLeast("--timeline-size", s.TimelineSize, 1)
@@ -78,8 +92,11 @@
 	return roster.NewSize(s.CoreShare*float64(s.Cores), s.LinkMbps)
 }
 
+// bufferLimit returns the number of bytes for buffered requests and responses, or 0 for no limit.
+func (s *GatewaySettings) bufferLimit() int64 { return int64(s.MemoryMB * (1 << 20) / bufferShare) }
+
 // String returns the settings that are logged when the process starts and when it is asked to
 // reload them.
 func (s *GatewaySettings) String() string {
-	return fmt.Sprintf("name=%s zone=%s key-bound=%s hard=%t retry=%v+%v/%s", s.Name, s.Zone, s.KeyBound, s.KeyBoundHard, s.RetryRatio, s.RetryExtra, s.RetryWindow)
+	return fmt.Sprintf("name=%s zone=%s key-bound=%s hard=%t retry=%v+%v/%s memory-mb=%v", s.Name, s.Zone, s.KeyBound, s.KeyBoundHard, s.RetryRatio, s.RetryExtra, s.RetryWindow, s.MemoryMB)
 }
