feat(events): memory-exhausted and memory-available

The memory budget of gateways needs one event when it is exhausted and one when it is available again. A nil membudget.Holder now stands for a request without a budget, so that callers need no second path.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -45,6 +45,8 @@
 	EntryRestarted      ID = 148
 	RetryUseRestored    ID = 149
 	RetryUseStoreFailed ID = 150
+	MemoryExhausted     ID = 160
+	MemoryAvailable     ID = 161
 	RequestReceived     ID = 200
 	RequestRouted       ID = 201
 	RequestRefused      ID = 202
@@ -168,6 +170,8 @@
 	{EntryRestarted, "entry-restarted", "Another entry runs as a new process; `requests` and `extra` are the use of the retry budgets, over all services, that its earlier process reported last, `ago` the time since then."},
 	{RetryUseRestored, "retry-use-restored", "A starting entry learned from `source` what its earlier processes used of the retry budgets; `complete` tells whether that is all. It makes no extra attempts before."},
 	{RetryUseStoreFailed, "retry-use-store-failed", "An entry could not store its use of the retry budgets; it tries again."},
+	{MemoryExhausted, "memory-exhausted", "An entry buffers as much of requests and responses as its memory allows (`used` of `limit` bytes): what no longer fits is refused with 503, and callers that do not read are disconnected."},
+	{MemoryAvailable, "memory-available", "Less than half of the memory for buffered requests and responses is in use again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream. For a stream, `software` is the version of the upstream's software, `after-event` the last event that the caller has, `resumes` the request whose answer began the stream, if the caller resumes one, and `parts` the parts of its prompt that other requests may share."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with the time after which the caller may retry."},
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -227,3 +227,16 @@
 		}
 	}
 }
+
+// Guards against a request without a budget that is limited or ends the process.
+func TestNilHolder(t *testing.T) {
+	var h *Holder
+	h.Await(testStart)
+	h.NoteRead(testStart)
+	h.EndAwait()
+	h.Shrink(1)
+	h.Close()
+	if ok, n := h.GrowOrEvict(1<<62, testStart, 0); !ok || n != 0 || !h.Grow(1<<62) || h.Evicted() {
+		t.Error("a holder without a budget is limited")
+	}
+}
--- a/internal/membudget/holder.go
+++ b/internal/membudget/holder.go
@@ -3,7 +3,8 @@
 import "time"
 
 // Holder is the memory that is buffered for one request. Its methods may be called concurrently, and
-// after Close, when they change nothing.
+// after Close, when they change nothing. A nil Holder has no budget: it always grows and is never
+// evicted.
 type Holder struct {
 	budget *Budget
 	// evict ends the request. It is called with the mutex of the budget held, so that it is never
@@ -30,6 +31,9 @@
 // Grow takes n bytes for the holder. It returns false and takes nothing if they do not fit, or if the
 // holder is closed or was evicted.
 func (h *Holder) Grow(n int64) bool {
+	if h == nil {
+		return true
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	return h.grow(n)
@@ -39,6 +43,9 @@
 // time, the largest first, until the bytes fit. It evicts none if the bytes do not fit even without all
 // of these. It also returns the number of holders that it evicted.
 func (h *Holder) GrowOrEvict(n int64, now time.Time, unread time.Duration) (ok bool, evicted int) {
+	if h == nil {
+		return true, 0
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	if h.grow(n) {
@@ -74,6 +81,9 @@
 
 // Shrink returns n bytes of the holder, or all that it has if that is less.
 func (h *Holder) Shrink(n int64) {
+	if h == nil {
+		return
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	n = min(n, h.size)
@@ -84,6 +94,9 @@
 // Await records that the memory is now held because its receiver has to read. From then on the
 // receiver counts as not reading until NoteRead is called, and the holder may be evicted.
 func (h *Holder) Await(now time.Time) {
+	if h == nil {
+		return
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	if h.closed || h.evicted {
@@ -95,6 +108,9 @@
 
 // NoteRead records that the receiver has read.
 func (h *Holder) NoteRead(now time.Time) {
+	if h == nil {
+		return
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	h.lastRead = now
@@ -102,6 +118,9 @@
 
 // EndAwait records that the receiver has read everything.
 func (h *Holder) EndAwait() {
+	if h == nil {
+		return
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	h.awaiting = false
@@ -109,6 +128,9 @@
 
 // Evicted reports whether the holder was evicted.
 func (h *Holder) Evicted() bool {
+	if h == nil {
+		return false
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	return h.evicted
@@ -116,6 +138,9 @@
 
 // Close returns the memory of the holder. The holder is not evicted after that.
 func (h *Holder) Close() {
+	if h == nil {
+		return
+	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	h.closed = true
