feat(gateway): bound the memory of buffered requests and responses

Callers that do not read held as much memory as their responses are long: 100 of them with responses of 8 MB let the heap of a gateway grow by 839 MB, beyond the memory of most VMs.

With SPARSHORE_MEMORY_MB, request bodies and buffered responses count against a budget of an eighth of the VM's memory, as they arrive. When it is used up, new requests and bodies that do not fit are refused with 503 and a time to come back; a response that does not fit takes the memory of the largest response whose caller has not read for 1 s, whose connection is closed, or else ends with 502 without a second run and without blame for its upstream. A caller that does not read for 30 s is disconnected. Responses are written in pieces of 32 KiB, whose memory is returned as the caller reads. Without the setting nothing changes.

Metrics: sparshore_gateway_memory_budget_bytes{kind}, sparshore_gateway_memory_evictions_total{cause}; two log events.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -282,7 +282,7 @@
 	b.pool = link.New(link.Settings{DialTimeout: dialTimeout, DefaultIdleTimeout: defaultUpstreamIdle, IdleMargin: upstreamIdleMargin, HeadGrace: cancelledHeadTimeout, IDHeader: proto.IDHeader}, dialer(), time.Now)
 	b.gateway = gateway.New(gateway.Settings{
 		Name: s.Name, Incarnation: b.incarnation, Zone: s.Zone, MaxRoutesAge: s.KeyBound - keyBoundMargin, HardKeyBound: s.KeyBoundHard,
-		RetryRatio: s.RetryRatio * retryBudgetShare, RetryExtra: s.RetryExtra * retryBudgetShare, RetryWindow: s.RetryWindow, EarlierProcesses: !s.StartTogether,
+		RetryRatio: s.RetryRatio * retryBudgetShare, RetryExtra: s.RetryExtra * retryBudgetShare, RetryWindow: s.RetryWindow, EarlierProcesses: !s.StartTogether, MemoryBytes: s.bufferLimit(),
 	}, b.routes, b.fleet, b.pool, proto, gateway.Peers{
 		SendSoon:      func() { b.gossip.SendSoon() },
 		LivePeers:     func() map[string]gossip.Peer { return b.gossip.Peers() },
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -90,6 +90,7 @@
 		b.gateway.CountReachable()
 		b.gateway.SweepQuarantine()
 		b.gateway.SweepLimits()
+		b.gateway.SweepMemory()
 		b.gateway.Origins().Sweep()
 		b.publishQuarantines()
 		if _, ok := b.upstreamsFollower.Settled(); !ok {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -179,7 +179,7 @@
 	{RequestEnded, "request-ended", "A caller received the last byte of its answer."},
 	{StreamResumed, "stream-resumed", "A caller resumed a stream at the next offset."},
 	{StreamCut, "stream-cut", "A stream ended before it was complete, and the caller was told where and why."},
-	{CallerGone, "caller-gone", "A caller's connection closed before its answer was complete; `ended-here` gives the reason if this entry closed it."},
+	{CallerGone, "caller-gone", "A caller's connection closed before its answer was complete; `ended-here` gives the reason if this entry closed it, and `evicted` tells that it did because the caller did not read."},
 	{HedgeSent, "hedge-sent", "A slow request that may run twice was also sent to a second upstream (a hedge)."},
 	{CallerEnded, "caller-ended", "An entry closed a caller's connection while it waited for a request, because the wait exceeded the configured limit or the entry is stopping (`why`)."},
 	{StreamMoveStarted, "stream-move-started", "The memory of a running generation is being copied to another engine; `from-software` and `to-software` are the versions of the engines' software."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -164,8 +163,8 @@
 	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout && !s.g.asksBackOff(answer.Status, answer.Header) {
 		s.g.markFaulty(st.at.ID)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
-	if len(body) > maxBuffered {
+	body, err := s.g.readResponse(s.rq, answer, answer.Length)
+	if body.size() > maxBuffered {
 		err = errAnswerTooLong
 	}
 	if err == nil {
@@ -173,6 +172,7 @@
 	}
 	retryable := s.rq.route.Repeats() && s.rq.attempts < s.rq.route.MaxAttempts && answer.Status >= http.StatusInternalServerError
 	if s.headSent || err != nil || retryable && ctx.Err() == nil {
+		s.rq.discard(body)
 		return streamBroken
 	}
 	s.g.forwardAnswer(s.rq, result{upstream: st.at.ID, status: answer.Status, header: answer.Header, body: body})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -42,7 +41,7 @@
 	upstream string
 	status   int
 	header   http.Header
-	body     []byte
+	body     pieces
 	verdict  protocol.Verdict
 	err      error
 }
@@ -184,7 +183,7 @@
 
 // retry starts another attempt after a failed one if that is allowed.
 func (c *callRun) retry(ctx context.Context, r result) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(r.err, errMemory) {
 		return false
 	}
 	if r.mayHaveRun() && (!c.rq.route.Repeats() || c.rq.attempts >= c.rq.route.MaxAttempts || !c.rq.run.MayRepeat()) {
@@ -282,10 +281,10 @@
 	}
 	defer a.Close()
 	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header)}
-	r.body, r.err = io.ReadAll(io.LimitReader(a, maxBuffered+1))
+	r.body, r.err = g.readResponse(rq, a, a.Length)
 	switch {
 	case r.err != nil:
-	case len(r.body) > maxBuffered:
+	case r.body.size() > maxBuffered:
 		r.err = errAnswerTooLong
 	case a.Header.Get(g.proto.IDHeader) != rq.call.ID:
 		r.err = errOtherAnswer
@@ -293,6 +292,8 @@
 		r.err = errMissingProof
 	}
 	if r.err != nil {
+		rq.discard(r.body)
+		r.body = nil
 		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err)
 	}
 	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final() && a.Clean()})
@@ -315,6 +316,8 @@
 	}
 	switch {
 	case r.err != nil && ctx.Err() != nil:
+	case errors.Is(r.err, errMemory):
+		// The upstream is not at fault.
 	case r.err != nil:
 		g.fleet.RecordOutcome(r.upstream, fleet.Broken)
 		g.recordBrokenAnswer(rq, u, r.err)
@@ -343,12 +346,12 @@
 func (g *Gateway) forwardAnswer(rq *request, r result) {
 	h := rq.w.Header()
 	g.proto.CopyHeaders(r.header, h)
-	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	size := r.body.size()
+	h.Set("Content-Length", strconv.Itoa(size))
 	rq.w.WriteHeader(r.status)
-	// The connection logs failed writes after the last flush.
-	_, _ = rq.w.Write(r.body)
+	g.writeResponse(rq, r.body)
 	elapsed := g.now().Sub(rq.start)
 	g.met.ended(strconv.Itoa(r.status))
 	g.met.observeAnswer(elapsed)
-	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", len(r.body))
+	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size)
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -191,7 +191,7 @@
 // testHeadWithin is how long the link waits for the head of an answer to a cancelled request.
 const testHeadWithin = 50 * time.Millisecond
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T, change ...func(*Settings)) *fixture {
 	t.Helper()
 	f := &fixture{t: t, rec: events.Nop()}
 	decode := func(value []byte) (*routetable.Table, error) { return testTable(string(value)), nil }
@@ -202,7 +202,11 @@
 		func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp4", address)
 		}, time.Now)
-	f.gateway = New(Settings{MaxRoutesAge: time.Minute, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second},
+	settings := Settings{MaxRoutesAge: time.Minute, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}
+	for _, c := range change {
+		c(&settings)
+	}
+	f.gateway = New(settings,
 		f.routes, f.fleet, pool, testProtocol(), Peers{
 			SendSoon: func() {}, SendNow: func() {}, DeliveryTimes: func() (delivery, silence time.Duration) { return 0, 0 }, LivePeers: func() map[string]gossip.Peer { return f.peers },
 			Delay:  func(string, bool) time.Duration { return f.delay },
@@ -211,7 +215,7 @@
 	f.gateway.SetListedEntries(1)
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.server.Close)
-	f.routes.Apply(platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte("1")}}}, true)
+	f.routes.Apply(testSnapshot("1"), true)
 	f.routes.ConfirmCurrent(time.Now())
 	return f
 }
@@ -229,8 +233,14 @@
 // testHeaderBytes is the size limit for headers in these tests.
 const testHeaderBytes = 4000
 
+// testSnapshot returns what the store reports for a route table that testTable describes.
+func testSnapshot(text string) platform.Snapshot {
+	return platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte(text)}}}
+}
+
 // testTable returns the route table of a version. The text "N revoked" stands for version N
-// without keys, and "N later" for version N with an additional service.
+// without keys, "N later" for version N with an additional service, and "N bodies" for version N with
+// large request bodies.
 func testTable(text string) *routetable.Table {
 	version, more, _ := strings.Cut(text, " ")
 	n, _ := strconv.Atoi(version)
@@ -238,6 +248,10 @@
 	if more == "revoked" {
 		keys = nil
 	}
+	bodyBytes := int64(1000)
+	if more == "bodies" {
+		bodyBytes = 4 << 20
+	}
 	route := func(prefix string, kind routetable.Kind, service string, attempts int) routetable.Route {
 		return routetable.Route{
 			Name: prefix, Host: "host", Prefix: prefix, Kind: kind, Timeout: testTimeout, Objective: 100 * time.Millisecond,
@@ -259,7 +273,7 @@
 	if more == "later" {
 		routes, services = append(routes, route(pathLater, routetable.Repeatable, "later", 1)), append(services, routetable.Service{Name: "later"})
 	}
-	return routetable.New(routetable.Version(n), routes, services, routetable.Limits{BodyBytes: 1000, HeaderBytes: testHeaderBytes}, []routetable.Account{{Name: "acme", Keys: keys}})
+	return routetable.New(routetable.Version(n), routes, services, routetable.Limits{BodyBytes: bodyBytes, HeaderBytes: testHeaderBytes}, []routetable.Account{{Name: "acme", Keys: keys}})
 }
 
 // newQuarantineRun returns the run of a request without recorded crashes.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/membudget"
 	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
@@ -51,6 +52,8 @@
 	// RetryWindow. No extra attempts are made until RestoreRetries and SetRetriesRestored tell what they
 	// used, or until that is out of the window.
 	EarlierProcesses bool
+	// MemoryBytes limits the memory for buffered requests and responses; 0 means no limit.
+	MemoryBytes int64
 }
 
 // Gateway is the http.Handler that serves callers.
@@ -101,6 +104,8 @@
 	limits *limits.Set
 	// origins tracks which software version began each stream that its caller may resume.
 	origins *origin.Set
+	// memory limits what is buffered for requests; nil for no limit.
+	memory *membudget.Budget
 
 	mu sync.Mutex
 	// entries is the number of entries that share the retry budgets.
@@ -153,6 +158,7 @@
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
 	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
+	g.memory = newMemoryBudget(settings.MemoryBytes, reg)
 	registerOriginMetrics(reg, g.origins.Size)
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	unansweredTotal *prometheus.CounterVec
 	permits         *prometheus.CounterVec
 	resumptions     *prometheus.CounterVec
+	evictions       *prometheus.CounterVec
 	quarantined     prometheus.Counter
 	answer          prometheus.Histogram
 	firstEvent      prometheus.Histogram
@@ -32,6 +33,8 @@
 	unansweredCallerClosed = "caller left"
 	// unansweredClosedHere: this process closed the connection.
 	unansweredClosedHere = "connection ended here"
+	// unansweredEvicted: the caller did not read, and its connection was closed.
+	unansweredEvicted = "evicted"
 	// unansweredPanic: the handler panicked.
 	unansweredPanic = "panic"
 )
@@ -46,13 +49,14 @@
 		unansweredTotal: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_unanswered_total", Help: "Requests whose connection ended without a complete answer, by cause."}, []string{"cause"}),
 		permits:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_permits_total", Help: "Permits requested for sending to rate-limited upstreams, by result."}, []string{"result"}),
 		resumptions:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_resumptions_total", Help: "Streams that callers resumed, by how the software version that began them was learned."}, []string{"source"}),
+		evictions:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_memory_evictions_total", Help: "Connections closed because their callers did not read, by cause: memory was needed, or the write timeout passed."}, []string{"cause"}),
 		quarantined:     prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams crashed while running them."}),
 		answer:          prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the complete answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
 		firstEvent:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_first_event_seconds", Help: "Time to a stream's first event.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 12)}),
 		gap:             prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be current."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.quarantined, m.answer, m.firstEvent, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.evictions, m.quarantined, m.answer, m.firstEvent, m.gap)
 	return m
 }
 
@@ -63,6 +67,7 @@
 func (m *metrics) resumed(source origin.Source)      { m.resumptions.WithLabelValues(string(source)).Inc() }
 func (m *metrics) moved(result string)               { m.moves.WithLabelValues(result).Inc() }
 func (m *metrics) unanswered(cause string)           { m.unansweredTotal.WithLabelValues(cause).Inc() }
+func (m *metrics) evicted(cause string, n int)       { m.evictions.WithLabelValues(cause).Add(float64(n)) }
 func (m *metrics) observeAnswer(d time.Duration)     { m.answer.Observe(d.Seconds()) }
 func (m *metrics) observeFirstEvent(d time.Duration) { m.firstEvent.Observe(d.Seconds()) }
 func (m *metrics) observeMoveGap(d time.Duration)    { m.gap.Observe(d.Seconds()) }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -13,6 +12,7 @@
 	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/membudget"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -40,6 +40,8 @@
 	// conn is the caller's connection; nil if it is not known.
 	conn *connlimit.Conn
 	w    http.ResponseWriter
+	// memory is what is buffered for the request; nil if there is no memory budget.
+	memory *membudget.Holder
 	// software tells at which software version the stream goes on that the caller resumes.
 	software streamSoftware
 	// beginAnswer is called before the answer begins. It returns false if a planned stop has given up
@@ -75,6 +77,8 @@
 	now := g.now()
 	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), conn: connlimit.From(r.Context()), w: w}
 	rq.conn.SetRequest(rq.call.ID)
+	rq.memory = g.newMemoryHolder(w)
+	defer rq.memory.Close()
 	defer g.recoverPanic(rq)
 	if !g.StopDeadline().IsZero() {
 		w.Header().Set("Connection", "close")
@@ -134,11 +138,14 @@
 // callerDisconnected records that a caller's connection ended; while states what was being done.
 func (g *Gateway) callerDisconnected(rq *request, while string, err error) {
 	cause := unansweredCallerClosed
-	if rq.conn.EndReason() != "" {
+	switch {
+	case rq.memory.Evicted():
+		cause = unansweredEvicted
+	case rq.conn.EndReason() != "":
 		cause = unansweredClosedHere
 	}
 	g.met.unanswered(cause)
-	g.rec.Note(events.CallerGone, rq.call.ID, "while", while, "caller", rq.conn.Caller(), "ended-here", rq.conn.EndReason(), "sent", rq.sent, "after", g.now().Sub(rq.start), "error", err)
+	g.rec.Note(events.CallerGone, rq.call.ID, "while", while, "caller", rq.conn.Caller(), "ended-here", rq.conn.EndReason(), "evicted", rq.memory.Evicted(), "sent", rq.sent, "after", g.now().Sub(rq.start), "error", err)
 }
 
 // prepareRequest determines the route, account and service of a request and reads its body. If the
@@ -243,9 +250,14 @@
 // readBody reads the whole body before the request is sent, so that the request can be repeated
 // and a slow caller does not occupy a slot of an upstream.
 func (g *Gateway) readBody(rq *request, r *http.Request) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes))
+	body, err := g.readRequestBody(rq, http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemory):
+		// Otherwise net/http would wait for a part of the rest of the body before it sends the refusal.
+		rq.w.Header().Set("Connection", "close")
+		g.refuse(rq, http.StatusServiceUnavailable, err.Error(), memoryRetryDelay)
+		return false
 	case errors.As(err, &tooLarge):
 		g.refuse(rq, http.StatusRequestEntityTooLarge, "body is too large", 0)
 		return false
