feat(gateway): read streams ahead of callers that do not read

An engine aborts an answer that is left unread for some seconds. A caller that does not read kept the gateway from reading: of a stream of 900 KB, the engine could not get rid of the rest until the caller read on.

A goroutine then reads the stream on into a queue of at most 1 MiB, which counts against the budget, and hands back to the handler once the caller has read all of it. The end of an answer without a length is checked when it is read, not when the caller has read it. As long as a caller reads, the handler reads and writes as before; it costs two atomic operations for each event, no allocation and no goroutine. Without a budget nothing changes.

In the test the engine now writes its 900 KB within 60 ms of the stall; without the budget it still waits.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,8 +104,10 @@
 	limits *limits.Set
 	// origins tracks which software version began each stream that its caller may resume.
 	origins *origin.Set
-	// memory limits what is buffered for requests; nil for no limit.
-	memory *membudget.Budget
+	// memory limits what is buffered for requests; nil for no limit. readAheads are the streams that
+	// may be read ahead of their callers.
+	memory     *membudget.Budget
+	readAheads readAheadSet
 
 	mu sync.Mutex
 	// entries is the number of entries that share the retry budgets.
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -79,13 +79,15 @@
 	return nil
 }
 
-// SweepMemory closes connections of callers that have not read for callerWriteTimeout, and logs when the memory budget is exhausted and
+// SweepMemory lets streams whose callers do not read continue at their upstreams, closes connections of
+// callers that have not read for callerWriteTimeout, and logs when the memory budget is exhausted and
 // when it is available again. It is to be called a few times a second.
 func (g *Gateway) SweepMemory() {
 	if g.memory == nil {
 		return
 	}
 	now := g.now()
+	g.readAheads.sweep(now)
 	if n := g.memory.EvictUnread(now, callerWriteTimeout); n > 0 {
 		g.met.evicted(evictedForTimeout, n)
 	}
--- a/internal/gateway/memoryfixture_test.go
+++ b/internal/gateway/memoryfixture_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -166,6 +169,82 @@
 	return resp
 }
 
+// slowEngine is an engine whose answer is longer than the kernel's buffers. Its events are numbered from
+// 1, and it writes them as fast as they are read.
+type slowEngine struct {
+	*upstream
+	// events is the number of events of the answer, and eventSize their size in bytes.
+	events, eventSize int
+	// framed is set if the answer states its length.
+	framed bool
+	// breakAfter, unless it is 0, breaks off an answer that begins with the first event, within the event
+	// after this one.
+	breakAfter int
+	// holdAfter, unless it is 0, is the event after which nothing more is written until the connection
+	// ends.
+	holdAfter int
+	written   atomic.Int64
+	// done receives an error or nil for each answer that was written.
+	done chan error
+}
+
+func (m *memoryFixture) addSlowEngine(id string, events, eventSize int) *slowEngine {
+	e := &slowEngine{events: events, eventSize: eventSize, framed: true, done: make(chan error, 10)}
+	e.upstream = m.add("llm", id, e.serve)
+	return e
+}
+
+// testEvent returns an event of a size.
+func testEvent(i, size int) string {
+	head := fmt.Sprintf("id: %d\ndata: ", i)
+	return head + strings.Repeat("x", size-len(head)-2) + "\n\n"
+}
+
+// serve writes the answer on the connection itself, so that it can bound its send buffer.
+func (e *slowEngine) serve(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/copy") || r.URL.Path == "/report" {
+		_, _ = io.WriteString(w, "serving")
+		return
+	}
+	from, _ := strconv.Atoi(r.Header.Get(testLastEvent))
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		e.done <- err
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.(*net.TCPConn).SetWriteBuffer(smallSocketBuffer)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", testID, r.Header.Get(testID), testProof, e.id)
+	if e.framed {
+		head += fmt.Sprintf("Content-Length: %d\r\n", (e.events-from)*e.eventSize)
+	}
+	_, err = io.WriteString(c, head+"\r\n")
+	for i := from + 1; i <= e.events && err == nil; i++ {
+		event := testEvent(i, e.eventSize)
+		if e.breakAfter > 0 && from == 0 && i > e.breakAfter {
+			_, err = io.WriteString(c, event[:e.eventSize/2])
+			break
+		}
+		var n int
+		n, err = io.WriteString(c, event)
+		e.written.Add(int64(n))
+		if i == e.holdAfter {
+			_, err = io.Copy(io.Discard, c)
+			err = errors.Join(err, io.ErrUnexpectedEOF)
+		}
+	}
+	e.done <- err
+}
+
+// whole returns the whole answer of the engine.
+func (e *slowEngine) whole() string {
+	var b strings.Builder
+	for i := 1; i <= e.events; i++ {
+		b.WriteString(testEvent(i, e.eventSize))
+	}
+	return b.String()
+}
+
 // applyRoutes puts a route table into force.
 func (f *fixture) applyRoutes(text string) {
 	f.routes.Apply(testSnapshot(text), true)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,7 +16,8 @@
 // relay passes events on to the caller as they arrive, until the answer ends. It calls started
 // at the first event.
 func (s *stream) relay(ctx context.Context, st step, answer *link.Answer, sent time.Time, started func()) outcome {
-	g, r := s.g, newEventReader(answer)
+	g, r := s.g, s.newReadAhead(ctx, st, answer)
+	defer r.close()
 	first := true
 	for {
 		b, err := r.next()
@@ -38,7 +39,10 @@
 				go g.queryIfDue(ctx, st.at, "it closes its connection")
 			}
 		}
-		if err := s.writeEvents(b); err != nil {
+		r.beginWrite()
+		err = s.writeEvents(b)
+		r.endWrite()
+		if err != nil {
 			g.callerDisconnected(s.rq, "getting events", err)
 			panic(http.ErrAbortHandler)
 		}
@@ -52,6 +56,13 @@
 
 // writeEvents writes complete events to the caller.
 func (s *stream) writeEvents(b []byte) error {
+	for s.rq.memory != nil && len(b) > pieceSize {
+		if _, err := s.rq.w.Write(b[:pieceSize]); err != nil {
+			return err
+		}
+		b = b[pieceSize:]
+		s.rq.memory.NoteRead(s.g.now())
+	}
 	if _, err := s.rq.w.Write(b); err != nil {
 		return err
 	}
@@ -94,6 +105,9 @@
 // neither a length nor chunks. An engine that crashes, or that stops a generation for a move, closes the
 // connection as well.
 func (s *stream) closedAtItsEnd(ctx context.Context, st step) bool {
+	if s.endCheck != nil {
+		return *s.endCheck
+	}
 	s.awaitHandover(ctx)
 	s.mu.Lock()
 	stopped := s.handover != nil && !s.endedBeforeStop
@@ -121,7 +135,7 @@
 	moving := s.handover != nil
 	s.mu.Unlock()
 	if !moving {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errMemory) {
 			s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
 			s.g.recordBrokenAnswer(s.rq, st.at, err)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,10 @@
 	// headSent is set once the head of the answer has been sent to the caller.
 	headSent bool
 	flush    func() error
+	// cancel ends the request.
+	cancel context.CancelFunc
+	// endCheck is the result of closedAtItsEnd if it was determined when the end of the answer was read.
+	endCheck *bool
 	// timeToFirstEvent is the time from the start of the request to the first event.
 	timeToFirstEvent time.Duration
 	// longestPause is the longest pause between two events so far, and longestPauseAt the number of
@@ -88,6 +92,8 @@
 func (g *Gateway) generate(ctx context.Context, rq *request) {
 	s := &stream{g: g, rq: rq, flush: http.NewResponseController(rq.w).Flush, lastEvent: rq.call.LastEvent, software: rq.software}
 	defer s.end()
+	ctx, s.cancel = context.WithCancel(ctx)
+	defer s.cancel()
 	exclude := map[string]bool{}
 	at, err := s.admit(ctx, nil)
 	if err != nil {
