--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -423,4 +423,35 @@
 mutant part-names $quarantine/message.go 's/w\.wireAccount\(\)/w.Account/' $quarantine TestPartsAreReported
 mutant part-other-causes $quarantine/partverdict.go 's/return len\(moments\) > maxOtherMoments\*n/return false/' $quarantine TestHarmlessParts -rig.seeds=6
 
+memory=internal/membudget
+mutant memory-limit $memory/budget.go 's/if n > limit-b\.used \{/if n < 0 {/' $memory TestReserve
+mutant memory-small $memory/holder.go 's/return h\.budget\.limit - h\.budget\.limit\/smallPart/return h.budget.limit/' $memory TestPartForSmallHolders
+mutant memory-in-vain $memory/holder.go 's/ \|\| n > h\.usableLimit\(n\)-\(h\.budget\.used-h\.budget\.evictable\(h, now, unread\)\)/ || h.budget.evictable(h, now, unread) == 0/' $memory TestEviction
+mutant memory-largest $memory/budget.go 's/h\.size > largest\.size/h.size < largest.size/' $memory TestEviction
+mutant memory-closed $memory/holder.go 's/\th\.closed = true\n/\t_ = h.closed\n/' $memory TestHolderLifetime
+mutant memory-log $memory/budget.go 's/\tcase b\.used < b\.limit\/availablePart:/\tcase true:/' $memory TestUpdate
+mutant memory-setting internal/daemon/gatewaysettings.go 's/if !\(s\.MemoryMB >= 0 && /if !(/' internal/daemon TestMemorySetting
+mutant memory-response $gateway/buffered.go 's/\t\tif err := g\.growMemory\(rq, size\)/\t\tif err := g.growMemory(rq, 0)/' $gateway TestUnreadResponsesAreBounded
+mutant memory-body $gateway/buffered.go 's/g\.growMemory\(rq, larger\)/g.growMemory(rq, 0)/' $gateway TestBodyThatDoesNotFit
+mutant memory-new $gateway/buffered.go 's/g\.growMemory\(rq, firstBuffer\)/g.growMemory(rq, 0)/' $gateway TestNewRequestsAreRefusedWithoutMemory
+mutant memory-announced $gateway/buffered.go 's/larger := bufferFor\(length, 2\*int64\(cap\(b\)\)\)/larger := max(length+1, 2*int64(cap(b)))/; s/firstBuffer = 4 << 10/firstBuffer = 1 << 10/' $gateway TestSlowSendersHoldWhatArrived
+mutant memory-evict $gateway/memory.go 's/\t\t_ = http\.NewResponseController\(w\)\.SetWriteDeadline\(time\.Unix\(1, 0\)\)/\t\t_ = w/' $gateway 'TestEvictionOfUnreadResponse|TestWriteTimeout'
+mutant memory-evict-early $memory/budget.go 's/func \(b \*Budget\) evictLargest\(except \*Holder, now time\.Time, unread time\.Duration\) \{/$&\n\tunread = 0/' $memory TestEviction
+mutant memory-unread $memory/holder.go 's/return h\.awaiting && now\.Sub\(h\.lastRead\) >= unread/return h.awaiting/' $gateway TestEvictionOfUnreadResponse
+mutant memory-read $gateway/buffered.go 's/\t\trq\.memory\.NoteRead\(g\.now\(\)\)\n//' $gateway TestEvictionOfUnreadResponse
+mutant memory-timeout $gateway/memory.go 's/g\.memory\.EvictUnread\(now, callerWriteTimeout\)/0*len(now.String())/' $gateway TestWriteTimeout
+mutant memory-blame $gateway/call.go 's/\tcase errors\.Is\(r\.err, errMemory\):\n/\tcase errors.Is(r.err, errOtherAnswer) \&\& false:\n/' $gateway TestResponseThatDoesNotFit
+mutant memory-repeat $gateway/call.go 's/ctx\.Err\(\) != nil \|\| errors\.Is\(r\.err, errMemory\)/ctx.Err() != nil/' $gateway TestResponseThatDoesNotFit
+mutant memory-event $gateway/readahead.go 's/n > a\.counted \{/n > 1<<40 {/' $gateway TestEventThatDoesNotFit
+mutant memory-event-blame $gateway/relay.go 's/ && !errors\.Is\(err, errMemory\)//' $gateway TestEventThatDoesNotFit
+mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway 'TestStreamIsReadAhead'
+mutant stream-ahead-bound $gateway/readahead.go 's/a\.queued\+size > maxReadAhead \|\| //' $gateway TestReadAheadIsBounded
+mutant stream-ahead-memory $gateway/readahead.go 's/ \|\| !a\.s\.rq\.memory\.Grow\(size\)/ || a.s.rq.memory.Evicted()/' $gateway TestReadAheadIsBounded
+mutant stream-ahead-rest $gateway/readahead.go 's/bytes\.NewReader\(rest\)/bytes.NewReader(rest[:0])/' $gateway 'TestStreamIsReadAhead|TestCallerThatReadsInTurns'
+mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\.source\)\n/\told := a.reader\n\ta.reader = newEventReader(a.source)\n\ta.reader.buf = old.buf\n/' $gateway 'TestStreamIsReadAhead|TestReadAhead|TestCallerThatReadsInTurns'
+mutant stream-ahead-last $gateway/readahead.go 's/\tif len\(a\.queue\) > 0 \{/\tif len(a.queue) > 0 \&\& a.fetching {/' $gateway TestStreamIsReadAhead
+mutant stream-ahead-end $gateway/readahead.go 's/\t\t\ta\.s\.endCheck = &closed/\t\t\t_ = closed/' $gateway TestEndOfUnframedAnswer
+mutant stream-ahead-leave $gateway/readahead.go 's/\t\ta\.s\.cancel\(\)/\t\t_ = a.s.cancel/' $gateway TestEvictionEndsSilentStream
+mutant stream-ahead-evict $gateway/readahead.go 's/\ta\.s\.rq\.memory\.Await\(now\)/\t_ = now/; s/\t\tmemory\.Await\(a\.s\.g\.now\(\)\)\n//' $gateway TestWaitingEventsAreEvicted
+
 finish
