--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -267,6 +267,61 @@
 	}
 }
 
+// numberedEvents is an answer with events that are numbered from 1 and never end.
+type numberedEvents struct {
+	next int
+	rest []byte
+}
+
+func (e *numberedEvents) Read(b []byte) (int, error) {
+	if len(e.rest) == 0 {
+		e.next++
+		e.rest = []byte(testEvent(e.next, testStreamEvent))
+	}
+	n := copy(b, e.rest)
+	e.rest = e.rest[n:]
+	return n, nil
+}
+
+// Guards against events that are overwritten while they are being written to a caller that does not
+// read.
+func TestReadAheadKeepsWhatIsWritten(t *testing.T) {
+	m := newMemoryFixture(t, 16<<20)
+	s := &stream{g: m.gateway, rq: &request{memory: m.gateway.newMemoryHolder(nil)}, cancel: func() {}}
+	defer s.rq.memory.Close()
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{Framed: true})
+	defer a.close()
+	source := &numberedEvents{}
+	a.source, a.reader = source, newEventReader(source)
+	var got strings.Builder
+	for range 10 {
+		b, err := a.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := string(b)
+		a.beginWrite()
+		// A sweep of the fixture begins to read ahead during the first write.
+		m.await("the stream is read ahead", func() bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.queued > maxReadAhead/2
+		})
+		if string(b) != before {
+			t.Fatal("events were overwritten while they were being written")
+		}
+		a.endWrite()
+		got.WriteString(before)
+	}
+	var want strings.Builder
+	for i := 1; want.Len() < got.Len(); i++ {
+		want.WriteString(testEvent(i, testStreamEvent))
+	}
+	if got.String() != want.String() {
+		t.Error("events are missing or swapped")
+	}
+}
+
 // endlessEvents is an answer whose events are read without delay.
 type endlessEvents struct{}
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -444,11 +444,11 @@
 mutant memory-repeat $gateway/call.go 's/ctx\.Err\(\) != nil \|\| errors\.Is\(r\.err, errMemory\)/ctx.Err() != nil/' $gateway TestResponseThatDoesNotFit
 mutant memory-event $gateway/readahead.go 's/n > a\.counted \{/n > 1<<40 {/' $gateway TestEventThatDoesNotFit
 mutant memory-event-blame $gateway/relay.go 's/ && !errors\.Is\(err, errMemory\)//' $gateway TestEventThatDoesNotFit
-mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway 'TestStreamIsReadAhead'
+mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-bound $gateway/readahead.go 's/a\.queued\+size > maxReadAhead \|\| //' $gateway TestReadAheadIsBounded
 mutant stream-ahead-memory $gateway/readahead.go 's/ \|\| !a\.s\.rq\.memory\.Grow\(size\)/ || a.s.rq.memory.Evicted()/' $gateway TestReadAheadIsBounded
-mutant stream-ahead-rest $gateway/readahead.go 's/bytes\.NewReader\(rest\)/bytes.NewReader(rest[:0])/' $gateway 'TestStreamIsReadAhead|TestCallerThatReadsInTurns'
-mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\.source\)\n/\told := a.reader\n\ta.reader = newEventReader(a.source)\n\ta.reader.buf = old.buf\n/' $gateway 'TestStreamIsReadAhead|TestReadAhead|TestCallerThatReadsInTurns'
+mutant stream-ahead-rest $gateway/readahead.go 's/bytes\.NewReader\(rest\)/bytes.NewReader(rest[:0])/' $gateway TestCallerThatReadsInTurns
+mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\.source\)\n/\told := a.reader\n\ta.reader = newEventReader(a.source)\n\ta.reader.buf = old.buf\n/' $gateway TestReadAheadKeepsWhatIsWritten
 mutant stream-ahead-last $gateway/readahead.go 's/\tif len\(a\.queue\) > 0 \{/\tif len(a.queue) > 0 \&\& a.fetching {/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-end $gateway/readahead.go 's/\t\t\ta\.s\.endCheck = &closed/\t\t\t_ = closed/' $gateway TestEndOfUnframedAnswer
 mutant stream-ahead-leave $gateway/readahead.go 's/\t\ta\.s\.cancel\(\)/\t\t_ = a.s.cancel/' $gateway TestEvictionEndsSilentStream
