test(gateway): memory for slow upstreams

Upstreams that send a long response slowly hold what has arrived, and bodies count while an upstream does not read them. Both tests fail without that (two mutants, killed).

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -202,6 +203,76 @@
 	}
 }
 
+// Guards against upstreams that announce long responses and send them slowly, and so take memory for what
+// has not arrived.
+func TestSlowUpstreamsHoldWhatArrived(t *testing.T) {
+	const callers, sent = 50, 40 << 10
+	m := newMemoryFixture(t, 16<<20)
+	release := make(chan struct{})
+	m.addRaw("slow", func(c net.Conn, r *http.Request) {
+		length := 2
+		if strings.Contains(r.URL.Path, "slow") {
+			length = testLargeResponse
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: p\r\nContent-Length: %d\r\n\r\n", testID, r.Header.Get(testID), testProof, length)
+		if length == 2 {
+			_, _ = io.WriteString(c, "ok")
+			return
+		}
+		_, _ = c.Write(make([]byte, sent))
+		m.holdUntil(release)
+	})
+	var conns []*rawCaller
+	for range callers {
+		conns = append(conns, m.connect(pathOnce+"slow", 0))
+	}
+	m.await("all responses have begun", func() bool { return m.gateway.memory.Used() >= callers*sent })
+	time.Sleep(5 * testSweepInterval)
+	if used, most := m.gateway.memory.Used(), int64(callers*(sent+firstBuffer+pieceSize)); used > most {
+		t.Errorf("%d bytes in use for %d that arrived, want at most %d", used, callers*sent, most)
+	}
+	if got := m.ask(pathOnce + "small"); got.status != http.StatusOK || got.body != "ok" {
+		t.Errorf("another caller got %d, %q, want 200", got.status, got.body)
+	}
+	close(release)
+	for _, c := range conns {
+		if resp := c.head(); resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("status %d for a response that broke off, want 502", resp.StatusCode)
+		}
+	}
+}
+
+// Guards against request bodies that do not count while their upstreams do not read them, and against
+// bodies that arrive changed.
+func TestUpstreamThatReadsSlowly(t *testing.T) {
+	const length = 3 << 20
+	m := newMemoryFixture(t, 8<<20)
+	release := make(chan struct{})
+	m.addRaw("slow", func(c net.Conn, r *http.Request) {
+		if strings.Contains(r.URL.Path, "slow") {
+			m.holdUntil(release)
+		}
+		n, err := io.Copy(io.Discard, r.Body)
+		text := fmt.Sprint(n, err)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: p\r\nContent-Length: %d\r\n\r\n%s", testID, r.Header.Get(testID), testProof, len(text), text)
+	})
+	c := m.connect(pathOnce+"slow", length)
+	c.send(length)
+	m.await("the body is buffered", func() bool { return m.gateway.memory.Used() == length+1 })
+	time.Sleep(5 * testSweepInterval)
+	if used := m.gateway.memory.Used(); used != length+1 {
+		t.Errorf("%d bytes in use while the upstream does not read, want %d", used, length+1)
+	}
+	if got := m.ask(pathOnce + "small"); got.status != http.StatusOK || got.body != "4 <nil>" {
+		t.Errorf("another caller got %d, %q, want 200", got.status, got.body)
+	}
+	close(release)
+	resp := c.head()
+	if b, err := io.ReadAll(resp.Body); err != nil || string(b) != fmt.Sprint(length, " <nil>") {
+		t.Errorf("the upstream got %s, %v; want %d bytes", b, err, length)
+	}
+}
+
 // Guards against request bodies that use up the memory, and against a refusal that does not tell when to
 // come back or follows a run.
 func TestBodyThatDoesNotFitIsRefused(t *testing.T) {
--- a/internal/gateway/memoryfixture_test.go
+++ b/internal/gateway/memoryfixture_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
 )
 
 const (
@@ -116,6 +118,34 @@
 	}
 }
 
+// addRaw adds a plain upstream that serves one request on each connection. serve gets the connection, the
+// head of the request and a reader of its body.
+func (m *memoryFixture) addRaw(id string, serve func(c net.Conn, r *http.Request)) {
+	m.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetReadBuffer(smallSocketBuffer)
+			go func() {
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					serve(c, r)
+				}
+			}()
+		}
+	}()
+	m.records = append(m.records, fleet.Record{Name: id, Service: "app", Address: l.Addr().String(), Slots: 6})
+	m.fleet.Update(m.records, nil, true, time.Time{})
+}
+
 // runsOf returns how often a target reached an upstream.
 func (m *memoryFixture) runsOf(path string) int {
 	m.mu.Lock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -435,6 +435,8 @@
 mutant memory-body $gateway/buffered.go 's/g\.growMemory\(rq, larger\)/g.growMemory(rq, 0)/' $gateway TestBodyThatDoesNotFit
 mutant memory-new $gateway/buffered.go 's/g\.growMemory\(rq, firstBuffer\)/g.growMemory(rq, 0)/' $gateway TestNewRequestsAreRefusedWithoutMemory
 mutant memory-announced $gateway/buffered.go 's/larger := bufferFor\(length, 2\*int64\(cap\(b\)\)\)/larger := max(length+1, 2*int64(cap(b)))/; s/firstBuffer = 4 << 10/firstBuffer = 1 << 10/' $gateway TestSlowSendersHoldWhatArrived
+mutant memory-arrived $gateway/buffered.go 's/for size := bufferFor\(length, firstBuffer\);/for size := max(length, firstBuffer);/' $gateway TestSlowUpstreamsHoldWhatArrived
+mutant memory-held $gateway/buffered.go 's/\t\t\treturn b, nil/\t\t\trq.memory.Shrink(int64(cap(b)))\n\t\t\treturn b, nil/' $gateway TestUpstreamThatReadsSlowly
 mutant memory-evict $gateway/memory.go 's/\t\t_ = http\.NewResponseController\(w\)\.SetWriteDeadline\(time\.Unix\(1, 0\)\)/\t\t_ = w/' $gateway 'TestEvictionOfUnreadResponse|TestWriteTimeout'
 mutant memory-evict-early $memory/budget.go 's/func \(b \*Budget\) evictLargest\(except \*Holder, now time\.Time, unread time\.Duration\) \{/$&\n\tunread = 0/' $memory TestEviction
 mutant memory-unread $memory/holder.go 's/return h\.awaiting && now\.Sub\(h\.lastRead\) >= unread/return h.awaiting/' $gateway TestEvictionOfUnreadResponse
