--- a/internal/daemon/gatewaysettings_test.go
+++ b/internal/daemon/gatewaysettings_test.go
@@ -1,9 +1,15 @@
 package daemon
 
 import (
+	"io"
 	"math"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // Guards against a gateway that starts with a memory limit that makes no sense, and against a limit
@@ -37,3 +43,17 @@
 		})
 	}
 }
+
+// Guards against a memory setting that does not reach the gateway, and against a limit where none was
+// set.
+func TestMemorySettingIsUsed(t *testing.T) {
+	for mb, want := range map[float64]string{0: "", 112: `sparshore_gateway_memory_budget_bytes{kind="limit"} 1.4680064e+07`} {
+		b := newGatewayBuilder(GatewaySettings{Name: "g", MemoryMB: mb, KeyBound: 5 * time.Second, LogLines: 1, TimelineSize: 1}, io.Discard)
+		w := httptest.NewRecorder()
+		promhttp.HandlerFor(b.reg, promhttp.HandlerOpts{}).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", http.NoBody))
+		b.cancel()
+		if got := strings.Contains(w.Body.String(), "sparshore_gateway_memory_budget_bytes"); got != (want != "") || !strings.Contains(w.Body.String(), want) {
+			t.Errorf("memory of %v MB: the metrics show a budget: %t; want %q", mb, got, want)
+		}
+	}
+}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -279,10 +279,11 @@
 	const length = 3 << 20
 	m := newMemoryFixture(t, 8<<20)
 	m.addPlain("plain")
-	// Its buffer takes 3 of the 6 MiB for large ones, and 4 while it grows.
+	// Its buffer takes 3 of the 6 MiB for large ones, and 5 while it grows.
 	first := m.connect(pathSafe+"first", length)
 	first.send(length - 1)
-	m.await("the first body is buffered", func() bool { return m.gateway.memory.Used() >= length })
+	// While its buffer grows, 3 MiB are in use as well.
+	m.await("the first body is buffered", func() bool { return m.gateway.memory.Used() == length+1 })
 	second := m.connect(pathSafe+"second", length)
 	go func() { _, _ = second.Write(make([]byte, length)) }()
 	resp := second.head()
