fix(link): answers that an upstream sends without end are bounded

Cause: nothing bounded what was read of a status line, header lines, informational answers and repeated answers to the previous request. An upstream that sent one of them at 20 MB/s took 56 to 432 MB of its gateway.

Change: the head of an answer and the informational answers before it have 64 KiB, the latter 16 in number; skipped answers have 1 MiB and 16 in number. Answer.ReadAll reads a bounded body, and Answer.Limit bounds the bytes that the next part of a body takes on the connection. Beyond a bound the connection is closed, and the error wraps ErrBroken and the new ErrTooLong.

net/http bounds trailers and the extensions of chunks by itself; the test holds it to that. Its errors for them cannot be told from other malformed bodies, so they wrap ErrBroken only.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -63,7 +63,7 @@
 type conn struct {
 	*deadlineConn
 	address string
-	r       *bufio.Reader
+	r       *answerReader
 	// headRead is set once the head of the current answer was read.
 	headRead atomic.Bool
 	expires  time.Time
@@ -153,7 +153,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	dc := &deadlineConn{Conn: nc}
-	return &conn{deadlineConn: dc, address: address, r: bufio.NewReaderSize(dc, readBufferSize)}, nil
+	return &conn{deadlineConn: dc, address: address, r: newAnswerReader(dc)}, nil
 }
 
 // CheckReachable opens a connection to an address and closes it. It returns an error if nothing accepts
@@ -230,23 +230,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	for {
-		resp, err := readHead(c.r, req.Method) //nolint:bodyclose // the body ends with the connection, which Answer.Close handles
+	start := c.r.consumed()
+	for range maxSkipped + 1 {
+		resp, err := c.r.readHead(req.Method) //nolint:bodyclose // the body ends with the connection, which Answer.Close handles
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
-		if p.answersPreviousRequest(c, req, resp) {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-				return nil, fmt.Errorf("%w: answer to another request", ErrBroken)
-			}
-			continue
+		if !p.answersPreviousRequest(c, req, resp) {
+			return &Answer{
+				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+				Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+				pool:   p, conn: c, body: resp.Body, written: written, close: resp.Close,
+			}, nil
+		}
+		err = c.r.skip(resp, start+maxSkippedBytes-c.r.consumed())
+		if err != nil {
+			return nil, fmt.Errorf("%w: answer to another request: %w", ErrBroken, err)
 		}
-		return &Answer{
-			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-			Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-			pool:   p, conn: c, body: resp.Body, written: written, close: resp.Close,
-		}, nil
 	}
+	return nil, fmt.Errorf("%w: answers to another request: %w", ErrBroken, ErrTooLong)
 }
 
 // answersPreviousRequest reports whether an answer belongs to the previous request on the
@@ -262,19 +264,6 @@
 	return c.lastID != "" && resp.Header.Get(p.settings.IDHeader) == c.lastID
 }
 
-// readHead reads the head of the final answer and skips informational (1xx) ones.
-func readHead(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
-
 // writeRequest writes the request, a large body in the background. The channel receives the result
 // of the write, and nothing else may be written to the connection before.
 func writeRequest(c *conn, req Request) (<-chan error, error) {
@@ -311,6 +300,9 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		a.eof = true
+	case errors.Is(err, http.ErrLineTooLong):
+		// The line with the length of a chunk.
+		err = fmt.Errorf("%w: %w: %w", ErrBroken, ErrTooLong, err)
 	case err != nil:
 		err = fmt.Errorf("%w: %w", ErrBroken, err)
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -423,4 +423,13 @@
 mutant part-names $quarantine/message.go 's/w\.wireAccount\(\)/w.Account/' $quarantine TestPartsAreReported
 mutant part-other-causes $quarantine/partverdict.go 's/return len\(moments\) > maxOtherMoments\*n/return false/' $quarantine TestHarmlessParts -rig.seeds=6
 
+# Upstreams that send without end fill the memory, or sound answers are refused.
+bounds=internal/link/bounds.go
+mutant bound-head $bounds 's/\tr\.limit\(maxHeadBytes\)\n//' internal/link TestEndlessAnswers
+mutant bound-informational $bounds 's/for range maxInformational \+ 1 \{/for {/; s/\treturn nil, ErrTooLong\n\}\n\n\/\/ skip/}\n\n\/\/ skip/' internal/link TestInformationalAnswers
+mutant bound-skipped $bounds 's/\tr\.limit\(most\)\n/\t_ = most\n/' internal/link TestEndlessAnswers
+mutant bound-skipped-number internal/link/link.go 's/for range maxSkipped \+ 1 \{/for range 1 << 30 {/' internal/link TestEndlessAnswers
+mutant bound-announced $bounds 's/if a\.Length > most \{/if false {/' internal/link TestAnnouncedLength
+mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
+
 finish
