fix(gateway): bodies that upstreams send without end are bounded

Cause: the body of any answer was read up to 8 MiB, also of a failure and where its head does not announce a length, and the framing of chunks did not count: 33.6 MB were read of a body in chunks of a byte.

Change: a body whose length is announced may have 8 MiB as before, and a longer one is refused before it is read. One without an announced length may have 512 KiB, and 256 KiB if it reports a failure. Answers to commands and queries that exceed 64 KiB are errors; state queries took the first 64 KiB for the whole answer. The error wraps link.ErrBroken and link.ErrTooLong. An engine whose error answer is too long counts as broken. The body is read into a buffer that doubles, since io.ReadAll left about four times as much garbage.

Answers of more than 512 KiB without a Content-Length now count as broken. A limit of 2 MB on one connection and 24 MB in all leaves no room for more, unless a shared budget accounts for it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -164,9 +163,11 @@
 	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout && !s.g.asksBackOff(answer.Status, answer.Header) {
 		s.g.markFaulty(st.at.ID)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
-	if len(body) > maxBuffered {
-		err = errAnswerTooLong
+	body, err := answer.ReadAll(maxBody(answer))
+	if errors.Is(err, link.ErrTooLong) && ctx.Err() == nil {
+		s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
+		s.g.recordBrokenAnswer(s.rq, st.at, err)
+		s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", err)
 	}
 	if err == nil {
 		s.rq.run.AnsweredWithError()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,9 +27,29 @@
 // hedgeReserve is the fraction of the retry budget that hedges leave for retries after failures.
 const hedgeReserve = 0.5
 
-// maxBuffered limits the size in bytes of an answer that is buffered until it is complete. A
-// longer answer counts as broken.
-const maxBuffered = 8 << 20
+const (
+	// maxBuffered limits the size in bytes of an answer that is buffered until it is complete. A
+	// longer answer counts as broken.
+	maxBuffered = 8 << 20
+	// maxUnannounced limits the size in bytes of an answer whose head does not announce its length. Some
+	// failing upstreams send such answers without end; 25 that did so at once took up to 32 MB with a limit
+	// of 1 MiB.
+	maxUnannounced = 512 << 10
+	// maxUnannouncedError is maxUnannounced for the answers to failures, which many upstreams may give at once.
+	maxUnannouncedError = 256 << 10
+)
+
+// maxBody returns the size in bytes that the body of an answer may have.
+func maxBody(a *link.Answer) int64 {
+	switch {
+	case a.Length >= 0:
+		return maxBuffered
+	case a.Status >= http.StatusInternalServerError:
+		return maxUnannouncedError
+	default:
+		return maxUnannounced
+	}
+}
 
 // finalAnswerWait limits the wait for running attempts once the deadline has passed. They return
 // at once unless the process gets no CPU time. It is longer than the time for which the link keeps
@@ -282,11 +301,9 @@
 	}
 	defer a.Close()
 	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header)}
-	r.body, r.err = io.ReadAll(io.LimitReader(a, maxBuffered+1))
+	r.body, r.err = a.ReadAll(maxBody(a))
 	switch {
 	case r.err != nil:
-	case len(r.body) > maxBuffered:
-		r.err = errAnswerTooLong
 	case a.Header.Get(g.proto.IDHeader) != rq.call.ID:
 		r.err = errOtherAnswer
 	case r.verdict == protocol.Ran && !g.proto.Complete(a.Status, a.Header):
@@ -301,10 +318,9 @@
 
 // The reasons for not passing on an upstream's answer.
 var (
-	errAnswerTooLong = errors.New("answer is too long")
-	errOtherAnswer   = errors.New("answer names another request")
-	errMissingProof  = errors.New("answer is not the upstream's own body")
-	errPanicked      = errors.New("a fault of this entry")
+	errOtherAnswer  = errors.New("answer names another request")
+	errMissingProof = errors.New("answer is not the upstream's own body")
+	errPanicked     = errors.New("a fault of this entry")
 )
 
 // reportOutcome reports the outcome of an attempt to the fleet. An attempt that this entry cancelled
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -76,7 +75,7 @@
 		return protocol.EngineState{}, err
 	}
 	defer a.Close()
-	body, err := io.ReadAll(io.LimitReader(a, maxCommandAnswer))
+	body, err := a.ReadAll(maxCommandAnswer)
 	if err != nil {
 		return protocol.EngineState{}, fmt.Errorf("read report: %w", err)
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"slices"
 	"time"
 
@@ -287,7 +285,7 @@
 			return
 		}
 		defer a.Close()
-		if _, err := io.Copy(io.Discard, io.LimitReader(a, maxCommandAnswer)); err != nil {
+		if _, err := a.ReadAll(maxCommandAnswer); err != nil {
 			g.rec.Note(events.CopyNotReleased, callID, "at", held.at.ID, "error", err)
 		}
 	}()
@@ -335,21 +333,16 @@
 	}
 }
 
-var errCommandAnswerTooLong = errors.New("answer to a copy command is too long")
-
 func (g *Gateway) sendCommand(ctx context.Context, at fleet.Upstream, req link.Request) (protocol.CopyResult, error) {
 	a, err := g.exchange(ctx, at, req)
 	if err != nil {
 		return protocol.CopyResult{}, err
 	}
 	defer a.Close()
-	body, err := io.ReadAll(io.LimitReader(a, maxCommandAnswer))
+	body, err := a.ReadAll(maxCommandAnswer)
 	if err != nil {
 		return protocol.CopyResult{}, err
 	}
-	if len(body) == maxCommandAnswer {
-		return protocol.CopyResult{}, errCommandAnswerTooLong
-	}
 	return g.proto.CopyResult(a.Status, body), nil
 }
 
--- a/internal/link/bounds.go
+++ b/internal/link/bounds.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 )
 
 // ErrTooLong is wrapped, together with ErrBroken, when an answer exceeds a bound on what is read of it. Some
@@ -108,9 +109,23 @@
 		return nil, fmt.Errorf("%w: %w: body of %d bytes, at most %d are read", ErrBroken, ErrTooLong, a.Length, most)
 	}
 	a.Limit(most + 1 + most/2)
-	body, err := io.ReadAll(io.LimitReader(a, most+1))
-	if err == nil && int64(len(body)) > most {
-		return nil, fmt.Errorf("%w: %w: body of more than %d bytes", ErrBroken, ErrTooLong, most)
+	body, size := []byte(nil), firstBodyBytes
+	for {
+		// io.ReadAll would leave about four times as much for the garbage collector.
+		body = slices.Grow(body, int(min(int64(size), most+1))-len(body))
+		n, err := io.ReadFull(a, body[len(body):min(int64(cap(body)), most+1)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > most:
+			return nil, fmt.Errorf("%w: %w: body of more than %d bytes", ErrBroken, ErrTooLong, most)
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && a.eof:
+			return body, nil
+		case err != nil:
+			return body, err
+		}
+		size *= 2
 	}
-	return body, err
 }
+
+// firstBodyBytes is the size in bytes of the first buffer for a body.
+const firstBodyBytes = 512
