--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -432,4 +432,11 @@
 mutant bound-announced $bounds 's/if a\.Length > most \{/if false {/' internal/link TestAnnouncedLength
 mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
 
+mutant bound-event $gateway/eventreader.go 's/if size > maxEventBytes \{/if false {/' $gateway TestLongEvents
+mutant bound-events $gateway/eventreader.go 's/if b\.used\.Add\(n\) <= maxLargeEventBytes \{/if b.used.Add(n) >= 0 {/' $gateway TestLongEvents
+mutant bound-events-returned $gateway/eventreader.go 's/\te\.budget\.used\.Add\(-e\.reserved\)\n//' $gateway 'TestLongEvents|TestEventsWithin'
+mutant bound-event-wire $gateway/eventreader.go 's/\t\tl\.Limit\(maxEventWireBytes\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-unannounced $gateway/call.go 's/\t\treturn maxUnannounced\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
+
 finish
