fix(sidecar): what a service sends without end is bounded

Cause: a sidecar read heads up to 10 MB, the default of net/http, bodies of 8 MiB that are not announced, a load page of any size, and any number of lines that are no event.

Change: heads have 64 KiB, with the informational answers before them. Bodies have the bounds of the gateway, an event 1 MiB and 1.5 MiB on its connection, answers to commands and the load page 64 KiB. The bounds on the connection come from a connection that counts what is read. Errors wrap errTooLong, never errNotSent.

--- /dev/null
+++ b/internal/sidecar/bounds.go
@@ -0,0 +1,80 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// errTooLong is wrapped when an answer of the service exceeds a bound on what is read of it. Some failing
+// services send without end.
+var errTooLong = errors.New("answer exceeds a size bound")
+
+const (
+	// maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers
+	// before it.
+	maxHeadBytes = 64 << 10
+	// maxEventBytes bounds one line of a stream, and maxEventWireBytes what is read from the connection
+	// until the next event, which includes the framing of chunks.
+	maxEventBytes     = 1 << 20
+	maxEventWireBytes = maxEventBytes + maxEventBytes/2
+	// maxControlBytes bounds the answers to commands and to queries for the load.
+	maxControlBytes = 64 << 10
+)
+
+// boundedConn is a connection of which only a bounded number of bytes is read.
+type boundedConn struct {
+	net.Conn
+	left atomic.Int64
+}
+
+// Read reads from the connection. It returns errTooLong once the bound is reached.
+func (c *boundedConn) Read(b []byte) (int, error) {
+	left := c.left.Load()
+	if left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), left)])
+	c.left.Add(-int64(n))
+	return n, err
+}
+
+// boundConnections makes a transport read bounded heads, over connections that withBound bounds.
+func boundConnections(t *http.Transport) *http.Transport {
+	d := &net.Dialer{}
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &boundedConn{Conn: nc}
+		c.left.Store(maxHeadBytes)
+		return c, nil
+	}
+	return t
+}
+
+// wireBound bounds what is read from the connection of one request.
+type wireBound struct{ conn atomic.Pointer[boundedConn] }
+
+// withBound returns a context for a request, and the bound of its connection, which is n bytes after the head.
+func withBound(ctx context.Context, n int64) (context.Context, *wireBound) {
+	b := &wireBound{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*boundedConn); ok {
+			b.conn.Store(c)
+			c.left.Store(maxHeadBytes + n)
+		}
+	}}), b
+}
+
+// limit allows n more bytes.
+func (b *wireBound) limit(n int64) {
+	if c := b.conn.Load(); c != nil {
+		c.left.Store(n)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/bounds_test.go
@@ -0,0 +1,186 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// maxReadBytes bounds what is read from one connection to a service that sends without end, and
+	// maxAllocated the memory for it.
+	maxReadBytes = 2_000_000
+	maxAllocated = 24_000_000
+	// endlessBytes is how much a service of these tests sends if nobody stops it.
+	endlessBytes = 32 << 20
+)
+
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read reads from the connection.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// countReads returns the number of bytes that a client reads from now on.
+func countReads(c *http.Client) *atomic.Int64 {
+	read, t := &atomic.Int64{}, c.Transport.(*http.Transport)
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if c, ok := nc.(*boundedConn); ok {
+			c.Conn = countedConn{c.Conn, read}
+		}
+		return nc, err
+	}
+	return read
+}
+
+// endlessService returns the address of a service that sends start once, and text without end.
+func endlessService(t *testing.T, start, text string) string {
+	t.Helper()
+	crlf := func(s string) string { return strings.ReplaceAll(s, "\n", "\r\n") }
+	block := strings.Repeat(crlf(text), 1+(32<<10)/len(text))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, crlf(start))
+		for sent := 0; sent < endlessBytes; sent += len(block) {
+			if _, err := io.WriteString(c, block); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// Guards against a service that fills the memory of its sidecar with an answer without end.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	const ok, failure, chunked = "HTTP/1.1 200 OK\n", "HTTP/1.1 500 Internal Server Error\n", "Transfer-Encoding: chunked\n\n"
+	callService := func(ctx context.Context, url string) (*atomic.Int64, error) {
+		l := newServiceLink(url, func() int64 { return 1 })
+		read := countReads(l.client)
+		_, err := l.do(ctx, invokeParams{Method: http.MethodGet, Path: "/"})
+		return read, err
+	}
+	readStream := func(ctx context.Context, url string) (*atomic.Int64, error) {
+		l := newEngineLink(url, func() int64 { return 1 })
+		read := countReads(l.client)
+		body, err := l.open(ctx, "g", generateParams{Path: "/"})
+		if err != nil {
+			return read, err
+		}
+		defer func() { _ = body.Close() }()
+		return read, readChunks(body, func(chunk) error { return nil })
+	}
+	command := func(ctx context.Context, url string) (*atomic.Int64, error) {
+		l := newEngineLink(url, func() int64 { return 1 })
+		read := countReads(l.client)
+		return read, l.sendCommand(ctx, "pause", "s")
+	}
+	load := func(ctx context.Context, url string) (*atomic.Int64, error) {
+		l := newEngineLink(url, func() int64 { return 1 })
+		read := countReads(l.client)
+		_, err := l.load(ctx)
+		return read, err
+	}
+	for _, tc := range []struct {
+		name          string
+		start, repeat string
+		call          func(ctx context.Context, url string) (*atomic.Int64, error)
+		// tooLong is set if the error is of this package.
+		tooLong bool
+	}{
+		{"call, status line", "HTTP/1.1 200 ", "x", callService, false},
+		{"call, header line", ok + "X-Filler: ", "x", callService, false},
+		{"call, header lines", ok, "X-Filler: x\n", callService, false},
+		{"call, informational answers", "", "HTTP/1.1 100 Continue\n\n", callService, false},
+		{"call, body", ok + "\n", "x", callService, true},
+		{"call, body in chunks", ok + chunked, "8\n12345678\n", callService, true},
+		{"call, body in chunks of a byte", ok + chunked, "1\nx\n", callService, true},
+		{"call, body of an absurd length", ok + "Content-Length: 1000000000000\n\n", "x", callService, true},
+		{"call, body of a failure", failure + "\n", "x", callService, true},
+		{"stream, status line", "HTTP/1.1 200 ", "x", readStream, false},
+		{"stream, header lines", ok, "X-Filler: x\n", readStream, false},
+		{"stream, informational answers", "", "HTTP/1.1 100 Continue\n\n", readStream, false},
+		{"stream, body of a failure", failure + "\n", "x", readStream, false},
+		{"stream, first event", ok + "\ndata: ", "x", readStream, true},
+		{"stream, first event in chunks of a byte", ok + chunked, "1\nx\n", readStream, true},
+		{"stream, second event", ok + "\ndata: {\"choices\":[{}]}\n\ndata: ", "x", readStream, true},
+		{"stream, lines without an event", ok + "\n", "event: x\n", readStream, true},
+		{"command, header lines", ok, "X-Filler: x\n", command, false},
+		{"load, header lines", ok, "X-Filler: x\n", load, false},
+		{"load, body", ok + "\n{\"at_unix_ms\":", "1", load, false},
+		{"load, blanks", ok + "\n", " ", load, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			url := endlessService(t, tc.start, tc.repeat)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			read, err := tc.call(ctx, url)
+			runtime.ReadMemStats(&after)
+			if err == nil || ctx.Err() != nil || tc.tooLong && !errors.Is(err, errTooLong) || errors.Is(err, errNotSent) {
+				t.Errorf("error %v, want %v", err, errTooLong)
+			}
+			if n := read.Load(); n > maxReadBytes {
+				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
+				t.Errorf("%d bytes were allocated, want at most %d", n, maxAllocated)
+			}
+		})
+	}
+}
+
+// Guards against bounds that cut a long stream of sound events, or a long answer whose length is announced.
+func TestAnswersWithinTheBounds(t *testing.T) {
+	const chunks = 60
+	event := "data: {\"choices\":[{\"text\":\"" + strings.Repeat("x", 100<<10) + "\"}]}\n\n"
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/call" {
+			w.Header().Set("Content-Length", "8388608")
+			_, _ = w.Write(make([]byte, maxAnswer))
+			return
+		}
+		for range chunks {
+			_, _ = io.WriteString(w, event)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	defer s.Close()
+	engine, service := newEngineLink(s.URL, func() int64 { return 1 }), newServiceLink(s.URL, func() int64 { return 1 })
+	for range 3 {
+		body, err := engine.open(t.Context(), "g", generateParams{Path: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		if err := readChunks(body, func(chunk) error { n++; return nil }); err != nil || n != chunks {
+			t.Errorf("%d events, %v; want %d", n, err, chunks)
+		}
+		_ = body.Close()
+		if a, err := service.do(t.Context(), invokeParams{Method: http.MethodGet, Path: "/call"}); err != nil || len(a.body) != maxAnswer {
+			t.Errorf("call: %v, want %d bytes", err, maxAnswer)
+		}
+	}
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -35,17 +35,35 @@
 	// then it is unknown whether the call got through. Besides, the transport repeats some requests
 	// on kept-alive connections.
 	transport := &http.Transport{DisableKeepAlives: true}
-	return &serviceLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence, onAnswer: ignoreAnswer}
+	return &serviceLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: boundConnections(transport)}, fence: fence, onAnswer: ignoreAnswer}
 }
 
-// maxAnswer bounds in bytes the answers that are read.
-const maxAnswer = 8 << 20
+const (
+	// maxAnswer bounds in bytes the answers that are read.
+	maxAnswer = 8 << 20
+	// maxUnannounced bounds in bytes an answer whose head does not announce its length, and
+	// maxUnannouncedError one that reports a failure. Some failing services send such answers without end.
+	maxUnannounced      = 512 << 10
+	maxUnannouncedError = 256 << 10
+)
+
+// maxBody returns the size in bytes that the body of an answer may have.
+func maxBody(resp *http.Response) int64 {
+	switch {
+	case resp.ContentLength >= 0:
+		return maxAnswer
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return maxUnannouncedError
+	default:
+		return maxUnannounced
+	}
+}
 
 // errNotSent is wrapped when no byte can have reached the service.
 var errNotSent = errors.New("not sent")
 
-// errAnswerTooLong is wrapped for an answer of more than maxAnswer bytes.
-var errAnswerTooLong = errors.New("answer is too long")
+// errAnswerTooLong is wrapped for an answer of more bytes than maxBody allows.
+var errAnswerTooLong = fmt.Errorf("%w: body", errTooLong)
 
 // lateAnswerGrace is how long after a call's timeout its answer may still be read, counted from
 // when this process notices the timeout. In a process that was not scheduled for a while, the
@@ -68,6 +86,7 @@
 func (l *serviceLink) do(ctx context.Context, p invokeParams) (*answer, error) {
 	ctx, cancel := withLateAnswerGrace(ctx)
 	defer cancel()
+	ctx, bound := withBound(ctx, maxUnannounced)
 	body := io.NopCloser(bytes.NewReader(p.Body))
 	r, err := http.NewRequestWithContext(ctx, p.Method, l.base+p.Path, body)
 	if err != nil {
@@ -89,17 +108,29 @@
 	if l.onHeader != nil {
 		l.onHeader(resp.StatusCode, resp.Header)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	b, err := readBody(resp, bound)
 	l.onAnswer(resp.Header, sentAt, err == nil && resp.StatusCode < http.StatusInternalServerError)
 	if err != nil {
 		return nil, err
 	}
-	if len(b) > maxAnswer {
-		return nil, fmt.Errorf("%w: more than %d bytes", errAnswerTooLong, maxAnswer)
-	}
 	return &answer{status: resp.StatusCode, header: resp.Header, body: b}, nil
 }
 
+// readBody reads the body of an answer, and half as many bytes for the framing of its chunks. None of it is read
+// if its head announces that it is too long.
+func readBody(resp *http.Response, bound *wireBound) ([]byte, error) {
+	most := maxBody(resp)
+	if resp.ContentLength > most {
+		return nil, fmt.Errorf("%w of %d bytes", errAnswerTooLong, resp.ContentLength)
+	}
+	bound.limit(most + most/2)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err == nil && int64(len(b)) > most {
+		return nil, fmt.Errorf("%w of more than %d bytes", errAnswerTooLong, most)
+	}
+	return b, err
+}
+
 func (s *Server) invoke(ctx context.Context, c *peer.Conn, raw json.RawMessage) (any, error) {
 	var p invokeParams
 	if err := json.Unmarshal(raw, &p); err != nil {
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -38,7 +38,7 @@
 		MaxIdleConnsPerHost: 512, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: streamBuffer, WriteBufferSize: streamBuffer,
 	}
-	return &engineLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}, fence: fence, onAnswer: ignoreAnswer}
+	return &engineLink{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: boundConnections(transport)}, fence: fence, onAnswer: ignoreAnswer}
 }
 
 // ignoreAnswer is the onAnswer of a link whose answers nobody observes.
@@ -65,6 +65,7 @@
 
 // open starts a stream on the engine.
 func (e *engineLink) open(ctx context.Context, id string, p generateParams) (io.ReadCloser, error) {
+	ctx, bound := withBound(ctx, maxEventWireBytes)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+p.Path, bytes.NewReader(p.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", errEngine, err)
@@ -85,12 +86,24 @@
 		_ = resp.Body.Close()
 		return nil, fmt.Errorf("%w: status %d", errEngine, resp.StatusCode)
 	}
-	return resp.Body, nil
+	return &streamBody{ReadCloser: resp.Body, bound: bound}, nil
+}
+
+// streamBody is the body of a stream.
+type streamBody struct {
+	io.ReadCloser
+	bound *wireBound
+}
+
+// eventRead makes the bound on what is read from the connection count from here. The body may be nil.
+func (b *streamBody) eventRead() {
+	if b != nil {
+		b.bound.limit(maxEventWireBytes)
+	}
 }
 
 const (
-	maxEngineLine = 1 << 20
-	streamBuffer  = 1 << 10
+	streamBuffer = 1 << 10
 	// idleTimeout is how long an idle connection is kept after a burst.
 	idleTimeout = 5 * time.Second
 )
@@ -102,9 +115,14 @@
 // the mark is an error.
 func readChunks(body io.Reader, take func(chunk) error) error {
 	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, streamBuffer), maxEngineLine)
+	lines.Buffer(make([]byte, 0, streamBuffer), maxEventBytes)
+	stream, _ := body.(*streamBody)
 	number := int64(0)
 	for lines.Scan() {
+		if errors.Is(lines.Err(), errTooLong) {
+			// The Scanner returns the part of the line up to the bound.
+			break
+		}
 		name, value, _ := strings.Cut(lines.Text(), ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
@@ -126,15 +144,25 @@
 			if err := take(c); err != nil {
 				return err
 			}
+			stream.eventRead()
 		case "", "event", "retry":
 		default:
 			return fmt.Errorf("%w: field %.20q", errMalformed, name)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("%w: %v", errEngine, err)
+	return streamError(lines.Err())
+}
+
+// streamError returns the error for a stream that ended without [DONE], and with err.
+func streamError(err error) error {
+	switch {
+	case errors.Is(err, bufio.ErrTooLong):
+		return fmt.Errorf("%w: %w: line of more than %d bytes", errEngine, errTooLong, maxEventBytes)
+	case err != nil:
+		return fmt.Errorf("%w: %w", errEngine, err)
+	default:
+		return fmt.Errorf("%w: stream ended without [DONE]", errEngine)
 	}
-	return fmt.Errorf("%w: stream ended without [DONE]", errEngine)
 }
 
 func parseChunk(data string) (chunk, error) {
@@ -165,6 +193,7 @@
 func (e *engineLink) sendCommand(ctx context.Context, kind, stream string) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
+	ctx, _ = withBound(ctx, maxControlBytes)
 	b, err := json.Marshal(commandBody{Fence: e.fence(), Kind: kind, Stream: stream})
 	if err != nil {
 		return fmt.Errorf("%w: %v", errEngine, err)
@@ -197,6 +226,7 @@
 func (e *engineLink) load(ctx context.Context) (engineLoad, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
+	ctx, _ = withBound(ctx, maxControlBytes)
 	var l engineLoad
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+"/load", nil)
 	if err != nil {
@@ -207,7 +237,7 @@
 		return l, fmt.Errorf("%w: load: %v", errEngine, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&l); err != nil {
 		return l, fmt.Errorf("%w: load: %v", errEngine, err)
 	}
 	return l, nil
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -439,4 +439,10 @@
 mutant bound-unannounced $gateway/call.go 's/\t\treturn maxUnannounced\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 
+sidecar=internal/sidecar
+mutant bound-sidecar-head $sidecar/bounds.go 's/\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//; s/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-event $sidecar/enginelink.go 's/\t\tb\.bound\.limit\(maxEventWireBytes\)\n/\t\t_ = b.bound\n/' $sidecar TestAnswersWithin
+mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
+
 finish
