fix(platform): responses that a service sends without end are bounded

Cause: the clients of the table service, the object store and the VM list read heads up to 10 MB, the default of net/http, and bodies of any size. An object of more than 64 MiB was cut there and taken for a whole one.

Change: the transport of these clients bounds heads to 64 KiB and bodies to 1,900 KiB; an object whose length is announced may have 64 MiB as before. A longer body is an error that wraps ErrTooLong.

--- a/internal/platform/httpclient_test.go
+++ b/internal/platform/httpclient_test.go
@@ -33,7 +33,7 @@
 	}
 	server.Start()
 	t.Cleanup(server.Close)
-	client := newHTTPClient()
+	client := newHTTPClient(maxBodyBytes)
 	get := func(path string) error {
 		resp, err := client.Get(server.URL + path)
 		if err == nil {
--- a/internal/platform/objects.go
+++ b/internal/platform/objects.go
@@ -13,9 +13,6 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 )
 
-// maxObjectBytes limits how much of an object is read.
-const maxObjectBytes = 64 << 20
-
 // Objects is a client of the object store.
 type Objects struct {
 	// Put stores content under a name. A name always holds the same content, so a repeated Put
@@ -35,7 +32,7 @@
 		RetryMaxAttempts:           callAttempts,
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
-		HTTPClient:                 newHTTPClient(),
+		HTTPClient:                 newHTTPClient(maxObjectBytes),
 	})
 	b := &bucketClient{client: client, bucket: bucket}
 	return &Objects{Put: b.put, Get: b.get}
@@ -68,9 +65,9 @@
 		return nil, fmt.Errorf("%w: get object %s: %v", ErrUnknownOutcome, name, err)
 	}
 	defer func() { _ = out.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(out.Body, maxObjectBytes))
+	content, err := io.ReadAll(out.Body)
 	if err != nil {
-		return nil, fmt.Errorf("%w: read object %s: %v", ErrUnknownOutcome, name, err)
+		return nil, fmt.Errorf("%w: read object %s: %w", ErrUnknownOutcome, name, err)
 	}
 	return content, nil
 }
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -82,7 +82,7 @@
 		Region:           region,
 		Credentials:      credentials.NewStaticCredentialsProvider(creds.Key, creds.Secret, ""),
 		RetryMaxAttempts: callAttempts,
-		HTTPClient:       newHTTPClient(),
+		HTTPClient:       newHTTPClient(maxBodyBytes),
 	})
 	d := &dynamo{client: client, table: name}
 	return &Table{Get: d.get, List: d.list, Commit: d.commit}
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -62,7 +62,7 @@
 
 // NewVMs returns a client of the VM list at endpoint.
 func NewVMs(endpoint string) *VMs {
-	c := &vmClient{client: newHTTPClient(), url: strings.TrimSuffix(endpoint, "/") + "/v1/vms"}
+	c := &vmClient{client: newHTTPClient(maxBodyBytes), url: strings.TrimSuffix(endpoint, "/") + "/v1/vms"}
 	return &VMs{List: c.list}
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -445,4 +445,8 @@
 mutant bound-sidecar-event $sidecar/enginelink.go 's/\t\tb\.bound\.limit\(maxEventWireBytes\)\n/\t\t_ = b.bound\n/' $sidecar TestAnswersWithin
 mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
 
+mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
+mutant bound-platform-body internal/platform/httpclient.go 's/\tresp\.Body = &boundedBody[^\n]*\n/\t_ = boundedBody{left: most}\n/' internal/platform 'TestEndlessResponses|TestClientsRead'
+mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
+
 finish
