fix(reconnect): answers that the store sends without end are bounded

Cause: heads were read up to 10 MB, and an answer of more than MaxBody bytes was cut there and taken for a whole one.

Change: heads have 64 KiB, and a longer body is an error that wraps ErrTooLong; none of it is read if its head announces the length.

TestEndlessAnswersAreBounded before: 10.5 MB read and 69 to 107 MB allocated for heads, no error for bodies. After: at most 2 MB read and 24 MB allocated.

--- /dev/null
+++ b/internal/reconnect/endless_test.go
@@ -0,0 +1,99 @@
+package reconnect
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+)
+
+const (
+	// maxReadBytes bounds what is read from one connection to a server that sends without end, and
+	// maxAllocated the memory for it.
+	maxReadBytes = 2_000_000
+	maxAllocated = 24_000_000
+	// endlessBytes is how much a server of these tests sends if nobody stops it.
+	endlessBytes = 32 << 20
+)
+
+// readCount is a connection that counts the bytes that are read from it.
+type readCount struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read reads from the connection.
+func (c readCount) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// Guards against a server that fills the memory with an answer without end, and against an answer that is cut at
+// the bound and taken for a whole one.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\n"
+	for _, tc := range []struct {
+		name          string
+		start, repeat string
+		// head is set if the transport refuses the head, with an error of its own.
+		head bool
+	}{
+		{"status line", "HTTP/1.1 200 ", "x", true},
+		{"header line", ok + "X-Filler: ", "x", true},
+		{"header lines", ok, "X-Filler: x\n", true},
+		{"informational answers", "", "HTTP/1.1 100 Continue\n\n", true},
+		{"body", ok + "\n", "x", false},
+		{"body in chunks", ok + "Transfer-Encoding: chunked\n\n", "400\n" + strings.Repeat("x", 1024) + "\n", false},
+		{"body of an absurd length", ok + "Content-Length: 1000000000000\n\n", "x", false},
+		{"body of a failure", "HTTP/1.1 500 Internal Server Error\n\n", "x", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			crlf := func(s string) string { return strings.ReplaceAll(s, "\n", "\r\n") }
+			block := strings.Repeat(crlf(tc.repeat), 1+(32<<10)/len(tc.repeat))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, crlf(tc.start))
+				for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
+					_, err = io.WriteString(c, block)
+				}
+			}))
+			t.Cleanup(server.Close)
+			var read atomic.Int64
+			client := New(Settings{OverdueMin: limit, OverdueMax: limit, MaxBody: 1 << 20}, func() *http.Transport {
+				return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					return readCount{nc, &read}, err
+				}}
+			}, events.Nop(), time.Now)
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := client.Do(ctx, Request{Method: http.MethodGet, URL: server.URL})
+			runtime.ReadMemStats(&after)
+			if err == nil || ctx.Err() != nil || !tc.head && !errors.Is(err, ErrTooLong) {
+				t.Errorf("error %v, want %v", err, ErrTooLong)
+			}
+			if n := read.Load(); n > maxReadBytes {
+				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
+				t.Errorf("%d bytes were allocated, want at most %d", n, maxAllocated)
+			}
+		})
+	}
+}
--- a/internal/reconnect/reconnect.go
+++ b/internal/reconnect/reconnect.go
@@ -8,6 +8,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -17,13 +19,20 @@
 	"github.com/sparshore/sparshore/internal/events"
 )
 
+// ErrTooLong is wrapped when an answer has more than Settings.MaxBody bytes.
+var ErrTooLong = errors.New("answer is too long")
+
+// maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers before it.
+// A failing server may send it without end.
+const maxHeadBytes = 64 << 10
+
 // Settings holds the fixed parameters of a Client.
 type Settings struct {
 	// OverdueMin and OverdueMax bound the time after which an answer is overdue, beyond the time for which
 	// the server is asked to hold it. In between it follows how late answers came recently.
 	OverdueMin time.Duration
 	OverdueMax time.Duration
-	// MaxBody bounds in bytes how much of an answer is read.
+	// MaxBody bounds the body of an answer in bytes. A longer one is an error.
 	MaxBody int64
 }
 
@@ -69,7 +78,12 @@
 
 // New returns a Client whose connections are opened by the transports that connect returns.
 func New(settings Settings, connect func() *http.Transport, rec *events.Recorder, now func() time.Time) *Client {
-	return &Client{settings: settings, connect: connect, rec: rec, now: now, pool: &pool{transport: connect(), silent: make(chan struct{})}}
+	bounded := func() *http.Transport {
+		t := connect()
+		t.MaxResponseHeaderBytes = maxHeadBytes
+		return t
+	}
+	return &Client{settings: settings, connect: bounded, rec: rec, now: now, pool: &pool{transport: bounded(), silent: make(chan struct{})}}
 }
 
 // attempt is the outcome of sending a request once.
@@ -202,7 +216,13 @@
 		return attempt{err: used.describe(err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxBody))
+	if resp.ContentLength > c.settings.MaxBody {
+		return attempt{err: used.describe(fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLong, resp.ContentLength, c.settings.MaxBody))}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxBody+1))
+	if err == nil && int64(len(body)) > c.settings.MaxBody {
+		err = fmt.Errorf("%w: more than %d bytes", ErrTooLong, c.settings.MaxBody)
+	}
 	if err != nil {
 		return attempt{err: used.describe(err)}
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -448,5 +448,7 @@
 mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
 mutant bound-platform-body internal/platform/httpclient.go 's/\tresp\.Body = &boundedBody[^\n]*\n/\t_ = boundedBody{left: most}\n/' internal/platform 'TestEndlessResponses|TestClientsRead'
 mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
+mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
+mutant bound-store-body $reconnect/reconnect.go 's/err == nil && int64\(len\(body\)\) > c/false \&\& int64(len(body)) > c/' $reconnect TestEndlessAnswers
 
 finish
