fix(peer): messages without end are bounded

Cause: a message may have been as long as its length in front said, up to 2^62 bytes, and was read into memory.

Change: a message of more than 32 MiB ends the connection with an error that wraps ErrTooLong. The longest ones hold an answer of 8 MiB in base64, or a compressed table.

TestLongMessageEndsConnection before: the connection was open after 64 MiB; after: it is closed at once.

--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// ErrTooLong is wrapped when a message exceeds maxMessageBytes.
+var ErrTooLong = errors.New("message exceeds a size bound")
+
+// maxMessageBytes bounds one message. The longest are the answers of plain services, of 8 MiB and base64-encoded,
+// and whole tables, which are compressed.
+const maxMessageBytes = 32 << 20
+
+// codec writes messages with their length in front, and reads bounded ones.
+type codec struct{ jsonrpc2.VarintObjectCodec }
+
+// ReadObject implements jsonrpc2.ObjectCodec. An error ends the connection.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	n, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if n > maxMessageBytes {
+		return fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLong, n, maxMessageBytes)
+	}
+	return json.NewDecoder(io.LimitReader(stream, int64(n))).Decode(v)
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -92,7 +92,7 @@
 // prepareConn returns a connection that handles no message until ready is closed.
 func prepareConn(nc net.Conn, methods Methods) *Conn {
 	c := &Conn{remote: nc.RemoteAddr().String(), ready: make(chan struct{}), values: map[any]any{}}
-	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(nc, codec{})
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &dispatcher{conn: c, methods: methods}, jsonrpc2.SetLogger(discardLogger{}))
 	return c
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -451,4 +451,6 @@
 mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
 mutant bound-store-body $reconnect/reconnect.go 's/err == nil && int64\(len\(body\)\) > c/false \&\& int64(len(body)) > c/' $reconnect TestEndlessAnswers
 
+mutant bound-message internal/peer/codec.go 's/if n > maxMessageBytes \{/if false {/' internal/peer TestLongMessageEnds
+
 finish
