fix(sidecar): long events of all streams together are bounded

Cause: each event is bounded to 1 MiB, but an engine may send such events on all its streams at once.

Change: what was read of events beyond 64 KiB each has 2 MiB for all streams of an engine. A stream that exceeds it ends as one with an event that is too long; streams with shorter events are not affected.

--- a/internal/sidecar/bounds.go
+++ b/internal/sidecar/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -21,6 +22,12 @@
 	// until the next event, which includes the framing of chunks.
 	maxEventBytes     = 1 << 20
 	maxEventWireBytes = maxEventBytes + maxEventBytes/2
+	// smallEventBytes is the size up to which the events of all streams have no common bound, so that sound
+	// streams are not affected when others use it up.
+	smallEventBytes = 64 << 10
+	// maxLargeEventBytes bounds the longer events of all streams together: an engine that fails may send an
+	// event without end on each of them.
+	maxLargeEventBytes = 2 << 20
 	// maxControlBytes bounds the answers to commands and to queries for the load.
 	maxControlBytes = 64 << 10
 )
@@ -78,3 +85,46 @@
 		c.left.Store(n)
 	}
 }
+
+// streamBody is the body of a stream. It is read by one goroutine.
+type streamBody struct {
+	io.ReadCloser
+	bound  *wireBound
+	budget *atomic.Int64
+	// sinceEvent is the number of bytes that were read since the last event, and reserved the part of them
+	// that counts in the budget.
+	sinceEvent, reserved int64
+}
+
+// Read reads from the body. It returns errTooLong if the bytes since the last event exceed the budget.
+func (b *streamBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.sinceEvent += int64(n)
+	more := max(b.sinceEvent-smallEventBytes-b.reserved, 0)
+	if more > 0 && b.budget.Add(more) > maxLargeEventBytes {
+		b.budget.Add(-more)
+		return 0, errTooLong
+	}
+	b.reserved += more
+	return n, err
+}
+
+// eventRead makes the bounds count from here. The body may be nil.
+func (b *streamBody) eventRead() {
+	if b == nil {
+		return
+	}
+	b.bound.limit(maxEventWireBytes)
+	b.release()
+}
+
+func (b *streamBody) release() {
+	b.budget.Add(-b.reserved)
+	b.sinceEvent, b.reserved = 0, 0
+}
+
+// Close closes the body.
+func (b *streamBody) Close() error {
+	b.release()
+	return b.ReadCloser.Close()
+}
--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -184,3 +185,50 @@
 		}
 	}
 }
+
+// Guards against an engine that sends long events on all of its streams and fills the memory of its sidecar,
+// though each event is bounded.
+func TestManyLongEventsAreBounded(t *testing.T) {
+	const streams, sent, arrival = 24, 900 << 10, 500 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "data: "+strings.Repeat("x", sent))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := newEngineLink(server.URL, func() int64 { return 1 })
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for range streams {
+		wg.Go(func() {
+			body, err := l.open(ctx, "g", generateParams{Path: "/"})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = body.Close() }()
+			if err := readChunks(body, func(chunk) error { return nil }); errors.Is(err, errTooLong) {
+				refused.Add(1)
+			}
+		})
+	}
+	time.Sleep(arrival)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > maxAllocated {
+		t.Errorf("%d bytes are held, want at most %d", n, maxAllocated)
+	}
+	if refused.Load() == 0 {
+		t.Error("no stream was ended")
+	}
+	cancel()
+	wg.Wait()
+	if n := l.largeEvents.Load(); n != 0 {
+		t.Errorf("%d bytes are counted after the end of all streams", n)
+	}
+}
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	onAnswer func(h http.Header, sentAt time.Time, ok bool)
 	// onHeader, if set, gets status and header of each answer as soon as they arrive.
 	onHeader func(status int, h http.Header)
+	// largeEvents is the number of bytes beyond smallEventBytes that were read of the events of all streams.
+	largeEvents atomic.Int64
 }
 
 const controlTimeout = 2 * time.Second
@@ -86,20 +89,7 @@
 		_ = resp.Body.Close()
 		return nil, fmt.Errorf("%w: status %d", errEngine, resp.StatusCode)
 	}
-	return &streamBody{ReadCloser: resp.Body, bound: bound}, nil
-}
-
-// streamBody is the body of a stream.
-type streamBody struct {
-	io.ReadCloser
-	bound *wireBound
-}
-
-// eventRead makes the bound on what is read from the connection count from here. The body may be nil.
-func (b *streamBody) eventRead() {
-	if b != nil {
-		b.bound.limit(maxEventWireBytes)
-	}
+	return &streamBody{ReadCloser: resp.Body, bound: bound, budget: &e.largeEvents}, nil
 }
 
 const (
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -442,7 +442,8 @@
 sidecar=internal/sidecar
 mutant bound-sidecar-head $sidecar/bounds.go 's/\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//; s/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
 mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
-mutant bound-sidecar-event $sidecar/enginelink.go 's/\t\tb\.bound\.limit\(maxEventWireBytes\)\n/\t\t_ = b.bound\n/' $sidecar TestAnswersWithin
+mutant bound-sidecar-event $sidecar/bounds.go 's/\tb\.bound\.limit\(maxEventWireBytes\)\n/\t_ = b.bound\n/' $sidecar TestAnswersWithin
+mutant bound-sidecar-events $sidecar/bounds.go 's/b\.budget\.Add\(more\) > maxLargeEventBytes/b.budget.Add(more) < 0/' $sidecar TestManyLongEvents
 mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
 
 mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
