--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/sparshore/sparshore/internal/link"
 )
 
 const (
@@ -80,14 +83,30 @@
 	return size
 }
 
-// readResponse reads at most maxBuffered+1 bytes of an upstream's response. If its memory does not fit
-// into the budget, it returns errMemory.
-func (g *Gateway) readResponse(rq *request, body io.Reader, length int64) (pieces, error) {
-	body = io.LimitReader(body, maxBuffered+1)
+// readResponse reads the body of an upstream's response. The error for one that exceeds maxBody wraps
+// link.ErrTooLong. If its memory does not fit into the budget, readResponse returns errMemory.
+func (g *Gateway) readResponse(rq *request, a *link.Answer) (pieces, error) {
 	if rq.memory == nil {
-		b, err := io.ReadAll(body)
+		b, err := a.ReadAll(maxBody(a, maxUnannounced))
 		return pieces{b}, err
 	}
+	most := maxBody(a, maxUnannouncedCounted)
+	if a.Length > most {
+		return nil, fmt.Errorf("%w: body of %d bytes, at most %d are read", errAnswerTooLong, a.Length, most)
+	}
+	a.Limit(most + 1 + most/2)
+	p, err := g.readPieces(rq, io.LimitReader(a, most+1), a.Length)
+	if err == nil && int64(p.size()) > most {
+		err = fmt.Errorf("%w: body of more than %d bytes", errAnswerTooLong, most)
+	}
+	return p, err
+}
+
+// errAnswerTooLong is wrapped for a body that exceeds maxBody.
+var errAnswerTooLong = fmt.Errorf("%w: %w", link.ErrBroken, link.ErrTooLong)
+
+// readPieces reads a body, whose length is -1 if it is not known in advance, and counts its memory first.
+func (g *Gateway) readPieces(rq *request, body io.Reader, length int64) (pieces, error) {
 	var p pieces
 	for size := bufferFor(length, firstBuffer); ; size = bufferFor(length, pieceSize) {
 		if err := g.growMemory(rq, size); err != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -456,4 +456,35 @@
 mutant stream-ahead-leave $gateway/readahead.go 's/\t\ta\.s\.cancel\(\)/\t\t_ = a.s.cancel/' $gateway TestEvictionEndsSilentStream
 mutant stream-ahead-evict $gateway/readahead.go 's/\ta\.s\.rq\.memory\.Await\(now\)/\t_ = now/; s/\t\tmemory\.Await\(a\.s\.g\.now\(\)\)\n//' $gateway TestWaitingEventsAreEvicted
 
+# Upstreams that send without end fill the memory, or sound answers are refused.
+bounds=internal/link/bounds.go
+mutant bound-head $bounds 's/\tr\.limit\(maxHeadBytes\)\n//' internal/link TestEndlessAnswers
+mutant bound-informational $bounds 's/for range maxInformational \+ 1 \{/for {/; s/\treturn nil, ErrTooLong\n\}\n\n\/\/ skip/}\n\n\/\/ skip/' internal/link TestInformationalAnswers
+mutant bound-skipped $bounds 's/\tr\.limit\(most\)\n/\t_ = most\n/' internal/link TestEndlessAnswers
+mutant bound-skipped-number internal/link/link.go 's/for range maxSkipped \+ 1 \{/for range 1 << 30 {/' internal/link TestEndlessAnswers
+mutant bound-announced $bounds 's/if a\.Length > most \{/if false {/' internal/link TestAnnouncedLength
+mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
+
+mutant bound-event $gateway/eventreader.go 's/if size > maxEventBytes \{/if false {/' $gateway TestLongEvents
+mutant bound-events $gateway/eventreader.go 's/if b\.used\.Add\(n\) <= maxLargeEventBytes \{/if b.used.Add(n) >= 0 {/' $gateway TestLongEvents
+mutant bound-events-returned $gateway/eventreader.go 's/\te\.budget\.used\.Add\(-e\.reserved\)\n//' $gateway 'TestLongEvents|TestEventsWithin'
+mutant bound-event-wire $gateway/eventreader.go 's/\t\tl\.Limit\(maxEventWireBytes\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-unannounced $gateway/call.go 's/\t\treturn unannounced\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
+
+sidecar=internal/sidecar
+mutant bound-sidecar-head $sidecar/bounds.go 's/\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//; s/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-event $sidecar/bounds.go 's/\tb\.bound\.limit\(maxEventWireBytes\)\n/\t_ = b.bound\n/' $sidecar TestAnswersWithin
+mutant bound-sidecar-events $sidecar/bounds.go 's/b\.budget\.Add\(more\) > maxLargeEventBytes/b.budget.Add(more) < 0/' $sidecar TestManyLongEvents
+mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
+
+mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
+mutant bound-platform-body internal/platform/httpclient.go 's/\tresp\.Body = &boundedBody[^\n]*\n/\t_ = boundedBody{left: most}\n/' internal/platform 'TestEndlessResponses|TestClientsRead'
+mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
+mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
+mutant bound-store-body $reconnect/reconnect.go 's/err == nil && int64\(len\(body\)\) > c/false \&\& int64(len(body)) > c/' $reconnect TestEndlessAnswers
+
+mutant bound-message internal/peer/codec.go 's/if n > maxMessageBytes \{/if false {/' internal/peer TestLongMessageEnds
+
 finish
