--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -33,7 +33,7 @@
 mutant gateway-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& !ok/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestListFromPeerWhenStoreDoesNotAnswer
-mutant gateway-torn $gateway/eventreader.go 's/if n := wholeEvents\(e\.buf\[e\.start:e\.end\]\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
+mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/whole := errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 && \(answer\.Framed \|\| s\.closedAtItsEnd\(ctx, st\)\)/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, held\)/_ = append(s.copies, held)/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.markFaulty\(st\.at\.ID\)/s.g.fleet.RecordOutcome(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
@@ -73,7 +73,7 @@
 mutant relay-hold internal/relay/store.go 's/return min\(max\(left, minLongPollWait\), s\.settings\.Wait\)/_ = left\n\treturn s.settings.Wait/' internal/relay TestLongPollEndsBeforeTableIsStale
 mutant retries-together internal/routing/window.go 's/\(recent\+1\)\*float64\(sharers\) > available\+recent/recent+1 > available+recent+0*float64(sharers)/' internal/routing TestConcurrentEntries
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Extra\), privateFraction\*share\)/float64(u.Extra)/' internal/routing TestIdleEntries
-mutant link-pairs internal/link/link.go 's/if p\.answersPreviousRequest\(c, req, resp\) \{/if false {/' internal/link TestRepeatedAnswerIsSkipped
+mutant link-pairs internal/link/link.go 's/if !p\.answersPreviousRequest\(c, req, resp\) \{/if p != nil {/' internal/link TestRepeatedAnswerIsSkipped
 mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && openAndSilent\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionReuse'
 mutant gossip-life internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Incarnation//' internal/gossip TestEchoOfEarlierIncarnation
 mutant relay-stale internal/relay/store.go 's/err == nil && age > oldest \{/false \&\& age > oldest {/' internal/relay TestStoreCalledWhenDelegate
