--- a/internal/gateway/memoryfixture_test.go
+++ b/internal/gateway/memoryfixture_test.go
@@ -113,6 +113,7 @@
 				return
 			}
 			w.Header().Set(testProof, "p")
+			w.Header().Set("Content-Length", strconv.Itoa(len(large)))
 			_, _ = w.Write(large)
 		})
 	}
