--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,9 +27,32 @@
 // hedgeReserve is the fraction of the retry budget that hedges leave for retries after failures.
 const hedgeReserve = 0.5
 
-// maxBuffered limits the size in bytes of an answer that is buffered until it is complete. A
-// longer answer counts as broken.
-const maxBuffered = 8 << 20
+const (
+	// maxBuffered limits the size in bytes of an answer that is buffered until it is complete. A
+	// longer answer counts as broken.
+	maxBuffered = 8 << 20
+	// maxUnannounced limits the size in bytes of an answer whose head does not announce its length. Some
+	// failing upstreams send such answers without end; 25 that did so at once took up to 32 MB with a limit
+	// of 1 MiB.
+	maxUnannounced = 512 << 10
+	// maxUnannouncedCounted is maxUnannounced where a memory budget bounds all such answers together.
+	maxUnannouncedCounted = 2 << 20
+	// maxUnannouncedError is maxUnannounced for the answers to failures, which many upstreams may give at once.
+	maxUnannouncedError = 256 << 10
+)
+
+// maxBody returns the size in bytes that the body of an answer may have, which is unannounced for a successful
+// answer whose head does not announce its length.
+func maxBody(a *link.Answer, unannounced int64) int64 {
+	switch {
+	case a.Length >= 0:
+		return maxBuffered
+	case a.Status >= http.StatusInternalServerError:
+		return maxUnannouncedError
+	default:
+		return unannounced
+	}
+}
 
 // finalAnswerWait limits the wait for running attempts once the deadline has passed. They return
 // at once unless the process gets no CPU time. It is longer than the time for which the link keeps
@@ -42,7 +64,7 @@
 	upstream string
 	status   int
 	header   http.Header
-	body     []byte
+	body     pieces
 	verdict  protocol.Verdict
 	err      error
 }
@@ -184,7 +206,7 @@
 
 // retry starts another attempt after a failed one if that is allowed.
 func (c *callRun) retry(ctx context.Context, r result) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(r.err, errMemory) {
 		return false
 	}
 	if r.mayHaveRun() && (!c.rq.route.Repeats() || c.rq.attempts >= c.rq.route.MaxAttempts || !c.rq.run.MayRepeat()) {
@@ -282,17 +304,17 @@
 	}
 	defer a.Close()
 	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header)}
-	r.body, r.err = io.ReadAll(io.LimitReader(a, maxBuffered+1))
+	r.body, r.err = g.readResponse(rq, a)
 	switch {
 	case r.err != nil:
-	case len(r.body) > maxBuffered:
-		r.err = errAnswerTooLong
 	case a.Header.Get(g.proto.IDHeader) != rq.call.ID:
 		r.err = errOtherAnswer
 	case r.verdict == protocol.Ran && !g.proto.Complete(a.Status, a.Header):
 		r.err = errMissingProof
 	}
 	if r.err != nil {
+		rq.discard(r.body)
+		r.body = nil
 		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err)
 	}
 	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final() && a.Clean()})
@@ -301,10 +323,9 @@
 
 // The reasons for not passing on an upstream's answer.
 var (
-	errAnswerTooLong = errors.New("answer is too long")
-	errOtherAnswer   = errors.New("answer names another request")
-	errMissingProof  = errors.New("answer is not the upstream's own body")
-	errPanicked      = errors.New("a fault of this entry")
+	errOtherAnswer  = errors.New("answer names another request")
+	errMissingProof = errors.New("answer is not the upstream's own body")
+	errPanicked     = errors.New("a fault of this entry")
 )
 
 // reportOutcome reports the outcome of an attempt to the fleet. An attempt that this entry cancelled
@@ -315,6 +336,8 @@
 	}
 	switch {
 	case r.err != nil && ctx.Err() != nil:
+	case errors.Is(r.err, errMemory):
+		// The upstream is not at fault.
 	case r.err != nil:
 		g.fleet.RecordOutcome(r.upstream, fleet.Broken)
 		g.recordBrokenAnswer(rq, u, r.err)
@@ -343,12 +366,12 @@
 func (g *Gateway) forwardAnswer(rq *request, r result) {
 	h := rq.w.Header()
 	g.proto.CopyHeaders(r.header, h)
-	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	size := r.body.size()
+	h.Set("Content-Length", strconv.Itoa(size))
 	rq.w.WriteHeader(r.status)
-	// The connection logs failed writes after the last flush.
-	_, _ = rq.w.Write(r.body)
+	g.writeResponse(rq, r.body)
 	elapsed := g.now().Sub(rq.start)
 	g.met.ended(strconv.Itoa(r.status))
 	g.met.observeAnswer(elapsed)
-	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", len(r.body))
+	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size)
 }
--- a/internal/gateway/enginepace.go
+++ b/internal/gateway/enginepace.go
@@ -35,13 +35,21 @@
 	return interval, longest, true
 }
 
-// measurePace counts n events that were passed on for the pace of their engine, if the operator bounds the
-// pauses of the stream.
-func (s *stream) measurePace(at fleet.Upstream, n int) {
+// maxMeasuredWrite is how long it may take to pass events on to the caller while the pace of the engine is
+// measured. Behind a caller that reads slowly, events arrive when there is room for them.
+const maxMeasuredWrite = 10 * time.Millisecond
+
+// measurePace counts n events for the pace of their engine, if the operator bounds the pauses of the stream.
+// They arrived at the given time and have been passed on.
+func (s *stream) measurePace(at fleet.Upstream, n int, arrived time.Time) {
 	bound := s.rq.route.MaxPause
 	if bound == 0 || n == 0 {
 		return
 	}
+	if s.lastAt.Sub(arrived) > maxMeasuredWrite {
+		s.segment = segmentMeter{}
+		return
+	}
 	interval, longest, ok := s.segment.add(n, s.lastAt)
 	if !ok {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
+	"github.com/sparshore/sparshore/internal/membudget"
 	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/placement"
@@ -52,6 +53,8 @@
 	// RetryWindow. No extra attempts are made until RestoreRetries and SetRetriesRestored tell what they
 	// used, or until that is out of the window.
 	EarlierProcesses bool
+	// MemoryBytes limits the memory for buffered requests and responses; 0 means no limit.
+	MemoryBytes int64
 }
 
 // Gateway is the http.Handler that serves callers.
@@ -99,6 +102,8 @@
 	// entries.
 	startedAt     time.Time
 	entriesListed atomic.Bool
+	// liveEntries is the number of reachable entries with this one, as counted by CountReachable.
+	liveEntries atomic.Int64
 	// retriesRestored is set once it is known what earlier processes of this entry used of the retry
 	// budgets.
 	retriesRestored atomic.Bool
@@ -106,6 +111,10 @@
 	limits *limits.Set
 	// origins tracks which software version began each stream that its caller may resume.
 	origins *origin.Set
+	// memory limits what is buffered for requests; nil for no limit. readAheads are the streams that
+	// may be read ahead of their callers.
+	memory     *membudget.Budget
+	readAheads readAheadSet
 
 	mu sync.Mutex
 	// entries is the number of entries that share the retry budgets.
@@ -119,6 +128,8 @@
 	retriesUsedUp map[string]usedUp
 	// overloads holds the overload state of each service.
 	overloads map[string]*placement.Overload
+	// briefForecasts holds the forecast of brief generations of each service.
+	briefForecasts map[string]*placement.BriefForecast
 	// retryTimes staggers the retries of callers that were refused while all upstreams of their
 	// service were in backoff.
 	retryTimes placement.RetrySchedule
@@ -158,7 +169,8 @@
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
 	g.paces = pace.New(g.recordPaceChange)
-	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse))
+	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse), newHeadroomGauge(g.headroomByService))
+	g.memory = newMemoryBudget(settings.MemoryBytes, reg)
 	registerOriginMetrics(reg, g.origins.Size)
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
 	g.stopping, g.giveUpAll = context.WithCancelCause(context.Background())
@@ -271,6 +283,7 @@
 // since an entry that reaches no other entry must not take the whole budget.
 func (g *Gateway) CountReachable() {
 	reachable := len(g.peers.LivePeers()) + 1
+	g.liveEntries.Store(int64(reachable))
 	deliveryTime, silenceLimit := g.peers.DeliveryTimes()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -33,7 +33,7 @@
 mutant gateway-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& !ok/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestListFromPeerWhenStoreDoesNotAnswer
-mutant gateway-torn $gateway/eventreader.go 's/if n := wholeEvents\(e\.buf\[e\.start:e\.end\]\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
+mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/whole := errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 && \(answer\.Framed \|\| s\.closedAtItsEnd\(ctx, st\)\)/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, held\)/_ = append(s.copies, held)/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.markFaulty\(st\.at\.ID\)/s.g.fleet.RecordOutcome(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
@@ -73,7 +73,7 @@
 mutant relay-hold internal/relay/store.go 's/return min\(max\(left, minLongPollWait\), s\.settings\.Wait\)/_ = left\n\treturn s.settings.Wait/' internal/relay TestLongPollEndsBeforeTableIsStale
 mutant retries-together internal/routing/window.go 's/\(recent\+1\)\*float64\(sharers\) > available\+recent/recent+1 > available+recent+0*float64(sharers)/' internal/routing TestConcurrentEntries
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Extra\), privateFraction\*share\)/float64(u.Extra)/' internal/routing TestIdleEntries
-mutant link-pairs internal/link/link.go 's/if p\.answersPreviousRequest\(c, req, resp\) \{/if false {/' internal/link TestRepeatedAnswerIsSkipped
+mutant link-pairs internal/link/link.go 's/if !p\.answersPreviousRequest\(c, req, resp\) \{/if p != nil {/' internal/link TestRepeatedAnswerIsSkipped
 mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && openAndSilent\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionReuse'
 mutant gossip-life internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Incarnation//' internal/gossip TestEchoOfEarlierIncarnation
 mutant relay-stale internal/relay/store.go 's/err == nil && age > oldest \{/false \&\& age > oldest {/' internal/relay TestStoreCalledWhenDelegate
@@ -423,4 +423,68 @@
 mutant part-names $quarantine/message.go 's/w\.wireAccount\(\)/w.Account/' $quarantine TestPartsAreReported
 mutant part-other-causes $quarantine/partverdict.go 's/return len\(moments\) > maxOtherMoments\*n/return false/' $quarantine TestHarmlessParts -rig.seeds=6
 
+memory=internal/membudget
+mutant memory-limit $memory/budget.go 's/if n > limit-b\.used \{/if n < 0 {/' $memory TestReserve
+mutant memory-small $memory/holder.go 's/return h\.budget\.limit - h\.budget\.limit\/smallPart/return h.budget.limit/' $memory TestPartForSmallHolders
+mutant memory-in-vain $memory/holder.go 's/ \|\| n > h\.usableLimit\(n\)-\(h\.budget\.used-h\.budget\.evictable\(h, now, unread\)\)/ || h.budget.evictable(h, now, unread) == 0/' $memory TestEviction
+mutant memory-largest $memory/budget.go 's/h\.size > largest\.size/h.size < largest.size/' $memory TestEviction
+mutant memory-closed $memory/holder.go 's/\th\.closed = true\n/\t_ = h.closed\n/' $memory TestHolderLifetime
+mutant memory-log $memory/budget.go 's/\tcase b\.used < b\.limit\/availablePart:/\tcase true:/' $memory TestUpdate
+mutant memory-setting internal/daemon/gatewaysettings.go 's/if !\(s\.MemoryMB >= 0 && /if !(/' internal/daemon TestMemorySetting
+mutant memory-response $gateway/buffered.go 's/\t\tif err := g\.growMemory\(rq, size\)/\t\tif err := g.growMemory(rq, 0)/' $gateway TestUnreadResponsesAreBounded
+mutant memory-body $gateway/buffered.go 's/g\.growMemory\(rq, larger\)/g.growMemory(rq, 0)/' $gateway TestBodyThatDoesNotFit
+mutant memory-new $gateway/buffered.go 's/g\.growMemory\(rq, firstBuffer\)/g.growMemory(rq, 0)/' $gateway TestNewRequestsAreRefusedWithoutMemory
+mutant memory-announced $gateway/buffered.go 's/larger := bufferFor\(length, 2\*int64\(cap\(b\)\)\)/larger := max(length+1, 2*int64(cap(b)))/; s/firstBuffer = 4 << 10/firstBuffer = 1 << 10/' $gateway TestSlowSendersHoldWhatArrived
+mutant memory-arrived $gateway/buffered.go 's/for size := bufferFor\(length, firstBuffer\);/for size := max(length, firstBuffer);/' $gateway TestSlowUpstreamsHoldWhatArrived
+mutant memory-held $gateway/buffered.go 's/\t\t\treturn b, nil/\t\t\trq.memory.Shrink(int64(cap(b)))\n\t\t\treturn b, nil/' $gateway TestUpstreamThatReadsSlowly
+mutant memory-evict $gateway/memory.go 's/\t\t_ = http\.NewResponseController\(w\)\.SetWriteDeadline\(time\.Unix\(1, 0\)\)/\t\t_ = w/' $gateway 'TestEvictionOfUnreadResponse|TestWriteTimeout'
+mutant memory-evict-early $memory/budget.go 's/func \(b \*Budget\) evictLargest\(except \*Holder, now time\.Time, unread time\.Duration\) \{/$&\n\tunread = 0/' $memory TestEviction
+mutant memory-unread $memory/holder.go 's/return h\.awaiting && now\.Sub\(h\.lastRead\) >= unread/return h.awaiting/' $gateway TestEvictionOfUnreadResponse
+mutant memory-read $gateway/buffered.go 's/\t\trq\.memory\.NoteRead\(g\.now\(\)\)\n//' $gateway TestEvictionOfUnreadResponse
+mutant memory-timeout $gateway/memory.go 's/g\.memory\.EvictUnread\(now, callerWriteTimeout\)/0*len(now.String())/' $gateway TestWriteTimeout
+mutant memory-blame $gateway/call.go 's/\tcase errors\.Is\(r\.err, errMemory\):\n/\tcase errors.Is(r.err, errOtherAnswer) \&\& false:\n/' $gateway TestResponseThatDoesNotFit
+mutant memory-repeat $gateway/call.go 's/ctx\.Err\(\) != nil \|\| errors\.Is\(r\.err, errMemory\)/ctx.Err() != nil/' $gateway TestResponseThatDoesNotFit
+mutant memory-event $gateway/readahead.go 's/n > a\.counted \{/n > 1<<40 {/' $gateway TestEventThatDoesNotFit
+mutant memory-event-blame $gateway/relay.go 's/ && !errors\.Is\(err, errMemory\)//' $gateway TestEventThatDoesNotFit
+mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway TestStreamIsReadAhead
+mutant stream-ahead-bound $gateway/readahead.go 's/a\.queued\+size > maxReadAhead \|\| //' $gateway TestReadAheadIsBounded
+mutant stream-ahead-memory $gateway/readahead.go 's/ \|\| !a\.s\.rq\.memory\.Grow\(size\)/ || a.s.rq.memory.Evicted()/' $gateway TestReadAheadIsBounded
+mutant stream-ahead-rest $gateway/readahead.go 's/bytes\.NewReader\(rest\)/bytes.NewReader(rest[:0])/' $gateway TestCallerThatReadsInTurns
+mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\.source\)\n/\told := a.reader\n\ta.reader = newEventReader(a.source)\n\ta.reader.buf = old.buf\n/' $gateway TestReadAheadKeepsWhatIsWritten
+mutant stream-ahead-last $gateway/readahead.go 's/\tif len\(a\.queue\) > 0 \{/\tif len(a.queue) > 0 \&\& a.fetching {/' $gateway TestStreamIsReadAhead
+mutant stream-ahead-end $gateway/readahead.go 's/\t\t\ta\.s\.endCheck = &closed/\t\t\t_ = closed/' $gateway TestEndOfUnframedAnswer
+mutant stream-ahead-leave $gateway/readahead.go 's/\t\ta\.s\.cancel\(\)/\t\t_ = a.s.cancel/' $gateway TestEvictionEndsSilentStream
+mutant stream-ahead-evict $gateway/readahead.go 's/\ta\.s\.rq\.memory\.Await\(now\)/\t_ = now/; s/\t\tmemory\.Await\(a\.s\.g\.now\(\)\)\n//' $gateway TestWaitingEventsAreEvicted
+
+# Upstreams that send without end fill the memory, or sound answers are refused.
+bounds=internal/link/bounds.go
+mutant bound-head $bounds 's/\tr\.limit\(maxHeadBytes\)\n//' internal/link TestEndlessAnswers
+mutant bound-informational $bounds 's/for range maxInformational \+ 1 \{/for {/; s/\treturn nil, ErrTooLong\n\}\n\n\/\/ skip/}\n\n\/\/ skip/' internal/link TestInformationalAnswers
+mutant bound-skipped $bounds 's/\tr\.limit\(most\)\n/\t_ = most\n/' internal/link TestEndlessAnswers
+mutant bound-skipped-number internal/link/link.go 's/for range maxSkipped \+ 1 \{/for range 1 << 30 {/' internal/link TestEndlessAnswers
+mutant bound-announced $bounds 's/if a\.Length > most \{/if false {/' internal/link TestAnnouncedLength
+mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
+
+mutant bound-event $gateway/eventreader.go 's/if size > maxEventBytes \{/if false {/' $gateway TestLongEvents
+mutant bound-events $gateway/eventreader.go 's/if b\.used\.Add\(n\) <= maxLargeEventBytes \{/if b.used.Add(n) >= 0 {/' $gateway TestLongEvents
+mutant bound-events-returned $gateway/eventreader.go 's/\te\.budget\.used\.Add\(-e\.reserved\)\n//' $gateway 'TestLongEvents|TestEventsWithin'
+mutant bound-event-wire $gateway/eventreader.go 's/\t\tl\.Limit\(maxEventWireBytes\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-unannounced $gateway/call.go 's/\t\treturn unannounced\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
+
+sidecar=internal/sidecar
+mutant bound-sidecar-head $sidecar/bounds.go 's/\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//; s/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-event $sidecar/bounds.go 's/\tb\.bound\.limit\(maxEventWireBytes\)\n/\t_ = b.bound\n/' $sidecar TestAnswersWithin
+mutant bound-sidecar-events $sidecar/bounds.go 's/b\.budget\.Add\(more\) > maxLargeEventBytes/b.budget.Add(more) < 0/' $sidecar TestManyLongEvents
+mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
+
+mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
+mutant bound-platform-body internal/platform/httpclient.go 's/\tresp\.Body = &boundedBody[^\n]*\n/\t_ = boundedBody{left: most}\n/' internal/platform 'TestEndlessResponses|TestClientsRead'
+mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
+mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
+mutant bound-store-body $reconnect/reconnect.go 's/err == nil && int64\(len\(body\)\) > c/false \&\& int64(len(body)) > c/' $reconnect TestEndlessAnswers
+
+mutant bound-message internal/peer/codec.go 's/if n > maxMessageBytes \{/if false {/' internal/peer TestLongMessageEnds
+
 finish
