feat(gateway): generations kept out by headroom wait in line

Cause: a long generation that found only the memory kept for urgent brief ones was refused at once, though room is freed every few tens of milliseconds.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -54,7 +54,7 @@
 // generationOf returns the demand of a request on an engine at the given time.
 func (g *Gateway) generationOf(rq *request, now time.Time) *placement.Generation {
 	gen := &placement.Generation{Engine: rq.service.Engine, Prompt: rq.call.Prompt, Output: expectedOutput(&rq.call), MaxPause: rq.route.MaxPause, Repeatable: rq.route.Repeats()}
-	gen.Rank = placement.Rank{Account: rq.accountPriority, Route: rq.route.Priority}
+	gen.Rank = rq.rank()
 	if rq.route.Objective > 0 {
 		gen.StartBy = rq.start.Add(time.Duration(startShare * float64(rq.route.Objective))).Sub(now)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,6 +128,8 @@
 	retriesUsedUp map[string]usedUp
 	// overloads holds the overload state of each service.
 	overloads map[string]*placement.Overload
+	// lines holds the generations of each service that wait for room.
+	lines map[string]*placement.Line
 	// briefForecasts holds the forecast of brief generations of each service.
 	briefForecasts map[string]*placement.BriefForecast
 	// retryTimes staggers the retries of callers that were refused while all upstreams of their
@@ -164,7 +166,7 @@
 	g := &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, loads: newLoadTracker(now), prefixes: newPrefixes(), entries: 1,
-		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{},
+		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{}, lines: map[string]*placement.Line{},
 		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -14,16 +14,57 @@
 const roomPollInterval = 40 * time.Millisecond
 
 // admitOrWait chooses the engine for a new generation. One that finds only the memory kept for more urgent
-// ones waits for a part of its objective.
+// ones waits for a part of its objective, behind those of its rank that wait already. Nothing waits for
+// memory that all streams together need, since a burst lasts longer than a caller can wait.
 func (s *stream) admitOrWait(ctx context.Context) (fleet.Upstream, error) {
-	at, err := s.admit(ctx, nil)
+	g, rank := s.g, s.rq.rank()
+	line := g.line(s.rq.service.Name)
 	deadline := s.rq.start.Add(placement.MaxWait(s.rq.route.Objective))
-	for errors.Is(err, placement.ErrHeadroom) && ctx.Err() == nil && s.g.now().Before(deadline) {
+	at, err := fleet.Upstream{}, placement.ErrHeadroom
+	if !s.leavesHeadroom() || !line.Ahead(rank) {
+		at, err = s.admit(ctx, nil)
+	}
+	if !errors.Is(err, placement.ErrHeadroom) || !g.now().Before(deadline) {
+		return at, err
+	}
+	place := line.Join(rank, s.rq.start)
+	defer line.Leave(place)
+	for errors.Is(err, placement.ErrHeadroom) && ctx.Err() == nil && g.now().Before(deadline) {
 		select {
 		case <-ctx.Done():
+			return at, err
 		case <-time.After(roomPollInterval):
+		}
+		if line.First(place) {
 			at, err = s.admit(ctx, nil)
 		}
 	}
 	return at, err
 }
+
+// leavesHeadroom reports whether the generation has to leave memory free for more urgent ones.
+func (s *stream) leavesHeadroom() bool {
+	if s.begun() {
+		return false
+	}
+	now := s.g.now()
+	gen := s.g.generationOf(s.rq, now)
+	return s.g.headroom(s.rq.service.Name, gen, now).Tokens() > 0
+}
+
+// rank returns the urgency of the request among those of its service.
+func (rq *request) rank() placement.Rank {
+	return placement.Rank{Account: rq.accountPriority, Route: rq.route.Priority}
+}
+
+// line returns the generations of a service that wait for room.
+func (g *Gateway) line(service string) *placement.Line {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l, ok := g.lines[service]
+	if !ok {
+		l = &placement.Line{}
+		g.lines[service] = l
+	}
+	return l
+}
