--- a/internal/placement/pause_test.go
+++ b/internal/placement/pause_test.go
@@ -63,7 +63,7 @@
 		{"a long stream goes to the slow engine when the others are full", known, longGeneration, []Candidate{engineAt("slow", 0), engineAt("typical", 8)}, "slow"},
 		{"a long stream prefers a known engine to a new one", known, longGeneration, []Candidate{engineAt("new", 0), engineAt("typical", 2)}, "typical"},
 		{"a short answer uses the idle slow engine", known, shortGeneration, []Candidate{engineAt("slow", 0), engineAt("fast", 6)}, "slow"},
-		{"a short answer avoids the one stream of a slow engine", known, shortGeneration, []Candidate{engineAt("slow", 1), engineAt("typical", 4)}, "typical"},
+		{"a short answer avoids the one stream of a slow engine", known, shortGeneration, []Candidate{engineAt("slow", 1), engineAt("typical", 5)}, "typical"},
 		{"a fast engine takes more work than a typical one", known, longGeneration, []Candidate{engineAt("typical", 2), engineAt("fast", 4)}, "fast"},
 		{"but not all of it", known, longGeneration, []Candidate{engineAt("typical", 0), engineAt("fast", 6)}, "typical"},
 		{"a short answer avoids the streams of a slow engine", known, shortGeneration, []Candidate{engineAt("slow", 2), engineAt("fast", 4)}, "fast"},
