--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -139,6 +139,9 @@
 	}
 	observe(s, "slow", 60*ms, 16, start.Add(time.Second))
 	observe(s, "slow", 38*ms, 16, start.Add(2*time.Second))
+	if len(*changes) != 1 {
+		t.Errorf("got %+v, want the engine slow at 38ms as well, where it began at 60ms", *changes)
+	}
 	observe(s, "slow", 33*ms, 16, start.Add(3*time.Second))
 	if len(*changes) != 2 || !(*changes)[0].Slow || (*changes)[1].Slow || (*changes)[0].Engine != "slow" {
 		t.Errorf("got %+v, want that the engine became slow and no longer is", *changes)
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -10,7 +10,7 @@
 const lateWeight = 20.0
 
 // pauseCost returns the expected cost of pauses that are longer than callers allow, in tokens of KV
-// memory, if an engine takes a generation. It answers a load of long streams on engines of unlike speed:
+// memory, if an engine takes a generation. It answers a load of long streams on engines of different speeds:
 // while a slow engine reads a prompt, the events of all its streams are too far apart. The generation
 // itself may pause too long, and its prompt delays the streams that the engine has. Generations of few
 // events thus go to slow engines without streams, and long ones to fast engines.
--- a/internal/placement/pause_test.go
+++ b/internal/placement/pause_test.go
@@ -12,9 +12,9 @@
 
 const ms = time.Millisecond
 
-// unlikeSpeeds returns a profile of three engines: a fast, a typical and a slow one, in a service in which
+// mixedSpeeds returns a profile of three engines: a fast, a typical and a slow one, in a service in which
 // every twentieth segment of a stream pauses for five times the engine's pace.
-func unlikeSpeeds(at time.Time) *pace.Profile {
+func mixedSpeeds(at time.Time) *pace.Profile {
 	s := pace.New(func(pace.Change) {})
 	for id, interval := range map[string]time.Duration{"fast": 18 * ms, "typical": 28 * ms, "slow": 47 * ms} {
 		for i := range 100 {
@@ -48,10 +48,10 @@
 )
 
 // TestPlacementByPace replays the choices that arise when long streams and short answers share engines of
-// unlike speed. It guards against long streams on engines that pause them for too long, and against
+// different speeds. It guards against long streams on engines that pause them for too long, and against
 // prompts beside streams that they would pause, while another engine has room.
 func TestPlacementByPace(t *testing.T) {
-	known := unlikeSpeeds(time.Unix(1000, 0))
+	known := mixedSpeeds(time.Unix(1000, 0))
 	for _, tt := range []struct {
 		name string
 		pace *pace.Profile
@@ -103,7 +103,7 @@
 // TestTargetByPace guards against moving streams of an engine that leaves to one that pauses them for too
 // long, while another one has room; a slow engine is better than none.
 func TestTargetByPace(t *testing.T) {
-	v := paceView(unlikeSpeeds(time.Unix(1000, 0)))
+	v := paceView(mixedSpeeds(time.Unix(1000, 0)))
 	g := Generation{Engine: testEngine, Prompt: 3200, Output: 600, MaxPause: 180 * ms, Copied: true, Repeatable: true}
 	if u, ok := v.Target([]Candidate{engineAt("slow", 0), engineAt("typical", 4)}, &g, "a"); !ok || u.ID != "typical" {
 		t.Errorf("got %q (%v), want the typical engine", u.ID, ok)
@@ -116,7 +116,7 @@
 // TestRelocate: a stream leaves an engine on which it is likely to pause for too long, if a known engine
 // has room that lowers the risk by more than a move costs.
 func TestRelocate(t *testing.T) {
-	v := paceView(unlikeSpeeds(time.Unix(1000, 0)))
+	v := paceView(mixedSpeeds(time.Unix(1000, 0)))
 	long := Generation{Engine: testEngine, Prompt: 3200, Output: 600, MaxPause: 180 * ms, Copied: true, Repeatable: true}
 	ending := long
 	ending.Output = 12
