--- a/internal/gateway/memoryfixture_test.go
+++ b/internal/gateway/memoryfixture_test.go
@@ -154,6 +154,11 @@
 	return m.paths[path]
 }
 
+// networkSegment is the size in bytes of a TCP segment on a usual network. On loopback it is 64 KiB, more than a
+// small receive buffer: the sender then pauses for 200 ms whenever the buffer was full, and a stream takes
+// longer than the test may.
+const networkSegment = 1448
+
 // rawCaller is a caller that reads and sends only as a test asks for it.
 type rawCaller struct {
 	t *testing.T
@@ -167,6 +172,7 @@
 	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallSocketBuffer)
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, networkSegment)
 		})
 	}}
 	c, err := d.DialContext(m.t.Context(), "tcp", m.server.Listener.Addr().String())
