fix(gateway): the next incarnation of an engine does not complete a stream

The gateway checks that the address of the engine accepts connections when such a stream ends, and took the broken stream for a complete one.

The gateway now also queries the engine, and the end counts only if the report comes from the same incarnation.

The new test fails without the query. The checks of the older unframed test accepted a truncated stream that ended normally, and now require an error.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -150,7 +150,7 @@
 	{UpstreamGone, "upstream-gone", "An upstream that left was removed from the set of upstreams."},
 	{UpstreamAvoided, "upstream-avoided", "A connection to an upstream failed; the upstream is avoided while others can serve."},
 	{UpstreamRejected, "upstream-rejected", "The record of an upstream is invalid; logged once for each version of the record."},
-	{UpstreamAsked, "upstream-asked", "An entry queried an engine for its state, because the store could not provide it or a generation had not started there in time (`why`). `waiting` counts the requests that the engine has not admitted, `unbegun` the admitted ones whose prompts it is still processing."},
+	{UpstreamAsked, "upstream-asked", "An entry queried an engine for its state, because the store could not provide it, a generation had not started there in time, or a stream without length or chunks ended (`why`). `waiting` counts the requests that the engine has not admitted, `unbegun` the admitted ones whose prompts it is still processing."},
 	{UpstreamSuspected, "upstream-suspected", "An engine failed a request that a healthy engine serves; for a while it gets no requests that must not be repeated."},
 	{EntryHeard, "entry-heard", "An entry receives gossip from another entry for the first time, or again after a silence."},
 	{EntrySilent, "entry-silent", "An entry no longer receives gossip from another entry, whose load no longer counts."},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,7 +115,7 @@
 	s.mu.Lock()
 	stopped := s.handover != nil && !s.endedBeforeStop
 	s.mu.Unlock()
-	return !stopped && s.g.incarnationKnown(st.at.ID) && s.g.link.CheckReachable(ctx, st.at.Address) == nil
+	return !stopped && s.g.link.CheckReachable(ctx, st.at.Address) == nil && s.g.sameIncarnationServes(ctx, st.at) && s.g.incarnationKnown(st.at.ID)
 }
 
 // answerEnded handles the end of an attempt's answer, which is complete or has broken off.
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 			}
 			second := f.add("llm", "b", serveRest)
 			got := <-result
-			if whole := got.err == nil && got.body == wholeStream(); whole != tc.whole || !strings.HasPrefix(wholeStream(), got.body) {
+			if whole := got.err == nil; whole != tc.whole || whole && got.body != wholeStream() || !strings.HasPrefix(wholeStream(), got.body) {
 				t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, tc.whole)
 			}
 			if n := first.runs() + second.runs(); n != tc.runs {
@@ -146,3 +147,53 @@
 		})
 	}
 }
+
+// TestUnframedStreamOfARestartedEngineLooksWhole guards against a stream that is taken for complete because the
+// next incarnation of its engine accepts connections at the same address before its row is read.
+func TestUnframedStreamOfARestartedEngineLooksWhole(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		path string
+		// restarted is set if the engine that answers after the end of the stream is the next incarnation.
+		restarted bool
+		last      int
+		whole     bool
+		runs      int
+	}{
+		{name: "the same incarnation", path: pathStream, last: lastTestEvent, whole: true, runs: 1},
+		{name: "the next incarnation", path: pathStream, restarted: true, last: 7, runs: 1},
+		{name: "the next incarnation on a resumable route", path: pathResume, restarted: true, last: 7, whole: true, runs: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			var born atomic.Int64
+			born.Store(2)
+			first := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/report" {
+					_, _ = fmt.Fprintf(w, "serving born %d", born.Load())
+					return
+				}
+				serveUnframed(w, r, tc.last, false, func() {
+					if tc.restarted {
+						born.Store(3)
+					}
+				})
+			})
+			f.records[0].Born = 2
+			f.fleet.Update(f.records, nil, true, time.Time{})
+			result := make(chan answer, 1)
+			go func() { result <- f.ask(tc.path) }()
+			for first.runs() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			second := f.add("llm", "b", serveRest)
+			got := <-result
+			if whole := got.err == nil; whole != tc.whole || whole && got.body != wholeStream() || !strings.HasPrefix(wholeStream(), got.body) {
+				t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, tc.whole)
+			}
+			if n := first.runs() + second.runs(); n != tc.runs {
+				t.Errorf("%d runs, want %d", n, tc.runs)
+			}
+		})
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -35,6 +35,7 @@
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestListFromPeerWhenStoreDoesNotAnswer
 mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/whole := errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 && \(answer\.Framed \|\| s\.closedAtItsEnd\(ctx, st\)\)/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
+mutant gateway-unframed-restart $gateway/relay.go 's/ && s\.g\.sameIncarnationServes\(ctx, st\.at\)//' $gateway TestUnframedStreamOfARestartedEngine
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, held\)/_ = append(s.copies, held)/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.markFaulty\(st\.at\.ID\)/s.g.fleet.RecordOutcome(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
 mutant gateway-silent $gateway/attempt.go 's/\tg\.markFaulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
