--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -350,7 +351,8 @@
 	<-stream.done
 	check(ts, stream.verifyTokens())
 	if !slices.Contains(strings.Split(plain[1], "|"), stream.end) {
-		ts.Fatalf("stream %s ended %s (status %d, %s), want %s", plain[0], stream.end, stream.status, stream.cutError, plain[1])
+		ts.Fatalf("stream %s ended %s after %s (status %d, %s, %d tokens, last event %s), want %s; logs:\n%s", plain[0], stream.end, stream.took.Round(time.Millisecond),
+			stream.status, stream.cutError, len(stream.tokens), stream.lastID, plain[1], stateOf(ts).cluster.logTails())
 	}
 	if n, ok := named["tokens"]; ok && n != strconv.Itoa(len(stream.tokens)) {
 		ts.Fatalf("stream %s has %d tokens, want %s", plain[0], len(stream.tokens), n)
@@ -547,6 +549,19 @@
 // The excerpt helps to trace failures that can't be reproduced.
 const maxLogTail = 6 << 10
 
+// logTails returns the end of the log of each process, in order of the names.
+func (c *cluster) logTails() string {
+	c.mu.Lock()
+	names := slices.Sorted(maps.Keys(c.procs))
+	c.mu.Unlock()
+	var out strings.Builder
+	for _, name := range names {
+		b, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
+		_, _ = fmt.Fprintf(&out, "%s (read: %v):\n%s\n", name, err, b[max(len(b)-maxLogTail, 0):])
+	}
+	return out.String()
+}
+
 func (c *cluster) waitLogged(name, event string, times int) error {
 	return waitFor(func() error {
 		b, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
