test(scenario): a broken stream may end inside an event

As for any reader of server-sent events, an event and its ID now count once its empty line has arrived.

--- a/internal/scenario/callers_test.go
+++ b/internal/scenario/callers_test.go
@@ -78,31 +78,45 @@
 	a.end = end
 }
 
+// read reads events until the stream ends. As for any reader of server-sent events, an event counts, and its ID
+// is the last event ID, only once the empty line after it has arrived: a broken connection may end inside an
+// event.
 func (a *streamResult) read(body io.Reader) string {
 	lines := bufio.NewScanner(body)
+	id, data := "", ""
 	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), ": ")
-		switch {
-		case name == "id":
-			a.mu.Lock()
-			a.lastID = value
-			a.mu.Unlock()
-		case name == "data" && value == "[DONE]":
-			return "whole"
-		case name == "data" && strings.Contains(value, `"error"`):
-			a.cutError = value
-			return "cut"
-		case name == "data":
-			if t, ok := chunkToken(value); ok {
-				a.mu.Lock()
-				a.tokens = append(a.tokens, t)
-				a.mu.Unlock()
+		switch name, value, _ := strings.Cut(lines.Text(), ": "); name {
+		case "id":
+			id = value
+		case "data":
+			data = value
+		case "":
+			switch {
+			case data == "[DONE]":
+				return "whole"
+			case strings.Contains(data, `"error"`):
+				a.cutError = data
+				return "cut"
 			}
+			a.dispatch(id, data)
+			id, data = "", ""
 		}
 	}
 	return "broken"
 }
 
+// dispatch records a whole event.
+func (a *streamResult) dispatch(id, data string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if id != "" {
+		a.lastID = id
+	}
+	if t, ok := chunkToken(data); ok {
+		a.tokens = append(a.tokens, t)
+	}
+}
+
 // chunkToken extracts the token from a chunk. It doesn't unescape JSON, since the
 // stand-in's tokens contain no characters that need it.
 func chunkToken(chunk string) (string, bool) {
