fix(sidecar): the acknowledgement of the last choice does not end its delivery

An entry acknowledges every 16 choices. If that acknowledgement covers the last choice and arrives after the generation has ended, but before the end is sent, the sidecar took it for the acknowledgement of the end, and detached the delivery. It now detaches only a delivery that has sent the end. The new test fails without that.

--- a/internal/sidecar/generation.go
+++ b/internal/sidecar/generation.go
@@ -126,8 +126,8 @@
 }
 
 // ack records that the caller's socket has accepted everything up to offset upto, and drops choices
-// that need not be kept any longer. It reports whether the generation has ended and all of it is
-// acknowledged.
+// that need not be kept any longer. It reports whether the generation has ended, d has got its end, and all of
+// it is acknowledged. The last choice may be acknowledged before the end is sent.
 func (g *generation) ack(d *delivery, upto int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -149,13 +149,15 @@
 		g.choices = append([]json.RawMessage(nil), g.choices[drop:]...)
 		g.first += int64(drop)
 	}
-	return g.end != nil && g.acked == last
+	return d.endSent && g.acked == last
 }
 
 // delivery is the sending of a generation to one entry's connection.
 type delivery struct {
 	sub  int64
 	next int64
+	// endSent is set once frame has returned the end of the generation.
+	endSent bool
 }
 
 // attach makes d the receiver, starting after the given offset. It returns false when part of what
@@ -230,7 +232,7 @@
 	n := &tokensNote{Sub: d.sub, Generation: g.id, First: d.next, Choices: append([]json.RawMessage(nil), avail...)}
 	d.next += int64(len(avail))
 	if complete {
-		n.End = g.end
+		n.End, d.endSent = g.end, true
 	}
 	return n, nil, true
 }
--- a/internal/sidecar/generation_test.go
+++ b/internal/sidecar/generation_test.go
@@ -126,3 +126,27 @@
 		t.Errorf("%d bytes kept", kept)
 	}
 }
+
+// TestLastChoiceIsAcknowledgedBeforeTheEnd guards against a delivery that is detached before it has sent the end of
+// its generation: the entry would wait for that end until its caller gives up.
+func TestLastChoiceIsAcknowledgedBeforeTheEnd(t *testing.T) {
+	g := newGeneration("g", "r", "a", bufferLimits{unacked: 1 << 20, retained: 200})
+	d := &delivery{sub: 1}
+	if !g.attach(d, 0) {
+		t.Fatal("the generation is not kept")
+	}
+	g.append(json.RawMessage(`{}`), true)
+	if note, _, ok := g.frame(d); !ok || note == nil || note.End != nil {
+		t.Fatalf("frame %+v, %v; want a choice without an end", note, ok)
+	}
+	g.finish(true, "")
+	if g.ack(d, 1) {
+		t.Error("the acknowledgement of the last choice counts as one of the end, which was not sent")
+	}
+	if note, _, ok := g.frame(d); !ok || note == nil || note.End == nil {
+		t.Fatalf("frame %+v, %v; want the end", note, ok)
+	}
+	if !g.ack(d, 1) {
+		t.Error("the end is not acknowledged")
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,6 +16,7 @@
 mutant settle-tombstone internal/sidecar/callbook.go 's/c = &call\{state: callTombstone, expiresAt[^\n]*\n\t\tr\.calls\[id\] = c/c = &call{state: callTombstone}/' internal/sidecar TestSettleBars
 mutant stream-generation internal/sidecar/client.go 's/ \|\| n\.Generation != s\.generation//' internal/sidecar TestDeliveryOver
 mutant stream-offset internal/sidecar/client.go 's/ \|\| n\.First != expected/ || expected < 0/' internal/sidecar TestDeliveryOver
+mutant stream-end-sent internal/sidecar/generation.go 's/return d\.endSent && /return g.end != nil \&\& /' internal/sidecar TestLastChoiceIsAcknowledgedBeforeTheEnd
 
 mutant lease-wait internal/lease/lease.go 's/now\.Before\(freeAt\)/false/' internal/lease TestSuccessor
 mutant drain-refuses internal/sidecar/server.go 's/case s\.draining\.Load\(\):/case false:/; s/if s\.draining\.Load\(\) \{\n\t\ts\.inFlight/if false {\n\t\ts.inFlight/' internal/sidecar TestDrainedSidecar
