--- a/internal/gateway/enginepace.go
+++ b/internal/gateway/enginepace.go
@@ -68,8 +68,9 @@
 	g, service, bound := s.g, s.rq.service.Name, s.rq.route.MaxPause
 	slowdown := g.paces.Profile(service, g.now()).Slowdown(at.ID)
 	if bound > 0 && s.unreadTokens >= minReadSample {
-		g.paces.AddFirst(at.ID, service, float64(first)/float64(g.readTime.expected(s.unreadTokens)), g.now())
-		g.paces.AddStart(service, first, time.Duration(slowdown*float64(g.readTime.expected(s.unreadTokens))))
+		usual := float64(g.readTime.expected(s.unreadTokens))
+		g.paces.AddFirst(at.ID, service, float64(first)/usual, g.now())
+		g.paces.AddStart(service, first, time.Duration(slowdown*usual))
 	}
 	g.readTime.note(time.Duration(float64(first)/slowdown), s.unreadTokens)
 }
