refactor(gateway): compute the demand of a generation once for each decision

recordArrival, leavesHeadroom and each call of admitAmong computed the demand of the same generation and the headroom that it has to leave. The demand on arrival is now passed on, and the demand with its headroom is computed once for an admission, which examines up to six lists of engines. No change of behavior.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -65,22 +65,26 @@
 
 // admitEngine chooses the engine for a new generation. The error states why there is none.
 func (g *Gateway) admitEngine(s *stream, exclude map[string]bool) (fleet.Upstream, error) {
-	service := s.rq.service.Name
+	service, now := s.rq.service.Name, g.now()
 	exclude = g.excludeForIsolation(s.rq, exclude)
+	gen := g.generationOf(s.rq, now)
+	if !s.begun() {
+		gen.Headroom = g.headroom(service, gen, now)
+	}
 	if s.rq.run.Suspected() {
-		if u, ok := g.admitSuspect(s, exclude); ok {
+		if u, ok := g.admitSuspect(s, gen, exclude); ok {
 			return u, nil
 		}
 	}
 	if s.begun() {
-		return g.admitAmong(s.available(), s, exclude)
+		return g.admitAmong(s.available(), s, gen, exclude)
 	}
 	sample, complete := g.fleet.Sample(service, maxSampledEngines, rand.IntN)
-	u, err := g.admitAmong(sample, s, exclude)
+	u, err := g.admitAmong(sample, s, gen, exclude)
 	if err == nil || complete {
 		return u, err
 	}
-	return g.admitAmong(g.fleet.Available(service), s, exclude)
+	return g.admitAmong(g.fleet.Available(service), s, gen, exclude)
 }
 
 // maxTrialEngines limits the engines that are examined for a suspect, starting with the least
@@ -91,7 +95,7 @@
 // that run the fewest requests come first, since these requests are lost in another crash. In the
 // test rig of internal/quarantine with 4 entries, one request that crashes three or four upstreams
 // cut 1 to 3 healthy requests with this rule, and 5 to 8 if it ran on any engine.
-func (g *Gateway) admitSuspect(s *stream, exclude map[string]bool) (fleet.Upstream, bool) {
+func (g *Gateway) admitSuspect(s *stream, gen *placement.Generation, exclude map[string]bool) (fleet.Upstream, bool) {
 	list := slices.DeleteFunc(s.available(), func(u fleet.Upstream) bool { return u.AvoidUntil().After(g.now()) || u.InBackOff(g.now()) })
 	running := make(map[string]int, len(list))
 	for _, u := range list {
@@ -99,7 +103,7 @@
 	}
 	slices.SortFunc(list, func(a, b fleet.Upstream) int { return cmp.Compare(running[a.ID], running[b.ID]) })
 	for _, u := range list[:min(len(list), maxTrialEngines)] {
-		if u, err := g.admitAmong([]fleet.Upstream{u}, s, exclude); err == nil {
+		if u, err := g.admitAmong([]fleet.Upstream{u}, s, gen, exclude); err == nil {
 			return u, true
 		}
 	}
@@ -107,17 +111,13 @@
 }
 
 // admitAmong is admitEngine for a list of engines.
-func (g *Gateway) admitAmong(list []fleet.Upstream, s *stream, exclude map[string]bool) (fleet.Upstream, error) {
+func (g *Gateway) admitAmong(list []fleet.Upstream, s *stream, gen *placement.Generation, exclude map[string]bool) (fleet.Upstream, error) {
 	view := g.engineView(s.rq.service.Name)
 	candidates := g.candidates(list, exclude, view.Now)
 	for i := range candidates {
 		candidates[i].CachedTokens = g.prefixes.cachedTokens(candidates[i].ID, s.rq.call.Shared, view.Now)
 	}
 	usable := g.moveRoom.Usable(s.rq.service.Engine, g.fleet.LeavingShare(s.rq.service.Name), view.Now)
-	gen := g.generationOf(s.rq, view.Now)
-	if !s.begun() {
-		gen.Headroom = g.headroom(s.rq.service.Name, gen, view.Now)
-	}
 	return view.Admit(candidates, gen, usable)
 }
 
--- a/internal/gateway/headroom.go
+++ b/internal/gateway/headroom.go
@@ -9,12 +9,13 @@
 	"github.com/sparshore/sparshore/internal/placement"
 )
 
-// recordArrival records the arrival of a generation for the forecast of brief ones.
-func (g *Gateway) recordArrival(rq *request) {
+// recordArrival records the arrival of a generation for the forecast of brief ones, and returns its demand.
+func (g *Gateway) recordArrival(rq *request) *placement.Generation {
 	now := g.now()
 	gen := g.generationOf(rq, now)
 	hold := g.readTime.expected(gen.Prompt) + g.eventInterval.remaining(gen.Output, gen.Engine.EventTokens)
 	g.briefForecast(rq.service.Name).Arrived(gen, hold, now)
+	return gen
 }
 
 // headroom returns the memory that a new generation has to leave free for brief ones.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,8 +99,7 @@
 	ctx, s.cancel = context.WithCancel(ctx)
 	defer s.cancel()
 	exclude := map[string]bool{}
-	g.recordArrival(rq)
-	at, err := s.admitOrWait(ctx)
+	at, err := s.admitOrWait(ctx, g.recordArrival(rq))
 	if err != nil {
 		g.refuseGeneration(ctx, rq, err)
 		return
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -16,12 +16,12 @@
 // admitOrWait chooses the engine for a new generation. One that finds only the memory kept for more urgent
 // ones waits for a part of its objective, behind those of its rank that wait already. Nothing waits for
 // memory that all streams together need, since a burst lasts longer than a caller can wait.
-func (s *stream) admitOrWait(ctx context.Context) (fleet.Upstream, error) {
+func (s *stream) admitOrWait(ctx context.Context, gen *placement.Generation) (fleet.Upstream, error) {
 	g, rank := s.g, s.rq.rank()
 	line := g.line(s.rq.service.Name)
 	deadline := s.rq.start.Add(placement.MaxWait(s.rq.route.Objective))
 	at, err := fleet.Upstream{}, placement.ErrHeadroom
-	if !s.leavesHeadroom() || !line.Ahead(rank) {
+	if !s.leavesHeadroom(gen) || !line.Ahead(rank) {
 		at, err = s.admit(ctx, nil)
 	}
 	if !errors.Is(err, placement.ErrHeadroom) || !g.now().Before(deadline) {
@@ -43,13 +43,8 @@
 }
 
 // leavesHeadroom reports whether the generation has to leave memory free for more urgent ones.
-func (s *stream) leavesHeadroom() bool {
-	if s.begun() {
-		return false
-	}
-	now := s.g.now()
-	gen := s.g.generationOf(s.rq, now)
-	return s.g.headroom(s.rq.service.Name, gen, now).Tokens() > 0
+func (s *stream) leavesHeadroom(gen *placement.Generation) bool {
+	return !s.begun() && s.g.headroom(s.rq.service.Name, gen, s.g.now()).Tokens() > 0
 }
 
 // rank returns the urgency of the request among those of its service.
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -40,14 +40,14 @@
 		f := newFixture(t)
 		s, free := f.crowdedStream()
 		time.AfterFunc(100*time.Millisecond, free)
-		if u, err := s.admitOrWait(t.Context()); err != nil || u.ID != "e" {
+		if u, err := s.admitOrWait(t.Context(), f.gateway.generationOf(s.rq, s.rq.start)); err != nil || u.ID != "e" {
 			t.Errorf("got %q, %v; want the engine", u.ID, err)
 		}
 	})
 	t.Run("no room", func(t *testing.T) {
 		f := newFixture(t)
 		s, _ := f.crowdedStream()
-		_, err := s.admitOrWait(t.Context())
+		_, err := s.admitOrWait(t.Context(), f.gateway.generationOf(s.rq, s.rq.start))
 		waited, most := time.Since(s.rq.start), placement.MaxWait(waitObjective)
 		if !errors.Is(err, placement.ErrHeadroom) || waited < most || waited > most+waitObjective/4 {
 			t.Errorf("got %v after %v, want ErrHeadroom after %v", err, waited, most)
@@ -58,7 +58,7 @@
 		s, _ := f.crowdedStream()
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		if _, err := s.admitOrWait(ctx); err == nil || time.Since(s.rq.start) > placement.MaxWait(waitObjective)/2 {
+		if _, err := s.admitOrWait(ctx, f.gateway.generationOf(s.rq, s.rq.start)); err == nil || time.Since(s.rq.start) > placement.MaxWait(waitObjective)/2 {
 			t.Errorf("got %v after %v, want an error at once", err, time.Since(s.rq.start))
 		}
 		if f.gateway.line("llm").Ahead(s.rq.rank()) {
@@ -71,7 +71,7 @@
 		free()
 		first := f.gateway.line("llm").Join(s.rq.rank(), s.rq.start.Add(-time.Second))
 		time.AfterFunc(100*time.Millisecond, func() { f.gateway.line("llm").Leave(first) })
-		if _, err := s.admitOrWait(t.Context()); err != nil || time.Since(s.rq.start) < 100*time.Millisecond {
+		if _, err := s.admitOrWait(t.Context(), f.gateway.generationOf(s.rq, s.rq.start)); err != nil || time.Since(s.rq.start) < 100*time.Millisecond {
 			t.Errorf("%v after %v, want room once the one before has it", err, time.Since(s.rq.start))
 		}
 	})
