--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/placement"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 const (
@@ -117,8 +118,12 @@
 	for i := range candidates {
 		candidates[i].CachedTokens = g.prefixes.cachedTokens(candidates[i].ID, s.rq.call.Shared, view.Now)
 	}
-	usable := g.moveRoom.Usable(s.rq.service.Engine, g.fleet.LeavingShare(s.rq.service.Name), view.Now)
-	return view.Admit(candidates, gen, usable)
+	return view.Admit(candidates, gen, g.usableMemory(s.rq.service, view.Now))
+}
+
+// usableMemory returns the memory of an engine of a service, in tokens, that new and moved generations may fill.
+func (g *Gateway) usableMemory(service *routetable.Service, now time.Time) float64 {
+	return g.moveRoom.Usable(service.Engine, g.fleet.LeavingShare(service.Name), now)
 }
 
 // chooseEngine returns the best engine for the rest of a generation, even if all are overloaded.
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -38,10 +38,8 @@
 		return fleet.Upstream{}, false
 	}
 	view := g.engineView(s.rq.service.Name)
-	demand := s.remainingDemand()
-	usable := g.moveRoom.Usable(s.rq.service.Engine, g.fleet.LeavingShare(s.rq.service.Name), view.Now)
 	exclude := g.excludeLimited(map[string]bool{at.ID: true})
-	return view.Relocate(g.candidates(s.available(), exclude, view.Now), demand, at, usable)
+	return view.Relocate(g.candidates(s.available(), exclude, view.Now), s.remainingDemand(), at, g.usableMemory(s.rq.service, view.Now))
 }
 
 // takeReservedAttempt reports whether the attempt that continues the stream was taken from the retry budget
