perf(pace): make the profile of a service only after a change

Cause: the profile was made every 0.1 s, also while nothing was observed or reported, and Keep dropped the profiles of all services although no engine had ended.

Keep computes only the services anew of which an engine has ended.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -225,13 +225,18 @@
 func (s *Set) Keep(known func(id string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.engines {
+	ended := map[string]bool{}
+	for id, e := range s.engines {
 		if !known(id) {
 			delete(s.engines, id)
+			if e.merged.Samples > 0 {
+				ended[e.service] = true
+			}
 		}
 	}
-	for name := range s.services {
+	for name := range ended {
 		s.updateService(name)
+		s.service(name).profile = nil
 	}
 }
 
