--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -190,7 +190,9 @@
 		e.service = serviceName
 		if previous, ok := e.reports[entry]; ok && previous.Interval == r.Interval && previous.Samples == r.Samples {
 			e.reports[entry] = r
-			e.merged.At = maxTime(e.merged.At, r.At)
+			if r.At.After(e.merged.At) {
+				e.merged.At = r.At
+			}
 			continue
 		}
 		e.reports[entry] = r
@@ -206,13 +208,6 @@
 	return rejected
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // Rejected returns the number of invalid reports so far.
 func (s *Set) Rejected() int {
 	s.mu.Lock()
