test: mutants for the profile of a service and for waiting generations

The mutant of a profile that is made without a change is new, that of the line follows a changed signature, and Keep is arranged such that its mutant still builds.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -223,10 +223,10 @@
 	ended := map[string]bool{}
 	for id, e := range s.engines {
 		if !known(id) {
-			delete(s.engines, id)
 			if e.merged.Samples > 0 {
 				ended[e.service] = true
 			}
+			delete(s.engines, id)
 		}
 	}
 	for name := range ended {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -502,6 +502,7 @@
 mutant pace-equal $pace/profile.go 's/<= equalSpread\*/<= 0*equalSpread*/' $pace TestEqualPacesChangeNothing
 mutant pace-flapping $pace/profile.go 's/ \|\| e\.slow && ratio > normalFactor//' $pace TestSlowEngineIsReported
 mutant pace-provisional $pace/pace.go 's/if e\.provisional \{/if false {/' $pace TestFirstPromptShowsPace
+mutant pace-changed $pace/profile.go 's/!v\.changed \|\| /!v.changed \&\& /' $pace TestProfileFollowsChanges
 mutant pace-message internal/gossip/message.go 's/idle\[:min\(len\(idle\), pace\.MaxReports\)\]/idle/' internal/gossip TestPacesDoNotGrow
 mutant pace-slow-caller $gateway/enginepace.go 's/if s\.lastAt\.Sub\(arrived\) > maxMeasuredWrite \{/if false {/' $gateway TestSlowCallerDoesNotSlow
 mutant pause-own $placement/pause.go 's/lateWeight \* \(own \+ delayed\)/lateWeight * (0*own + delayed)/' $placement TestPlacementByPace
@@ -520,7 +521,7 @@
 # Generations that wait for room that is not kept for urgent ones.
 mutant line-arrival $placement/line.go 's/a\.arrived\.Compare\(b\.arrived\)/b.arrived.Compare(a.arrived)/' $placement TestLineOrder
 mutant line-rank $placement/line.go 's/a\.rank\.Compare\(b\.rank\), //' $placement TestLineOrder
-mutant line-ahead $gateway/wait.go 's/!s\.leavesHeadroom\(\) \|\| !line\.Ahead\(rank\)/true/' $gateway TestWaitForRoom
+mutant line-ahead $gateway/wait.go 's/!s\.leavesHeadroom\(gen\) \|\| !line\.Ahead\(rank\)/true/' $gateway TestWaitForRoom
 mutant line-first $gateway/wait.go 's/if line\.First\(place\) \{/if true {/' $gateway TestWaitForRoom
 mutant line-deadline $placement/line.go 's/maxWaitShare = 0\.25/maxWaitShare = 0.9/; s/return time\.Duration\(maxWaitShare/return time.Duration(0*maxWaitShare/' $gateway TestWaitForRoom
 mutant line-leave $gateway/wait.go 's/\tdefer line\.Leave\(place\)\n//' $gateway TestWaitForRoom
