docs(gateway): why large events have a budget of their own

Charging them to the memory budget alone would raise their bound from 4 MiB to three quarters of that budget, and endless events of failing engines would then refuse the requests of others.

--- a/internal/gateway/eventreader.go
+++ b/internal/gateway/eventreader.go
@@ -43,7 +43,9 @@
 // eventBudget bounds the memory that large event buffers take together.
 type eventBudget struct{ used atomic.Int64 }
 
-// largeEvents is the budget of this process.
+// largeEvents is the budget of this process. It exists beside the memory budget, which also counts these buffers
+// where it is set: its limit is several times maxLargeEventBytes, and failing engines must not use up what
+// requests and responses need.
 var largeEvents eventBudget
 
 // reserve adds n bytes unless the budget would be exceeded.
