fix(gateway): bound what is read for an event also with a memory budget

Cause: with a memory budget the event reader reads the answer through a readAhead, which had no Limit, so maxEventWireBytes did not apply.

Change: the readAhead passes the limit on, also after it began to read ahead. Tests that put a reader in place of the answer pass it to newReadAhead, so that they read through the same code.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -180,52 +180,65 @@
 // Guards against an upstream that fills the memory of its gateway with an answer without end, and against its
 // caller getting a part of that answer. The request is sent elsewhere where its route allows that.
 func TestEndlessAnswerIsBroken(t *testing.T) {
-	for _, stream := range []bool{false, true} {
-		service, path, oncePath, sound, want := "app", pathSafe, pathOnce, http.HandlerFunc(serveOK), "ok"
-		if stream {
-			service, path, oncePath, sound, want = "llm", pathResume, pathStream, serveRest, wholeStream()
-		}
-		for _, e := range endlessAnswers(stream) {
-			t.Run(fmt.Sprintf("stream %v/%s", stream, e.name), func(t *testing.T) {
-				f := newFixture(t)
-				counter := f.countReads()
-				bad := f.add(service, "bad", e.serve)
-				grown := peakHeap()
-				got := f.ask(oncePath)
-				if got.status == http.StatusServiceUnavailable || got.err == nil && got.status < 500 {
-					t.Errorf("status %d and %d bytes without an error", got.status, len(got.body))
-				}
-				if bad.runs() != 1 {
-					t.Errorf("%d runs on a route without repeats, want 1", bad.runs())
-				}
-				checkBounds(t, counter, grown())
-				if u, ok := f.fleet.Get("bad"); !ok || u.FailureRate() == 0 {
-					t.Error("the upstream does not count as failing")
-				}
-			})
-			t.Run(fmt.Sprintf("stream %v/%s repeated", stream, e.name), func(t *testing.T) {
-				f := newFixture(t)
-				counter, added := f.countReads(), make(chan struct{})
-				bad := f.add(service, "bad", func(w http.ResponseWriter, r *http.Request) {
-					f.holdUntil(added)
-					e.serve(w, r)
-				})
-				grown, result := peakHeap(), make(chan answer, 1)
-				go func() { result <- f.ask(path) }()
-				for bad.runs() == 0 {
-					time.Sleep(time.Millisecond)
-				}
-				f.add(service, "good", sound)
-				close(added)
-				if got := <-result; got.err != nil || strings.ReplaceAll(got.body, "\r\n", "\n") != want {
-					t.Errorf("error %v, status %d, %d bytes; want the answer of the other upstream", got.err, got.status, len(got.body))
-				}
-				checkBounds(t, counter, grown())
+	for _, tc := range []struct {
+		stream bool
+		// memory is the memory budget. With one, plain answers may be longer than maxReadBytes.
+		memory int64
+	}{{stream: false}, {stream: true}, {stream: true, memory: 16 << 20}} {
+		for _, e := range endlessAnswers(tc.stream) {
+			t.Run(fmt.Sprintf("stream %v/memory %d/%s", tc.stream, tc.memory, e.name), func(t *testing.T) {
+				checkEndlessAnswer(t, e, tc.stream, tc.memory)
 			})
 		}
 	}
 }
 
+// checkEndlessAnswer sends requests to an upstream that sends without end, through a gateway with a memory budget
+// or, if memory is 0, without one.
+func checkEndlessAnswer(t *testing.T, e endless, stream bool, memory int64) {
+	service, path, oncePath, sound, want := "app", pathSafe, pathOnce, http.HandlerFunc(serveOK), "ok"
+	if stream {
+		service, path, oncePath, sound, want = "llm", pathResume, pathStream, serveRest, wholeStream()
+	}
+	withMemory := func(s *Settings) { s.MemoryBytes = memory }
+	t.Run("once", func(t *testing.T) {
+		f := newFixture(t, withMemory)
+		counter := f.countReads()
+		bad := f.add(service, "bad", e.serve)
+		grown := peakHeap()
+		got := f.ask(oncePath)
+		if got.status == http.StatusServiceUnavailable || got.err == nil && got.status < 500 {
+			t.Errorf("status %d and %d bytes without an error", got.status, len(got.body))
+		}
+		if bad.runs() != 1 {
+			t.Errorf("%d runs on a route without repeats, want 1", bad.runs())
+		}
+		checkBounds(t, counter, grown())
+		if u, ok := f.fleet.Get("bad"); !ok || u.FailureRate() == 0 {
+			t.Error("the upstream does not count as failing")
+		}
+	})
+	t.Run("repeated", func(t *testing.T) {
+		f := newFixture(t, withMemory)
+		counter, added := f.countReads(), make(chan struct{})
+		bad := f.add(service, "bad", func(w http.ResponseWriter, r *http.Request) {
+			f.holdUntil(added)
+			e.serve(w, r)
+		})
+		grown, result := peakHeap(), make(chan answer, 1)
+		go func() { result <- f.ask(path) }()
+		for bad.runs() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.add(service, "good", sound)
+		close(added)
+		if got := <-result; got.err != nil || strings.ReplaceAll(got.body, "\r\n", "\n") != want {
+			t.Errorf("error %v, status %d, %d bytes; want the answer of the other upstream", got.err, got.status, len(got.body))
+		}
+		checkBounds(t, counter, grown())
+	})
+}
+
 // Guards against a quarter of the upstreams that fail at once and fill the memory, or fail other callers. What
 // the callers of the test take of the heap is measured with upstreams that only close their connections.
 func TestManyEndlessAnswers(t *testing.T) {
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -31,14 +31,15 @@
 	step    step
 	ctx     context.Context
 	answer  *link.Answer
+	body    io.Reader
 	enabled bool
 
 	// reader and counted are used by the handler, and by fetch while events are read ahead. counted is
-	// the size of the reader's buffer that is counted against the memory budget. source is what the
-	// reader reads: the answer, after bytes that an earlier reader had left.
+	// the size of the reader's buffer that is counted against the memory budget. rest are bytes that an
+	// earlier reader had left, which the reader reads before the answer.
 	reader  *eventReader
 	counted int64
-	source  io.Reader
+	rest    []byte
 
 	// writeCount is odd while the handler writes to the caller. direct is set while it reads the
 	// answer itself. Both are used only by the handler.
@@ -65,23 +66,29 @@
 	lastErr error
 }
 
-// newReadAhead returns a reader of the events of an answer. Without a memory budget it never reads
-// ahead.
-func (s *stream) newReadAhead(ctx context.Context, st step, answer *link.Answer) *readAhead {
+// newReadAhead returns a reader of the events in the body of an answer. Without a memory budget it never
+// reads ahead.
+func (s *stream) newReadAhead(ctx context.Context, st step, answer *link.Answer, body io.Reader) *readAhead {
 	s.endCheck = nil
-	a := &readAhead{s: s, step: st, ctx: ctx, answer: answer, direct: true, enabled: s.rq.memory != nil}
+	a := &readAhead{s: s, step: st, ctx: ctx, answer: answer, body: body, direct: true, enabled: s.rq.memory != nil}
 	if !a.enabled {
-		a.reader = newEventReader(answer)
+		a.reader = newEventReader(body)
 		return a
 	}
 	a.changed = sync.NewCond(&a.mu)
-	a.source = a
 	a.reader = newEventReader(a)
 	s.g.readAheads.add(a)
 	return a
 }
 
-// Read reads from the answer for the event reader, whose buffer it counts first.
+// Limit bounds what is read from the connection for the next event.
+func (a *readAhead) Limit(n int64) {
+	if l, ok := a.body.(wireLimiter); ok {
+		l.Limit(n)
+	}
+}
+
+// Read reads for the event reader, whose buffer it counts first.
 func (a *readAhead) Read(p []byte) (int, error) {
 	if n := int64(len(a.reader.buf)) - eventBuffer; n > a.counted {
 		if err := a.s.g.growMemory(a.s.rq, n-a.counted); err != nil {
@@ -89,7 +96,12 @@
 		}
 		a.counted = n
 	}
-	return a.answer.Read(p)
+	if len(a.rest) > 0 {
+		n := copy(p, a.rest)
+		a.rest = a.rest[n:]
+		return n, nil
+	}
+	return a.body.Read(p)
 }
 
 // next returns one or more complete events. They are valid until the next call. At the end of the
@@ -154,9 +166,8 @@
 		return
 	}
 	// The buffer of the present reader is being written.
-	rest := bytes.Clone(a.reader.buf[a.reader.start:a.reader.end])
-	a.source = io.MultiReader(bytes.NewReader(rest), a.source)
-	a.reader = newEventReader(a.source)
+	a.rest = append(bytes.Clone(a.reader.buf[a.reader.start:a.reader.end]), a.rest...)
+	a.reader = newEventReader(a)
 	a.replaced, a.counted = a.counted, 0
 	a.s.rq.memory.Await(now)
 	a.fetching, a.done = true, make(chan struct{})
--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -289,10 +289,8 @@
 	m := newMemoryFixture(t, 16<<20)
 	s := &stream{g: m.gateway, rq: &request{memory: m.gateway.newMemoryHolder(nil)}, cancel: func() {}}
 	defer s.rq.memory.Close()
-	a := s.newReadAhead(t.Context(), step{}, &link.Answer{Framed: true})
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{Framed: true}, &numberedEvents{})
 	defer a.close()
-	source := &numberedEvents{}
-	a.source, a.reader = source, newEventReader(source)
 	var got strings.Builder
 	for range 10 {
 		b, err := a.next()
@@ -335,9 +333,8 @@
 	m := newMemoryFixture(t, 16<<20)
 	rq := &request{memory: m.gateway.newMemoryHolder(nil)}
 	s := &stream{g: m.gateway, rq: rq}
-	a := s.newReadAhead(t.Context(), step{}, &link.Answer{})
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{}, endlessEvents{})
 	defer a.close()
-	a.reader = newEventReader(endlessEvents{})
 	if n := testing.AllocsPerRun(1000, func() { readAndWrite(t, a) }); n > 0 {
 		t.Errorf("%v allocations for each event", n)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,7 +16,7 @@
 // relay passes events on to the caller as they arrive, until the answer ends. It calls started
 // at the first event.
 func (s *stream) relay(ctx context.Context, st step, answer *link.Answer, sent time.Time, started func()) outcome {
-	g, r := s.g, s.newReadAhead(ctx, st, answer)
+	g, r := s.g, s.newReadAhead(ctx, st, answer, answer)
 	defer r.close()
 	first := true
 	for {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -450,8 +450,8 @@
 mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-bound $gateway/readahead.go 's/a\.queued\+size > maxReadAhead \|\| //' $gateway TestReadAheadIsBounded
 mutant stream-ahead-memory $gateway/readahead.go 's/ \|\| !a\.s\.rq\.memory\.Grow\(size\)/ || a.s.rq.memory.Evicted()/' $gateway TestReadAheadIsBounded
-mutant stream-ahead-rest $gateway/readahead.go 's/bytes\.NewReader\(rest\)/bytes.NewReader(rest[:0])/' $gateway TestCallerThatReadsInTurns
-mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\.source\)\n/\told := a.reader\n\ta.reader = newEventReader(a.source)\n\ta.reader.buf = old.buf\n/' $gateway TestReadAheadKeepsWhatIsWritten
+mutant stream-ahead-rest $gateway/readahead.go 's/a\.rest = append\(bytes\.Clone\(([^\n]*)\), a\.rest\.\.\.\)/_ = bytes.Clone($1)/' $gateway TestCallerThatReadsInTurns
+mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\)\n\ta\.replaced/\told := a.reader\n\ta.reader = newEventReader(a)\n\ta.reader.buf = old.buf\n\ta.replaced/' $gateway TestReadAheadKeepsWhatIsWritten
 mutant stream-ahead-last $gateway/readahead.go 's/\tif len\(a\.queue\) > 0 \{/\tif len(a.queue) > 0 \&\& a.fetching {/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-end $gateway/readahead.go 's/\t\t\ta\.s\.endCheck = &closed/\t\t\t_ = closed/' $gateway TestEndOfUnframedAnswer
 mutant stream-ahead-leave $gateway/readahead.go 's/\t\ta\.s\.cancel\(\)/\t\t_ = a.s.cancel/' $gateway TestEvictionEndsSilentStream
@@ -470,6 +470,7 @@
 mutant bound-events $gateway/eventreader.go 's/if b\.used\.Add\(n\) <= maxLargeEventBytes \{/if b.used.Add(n) >= 0 {/' $gateway TestLongEvents
 mutant bound-events-returned $gateway/eventreader.go 's/\te\.budget\.used\.Add\(-e\.reserved\)\n//' $gateway 'TestLongEvents|TestEventsWithin'
 mutant bound-event-wire $gateway/eventreader.go 's/\t\tl\.Limit\(maxEventWireBytes\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-event-wire-ahead $gateway/readahead.go 's/\t\tl\.Limit\(n\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
 mutant bound-unannounced $gateway/call.go 's/\t\treturn unannounced\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 
