fix(gateway): return the memory of a long event to the budget after it

Cause: what a stream's event buffer took of the memory budget was only returned at the end of the stream, although the buffer shrinks once a long event was passed on. After one event of 300 KiB a stream held 516,096 bytes of the budget until its end.

Change: the part of the budget follows the size of the buffer. The new test fails without it; a mutant covers it.

--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -90,16 +90,19 @@
 
 // Read reads for the event reader, whose buffer it counts first.
 func (a *readAhead) Read(p []byte) (int, error) {
-	if n := int64(len(a.reader.buf)) - eventBuffer; n > a.counted {
+	n := int64(len(a.reader.buf)) - eventBuffer
+	if n > a.counted {
 		if err := a.s.g.growMemory(a.s.rq, n-a.counted); err != nil {
 			return 0, err
 		}
-		a.counted = n
+	} else if n < a.counted {
+		a.s.rq.memory.Shrink(a.counted - n)
 	}
+	a.counted = n
 	if len(a.rest) > 0 {
-		n := copy(p, a.rest)
-		a.rest = a.rest[n:]
-		return n, nil
+		taken := copy(p, a.rest)
+		a.rest = a.rest[taken:]
+		return taken, nil
 	}
 	return a.body.Read(p)
 }
--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -343,6 +343,25 @@
 	}
 }
 
+// Guards against a stream that keeps a part of the budget until its end because one of its events was long.
+func TestLongEventReturnsItsMemory(t *testing.T) {
+	m := newMemoryFixture(t, 16<<20)
+	s := &stream{g: m.gateway, rq: &request{memory: m.gateway.newMemoryHolder(nil)}}
+	defer s.rq.memory.Close()
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{}, io.MultiReader(strings.NewReader(longEvent(300<<10)), endlessEvents{}))
+	defer a.close()
+	readAndWrite(t, a)
+	if n := m.gateway.memory.Used(); n < 256<<10 {
+		t.Errorf("%d bytes in use for a long event", n)
+	}
+	for range 2 {
+		readAndWrite(t, a)
+	}
+	if n := m.gateway.memory.Used(); n > smallEventBytes {
+		t.Errorf("%d bytes in use after the long event", n)
+	}
+}
+
 // readAndWrite reads events and marks a write that does not wait.
 func readAndWrite(tb testing.TB, a *readAhead) {
 	if _, err := a.next(); err != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -446,6 +446,7 @@
 mutant memory-blame $gateway/call.go 's/\tcase errors\.Is\(r\.err, errMemory\):\n/\tcase errors.Is(r.err, errOtherAnswer) \&\& false:\n/' $gateway TestResponseThatDoesNotFit
 mutant memory-repeat $gateway/call.go 's/ctx\.Err\(\) != nil \|\| errors\.Is\(r\.err, errMemory\)/ctx.Err() != nil/' $gateway TestResponseThatDoesNotFit
 mutant memory-event $gateway/readahead.go 's/n > a\.counted \{/n > 1<<40 {/' $gateway TestEventThatDoesNotFit
+mutant memory-event-returned $gateway/readahead.go 's/\t\ta\.s\.rq\.memory\.Shrink\(a\.counted - n\)\n/\t\tn = a.counted\n/' $gateway TestLongEventReturnsItsMemory
 mutant memory-event-blame $gateway/relay.go 's/ && !errors\.Is\(err, errMemory\)//' $gateway TestEventThatDoesNotFit
 mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-bound $gateway/readahead.go 's/a\.queued\+size > maxReadAhead \|\| //' $gateway TestReadAheadIsBounded
