--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -289,10 +289,8 @@
 	m := newMemoryFixture(t, 16<<20)
 	s := &stream{g: m.gateway, rq: &request{memory: m.gateway.newMemoryHolder(nil)}, cancel: func() {}}
 	defer s.rq.memory.Close()
-	a := s.newReadAhead(t.Context(), step{}, &link.Answer{Framed: true})
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{Framed: true}, &numberedEvents{})
 	defer a.close()
-	source := &numberedEvents{}
-	a.source, a.reader = source, newEventReader(source)
 	var got strings.Builder
 	for range 10 {
 		b, err := a.next()
@@ -335,9 +333,8 @@
 	m := newMemoryFixture(t, 16<<20)
 	rq := &request{memory: m.gateway.newMemoryHolder(nil)}
 	s := &stream{g: m.gateway, rq: rq}
-	a := s.newReadAhead(t.Context(), step{}, &link.Answer{})
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{}, endlessEvents{})
 	defer a.close()
-	a.reader = newEventReader(endlessEvents{})
 	if n := testing.AllocsPerRun(1000, func() { readAndWrite(t, a) }); n > 0 {
 		t.Errorf("%v allocations for each event", n)
 	}
@@ -346,6 +343,25 @@
 	}
 }
 
+// Guards against a stream that keeps a part of the budget until its end because one of its events was long.
+func TestLongEventReturnsItsMemory(t *testing.T) {
+	m := newMemoryFixture(t, 16<<20)
+	s := &stream{g: m.gateway, rq: &request{memory: m.gateway.newMemoryHolder(nil)}}
+	defer s.rq.memory.Close()
+	a := s.newReadAhead(t.Context(), step{}, &link.Answer{}, io.MultiReader(strings.NewReader(longEvent(300<<10)), endlessEvents{}))
+	defer a.close()
+	readAndWrite(t, a)
+	if n := m.gateway.memory.Used(); n < 256<<10 {
+		t.Errorf("%d bytes in use for a long event", n)
+	}
+	for range 2 {
+		readAndWrite(t, a)
+	}
+	if n := m.gateway.memory.Used(); n > smallEventBytes {
+		t.Errorf("%d bytes in use after the long event", n)
+	}
+}
+
 // readAndWrite reads events and marks a write that does not wait.
 func readAndWrite(tb testing.TB, a *readAhead) {
 	if _, err := a.next(); err != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -447,12 +447,13 @@
 mutant memory-blame $gateway/call.go 's/\tcase errors\.Is\(r\.err, errMemory\):\n/\tcase errors.Is(r.err, errOtherAnswer) \&\& false:\n/' $gateway TestResponseThatDoesNotFit
 mutant memory-repeat $gateway/call.go 's/ctx\.Err\(\) != nil \|\| errors\.Is\(r\.err, errMemory\)/ctx.Err() != nil/' $gateway TestResponseThatDoesNotFit
 mutant memory-event $gateway/readahead.go 's/n > a\.counted \{/n > 1<<40 {/' $gateway TestEventThatDoesNotFit
+mutant memory-event-returned $gateway/readahead.go 's/\t\ta\.s\.rq\.memory\.Shrink\(a\.counted - n\)\n/\t\tn = a.counted\n/' $gateway TestLongEventReturnsItsMemory
 mutant memory-event-blame $gateway/relay.go 's/ && !errors\.Is\(err, errMemory\)//' $gateway TestEventThatDoesNotFit
 mutant stream-ahead $gateway/readahead.go 's/\t\t\ta\.start\(write, now\)/\t\t\t_ = a.start/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-bound $gateway/readahead.go 's/a\.queued\+size > maxReadAhead \|\| //' $gateway TestReadAheadIsBounded
 mutant stream-ahead-memory $gateway/readahead.go 's/ \|\| !a\.s\.rq\.memory\.Grow\(size\)/ || a.s.rq.memory.Evicted()/' $gateway TestReadAheadIsBounded
-mutant stream-ahead-rest $gateway/readahead.go 's/bytes\.NewReader\(rest\)/bytes.NewReader(rest[:0])/' $gateway TestCallerThatReadsInTurns
-mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\.source\)\n/\told := a.reader\n\ta.reader = newEventReader(a.source)\n\ta.reader.buf = old.buf\n/' $gateway TestReadAheadKeepsWhatIsWritten
+mutant stream-ahead-rest $gateway/readahead.go 's/a\.rest = append\(bytes\.Clone\(([^\n]*)\), a\.rest\.\.\.\)/_ = bytes.Clone($1)/' $gateway TestCallerThatReadsInTurns
+mutant stream-ahead-buffer $gateway/readahead.go 's/\ta\.reader = newEventReader\(a\)\n\ta\.replaced/\told := a.reader\n\ta.reader = newEventReader(a)\n\ta.reader.buf = old.buf\n\ta.replaced/' $gateway TestReadAheadKeepsWhatIsWritten
 mutant stream-ahead-last $gateway/readahead.go 's/\tif len\(a\.queue\) > 0 \{/\tif len(a.queue) > 0 \&\& a.fetching {/' $gateway TestStreamIsReadAhead
 mutant stream-ahead-end $gateway/readahead.go 's/\t\t\ta\.s\.endCheck = &closed/\t\t\t_ = closed/' $gateway TestEndOfUnframedAnswer
 mutant stream-ahead-leave $gateway/readahead.go 's/\t\ta\.s\.cancel\(\)/\t\t_ = a.s.cancel/' $gateway TestEvictionEndsSilentStream
@@ -471,6 +472,7 @@
 mutant bound-events $gateway/eventreader.go 's/if b\.used\.Add\(n\) <= maxLargeEventBytes \{/if b.used.Add(n) >= 0 {/' $gateway TestLongEvents
 mutant bound-events-returned $gateway/eventreader.go 's/\te\.budget\.used\.Add\(-e\.reserved\)\n//' $gateway 'TestLongEvents|TestEventsWithin'
 mutant bound-event-wire $gateway/eventreader.go 's/\t\tl\.Limit\(maxEventWireBytes\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
+mutant bound-event-wire-ahead $gateway/readahead.go 's/\t\tl\.Limit\(n\)\n/\t\t_ = l\n/' $gateway TestEndlessAnswerIsBroken
 mutant bound-unannounced $gateway/call.go 's/\t\treturn unannounced\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 
@@ -503,6 +505,7 @@
 mutant pace-equal $pace/profile.go 's/<= equalSpread\*/<= 0*equalSpread*/' $pace TestEqualPacesChangeNothing
 mutant pace-flapping $pace/profile.go 's/ \|\| e\.slow && ratio > normalFactor//' $pace TestSlowEngineIsReported
 mutant pace-provisional $pace/pace.go 's/if e\.provisional \{/if false {/' $pace TestFirstPromptShowsPace
+mutant pace-changed $pace/profile.go 's/!v\.changed \|\| /!v.changed \&\& /' $pace TestProfileFollowsChanges
 mutant pace-message internal/gossip/message.go 's/idle\[:min\(len\(idle\), pace\.MaxReports\)\]/idle/' internal/gossip TestPacesDoNotGrow
 mutant pace-slow-caller $gateway/enginepace.go 's/if s\.lastAt\.Sub\(arrived\) > maxMeasuredWrite \{/if false {/' $gateway TestSlowCallerDoesNotSlow
 mutant pause-own $placement/pause.go 's/lateWeight \* \(own \+ delayed\)/lateWeight * (0*own + delayed)/' $placement TestPlacementByPace
@@ -521,7 +524,7 @@
 # Generations that wait for room that is not kept for urgent ones.
 mutant line-arrival $placement/line.go 's/a\.arrived\.Compare\(b\.arrived\)/b.arrived.Compare(a.arrived)/' $placement TestLineOrder
 mutant line-rank $placement/line.go 's/a\.rank\.Compare\(b\.rank\), //' $placement TestLineOrder
-mutant line-ahead $gateway/wait.go 's/!s\.leavesHeadroom\(\) \|\| !line\.Ahead\(rank\)/true/' $gateway TestWaitForRoom
+mutant line-ahead $gateway/wait.go 's/!s\.leavesHeadroom\(gen\) \|\| !line\.Ahead\(rank\)/true/' $gateway TestWaitForRoom
 mutant line-first $gateway/wait.go 's/if line\.First\(place\) \{/if true {/' $gateway TestWaitForRoom
 mutant line-deadline $placement/line.go 's/maxWaitShare = 0\.25/maxWaitShare = 0.9/; s/return time\.Duration\(maxWaitShare/return time.Duration(0*maxWaitShare/' $gateway TestWaitForRoom
 mutant line-leave $gateway/wait.go 's/\tdefer line\.Leave\(place\)\n//' $gateway TestWaitForRoom
