feat(gateway): gateways tell each other which engines cannot be reached

An engine whose VM lost power refuses nothing. Each gateway found out on its own requests: 0.4 s for each attempt to connect, and 3 s on an open connection.

For routes that bound pauses, a gateway now checks the connection to an engine after a failed attempt, after a stream was silent for twice the bound, and when another gateway reports the engine; the report is an eighth integer beside the load in the gossip message. An engine that fails the check is avoided until a check reaches it, and its silent streams that may be repeated go on elsewhere after the second failed check.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -168,7 +168,7 @@
 func (b *gatewayBuilder) ownState() gossip.State {
 	s := gossip.State{
 		Zone: b.settings.Zone, Relay: b.settings.RelayListen, Loads: b.gateway.Load(), Paces: b.gateway.Paces(),
-		StopBy: b.gateway.StopDeadline(), StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Failures: b.fleet.Failures(), Retries: b.gateway.RetryUse(), Suspects: b.gateway.Quarantine().Reports(),
+		StopBy: b.gateway.StopDeadline(), StoreLost: b.source.StoreLost(), Leaving: b.fleet.KnownLeaving(), Faults: b.fleet.Faults(), Unreachable: b.fleet.UnreachableSince(), Failures: b.fleet.Failures(), Retries: b.gateway.RetryUse(), Suspects: b.gateway.Quarantine().Reports(),
 	}
 	table, confirmed := b.routes.Current()
 	if table != nil {
@@ -184,6 +184,7 @@
 	b.gateway.Origins().PeerSeen(from, s.Incarnation)
 	b.gateway.SetPeerRetryUse(from, s.Incarnation, s.Retries, s.LastReceived)
 	b.fleet.PeerFaults(from, s.Faults)
+	b.gateway.SetPeerUnreachable(s.Unreachable)
 	b.fleet.PeerFailures(from, s.Failures)
 	b.gateway.Quarantine().Merge(from, s.Suspects)
 	b.fleet.PeerReportedLeaving(from, s.Leaving)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -45,6 +45,8 @@
 	EntryRestarted      ID = 148
 	RetryUseRestored    ID = 149
 	RetryUseStoreFailed ID = 150
+	UpstreamUnreachable ID = 151
+	UpstreamReachable   ID = 152
 	MemoryExhausted     ID = 160
 	MemoryAvailable     ID = 161
 	RequestReceived     ID = 200
@@ -173,6 +175,8 @@
 	{EntryRestarted, "entry-restarted", "Another entry runs as a new process; `requests` and `extra` are the use of the retry budgets, over all services, that its earlier process reported last, `ago` the time since then."},
 	{RetryUseRestored, "retry-use-restored", "A starting entry learned from `source` what its earlier processes used of the retry budgets; `complete` tells whether that is all. It makes no extra attempts before."},
 	{RetryUseStoreFailed, "retry-use-store-failed", "An entry could not store its use of the retry budgets; it tries again."},
+	{UpstreamUnreachable, "upstream-unreachable", "An entry could not connect to an engine. It tells the others, which check the engine themselves, and avoids the engine until it can connect again."},
+	{UpstreamReachable, "upstream-reachable", "An entry could connect again to an engine that it could not reach; `last-failed` is the time since its last failed attempt."},
 	{MemoryExhausted, "memory-exhausted", "An entry buffers as much of requests and responses as its memory allows (`used` of `limit` bytes): what no longer fits is refused with 503, and callers that do not read are disconnected."},
 	{MemoryAvailable, "memory-available", "Less than half of the memory for buffered requests and responses is in use again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -67,6 +67,7 @@
 	avoidUntil   time.Time
 	faultAt      time.Time
 	backOffUntil time.Time
+	reachability reachability
 }
 
 // State returns the state, which decides whether the upstream gets new work.
@@ -84,7 +85,7 @@
 }
 
 // AvoidUntil returns the time until which the upstream is used only if no other can take a request.
-func (u Upstream) AvoidUntil() time.Time { return u.avoidUntil }
+func (u Upstream) AvoidUntil() time.Time { return later(u.avoidUntil, u.reachability.avoidUntil) }
 
 // BackOffUntil returns the end of the backoff that the upstream asked this entry for, or the zero
 // time if it never asked for one.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,7 +27,9 @@
 	req.Body = rq.body
 	rq.attempts++
 	s.logAttempt(st)
-	s.enter(st)
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	s.enter(st, abandon)
 	defer s.leave()
 	rq.run.SentTo(st.at.ID)
 	sentAt := g.now()
@@ -142,12 +144,15 @@
 
 // handleNoAnswer handles an attempt that ended before the head of an answer arrived.
 func (s *stream) handleNoAnswer(ctx context.Context, st step, err error) outcome {
-	if ctx.Err() == nil {
+	if upstreamFailed(ctx) {
 		s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
 		s.g.recordBrokenAnswer(s.rq, st.at, err)
 	}
-	s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err)
+	s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err, "unreachable", errors.Is(context.Cause(ctx), errUnreachable))
 	if errors.Is(err, link.ErrNotSent) {
+		if ctx.Err() == nil && s.rq.route.MaxPause > 0 {
+			s.g.engineUnreachable(st.at)
+		}
 		return streamNotRun
 	}
 	s.rq.sent = true
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -239,8 +239,8 @@
 }
 
 // testTable returns the route table of a version. The text "N revoked" stands for version N
-// without keys, "N later" for version N with an additional service, and "N bodies" for version N with
-// large request bodies.
+// without keys, "N later" for version N with an additional service, "N bodies" for version N with
+// large request bodies, and "N pauses" for version N with a bound on the pauses of streams.
 func testTable(text string) *routetable.Table {
 	version, more, _ := strings.Cut(text, " ")
 	n, _ := strconv.Atoi(version)
@@ -270,6 +270,13 @@
 		{Name: "app"},
 		{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, Moves: true, EventTokens: 4}},
 	}
+	if more == "pauses" {
+		for i := range routes {
+			if routes[i].Kind == routetable.Stream {
+				routes[i].MaxPause = maxTestPause
+			}
+		}
+	}
 	if more == "later" {
 		routes, services = append(routes, route(pathLater, routetable.Repeatable, "later", 1)), append(services, routetable.Service{Name: "later"})
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -19,8 +19,16 @@
 	g, r := s.g, s.newReadAhead(ctx, st, answer, answer)
 	defer r.close()
 	first := true
+	var silence *time.Timer
+	stopSilence := func() {
+		if silence != nil {
+			silence.Stop()
+		}
+	}
+	defer stopSilence()
 	for {
 		b, err := r.next()
+		stopSilence()
 		if err != nil {
 			return s.answerEnded(ctx, st, answer, b, err)
 		}
@@ -41,6 +49,7 @@
 			}
 		}
 		arrived := g.now()
+		s.heardAt.Store(arrived.UnixNano())
 		r.beginWrite()
 		err = s.writeEvents(b)
 		r.endWrite()
@@ -51,6 +60,11 @@
 		s.advance(id, n)
 		s.recordPause()
 		s.measurePace(st.at, n, arrived)
+		if silence == nil {
+			silence = s.silenceTimer(st.at)
+		} else {
+			silence.Reset(silenceFactor * s.rq.route.MaxPause)
+		}
 		if s.timeToFirstEvent > 0 && s.lastAt.Sub(s.rq.start) > s.timeToFirstEvent+suspectBlockTime {
 			s.rq.run.EndTrial()
 		}
@@ -138,7 +152,7 @@
 	moving := s.handover != nil
 	s.mu.Unlock()
 	if !moving {
-		if ctx.Err() == nil && !errors.Is(err, errMemory) {
+		if upstreamFailed(ctx) && !errors.Is(err, errMemory) {
 			s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
 			s.g.recordBrokenAnswer(s.rq, st.at, err)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -33,6 +34,9 @@
 	lastAt         time.Time
 	// segment measures the pace of the engine.
 	segment segmentMeter
+	// heardAt is when the engine was last heard of: when the attempt began, or an event arrived, in
+	// nanoseconds since 1970.
+	heardAt atomic.Int64
 	// notResumedWhy is the reason why a generation that could have been resumed was not.
 	notResumedWhy string
 
@@ -62,6 +66,8 @@
 	ended           bool
 	// attemptTaken is set if the next attempt was already taken from the retry budget.
 	attemptTaken bool
+	// abandon ends the attempt in progress with a cause.
+	abandon context.CancelCauseFunc
 }
 
 // heldCopy is a copy of a generation's memory and the engine that holds it.
@@ -144,11 +150,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// enter registers the stream and its load with the engine that is to run it.
-func (s *stream) enter(st step) {
+// enter registers the stream and its load with the engine that is to run it. abandon ends the attempt.
+func (s *stream) enter(st step, abandon context.CancelCauseFunc) {
 	s.mu.Lock()
-	s.at = st.at
+	s.at, s.abandon = st.at, abandon
 	now := s.g.now()
+	s.heardAt.Store(now.UnixNano())
 	s.cachedTokens = s.g.prefixes.cachedTokens(st.at.ID, s.rq.call.Shared, now)
 	s.g.prefixes.note(st.at.ID, s.rq.call.Shared, now)
 	prefill := s.rq.call.Prompt - s.cachedTokens
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -1,13 +1,16 @@
 package gossip
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
@@ -100,14 +103,16 @@
 
 // wireLoad holds what an entry reports about an upstream: the fields of a Load (Running, Tokens, Prefill
 // and Held), and, if the entry measured the upstream's pace, the time between two events of a stream in
-// microseconds, the number of samples and the age of the latest one in milliseconds. Entries of the
-// previous release ignore what follows the load.
+// microseconds, the number of samples and the age of the latest one in milliseconds. If the entry cannot
+// connect to the upstream, the time since its last attempt in milliseconds plus 1 follows, and zeros stand for
+// a pace that was not measured. Entries of the previous release ignore what follows the load.
 type wireLoad []int
 
-// The lengths of a wireLoad without and with a pace.
+// The lengths of a wireLoad without and with a pace, and with the time of a failed attempt to connect.
 const (
-	wireLoadFields = 4
-	wirePaceFields = 7
+	wireLoadFields        = 4
+	wirePaceFields        = 7
+	wireUnreachableFields = 8
 )
 
 func encodeLoad(l Load) wireLoad { return wireLoad{l.Running, l.Tokens, l.Prefill, l.Held} }
@@ -130,13 +135,29 @@
 // pace returns the pace that follows the load; ok is false if there is none. Values that cannot be right
 // are left to the receiver to reject.
 func (w wireLoad) pace(now time.Time) (r pace.Report, ok bool) {
-	if len(w) < wirePaceFields {
+	if len(w) < wirePaceFields || len(w) >= wireUnreachableFields && w[4] == 0 && w[5] == 0 {
 		return pace.Report{}, false
 	}
 	clamp := func(v int) time.Duration { return time.Duration(min(max(v, -maxWireInt), maxWireInt)) }
 	return pace.Report{Interval: clamp(w[4]) * time.Microsecond, Samples: w[5], At: now.Add(-clamp(w[6]) * time.Millisecond)}, true
 }
 
+// appendUnreachable adds the time of a failed attempt to connect to a load.
+func (w wireLoad) appendUnreachable(at, now time.Time) wireLoad {
+	for len(w) < wirePaceFields {
+		w = append(w, 0)
+	}
+	return append(w, max(int(now.Sub(at).Milliseconds()), 0)+1)
+}
+
+// unreachable returns the time of a failed attempt to connect; ok is false if there is none.
+func (w wireLoad) unreachable(now time.Time) (at time.Time, ok bool) {
+	if len(w) < wireUnreachableFields || w[7] <= 0 {
+		return time.Time{}, false
+	}
+	return now.Add(-time.Duration(min(w[7]-1, maxWireInt)) * time.Millisecond), true
+}
+
 // wireUse holds the fields of a routing.Use: Requests and Extra.
 type wireUse [2]int
 
@@ -176,6 +197,7 @@
 		b.Loads[id] = encodeLoad(l)
 	}
 	addPaces(b.Loads, s.Paces, now)
+	addUnreachable(b.Loads, s.Unreachable, now)
 	for id, at := range s.Faults {
 		b.FaultAgesMS[id] = now.Sub(at).Milliseconds()
 	}
@@ -202,6 +224,21 @@
 	}
 }
 
+// addUnreachable adds the times of failed attempts to connect to the loads of their upstreams: of the
+// fleet.MaxUnreachable latest ones, so that a message does not grow with their number.
+func addUnreachable(loads map[string]wireLoad, unreachable map[string]time.Time, now time.Time) {
+	ids := slices.SortedFunc(maps.Keys(unreachable), func(a, b string) int {
+		return cmp.Or(unreachable[b].Compare(unreachable[a]), cmp.Compare(a, b))
+	})
+	for _, id := range ids[:min(len(ids), fleet.MaxUnreachable)] {
+		l, ok := loads[id]
+		if !ok {
+			l = encodeLoad(Load{})
+		}
+		loads[id] = l.appendUnreachable(unreachable[id], now)
+	}
+}
+
 // encodeDatagram encodes the datagram for one receiver.
 func encodeDatagram(version int, e echo, body []byte) ([]byte, error) {
 	return cbor.Marshal(datagram{Format: version, Echo: e, Body: body})
@@ -267,6 +304,12 @@
 			}
 			s.Paces[id] = r
 		}
+		if at, ok := l.unreachable(now); ok {
+			if s.Unreachable == nil {
+				s.Unreachable = map[string]time.Time{}
+			}
+			s.Unreachable[id] = at
+		}
 	}
 	if b.StopsInMS > 0 {
 		s.StopBy = now.Add(time.Duration(b.StopsInMS) * time.Millisecond)
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -52,6 +52,9 @@
 	Loads map[string]Load
 	// Paces holds what the entry measured of the pace of engines.
 	Paces map[string]pace.Report
+	// Unreachable holds, by upstream, the monotonic time at which the entry last failed to connect, if it
+	// has not succeeded since.
+	Unreachable map[string]time.Time
 	// Leaving lists the upstreams that are known to be leaving.
 	Leaving []string
 	// Faults holds, by upstream, the monotonic time of the latest fault that the entry's requests met
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -521,6 +521,20 @@
 mutant relocate-budget $gateway/relocate.go 's/ \|\| !g\.takeExtra\(s\.rq\.service\.Name, relocationReserve\)//' $gateway TestStreamLeavesSlowEngine
 mutant relocate-leaving $gateway/relocate.go 's/!known \|\| u\.State\(\) == fleet\.Leaving/!known || u.State() == fleet.Leaving \&\& false/' $gateway TestStreamLeavesSlowEngine
 
+# Engines that cannot be reached.
+mutant unreachable-avoided internal/fleet/unreachable.go 's/m\.reachability\.failedAt, m\.reachability\.avoidUntil = now, now\.Add\(unreachableFor\)/m.reachability.failedAt = now/' internal/fleet TestUnreachableUpstreamIsAvoided
+mutant unreachable-link internal/fleet/unreachable.go 's/ \|\| now\.Sub\(r\.checkedAt\) < recheckAfter//' internal/fleet TestPeerReportsAreChecked
+mutant unreachable-report internal/fleet/unreachable.go 's/r\.avoidUntil = now\.Add\(checkFor\)/r.avoidUntil = now.Add(10 * checkFor)/' internal/fleet TestPeerReportsAreChecked
+mutant unreachable-future internal/fleet/unreachable.go 's/at\.After\(now\) \|\| //' internal/fleet TestPeerReportsAreChecked
+mutant unreachable-route $gateway/attempt.go 's/ctx\.Err\(\) == nil && s\.rq\.route\.MaxPause > 0/ctx.Err() == nil/' $gateway TestOwnAttemptFindsEngineUnreachable
+mutant unreachable-again $gateway/unreachable.go 's/\t\t\t\tg\.checkUntilReachable\(u\)\n//' $gateway TestUnreachableEngineOfAnotherEntry
+mutant unreachable-silent $gateway/relay.go 's/\t\t\tsilence = s\.silenceTimer\(st\.at\)\n/\t\t\tsilence = time.NewTimer(time.Hour)\n/' $gateway TestStreamsOfUnreachableEngine
+mutant unreachable-once internal/fleet/unreachable.go 's/ \|\| now\.Sub\(r\.checkedAt\) < checkFor//' internal/fleet TestSilentUpstreamIsCheckedOnce
+mutant unreachable-repeats $gateway/unreachable.go 's/ && s\.rq\.route\.Repeats\(\)//' $gateway TestStreamsOfUnreachableEngine
+mutant unreachable-heard $gateway/relay.go 's/\t\ts\.heardAt\.Store\(arrived\.UnixNano\(\)\)\n//' $gateway TestStreamsOfUnreachableEngine
+mutant unreachable-elsewhere $gateway/unreachable.go 's/\t\ts\.abandon\(errUnreachable\)\n//' $gateway TestStreamsOfUnreachableEngine
+mutant unreachable-message internal/gossip/message.go 's/ids\[:min\(len\(ids\), fleet\.MaxUnreachable\)\]/ids[:min(len(ids), 100*fleet.MaxUnreachable)]/' internal/gossip TestUnreachableUpstreamsDoNotGrow
+mutant unreachable-no-pace internal/gossip/message.go 's/ \|\| len\(w\) >= wireUnreachableFields && w\[4\] == 0 && w\[5\] == 0//' internal/gossip TestUnreachableUpstreamsArrive
 # Generations that wait for room that is not kept for urgent ones.
 mutant line-arrival $placement/line.go 's/a\.arrived\.Compare\(b\.arrived\)/b.arrived.Compare(a.arrived)/' $placement TestLineOrder
 mutant line-rank $placement/line.go 's/a\.rank\.Compare\(b\.rank\), //' $placement TestLineOrder
