fix(gateway): a relocation takes one attempt and leaves generations that are being moved

Cause: a stream on a slow engine decides about its relocation after each eight events. Each try took an attempt from the retry budget, also if the one of an earlier failed try was unused, and while the generation was being stopped for another move, which also cost a copy that was released again. Two segments took two attempts and two copy commands in both cases.

Change: a reserved attempt is kept for the next try, and a generation that is being moved is not relocated. Two segments now take one attempt and two copy commands if the copies fail, and none while the generation is being moved. The new test fails without either; mutants cover both.

--- a/internal/gateway/enginepace_test.go
+++ b/internal/gateway/enginepace_test.go
@@ -103,19 +103,14 @@
 			defer s.end()
 			tt.change(f, s)
 			relayEvents(s, 47*time.Millisecond)
-			moved := func() bool {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				return s.handover != nil
-			}
 			if !tt.want {
 				time.Sleep(20 * time.Millisecond)
-				if moved() || s.attemptTaken {
+				if s.moving() || s.attemptTaken {
 					t.Error("the stream is relocated")
 				}
 				return
 			}
-			f.waitUntil("the stream is relocated", moved)
+			f.waitUntil("the stream is relocated", s.moving)
 			if !s.takeReservedAttempt() || s.takeReservedAttempt() {
 				t.Error("the attempt is not taken from the retry budget exactly once")
 			}
@@ -123,6 +118,42 @@
 	}
 }
 
+// TestRelocationTakesOneAttempt guards against relocations that use up the retry budget: one that failed may be
+// tried again with the attempt that was taken for it, and a generation that is being moved stays with that move.
+func TestRelocationTakesOneAttempt(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		moving bool
+		// want is the number of copy commands and attempts after two segments.
+		wantCommands, wantAttempts int
+	}{
+		{"the copies fail", false, 2, 1},
+		{"the generation is being moved", true, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			slow := f.addEngine("slow")
+			slow.copies = []protocol.CopyResult{{Outcome: protocol.CopyFailed}}
+			f.addEngine("fast")
+			f.observePaces(map[string]time.Duration{"slow": 47 * time.Millisecond, "fast": 20 * time.Millisecond})
+			s := f.boundedStream("slow")
+			defer s.end()
+			if tt.moving {
+				s.handover = make(chan struct{})
+			}
+			for range 2 {
+				relayEvents(s, 47*time.Millisecond)
+				f.waitUntil("the relocation has ended", func() bool { return !f.gateway.relocating.Load() })
+			}
+			slow.mu.Lock()
+			defer slow.mu.Unlock()
+			if got := f.gateway.budget("llm").Use().Extra; got != tt.wantAttempts || slow.commandCount != tt.wantCommands {
+				t.Errorf("%d attempts and %d copy commands, want %d and %d", got, slow.commandCount, tt.wantAttempts, tt.wantCommands)
+			}
+		})
+	}
+}
+
 // TestSlowCallerDoesNotSlowEngine guards against blaming an engine for a caller that reads slowly: behind it,
 // events arrive when there is room for them.
 func TestSlowCallerDoesNotSlowEngine(t *testing.T) {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -112,6 +112,13 @@
 	return s.events > 0 && s.rq.service.Engine.Moves && !s.endsWithin(typicalCopyTime)
 }
 
+// moving reports whether the generation is about to be stopped for a move, or was stopped and has not resumed.
+func (s *stream) moving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handover != nil
+}
+
 // endsWithin reports whether the generation is certain to end within d, given the maximum
 // output that the caller allows. s.mu must be held.
 func (s *stream) endsWithin(d time.Duration) bool {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -134,10 +134,7 @@
 			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt)
 		return streamComplete
 	}
-	s.mu.Lock()
-	moving := s.handover != nil
-	s.mu.Unlock()
-	if !moving {
+	if !s.moving() {
 		if ctx.Err() == nil && !errors.Is(err, errMemory) {
 			s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
 			s.g.recordBrokenAnswer(s.rq, st.at, err)
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -13,17 +13,14 @@
 // the load of one is known before the next is decided.
 func (s *stream) relocateIfSlow(at fleet.Upstream) {
 	g := s.g
-	if s.longestPause > s.rq.route.MaxPause || !s.movable() || !g.relocating.CompareAndSwap(false, true) {
+	if s.longestPause > s.rq.route.MaxPause || !s.movable() || s.moving() || !g.relocating.CompareAndSwap(false, true) {
 		return
 	}
 	target, ok := s.chooseRelocation(at)
-	if !ok || !g.takeExtra(s.rq.service.Name, relocationReserve) {
+	if !ok || !s.reserveAttempt() {
 		g.relocating.Store(false)
 		return
 	}
-	s.mu.Lock()
-	s.attemptTaken = true
-	s.mu.Unlock()
 	g.met.moved("begun from a slow engine")
 	go func() {
 		defer g.relocating.Store(false)
@@ -42,6 +39,17 @@
 	return view.Relocate(g.candidates(s.available(), exclude, view.Now), s.remainingDemand(), at, g.usableMemory(s.rq.service, view.Now))
 }
 
+// reserveAttempt takes the attempt that continues the stream after its relocation from the retry budget, unless
+// one was taken for an earlier relocation, which failed. It returns false if there is none.
+func (s *stream) reserveAttempt() bool {
+	// The lock of the gateway, which takeExtra takes, is never taken while that of a stream is held.
+	reserved := s.takeReservedAttempt() || s.g.takeExtra(s.rq.service.Name, relocationReserve)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attemptTaken = reserved
+	return reserved
+}
+
 // takeReservedAttempt reports whether the attempt that continues the stream was taken from the retry budget
 // when its relocation was decided.
 func (s *stream) takeReservedAttempt() bool {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -517,7 +517,9 @@
 mutant relocate-room $placement/relocate.go 's/ \|\| Room\(c\.Load, g, 0, usable, v\.readToken\(c\)\) != nil//; s/return v\.targetWeight\(c, g\)/return 1/' $placement TestRelocate
 mutant relocate-late $gateway/relocate.go 's/s\.longestPause > s\.rq\.route\.MaxPause \|\| //' $gateway TestStreamLeavesSlowEngine
 mutant relocate-one $gateway/relocate.go 's/!g\.relocating\.CompareAndSwap\(false, true\)/g.relocating.Swap(true) \&\& false/' $gateway TestStreamLeavesSlowEngine
-mutant relocate-budget $gateway/relocate.go 's/ \|\| !g\.takeExtra\(s\.rq\.service\.Name, relocationReserve\)//' $gateway TestStreamLeavesSlowEngine
+mutant relocate-budget $gateway/relocate.go 's/ \|\| !s\.reserveAttempt\(\)//' $gateway TestStreamLeavesSlowEngine
+mutant relocate-budget-once $gateway/relocate.go 's/s\.takeReservedAttempt\(\) \|\| s/s/' $gateway TestRelocationTakesOneAttempt
+mutant relocate-moving $gateway/relocate.go 's/ \|\| s\.moving\(\)//' $gateway TestRelocationTakesOneAttempt
 mutant relocate-leaving $gateway/relocate.go 's/!known \|\| u\.State\(\) == fleet\.Leaving/!known || u.State() == fleet.Leaving \&\& false/' $gateway TestStreamLeavesSlowEngine
 
 # Generations that wait for room that is not kept for urgent ones.
