fix(gateway): events that waited for a slow caller do not show the pace of an engine

Cause: when a caller that had not read for a while reads again, the events that waited for it are passed on within microseconds. They counted for the pace of the engine: 32 events at 20 us after a write of 1 s gave an engine of 30 ms an event the pace of 40 us, which this entry used for placement and reported to the others.

Change: after a write that took long, the pace is measured again once an event had to be waited for. The new test fails without it; two mutants cover both sides, and that of the retry budget now removes the check alone.

--- a/internal/gateway/enginepace.go
+++ b/internal/gateway/enginepace.go
@@ -15,6 +15,8 @@
 	startAt, lastAt time.Time
 	events          int
 	longest         time.Duration
+	// behindAt is when events were passed on that had waited for the caller; zero unless others may still wait.
+	behindAt time.Time
 }
 
 // add counts n events that were passed on at a time. ok is true if they complete a segment, which
@@ -39,6 +41,10 @@
 // measured. Behind a caller that reads slowly, events arrive when there is room for them.
 const maxMeasuredWrite = 10 * time.Millisecond
 
+// minEventWait is how long the next events take to arrive at least if they did not wait already. Waiting events are
+// read within some microseconds, and engines need several milliseconds for an event.
+const minEventWait = time.Millisecond
+
 // measurePace counts n events for the pace of their engine, if the operator bounds the pauses of the stream.
 // They arrived at the given time and have been passed on.
 func (s *stream) measurePace(at fleet.Upstream, n int, arrived time.Time) {
@@ -46,10 +52,12 @@
 	if bound == 0 || n == 0 {
 		return
 	}
-	if s.lastAt.Sub(arrived) > maxMeasuredWrite {
-		s.segment = segmentMeter{}
+	behindAt := s.segment.behindAt
+	if s.lastAt.Sub(arrived) > maxMeasuredWrite || !behindAt.IsZero() && arrived.Sub(behindAt) < minEventWait {
+		s.segment = segmentMeter{behindAt: s.lastAt}
 		return
 	}
+	s.segment.behindAt = time.Time{}
 	interval, longest, ok := s.segment.add(n, s.lastAt)
 	if !ok {
 		return
--- a/internal/gateway/enginepace_test.go
+++ b/internal/gateway/enginepace_test.go
@@ -172,6 +172,34 @@
 	}
 }
 
+// TestWaitingEventsDoNotSpeedEngine guards against taking the events that waited for a slow caller, and are passed
+// on at once when it reads again, for those of a fast engine. The pace is measured again once an event had to be
+// waited for.
+func TestWaitingEventsDoNotSpeedEngine(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("e")
+	s := f.boundedStream("e")
+	at := time.Now()
+	pass := func(n int, wait, write time.Duration) {
+		for range n {
+			arrived := at.Add(wait)
+			at = arrived.Add(write)
+			s.lastAt = at
+			s.measurePace(s.at, 1, arrived)
+		}
+	}
+	const interval, soon = 30 * time.Millisecond, 20 * time.Microsecond
+	pass(1, interval, time.Second)
+	pass(4*pace.SegmentEvents, soon, soon)
+	if e, ok := f.gateway.paces.Engine("e"); ok {
+		t.Errorf("the engine has the pace %v by events that waited, want none", e.Interval)
+	}
+	pass(pace.SegmentEvents+1, interval, 0)
+	if e, ok := f.gateway.paces.Engine("e"); !ok || e.Interval != interval {
+		t.Errorf("the engine has the pace %v (%v), want %v", e.Interval, ok, interval)
+	}
+}
+
 // TestPeerPaces: reports of other entries count for known engines, and invalid ones are logged.
 func TestPeerPaces(t *testing.T) {
 	f := newFixture(t)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -506,7 +506,9 @@
 mutant pace-provisional $pace/pace.go 's/if e\.provisional \{/if false {/' $pace TestFirstPromptShowsPace
 mutant pace-changed $pace/profile.go 's/!v\.changed \|\| /!v.changed \&\& /' $pace TestProfileFollowsChanges
 mutant pace-message internal/gossip/message.go 's/idle\[:min\(len\(idle\), pace\.MaxReports\)\]/idle/' internal/gossip TestPacesDoNotGrow
-mutant pace-slow-caller $gateway/enginepace.go 's/if s\.lastAt\.Sub\(arrived\) > maxMeasuredWrite \{/if false {/' $gateway TestSlowCallerDoesNotSlow
+mutant pace-slow-caller $gateway/enginepace.go 's/if s\.lastAt\.Sub\(arrived\) > maxMeasuredWrite \|\| /if /' $gateway TestSlowCallerDoesNotSlow
+mutant pace-waiting $gateway/enginepace.go 's/arrived\.Sub\(behindAt\) < minEventWait/false/' $gateway TestWaitingEventsDoNotSpeedEngine
+mutant pace-caught-up $gateway/enginepace.go 's/arrived\.Sub\(behindAt\) < minEventWait/true/' $gateway TestWaitingEventsDoNotSpeedEngine
 mutant pause-own $placement/pause.go 's/lateWeight \* \(own \+ delayed\)/lateWeight * (0*own + delayed)/' $placement TestPlacementByPace
 mutant pause-others $placement/pause.go 's/lateWeight \* \(own \+ delayed\)/lateWeight * (own + 0*delayed)/' $placement TestPlacementByPace
 mutant pause-start $placement/cost.go 's/ \+ v\.startCost\(c, g\)//' $placement TestLargePromptAvoids
@@ -517,7 +519,7 @@
 mutant relocate-room $placement/relocate.go 's/ \|\| Room\(c\.Load, g, 0, usable, v\.readToken\(c\)\) != nil//; s/return v\.targetWeight\(c, g\)/return 1/' $placement TestRelocate
 mutant relocate-late $gateway/relocate.go 's/s\.longestPause > s\.rq\.route\.MaxPause \|\| //' $gateway TestStreamLeavesSlowEngine
 mutant relocate-one $gateway/relocate.go 's/!g\.relocating\.CompareAndSwap\(false, true\)/g.relocating.Swap(true) \&\& false/' $gateway TestStreamLeavesSlowEngine
-mutant relocate-budget $gateway/relocate.go 's/ \|\| !s\.reserveAttempt\(\)//' $gateway TestStreamLeavesSlowEngine
+mutant relocate-budget $gateway/relocate.go 's/s\.g\.takeExtra\(s\.rq\.service\.Name, relocationReserve\)/true/' $gateway TestStreamLeavesSlowEngine
 mutant relocate-budget-once $gateway/relocate.go 's/s\.takeReservedAttempt\(\) \|\| s/s/' $gateway TestRelocationTakesOneAttempt
 mutant relocate-moving $gateway/relocate.go 's/ \|\| s\.moving\(\)//' $gateway TestRelocationTakesOneAttempt
 mutant relocate-leaving $gateway/relocate.go 's/!known \|\| u\.State\(\) == fleet\.Leaving/!known || u.State() == fleet.Leaving \&\& false/' $gateway TestStreamLeavesSlowEngine
