fix(pace): bound the pace that a first prompt shows from below

Cause: the time of an engine's first prompt was bounded to four times the usual one, but not to a fraction of it. A prompt that took a thousandth of the usual time, as one that is cached at the engine may, gave the engine a pace of 30 us where the others have 30 ms, which placement uses until a stream has shown the pace.

Change: the bound applies in both directions; the same prompt gives 7.5 ms.

--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -220,6 +220,19 @@
 	}
 }
 
+// TestFirstPromptIsBounded guards against an engine that counts as many times faster or slower than all others
+// because its first prompt was cached, or waited behind others.
+func TestFirstPromptIsBounded(t *testing.T) {
+	for slowdown, want := range map[float64]time.Duration{0.001: 7500 * time.Microsecond, 0.5: 15 * ms, 2: 60 * ms, 1000: 120 * ms} {
+		s, _ := newSet(t)
+		observe(s, "a", 30*ms, 8, start)
+		s.AddFirst("new", "llm", slowdown, start)
+		if e, _ := s.Engine("new"); e.Interval != want {
+			t.Errorf("got %v from a prompt that took %v times as long as usual, want %v", e.Interval, slowdown, want)
+		}
+	}
+}
+
 // TestStartRiskFollowsReading: the more of its limit the reading of prompts usually takes, the likelier a
 // generation begins late.
 func TestStartRiskFollowsReading(t *testing.T) {
--- a/internal/pace/profile.go
+++ b/internal/pace/profile.go
@@ -145,13 +145,13 @@
 func (s *Set) AddFirst(id, serviceName string, slowdown float64, now time.Time) {
 	s.mu.Lock()
 	v, ok := s.services[serviceName]
-	if !ok || v.typical == 0 || s.engine(id).merged.Samples > 0 || slowdown <= 0 {
+	if !ok || v.typical == 0 || slowdown <= 0 || s.engine(id).merged.Samples > 0 {
 		s.mu.Unlock()
 		return
 	}
 	e := s.engine(id)
 	e.service, e.provisional, e.at = serviceName, true, now
-	e.samples = append(e.samples[:0], time.Duration(min(slowdown, maxSlowdown)*float64(v.typical)))
+	e.samples = append(e.samples[:0], time.Duration(min(max(slowdown, 1.0/maxSlowdown), maxSlowdown)*float64(v.typical)))
 	change, changed := s.update(id, e, now)
 	s.mu.Unlock()
 	if changed {
@@ -159,7 +159,8 @@
 	}
 }
 
-// maxSlowdown bounds what the time of a single prompt tells of an engine's pace.
+// maxSlowdown bounds what the time of a single prompt tells of an engine's pace, in both directions: the prompt may
+// have waited behind others, or may be cached at the engine.
 const maxSlowdown = 4
 
 // AddStart adds the time to the first event of a generation at an engine, and the time in which that
