perf(gateway): look at other engines only for a stream that is worth moving

Cause: after each eight events of a stream, the loads of all engines of the service were collected before the risk at the stream's own engine was looked at, which is low for nearly all streams.

Change: placement tells first whether a generation is worth moving. No change of the decisions.

--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -141,6 +141,18 @@
 	}
 }
 
+// BenchmarkChooseRelocation measures the decision after a segment of a stream that stays, in a large service.
+func BenchmarkChooseRelocation(b *testing.B) {
+	g, s := crowdedGateway(620)
+	at := g.fleet.Available("llm")[0]
+	if _, ok := s.chooseRelocation(at); ok {
+		b.Fatal("the stream is to be relocated")
+	}
+	for b.Loop() {
+		_, _ = s.chooseRelocation(at)
+	}
+}
+
 // crowdedGateway returns a gateway with n half-full engines, and a generation to place.
 func crowdedGateway(n int) (*Gateway, *stream) {
 	set := fleet.New(events.Nop(), time.Now, func(string) {})
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -34,9 +34,12 @@
 	if u, known := g.fleet.Get(at.ID); !known || u.State() == fleet.Leaving {
 		return fleet.Upstream{}, false
 	}
-	view := g.engineView(s.rq.service.Name)
+	view, demand := g.engineView(s.rq.service.Name), s.remainingDemand()
+	if !view.WorthLeaving(at, demand) {
+		return fleet.Upstream{}, false
+	}
 	exclude := g.excludeLimited(map[string]bool{at.ID: true})
-	return view.Relocate(g.candidates(s.available(), exclude, view.Now), s.remainingDemand(), at, g.usableMemory(s.rq.service, view.Now))
+	return view.Relocate(g.candidates(s.available(), exclude, view.Now), demand, at, g.usableMemory(s.rq.service, view.Now))
 }
 
 // reserveAttempt takes the attempt that continues the stream after its relocation from the retry budget, unless
