fix(ctl): responses of the administration API are bounded

Cause: sparshorectl read the body of a response without a bound, and a head up to 10 MB, the default of net/http. A failing process, or another server at its address, could fill the memory of the operator's machine.

Change: a head has 64 KiB, a timeline 128 MiB, any other body 16 MiB. The error for a longer body wraps errTooLong.

--- a/internal/ctl/api.go
+++ b/internal/ctl/api.go
@@ -15,6 +15,20 @@
 // response.
 var errAPI = errors.New("administration API")
 
+// errTooLong is wrapped when a response exceeds a size bound. A failing process, or another server at its
+// address, may send without end.
+var errTooLong = errors.New("response exceeds a size bound")
+
+const (
+	// maxHeadBytes bounds in bytes the head of a response.
+	maxHeadBytes = 64 << 10
+	// maxResponseBytes bounds in bytes the body of a response, except that of a timeline. The longest is a
+	// configuration: its source has at most 1 MiB by default, and JSON escapes may take six times as many bytes.
+	maxResponseBytes = 16 << 20
+	// maxTimelineBytes bounds in bytes a timeline: 4,096 events of about 300 bytes of each of 100 processes.
+	maxTimelineBytes = 128 << 20
+)
+
 // api is a client of the administration API of an entry or gateway.
 type api struct {
 	base   string
@@ -27,7 +41,9 @@
 const apiTimeout = 40 * time.Second
 
 func newAPI(server, token string) *api {
-	return &api{base: strings.TrimSuffix(server, "/") + "/admin/v1", token: token, client: &http.Client{Timeout: apiTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &api{base: strings.TrimSuffix(server, "/") + "/admin/v1", token: token, client: &http.Client{Timeout: apiTimeout, Transport: transport}}
 }
 
 // apiError is the body of an error response.
@@ -41,6 +57,11 @@
 // out. Status codes from 400 are errors, except 409, which carries the outcome of a refused
 // change.
 func (a *api) call(method, path string, in, out any) error {
+	return a.callBounded(method, path, in, out, maxResponseBytes)
+}
+
+// callBounded does what call does, with a body of the response of at most most bytes.
+func (a *api) callBounded(method, path string, in, out any, most int64) error {
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -59,9 +80,12 @@
 		return fmt.Errorf("%w: %v", errAPI, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err == nil && int64(len(b)) > most {
+		err = fmt.Errorf("%w: body of more than %d bytes", errTooLong, most)
+	}
 	if err != nil {
-		return fmt.Errorf("%w: %v", errAPI, err)
+		return fmt.Errorf("%w: %w", errAPI, err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode != http.StatusConflict {
 		var failure apiError
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -34,7 +34,7 @@
 
 func (c *timelineCommand) run(env *environment) error {
 	var b timelineResponse
-	if err := env.api.call(http.MethodGet, "/timeline?request="+url.QueryEscape(c.Request), nil, &b); err != nil {
+	if err := env.api.callBounded(http.MethodGet, "/timeline?request="+url.QueryEscape(c.Request), nil, &b, maxTimelineBytes); err != nil {
 		return err
 	}
 	if env.json {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -485,6 +485,9 @@
 mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
 mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
 mutant bound-store-body $reconnect/reconnect.go 's/err == nil && int64\(len\(body\)\) > c/false \&\& int64(len(body)) > c/' $reconnect TestEndlessAnswers
+mutant bound-ctl-head internal/ctl/api.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/ctl TestEndlessResponses
+mutant bound-ctl-body internal/ctl/api.go 's/io\.LimitReader\(resp\.Body, most\+1\)/resp.Body/' internal/ctl TestEndlessResponses
+mutant bound-ctl-cut internal/ctl/api.go 's/err == nil && int64\(len\(b\)\) > most/false/' internal/ctl TestEndlessResponses
 
 mutant bound-message internal/peer/codec.go 's/if n > maxMessageBytes \{/if false {/' internal/peer TestLongMessageEnds
 
