fix: the lines of the head of a response are bounded

Cause: a head was bounded in bytes only. 11,000 different header lines fit into 64 KiB, and their parser takes 1.7 MB, of which 1.0 MB remain as long as the response: with 100 requests at once 100 MB.

Change: the new package sizebound counts the lines of a head, and of the informational responses before it. At 512 lines the parser takes 64 KB, as much as the bytes may have. internal/link and internal/sidecar count before the head is parsed. The clients of the platform, of the store and of the administration API have few calls at once, and connections that may be encrypted; they count the lines of the parsed header. The errors wrap ErrTooLong (in link with ErrBroken). The sidecar now also wraps errTooLong where net/http reports the line in which a bound lies as malformed.

A row of TestAnswersWithinTheBounds held that 4,000 lines are accepted, which is above the new bound; it now holds that exactly the allowed number is, and the new test that one line more is not.

--- a/internal/ctl/api.go
+++ b/internal/ctl/api.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // errAPI is wrapped by errors of calls to the administration API, including calls that get no
@@ -80,6 +82,9 @@
 		return fmt.Errorf("%w: %v", errAPI, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !sizebound.Within(resp.Header) {
+		return fmt.Errorf("%w: %w: more than %d header lines", errAPI, errTooLong, sizebound.MaxHeadLines)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
 	if err == nil && int64(len(b)) > most {
 		err = fmt.Errorf("%w: body of more than %d bytes", errTooLong, most)
--- a/internal/ctl/api_test.go
+++ b/internal/ctl/api_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // endlessBytes is how much a server of these tests sends if nobody stops it.
@@ -80,6 +82,7 @@
 		{"header line", ok + "X-Filler: ", filler, get, maxHeadBytes, true},
 		{"header lines", ok, strings.Repeat("X-Filler: x\r\n", 5000), get, maxHeadBytes, true},
 		{"informational responses", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2500), get, maxHeadBytes, true},
+		{"many header lines", ok + strings.Repeat("a:\r\n", sizebound.MaxHeadLines+1) + "\r\n", filler, get, maxHeadBytes, false},
 		{"body", ok + "\r\n", filler, get, maxResponseBytes, false},
 		{"body of a failure", "HTTP/1.1 500 Internal Server Error\r\n\r\n", filler, get, maxResponseBytes, false},
 		{"timeline", ok + "\r\n", filler, timeline, maxTimelineBytes, false},
--- a/internal/link/bounds.go
+++ b/internal/link/bounds.go
@@ -8,6 +8,8 @@
 	"math"
 	"net/http"
 	"slices"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // ErrTooLong is wrapped, together with ErrBroken, when an answer exceeds a bound on what is read of it. Some
@@ -26,12 +28,15 @@
 	maxSkipped      = 16
 )
 
-// boundedReader counts the bytes that are read from a connection and bounds their number.
+// boundedReader counts the bytes that are read from a connection and bounds their number, and that of the lines of a
+// head.
 type boundedReader struct {
 	io.Reader
 	read int64
 	// most is the number of bytes that may be read.
 	most int64
+	// lines counts the lines of the current head.
+	lines sizebound.Lines
 	// exceeded is set once a read was refused.
 	exceeded bool
 }
@@ -45,6 +50,10 @@
 	}
 	n, err := b.Reader.Read(p[:min(int64(len(p)), left)])
 	b.read += int64(n)
+	if !b.lines.Add(p[:n]) {
+		b.exceeded = true
+		return 0, ErrTooLong
+	}
 	return n, err
 }
 
@@ -71,6 +80,10 @@
 func (r *answerReader) readHead(method string) (*http.Response, error) {
 	r.limit(maxHeadBytes)
 	defer r.unlimit()
+	r.source.lines = sizebound.Lines{}
+	if buffered, _ := r.Peek(r.Buffered()); !r.source.lines.Add(buffered) {
+		return nil, ErrTooLong
+	}
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
 		if r.source.exceeded {
--- a/internal/link/bounds_test.go
+++ b/internal/link/bounds_test.go
@@ -8,10 +8,13 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 const (
@@ -142,7 +145,7 @@
 		head string
 	}{
 		{"long header line", "HTTP/1.1 200 OK\nX-Filler: " + strings.Repeat("x", 60<<10) + "\n"},
-		{"many header lines", "HTTP/1.1 200 OK\n" + strings.Repeat("X-Filler: x\n", 4000)},
+		{"many header lines", "HTTP/1.1 200 OK\n" + strings.Repeat("X-Filler: x\n", sizebound.MaxHeadLines-3)},
 		{"informational answers", strings.Repeat("HTTP/1.1 100 Continue\n\n", maxInformational) + "HTTP/1.1 200 OK\n"},
 		{"long repeated answer", "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 600000\n\n" + strings.Repeat("x", 600_000) + "HTTP/1.1 200 OK\n"},
 	} {
@@ -196,3 +199,46 @@
 		t.Errorf("error %v, want %v", err, ErrTooLong)
 	}
 }
+
+// Guards against heads of many short lines, for each of which the parser needs several times its bytes: those that
+// fit into the bound in bytes took 1.7 MB, and all answers of a gateway may have such heads at once.
+func TestHeaderLinesAreBounded(t *testing.T) {
+	// maxParsed bounds in bytes the memory for a head.
+	const maxParsed = 512 << 10
+	var different strings.Builder
+	for i := range 11_000 {
+		different.WriteString(strconv.FormatInt(int64(i), 36) + ":\n")
+	}
+	const end = "X-Id: 2\nContent-Length: 0\n\n"
+	for _, tc := range []struct{ name, head string }{
+		{"different lines", "HTTP/1.1 200 OK\n" + different.String()},
+		{"equal lines", "HTTP/1.1 200 OK\n" + strings.Repeat("a:\n", 11_000)},
+		{"one line too many", "HTTP/1.1 200 OK\n" + strings.Repeat("a:\n", sizebound.MaxHeadLines-2)},
+		{"after an informational answer", "HTTP/1.1 103 Early Hints\n\nHTTP/1.1 200 OK\n" + strings.Repeat("a:\n", sizebound.MaxHeadLines-3)},
+		{"after a repeated answer", "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 5\n\nfirstHTTP/1.1 200 OK\n" + strings.Repeat("a:\n", sizebound.MaxHeadLines-2)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(t, r)
+				writeText(c, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 5\n\nfirst")
+				readRequest(t, r)
+				writeText(c, tc.head+end)
+				_, _ = r.ReadByte()
+			})
+			p := newPool()
+			if body, err := ask(t, p, u.address, request("1")); err != nil || body != "first" {
+				t.Fatalf("answer %q, %v", body, err)
+			}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := ask(t, p, u.address, request("2"))
+			runtime.ReadMemStats(&after)
+			if !errors.Is(err, ErrTooLong) || !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
+				t.Errorf("error %v, want %v and %v", err, ErrBroken, ErrTooLong)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > maxParsed {
+				t.Errorf("%d bytes were allocated, want at most %d", n, maxParsed)
+			}
+		})
+	}
+}
--- a/internal/platform/httpclient.go
+++ b/internal/platform/httpclient.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // ErrTooLong is wrapped when a response of a service of the platform exceeds a size bound. A failing service may
@@ -31,7 +34,7 @@
 }
 
 // freshTransport drops the idle connections after a call that got no answer. Connections may fall silent
-// together, and each idle one would cost a call its whole time limit. It bounds the bodies of answers.
+// together, and each idle one would cost a call its whole time limit. It bounds the answers.
 type freshTransport struct {
 	transport *http.Transport
 	most      int64
@@ -44,6 +47,10 @@
 		f.transport.CloseIdleConnections()
 		return resp, err
 	}
+	if !sizebound.Within(resp.Header) {
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("%w: more than %d header lines", ErrTooLong, sizebound.MaxHeadLines)
+	}
 	most := f.most
 	if resp.ContentLength < 0 {
 		most = min(most, maxBodyBytes)
--- a/internal/reconnect/endless_test.go
+++ b/internal/reconnect/endless_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 const (
@@ -52,6 +53,7 @@
 		{"header line", ok + "X-Filler: ", "x", true},
 		{"header lines", ok, "X-Filler: x\n", true},
 		{"informational answers", "", "HTTP/1.1 100 Continue\n\n", true},
+		{"many header lines", ok + strings.Repeat("a:\n", sizebound.MaxHeadLines) + "Content-Length: 2\n\n", "x", false},
 		{"body", ok + "\n", "x", false},
 		{"body in chunks", ok + "Transfer-Encoding: chunked\n\n", "400\n" + strings.Repeat("x", 1024) + "\n", false},
 		{"body of an absurd length", ok + "Content-Length: 1000000000000\n\n", "x", false},
--- a/internal/reconnect/reconnect.go
+++ b/internal/reconnect/reconnect.go
@@ -17,9 +17,10 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
-// ErrTooLong is wrapped when an answer has more than Settings.MaxBody bytes.
+// ErrTooLong is wrapped when an answer has more than Settings.MaxBody bytes, or too many header lines.
 var ErrTooLong = errors.New("answer is too long")
 
 // maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers before it.
@@ -216,6 +217,9 @@
 		return attempt{err: used.describe(err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !sizebound.Within(resp.Header) {
+		return attempt{err: used.describe(fmt.Errorf("%w: more than %d header lines", ErrTooLong, sizebound.MaxHeadLines))}
+	}
 	if resp.ContentLength > c.settings.MaxBody {
 		return attempt{err: used.describe(fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLong, resp.ContentLength, c.settings.MaxBody))}
 	}
--- a/internal/sidecar/bounds.go
+++ b/internal/sidecar/bounds.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // errTooLong is wrapped when an answer of the service exceeds a bound on what is read of it. Some failing
@@ -32,20 +35,29 @@
 	maxControlBytes = 64 << 10
 )
 
-// boundedConn is a connection of which only a bounded number of bytes is read.
+// boundedConn is a connection of which only a bounded number of bytes is read, and of lines of a head.
 type boundedConn struct {
 	net.Conn
 	left atomic.Int64
+	// lines counts the lines of the current head.
+	lines atomic.Pointer[sizebound.Lines]
+	// exceeded is set once a read was refused.
+	exceeded atomic.Bool
 }
 
 // Read reads from the connection. It returns errTooLong once the bound is reached.
 func (c *boundedConn) Read(b []byte) (int, error) {
 	left := c.left.Load()
 	if left <= 0 {
+		c.exceeded.Store(true)
 		return 0, errTooLong
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), left)])
 	c.left.Add(-int64(n))
+	if !c.lines.Load().Add(b[:n]) {
+		c.exceeded.Store(true)
+		return 0, errTooLong
+	}
 	return n, err
 }
 
@@ -60,6 +72,7 @@
 		}
 		c := &boundedConn{Conn: nc}
 		c.left.Store(maxHeadBytes)
+		c.lines.Store(&sizebound.Lines{})
 		return c, nil
 	}
 	return t
@@ -75,6 +88,7 @@
 		if c, ok := info.Conn.(*boundedConn); ok {
 			b.conn.Store(c)
 			c.left.Store(maxHeadBytes + n)
+			c.lines.Store(&sizebound.Lines{})
 		}
 	}}), b
 }
@@ -86,6 +100,15 @@
 	}
 }
 
+// wrap adds errTooLong to the error of a request whose connection reached a bound. net/http may report that the line
+// is malformed in which the bound lies.
+func (b *wireBound) wrap(err error) error {
+	if c := b.conn.Load(); c == nil || !c.exceeded.Load() || errors.Is(err, errTooLong) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errTooLong, err)
+}
+
 // streamBody is the body of a stream. It is read by one goroutine.
 type streamBody struct {
 	io.ReadCloser
--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 const (
@@ -103,6 +105,8 @@
 		_, err := l.load(ctx)
 		return read, err
 	}
+	// These lines and the head that they belong to fit into the bound in bytes.
+	manyLines := strings.Repeat("a:\n", sizebound.MaxHeadLines) + "\n"
 	for _, tc := range []struct {
 		name          string
 		start, repeat string
@@ -112,23 +116,26 @@
 	}{
 		{"call, status line", "HTTP/1.1 200 ", "x", callService, false},
 		{"call, header line", ok + "X-Filler: ", "x", callService, false},
-		{"call, header lines", ok, "X-Filler: x\n", callService, false},
+		{"call, header lines", ok, "X-Filler: x\n", callService, true},
 		{"call, informational answers", "", "HTTP/1.1 100 Continue\n\n", callService, false},
 		{"call, body", ok + "\n", "x", callService, true},
 		{"call, body in chunks", ok + chunked, "8\n12345678\n", callService, true},
 		{"call, body in chunks of a byte", ok + chunked, "1\nx\n", callService, true},
 		{"call, body of an absurd length", ok + "Content-Length: 1000000000000\n\n", "x", callService, true},
 		{"call, body of a failure", failure + "\n", "x", callService, true},
+		{"call, many header lines", ok + manyLines, " ", callService, true},
+		{"call, many header lines after an informational answer", "HTTP/1.1 103 Early Hints\n\n" + ok + manyLines, " ", callService, true},
+		{"stream, many header lines", ok + manyLines, " ", readStream, true},
 		{"stream, status line", "HTTP/1.1 200 ", "x", readStream, false},
-		{"stream, header lines", ok, "X-Filler: x\n", readStream, false},
+		{"stream, header lines", ok, "X-Filler: x\n", readStream, true},
 		{"stream, informational answers", "", "HTTP/1.1 100 Continue\n\n", readStream, false},
 		{"stream, body of a failure", failure + "\n", "x", readStream, false},
 		{"stream, first event", ok + "\ndata: ", "x", readStream, true},
 		{"stream, first event in chunks of a byte", ok + chunked, "1\nx\n", readStream, true},
 		{"stream, second event", ok + "\ndata: {\"choices\":[{}]}\n\ndata: ", "x", readStream, true},
 		{"stream, lines without an event", ok + "\n", "event: x\n", readStream, true},
-		{"command, header lines", ok, "X-Filler: x\n", command, false},
-		{"load, header lines", ok, "X-Filler: x\n", load, false},
+		{"command, header lines", ok, "X-Filler: x\n", command, true},
+		{"load, header lines", ok, "X-Filler: x\n", load, true},
 		{"load, body", ok + "\n{\"at_unix_ms\":", "1", load, false},
 		{"load, blanks", ok + "\n", " ", load, false},
 	} {
@@ -163,6 +170,9 @@
 			_, _ = w.Write(make([]byte, maxAnswer))
 			return
 		}
+		for range sizebound.MaxHeadLines - 5 {
+			w.Header().Add("X-Filler", "x")
+		}
 		for range chunks {
 			_, _ = io.WriteString(w, event)
 		}
@@ -232,3 +242,22 @@
 		t.Errorf("%d bytes are counted after the end of all streams", n)
 	}
 }
+
+// Guards against a bound that holds only for the first answer on a connection.
+func TestHeaderLinesOfLaterAnswersAreBounded(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			return
+		}
+		w.Header()["X-Filler"] = make([]string, sizebound.MaxHeadLines)
+	}))
+	defer server.Close()
+	l := newEngineLink(server.URL, func() int64 { return 1 })
+	if err := l.sendCommand(t.Context(), "pause", "s"); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.sendCommand(t.Context(), "pause", "s"); !errors.Is(err, errTooLong) {
+		t.Errorf("error %v, want %v", err, errTooLong)
+	}
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -102,7 +102,7 @@
 	sentAt := time.Now()
 	resp, err := l.client.Do(r)
 	if err != nil {
-		return nil, err
+		return nil, bound.wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if l.onHeader != nil {
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -79,7 +79,7 @@
 	sentAt := time.Now()
 	resp, err := e.client.Do(r)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", errEngine, err)
+		return nil, fmt.Errorf("%w: %w", errEngine, bound.wrap(err))
 	}
 	if e.onHeader != nil {
 		e.onHeader(resp.StatusCode, resp.Header)
@@ -183,7 +183,7 @@
 func (e *engineLink) sendCommand(ctx context.Context, kind, stream string) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	ctx, _ = withBound(ctx, maxControlBytes)
+	ctx, bound := withBound(ctx, maxControlBytes)
 	b, err := json.Marshal(commandBody{Fence: e.fence(), Kind: kind, Stream: stream})
 	if err != nil {
 		return fmt.Errorf("%w: %v", errEngine, err)
@@ -194,7 +194,7 @@
 	}
 	resp, err := e.client.Do(r)
 	if err != nil {
-		return fmt.Errorf("%w: command %s: %v", errEngine, kind, err)
+		return fmt.Errorf("%w: command %s: %w", errEngine, kind, bound.wrap(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -216,7 +216,7 @@
 func (e *engineLink) load(ctx context.Context) (engineLoad, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	ctx, _ = withBound(ctx, maxControlBytes)
+	ctx, bound := withBound(ctx, maxControlBytes)
 	var l engineLoad
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+"/load", nil)
 	if err != nil {
@@ -224,7 +224,7 @@
 	}
 	resp, err := e.client.Do(r)
 	if err != nil {
-		return l, fmt.Errorf("%w: load: %v", errEngine, err)
+		return l, fmt.Errorf("%w: load: %w", errEngine, bound.wrap(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&l); err != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -466,6 +466,20 @@
 mutant bound-announced $bounds 's/if a\.Length > most \{/if false {/' internal/link TestAnnouncedLength
 mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
 
+# Heads of many short lines take several times their bytes.
+mutant bound-lines internal/sizebound/lines.go 's/return l\.count <= MaxHeadLines/return true/' internal/sizebound TestLines
+mutant bound-lines-informational internal/sizebound/lines.go "s/l\.code >= '2' && l\.code <= '9'/true/" internal/sizebound TestLines
+mutant bound-lines-body internal/sizebound/lines.go 's/\t\tl\.ended = true\n/\t\tl.inHeader = false\n/' internal/sizebound TestLines
+mutant bound-lines-parsed internal/sizebound/lines.go 's/return n <= MaxHeadLines/return true/' internal/sizebound TestWithin
+mutant bound-head-lines $bounds 's/!b\.lines\.Add\(p\[:n\]\)/false/' internal/link TestHeaderLines
+mutant bound-head-lines-read $bounds 's/!r\.source\.lines\.Add\(buffered\)/len(buffered) < 0/' internal/link TestHeaderLines
+mutant bound-sidecar-lines internal/sidecar/bounds.go 's/!c\.lines\.Load\(\)\.Add\(b\[:n\]\)/false/' internal/sidecar TestEndlessAnswers
+mutant bound-sidecar-wrapped internal/sidecar/bounds.go 's/\tif c := b\.conn\.Load\(\); c == nil /\tif c := b.conn.Load(); true || c == nil /' internal/sidecar TestHeaderLinesOfLaterAnswers
+mutant bound-sidecar-lines-next internal/sidecar/bounds.go 's/(c\.left\.Store\(maxHeadBytes \+ n\)\n)\t\t\tc\.lines\.Store[^\n]*\n/$1/' internal/sidecar TestHeaderLinesOfLaterAnswers
+mutant bound-platform-lines internal/platform/httpclient.go 's/!sizebound\.Within\(resp\.Header\)/false/' internal/platform TestEndlessResponses
+mutant bound-store-lines internal/reconnect/reconnect.go 's/!sizebound\.Within\(resp\.Header\)/false/' internal/reconnect TestEndlessAnswers
+mutant bound-ctl-lines internal/ctl/api.go 's/!sizebound\.Within\(resp\.Header\)/false/' internal/ctl TestEndlessResponses
+
 mutant bound-event $gateway/eventreader.go 's/if size > maxEventBytes \{/if false {/' $gateway TestLongEvents
 mutant bound-events $gateway/eventreader.go 's/if b\.used\.Add\(n\) <= maxLargeEventBytes \{/if b.used.Add(n) >= 0 {/' $gateway TestLongEvents
 mutant bound-events-returned $gateway/eventreader.go 's/\te\.budget\.used\.Add\(-e\.reserved\)\n//' $gateway 'TestLongEvents|TestEventsWithin'
