--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -212,11 +212,13 @@
 	runtime.GC()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	var wg sync.WaitGroup
+	var wg, opened sync.WaitGroup
+	opened.Add(streams)
 	var refused atomic.Int64
 	for range streams {
 		wg.Go(func() {
 			body, err := l.open(ctx, "g", generateParams{Path: "/"})
+			opened.Done()
 			if err != nil {
 				t.Error(err)
 				return
@@ -227,6 +229,8 @@
 			}
 		})
 	}
+	// The events have time to arrive once all streams are open, which takes long on a busy machine.
+	opened.Wait()
 	time.Sleep(arrival)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
