test(scenario): an engine that sends without end, with real processes

The bounds of the entry and its sidecar were tested by handlers in the process of the test. The new fault of the stand-in engine sends a head, or an event after the first token, until the connection is closed, for prompts that ask for it.

TestEndlessResponses sends 1, and 160 in groups of 8, such requests of each kind through entry and sidecar beside 4 callers that are served. It guards against more than 2 MB read for one response (measured by the kernel's count of what the sidecar reads), against a growth of more than 24 MB of either process, against other streams that are not whole, and against connections that stay open.

With 64 MiB for heads, or for events, in the sidecar it fails (2 mutants).

--- a/internal/scenario/callers_test.go
+++ b/internal/scenario/callers_test.go
@@ -14,7 +14,9 @@
 
 // streamResult is what one caller received of one stream, across reconnections.
 type streamResult struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// prompt follows the number of tokens in the prompt.
+	prompt    string
 	lastID    string
 	tokens    []string
 	end       string
@@ -46,7 +48,7 @@
 	a.mu.Unlock()
 	began := time.Now()
 	defer func() { a.took = time.Since(began) }()
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"out=%d"}]}`, modelName, out)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"out=%d%s"}]}`, modelName, out, a.prompt)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		panic(err)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -46,6 +46,9 @@
 	Stall bool `json:"stall"`
 	// GapEvery drops every cache event whose sequence number is a multiple of it; 0 drops none.
 	GapEvery int `json:"gap_every"`
+	// Endless is the part of the response that requests with endlessMarker get without end: endlessHead or,
+	// after the first token, endlessEvent.
+	Endless string `json:"endless"`
 }
 
 // Engine is a simulated model engine with an OpenAI-compatible API. Run has to be running for requests to
@@ -400,6 +403,11 @@
 		return
 	}
 	defer e.releaseStream(id)
+	endless := faults.endlessFor(c)
+	if endless == endlessHead {
+		e.sendEndlessHead(w)
+		return
+	}
 	out := &chunkWriter{w: w, id: id, model: c.Model, promptTokens: c.promptTokens(), chat: c.Messages != nil, faults: faults}
 	out.begin()
 	for {
@@ -411,6 +419,10 @@
 		if !e.writeTokens(out, progress) {
 			return
 		}
+		if endless == endlessEvent && out.sent > 0 {
+			e.sendEndlessEvent(w)
+			return
+		}
 	}
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -492,6 +492,8 @@
 mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
 mutant bound-sidecar-event $sidecar/bounds.go 's/\tb\.bound\.limit\(maxEventWireBytes\)\n/\t_ = b.bound\n/' $sidecar TestAnswersWithin
 mutant bound-sidecar-events $sidecar/bounds.go 's/b\.budget\.Add\(more\) > maxLargeEventBytes/b.budget.Add(more) < 0/' $sidecar TestManyLongEvents
+mutant bound-process-head $sidecar/bounds.go 's/maxHeadBytes = 64 << 10/maxHeadBytes = 64 << 20/' internal/scenario TestEndlessResponses
+mutant bound-process-event $sidecar/bounds.go 's/maxEventBytes     = 1 << 20/maxEventBytes     = 64 << 20/; s/maxLargeEventBytes = 2 << 20/maxLargeEventBytes = 640 << 20/' internal/scenario TestEndlessResponses
 mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
 
 mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
