--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -165,6 +165,12 @@
 
 // newGatewayWithUpstream returns a gateway that sends every request to one upstream.
 func newGatewayWithUpstream(t *testing.T, serve http.HandlerFunc) *gateway.Gateway {
+	t.Helper()
+	return newGatewayWithSettings(t, gateway.Settings{MaxRoutesAge: time.Minute, RetryWindow: time.Second}, events.Nop(), serve)
+}
+
+// newGatewayWithSettings returns a gateway with the given settings that sends every request to one upstream.
+func newGatewayWithSettings(t *testing.T, settings gateway.Settings, rec *events.Recorder, serve http.HandlerFunc) *gateway.Gateway {
 	t.Helper()
 	s := httptest.NewServer(serve)
 	t.Cleanup(s.Close)
@@ -193,7 +199,7 @@
 		SendSoon: func() {}, SendNow: func() {}, LivePeers: func() map[string]gossip.Peer { return nil },
 		Delay: func(string, bool) time.Duration { return 0 }, DeliveryTimes: func() (delivery, silence time.Duration) { return 0, 0 },
 	}
-	return gateway.New(gateway.Settings{MaxRoutesAge: time.Minute, RetryWindow: time.Second}, routes, set, link.New(link.Settings{DialTimeout: time.Second}, dial, time.Now), proto, others, events.Nop(), prometheus.NewRegistry(), time.Now)
+	return gateway.New(settings, routes, set, link.New(link.Settings{DialTimeout: time.Second}, dial, time.Now), proto, others, rec, prometheus.NewRegistry(), time.Now)
 }
 
 // expectRefusal sends a request to a gateway without routes, which refuses it.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -432,6 +432,7 @@
 mutant memory-closed $memory/holder.go 's/\th\.closed = true\n/\t_ = h.closed\n/' $memory TestHolderLifetime
 mutant memory-log $memory/budget.go 's/\tcase b\.used < b\.limit\/availablePart:/\tcase true:/' $memory TestUpdate
 mutant memory-setting internal/daemon/gatewaysettings.go 's/if !\(s\.MemoryMB >= 0 && /if !(/' internal/daemon TestMemorySetting
+mutant memory-swept internal/daemon/gatewaystore.go 's/\t\tb\.gateway\.SweepMemory\(\)\n//' internal/daemon TestMemoryIsSwept
 mutant memory-response $gateway/buffered.go 's/\t\tif err := g\.growMemory\(rq, size\)/\t\tif err := g.growMemory(rq, 0)/' $gateway TestUnreadResponsesAreBounded
 mutant memory-body $gateway/buffered.go 's/g\.growMemory\(rq, larger\)/g.growMemory(rq, 0)/' $gateway TestBodyThatDoesNotFit
 mutant memory-new $gateway/buffered.go 's/g\.growMemory\(rq, firstBuffer\)/g.growMemory(rq, 0)/' $gateway TestNewRequestsAreRefusedWithoutMemory
