fix(reconnect): the answers of the store that are read at once are bounded together

Cause: an answer of the store may have 4 MiB. A gateway reads up to eight at once: the two tables that it follows, the list of entries and the use of the retry budgets, each repeated once on a new connection when it is overdue.

Change: the buffers of all answers, beyond 256 KiB each, have 1.5 times the bound of one answer; an answer that does not fit is an error like one that is too long, and its call is repeated after the usual backoff. The buffer doubles, since io.ReadAll left about four times as much garbage.

The bound of 4 MiB stays: pages of rows have at most 1.9 MB, but the operator's configuration is one row of any size. One of 4,000 routes has 1,010,646 bytes, 1.35 MB in base64, and must not be refused.

--- a/internal/reconnect/endless_test.go
+++ b/internal/reconnect/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +100,67 @@
 		})
 	}
 }
+
+// Guards against a server that sends long answers on all connections and fills the memory, though each answer is
+// bounded: eight were read at once for the two tables that are followed and two lists, each repeated once. Afterwards
+// the longest answer that is allowed is read.
+func TestLongAnswersAtOnceAreBounded(t *testing.T) {
+	const calls, maxBody, sent, arrival = 8, 4 << 20, 3 << 20, 500 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/longest" {
+			_, _ = w.Write(make([]byte, maxBody))
+			return
+		}
+		_, _ = w.Write(make([]byte, sent))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client := New(Settings{OverdueMin: limit, OverdueMax: limit, MaxBody: maxBody}, func() *http.Transport { return &http.Transport{} }, events.Nop(), time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for range calls {
+		wg.Go(func() {
+			if _, err := client.Do(ctx, Request{Method: http.MethodGet, URL: server.URL}); errors.Is(err, ErrTooLong) {
+				refused.Add(1)
+			}
+		})
+	}
+	time.Sleep(arrival)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > maxAllocated {
+		t.Errorf("%d bytes are held, want at most %d", n, maxAllocated)
+	}
+	t.Logf("%d of %d answers were refused, %d bytes are held", refused.Load(), calls, int64(after.HeapAlloc)-int64(before.HeapAlloc))
+	if refused.Load() == 0 {
+		t.Error("no answer was refused")
+	}
+	cancel()
+	wg.Wait()
+	if n := client.largeBytes.Load(); n != 0 {
+		t.Errorf("%d bytes are counted after the end of all calls", n)
+	}
+	a, err := client.Do(t.Context(), Request{Method: http.MethodGet, URL: server.URL + "/longest"})
+	if err != nil || len(a.Body) != maxBody {
+		t.Errorf("%d bytes, %v; want %d", len(a.Body), err, maxBody)
+	}
+}
+
+// Guards against an answer that ends before its announced length and is taken for a whole one.
+func TestCutAnswerIsAnError(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+	}))
+	defer server.Close()
+	client := New(Settings{OverdueMin: limit, OverdueMax: limit, MaxBody: 1 << 20}, func() *http.Transport { return &http.Transport{} }, events.Nop(), time.Now)
+	if a, err := client.Do(t.Context(), Request{Method: http.MethodGet, URL: server.URL}); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("%q, %v; want %v", a.Body, err, io.ErrUnexpectedEOF)
+	}
+}
--- a/internal/reconnect/reconnect.go
+++ b/internal/reconnect/reconnect.go
@@ -10,17 +10,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
-// ErrTooLong is wrapped when an answer has more than Settings.MaxBody bytes, or too many header lines.
+// ErrTooLong is wrapped when an answer has more than Settings.MaxBody bytes or too many header lines, or
+// does not fit beside other long answers.
 var ErrTooLong = errors.New("answer is too long")
 
 // maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers before it.
@@ -63,6 +64,8 @@
 	connect func() *http.Transport
 	rec     *events.Recorder
 	now     func() time.Time
+	// largeBytes is what counts in Settings.maxLargeBytes.
+	largeBytes atomic.Int64
 
 	mu   sync.Mutex
 	pool *pool
@@ -223,10 +226,7 @@
 	if resp.ContentLength > c.settings.MaxBody {
 		return attempt{err: used.describe(fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLong, resp.ContentLength, c.settings.MaxBody))}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxBody+1))
-	if err == nil && int64(len(body)) > c.settings.MaxBody {
-		err = fmt.Errorf("%w: more than %d bytes", ErrTooLong, c.settings.MaxBody)
-	}
+	body, err := c.readBody(resp.Body)
 	if err != nil {
 		return attempt{err: used.describe(err)}
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -501,7 +501,10 @@
 mutant bound-platform-body internal/platform/httpclient.go 's/\tresp\.Body = &boundedBody[^\n]*\n/\t_ = boundedBody{left: most}\n/' internal/platform 'TestEndlessResponses|TestClientsRead'
 mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
 mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
-mutant bound-store-body $reconnect/reconnect.go 's/err == nil && int64\(len\(body\)\) > c/false \&\& int64(len(body)) > c/' $reconnect TestEndlessAnswers
+mutant bound-store-body $reconnect/body.go 's/case int64\(len\(b\)\) > c\.settings\.MaxBody:/case false:/; s/min\(2\*int64\(cap\(b\)\), c\.settings\.MaxBody\+1\)/2*int64(cap(b))/; s/\.maxLargeBytes\(\) \{/.maxLargeBytes()<<10 {/' $reconnect TestEndlessAnswers
+mutant bound-store-bodies $reconnect/body.go 's/c\.largeBytes\.Add\(more\) > c\.settings\.maxLargeBytes\(\)/c.largeBytes.Add(more) < 0/' $reconnect TestLongAnswersAtOnce
+mutant bound-store-bodies-returned $reconnect/body.go 's/c\.largeBytes\.Add\(-counted\)/_ = counted/' $reconnect TestLongAnswersAtOnce
+mutant bound-store-cut $reconnect/body.go 's/case errors\.Is\(err, io\.EOF\):/case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):/' $reconnect TestCutAnswer
 mutant bound-ctl-head internal/ctl/api.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/ctl TestEndlessResponses
 mutant bound-ctl-body internal/ctl/api.go 's/io\.LimitReader\(resp\.Body, most\+1\)/resp.Body/' internal/ctl TestEndlessResponses
 mutant bound-ctl-cut internal/ctl/api.go 's/err == nil && int64\(len\(b\)\) > most/false/' internal/ctl TestEndlessResponses
