refactor: one error and one bound on heads for all clients

link, sidecar, platform, reconnect and ctl each had an error for what exceeds a bound and a maxHeadBytes of 64 KiB. Both are now in sizebound; link.ErrTooLong remains, with the same value. The messages of platform, reconnect and ctl now read "answer exceeds a size bound", as those of link and the sidecar did. 17 lines fewer.

--- a/internal/ctl/api.go
+++ b/internal/ctl/api.go
@@ -17,13 +17,8 @@
 // response.
 var errAPI = errors.New("administration API")
 
-// errTooLong is wrapped when a response exceeds a size bound. A failing process, or another server at its
-// address, may send without end.
-var errTooLong = errors.New("response exceeds a size bound")
-
+// A failing process, or another server at its address, may send without end.
 const (
-	// maxHeadBytes bounds in bytes the head of a response.
-	maxHeadBytes = 64 << 10
 	// maxResponseBytes bounds in bytes the body of a response, except that of a timeline. The longest is a
 	// configuration: its source has at most 1 MiB by default, and JSON escapes may take six times as many bytes.
 	maxResponseBytes = 16 << 20
@@ -44,7 +39,7 @@
 
 func newAPI(server, token string) *api {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxResponseHeaderBytes = maxHeadBytes
+	transport.MaxResponseHeaderBytes = sizebound.MaxHeadBytes
 	return &api{base: strings.TrimSuffix(server, "/") + "/admin/v1", token: token, client: &http.Client{Timeout: apiTimeout, Transport: transport}}
 }
 
@@ -83,11 +78,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if !sizebound.Within(resp.Header) {
-		return fmt.Errorf("%w: %w: more than %d header lines", errAPI, errTooLong, sizebound.MaxHeadLines)
+		return fmt.Errorf("%w: %w: more than %d header lines", errAPI, sizebound.ErrTooLong, sizebound.MaxHeadLines)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
 	if err == nil && int64(len(b)) > most {
-		err = fmt.Errorf("%w: body of more than %d bytes", errTooLong, most)
+		err = fmt.Errorf("%w: body of more than %d bytes", sizebound.ErrTooLong, most)
 	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", errAPI, err)
--- a/internal/ctl/api_test.go
+++ b/internal/ctl/api_test.go
@@ -78,11 +78,11 @@
 		// head is set if the transport refuses the head, with an error of its own.
 		head bool
 	}{
-		{"status line", "HTTP/1.1 200 ", filler, get, maxHeadBytes, true},
-		{"header line", ok + "X-Filler: ", filler, get, maxHeadBytes, true},
-		{"header lines", ok, strings.Repeat("X-Filler: x\r\n", 5000), get, maxHeadBytes, true},
-		{"informational responses", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2500), get, maxHeadBytes, true},
-		{"many header lines", ok + strings.Repeat("a:\r\n", sizebound.MaxHeadLines+1) + "\r\n", filler, get, maxHeadBytes, false},
+		{"status line", "HTTP/1.1 200 ", filler, get, sizebound.MaxHeadBytes, true},
+		{"header line", ok + "X-Filler: ", filler, get, sizebound.MaxHeadBytes, true},
+		{"header lines", ok, strings.Repeat("X-Filler: x\r\n", 5000), get, sizebound.MaxHeadBytes, true},
+		{"informational responses", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2500), get, sizebound.MaxHeadBytes, true},
+		{"many header lines", ok + strings.Repeat("a:\r\n", sizebound.MaxHeadLines+1) + "\r\n", filler, get, sizebound.MaxHeadBytes, false},
 		{"body", ok + "\r\n", filler, get, maxResponseBytes, false},
 		{"body of a failure", "HTTP/1.1 500 Internal Server Error\r\n\r\n", filler, get, maxResponseBytes, false},
 		{"timeline", ok + "\r\n", filler, timeline, maxTimelineBytes, false},
@@ -92,8 +92,8 @@
 			a := newAPI(url, "token")
 			read := countReads(a.client)
 			err := tc.call(a)
-			if !errors.Is(err, errAPI) || !tc.head && !errors.Is(err, errTooLong) {
-				t.Errorf("error %v, want %v and %v", err, errAPI, errTooLong)
+			if !errors.Is(err, errAPI) || !tc.head && !errors.Is(err, sizebound.ErrTooLong) {
+				t.Errorf("error %v, want %v and %v", err, errAPI, sizebound.ErrTooLong)
 			}
 			select {
 			case <-stopped:
--- a/internal/link/bounds.go
+++ b/internal/link/bounds.go
@@ -14,12 +14,9 @@
 
 // ErrTooLong is wrapped, together with ErrBroken, when an answer exceeds a bound on what is read of it. Some
 // failing upstreams send without end.
-var ErrTooLong = errors.New("answer exceeds a size bound")
+var ErrTooLong = sizebound.ErrTooLong
 
 const (
-	// maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers
-	// before it.
-	maxHeadBytes = 64 << 10
 	// maxInformational bounds the number of informational answers before an answer.
 	maxInformational = 16
 	// maxSkippedBytes bounds in bytes the repeated answers to the previous request that are skipped before
@@ -78,7 +75,7 @@
 
 // readHead reads the head of the final answer and skips informational ones.
 func (r *answerReader) readHead(method string) (*http.Response, error) {
-	r.limit(maxHeadBytes)
+	r.limit(sizebound.MaxHeadBytes)
 	defer r.unlimit()
 	r.source.lines = sizebound.Lines{}
 	if buffered, _ := r.Peek(r.Buffered()); !r.source.lines.Add(buffered) {
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -102,8 +102,8 @@
 					_ = resp.Body.Close()
 				}
 				runtime.ReadMemStats(&after)
-				if err == nil || !tc.head && !errors.Is(err, ErrTooLong) {
-					t.Errorf("%s: error %v, want %v", name, err, ErrTooLong)
+				if err == nil || !tc.head && !errors.Is(err, sizebound.ErrTooLong) {
+					t.Errorf("%s: error %v, want %v", name, err, sizebound.ErrTooLong)
 				}
 				if n := read.Load(); n > maxReadBytes {
 					t.Errorf("%s: %d bytes were read, want at most %d", name, n, maxReadBytes)
@@ -122,11 +122,11 @@
 	url := endlessService(t, "HTTP/1.1 200 OK\n\n", " ")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	if _, err := NewObjects(url, "b", Credentials{Key: "k", Secret: "s"}).Get(ctx, "o"); !errors.Is(err, ErrTooLong) {
-		t.Errorf("object: error %v, want %v", err, ErrTooLong)
+	if _, err := NewObjects(url, "b", Credentials{Key: "k", Secret: "s"}).Get(ctx, "o"); !errors.Is(err, sizebound.ErrTooLong) {
+		t.Errorf("object: error %v, want %v", err, sizebound.ErrTooLong)
 	}
-	if _, err := NewVMs(url).List(ctx); !errors.Is(err, ErrTooLong) {
-		t.Errorf("VMs: error %v, want %v", err, ErrTooLong)
+	if _, err := NewVMs(url).List(ctx); !errors.Is(err, sizebound.ErrTooLong) {
+		t.Errorf("VMs: error %v, want %v", err, sizebound.ErrTooLong)
 	}
 	if _, err := NewTable(url, "t", Credentials{Key: "k", Secret: "s"}).List(ctx, "g"); err == nil || ctx.Err() != nil {
 		t.Errorf("table: error %v, want one before the time is over", err)
--- a/internal/platform/httpclient.go
+++ b/internal/platform/httpclient.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,14 +8,7 @@
 	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
-// ErrTooLong is wrapped when a response of a service of the platform exceeds a size bound. A failing service may
-// send without end.
-var ErrTooLong = errors.New("response exceeds a size bound")
-
 const (
-	// maxHeadBytes bounds in bytes the head of a response, together with the informational (1xx) responses
-	// before it.
-	maxHeadBytes = 64 << 10
 	// maxBodyBytes bounds in bytes a body whose head does not announce its length, and any body except that
 	// of an object. The table service sends at most 1 MB of rows, which base64 and the names can nearly
 	// double; a list of 10,000 VMs has about 1 MB.
@@ -29,7 +21,7 @@
 // have most bytes.
 func newHTTPClient(most int64) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxResponseHeaderBytes = maxHeadBytes
+	transport.MaxResponseHeaderBytes = sizebound.MaxHeadBytes
 	return &http.Client{Timeout: callTimeout, Transport: &freshTransport{transport: transport, most: most}}
 }
 
@@ -49,7 +41,7 @@
 	}
 	if !sizebound.Within(resp.Header) {
 		_ = resp.Body.Close()
-		return nil, fmt.Errorf("%w: more than %d header lines", ErrTooLong, sizebound.MaxHeadLines)
+		return nil, fmt.Errorf("%w: more than %d header lines", sizebound.ErrTooLong, sizebound.MaxHeadLines)
 	}
 	most := f.most
 	if resp.ContentLength < 0 {
@@ -69,12 +61,12 @@
 	left int64
 }
 
-// Read reads from the body. It returns ErrTooLong for a byte beyond the bound.
+// Read reads from the body. It returns sizebound.ErrTooLong for a byte beyond the bound.
 func (b *boundedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left+1)])
 	b.left -= int64(n)
 	if b.left < 0 {
-		return 0, ErrTooLong
+		return 0, sizebound.ErrTooLong
 	}
 	return n, err
 }
--- a/internal/reconnect/body.go
+++ b/internal/reconnect/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 const (
@@ -19,8 +21,8 @@
 // end on each connection.
 func (s Settings) maxLargeBytes() int64 { return s.MaxBody + s.MaxBody/2 }
 
-// readBody reads a body. It returns ErrTooLong for one of more than Settings.MaxBody bytes, and for one that does
-// not fit beside the others.
+// readBody reads a body. It returns sizebound.ErrTooLong for one of more than Settings.MaxBody bytes, and for one
+// that does not fit beside the others.
 func (c *Client) readBody(body io.Reader) ([]byte, error) {
 	counted := int64(0)
 	defer func() { c.largeBytes.Add(-counted) }()
@@ -31,7 +33,7 @@
 		b = b[:len(b)+n]
 		switch {
 		case int64(len(b)) > c.settings.MaxBody:
-			return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLong, c.settings.MaxBody)
+			return nil, fmt.Errorf("%w: more than %d bytes", sizebound.ErrTooLong, c.settings.MaxBody)
 		case errors.Is(err, io.EOF):
 			return b, nil
 		case err != nil:
@@ -44,7 +46,7 @@
 		if more := larger - smallBodyBytes - counted; more > 0 {
 			counted += more
 			if c.largeBytes.Add(more) > c.settings.maxLargeBytes() {
-				return nil, fmt.Errorf("%w: more than %d bytes beside other long answers", ErrTooLong, len(b))
+				return nil, fmt.Errorf("%w: more than %d bytes beside other long answers", sizebound.ErrTooLong, len(b))
 			}
 		}
 		b = append(make([]byte, 0, larger), b...)
--- a/internal/reconnect/endless_test.go
+++ b/internal/reconnect/endless_test.go
@@ -88,8 +88,8 @@
 			runtime.ReadMemStats(&before)
 			_, err := client.Do(ctx, Request{Method: http.MethodGet, URL: server.URL})
 			runtime.ReadMemStats(&after)
-			if err == nil || ctx.Err() != nil || !tc.head && !errors.Is(err, ErrTooLong) {
-				t.Errorf("error %v, want %v", err, ErrTooLong)
+			if err == nil || ctx.Err() != nil || !tc.head && !errors.Is(err, sizebound.ErrTooLong) {
+				t.Errorf("error %v, want %v", err, sizebound.ErrTooLong)
 			}
 			if n := read.Load(); n > maxReadBytes {
 				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
@@ -126,7 +126,7 @@
 	var refused atomic.Int64
 	for range calls {
 		wg.Go(func() {
-			if _, err := client.Do(ctx, Request{Method: http.MethodGet, URL: server.URL}); errors.Is(err, ErrTooLong) {
+			if _, err := client.Do(ctx, Request{Method: http.MethodGet, URL: server.URL}); errors.Is(err, sizebound.ErrTooLong) {
 				refused.Add(1)
 			}
 		})
--- a/internal/reconnect/reconnect.go
+++ b/internal/reconnect/reconnect.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
@@ -20,14 +19,6 @@
 	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
-// ErrTooLong is wrapped when an answer has more than Settings.MaxBody bytes or too many header lines, or
-// does not fit beside other long answers.
-var ErrTooLong = errors.New("answer is too long")
-
-// maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers before it.
-// A failing server may send it without end.
-const maxHeadBytes = 64 << 10
-
 // Settings holds the fixed parameters of a Client.
 type Settings struct {
 	// OverdueMin and OverdueMax bound the time after which an answer is overdue, beyond the time for which
@@ -84,7 +75,7 @@
 func New(settings Settings, connect func() *http.Transport, rec *events.Recorder, now func() time.Time) *Client {
 	bounded := func() *http.Transport {
 		t := connect()
-		t.MaxResponseHeaderBytes = maxHeadBytes
+		t.MaxResponseHeaderBytes = sizebound.MaxHeadBytes
 		return t
 	}
 	return &Client{settings: settings, connect: bounded, rec: rec, now: now, pool: &pool{transport: bounded(), silent: make(chan struct{})}}
@@ -221,10 +212,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if !sizebound.Within(resp.Header) {
-		return attempt{err: used.describe(fmt.Errorf("%w: more than %d header lines", ErrTooLong, sizebound.MaxHeadLines))}
+		return attempt{err: used.describe(fmt.Errorf("%w: more than %d header lines", sizebound.ErrTooLong, sizebound.MaxHeadLines))}
 	}
 	if resp.ContentLength > c.settings.MaxBody {
-		return attempt{err: used.describe(fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLong, resp.ContentLength, c.settings.MaxBody))}
+		return attempt{err: used.describe(fmt.Errorf("%w: %d bytes, at most %d are read", sizebound.ErrTooLong, resp.ContentLength, c.settings.MaxBody))}
 	}
 	body, err := c.readBody(resp.Body)
 	if err != nil {
--- a/internal/sidecar/bounds.go
+++ b/internal/sidecar/bounds.go
@@ -13,14 +13,7 @@
 	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
-// errTooLong is wrapped when an answer of the service exceeds a bound on what is read of it. Some failing
-// services send without end.
-var errTooLong = errors.New("answer exceeds a size bound")
-
 const (
-	// maxHeadBytes bounds in bytes the head of an answer, together with the informational (1xx) answers
-	// before it.
-	maxHeadBytes = 64 << 10
 	// maxEventBytes bounds one line of a stream, and maxEventWireBytes what is read from the connection
 	// until the next event, which includes the framing of chunks.
 	maxEventBytes     = 1 << 20
@@ -45,18 +38,18 @@
 	exceeded atomic.Bool
 }
 
-// Read reads from the connection. It returns errTooLong once the bound is reached.
+// Read reads from the connection. It returns sizebound.ErrTooLong once the bound is reached.
 func (c *boundedConn) Read(b []byte) (int, error) {
 	left := c.left.Load()
 	if left <= 0 {
 		c.exceeded.Store(true)
-		return 0, errTooLong
+		return 0, sizebound.ErrTooLong
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), left)])
 	c.left.Add(-int64(n))
 	if !c.lines.Load().Add(b[:n]) {
 		c.exceeded.Store(true)
-		return 0, errTooLong
+		return 0, sizebound.ErrTooLong
 	}
 	return n, err
 }
@@ -64,14 +57,14 @@
 // boundConnections makes a transport read bounded heads, over connections that withBound bounds.
 func boundConnections(t *http.Transport) *http.Transport {
 	d := &net.Dialer{}
-	t.MaxResponseHeaderBytes = maxHeadBytes
+	t.MaxResponseHeaderBytes = sizebound.MaxHeadBytes
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		c := &boundedConn{Conn: nc}
-		c.left.Store(maxHeadBytes)
+		c.left.Store(sizebound.MaxHeadBytes)
 		c.lines.Store(&sizebound.Lines{})
 		return c, nil
 	}
@@ -87,7 +80,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*boundedConn); ok {
 			b.conn.Store(c)
-			c.left.Store(maxHeadBytes + n)
+			c.left.Store(sizebound.MaxHeadBytes + n)
 			c.lines.Store(&sizebound.Lines{})
 		}
 	}}), b
@@ -100,13 +93,13 @@
 	}
 }
 
-// wrap adds errTooLong to the error of a request whose connection reached a bound. net/http may report that the line
-// is malformed in which the bound lies.
+// wrap adds sizebound.ErrTooLong to the error of a request whose connection reached a bound. net/http may report
+// that the line is malformed in which the bound lies.
 func (b *wireBound) wrap(err error) error {
-	if c := b.conn.Load(); c == nil || !c.exceeded.Load() || errors.Is(err, errTooLong) {
+	if c := b.conn.Load(); c == nil || !c.exceeded.Load() || errors.Is(err, sizebound.ErrTooLong) {
 		return err
 	}
-	return fmt.Errorf("%w: %w", errTooLong, err)
+	return fmt.Errorf("%w: %w", sizebound.ErrTooLong, err)
 }
 
 // streamBody is the body of a stream. It is read by one goroutine.
@@ -119,14 +112,14 @@
 	sinceEvent, reserved int64
 }
 
-// Read reads from the body. It returns errTooLong if the bytes since the last event exceed the budget.
+// Read reads from the body. It returns sizebound.ErrTooLong if the bytes since the last event exceed the budget.
 func (b *streamBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.sinceEvent += int64(n)
 	more := max(b.sinceEvent-smallEventBytes-b.reserved, 0)
 	if more > 0 && b.budget.Add(more) > maxLargeEventBytes {
 		b.budget.Add(-more)
-		return 0, errTooLong
+		return 0, sizebound.ErrTooLong
 	}
 	b.reserved += more
 	return n, err
--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -147,8 +147,8 @@
 			runtime.ReadMemStats(&before)
 			read, err := tc.call(ctx, url)
 			runtime.ReadMemStats(&after)
-			if err == nil || ctx.Err() != nil || tc.tooLong && !errors.Is(err, errTooLong) || errors.Is(err, errNotSent) {
-				t.Errorf("error %v, want %v", err, errTooLong)
+			if err == nil || ctx.Err() != nil || tc.tooLong && !errors.Is(err, sizebound.ErrTooLong) || errors.Is(err, errNotSent) {
+				t.Errorf("error %v, want %v", err, sizebound.ErrTooLong)
 			}
 			if n := read.Load(); n > maxReadBytes {
 				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
@@ -224,7 +224,7 @@
 				return
 			}
 			defer func() { _ = body.Close() }()
-			if err := readChunks(body, func(chunk) error { return nil }); errors.Is(err, errTooLong) {
+			if err := readChunks(body, func(chunk) error { return nil }); errors.Is(err, sizebound.ErrTooLong) {
 				refused.Add(1)
 			}
 		})
@@ -261,7 +261,7 @@
 	if err := l.sendCommand(t.Context(), "pause", "s"); err != nil {
 		t.Fatal(err)
 	}
-	if err := l.sendCommand(t.Context(), "pause", "s"); !errors.Is(err, errTooLong) {
-		t.Errorf("error %v, want %v", err, errTooLong)
+	if err := l.sendCommand(t.Context(), "pause", "s"); !errors.Is(err, sizebound.ErrTooLong) {
+		t.Errorf("error %v, want %v", err, sizebound.ErrTooLong)
 	}
 }
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -16,6 +16,7 @@
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/peer"
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // serviceLink is the HTTP client of a plain service.
@@ -63,7 +64,7 @@
 var errNotSent = errors.New("not sent")
 
 // errAnswerTooLong is wrapped for an answer of more bytes than maxBody allows.
-var errAnswerTooLong = fmt.Errorf("%w: body", errTooLong)
+var errAnswerTooLong = fmt.Errorf("%w: body", sizebound.ErrTooLong)
 
 // lateAnswerGrace is how long after a call's timeout its answer may still be read, counted from
 // when this process notices the timeout. In a process that was not scheduled for a while, the
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
 // errEngine is wrapped by errors about requests to the engine and its answers.
@@ -109,7 +111,7 @@
 	stream, _ := body.(*streamBody)
 	number := int64(0)
 	for lines.Scan() {
-		if errors.Is(lines.Err(), errTooLong) {
+		if errors.Is(lines.Err(), sizebound.ErrTooLong) {
 			// The Scanner returns the part of the line up to the bound.
 			break
 		}
@@ -147,7 +149,7 @@
 func streamError(err error) error {
 	switch {
 	case errors.Is(err, bufio.ErrTooLong):
-		return fmt.Errorf("%w: %w: line of more than %d bytes", errEngine, errTooLong, maxEventBytes)
+		return fmt.Errorf("%w: %w: line of more than %d bytes", errEngine, sizebound.ErrTooLong, maxEventBytes)
 	case err != nil:
 		return fmt.Errorf("%w: %w", errEngine, err)
 	default:
--- a/internal/sizebound/lines.go
+++ b/internal/sizebound/sizebound.go
@@ -1,8 +1,17 @@
-// Package sizebound holds the bound on the header lines of HTTP/1 responses. Some failing servers send them
-// without end.
+// Package sizebound holds the bounds on the heads of HTTP/1 responses that all clients of this program have, and the
+// error for a response that exceeds a bound. Some failing servers send without end.
 package sizebound
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+)
+
+// ErrTooLong is wrapped when a response exceeds a bound on what is read of it.
+var ErrTooLong = errors.New("answer exceeds a size bound")
+
+// MaxHeadBytes bounds in bytes the head of a response, together with the informational (1xx) responses before it.
+const MaxHeadBytes = 64 << 10
 
 // MaxHeadLines bounds the lines of a head, together with those of the informational (1xx) responses before it. A
 // short line costs the parser about 25 times its bytes: for the 11,000 different lines that fit into 64 KiB it took
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -460,7 +460,7 @@
 
 # Upstreams that send without end fill the memory, or sound answers are refused.
 bounds=internal/link/bounds.go
-mutant bound-head $bounds 's/\tr\.limit\(maxHeadBytes\)\n//' internal/link TestEndlessAnswers
+mutant bound-head $bounds 's/\tr\.limit\(sizebound\.MaxHeadBytes\)\n//' internal/link TestEndlessAnswers
 mutant bound-informational $bounds 's/for range maxInformational \+ 1 \{/for {/; s/\treturn nil, ErrTooLong\n\}\n\n\/\/ skip/}\n\n\/\/ skip/' internal/link TestInformationalAnswers
 mutant bound-skipped $bounds 's/\tr\.limit\(most\)\n/\t_ = most\n/' internal/link TestEndlessAnswers
 mutant bound-skipped-number internal/link/link.go 's/for range maxSkipped \+ 1 \{/for range 1 << 30 {/' internal/link TestEndlessAnswers
@@ -468,15 +468,15 @@
 mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
 
 # Heads of many short lines take several times their bytes.
-mutant bound-lines internal/sizebound/lines.go 's/return l\.count <= MaxHeadLines/return true/' internal/sizebound TestLines
-mutant bound-lines-informational internal/sizebound/lines.go "s/l\.code >= '2' && l\.code <= '9'/true/" internal/sizebound TestLines
-mutant bound-lines-body internal/sizebound/lines.go 's/\t\tl\.ended = true\n/\t\tl.inHeader = false\n/' internal/sizebound TestLines
-mutant bound-lines-parsed internal/sizebound/lines.go 's/return n <= MaxHeadLines/return true/' internal/sizebound TestWithin
+mutant bound-lines internal/sizebound/sizebound.go 's/return l\.count <= MaxHeadLines/return true/' internal/sizebound TestLines
+mutant bound-lines-informational internal/sizebound/sizebound.go "s/l\.code >= '2' && l\.code <= '9'/true/" internal/sizebound TestLines
+mutant bound-lines-body internal/sizebound/sizebound.go 's/\t\tl\.ended = true\n/\t\tl.inHeader = false\n/' internal/sizebound TestLines
+mutant bound-lines-parsed internal/sizebound/sizebound.go 's/return n <= MaxHeadLines/return true/' internal/sizebound TestWithin
 mutant bound-head-lines $bounds 's/!b\.lines\.Add\(p\[:n\]\)/false/' internal/link TestHeaderLines
 mutant bound-head-lines-read $bounds 's/!r\.source\.lines\.Add\(buffered\)/len(buffered) < 0/' internal/link TestHeaderLines
 mutant bound-sidecar-lines internal/sidecar/bounds.go 's/!c\.lines\.Load\(\)\.Add\(b\[:n\]\)/false/' internal/sidecar TestEndlessAnswers
 mutant bound-sidecar-wrapped internal/sidecar/bounds.go 's/\tif c := b\.conn\.Load\(\); c == nil /\tif c := b.conn.Load(); true || c == nil /' internal/sidecar TestHeaderLinesOfLaterAnswers
-mutant bound-sidecar-lines-next internal/sidecar/bounds.go 's/(c\.left\.Store\(maxHeadBytes \+ n\)\n)\t\t\tc\.lines\.Store[^\n]*\n/$1/' internal/sidecar TestHeaderLinesOfLaterAnswers
+mutant bound-sidecar-lines-next internal/sidecar/bounds.go 's/(c\.left\.Store\(sizebound\.MaxHeadBytes \+ n\)\n)\t\t\tc\.lines\.Store[^\n]*\n/$1/' internal/sidecar TestHeaderLinesOfLaterAnswers
 mutant bound-platform-lines internal/platform/httpclient.go 's/!sizebound\.Within\(resp\.Header\)/false/' internal/platform TestEndlessResponses
 mutant bound-store-lines internal/reconnect/reconnect.go 's/!sizebound\.Within\(resp\.Header\)/false/' internal/reconnect TestEndlessAnswers
 mutant bound-ctl-lines internal/ctl/api.go 's/!sizebound\.Within\(resp\.Header\)/false/' internal/ctl TestEndlessResponses
@@ -489,23 +489,23 @@
 mutant bound-unannounced-error $gateway/call.go 's/\t\treturn maxUnannouncedError\n/\t\treturn maxBuffered\n/' $gateway TestEndlessAnswerIsBroken
 
 sidecar=internal/sidecar
-mutant bound-sidecar-head $sidecar/bounds.go 's/\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//; s/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
-mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, errTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-head $sidecar/bounds.go 's/\tt\.MaxResponseHeaderBytes = sizebound\.MaxHeadBytes\n//; s/return 0, sizebound\.ErrTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
+mutant bound-sidecar-wire $sidecar/bounds.go 's/return 0, sizebound\.ErrTooLong/return c.Conn.Read(b)/' $sidecar TestEndlessAnswers
 mutant bound-sidecar-event $sidecar/bounds.go 's/\tb\.bound\.limit\(maxEventWireBytes\)\n/\t_ = b.bound\n/' $sidecar TestAnswersWithin
 mutant bound-sidecar-events $sidecar/bounds.go 's/b\.budget\.Add\(more\) > maxLargeEventBytes/b.budget.Add(more) < 0/' $sidecar TestManyLongEvents
-mutant bound-process-head $sidecar/bounds.go 's/maxHeadBytes = 64 << 10/maxHeadBytes = 64 << 20/' internal/scenario TestEndlessResponses
+mutant bound-process-head internal/sizebound/sizebound.go 's/MaxHeadBytes = 64 << 10/MaxHeadBytes = 64 << 20/' internal/scenario TestEndlessResponses
 mutant bound-process-event $sidecar/bounds.go 's/maxEventBytes     = 1 << 20/maxEventBytes     = 64 << 20/; s/maxLargeEventBytes = 2 << 20/maxLargeEventBytes = 640 << 20/' internal/scenario TestEndlessResponses
 mutant bound-sidecar-body $sidecar/calls.go 's/\t\treturn maxUnannounced\n/\t\treturn maxAnswer\n/' $sidecar TestEndlessAnswers
 
-mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/platform TestEndlessResponses
+mutant bound-platform-head internal/platform/httpclient.go 's/\ttransport\.MaxResponseHeaderBytes = sizebound\.MaxHeadBytes\n//' internal/platform TestEndlessResponses
 mutant bound-platform-body internal/platform/httpclient.go 's/\tresp\.Body = &boundedBody[^\n]*\n/\t_ = boundedBody{left: most}\n/' internal/platform 'TestEndlessResponses|TestClientsRead'
 mutant bound-platform-object internal/platform/objects.go 's/newHTTPClient\(maxObjectBytes\)/newHTTPClient(maxBodyBytes)/' internal/platform TestLongObject
-mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = maxHeadBytes\n//' $reconnect TestEndlessAnswers
+mutant bound-store-head $reconnect/reconnect.go 's/\t\tt\.MaxResponseHeaderBytes = sizebound\.MaxHeadBytes\n//' $reconnect TestEndlessAnswers
 mutant bound-store-body $reconnect/body.go 's/case int64\(len\(b\)\) > c\.settings\.MaxBody:/case false:/; s/min\(2\*int64\(cap\(b\)\), c\.settings\.MaxBody\+1\)/2*int64(cap(b))/; s/\.maxLargeBytes\(\) \{/.maxLargeBytes()<<10 {/' $reconnect TestEndlessAnswers
 mutant bound-store-bodies $reconnect/body.go 's/c\.largeBytes\.Add\(more\) > c\.settings\.maxLargeBytes\(\)/c.largeBytes.Add(more) < 0/' $reconnect TestLongAnswersAtOnce
 mutant bound-store-bodies-returned $reconnect/body.go 's/c\.largeBytes\.Add\(-counted\)/_ = counted/' $reconnect TestLongAnswersAtOnce
 mutant bound-store-cut $reconnect/body.go 's/case errors\.Is\(err, io\.EOF\):/case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):/' $reconnect TestCutAnswer
-mutant bound-ctl-head internal/ctl/api.go 's/\ttransport\.MaxResponseHeaderBytes = maxHeadBytes\n//' internal/ctl TestEndlessResponses
+mutant bound-ctl-head internal/ctl/api.go 's/\ttransport\.MaxResponseHeaderBytes = sizebound\.MaxHeadBytes\n//' internal/ctl TestEndlessResponses
 mutant bound-ctl-body internal/ctl/api.go 's/io\.LimitReader\(resp\.Body, most\+1\)/resp.Body/' internal/ctl TestEndlessResponses
 mutant bound-ctl-cut internal/ctl/api.go 's/err == nil && int64\(len\(b\)\) > most/false/' internal/ctl TestEndlessResponses
 
