--- a/internal/link/bounds_test.go
+++ b/internal/link/bounds_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -15,29 +14,11 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/sizebound"
+	"github.com/sparshore/sparshore/internal/sizebound/sizeboundtest"
 )
 
-const (
-	// maxReadBytes bounds what is read from one connection, and maxAllocated the memory for one request, to
-	// an upstream that sends without end.
-	maxReadBytes = 2_000_000
-	maxAllocated = 24_000_000
-	// endlessBytes is how much an upstream of these tests sends if nobody stops it.
-	endlessBytes = 32 << 20
-)
-
-// countingConn counts the bytes that are read from a connection.
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-// Read reads from the connection.
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.read.Add(int64(n))
-	return n, err
-}
+// endlessBytes is how much an upstream of these tests sends if nobody stops it.
+const endlessBytes = 32 << 20
 
 // newCountingPool returns a Pool, and the number of bytes that its connections have read.
 func newCountingPool() (*Pool, *atomic.Int64) {
@@ -45,7 +26,7 @@
 	dial := p.dial
 	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := dial(ctx, address)
-		return countingConn{c, read}, err
+		return sizeboundtest.Conn{Conn: c, Bytes: read}, err
 	}
 	return p, read
 }
@@ -104,18 +85,16 @@
 			if body, err := ask(t, p, u.address, request("1")); err != nil || body != "first" {
 				t.Fatalf("answer %q, %v", body, err)
 			}
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			err := askBounded(t, p, u.address)
-			runtime.ReadMemStats(&after)
+			var err error
+			allocated := sizeboundtest.Allocated(func() { err = askBounded(t, p, u.address) })
 			if !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) || !tc.framing && !errors.Is(err, ErrTooLong) {
 				t.Errorf("error %v, want %v and %v", err, ErrBroken, ErrTooLong)
 			}
-			if n := read.Load(); n > maxReadBytes {
-				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
+			if n := read.Load(); n > sizeboundtest.MaxRead {
+				t.Errorf("%d bytes were read, want at most %d", n, sizeboundtest.MaxRead)
 			}
-			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
-				t.Errorf("%d bytes were allocated, want at most %d", n, maxAllocated)
+			if allocated > sizeboundtest.MaxAllocated {
+				t.Errorf("%d bytes were allocated, want at most %d", allocated, sizeboundtest.MaxAllocated)
 			}
 			select {
 			case <-closed:
@@ -229,15 +208,13 @@
 			if body, err := ask(t, p, u.address, request("1")); err != nil || body != "first" {
 				t.Fatalf("answer %q, %v", body, err)
 			}
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			_, err := ask(t, p, u.address, request("2"))
-			runtime.ReadMemStats(&after)
+			var err error
+			allocated := sizeboundtest.Allocated(func() { _, err = ask(t, p, u.address, request("2")) })
 			if !errors.Is(err, ErrTooLong) || !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
 				t.Errorf("error %v, want %v and %v", err, ErrBroken, ErrTooLong)
 			}
-			if n := after.TotalAlloc - before.TotalAlloc; n > maxParsed {
-				t.Errorf("%d bytes were allocated, want at most %d", n, maxParsed)
+			if allocated > maxParsed {
+				t.Errorf("%d bytes were allocated, want at most %d", allocated, maxParsed)
 			}
 		})
 	}
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -4,72 +4,16 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/sizebound"
+	"github.com/sparshore/sparshore/internal/sizebound/sizeboundtest"
 )
 
-const (
-	// maxReadBytes bounds what is read from one connection to a service that sends without end, and
-	// maxAllocated the memory for it.
-	maxReadBytes = 2_000_000
-	maxAllocated = 24_000_000
-	// endlessBytes is how much a service of these tests sends if nobody stops it.
-	endlessBytes = 32 << 20
-)
-
-// countedConn counts the bytes that are read from a connection.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-// Read reads from the connection.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.read.Add(int64(n))
-	return n, err
-}
-
-// countReads returns the number of bytes that the client reads from now on.
-func countReads(c *http.Client) *atomic.Int64 {
-	read, t, d := &atomic.Int64{}, c.Transport.(*freshTransport).transport, &net.Dialer{}
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		nc, err := d.DialContext(ctx, network, address)
-		return countedConn{nc, read}, err
-	}
-	return read
-}
-
-// endlessService returns the URL of a service that sends start once, and text without end.
-func endlessService(t *testing.T, start, text string) string {
-	t.Helper()
-	crlf := func(s string) string { return strings.ReplaceAll(s, "\n", "\r\n") }
-	block := strings.Repeat(crlf(text), 1+(32<<10)/len(text))
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, _ = io.WriteString(c, crlf(start))
-		for sent := 0; sent < endlessBytes; sent += len(block) {
-			if _, err := io.WriteString(c, block); err != nil {
-				return
-			}
-		}
-	}))
-	t.Cleanup(s.Close)
-	return s.URL
-}
-
 // Guards against a service of the platform that fills the memory of a process with a response without end.
 func TestEndlessResponsesAreBounded(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\n"
@@ -90,26 +34,26 @@
 		{"body of a failure", "HTTP/1.1 500 Internal Server Error\n\n", "x", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			url := endlessService(t, tc.start, tc.repeat)
+			url, _ := sizeboundtest.Serve(t, tc.start, tc.repeat)
 			for most, name := range map[int64]string{maxBodyBytes: "rows", maxObjectBytes: "objects"} {
 				client := newHTTPClient(most)
-				read := countReads(client)
-				var before, after runtime.MemStats
-				runtime.ReadMemStats(&before)
-				resp, err := client.Get(url)
-				if err == nil {
-					_, err = io.ReadAll(resp.Body)
-					_ = resp.Body.Close()
-				}
-				runtime.ReadMemStats(&after)
+				read := sizeboundtest.CountReads(client.Transport.(*freshTransport).transport)
+				var err error
+				allocated := sizeboundtest.Allocated(func() {
+					var resp *http.Response
+					if resp, err = client.Get(url); err == nil {
+						_, err = io.ReadAll(resp.Body)
+						_ = resp.Body.Close()
+					}
+				})
 				if err == nil || !tc.head && !errors.Is(err, sizebound.ErrTooLong) {
 					t.Errorf("%s: error %v, want %v", name, err, sizebound.ErrTooLong)
 				}
-				if n := read.Load(); n > maxReadBytes {
-					t.Errorf("%s: %d bytes were read, want at most %d", name, n, maxReadBytes)
+				if n := read.Load(); n > sizeboundtest.MaxRead {
+					t.Errorf("%s: %d bytes were read, want at most %d", name, n, sizeboundtest.MaxRead)
 				}
-				if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
-					t.Errorf("%s: %d bytes were allocated, want at most %d", name, n, maxAllocated)
+				if allocated > sizeboundtest.MaxAllocated {
+					t.Errorf("%s: %d bytes were allocated, want at most %d", name, allocated, sizeboundtest.MaxAllocated)
 				}
 			}
 		})
@@ -119,7 +63,7 @@
 // Guards against clients that read a response without end, and against an object that is cut at the bound and
 // taken for a whole one.
 func TestClientsReadBoundedResponses(t *testing.T) {
-	url := endlessService(t, "HTTP/1.1 200 OK\n\n", " ")
+	url, _ := sizeboundtest.Serve(t, "HTTP/1.1 200 OK\n\n", " ")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	if _, err := NewObjects(url, "b", Credentials{Key: "k", Secret: "s"}).Get(ctx, "o"); !errors.Is(err, sizebound.ErrTooLong) {
--- a/internal/reconnect/endless_test.go
+++ b/internal/reconnect/endless_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -16,30 +15,9 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/sizebound"
+	"github.com/sparshore/sparshore/internal/sizebound/sizeboundtest"
 )
 
-const (
-	// maxReadBytes bounds what is read from one connection to a server that sends without end, and
-	// maxAllocated the memory for it.
-	maxReadBytes = 2_000_000
-	maxAllocated = 24_000_000
-	// endlessBytes is how much a server of these tests sends if nobody stops it.
-	endlessBytes = 32 << 20
-)
-
-// readCount is a connection that counts the bytes that are read from it.
-type readCount struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-// Read reads from the connection.
-func (c readCount) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // Guards against a server that fills the memory with an answer without end, and against an answer that is cut at
 // the bound and taken for a whole one.
 func TestEndlessAnswersAreBounded(t *testing.T) {
@@ -61,41 +39,22 @@
 		{"body of a failure", "HTTP/1.1 500 Internal Server Error\n\n", "x", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			crlf := func(s string) string { return strings.ReplaceAll(s, "\n", "\r\n") }
-			block := strings.Repeat(crlf(tc.repeat), 1+(32<<10)/len(tc.repeat))
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				_, _ = io.WriteString(c, crlf(tc.start))
-				for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
-					_, err = io.WriteString(c, block)
-				}
-			}))
-			t.Cleanup(server.Close)
-			var read atomic.Int64
-			client := New(Settings{OverdueMin: limit, OverdueMax: limit, MaxBody: 1 << 20}, func() *http.Transport {
-				return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-					nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
-					return readCount{nc, &read}, err
-				}}
-			}, events.Nop(), time.Now)
+			url, _ := sizeboundtest.Serve(t, tc.start, tc.repeat)
+			transport := &http.Transport{}
+			read := sizeboundtest.CountReads(transport)
+			client := New(Settings{OverdueMin: limit, OverdueMax: limit, MaxBody: 1 << 20}, func() *http.Transport { return transport }, events.Nop(), time.Now)
 			ctx, cancel := context.WithTimeout(t.Context(), limit)
 			defer cancel()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			_, err := client.Do(ctx, Request{Method: http.MethodGet, URL: server.URL})
-			runtime.ReadMemStats(&after)
+			var err error
+			allocated := sizeboundtest.Allocated(func() { _, err = client.Do(ctx, Request{Method: http.MethodGet, URL: url}) })
 			if err == nil || ctx.Err() != nil || !tc.head && !errors.Is(err, sizebound.ErrTooLong) {
 				t.Errorf("error %v, want %v", err, sizebound.ErrTooLong)
 			}
-			if n := read.Load(); n > maxReadBytes {
-				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
+			if n := read.Load(); n > sizeboundtest.MaxRead {
+				t.Errorf("%d bytes were read, want at most %d", n, sizeboundtest.MaxRead)
 			}
-			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
-				t.Errorf("%d bytes were allocated, want at most %d", n, maxAllocated)
+			if allocated > sizeboundtest.MaxAllocated {
+				t.Errorf("%d bytes were allocated, want at most %d", allocated, sizeboundtest.MaxAllocated)
 			}
 		})
 	}
@@ -134,8 +93,8 @@
 	time.Sleep(arrival)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > maxAllocated {
-		t.Errorf("%d bytes are held, want at most %d", n, maxAllocated)
+	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > sizeboundtest.MaxAllocated {
+		t.Errorf("%d bytes are held, want at most %d", n, sizeboundtest.MaxAllocated)
 	}
 	t.Logf("%d of %d answers were refused, %d bytes are held", refused.Load(), calls, int64(after.HeapAlloc)-int64(before.HeapAlloc))
 	if refused.Load() == 0 {
--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -15,30 +15,9 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/sizebound"
+	"github.com/sparshore/sparshore/internal/sizebound/sizeboundtest"
 )
 
-const (
-	// maxReadBytes bounds what is read from one connection to a service that sends without end, and
-	// maxAllocated the memory for it.
-	maxReadBytes = 2_000_000
-	maxAllocated = 24_000_000
-	// endlessBytes is how much a service of these tests sends if nobody stops it.
-	endlessBytes = 32 << 20
-)
-
-// countedConn counts the bytes that are read from a connection.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-// Read reads from the connection.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // countReads returns the number of bytes that a client reads from now on.
 func countReads(c *http.Client) *atomic.Int64 {
 	read, t := &atomic.Int64{}, c.Transport.(*http.Transport)
@@ -46,35 +25,13 @@
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := dial(ctx, network, address)
 		if c, ok := nc.(*boundedConn); ok {
-			c.Conn = countedConn{c.Conn, read}
+			c.Conn = sizeboundtest.Conn{Conn: c.Conn, Bytes: read}
 		}
 		return nc, err
 	}
 	return read
 }
 
-// endlessService returns the address of a service that sends start once, and text without end.
-func endlessService(t *testing.T, start, text string) string {
-	t.Helper()
-	crlf := func(s string) string { return strings.ReplaceAll(s, "\n", "\r\n") }
-	block := strings.Repeat(crlf(text), 1+(32<<10)/len(text))
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, _ = io.WriteString(c, crlf(start))
-		for sent := 0; sent < endlessBytes; sent += len(block) {
-			if _, err := io.WriteString(c, block); err != nil {
-				return
-			}
-		}
-	}))
-	t.Cleanup(s.Close)
-	return s.URL
-}
-
 // Guards against a service that fills the memory of its sidecar with an answer without end.
 func TestEndlessAnswersAreBounded(t *testing.T) {
 	const ok, failure, chunked = "HTTP/1.1 200 OK\n", "HTTP/1.1 500 Internal Server Error\n", "Transfer-Encoding: chunked\n\n"
@@ -140,21 +97,20 @@
 		{"load, blanks", ok + "\n", " ", load, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			url := endlessService(t, tc.start, tc.repeat)
+			url, _ := sizeboundtest.Serve(t, tc.start, tc.repeat)
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			read, err := tc.call(ctx, url)
-			runtime.ReadMemStats(&after)
+			var read *atomic.Int64
+			var err error
+			allocated := sizeboundtest.Allocated(func() { read, err = tc.call(ctx, url) })
 			if err == nil || ctx.Err() != nil || tc.tooLong && !errors.Is(err, sizebound.ErrTooLong) || errors.Is(err, errNotSent) {
 				t.Errorf("error %v, want %v", err, sizebound.ErrTooLong)
 			}
-			if n := read.Load(); n > maxReadBytes {
-				t.Errorf("%d bytes were read, want at most %d", n, maxReadBytes)
+			if n := read.Load(); n > sizeboundtest.MaxRead {
+				t.Errorf("%d bytes were read, want at most %d", n, sizeboundtest.MaxRead)
 			}
-			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
-				t.Errorf("%d bytes were allocated, want at most %d", n, maxAllocated)
+			if allocated > sizeboundtest.MaxAllocated {
+				t.Errorf("%d bytes were allocated, want at most %d", allocated, sizeboundtest.MaxAllocated)
 			}
 		})
 	}
@@ -234,8 +190,8 @@
 	time.Sleep(arrival)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > maxAllocated {
-		t.Errorf("%d bytes are held, want at most %d", n, maxAllocated)
+	if n := int64(after.HeapAlloc) - int64(before.HeapAlloc); n > sizeboundtest.MaxAllocated {
+		t.Errorf("%d bytes are held, want at most %d", n, sizeboundtest.MaxAllocated)
 	}
 	if refused.Load() == 0 {
 		t.Error("no stream was ended")
