--- a/internal/ctl/api_test.go
+++ b/internal/ctl/api_test.go
@@ -13,7 +13,7 @@
 	"github.com/sparshore/sparshore/internal/sizebound/sizeboundtest"
 )
 
-// Guards against a server that fills the memory of an operator's machine with a response without end. Before, a
+// Guards against a server that fills the memory of an operator's computer with a response without end. Before, a
 // head was read up to 10 MB and a body until the memory or the time of the call was used up.
 func TestEndlessResponsesAreBounded(t *testing.T) {
 	// bufferBytes is the size in bytes of the buffers between connection and caller, with a margin.
--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -185,7 +185,7 @@
 			}
 		})
 	}
-	// The events have time to arrive once all streams are open, which takes long on a busy machine.
+	// The events have time to arrive once all streams are open, which takes long when other processes use the processors.
 	opened.Wait()
 	time.Sleep(arrival)
 	runtime.GC()
