test(placement): replay long streams on engines of unlike speeds

The decisions by the pace of engines were tested one by one only. Generations wait for room beside the headroom as in a gateway. The existing loads and their golden file are unchanged.

--- a/internal/placement/replay/contention_test.go
+++ b/internal/placement/replay/contention_test.go
@@ -42,7 +42,7 @@
 }
 
 func (o Outcome) plus(p Outcome) Outcome {
-	return Outcome{o.Arrived + p.Arrived, o.InTime + p.InTime, o.Late + p.Late, o.Refused + p.Refused, o.Aborted + p.Aborted}
+	return Outcome{o.Arrived + p.Arrived, o.InTime + p.InTime, o.Late + p.Late, o.Refused + p.Refused, o.Aborted + p.Aborted, o.Paused + p.Paused}
 }
 
 func (o Outcome) share() float64 { return float64(o.InTime) / float64(max(o.Arrived, 1)) }
--- a/internal/placement/replay/gateways.go
+++ b/internal/placement/replay/gateways.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/placement"
 )
 
@@ -14,6 +15,11 @@
 type gatewayState struct {
 	overload placement.Overload
 	forecast placement.BriefForecast
+	paces    *pace.Set
+	// readTime is the mean time in which an engine of typical pace reads a prompt token; 0 until measured.
+	readTime time.Duration
+	// relocating is the generation that is being moved away from a slow engine.
+	relocating *generation
 }
 
 // warmUp lets the gateways count the arrivals of the time before the load. Nothing runs then.
--- a/internal/placement/replay/load.go
+++ b/internal/placement/replay/load.go
@@ -27,6 +27,9 @@
 	Spread                    float64
 	// Objective is the time to the first token within which a generation counts as in time.
 	Objective time.Duration
+	// MaxPause is the longest pause between two events with which a generation is in time. If it is 0,
+	// maxTokenGap applies to its tokens, and the gateways do not measure the pace of engines with it.
+	MaxPause time.Duration
 	// Surge changes the rate of arrivals for a time.
 	Surge Surge
 	// Worth is the value of a generation in time; a late one has lateShare of it.
@@ -47,6 +50,17 @@
 	return 1
 }
 
+// Range is a range of speeds, relative to the nominal one. The zero value stands for none.
+type Range struct{ Least, Most float64 }
+
+// SlowMoments are intervals of a fixed Length in which an engine needs Factor times as long for a step.
+// They begin at random and take Share of the time. The zero value stands for none.
+type SlowMoments struct {
+	Factor float64
+	Length time.Duration
+	Share  float64
+}
+
 // Load describes the generations that arrive and the engines that serve them.
 type Load struct {
 	Kinds   []Kind
@@ -54,6 +68,10 @@
 	// Slowdown is the part by which each third engine takes longer for a step; 0 makes all
 	// engines equally fast.
 	Slowdown float64
+	// Speeds is the range from which the speed of each engine is drawn, instead of Slowdown.
+	Speeds Range
+	// SlowMoments are intervals in which an engine is slower than usual.
+	SlowMoments SlowMoments
 	// MemoryTokens and Slots are the limits of one engine.
 	MemoryTokens, Slots int
 	// LeaveInterval is the time between two waves in which LeaveShare of the engines get the
@@ -71,6 +89,11 @@
 	// WarmUp is the time before the load for which the gateways have counted arrivals at its
 	// rates without surges.
 	WarmUp time.Duration
+	// WaitForRoom lets generations without room beside the headroom wait, as gateways do, instead of refusing
+	// them at once.
+	WaitForRoom bool
+	// Settle is the time from the start in which generations that arrive are not counted.
+	Settle time.Duration
 }
 
 // CrowdedLoad is a load for which memory is short: a sixth of the engines leaves every 3.3 s
--- a/internal/placement/replay/pool.go
+++ b/internal/placement/replay/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/enginemodel"
+	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/placement"
 )
 
@@ -15,6 +16,8 @@
 	id       string
 	model    *enginemodel.Engine
 	slowdown float64
+	// moments are the slow moments of the engine.
+	moments momentSequence
 	// busyUntil is the end of the current step, at which its tokens are delivered.
 	busyUntil time.Duration
 	tokens    []enginemodel.Token
@@ -34,8 +37,11 @@
 	if position%3 == 2 {
 		slowdown += s.load.Slowdown
 	}
+	if r := s.load.Speeds; r != (Range{}) {
+		slowdown = 1 / (r.Least + (r.Most-r.Least)*s.world.Float64())
+	}
 	const block = 16
-	return &engine{id: fmt.Sprintf("e%d", s.started), slowdown: slowdown, model: enginemodel.New(enginemodel.Settings{
+	return &engine{id: fmt.Sprintf("e%d", s.started), slowdown: slowdown, moments: s.newMoments(), model: enginemodel.New(enginemodel.Settings{
 		Blocks: s.load.MemoryTokens / block, BlockTokens: block, MaxBatch: s.load.Slots,
 		StepBase: 7 * time.Millisecond, StepPerStream: 120 * time.Microsecond, StepPerPrefill: 71 * time.Microsecond, PrefillChunk: 112,
 	})}
@@ -49,7 +55,7 @@
 			serving = append(serving, e)
 		}
 	}
-	s.random.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
+	s.world.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
 	for _, e := range serving[:int(s.load.LeaveShare*float64(len(s.engines)))] {
 		e.leavesAt, e.replacedAt = s.now+s.load.Notice, s.now+s.load.ReplacedAfter
 	}
@@ -70,24 +76,50 @@
 	}
 	slices.SortStableFunc(movable, func(a, b *generation) int { return cmp.Compare(b.generated, a.generated) })
 	for _, g := range movable {
-		held := g.prompt + g.generated
-		rest := &placement.Generation{Engine: s.engineSpec(), Prompt: held, Output: max(g.expected()-g.generated, tokensPerEvent), Repeatable: true}
-		u, ok := s.view().Target(s.candidates(g.gateway, e), rest, "")
+		u, ok := s.chooseTarget(g, s.rest(g))
 		if !ok {
 			continue
 		}
-		target := s.engine(u.ID)
-		room := target.model.Reserve(held)
+		room := s.copyTo(g, s.engine(u.ID))
 		s.moveRoom.Record(room, s.start.Add(s.now))
 		if !room {
 			g.moveAgainAt = s.now + moveRetryInterval
-			continue
 		}
-		e.linkBusyUntil = max(e.linkBusyUntil, s.now) + time.Duration(held)*copyTimePerToken
-		g.target, g.copyDoneAt, g.copiedTokens = target, e.linkBusyUntil, held
 	}
 }
 
+// rest returns the demand of the rest of a running generation.
+func (s *simulation) rest(g *generation) *placement.Generation {
+	return &placement.Generation{
+		Engine: s.engineSpec(), Prompt: g.prompt + g.generated, Output: max(g.expected()-g.generated, tokensPerEvent),
+		MaxPause: s.maxPause(g.kind), Copied: true, Repeatable: true,
+	}
+}
+
+// chooseTarget returns the engine to which a generation of a leaving engine moves.
+func (s *simulation) chooseTarget(g *generation, rest *placement.Generation) (fleet.Upstream, bool) {
+	list := s.candidates(g.gateway, g.host)
+	if s.variant.Knowledge == Speeds {
+		u, err := s.leastLate(list, rest, nil, float64(s.load.MemoryTokens))
+		if err == nil {
+			return u, true
+		}
+	}
+	return s.view(g.gateway).Target(list, rest, "")
+}
+
+// copyTo queues a copy of a generation on the link of its engine; false if the target has no room.
+func (s *simulation) copyTo(g *generation, target *engine) bool {
+	held, e := g.prompt+g.generated, g.host
+	if !target.model.Reserve(held) {
+		return false
+	}
+	e.linkBusyUntil = max(e.linkBusyUntil, s.now) + time.Duration(held)*copyTimePerToken
+	g.target, g.copyDoneAt, g.copiedTokens = target, e.linkBusyUntil, held
+	s.countExtra()
+	return true
+}
+
 // step advances all engines by one tick.
 func (s *simulation) step() {
 	for i, e := range s.engines {
@@ -100,13 +132,14 @@
 		if e.leavesAt < 0 && s.now >= e.replacedAt {
 			s.result.Preempted += e.model.Preemptions()
 			s.engines[i] = s.newEngine(i)
+			s.forgetPaces()
 			continue
 		}
 		if s.now >= e.busyUntil && e.leavesAt >= 0 {
 			s.deliver(e)
 			if !e.model.Idle() {
 				took, tokens := e.model.Step()
-				e.busyUntil, e.tokens = s.now+time.Duration(e.slowdown*float64(took)), slices.Clone(tokens)
+				e.busyUntil, e.tokens = s.now+time.Duration(e.slowdown*e.moments.factor(s.now)*float64(took)), slices.Clone(tokens)
 			}
 		}
 	}
@@ -125,7 +158,10 @@
 	e.leavesAt, e.tokens = -1, nil
 	for _, g := range slices.Clone(s.inOrder) {
 		if g.host == e {
-			s.updateOutcome(g.kind, func(o *Outcome) { o.Aborted++ })
+			s.updateOutcome(g, func(o *Outcome) { o.Aborted++ })
+			if g.generated > 0 {
+				s.updateOutcome(g, func(o *Outcome) { o.Paused++ })
+			}
 			s.remove(g)
 		}
 	}
@@ -140,10 +176,13 @@
 		}
 		if g.generated == 0 {
 			g.firstToken = s.now
-		} else if s.now-g.lastToken > maxTokenGap {
+		} else if g.kind.MaxPause == 0 && s.now-g.lastToken > maxTokenGap {
 			g.stalled = true
 		}
 		g.generated, g.lastToken = g.generatedBefore+t.Position(), s.now
+		if g.kind.MaxPause > 0 && (t.Last() || g.generated%tokensPerEvent == 0) {
+			s.onEvent(g)
+		}
 		if t.Last() {
 			s.finish(g)
 		}
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 	"github.com/sparshore/sparshore/internal/enginemodel"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
+	"github.com/sparshore/sparshore/internal/pace"
 	"github.com/sparshore/sparshore/internal/placement"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
@@ -28,11 +30,17 @@
 	// DeadlineQueue lets generations without room wait at their gateway, in the order of the times
 	// by which they have to begin, instead of refusing them.
 	DeadlineQueue bool
+	// NoPace treats all engines alike, as routes without a bound on pauses are served.
+	NoPace bool
+	// Knowledge replaces the decisions by those of a baseline.
+	Knowledge Knowledge
 }
 
 // Outcome counts the generations of one kind by their outcome.
 type Outcome struct {
 	Arrived, InTime, Late, Refused, Aborted int
+	// Paused counts those that began and then paused for longer than their bound or were aborted.
+	Paused int
 }
 
 // Result is the result of a load.
@@ -44,6 +52,10 @@
 	// StreamTime is the mean time from the first to the last token of long answers that were
 	// completed.
 	StreamTime time.Duration
+	// Relocated is the number of generations that were moved away from a slow engine, and Placements
+	// the engines that were chosen for the generations, in order.
+	Relocated  int
+	Placements []string
 }
 
 const (
@@ -70,6 +82,8 @@
 	// firstArrival is the time of the first attempt of the caller.
 	firstArrival time.Duration
 	attempts     int
+	// waiting is set while the generation waits at its gateway for room beside the headroom.
+	waiting bool
 	// gateway is the index of the gateway of the latest attempt.
 	gateway int
 	host    *engine
@@ -85,6 +99,7 @@
 	copyDoneAt   time.Duration
 	target       *engine
 	copiedTokens int
+	paced        pacedState
 }
 
 // simulation is the state of a run.
@@ -92,6 +107,9 @@
 	load    Load
 	variant Variant
 	random  *rand.Rand
+	// world draws what happens to the engines. If their speeds are drawn, it is apart from random, so that
+	// the same happens to them whatever is decided.
+	world   *rand.Rand
 	start   time.Time
 	now     time.Duration
 	engines []*engine
@@ -111,33 +129,50 @@
 	earnedWorth               float64
 	streamTime                time.Duration
 	completed                 int
+	// reports are the reports of pace that are on their way, and extra the times of the recent moves.
+	reports []paceReport
+	extra   []time.Duration
 }
 
 // Run simulates a load.
-func Run(load Load, variant Variant) Result {
+func Run(load Load, variant Variant) Result { return simulate(load, variant).result }
+
+// newSimulation returns the state before a load.
+func newSimulation(load Load, variant Variant) *simulation {
 	s := &simulation{
 		load: load, variant: variant, random: rand.New(rand.NewPCG(load.Seed, load.Seed)), start: time.Unix(0, 0),
 		running: map[string]*generation{}, result: Result{Kinds: map[string]Outcome{}}, lastRefusal: -time.Hour,
 	}
+	s.world = s.random
+	if load.Speeds != (Range{}) {
+		s.world = rand.New(rand.NewPCG(load.Seed, worldStream))
+	}
 	for range max(load.Gateways, 1) {
-		s.gateways = append(s.gateways, &gatewayState{})
+		s.gateways = append(s.gateways, &gatewayState{paces: pace.New(func(pace.Change) {})})
 	}
 	for i := range load.Engines {
 		s.engines = append(s.engines, s.newEngine(i))
 	}
+	return s
+}
+
+// simulate simulates a load and returns the state at its end.
+func simulate(load Load, variant Variant) *simulation {
+	s := newSimulation(load, variant)
 	s.warmUp()
 	pending := make([]*generation, 0, 1024)
 	for i, a := range load.arrivals(s.random) {
 		a.id = fmt.Sprintf("g%d", i)
 		pending = append(pending, &generation{arrival: a, firstArrival: a.due})
 		s.possibleWorth += a.kind.Worth
-		s.updateOutcome(a.kind, func(o *Outcome) { o.Arrived++ })
+		s.updateOutcome(pending[len(pending)-1], func(o *Outcome) { o.Arrived++ })
 	}
 	byTime := func(a, b *generation) int { return cmp.Compare(a.due(), b.due()) }
 	slices.SortStableFunc(pending, byTime)
 	nextWave := load.LeaveInterval
 	for end := load.Duration + time.Minute; s.now < end; s.now += tick {
 		s.takeSnapshot()
+		s.exchangePaces()
 		s.serveQueue()
 		for len(pending) > 0 && pending[0].due() <= s.now {
 			g := pending[0]
@@ -162,17 +197,20 @@
 	}
 	s.result.Worth = s.earnedWorth / s.possibleWorth
 	s.result.StreamTime = s.streamTime / time.Duration(max(s.completed, 1))
-	return s.result
+	return s
 }
 
 // due returns the time of the next attempt of the caller.
 func (g *generation) due() time.Duration { return g.arrival.due }
 
-// updateOutcome changes the counts of a kind.
-func (s *simulation) updateOutcome(k *Kind, change func(o *Outcome)) {
-	o := s.result.Kinds[k.Name]
+// updateOutcome changes the counts of the kind of a generation, if it is counted.
+func (s *simulation) updateOutcome(g *generation, change func(o *Outcome)) {
+	if g.firstArrival < s.load.Settle {
+		return
+	}
+	o := s.result.Kinds[g.kind.Name]
 	change(&o)
-	s.result.Kinds[k.Name] = o
+	s.result.Kinds[g.kind.Name] = o
 }
 
 // engineSpec returns the engines as the routes of operators describe them.
@@ -210,10 +248,10 @@
 // expected returns the output length that an entry assumes.
 func (g *generation) expected() int { return min(int(hintMargin*float64(g.hint)), g.kind.MaxOutput) }
 
-// view returns the context of a decision.
-func (s *simulation) view() *placement.View {
+// view returns the context of a decision of a gateway.
+func (s *simulation) view(gateway int) *placement.View {
 	return &placement.View{
-		Now: s.start.Add(s.now), Random: s.random.Float64, ReadToken: readTimePerToken,
+		Now: s.start.Add(s.now), Random: s.random.Float64, ReadToken: s.gateways[gateway].readToken(), Pace: s.profile(gateway),
 		Delay: func(string) time.Duration { return s.load.StateAge },
 	}
 }
@@ -221,16 +259,22 @@
 // admit places a generation on an engine or refuses it. ok reports whether the refused caller
 // retries, after retryAfter.
 func (s *simulation) admit(g *generation) (retryAfter time.Duration, ok bool) {
-	if len(s.gateways) > 1 {
+	if len(s.gateways) > 1 && !g.waiting {
 		g.gateway = s.random.IntN(len(s.gateways))
 	}
 	now := s.start.Add(s.now)
-	s.gateways[g.gateway].forecast.Arrived(s.want(g), g.expectedHold(), now)
+	if !g.waiting {
+		s.gateways[g.gateway].forecast.Arrived(s.want(g), g.expectedHold(), now)
+	}
 	err := s.place(g)
-	g.attempts++
 	if err == nil {
 		return 0, false
 	}
+	waitUntil := g.firstArrival + placement.MaxWait(g.kind.Objective)
+	if g.waiting = s.load.WaitForRoom && errors.Is(err, placement.ErrHeadroom) && s.now+queueInterval < waitUntil; g.waiting {
+		return queueInterval, true
+	}
+	g.attempts++
 	if s.variant.DeadlineQueue {
 		s.enqueue(g)
 		return 0, false
@@ -248,7 +292,7 @@
 
 // refuse records that a caller got its last refusal.
 func (s *simulation) refuse(g *generation) {
-	s.updateOutcome(g.kind, func(o *Outcome) { o.Refused++ })
+	s.updateOutcome(g, func(o *Outcome) { o.Refused++ })
 }
 
 // place places a generation on an engine that has room.
@@ -262,17 +306,26 @@
 	if !s.variant.NoHeadroom {
 		want.Headroom = gateway.forecast.Headroom(want, len(s.gateways), len(list), now)
 	}
-	u, err := s.view().Admit(list, want, usable)
+	u, err := s.choose(g, list, want, usable)
 	if err != nil {
 		return err
 	}
 	gateway.overload.Admitted(now)
 	e := s.engine(u.ID)
 	e.placements = e.placements.Add(1, now, placementDecay)
+	s.result.Placements = append(s.result.Placements, e.id)
 	s.submit(g, e, 0)
 	return nil
 }
 
+// choose returns the engine that takes a new generation.
+func (s *simulation) choose(g *generation, list []placement.Candidate, want *placement.Generation, usable float64) (fleet.Upstream, error) {
+	if s.variant.Knowledge == Speeds {
+		return s.leastLate(list, want, nil, usable)
+	}
+	return s.view(g.gateway).Admit(list, want, usable)
+}
+
 // startShare is the part of the objective within which a generation has to be expected to begin.
 const startShare = 0.8
 
@@ -285,7 +338,7 @@
 func (s *simulation) want(g *generation) *placement.Generation {
 	return &placement.Generation{
 		Engine: s.engineSpec(), Prompt: g.prompt, Output: g.expected(), Brief: g.expected() < maxBriefTokens,
-		StartBy: g.startBy() - s.now, Rank: placement.Rank{Route: g.kind.Rank},
+		StartBy: g.startBy() - s.now, MaxPause: s.maxPause(g.kind), Rank: placement.Rank{Route: g.kind.Rank},
 	}
 }
 
@@ -317,6 +370,7 @@
 	if s.variant.SendRanks {
 		rank = g.kind.Rank
 	}
+	s.beginAttempt(g, e, copied)
 	g.host, g.target, g.generatedBefore = e, nil, g.generated
 	if _, ok := s.running[g.id]; !ok {
 		s.running[g.id] = g
@@ -331,6 +385,7 @@
 	if g.target != nil {
 		g.target.model.Release(g.copiedTokens)
 	}
+	s.endRelocation(g)
 	delete(s.running, g.id)
 	s.inOrder = slices.DeleteFunc(s.inOrder, func(o *generation) bool { return o == g })
 }
@@ -338,15 +393,18 @@
 // finish records a generation that has completed.
 func (s *simulation) finish(g *generation) {
 	s.remove(g)
+	if g.stalled {
+		s.updateOutcome(g, func(o *Outcome) { o.Paused++ })
+	}
 	if g.output > maxBriefTokens {
 		s.streamTime += g.lastToken - g.firstToken
 		s.completed++
 	}
 	if g.stalled || g.firstToken-g.firstArrival > g.kind.Objective {
-		s.updateOutcome(g.kind, func(o *Outcome) { o.Late++ })
+		s.updateOutcome(g, func(o *Outcome) { o.Late++ })
 		s.earnedWorth += lateShare * g.kind.Worth
 		return
 	}
-	s.updateOutcome(g.kind, func(o *Outcome) { o.InTime++ })
+	s.updateOutcome(g, func(o *Outcome) { o.InTime++ })
 	s.earnedWorth += g.kind.Worth
 }
