--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -19,16 +19,11 @@
 	g, r := s.g, s.newReadAhead(ctx, st, answer, answer)
 	defer r.close()
 	first := true
-	var silence *time.Timer
-	stopSilence := func() {
-		if silence != nil {
-			silence.Stop()
-		}
-	}
-	defer stopSilence()
+	silence := silenceTimer{stream: s, at: st.at}
+	defer silence.stop()
 	for {
 		b, err := r.next()
-		stopSilence()
+		silence.stop()
 		if err != nil {
 			return s.answerEnded(ctx, st, answer, b, err)
 		}
@@ -38,15 +33,8 @@
 				return streamBroken
 			}
 			started()
-			s.recordFirstEvent(st, answer, sent)
-			if st.from == nil {
-				s.noteStart(st.at, g.now().Sub(sent))
-			}
+			s.attemptBegan(ctx, st, answer, sent)
 			first = false
-			s.segment = segmentMeter{}
-			if answer.Closing() {
-				go g.queryIfDue(ctx, st.at, "it closes its connection")
-			}
 		}
 		arrived := g.now()
 		s.heardAt.Store(arrived.UnixNano())
@@ -60,17 +48,25 @@
 		s.advance(id, n)
 		s.recordPause()
 		s.measurePace(st.at, n, arrived)
-		if silence == nil {
-			silence = s.silenceTimer(st.at)
-		} else {
-			silence.Reset(silenceFactor * s.rq.route.MaxPause)
-		}
+		silence.start()
 		if s.timeToFirstEvent > 0 && s.lastAt.Sub(s.rq.start) > s.timeToFirstEvent+suspectBlockTime {
 			s.rq.run.EndTrial()
 		}
 	}
 }
 
+// attemptBegan handles the first event of an attempt.
+func (s *stream) attemptBegan(ctx context.Context, st step, answer *link.Answer, sent time.Time) {
+	s.recordFirstEvent(st, answer, sent)
+	if st.from == nil {
+		s.noteStart(st.at, s.g.now().Sub(sent))
+	}
+	s.segment = segmentMeter{}
+	if answer.Closing() {
+		go s.g.queryIfDue(ctx, st.at, "it closes its connection")
+	}
+}
+
 // writeEvents writes complete events to the caller.
 func (s *stream) writeEvents(b []byte) error {
 	for s.rq.memory != nil && len(b) > pieceSize {
--- a/internal/gateway/unreachable.go
+++ b/internal/gateway/unreachable.go
@@ -53,17 +53,34 @@
 // connection.
 const silenceFactor = 2
 
-// silenceTimer returns a timer that checks the engine once a stream has been silent for too long; nil if the route
-// bounds no pauses. It is to be reset at each event.
-func (s *stream) silenceTimer(at fleet.Upstream) *time.Timer {
-	if s.rq.route.MaxPause == 0 {
-		return nil
+// silenceTimer checks the engine of a stream once the stream has been silent for too long, if its route bounds
+// pauses.
+type silenceTimer struct {
+	stream *stream
+	at     fleet.Upstream
+	timer  *time.Timer
+}
+
+// start begins to wait for the next event.
+func (t *silenceTimer) start() {
+	s, after := t.stream, silenceFactor*t.stream.rq.route.MaxPause
+	switch {
+	case after == 0:
+	case t.timer != nil:
+		t.timer.Reset(after)
+	default:
+		t.timer = time.AfterFunc(after, func() {
+			if s.g.fleet.Silent(t.at.ID) {
+				s.g.checkReported(t.at)
+			}
+		})
+	}
+}
+
+func (t *silenceTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
 	}
-	return time.AfterFunc(silenceFactor*s.rq.route.MaxPause, func() {
-		if s.g.fleet.Silent(at.ID) {
-			s.g.checkReported(at)
-		}
-	})
 }
 
 // checkUntilReachable checks an unreachable engine until it can be reached or is no longer known: at once, and then
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -135,7 +135,7 @@
 			release := make(chan struct{})
 			defer close(release)
 			var server *httptest.Server
-			first := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+			first := f.add("llm", "a", func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set(testProof, "p")
 				for i := 1; i <= tc.events; i++ {
 					_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -560,7 +560,7 @@
 mutant unreachable-future internal/fleet/unreachable.go 's/at\.After\(now\) \|\| //' internal/fleet TestPeerReportsAreChecked
 mutant unreachable-route $gateway/attempt.go 's/ctx\.Err\(\) == nil && s\.rq\.route\.MaxPause > 0/ctx.Err() == nil/' $gateway TestOwnAttemptFindsEngineUnreachable
 mutant unreachable-again $gateway/unreachable.go 's/\t\t\t\tg\.checkUntilReachable\(u\)\n//' $gateway TestUnreachableEngineOfAnotherEntry
-mutant unreachable-silent $gateway/relay.go 's/\t\t\tsilence = s\.silenceTimer\(st\.at\)\n/\t\t\tsilence = time.NewTimer(time.Hour)\n/' $gateway TestStreamsOfUnreachableEngine
+mutant unreachable-silent $gateway/relay.go 's/\t\tsilence\.start\(\)\n//' $gateway TestStreamsOfUnreachableEngine
 mutant unreachable-once internal/fleet/unreachable.go 's/ \|\| now\.Sub\(r\.checkedAt\) < checkFor//' internal/fleet TestSilentUpstreamIsCheckedOnce
 mutant unreachable-repeats $gateway/unreachable.go 's/ && s\.rq\.route\.Repeats\(\)//' $gateway TestStreamsOfUnreachableEngine
 mutant unreachable-heard $gateway/relay.go 's/\t\ts\.heardAt\.Store\(arrived\.UnixNano\(\)\)\n//' $gateway TestStreamsOfUnreachableEngine
