--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -36,12 +36,21 @@
 	e.sendEndless(c, "X-Filler: "+strings.Repeat("x", 8<<10)+"\r\n")
 }
 
-// sendEndlessEvent sends one event of a stream until the connection is closed.
-func (e *Engine) sendEndlessEvent(w io.Writer) {
-	if _, err := io.WriteString(w, "data: "); err != nil {
+// hasDecoded reports whether a stream has a token.
+func (e *Engine) hasDecoded(progress *streamProgress) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return progress.decoded > 0
+}
+
+// sendEndlessEvent sends the first token of a stream, and then one event until the connection is closed. The stream
+// may have been decoded to its end by then.
+func (e *Engine) sendEndlessEvent(out *chunkWriter) {
+	out.writeToken(1)
+	if _, err := io.WriteString(out.w, "data: "); err != nil {
 		return
 	}
-	e.sendEndless(w, strings.Repeat("x", 1<<10))
+	e.sendEndless(out.w, strings.Repeat("x", 1<<10))
 }
 
 // sendEndless writes text over and over until the connection is closed, and counts what it does.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -416,11 +416,11 @@
 			return
 		case <-progress.wake:
 		}
-		if !e.writeTokens(out, progress) {
+		if endless == endlessEvent && e.hasDecoded(progress) {
+			e.sendEndlessEvent(out)
 			return
 		}
-		if endless == endlessEvent && out.sent > 0 {
-			e.sendEndlessEvent(w)
+		if !e.writeTokens(out, progress) {
 			return
 		}
 	}
