--- a/internal/pace/profile.go
+++ b/internal/pace/profile.go
@@ -84,10 +84,7 @@
 	pauses, starts distribution
 	// reading counts the segments at whose end a prompt waited to be read at the engine.
 	reading float64
-	// typical is the median pace of the engines. It is computed when an engine was first observed, and at most
-	// once in profileAge otherwise; typicalAt is when that was.
-	typical   time.Duration
-	typicalAt time.Time
+	typical time.Duration
 	// bound is the longest pause that the operator allows the streams of the service, as of the latest
 	// segment.
 	bound   time.Duration
@@ -187,14 +184,13 @@
 // update computes the estimate of an engine anew and reports whether the engine began or ceased to
 // count as slow. s.mu must be held.
 func (s *Set) update(id string, e *engine, now time.Time) (Change, bool) {
-	v, before := s.service(e.service), e.merged
+	v, before := s.service(e.service), e.merged.Interval
 	e.merged = e.merge()
-	if e.merged.Interval != before.Interval {
+	if e.merged.Interval != before {
 		v.changed = true
 	}
-	if before.Samples == 0 || now.Sub(v.typicalAt) >= profileAge {
+	if v.typical == 0 || now.Sub(v.madeAt) >= profileAge {
 		s.updateService(e.service)
-		v.typicalAt = now
 	}
 	if v.typical == 0 || e.merged.Samples < minSlowSamples {
 		return Change{}, false
@@ -252,7 +248,7 @@
 			p.intervals[id] = p.settle(e.merged.Interval)
 		}
 	}
-	v.profile, v.madeAt, v.typicalAt, v.changed = p, now, now, false
+	v.profile, v.madeAt, v.changed = p, now, false
 	return p
 }
 
