--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -220,18 +220,13 @@
 func (s *Set) Keep(known func(id string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ended := map[string]bool{}
-	for id, e := range s.engines {
+	for id := range s.engines {
 		if !known(id) {
-			if e.merged.Samples > 0 {
-				ended[e.service] = true
-			}
 			delete(s.engines, id)
 		}
 	}
-	for name := range ended {
+	for name := range s.services {
 		s.updateService(name)
-		s.service(name).profile = nil
 	}
 }
 
--- a/internal/pace/profile.go
+++ b/internal/pace/profile.go
@@ -21,8 +21,8 @@
 	priorExponent     = 2.5
 	// priorReadingShare is the assumed share of segments beside which a prompt waits to be read.
 	priorReadingShare = 0.25
-	// profileAge is how long a Profile is used, whatever changes, before a new one is made: engines change
-	// their pace in tens of seconds.
+	// profileAge is how long a Profile is used before a new one is made: engines change their pace
+	// in tens of seconds.
 	profileAge = 100 * time.Millisecond
 	// slowFactor and normalFactor are the multiples of the typical pace of its service above which an
 	// engine begins, and below which it ceases, to count as slow. minSlowSamples is the number of samples
@@ -90,8 +90,6 @@
 	bound   time.Duration
 	profile *Profile
 	madeAt  time.Time
-	// changed is set if something that the profile is made from has changed since.
-	changed bool
 }
 
 // Segment is what a stream observed over a few events in a row at one engine.
@@ -111,7 +109,7 @@
 	change, changed := s.add(seg.Engine, seg.Service, seg.Interval, now)
 	if e, ok := s.engines[seg.Engine]; ok && e.merged.Interval > 0 {
 		v := s.service(seg.Service)
-		v.bound, v.changed = seg.Bound, true
+		v.bound = seg.Bound
 		v.count(float64(seg.Longest)/float64(e.merged.Interval), seg.Reading)
 	}
 	s.mu.Unlock()
@@ -170,7 +168,6 @@
 	defer s.mu.Unlock()
 	if v, ok := s.services[serviceName]; ok && first > 0 && usual > 0 {
 		v.starts.add(float64(first) / float64(usual))
-		v.changed = true
 	}
 }
 
@@ -184,11 +181,8 @@
 // update computes the estimate of an engine anew and reports whether the engine began or ceased to
 // count as slow. s.mu must be held.
 func (s *Set) update(id string, e *engine, now time.Time) (Change, bool) {
-	v, before := s.service(e.service), e.merged.Interval
 	e.merged = e.merge()
-	if e.merged.Interval != before {
-		v.changed = true
-	}
+	v := s.service(e.service)
 	if v.typical == 0 || now.Sub(v.madeAt) >= profileAge {
 		s.updateService(e.service)
 	}
@@ -202,7 +196,7 @@
 	return Change{Engine: id, Service: e.service, Slow: slow, Interval: e.merged.Interval, Typical: v.typical, Entries: e.merged.Entries}, changed
 }
 
-// updateService computes the typical pace of a service anew. s.mu must be held.
+// updateService computes the typical pace of a service anew and drops its profile. s.mu must be held.
 func (s *Set) updateService(name string) {
 	var paces []time.Duration
 	for _, e := range s.engines {
@@ -211,7 +205,7 @@
 		}
 	}
 	v := s.service(name)
-	v.typical = 0
+	v.typical, v.profile = 0, nil
 	if len(paces) > 0 {
 		slices.Sort(paces)
 		v.typical = paces[len(paces)/2]
@@ -238,7 +232,7 @@
 	if !ok || v.bound == 0 {
 		return nil
 	}
-	if v.profile != nil && (!v.changed || now.Sub(v.madeAt) < profileAge) {
+	if v.profile != nil && now.Sub(v.madeAt) < profileAge {
 		return v.profile
 	}
 	s.updateService(name)
@@ -248,7 +242,7 @@
 			p.intervals[id] = p.settle(e.merged.Interval)
 		}
 	}
-	v.profile, v.madeAt, v.changed = p, now, false
+	v.profile, v.madeAt = p, now
 	return p
 }
 
