test(scenario): a process counts as stopped once all its threads are

A stop waited until the main thread was stopped. The kernel stops the other threads only once the thread that got the signal has run, so one of them may go on on a busy machine. The wait now covers all threads.

--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -331,18 +331,30 @@
 
 var errNotStopped = errors.New("process is not stopped yet")
 
-// checkStopped returns an error until the kernel has stopped a process. The system
-// call that sends SIGSTOP returns earlier, and the process may go on serving for a
-// moment.
+// checkStopped returns an error until the kernel has stopped all threads of a process. The system call that
+// sends SIGSTOP returns earlier. One thread gets the signal and stops the others once it runs, and on a busy
+// machine the process may go on serving for a moment, also after its main thread has stopped.
 func checkStopped(pid int) error {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	names, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
 	if err != nil {
 		return err
 	}
-	// The state follows the process name, which is in parentheses.
-	_, rest, _ := strings.Cut(string(b), ") ")
-	if !strings.HasPrefix(rest, "T") {
-		return fmt.Errorf("%w: state %.1s", errNotStopped, rest)
+	if len(names) == 0 {
+		return fmt.Errorf("%w: no threads of process %d", errNotStopped, pid)
+	}
+	for _, name := range names {
+		b, err := os.ReadFile(name)
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+			// The thread has ended.
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		// The state follows the name of the thread, which is in parentheses.
+		if _, rest, _ := strings.Cut(string(b), ") "); !strings.HasPrefix(rest, "T") {
+			return fmt.Errorf("%w: thread %s in state %.1s", errNotStopped, name, rest)
+		}
 	}
 	return nil
 }
