--- a/internal/fleet/unreachable.go
+++ b/internal/fleet/unreachable.go
@@ -59,10 +59,11 @@
 	if !ok {
 		return
 	}
-	if now := s.now(); !m.reachability.failedAt.IsZero() {
+	now := s.now()
+	if !m.reachability.failedAt.IsZero() {
 		s.rec.Note(events.UpstreamReachable, "", "upstream", id, "last-failed", now.Sub(m.reachability.failedAt))
 	}
-	m.reachability = reachability{checkedAt: s.now()}
+	m.reachability = reachability{checkedAt: now}
 }
 
 // Silent records that a stream of an upstream has been silent for longer than its route allows. It reports
@@ -71,11 +72,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.byID[id]
-	if !ok {
-		return false
-	}
-	now, r := s.now(), &m.reachability
-	if !r.failedAt.IsZero() || now.Before(r.avoidUntil) || now.Sub(r.checkedAt) < checkFor {
+	return ok && m.reachability.beginCheck(checkFor, s.now())
+}
+
+// beginCheck reports whether to check an upstream that was not reached by a check within pause, and is not being
+// checked. It makes requests avoid the upstream for at most checkFor.
+func (r *reachability) beginCheck(pause time.Duration, now time.Time) bool {
+	if !r.failedAt.IsZero() || now.Before(r.avoidUntil) || now.Sub(r.checkedAt) < pause {
 		return false
 	}
 	r.avoidUntil = now.Add(checkFor)
@@ -113,12 +116,9 @@
 		if !ok || at.After(now) || now.Sub(at) >= unreachableFor {
 			continue
 		}
-		r := &m.reachability
-		if !r.failedAt.IsZero() || now.Before(r.avoidUntil) || now.Sub(r.checkedAt) < recheckAfter {
-			continue
+		if m.reachability.beginCheck(recheckAfter, now) {
+			check = append(check, m.Upstream)
 		}
-		r.avoidUntil = now.Add(checkFor)
-		check = append(check, m.Upstream)
 	}
 	return check
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -554,13 +554,13 @@
 
 # Engines that cannot be reached.
 mutant unreachable-avoided internal/fleet/unreachable.go 's/m\.reachability\.failedAt, m\.reachability\.avoidUntil = now, now\.Add\(unreachableFor\)/m.reachability.failedAt = now/' internal/fleet TestUnreachableUpstreamIsAvoided
-mutant unreachable-link internal/fleet/unreachable.go 's/ \|\| now\.Sub\(r\.checkedAt\) < recheckAfter//' internal/fleet TestPeerReportsAreChecked
+mutant unreachable-link internal/fleet/unreachable.go 's/beginCheck\(recheckAfter, /beginCheck(0, /' internal/fleet TestPeerReportsAreChecked
 mutant unreachable-report internal/fleet/unreachable.go 's/r\.avoidUntil = now\.Add\(checkFor\)/r.avoidUntil = now.Add(10 * checkFor)/' internal/fleet TestPeerReportsAreChecked
 mutant unreachable-future internal/fleet/unreachable.go 's/at\.After\(now\) \|\| //' internal/fleet TestPeerReportsAreChecked
 mutant unreachable-route $gateway/attempt.go 's/ctx\.Err\(\) == nil && s\.rq\.route\.MaxPause > 0/ctx.Err() == nil/' $gateway TestOwnAttemptFindsEngineUnreachable
 mutant unreachable-again $gateway/unreachable.go 's/\t\t\t\tg\.checkUntilReachable\(u\)\n//' $gateway TestUnreachableEngineOfAnotherEntry
 mutant unreachable-silent $gateway/relay.go 's/\t\tsilence\.start\(\)\n//' $gateway TestStreamsOfUnreachableEngine
-mutant unreachable-once internal/fleet/unreachable.go 's/ \|\| now\.Sub\(r\.checkedAt\) < checkFor//' internal/fleet TestSilentUpstreamIsCheckedOnce
+mutant unreachable-once internal/fleet/unreachable.go 's/beginCheck\(checkFor, /beginCheck(0, /' internal/fleet TestSilentUpstreamIsCheckedOnce
 mutant unreachable-repeats $gateway/unreachable.go 's/ && s\.rq\.route\.Repeats\(\)//' $gateway TestStreamsOfUnreachableEngine
 mutant unreachable-heard $gateway/relay.go 's/\t\ts\.heardAt\.Store\(arrived\.UnixNano\(\)\)\n//' $gateway TestStreamsOfUnreachableEngine
 mutant unreachable-elsewhere $gateway/unreachable.go 's/\t\ts\.abandon\(errUnreachable\)\n//' $gateway TestStreamsOfUnreachableEngine
