--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// checkUnframed asks for a stream that the engine first begins, and that a second one can continue. It checks whether
+// the caller gets the whole stream, or a broken part of it, and the number of runs.
+func (f *fixture) checkUnframed(first *upstream, path string, whole bool, runs int) {
+	f.t.Helper()
+	result := make(chan answer, 1)
+	go func() { result <- f.ask(path) }()
+	for first.runs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := f.add("llm", "b", serveRest)
+	got := <-result
+	if ended := got.err == nil; ended != whole || ended && got.body != wholeStream() || !strings.HasPrefix(wholeStream(), got.body) {
+		f.t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, whole)
+	}
+	if n := first.runs() + second.runs(); n != runs {
+		f.t.Errorf("%d runs, want %d", n, runs)
+	}
+}
+
 // TestUnframedStreamIsTakenForABrokenOne guards against whole streams that are aborted, or sent again, because
 // only the end of the connection marks their end, and against broken ones that look whole.
 func TestUnframedStreamIsTakenForABrokenOne(t *testing.T) {
@@ -74,19 +93,7 @@
 				})
 			})
 			server = f.lastServer
-			result := make(chan answer, 1)
-			go func() { result <- f.ask(tc.path) }()
-			for first.runs() == 0 {
-				time.Sleep(time.Millisecond)
-			}
-			second := f.add("llm", "b", serveRest)
-			got := <-result
-			if whole := got.err == nil; whole != tc.whole || whole && got.body != wholeStream() || !strings.HasPrefix(wholeStream(), got.body) {
-				t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, tc.whole)
-			}
-			if n := first.runs() + second.runs(); n != tc.runs {
-				t.Errorf("%d runs, want %d", n, tc.runs)
-			}
+			f.checkUnframed(first, tc.path, tc.whole, tc.runs)
 		})
 	}
 }
@@ -181,19 +188,7 @@
 			})
 			f.records[0].Born = 2
 			f.fleet.Update(f.records, nil, true, time.Time{})
-			result := make(chan answer, 1)
-			go func() { result <- f.ask(tc.path) }()
-			for first.runs() == 0 {
-				time.Sleep(time.Millisecond)
-			}
-			second := f.add("llm", "b", serveRest)
-			got := <-result
-			if whole := got.err == nil; whole != tc.whole || whole && got.body != wholeStream() || !strings.HasPrefix(wholeStream(), got.body) {
-				t.Errorf("%v, %q; want the whole stream %v", got.err, got.body, tc.whole)
-			}
-			if n := first.runs() + second.runs(); n != tc.runs {
-				t.Errorf("%d runs, want %d", n, tc.runs)
-			}
+			f.checkUnframed(first, tc.path, tc.whole, tc.runs)
 		})
 	}
 }
