refactor(gateway): one function finds the state of a service

overload, line and briefForecast each looked it up and made it under the lock of the gateway. The map of forecasts is made with the others in New.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -166,12 +167,15 @@
 
 // overload returns the overload state of a service.
 func (g *Gateway) overload(service string) *placement.Overload {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	o, ok := g.overloads[service]
-	if !ok {
-		o = &placement.Overload{}
-		g.overloads[service] = o
+	return forService(&g.mu, g.overloads, service)
+}
+
+// forService returns the state of a service in a map that mu guards. The zero value of the state is ready to use.
+func forService[T any](mu *sync.Mutex, states map[string]*T, service string) *T {
+	mu.Lock()
+	defer mu.Unlock()
+	if states[service] == nil {
+		states[service] = new(T)
 	}
-	return o
+	return states[service]
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,7 +166,7 @@
 	g := &Gateway{
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, loads: newLoadTracker(now), prefixes: newPrefixes(), entries: 1,
-		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{}, lines: map[string]*placement.Line{},
+		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{}, lines: map[string]*placement.Line{}, briefForecasts: map[string]*placement.BriefForecast{},
 		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
--- a/internal/gateway/headroom.go
+++ b/internal/gateway/headroom.go
@@ -25,17 +25,7 @@
 
 // briefForecast returns the forecast of a service.
 func (g *Gateway) briefForecast(service string) *placement.BriefForecast {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	f, ok := g.briefForecasts[service]
-	if !ok {
-		f = &placement.BriefForecast{}
-		if g.briefForecasts == nil {
-			g.briefForecasts = map[string]*placement.BriefForecast{}
-		}
-		g.briefForecasts[service] = f
-	}
-	return f
+	return forService(&g.mu, g.briefForecasts, service)
 }
 
 // headroomByService returns the memory, in tokens, that a generation of the least urgent rank has
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -54,12 +54,5 @@
 
 // line returns the generations of a service that wait for room.
 func (g *Gateway) line(service string) *placement.Line {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l, ok := g.lines[service]
-	if !ok {
-		l = &placement.Line{}
-		g.lines[service] = l
-	}
-	return l
+	return forService(&g.mu, g.lines, service)
 }
