--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -47,7 +47,7 @@
 	maxHeadroomShare = 0.25
 	// maxUnreported limits the unreported generations for which room is left at an engine. In
 	// the load of internal/placement/replay, 0.87, 0.90 and 0.90 of the urgent ones were on time
-	// with a limit of one, two and three (one run of six seeds each, 30 gateways).
+	// with a limit of one, two and three.
 	maxUnreported = 2
 	// unreportedDeviations is the number of standard deviations by which the unreported
 	// generations at an engine may exceed their mean; their number has a Poisson distribution. In
--- a/internal/placement/replay/paces_test.go
+++ b/internal/placement/replay/paces_test.go
@@ -16,8 +16,7 @@
 	// are few with the baseline: 14 or 15 for each number of gateways, 43 in all. A ratio up to some 1.8 for one
 	// number of gateways, and 1.6 for all, is thus not told apart from maxPausedRatio.
 	deviations = 1
-	// unlikeSeed is the first seed of the loads in these tests. The decisions were examined with the seeds
-	// from 1 to 12.
+	// unlikeSeed is the first seed of the loads in these tests.
 	unlikeSeed  = 201
 	unlikeSeeds = 6
 )
