--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -33,6 +33,19 @@
 	InvalidRecords []invalidRecord `json:"bad_rows,omitempty"`
 	// Limits are the upstreams with a rate limit.
 	Limits []upstreamLimit `json:"limits,omitempty"`
+	// Paces are the observed speeds of engines, the slowest first.
+	Paces []enginePace `json:"paces,omitempty"`
+}
+
+// enginePace is the observed pace of an engine: the time between two events of a stream, also relative to
+// the median of its service.
+type enginePace struct {
+	Upstream   string    `json:"upstream"`
+	IntervalMS float64   `json:"interval_ms"`
+	Slowdown   float64   `json:"slowdown"`
+	Entries    int       `json:"entries"`
+	Samples    int       `json:"samples"`
+	Observed   time.Time `json:"observed"`
 }
 
 // upstreamLimit is the rate limit of an upstream. AdvertisedAt is when the upstream last announced
@@ -74,7 +87,10 @@
 		"%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.0f%%"); err != nil {
 		return err
 	}
-	if err := printLimits(env, b.Limits); err != nil || len(b.InvalidRecords) == 0 {
+	if err := printLimits(env, b.Limits); err != nil {
+		return err
+	}
+	if err := printPaces(env, b.Paces); err != nil || len(b.InvalidRecords) == 0 {
 		return err
 	}
 	bad := make([][]any, 0, len(b.InvalidRecords))
@@ -95,3 +111,15 @@
 	}
 	return env.table("\nLIMITED UPSTREAM\tREQUESTS A SECOND\tSINCE\tLATEST WORD\tGRANTED BY", rows, "%s\t%v\t%s\t%s\t%s")
 }
+
+// printPaces prints the observed paces of engines, if there are any.
+func printPaces(env *environment, paces []enginePace) error {
+	if len(paces) == 0 {
+		return nil
+	}
+	rows := make([][]any, 0, len(paces))
+	for _, p := range paces {
+		rows = append(rows, []any{p.Upstream, p.IntervalMS, p.Slowdown, p.Entries, p.Samples, time.Since(p.Observed).Round(time.Second)})
+	}
+	return env.table("\nENGINE\tMS AN EVENT\tOF THE MEDIAN\tENTRIES\tSAMPLES\tLAST SEEN", rows, "%s\t%.1f\t%.2f\t%d\t%d\t%s")
+}
--- a/internal/daemon/gatewaystatus.go
+++ b/internal/daemon/gatewaystatus.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -42,6 +43,20 @@
 	Granter string `json:"granter,omitempty"`
 }
 
+// paceStatus describes the observed pace of an engine.
+type paceStatus struct {
+	Upstream string `json:"upstream"`
+	// IntervalMS is the time between two events of a stream in milliseconds, and Slowdown that time
+	// relative to the median of the service.
+	IntervalMS float64 `json:"interval_ms"`
+	Slowdown   float64 `json:"slowdown"`
+	// Entries and Samples are the numbers of entries and samples that it is estimated from, and
+	// Observed the time of the latest sample.
+	Entries  int       `json:"entries"`
+	Samples  int       `json:"samples"`
+	Observed time.Time `json:"observed"`
+}
+
 // statusBody is the status page of a gateway. It has the form of the status page of an entry.
 type statusBody struct {
 	Process string `json:"process"`
@@ -53,6 +68,7 @@
 	Peers    []peerStatus   `json:"peers"`
 	BadRows  []badRowStatus `json:"bad_rows"`
 	Limits   []limitStatus  `json:"limits"`
+	Paces    []paceStatus   `json:"paces"`
 }
 
 // The states of upstreams and entries in the status page.
@@ -66,7 +82,7 @@
 
 // status returns to operators the state of other processes as seen by this gateway.
 func (b *gatewayBuilder) status(w http.ResponseWriter, _ *http.Request) {
-	out := statusBody{Process: b.settings.Name, Zone: b.settings.Zone, Peers: b.peerStatuses(), BadRows: b.upstreams.bad.list(), Limits: b.limitStatuses()}
+	out := statusBody{Process: b.settings.Name, Zone: b.settings.Zone, Peers: b.peerStatuses(), BadRows: b.upstreams.bad.list(), Limits: b.limitStatuses(), Paces: b.paceStatuses()}
 	if table, confirmed := b.routes.Current(); table != nil {
 		out.Version, out.Accepted = int64(table.Version()), time.Since(confirmed) < b.settings.KeyBound
 	}
@@ -83,6 +99,21 @@
 	return out
 }
 
+// paceStatuses returns the paces of engines, the slowest first.
+func (b *gatewayBuilder) paceStatuses() []paceStatus {
+	out := []paceStatus{}
+	for id, e := range b.gateway.KnownPaces() {
+		out = append(out, paceStatus{
+			Upstream: id, IntervalMS: float64(e.Interval.Microseconds()) / 1000, Slowdown: b.gateway.Slowdown(id),
+			Entries: e.Entries, Samples: e.Samples, Observed: e.At,
+		})
+	}
+	slices.SortFunc(out, func(a, b paceStatus) int {
+		return cmp.Or(cmp.Compare(b.IntervalMS, a.IntervalMS), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	return out
+}
+
 func (b *gatewayBuilder) peerStatuses() []peerStatus {
 	out := []peerStatus{}
 	for name, p := range b.gossip.Peers() {
--- a/internal/gateway/enginepace.go
+++ b/internal/gateway/enginepace.go
@@ -100,6 +100,11 @@
 // KnownPaces returns the estimated pace of all engines that some entry observed, by upstream.
 func (g *Gateway) KnownPaces() map[string]pace.Estimate { return g.paces.List() }
 
+// Slowdown returns how much slower than the median of its service an engine is; 1 if it is not known.
+func (g *Gateway) Slowdown(upstream string) float64 {
+	return g.paces.Profile(g.engineService(upstream), g.now()).Slowdown(upstream)
+}
+
 // recordPaceChange logs that an engine began or ceased to count as slow.
 func (g *Gateway) recordPaceChange(c pace.Change) {
 	id := events.EngineSlow
--- a/internal/gateway/enginepace_test.go
+++ b/internal/gateway/enginepace_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
@@ -168,3 +170,23 @@
 		t.Errorf("service %q of an unknown upstream", got)
 	}
 }
+
+// TestPaceMetrics: operators see the pace of each engine, who observed it, and rejected reports.
+func TestPaceMetrics(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("e")
+	f.observePaces(map[string]time.Duration{"e": 30 * time.Millisecond})
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(newPaceCollector(f.gateway.paces))
+	families, err := reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]float64{}
+	for _, family := range families {
+		got[family.GetName()] = family.GetMetric()[0].GetGauge().GetValue()
+	}
+	if got["sparshore_gateway_engine_event_seconds"] != 0.03 || got["sparshore_gateway_engine_observers"] != 1 || len(got) != 3 {
+		t.Errorf("got %v", got)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,7 @@
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
 	g.paces = pace.New(g.recordPaceChange)
-	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse), newHeadroomGauge(g.headroomByService))
+	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse), newHeadroomGauge(g.headroomByService), newPaceCollector(g.paces))
 	g.memory = newMemoryBudget(settings.MemoryBytes, reg)
 	registerOriginMetrics(reg, g.origins.Size)
 	g.unansweredStopped, g.giveUpUnanswered = context.WithCancel(context.Background())
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -24,6 +24,7 @@
 	s.mu.Lock()
 	s.attemptTaken = true
 	s.mu.Unlock()
+	g.met.moved("begun from a slow engine")
 	go func() {
 		defer g.relocating.Store(false)
 		g.moveTo(s, at, target, "its engine is slow")
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -487,4 +487,41 @@
 
 mutant bound-message internal/peer/codec.go 's/if n > maxMessageBytes \{/if false {/' internal/peer TestLongMessageEnds
 
+# The pace of engines: estimates, news of it, and decisions by it.
+pace=internal/pace
+placement=internal/placement
+mutant pace-quantile $pace/pace.go 's/baseQuantile = 0\.25/baseQuantile = 0.95/' $pace TestPaceIgnoresSlowMoments
+mutant pace-once $pace/pace.go 's/\t\tif previous, ok := e\.reports\[entry\]/\t\tentry += "+"\n\t\tif previous, ok := e.reports[entry]/; s/\t\te\.reports\[entry\] = r\n\t\tif c/\t\tfor e.reports[entry].Samples > 0 {\n\t\t\tentry += "+"\n\t\t}\n\t\te.reports[entry] = r\n\t\tif c/; s/previous\.Interval == r\.Interval/false/' $pace TestReportsCountOnce
+mutant pace-invalid $pace/pace.go 's/r\.Interval > 0 && r\.Interval <= maxInterval && //' $pace TestInvalidReports
+mutant pace-samples $pace/pace.go 's/ && r\.Samples > 0 && r\.Samples <= maxSamples//' $pace TestInvalidReports
+mutant pace-future $pace/pace.go 's/ && !r\.At\.After\(now\)//' $pace TestInvalidReports
+mutant pace-unknown $pace/pace.go 's/if serviceName == "" \{/if false {/' $pace TestUnknownEngineIsIgnored
+mutant pace-start $pace/pace.go 's/\t\t\tdelete\(s\.engines, id\)/\t\t\tcontinue/' $pace TestEngineThatStartsAgainIsNew
+mutant pace-old $pace/pace.go 's/ && now\.Sub\(e\.at\) <= ReportFor//' $pace TestOnlyRecentEstimatesAreReported
+mutant pace-equal $pace/profile.go 's/<= equalSpread\*/<= 0*equalSpread*/' $pace TestEqualPacesChangeNothing
+mutant pace-flapping $pace/profile.go 's/ \|\| e\.slow && ratio > normalFactor//' $pace TestSlowEngineIsReported
+mutant pace-provisional $pace/pace.go 's/if e\.provisional \{/if false {/' $pace TestFirstPromptShowsPace
+mutant pace-message internal/gossip/message.go 's/idle\[:min\(len\(idle\), pace\.MaxReports\)\]/idle/' internal/gossip TestPacesDoNotGrow
+mutant pace-slow-caller $gateway/enginepace.go 's/if s\.lastAt\.Sub\(arrived\) > maxMeasuredWrite \{/if false {/' $gateway TestSlowCallerDoesNotSlow
+mutant pause-own $placement/pause.go 's/lateWeight \* \(own \+ delayed\)/lateWeight * (0*own + delayed)/' $placement TestPlacementByPace
+mutant pause-others $placement/pause.go 's/lateWeight \* \(own \+ delayed\)/lateWeight * (own + 0*delayed)/' $placement TestPlacementByPace
+mutant pause-start $placement/cost.go 's/ \+ v\.startCost\(c, g\)//' $placement TestLargePromptAvoids
+mutant pause-work $placement/cost.go 's/work\*v\.Pace\.Slowdown\(c\.ID\)/work/' $placement TestPlacementByPace
+mutant pause-target $placement/target.go 's/g\.events\(\)\) > maxTargetRisk/g.events()) > 1/; s/ \* \(1 - v\.Pace\.LateRisk\(c\.ID, g\.MaxPause, g\.events\(\)\)\)//' $placement TestTargetByPace
+mutant relocate-gain $placement/relocate.go 's/minRelocationGain = 0\.2/minRelocationGain = -0.2/' $placement TestRelocate
+mutant relocate-known $placement/relocate.go 's/!v\.Pace\.Known\(c\.ID\) \|\| //' $placement TestRelocate
+mutant relocate-room $placement/relocate.go 's/ \|\| Room\(c\.Load, g, 0, usable, v\.readToken\(c\)\) != nil//; s/return v\.targetWeight\(c, g\)/return 1/' $placement TestRelocate
+mutant relocate-late $gateway/relocate.go 's/s\.longestPause > s\.rq\.route\.MaxPause \|\| //' $gateway TestStreamLeavesSlowEngine
+mutant relocate-one $gateway/relocate.go 's/!g\.relocating\.CompareAndSwap\(false, true\)/g.relocating.Swap(true) \&\& false/' $gateway TestStreamLeavesSlowEngine
+mutant relocate-budget $gateway/relocate.go 's/ \|\| !g\.takeExtra\(s\.rq\.service\.Name, relocationReserve\)//' $gateway TestStreamLeavesSlowEngine
+mutant relocate-leaving $gateway/relocate.go 's/!known \|\| u\.State\(\) == fleet\.Leaving/!known || u.State() == fleet.Leaving \&\& false/' $gateway TestStreamLeavesSlowEngine
+
+# Generations that wait for room that is not kept for urgent ones.
+mutant line-arrival $placement/line.go 's/a\.arrived\.Compare\(b\.arrived\)/b.arrived.Compare(a.arrived)/' $placement TestLineOrder
+mutant line-rank $placement/line.go 's/a\.rank\.Compare\(b\.rank\), //' $placement TestLineOrder
+mutant line-ahead $gateway/wait.go 's/!s\.leavesHeadroom\(\) \|\| !line\.Ahead\(rank\)/true/' $gateway TestWaitForRoom
+mutant line-first $gateway/wait.go 's/if line\.First\(place\) \{/if true {/' $gateway TestWaitForRoom
+mutant line-deadline $placement/line.go 's/maxWaitShare = 0\.25/maxWaitShare = 0.9/; s/return time\.Duration\(maxWaitShare/return time.Duration(0*maxWaitShare/' $gateway TestWaitForRoom
+mutant line-leave $gateway/wait.go 's/\tdefer line\.Leave\(place\)\n//' $gateway TestWaitForRoom
+
 finish
