--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -512,6 +512,10 @@
 mutant relocate-gain $placement/relocate.go 's/minRelocationGain = 0\.2/minRelocationGain = -0.2/' $placement TestRelocate
 mutant relocate-known $placement/relocate.go 's/!v\.Pace\.Known\(c\.ID\) \|\| //' $placement TestRelocate
 mutant relocate-room $placement/relocate.go 's/ \|\| Room\(c\.Load, g, 0, usable, v\.readToken\(c\)\) != nil//; s/return v\.targetWeight\(c, g\)/return 1/' $placement TestRelocate
+mutant replay-costs $placement/cost.go 's/work\*v\.Pace\.Slowdown\(c\.ID\)/work/; s/ \+ v\.pauseCost\(c, g\) \+ v\.startCost\(c, g\)//' $placement/replay TestPacesKeepStreamsInTime
+mutant replay-reports $pace/pace.go 's/\tfor id, r := range reports \{/\tclear(reports)\n\tfor id, r := range reports {/' $placement/replay TestPacesKeepStreamsInTime
+mutant replay-first-prompt $pace/profile.go 's/v\.typical == 0 \|\| s\.engine\(id\)/true || s.engine(id)/' $placement/replay TestPacesKeepStreamsInTime
+mutant replay-equal $pace/profile.go 's/<= equalSpread\*/<= 0*equalSpread*/' $placement/replay TestEqualSpeedsPreferNoEngine/engines_observed_for_a_time
 mutant relocate-late $gateway/relocate.go 's/s\.longestPause > s\.rq\.route\.MaxPause \|\| //' $gateway TestStreamLeavesSlowEngine
 mutant relocate-one $gateway/relocate.go 's/!g\.relocating\.CompareAndSwap\(false, true\)/g.relocating.Swap(true) \&\& false/' $gateway TestStreamLeavesSlowEngine
 mutant relocate-budget $gateway/relocate.go 's/ \|\| !g\.takeExtra\(s\.rq\.service\.Name, relocationReserve\)//' $gateway TestStreamLeavesSlowEngine
