feat(gateway): log and count who confirmed the route table

Nothing told by whom and from which evidence a table was last confirmed, so the hypotheses about a revoked key that was used after its bound could not be told apart.

- routes-only-gossip: no answer of the store has confirmed the table for some seconds.
- gossip-late-echo: a message echoes one that arrived after its content was encoded.
- clock-jumped: the time of day moved by more than the steady clock.
- Counters of confirmations by source and of late echoes.

--- a/internal/belief/fault_test.go
+++ b/internal/belief/fault_test.go
@@ -41,12 +41,12 @@
 		}
 	}
 	offer(1, 7)
-	r.ConfirmCurrent(start)
+	r.ConfirmCurrent(start, Evidence{})
 	expect("a valid table", start)
 	offer(2)
-	r.ConfirmCurrent(start.Add(time.Second))
+	r.ConfirmCurrent(start.Add(time.Second), Evidence{})
 	expect("an unusable table", start)
 	offer(3, 8)
-	r.ConfirmCurrent(start.Add(2 * time.Second))
+	r.ConfirmCurrent(start.Add(2*time.Second), Evidence{})
 	expect("a valid table again", start.Add(2*time.Second))
 }
--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -10,6 +10,42 @@
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
+// Source is the kind of evidence that confirms a route table.
+type Source int
+
+// The sources of confirmations.
+const (
+	// FromStore is an answer of the store.
+	FromStore Source = iota
+	// FromRelay is an answer of another entry that relays the store's tables.
+	FromRelay
+	// FromGossip is a gossip message of an entry that has the same version in force.
+	FromGossip
+	// Sources is the number of sources.
+	Sources
+)
+
+// String returns the name of the source in logs and metrics.
+func (s Source) String() string { return [Sources]string{"store", "relay", "gossip"}[s] }
+
+// Evidence states who confirmed a route table. Entry is empty for the store.
+type Evidence struct {
+	Source Source
+	Entry  string
+}
+
+// String returns the source and the entry, as in "gossip e4".
+func (e Evidence) String() string {
+	if e.Entry == "" {
+		return e.Source.String()
+	}
+	return e.Source.String() + " " + e.Entry
+}
+
+// gossipOnlyAfter is how long only gossip has confirmed the table when that is logged: longer than the usual
+// interval between two answers of the store.
+const gossipOnlyAfter = 2 * time.Second
+
 // Routes holds the operator's route table. The version in force never decreases, and each
 // confirmation states the steady time at which it was the newest.
 type Routes struct {
@@ -25,6 +61,13 @@
 	row       platform.Record
 	older     bool
 	confirmed time.Time
+	// evidence is what confirmed the table last, and confirmations counts by source.
+	evidence      Evidence
+	confirmations [Sources]int
+	// answeredAt is when the store confirmed the table last, directly or relayed. onlyGossip is set once it is
+	// logged that only gossip has confirmed the table for gossipOnlyAfter.
+	answeredAt time.Time
+	onlyGossip bool
 	// refused is set while the store's row cannot be used, and refusedRow is the version of that
 	// row.
 	refused    bool
@@ -132,23 +175,52 @@
 	return r.row, r.older
 }
 
-// Confirm records that the table with version v was the newest at a steady time. It has no effect
-// if another version is in force.
-func (r *Routes) Confirm(v routetable.Version, at time.Time) {
+// Evidence returns what confirmed the table last.
+func (r *Routes) Evidence() Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.evidence
+}
+
+// Confirmations returns how often each source confirmed the table.
+func (r *Routes) Confirmations() [Sources]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmations
+}
+
+// Confirm records that, by the gossip of another entry, the table with version v was the newest at a
+// steady time. It has no effect if another version is in force.
+func (r *Routes) Confirm(v routetable.Version, at time.Time, entry string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.table != nil && r.table.Version() == v && at.After(r.confirmed) {
-		r.confirmed = at
+		r.confirm(at, Evidence{FromGossip, entry})
 	}
 }
 
-// ConfirmCurrent records that the table in force was the newest at a steady time. It has no effect
-// while a later table cannot be used: that table may have revoked API keys, which would otherwise
-// be accepted for as long as the unusable table is stored.
-func (r *Routes) ConfirmCurrent(at time.Time) {
+// ConfirmCurrent records that, by an answer of the store or of an entry that relays it, the table in
+// force was the newest at a steady time. It has no effect while a later table cannot be used: that table
+// may have revoked API keys, which would otherwise be accepted for as long as the unusable table is
+// stored.
+func (r *Routes) ConfirmCurrent(at time.Time, by Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.table != nil && !r.refused && at.After(r.confirmed) {
-		r.confirmed = at
+		r.confirm(at, by)
+	}
+}
+
+// confirm records a confirmation. The caller must hold r.mu.
+func (r *Routes) confirm(at time.Time, by Evidence) {
+	r.confirmed, r.evidence = at, by
+	r.confirmations[by.Source]++
+	if by.Source != FromGossip {
+		r.answeredAt, r.onlyGossip = at, false
+		return
+	}
+	if since := at.Sub(r.answeredAt); !r.onlyGossip && since > gossipOnlyAfter {
+		r.onlyGossip = true
+		r.rec.Note(events.RoutesOnlyGossip, "", "entry", by.Entry, "version", r.table.Version(), "age", r.now().Sub(at), "answer-before", since)
 	}
 }
--- a/internal/belief/routes_test.go
+++ b/internal/belief/routes_test.go
@@ -45,14 +45,55 @@
 		if table, _ := r.Current(); table != nil {
 			got = table.Version()
 		}
-		lines := 0
-		for _, e := range rec.Select("") {
-			if e.Event == events.RoutesRejected {
-				lines++
-			}
-		}
+		lines := countEvents(rec, events.RoutesRejected)
 		if got != tc.inForce || lines != tc.lines {
 			t.Errorf("%s: version %d with %d log lines, want %d with %d", tc.name, got, lines, tc.inForce, tc.lines)
 		}
 	}
 }
+
+func TestEvidenceOfConfirmations(t *testing.T) {
+	start := time.Now()
+	rec := events.Nop()
+	r := NewRoutes("config", decodeVersion, rec, func() time.Time { return start })
+	r.Apply(platform.Snapshot{Records: []platform.Record{{Name: "config", Version: 1, Value: []byte("7")}}}, true)
+	for _, step := range []struct {
+		at         time.Duration
+		by         Evidence
+		want       string
+		onlyGossip int
+	}{
+		{0, Evidence{Source: FromStore}, "store", 0},
+		{time.Second, Evidence{FromRelay, "e1"}, "relay e1", 0},
+		{2 * time.Second, Evidence{FromGossip, "e2"}, "gossip e2", 0},
+		{4 * time.Second, Evidence{FromGossip, "e2"}, "gossip e2", 1},
+		{5 * time.Second, Evidence{FromGossip, "e3"}, "gossip e3", 1},
+		{4500 * time.Millisecond, Evidence{Source: FromStore}, "gossip e3", 1},
+		{6 * time.Second, Evidence{FromRelay, "e1"}, "relay e1", 1},
+		{9 * time.Second, Evidence{FromGossip, "e2"}, "gossip e2", 2},
+	} {
+		if step.by.Source == FromGossip {
+			r.Confirm(7, start.Add(step.at), step.by.Entry)
+		} else {
+			r.ConfirmCurrent(start.Add(step.at), step.by)
+		}
+		if got := r.Evidence().String(); got != step.want {
+			t.Errorf("confirmed by %q at %s, want %q", got, step.at, step.want)
+		}
+		if got := countEvents(rec, events.RoutesOnlyGossip); got != step.onlyGossip {
+			t.Errorf("%d times only by gossip at %s, want %d", got, step.at, step.onlyGossip)
+		}
+	}
+	if got, want := r.Confirmations(), [Sources]int{1, 2, 4}; got != want {
+		t.Errorf("confirmations by source %v, want %v", got, want)
+	}
+}
+
+func countEvents(rec *events.Recorder, id events.ID) (n int) {
+	for _, e := range rec.Select("") {
+		if e.Event == id {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -276,6 +276,7 @@
 		Wait: relayWait, Slack: relayTimeoutMargin, Overdue: relayOverdue, StoreSlack: followTimeoutMargin, MaxAge: relayMaxAge, AvoidFor: relayAvoidFailed, AvoidStaleFor: relayAvoidStale, StoreCallInterval: relayCallInterval, RetryAfter: relayRetryInterval,
 	}, b.store, b.relayLog, b.relayPeers, b.listed, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
+	registerRouteMetrics(b.reg, b.routes.Confirmations)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
 	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, newBadRows(events.UpstreamRejected, platform.RejectReason, b.reg, b.rec, time.Now))
 	proto := platform.NewProtocol()
@@ -305,7 +306,7 @@
 	}, b.rec, b.reg, time.Now)
 	b.gateway.Quarantine().SetName(s.Name)
 	b.retryUse = b.newRetryUse()
-	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.routes.ConfirmCurrent, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
+	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
 	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, func(time.Time) {}, func() {}, b.rec, time.Now)
 	return b
 }
@@ -316,7 +317,11 @@
 		Build: func(*kernel.Registry) (any, error) { return b.rec, nil },
 		Start: func(context.Context, *kernel.Registry) error {
 			go b.reportDroppedLines()
-			go b.lags.run(b.ctx, b.stalls.tick)
+			clocks := newClockWatch(readClocks)
+			go b.lags.run(b.ctx, func() {
+				b.stalls.tick()
+				b.reportClockJump(clocks.tick())
+			})
 			go logReloads(b.ctx, b.rec, b.settings.String())
 			return nil
 		},
@@ -337,6 +342,13 @@
 	})
 }
 
+// reportClockJump logs a jump of the time of day; 0 is none.
+func (b *gatewayBuilder) reportClockJump(by time.Duration) {
+	if by != 0 {
+		b.rec.Note(events.ClockJumped, "", "by", by)
+	}
+}
+
 // every calls f once each period until the process stops.
 func (b *gatewayBuilder) every(period time.Duration, f func()) {
 	t := time.NewTicker(period)
--- a/internal/daemon/gatewaymetrics.go
+++ b/internal/daemon/gatewaymetrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/gossip"
 )
 
@@ -24,6 +25,17 @@
 			return 0
 		}),
 		counter("sparshore_gateway_passed_on_total", "Messages with which this entry forwarded urgent gossip of other entries.", func(s gossip.Stats) float64 { return float64(s.Forwarded) }),
+		counter("sparshore_gateway_late_echoes_total", "Gossip messages that echo a message which arrived after their content was encoded.", func(s gossip.Stats) float64 { return float64(s.LateEchoes) }),
 		counter("sparshore_gateway_not_passed_on_total", "Times that no delegate forwarded urgent gossip of this entry in time.", func(s gossip.Stats) float64 { return float64(s.NotForwarded) }),
 	)
 }
+
+// registerRouteMetrics registers the counters of what confirmed the route table.
+func registerRouteMetrics(reg prometheus.Registerer, confirmations func() [belief.Sources]int) {
+	for source := range belief.Sources {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "sparshore_gateway_routes_confirmations_total", Help: "Confirmations of the route table, by source.",
+			ConstLabels: prometheus.Labels{"source": source.String()},
+		}, func() float64 { return float64(confirmations()[source]) }))
+	}
+}
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -189,7 +189,7 @@
 	b.gateway.Quarantine().Merge(from, s.Suspects)
 	b.fleet.PeerReportedLeaving(from, s.Leaving)
 	if !s.Confirmed.IsZero() {
-		b.routes.Confirm(s.Routes, s.Confirmed)
+		b.routes.Confirm(s.Routes, s.Confirmed, from)
 	}
 	if table, confirmed := b.routes.Current(); table != nil && b.staleTable.Observe(table.Version(), s.Routes, confirmed, time.Now()) {
 		go b.fetchLaterRoutes(from)
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// confirmRoutes records that an answer confirmed the route table as of a steady time.
+func (b *gatewayBuilder) confirmRoutes(at time.Time) {
+	by := belief.Evidence{Source: belief.FromStore, Entry: b.source.SourceOf(platform.TableRoutes)}
+	if by.Entry != "" {
+		by.Source = belief.FromRelay
+	}
+	b.routes.ConfirmCurrent(at, by)
+}
+
 // renewAfterRestore renews the row of this entry after a random delay. The store was restored from
 // an older copy that may lack the row. The delays of all entries are spread over the time in which
 // the store can accept their rows.
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -189,7 +189,7 @@
 		[]routetable.Service{{Name: "app"}}, routetable.Limits{BodyBytes: 1000}, nil)
 	routes := belief.NewRoutes("routes", func([]byte) (*routetable.Table, error) { return table, nil }, events.Nop(), time.Now)
 	routes.Apply(product.Snapshot{Records: []product.Record{{Name: "routes"}}}, true)
-	routes.ConfirmCurrent(time.Now())
+	routes.ConfirmCurrent(time.Now(), belief.Evidence{})
 	set := fleet.New(events.Nop(), time.Now, func(string) {})
 	set.Update([]fleet.Record{{Name: "app-1", Service: "app", Address: s.Listener.Addr().String(), Slots: 1}}, nil, true, time.Time{})
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -47,6 +47,8 @@
 	RetryUseStoreFailed ID = 150
 	UpstreamUnreachable ID = 151
 	UpstreamReachable   ID = 152
+	GossipLateEcho      ID = 153
+	ClockJumped         ID = 154
 	MemoryExhausted     ID = 160
 	MemoryAvailable     ID = 161
 	RequestReceived     ID = 200
@@ -107,6 +109,7 @@
 	RoutesUnconfirmed   ID = 512
 	RoutesConfirmed     ID = 513
 	RoutesOlder         ID = 514
+	RoutesOnlyGossip    ID = 515
 	PlatformFailed      ID = 600
 	StoreLost           ID = 601
 	StoreRegained       ID = 602
@@ -177,6 +180,8 @@
 	{RetryUseStoreFailed, "retry-use-store-failed", "An entry could not store its use of the retry budgets; it tries again."},
 	{UpstreamUnreachable, "upstream-unreachable", "An entry could not connect to an engine. It tells the others, which check the engine themselves, and avoids the engine until it can connect again."},
 	{UpstreamReachable, "upstream-reachable", "An entry could connect again to an engine that it could not reach; `last-failed` is the time since its last failed attempt."},
+	{GossipLateEcho, "gossip-late-echo", "Another entry echoed a message that arrived after it had encoded the rest of its own message (`by`), so the ages in it must not be counted from the echoed one. Logged at most once a second; `late-echoes` counts all."},
+	{ClockJumped, "clock-jumped", "The time of day moved by more than the steady clock (`by`): it was set, or the machine was suspended, which the steady clock does not count."},
 	{MemoryExhausted, "memory-exhausted", "An entry buffers as much of requests and responses as its memory allows (`used` of `limit` bytes): what no longer fits is refused with 503, and callers that do not read are disconnected."},
 	{MemoryAvailable, "memory-available", "Less than half of the memory for buffered requests and responses is in use again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
@@ -237,6 +242,7 @@
 	{RoutesUnconfirmed, "routes-unconfirmed", "The route table has not been confirmed for so long that requests with unknown keys, or with any key where the bound is hard, are refused without being run."},
 	{RoutesConfirmed, "routes-confirmed", "The route table is confirmed again and proves which keys are valid."},
 	{RoutesOlder, "routes-older", "The store has an older route table than the one in force, which stays in force; `restored` means that the store was restored from a copy and the later table must be written again. To go back to an older table on purpose, write it with a higher version."},
+	{RoutesOnlyGossip, "routes-only-gossip", "For some seconds only gossip of other entries has confirmed the route table, and no answer of the store."},
 	{PlatformFailed, "platform-failed", "A call to a platform store failed; it is retried with backoff."},
 	{StoreLost, "store-lost", "A call that follows a table of the store failed; the last known records stay in use."},
 	{StoreRegained, "store-regained", "The store answers again."},
--- a/internal/gateway/badrecord_test.go
+++ b/internal/gateway/badrecord_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
@@ -90,7 +91,7 @@
 		t.Fatalf("%d runs at the unknown service, %d at the other; want 0 and 5", later.runs(), app.runs())
 	}
 	f.routes.Apply(platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte("2 later")}}}, false)
-	f.routes.ConfirmCurrent(time.Now())
+	f.routes.ConfirmCurrent(time.Now(), belief.Evidence{})
 	if got := f.ask(pathLater); got.status != http.StatusOK || later.runs() != 1 {
 		t.Errorf("service in the table: status %d, %d runs; want 200 and 1", got.status, later.runs())
 	}
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/platform"
@@ -238,7 +239,7 @@
 		t.Fatalf("status %d while the store is unavailable, want 200", got.status)
 	}
 	f.routes.Apply(platform.Snapshot{Records: []platform.Record{{Name: "routes", Value: []byte("2 revoked")}}}, false)
-	f.routes.ConfirmCurrent(f.gateway.now())
+	f.routes.ConfirmCurrent(f.gateway.now(), belief.Evidence{})
 	if got := f.ask(pathSafe); got.status != http.StatusUnauthorized {
 		t.Errorf("status %d with the table that lacks the key, want 401", got.status)
 	}
@@ -256,7 +257,7 @@
 		t.Errorf("version %d in force, want 7", table.Version())
 	}
 	before := time.Now()
-	f.routes.Confirm(5, before.Add(time.Hour))
+	f.routes.Confirm(5, before.Add(time.Hour), "e2")
 	if _, confirmed := f.routes.Current(); confirmed.After(before) {
 		t.Error("a confirmation of another version was accepted")
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -216,7 +216,7 @@
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.server.Close)
 	f.routes.Apply(testSnapshot("1"), true)
-	f.routes.ConfirmCurrent(time.Now())
+	f.routes.ConfirmCurrent(time.Now(), belief.Evidence{})
 	return f
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,7 @@
 		if !ok {
 			id = events.RoutesUnconfirmed
 		}
-		g.rec.Note(id, "", "age", age, "bound", g.settings.MaxRoutesAge, "known-keys-served", table != nil && (ok || !g.settings.HardKeyBound))
+		g.rec.Note(id, "", "age", age, "from", g.routes.Evidence(), "bound", g.settings.MaxRoutesAge, "known-keys-served", table != nil && (ok || !g.settings.HardKeyBound))
 	}
 	return ok
 }
--- a/internal/gateway/memoryfixture_test.go
+++ b/internal/gateway/memoryfixture_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/fleet"
 )
 
@@ -285,5 +286,5 @@
 // applyRoutes puts a route table into force.
 func (f *fixture) applyRoutes(text string) {
 	f.routes.Apply(testSnapshot(text), true)
-	f.routes.ConfirmCurrent(time.Now())
+	f.routes.ConfirmCurrent(time.Now(), belief.Evidence{})
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/connlimit"
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
@@ -21,10 +22,12 @@
 
 // request is a caller's request that is being served.
 type request struct {
-	call     protocol.Call
-	body     []byte
-	table    *routetable.Table
+	call  protocol.Call
+	body  []byte
+	table *routetable.Table
+	// tableAge is the time since the table was confirmed, and evidence states who confirmed it.
 	tableAge time.Duration
+	evidence belief.Evidence
 	route    *routetable.Route
 	service  *routetable.Service
 	account  string
@@ -160,7 +163,7 @@
 		g.refuse(rq, http.StatusServiceUnavailable, "no routes are known yet", unreadyRetryDelay)
 		return false
 	}
-	rq.tableAge = rq.start.Sub(confirmed)
+	rq.tableAge, rq.evidence = rq.start.Sub(confirmed), g.routes.Evidence()
 	if maxBytes := rq.table.Limits().HeaderBytes; maxBytes > 0 && headerBytes(r) > maxBytes {
 		g.refuse(rq, http.StatusRequestHeaderFieldsTooLarge, "headers are too large", 0)
 		return false
@@ -284,7 +287,7 @@
 	if rq.table != nil {
 		version = rq.table.Version()
 	}
-	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-age", rq.tableAge, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
+	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
 	g.met.refused(status)
 	g.proto.Refuse(rq.w, &rq.call, refusal, now)
 }
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/fleet"
 )
 
@@ -130,7 +131,7 @@
 			f := newFixture(t)
 			if tc.maxPause > 0 {
 				f.routes.Apply(testSnapshot("2 pauses"), true)
-				f.routes.ConfirmCurrent(time.Now())
+				f.routes.ConfirmCurrent(time.Now(), belief.Evidence{})
 			}
 			release := make(chan struct{})
 			defer close(release)
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -172,6 +172,9 @@
 		n.greetSoon(m.body.From)
 	}
 	firstPeer := n.sizes == [groups]int{}
+	if m.echo.HeldUS < 0 {
+		n.noteLateEcho(m, now)
+	}
 	n.measure(m, p, now)
 	outdated := m.body.Life == p.incarnation && m.body.Sent < p.newestSent
 	p.silent, p.reportedSilent, p.unverified, p.addr, p.Address, p.Heard, p.echoSent, p.incarnation = false, false, false, addr, addr.String(), now, m.body.Sent, m.body.Life
@@ -188,6 +191,19 @@
 	return !outdated
 }
 
+// lateEchoLogInterval is the least time between two log lines about states that echo a later message.
+const lateEchoLogInterval = time.Second
+
+// noteLateEcho records a state that echoes a message which arrived after the state was encoded. The caller
+// must hold n.mu.
+func (n *Node) noteLateEcho(m message, now time.Time) {
+	n.stats.LateEchoes++
+	if now.Sub(n.lateEchoLoggedAt) >= lateEchoLogInterval {
+		n.lateEchoLoggedAt = now
+		n.rec.Note(events.GossipLateEcho, "", "peer", m.body.From, "by", -time.Duration(m.echo.HeldUS)*time.Microsecond, "routes", m.body.Routes, "late-echoes", n.stats.LateEchoes)
+	}
+}
+
 // echoesOwn reports whether a message echoes a message of this incarnation.
 func (n *Node) echoesOwn(m message) bool {
 	return m.echo.Sent > 0 && m.echo.Life == n.settings.Incarnation
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -52,6 +52,7 @@
 	delegate         bool
 	delegatesUpdated time.Time
 	stats            Stats
+	lateEchoLoggedAt time.Time
 	// roundTrip is the moving average of the round-trip time to the peers.
 	roundTrip time.Duration
 	// meanInterval is the moving average of the time between two messages of one peer, by group.
--- a/internal/gossip/stats.go
+++ b/internal/gossip/stats.go
@@ -10,6 +10,8 @@
 	// Forwarded counts the messages with which the entry forwarded states, and NotForwarded the own
 	// states that no delegate forwarded in time.
 	Forwarded, NotForwarded int
+	// LateEchoes counts the received states that echo a message which arrived after they were encoded.
+	LateEchoes int
 }
 
 // Stats returns the current counters.
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -302,6 +302,13 @@
 	}
 }
 
+// SourceOf returns the peer that answered the latest call for a table, or an empty string for the store.
+func (s *Store) SourceOf(table string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sources[table]
+}
+
 func sourceName(peer string) string {
 	if peer == "" {
 		return "store"
