test(gossip): a paused sender renews the confirmation of its routes (failing)

A sender that stands still after it took the age of its routes echoes a message that arrived meanwhile.

--- /dev/null
+++ b/internal/gossip/pause_test.go
@@ -0,0 +1,109 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/roster"
+)
+
+// pauses are the lengths of the pauses that tests put between two steps of a sender.
+var pauses = []time.Duration{0, 50 * time.Millisecond, time.Second, 4 * time.Second}
+
+// pauseAtReading makes a node stand still for a time after it has read its clock for the nth time, and passes it
+// then what arrived meanwhile. A message cannot be handled while the node's lock is held. It returns a function
+// that reports whether the clock was read as often.
+func pauseAtReading(n *node, c *clock, nth int, pause time.Duration, arrives func()) (reached func() bool) {
+	readings := 0
+	n.now = func() time.Time {
+		now := c.at
+		readings++
+		if readings != nth {
+			return now
+		}
+		c.at = c.at.Add(pause)
+		if n.mu.TryLock() {
+			n.mu.Unlock()
+			n.now = c.now
+			arrives()
+		}
+		return now
+	}
+	return func() bool { return readings >= nth }
+}
+
+// confirmedByPreviousRelease returns the time of confirmation that the previous release computes for a message:
+// it does not use how long the echoed message was held.
+func confirmedByPreviousRelease(t *testing.T, receiver *node, b []byte) time.Time {
+	t.Helper()
+	d, err := decodeDatagram(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := decodeState(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return receiver.start.Add(time.Duration(m.echo.Sent) - time.Duration(m.body.AgeMS)*time.Millisecond)
+}
+
+// A sender that stood still after it had taken the age of its routes echoed a message from after that, and the
+// receiver took the routes for confirmed by as much too late.
+func TestPausedSenderDoesNotRenewConfirmation(t *testing.T) {
+	for _, pause := range pauses {
+		for nth, more := 1, true; more; nth++ {
+			t.Run(fmt.Sprintf("%s at reading %d", pause, nth), func(t *testing.T) {
+				c := &clock{at: time.Now()}
+				a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+				deliver(t, a, b)
+				b.state = State{Routes: 7, Confirmed: c.at}
+				c.at = c.at.Add(400 * time.Millisecond)
+				b.SetListed(map[string]roster.Entry{"a": {Address: "127.0.0.1:9"}})
+				reached := pauseAtReading(b, c, nth, pause, func() { deliver(t, a, b) })
+				b.conn.sent = nil
+				b.send(near, far)
+				more = reached()
+				a.receiveDatagram(b.conn.sent[0], anyAddress)
+				if late := a.received.Confirmed.Sub(b.state.Confirmed); late > 0 {
+					t.Errorf("confirmed %s later than it was", late)
+				}
+				if late := confirmedByPreviousRelease(t, a, b.conn.sent[0]).Sub(b.state.Confirmed); late > 0 {
+					t.Errorf("an entry of the previous release takes it for confirmed %s later than it was", late)
+				}
+			})
+		}
+	}
+}
+
+// An entry of the previous release may echo a message that arrived after it had taken the age of its routes. It
+// then states a negative time for which it held the echoed message.
+func TestAgeFromBeforeTheEchoOfPreviousRelease(t *testing.T) {
+	for _, pause := range pauses {
+		t.Run(pause.String(), func(t *testing.T) {
+			c := &clock{at: time.Now()}
+			a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+			confirmed := c.at
+			c.at = c.at.Add(400 * time.Millisecond)
+			encodedAt := c.at
+			version, body, err := encodeBody(b.settings, State{Routes: 7, Confirmed: confirmed}, encodedAt.Sub(b.start), encodedAt)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.at = c.at.Add(pause)
+			deliver(t, a, b)
+			p := b.peers["a"]
+			d, err := encodeDatagram(version, echo{Sent: p.echoSent, Life: p.incarnation, HeldUS: encodedAt.Sub(p.Heard).Microseconds()}, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.receiveDatagram(d, anyAddress)
+			if late := a.received.Confirmed.Sub(confirmed); late > 0 {
+				t.Errorf("confirmed %s later than it was", late)
+			}
+			if early := confirmed.Sub(a.received.Confirmed); early > 2*time.Millisecond {
+				t.Errorf("confirmed %s earlier than it was", early)
+			}
+		})
+	}
+}
