fix(gossip): a paused sender does not renew the confirmation of its routes

Callers saw: a request ran with a key that had been taken away for longer than revoke_ms, at an entry that counted its old table as confirmed.

Cause: sendTo took the age of the route table, then waited for the lock, and echoed the messages that arrived meanwhile. The receiver counts the age from the echoed message, so it took the table for confirmed by as much too late as the sender waited. Entries that all lost the store confirmed each other's table anew, and the errors added up.

Now a sender takes the messages to echo first, then its state and the time from which it computes ages, so a pause in between makes a table look older. Ages and hold times of other entries are bounded, so that no time overflows, and messages whose echo is later than their content do not count as round trips.

--- a/internal/gossip/bundle.go
+++ b/internal/gossip/bundle.go
@@ -93,7 +93,7 @@
 // writeBundle sends a bundle to a peer. The caller must hold n.mu.
 func (n *Node) writeBundle(p *peer, b bundleBody, now time.Time) {
 	b.From = n.settings.Name
-	n.writeEncoded(p, formatBundle, b, now)
+	n.writeEncoded(p.recipient(), formatBundle, b, now)
 }
 
 // receiveBundle stores the forwarded states of a bundle and forwards those that are new.
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -34,9 +34,25 @@
 	n.sendTo(func(name string, _ *peer) bool { return greet[name] })
 }
 
+// recipient is a peer that gets a message, with the peer's latest message, which is echoed.
+type recipient struct {
+	addr net.Addr
+	// sent and incarnation identify the message to echo, and heard is when it arrived.
+	sent        int64
+	incarnation string
+	heard       time.Time
+}
+
+// recipient returns the peer as the recipient of a message. The caller must hold n.mu.
+func (p *peer) recipient() recipient {
+	return recipient{addr: p.addr, sent: p.echoSent, incarnation: p.incarnation, heard: p.Heard}
+}
+
 // sendTo sends the own state, and limit messages where there are any, to the peers for which include
-// returns true. It also marks the peers as silent whose silence timeout has passed.
+// returns true. The messages to echo are taken before the state: otherwise the state might be older than
+// a message that it echoes, and the receiver would take it for more recent than it is.
 func (n *Node) sendTo(include func(name string, p *peer) bool) {
+	to := n.recipients(include)
 	s := n.collect()
 	now := n.now()
 	version, body, err := encodeBody(n.settings, s, now.Sub(n.start), now)
@@ -45,45 +61,55 @@
 		return
 	}
 	limitMessages := n.limits.Round(n.limitEntries)
+	for name, r := range to {
+		n.write(r, version, body, now)
+		if m, ok := limitMessages[name]; ok {
+			n.writeEncoded(r, formatLimits, limitsBody{From: n.settings.Name, Message: m}, now)
+		}
+	}
+}
+
+// recipients returns the peers for which include returns true, by name. It also marks the peers as silent whose
+// silence timeout has passed.
+func (n *Node) recipients(include func(name string, p *peer) bool) map[string]recipient {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.now()
 	if now.Sub(n.delegatesUpdated) >= n.settings.Interval {
 		n.updateDelegates(now)
 	}
+	out := map[string]recipient{}
 	for name, p := range n.peers {
 		if !p.silent && now.Sub(p.Heard) > n.silenceTimeout(p) {
 			n.markSilent(name, p, now)
 		}
-		if !include(name, p) {
-			continue
-		}
-		n.write(p, version, body, now)
-		if m, ok := limitMessages[name]; ok {
-			n.writeLimits(p, m, now)
+		if include(name, p) {
+			out[name] = p.recipient()
 		}
 	}
+	return out
 }
 
-// write sends a body to a peer. The caller must hold n.mu.
-func (n *Node) write(p *peer, version int, body []byte, now time.Time) {
-	b, err := encodeDatagram(version, echo{Sent: p.echoSent, Life: p.incarnation, HeldUS: now.Sub(p.Heard).Microseconds()}, body)
+// write sends a body that was encoded at the given time.
+func (n *Node) write(to recipient, version int, body []byte, at time.Time) {
+	b, err := encodeDatagram(version, echo{Sent: to.sent, Life: to.incarnation, HeldUS: at.Sub(to.heard).Microseconds()}, body)
 	if err != nil {
-		n.reject(p.addr, err)
+		n.reject(to.addr, err)
 		return
 	}
 	// A datagram that cannot be sent is treated like a lost one: if it lasts, the peer becomes silent,
 	// and that is recorded.
-	_, _ = n.conn.WriteTo(b, p.addr)
+	_, _ = n.conn.WriteTo(b, to.addr)
 }
 
-// writeEncoded encodes a body and sends it to a peer. The caller must hold n.mu.
-func (n *Node) writeEncoded(p *peer, version int, body any, now time.Time) {
+// writeEncoded encodes a body, whose ages are as of the given time, and sends it.
+func (n *Node) writeEncoded(to recipient, version int, body any, at time.Time) {
 	b, err := cbor.Marshal(body)
 	if err != nil {
-		n.reject(p.addr, err)
+		n.reject(to.addr, err)
 		return
 	}
-	n.write(p, version, b, now)
+	n.write(to, version, b, at)
 }
 
 // writeTo sends a body to a peer by its name, if its address is known.
@@ -91,7 +117,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if p, ok := n.peers[name]; ok && p.addr != nil {
-		n.writeEncoded(p, version, body, n.now())
+		n.writeEncoded(p.recipient(), version, body, n.now())
 	}
 }
 
@@ -140,13 +166,13 @@
 }
 
 // receiveState stores the state that a peer sent. The time at which the peer's routes were confirmed is
-// computed as the send time of the echoed message, which is earlier than the reply, less the age that
-// the peer reports. So the routes may look older than they are, but never newer.
+// computed as the earliest time at which the state can have been encoded, less the age that the peer
+// reports. So the routes may look older than they are, but never newer.
 func (n *Node) receiveState(m message, addr net.Addr) {
 	now := n.now()
 	s := m.state(now)
-	if m.body.AgeMS >= 0 && n.echoesOwn(m) {
-		s.Confirmed = n.start.Add(time.Duration(m.echo.Sent) - time.Duration(m.body.AgeMS)*time.Millisecond)
+	if encoded := n.encodedNotBefore(m.echo); m.body.AgeMS >= 0 && !encoded.IsZero() {
+		s.Confirmed = encoded.Add(-time.Duration(min(m.body.AgeMS, maxAgeMS)) * time.Millisecond)
 	}
 	if n.echoesOwn(m) {
 		s.LastReceived = n.start.Add(time.Duration(m.echo.Sent))
@@ -156,6 +182,9 @@
 	}
 }
 
+// maxAgeMS bounds an age that another entry states, in milliseconds, so that no time overflows.
+const maxAgeMS = int64(time.Hour / time.Millisecond)
+
 // storeState stores a peer's state, unless a newer one is stored, and reports whether it did.
 func (n *Node) storeState(m message, s State, addr net.Addr, now time.Time) bool {
 	n.mu.Lock()
--- a/internal/gossip/limits.go
+++ b/internal/gossip/limits.go
@@ -24,11 +24,6 @@
 	n.writeTo(to, formatLimits, limitsBody{From: n.settings.Name, Message: m})
 }
 
-// writeLimits sends a message about rate limits of upstreams to a peer. The caller must hold n.mu.
-func (n *Node) writeLimits(p *peer, m limits.Message, now time.Time) {
-	n.writeEncoded(p, formatLimits, limitsBody{From: n.settings.Name, Message: m}, now)
-}
-
 // limitEntries returns all peers, silent ones included.
 func (n *Node) limitEntries() []limits.Entry {
 	n.mu.Lock()
@@ -67,14 +62,19 @@
 	if b.From == "" || b.From == n.settings.Name {
 		return fmt.Errorf("%w: the sender is missing or is this entry", ErrMessage)
 	}
-	n.limits.Receive(b.From, b.Message, n.sentNotBefore(d.Echo))
+	n.limits.Receive(b.From, b.Message, n.encodedNotBefore(d.Echo))
 	return nil
 }
 
-// sentNotBefore returns the earliest time at which a datagram with this echo can have been sent. It is
-// zero if the echo does not refer to a message of this incarnation.
-func (n *Node) sentNotBefore(e echo) time.Time {
-	if e.Sent <= 0 || e.Life != n.settings.Incarnation || e.HeldUS < 0 {
+// maxHeldUS bounds how long an echoed message can have been held, in microseconds, so that no time
+// overflows.
+const maxHeldUS = int64(time.Hour / time.Microsecond)
+
+// encodedNotBefore returns the earliest time at which the body of a datagram with this echo can have been
+// encoded. That may be before the echoed message arrived: then HeldUS is negative. It is zero if the echo
+// does not refer to a message of this incarnation.
+func (n *Node) encodedNotBefore(e echo) time.Time {
+	if e.Sent <= 0 || e.Life != n.settings.Incarnation || e.HeldUS < -maxHeldUS || e.HeldUS > maxHeldUS {
 		return time.Time{}
 	}
 	at := n.start.Add(time.Duration(e.Sent) + time.Duration(e.HeldUS)*time.Microsecond)
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -82,9 +83,9 @@
 	}
 }
 
-// The age of a limit that has ended counts from sentNotBefore, so that time must not be later than the
-// moment at which the message was sent.
-func TestSentNotBefore(t *testing.T) {
+// The age of a limit that has ended counts from encodedNotBefore, so that time must not be later than the
+// moment at which the message was encoded.
+func TestEncodedNotBefore(t *testing.T) {
 	c := &clock{at: time.Now()}
 	a := newNode(c, "a", "1")
 	begun := c.at
@@ -97,11 +98,14 @@
 		{"no echo", echo{}, time.Time{}},
 		{"echo of an earlier incarnation", echo{Sent: int64(time.Second), Life: "0"}, time.Time{}},
 		{"sent 300 ms after the echoed message arrived", echo{Sent: int64(time.Second), Life: "1", HeldUS: 300_000}, begun.Add(1300 * time.Millisecond)},
+		{"encoded 300 ms before the echoed message arrived", echo{Sent: int64(time.Second), Life: "1", HeldUS: -300_000}, begun.Add(700 * time.Millisecond)},
+		{"delay that overflows", echo{Sent: int64(time.Second), Life: "1", HeldUS: math.MaxInt64 / 1000}, time.Time{}},
+		{"delay that overflows below", echo{Sent: int64(time.Second), Life: "1", HeldUS: math.MinInt64 / 1000}, time.Time{}},
 		{"delay that ends in the future", echo{Sent: int64(time.Second), Life: "1", HeldUS: 3_600_000_000}, c.at},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if got := a.sentNotBefore(tc.echo); !got.Equal(tc.want) {
-				t.Errorf("not sent before %v, want %v", got, tc.want)
+			if got := a.encodedNotBefore(tc.echo); !got.Equal(tc.want) {
+				t.Errorf("not encoded before %v, want %v", got, tc.want)
 			}
 		})
 	}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -241,5 +241,5 @@
 
 // writeMembers sends a membersBody to a peer. The caller must hold n.mu.
 func (n *Node) writeMembers(p *peer, b membersBody) {
-	n.writeEncoded(p, formatMembers, b, n.now())
+	n.writeEncoded(p.recipient(), formatMembers, b, n.now())
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -57,8 +57,8 @@
 	// there was none. Life is the receiver's incarnation that sent it.
 	Sent int64
 	Life string
-	// HeldUS is the time between the arrival of that message and the sending of this datagram, in
-	// microseconds.
+	// HeldUS is the time from the arrival of that message to the encoding of the body, in microseconds. It
+	// is negative if the message arrived later.
 	HeldUS int64
 }
 
--- a/internal/gossip/pause_test.go
+++ b/internal/gossip/pause_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -107,3 +109,72 @@
 		})
 	}
 }
+
+// meshConn delivers each datagram at once to the node with the receiver's address.
+type meshConn struct {
+	net.PacketConn
+	own   net.Addr
+	nodes map[string]*node
+}
+
+func (c meshConn) WriteTo(b []byte, addr net.Addr) (int, error) {
+	c.nodes[addr.String()].receiveDatagram(b, c.own)
+	return len(b), nil
+}
+
+// newMesh returns nodes that reach each other and have the routes that were confirmed now.
+func newMesh(c *clock, size int) (mesh []*node) {
+	nodes, listed := map[string]*node{}, map[string]roster.Entry{}
+	for i := range size {
+		addr := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9000 + i}
+		n := newNode(c, fmt.Sprint("e", i), "1")
+		n.conn, n.state = nil, State{Routes: 7, Confirmed: c.at}
+		n.Node.conn = meshConn{own: addr, nodes: nodes}
+		n.Node.received = func(_ string, s State) {
+			if s.Confirmed.After(n.state.Confirmed) {
+				n.state.Confirmed = s.Confirmed
+			}
+		}
+		nodes[addr.String()], listed[n.settings.Name] = n, roster.Entry{Address: addr.String()}
+		mesh = append(mesh, n)
+	}
+	for _, n := range mesh {
+		n.SetListed(listed)
+	}
+	return mesh
+}
+
+// Entries that all lost the store confirmed each other's routes anew with each pause of a sender.
+func TestEntriesWithoutStoreDoNotRenewConfirmations(t *testing.T) {
+	for _, size := range []int{4, 10} {
+		for _, pause := range pauses {
+			t.Run(fmt.Sprintf("%d entries %s", size, pause), func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(1, uint64(size)))
+				c := &clock{at: time.Now()}
+				confirmed := c.at
+				mesh := newMesh(c, size)
+				round := func(paused *node) {
+					for _, n := range mesh {
+						if n == paused {
+							continue
+						}
+						n.send(near, far)
+						c.at = c.at.Add(time.Millisecond)
+					}
+				}
+				for range 100 {
+					paused := mesh[rng.IntN(size)]
+					pauseAtReading(paused, c, 1+rng.IntN(3), pause, func() { round(paused) })
+					paused.send(near, far)
+					paused.now = c.now
+					round(nil)
+				}
+				for _, n := range mesh {
+					if late := n.state.Confirmed.Sub(confirmed); late > 0 {
+						t.Errorf("%s: confirmed %s later than the store did", n.settings.Name, late)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/gossip/timing.go
+++ b/internal/gossip/timing.go
@@ -130,7 +130,7 @@
 	if g := n.group(p); !p.silent {
 		n.meanInterval[g] = movingAverage(n.meanInterval[g], now.Sub(p.Heard))
 	}
-	if n.echoesOwn(m) {
+	if n.echoesOwn(m) && m.echo.HeldUS >= 0 {
 		sent := n.start.Add(time.Duration(m.echo.Sent))
 		n.roundTrip = movingAverage(n.roundTrip, max(now.Sub(sent)-time.Duration(m.echo.HeldUS)*time.Microsecond, 0))
 	}
