fix(limits): a repeated answer does not end a limit that was advertised later

Cause: the ages in a question or an answer were counted by the receiver from the moment at which the datagram was written, but computed before: by the time that the sender waited for a lock, and up to a second before if a granter repeated its answer to a repeated question. The end of a limit then counted as later than it was, and ended a limit that an upstream had advertised meanwhile: requests went there without permits.

Evidence: TestRepeatedAnswerDoesNotEndLaterLimit failed before (no limit instead of 2.5 requests a second).

Now the time of the ages goes with the message, the hold time of the echoed message ends there, and a repeated answer gets new ages.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -292,7 +292,7 @@
 		DeliveryTimes: func() (delivery, silence time.Duration) { return b.gossip.DeliveryTime() },
 		Limits: limits.Peers{
 			LivePeers:     func() []limits.Entry { return b.gossip.LivePeers() },
-			Send:          func(to string, m limits.Message) { b.gossip.Send(to, m) },
+			Send:          func(to string, m limits.Message, at time.Time) { b.gossip.Send(to, m, at) },
 			Broadcast:     func() { b.gossip.Broadcast() },
 			BroadcastTime: func() time.Duration { return b.gossip.BroadcastTime() },
 			RoundTrip:     func() time.Duration { return b.gossip.RoundTrip() },
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -408,7 +408,7 @@
 	var sent []string
 	others := limits.Alone()
 	others.LivePeers = func() []limits.Entry { return []limits.Entry{{Name: "b", Life: "1"}} }
-	others.Send = func(to string, _ limits.Message) { sent = append(sent, to) }
+	others.Send = func(to string, _ limits.Message, _ time.Time) { sent = append(sent, to) }
 	f.gateway.limits = limits.New("a", "1", others, events.Nop(), time.Now)
 	f.gateway.limits.Receive("b", limits.Message{Life: "1"}, time.Now())
 	f.gateway.Drain(time.Now().Add(time.Hour))
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -112,12 +112,12 @@
 	n.write(to, version, b, at)
 }
 
-// writeTo sends a body to a peer by its name, if its address is known.
-func (n *Node) writeTo(name string, version int, body any) {
+// writeTo sends a body, whose ages are as of the given time, to a peer by its name, if its address is known.
+func (n *Node) writeTo(name string, version int, body any, at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if p, ok := n.peers[name]; ok && p.addr != nil {
-		n.writeEncoded(p.recipient(), version, body, n.now())
+		n.writeEncoded(p.recipient(), version, body, at)
 	}
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -41,7 +41,7 @@
 func newNode(c *clock, name, incarnation string) *node {
 	n := &node{conn: &recordingConn{}}
 	n.limits = limits.New(name, incarnation, limits.Peers{
-		LivePeers: func() []limits.Entry { return n.LivePeers() }, Send: func(to string, m limits.Message) { n.Send(to, m) },
+		LivePeers: func() []limits.Entry { return n.LivePeers() }, Send: func(to string, m limits.Message, at time.Time) { n.Send(to, m, at) },
 		Broadcast: func() {}, BroadcastTime: func() time.Duration { return time.Second }, RoundTrip: func() time.Duration { return 0 },
 	}, events.Nop(), c.now)
 	n.Node = New(Settings{Name: name, Incarnation: incarnation, Interval: time.Second, SilenceTimeout: 3 * time.Second, Rate: 100}, n.conn,
--- a/internal/gossip/limits.go
+++ b/internal/gossip/limits.go
@@ -19,9 +19,10 @@
 	Message limits.Message
 }
 
-// Send sends a message about rate limits of upstreams to a peer. Like any datagram it may be lost.
-func (n *Node) Send(to string, m limits.Message) {
-	n.writeTo(to, formatLimits, limitsBody{From: n.settings.Name, Message: m})
+// Send sends a message about rate limits of upstreams, whose ages are as of the given time, to a peer. Like
+// any datagram it may be lost.
+func (n *Node) Send(to string, m limits.Message, at time.Time) {
+	n.writeTo(to, formatLimits, limitsBody{From: n.settings.Name, Message: m}, at)
 }
 
 // limitEntries returns all peers, silent ones included.
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -167,7 +167,7 @@
 	c := &clock{at: time.Now()}
 	a, from := newNode(c, "a", "1"), newNode(c, "b", "1")
 	from.SetListed(map[string]roster.Entry{"a": {Address: "127.0.0.1:9"}})
-	from.Send("a", limits.Message{Question: &limits.Question{ID: 1}})
+	from.Send("a", limits.Message{Question: &limits.Question{ID: 1}}, c.at)
 	for b.Loop() {
 		a.receiveDatagram(from.conn.sent[0], anyAddress)
 	}
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -17,7 +17,7 @@
 
 // SendOrigins sends a message about the origins of streams to a peer. Like any datagram it may be lost.
 func (n *Node) SendOrigins(to string, m origin.Message) {
-	n.writeTo(to, formatOrigins, originBody{From: n.settings.Name, Message: m})
+	n.writeTo(to, formatOrigins, originBody{From: n.settings.Name, Message: m}, n.now())
 }
 
 // LivePeerNames returns the names of the live peers.
--- a/internal/gossip/pause_test.go
+++ b/internal/gossip/pause_test.go
@@ -1,10 +1,12 @@
 package gossip
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/roster"
@@ -178,3 +180,59 @@
 		}
 	}
 }
+
+// upstreamGrantedBy returns the name of an upstream whose permits the first entry grants, and not the second.
+func upstreamGrantedBy(granter, other string) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprint("u", i); roster.RendezvousHash(name, granter) > roster.RendezvousHash(name, other) {
+			return name
+		}
+	}
+}
+
+// A granter repeated its answer with the ages of the first one. The asking entry counted them from its repeated
+// question, and took the end of a limit for later than a limit that it had read itself meanwhile.
+func TestRepeatedAnswerDoesNotEndLaterLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &clock{at: time.Now()}
+		asking, granter := newNode(c, "a", "1"), newNode(c, "b", "1")
+		upstream := upstreamGrantedBy("b", "a")
+		for _, n := range []*node{asking, granter} {
+			n.limits.SetEntryCount(2)
+			n.limits.NoteLimit(upstream, 3.2)
+		}
+		for range 2 {
+			sendRound(t, asking, granter)
+			sendRound(t, granter, asking)
+		}
+		advance := func(d time.Duration) {
+			time.Sleep(d)
+			c.at = c.at.Add(d)
+			synctest.Wait()
+		}
+		advance(time.Millisecond)
+		granter.limits.NoteNoLimit(upstream, c.at)
+		advance(time.Millisecond)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		asking.conn.sent, granter.conn.sent = nil, nil
+		go func() { _ = asking.limits.Take(ctx, upstream) }()
+		synctest.Wait()
+		granter.receiveDatagram(asking.conn.sent[0], anyAddress)
+		advance(10 * time.Millisecond)
+		asking.limits.NoteLimit(upstream, 2.5)
+		advance(20 * time.Millisecond)
+		if len(asking.conn.sent) != 2 || len(granter.conn.sent) != 1 {
+			t.Fatalf("%d questions and %d answers, want a repeated question and an answer that was lost", len(asking.conn.sent), len(granter.conn.sent))
+		}
+		questions := asking.conn.sent
+		sendRound(t, asking, granter)
+		granter.conn.sent = nil
+		granter.receiveDatagram(questions[1], anyAddress)
+		asking.receiveDatagram(granter.conn.sent[0], anyAddress)
+		if got := asking.limits.Rate(upstream); got != 2.5 {
+			t.Errorf("rate %v after the end of an earlier limit, want 2.5", got)
+		}
+	})
+}
--- a/internal/gossip/rig_test.go
+++ b/internal/gossip/rig_test.go
@@ -116,7 +116,7 @@
 		entry: roster.Entry{Address: address, Relay: address, Zone: fmt.Sprint("z", i%rigZones), Size: size},
 	}
 	set := limits.New(e.name, "1", limits.Peers{
-		LivePeers: func() []limits.Entry { return e.node.LivePeers() }, Send: func(to string, m limits.Message) { e.node.Send(to, m) },
+		LivePeers: func() []limits.Entry { return e.node.LivePeers() }, Send: func(to string, m limits.Message, at time.Time) { e.node.Send(to, m, at) },
 		Broadcast: func() {}, BroadcastTime: func() time.Duration { return time.Second }, RoundTrip: func() time.Duration { return 0 },
 	}, events.Nop(), time.Now)
 	timing := rigSettings(e.name, e.entry, "1")
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -29,12 +29,15 @@
 	id   uint64
 }
 
+// cachedAnswer is an answer without Word, which is encoded from observed each time the answer is sent.
 type cachedAnswer struct {
-	answer Answer
-	at     time.Time
+	answer   Answer
+	observed Observation
+	// at is when the answer was decided.
+	at time.Time
 }
 
-// Receive processes a message of another entry. It was not sent before sent, which is zero if unknown.
+// Receive processes a message of another entry. It was not encoded before sent, which is zero if unknown.
 func (s *Set) Receive(from string, m Message, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -59,17 +62,18 @@
 	now, key := s.now(), questionKey{from, q.ID}
 	cached, repeated := s.answerCache[key]
 	if !repeated {
-		cached = cachedAnswer{answer: s.decide(from, q, sent), at: now}
+		cached = s.decide(from, q, sent, now)
 		s.answerCache[key] = cached
 	}
-	s.others.Send(from, s.withHandshake(from, Message{Answer: &cached.answer}))
+	answer := cached.answer
+	answer.Word = encodeObservation(cached.observed, now)
+	s.others.Send(from, s.withHandshake(from, Message{Answer: &answer}), now)
 }
 
-// decide makes the answer to a question. The caller must hold s.mu.
-func (s *Set) decide(from string, q Question, sent time.Time) Answer {
-	now := s.now()
+// decide makes the answer to a question that arrived now. The caller must hold s.mu.
+func (s *Set) decide(from string, q Question, sent, now time.Time) cachedAnswer {
 	observed := q.Word.decode(sent, now)
-	a := Answer{ID: q.ID}
+	a := cachedAnswer{answer: Answer{ID: q.ID}, at: now}
 	if observed.Start == "" {
 		return a
 	}
@@ -77,19 +81,18 @@
 	l, known := s.limits[observed.Start]
 	switch {
 	case !known:
-		a.WaitUS = wrongGranterDelay.Microseconds()
+		a.answer.WaitUS = wrongGranterDelay.Microseconds()
 	case !l.inForce():
-		a.Granted = true
+		a.answer.Granted = true
 	case s.granterOf(observed.Start, l) != s.name:
-		a.WaitUS = wrongGranterDelay.Microseconds()
+		a.answer.WaitUS = wrongGranterDelay.Microseconds()
 	default:
 		wait := s.grant(l)
-		a.Granted, a.WaitUS = wait == 0, wait.Microseconds()
+		a.answer.Granted, a.answer.WaitUS = wait == 0, wait.Microseconds()
 	}
 	if known {
-		own := l.observed
-		own.Start = observed.Start
-		a.Word = encodeObservation(own, now)
+		a.observed = l.observed
+		a.observed.Start = observed.Start
 	}
 	return a
 }
--- a/internal/limits/grant_test.go
+++ b/internal/limits/grant_test.go
@@ -26,7 +26,7 @@
 	}
 	s := New(name, "1", Peers{
 		LivePeers: func() []Entry { return live },
-		Send: func(to string, m Message) {
+		Send: func(to string, m Message, _ time.Time) {
 			p.to, p.messages = append(p.to, to), append(p.messages, m)
 		},
 		Broadcast: func() {}, BroadcastTime: func() time.Duration { return spreadTime }, RoundTrip: func() time.Duration { return 0 },
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -29,8 +29,8 @@
 	// LivePeers returns the entries whose messages arrive, including those that became silent
 	// only recently.
 	LivePeers func() []Entry
-	// Send sends a message to an entry. The message may be lost.
-	Send func(to string, m Message)
+	// Send sends a message whose ages are as of the given time to an entry. The message may be lost.
+	Send func(to string, m Message, at time.Time)
 	// Broadcast requests an immediate round of messages to all other entries.
 	Broadcast func()
 	// BroadcastTime returns the time within which a round requested with Broadcast reaches all entries.
@@ -290,7 +290,7 @@
 // Alone returns the Peers of a process that is the only sender of requests to its upstreams.
 func Alone() Peers {
 	return Peers{
-		LivePeers: func() []Entry { return nil }, Send: func(string, Message) {},
+		LivePeers: func() []Entry { return nil }, Send: func(string, Message, time.Time) {},
 		Broadcast: func() {}, BroadcastTime: func() time.Duration { return 0 }, RoundTrip: func() time.Duration { return 0 },
 	}
 }
--- a/internal/limits/message.go
+++ b/internal/limits/message.go
@@ -81,7 +81,7 @@
 	return max(now.Sub(at).Microseconds(), 0)
 }
 
-// decode returns the observation in a message that was not sent before sent and arrived now; sent
+// decode returns the observation in a message that was not encoded before sent and arrived now; sent
 // is zero if unknown. The age of the time without a limit counts from sent, since the message may
 // have waited in a buffer while the upstream advertised a limit again. Without sent, that time is
 // dropped. An invalid observation is returned as a zero value.
--- a/internal/limits/permit.go
+++ b/internal/limits/permit.go
@@ -153,11 +153,11 @@
 func (s *Set) sendQuestion(granter string, id uint64, incarnation string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := Observation{Start: incarnation}
+	w, now := Observation{Start: incarnation}, s.now()
 	if l, ok := s.limits[incarnation]; ok {
 		w.Rate, w.AdvertisedAt, w.NoLimitAt = l.rate, l.advertisedAt, l.observed.NoLimitAt
 	}
-	s.others.Send(granter, s.withHandshake(granter, Message{Question: &Question{ID: id, Word: encodeObservation(w, s.now())}}))
+	s.others.Send(granter, s.withHandshake(granter, Message{Question: &Question{ID: id, Word: encodeObservation(w, now)}}), now)
 }
 
 // handleAnswer passes an answer to the request that waits for it. The caller must hold s.mu.
--- a/internal/limits/rig_test.go
+++ b/internal/limits/rig_test.go
@@ -155,12 +155,12 @@
 			}
 			return out
 		},
-		Send: func(to string, m Message) {
+		Send: func(to string, m Message, at time.Time) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			for _, o := range r.entries {
 				if o.name == to {
-					e.send(incarnation, o, m, time.Now())
+					e.send(incarnation, o, m, at)
 				}
 			}
 		},
