fix(gossip): states that are queued while forwarding starts are not rejected

Cause: forward read the clock and then waited for the lock. A state that was queued in between was newer than that time, was sent with a negative age, and was rejected by all receivers: an urgent state, such as an upstream's leave, came only with the next direct message of its entry, seconds later among hundreds of entries.

Now the clock is read under the lock. An entry that spreads its own state also counts the time that it waited for the lock into the age of that state.

--- a/internal/gossip/pause_test.go
+++ b/internal/gossip/pause_test.go
@@ -236,3 +236,41 @@
 		}
 	})
 }
+
+// A delegate read its clock before it waited for the lock. States that were queued meanwhile got a negative age,
+// and their receivers rejected them.
+func TestStateQueuedWhileForwardingStartsIsNotRejected(t *testing.T) {
+	c := &clock{at: time.Now()}
+	delegate, other, origin := newNode(c, "d", "1"), newNode(c, "e", "1"), newNode(c, "o", "1")
+	for _, n := range []*node{other, origin} {
+		deliver(t, n, delegate)
+	}
+	deliver(t, origin, other)
+	c.at = c.at.Add(100 * time.Millisecond)
+	uptime := c.at.Sub(origin.start)
+	version, body, err := encodeBody(origin.settings, State{Leaving: []string{"i-1"}}, uptime, c.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := decodeState(datagram{Format: version, Body: body})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pauseAtReading(delegate, c, 1, 50*time.Millisecond, func() {
+		delegate.receiveForwarded(m, toOwnDelegates, stateUpdate{version: version, body: body, made: c.at})
+	})
+	delegate.conn.sent = nil
+	delegate.forward()
+	if len(delegate.conn.sent) == 0 {
+		// The clock was read under the lock, so the state is forwarded in the next round.
+		delegate.now = c.now
+		delegate.receiveForwarded(m, toOwnDelegates, stateUpdate{version: version, body: body, made: c.at})
+		delegate.forward()
+	}
+	for _, b := range delegate.conn.sent {
+		other.receiveDatagram(b, anyAddress)
+	}
+	if got := other.received.Leaving; len(got) != 1 {
+		t.Errorf("leaving upstreams %v, want i-1", got)
+	}
+}
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -103,7 +103,7 @@
 		return
 	}
 	for _, name := range delegates {
-		n.writeBundle(n.peers[name], bundleBody{Part: toOwnDelegates, States: []wireState{own.toWire(now)}}, now)
+		n.writeBundle(n.peers[name], bundleBody{Part: toOwnDelegates, States: []wireState{own.toWire(n.now())}}, now)
 	}
 	sent := uptime.Nanoseconds() + 1
 	time.AfterFunc(max(forwardTimeout, forwardLagFactor*n.forwardLag), func() {
@@ -204,9 +204,9 @@
 
 // forward sends the outbox, and returns the number of messages.
 func (n *Node) forward() int {
-	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.now()
 	out := n.outbox
 	n.outbox = newOutbox()
 	messages := 0
