fix(relay): the store's clock does not confirm routes

Cause: an answer that the store held was taken for current as of the store's clock in it. That clock need not be read together with the rows: a store that reads, stands still and then stamps, that has several processes with clocks of their own, or whose clock jumps, confirmed routes as of a moment after the read, by up to the time that the call took. A key that was taken away in between could be used for as much longer.

Now routes are confirmed as of the time at which the call was sent, which holds whatever the clock states. A held call without changes is followed by one that is not held, so routes count as no older than before; after changes that took long the next call is not held. An answer of a peer with changes is used however old it is, since the copy here is older. Rows of upstreams keep the estimate: no bound depends on their age.

--- a/internal/belief/anchor.go
+++ b/internal/belief/anchor.go
@@ -2,18 +2,26 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/platform"
 )
 
-// WithAnswerTimes returns a store whose answers carry the time at which the store produced them, on this
-// process's steady clock. The time is a lower bound.
-func WithAnswerTimes(store *platform.Store, now func() time.Time) *platform.Store {
+// WithAnswerTimes returns a store whose answers carry the time at which they were up to date, on this
+// process's steady clock. For the tables in proven it is the time at which the call was sent: an answer may
+// be from any moment after that, whatever clock it states. For other tables it is when the store produced the
+// answer by its own clock. That is later for a call that the store held, but wrong if the store read the rows
+// some time before it read its clock.
+func WithAnswerTimes(store *platform.Store, now func() time.Time, proven ...string) *platform.Store {
 	var mu sync.Mutex
 	var a anchor
-	stamp := func(s platform.Snapshot, sent time.Time) platform.Snapshot {
+	stamp := func(table string, s platform.Snapshot, sent time.Time) platform.Snapshot {
+		if slices.Contains(proven, table) {
+			s.AsOf = sent
+			return s
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		s.AsOf = a.observe(s.Clock, sent, now())
@@ -26,7 +34,7 @@
 		if err != nil {
 			return s, err
 		}
-		return stamp(s, sent), nil
+		return stamp(table, s, sent), nil
 	}
 	out.Changes = func(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
 		sent := now()
@@ -34,7 +42,7 @@
 		if err != nil {
 			return s, err
 		}
-		return stamp(s, sent), nil
+		return stamp(table, s, sent), nil
 	}
 	return &out
 }
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -36,7 +36,10 @@
 	Overdue time.Duration
 	// StoreSlack is the time beyond the hold time after which a call for changes to the store times out.
 	StoreSlack time.Duration
-	// MaxAge is the age from which the answer of a peer is not used any more.
+	// RecheckAge is the age from which a copy that the store has just sent is checked again by a call that
+	// the store does not hold: an answer that was held may count only from when its call was sent.
+	RecheckAge time.Duration
+	// MaxAge is the age from which the answer of a peer is not used any more, unless it has changes.
 	MaxAge time.Duration
 	// AvoidFor is how long a peer is not asked after a failed call, and AvoidStaleFor after an
 	// answer that was too old.
@@ -83,6 +86,8 @@
 	conns      map[string]openConn
 	avoidUntil map[string]time.Time
 	sources    map[string]string
+	// recheck holds the tables whose latest changes came in an answer older than RecheckAge.
+	recheck map[string]bool
 	// storeFailedAt is when a direct call to the store last failed. It is zero once a later call
 	// has succeeded.
 	storeFailedAt time.Time
@@ -97,7 +102,7 @@
 	return &Store{
 		settings: settings, direct: direct, log: log, peers: peers, peersReady: peersReady, rec: rec, now: now,
 		dial: func(ctx context.Context, address string) (*peer.Conn, error) { return peer.Dial(ctx, address, nil) }, random: rand.Float64,
-		conns: map[string]openConn{}, avoidUntil: map[string]time.Time{}, sources: map[string]string{},
+		conns: map[string]openConn{}, avoidUntil: map[string]time.Time{}, sources: map[string]string{}, recheck: map[string]bool{},
 	}
 }
 
@@ -224,9 +229,41 @@
 	return platform.Snapshot{}, err
 }
 
-// changesDirect asks the store for changes. The call has a time limit of its own, whatever the calls to peers
-// before it took.
+// changesDirect asks the store for changes. An answer that the store held may be as old as its call, so it is
+// checked by a second call that is not held: at once if it has no changes, else by the next call for the table,
+// so that changes are not delayed.
 func (s *Store) changesDirect(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
+	if s.takeRecheck(table) {
+		wait = 0
+	}
+	snap, err := s.callDirect(ctx, table, after, wait)
+	if err != nil || wait == 0 || s.now().Sub(snap.AsOf) <= s.settings.RecheckAge {
+		return snap, err
+	}
+	if len(snap.Records) > 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.recheck[table] = true
+		return snap, nil
+	}
+	if checked, err := s.callDirect(ctx, table, after, 0); err == nil {
+		return checked, nil
+	}
+	return snap, nil
+}
+
+// takeRecheck reports whether the next call for a table must not be held, and forgets it.
+func (s *Store) takeRecheck(table string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.recheck[table]
+	delete(s.recheck, table)
+	return due
+}
+
+// callDirect asks the store for changes once. The call has a time limit of its own, whatever the calls before
+// it took.
+func (s *Store) callDirect(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
 	limited, cancel := ownTimeout(ctx, wait+s.settings.StoreSlack)
 	defer cancel()
 	snap, err := s.direct.Changes(limited, table, after, wait)
@@ -317,10 +354,12 @@
 }
 
 // ask calls a peer. A peer that fails on a new connection is not asked again for a while, and for a shorter
-// while if it refuses the call, or if its answer is older than oldest or of an earlier epoch.
+// while if it refuses the call, or if its answer is of an earlier epoch or older than oldest. Changes are used
+// however old they are: the copy here is older.
 func (s *Store) ask(ctx context.Context, p Peer, q query, oldest time.Duration) (platform.Snapshot, error) {
 	snap, err := s.callRepeated(ctx, p, q)
-	if age := s.now().Sub(snap.AsOf); err == nil && age > oldest {
+	changes := q.method == methodChanges && len(snap.Records) > 0
+	if age := s.now().Sub(snap.AsOf); err == nil && age > oldest && !changes {
 		err = fmt.Errorf("%w: table of %s is %s old", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
 	if err == nil && !s.log.acceptsEpoch(q.table, snap.Epoch) {
