fix(retryuse): stored use of the retry budgets does not look older after a slow read

Cause: the store's clock in an answer was paired with the local time at which the answer had arrived. Each row that was written from it was dated back by the time of the answer, up to a second, and the next process of the entry used that part of the budget again as much too early.

Evidence: TestSlowReadDoesNotAgeStoredUse failed before: 49 and 899 ms too early with answers that took 50 and 900 ms.

Now the clock is paired with the time at which the read began.

--- a/internal/retryuse/retryuse.go
+++ b/internal/retryuse/retryuse.go
@@ -71,8 +71,8 @@
 	rec      *events.Recorder
 	now      func() time.Time
 
-	// clock is the store's monotonic clock at the last read, and clockAt the local time of that read; zero
-	// before the first one.
+	// clock is the store's monotonic clock at the last read, and clockAt the local time at which that read
+	// began, so that stored use never looks older than it is; zero before the first one.
 	clock   time.Duration
 	clockAt time.Time
 	// stored holds, by service, the extra attempts of this process at the last write, which was at storedAt.
@@ -240,9 +240,10 @@
 
 // readTable reads the table and the store's clock.
 func (k *Keeper) readTable(ctx context.Context) (platform.Snapshot, error) {
+	sent := k.now()
 	s, err := k.store.List(ctx, k.settings.Table)
 	if err == nil {
-		k.clock, k.clockAt = s.Clock, k.now()
+		k.clock, k.clockAt = s.Clock, sent
 	}
 	return s, err
 }
--- a/internal/retryuse/retryuse_test.go
+++ b/internal/retryuse/retryuse_test.go
@@ -32,7 +32,9 @@
 	clock time.Duration
 	// storeFails is the number of calls to the store that fail.
 	storeFails int
-	lists      int
+	// listTakes is how long the answer of a read takes after the store has read its clock.
+	listTakes time.Duration
+	lists     int
 	puts       []string
 	removed    []string
 	// answers holds the answer of each peer, by name; the others fail.
@@ -57,6 +59,7 @@
 				return platform.Snapshot{}, errSilent
 			}
 			s := platform.Snapshot{Clock: f.clock}
+			f.at = f.at.Add(f.listTakes)
 			for name, value := range f.rows {
 				s.Records = append(s.Records, platform.Record{Name: name, Value: []byte(value)})
 			}
@@ -212,3 +215,24 @@
 		t.Errorf("removed %v, want the row that is older than some windows", f.removed)
 	}
 }
+
+// The answer of a slow store was taken for the store's time of its arrival. The use that was stored then looked
+// older than it was, and the next process used that part of the budget again too soon.
+func TestSlowReadDoesNotAgeStoredUse(t *testing.T) {
+	for _, takes := range []time.Duration{0, 50 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(takes.String(), func(t *testing.T) {
+			f := newFixture()
+			f.listTakes = takes
+			if err := f.write(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+			var row storedRow
+			if err := json.Unmarshal([]byte(f.puts[0]), &row); err != nil {
+				t.Fatal(err)
+			}
+			if early := f.clock + takes - time.Duration(row.AtMS)*time.Millisecond; early > 0 {
+				t.Errorf("the row is dated %s before its write", early)
+			}
+		})
+	}
+}
