fix(relay): an entry behind the history of its peers gets their whole table

Callers saw: an entry that did not reach the store refused requests with 503, or served a revoked key for as long as other entries confirmed its old table, though entries in its reach had the later one.

Cause: entries list changes only since the version at which they read the table, for example since their start. An entry that had read it earlier was told that the table is not known there, asked the next one, and had no other way to the table without the store.

Evidence: TestEntryBehindTheHistoryOfItsPeersGetsTheirTable failed before.

Now the entry asks a peer that refused once more and allows it to answer with the whole table, if no other source has the changes. The age limit for answers holds for it. A peer of the previous release refuses again, so nothing changes beside it.

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -147,6 +147,7 @@
 	if err != nil {
 		return err
 	}
+	full = full || s.Full
 	switch {
 	case s.Epoch != 0 && s.Epoch < f.epoch:
 		return fmt.Errorf("%w: epoch %d, known %d", errOlderEpoch, s.Epoch, f.epoch)
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -41,6 +41,8 @@
 	// may be older than the ones read before and some may be missing. Writers may write the older
 	// and the missing ones again.
 	Restored bool
+	// Full is set if the answer to a call for changes holds the whole table instead.
+	Full bool
 	// AsOf is a monotonic time of this process at which the response was still up to date, or
 	// earlier; the zero time if none is known.
 	AsOf time.Time
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -16,6 +16,8 @@
 	method, table string
 	after, epoch  int64
 	wait          time.Duration
+	// whole is set if the peer may answer with the whole table.
+	whole bool
 }
 
 // params returns the parameters of the call if the peer may hold its answer for a time.
@@ -23,7 +25,7 @@
 	if q.method == methodList {
 		return listParams{Table: q.table, WaitMS: wait.Milliseconds()}
 	}
-	return changesParams{Table: q.table, After: q.after, Epoch: q.epoch, WaitMS: wait.Milliseconds()}
+	return changesParams{Table: q.table, After: q.after, Epoch: q.epoch, WaitMS: wait.Milliseconds(), Whole: q.whole}
 }
 
 // openConn is a connection to a peer and the time at which it was opened.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -233,6 +233,8 @@
 		return reply{version: t.version, epoch: t.epoch, asOf: t.asOf, immediate: true}, t.signals, nil
 	case epoch == 0 && t.restored:
 		return reply{}, tableSignals{}, errNotAnswerable
+	case t.floor >= 0 && after < t.floor && !t.failing:
+		return reply{}, tableSignals{}, errHistoryTooShort
 	}
 	if t.cachedChanges.records == nil || t.cachedAfter != after {
 		s, ok := l.since(table, after)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/peer"
@@ -22,6 +23,9 @@
 // peer, or the latest call for it failed.
 var errNotAnswerable = errors.New("the table is not known here")
 
+// errHistoryTooShort wraps errNotAnswerable if only the changes since the peer's version are not known.
+var errHistoryTooShort = fmt.Errorf("%w since that version", errNotAnswerable)
+
 type changesParams struct {
 	Table string `json:"table"`
 	After int64  `json:"after"`
@@ -29,6 +33,9 @@
 	// it.
 	Epoch  int64 `json:"epoch,omitempty"`
 	WaitMS int64 `json:"wait_ms"`
+	// Whole allows an answer with the whole table if the changes since After are not known. Entries of
+	// earlier releases refuse such a call.
+	Whole bool `json:"whole,omitempty"`
 }
 
 type listParams struct {
@@ -44,7 +51,9 @@
 	Records []byte `json:"records,omitempty"`
 	Version int64  `json:"version"`
 	Epoch   int64  `json:"epoch,omitempty"`
-	AgeMS   int64  `json:"age_ms"`
+	// Full is set if the records are the whole table instead of changes.
+	Full  bool  `json:"full,omitempty"`
+	AgeMS int64 `json:"age_ms"`
 	// HeldMS is how long the call was held, rounded down.
 	HeldMS int64 `json:"held_ms"`
 }
@@ -64,10 +73,14 @@
 	defer end.Stop()
 	for done := false; ; {
 		a, signals, err := l.changesReply(p.Table, p.After, p.Epoch)
+		if errors.Is(err, errHistoryTooShort) && p.Whole {
+			a, _, err = l.tableReply(p.Table)
+			a.full = true
+		}
 		if err != nil {
 			return nil, err
 		}
-		if len(a.records) > 0 || a.immediate || done {
+		if len(a.records) > 0 || a.full || a.immediate || done {
 			return l.encode(a, receivedAt), nil
 		}
 		select {
@@ -114,6 +127,8 @@
 	version int64
 	epoch   int64
 	asOf    time.Time
+	// full is set if the records are the whole table in answer to a call for changes.
+	full bool
 	// immediate is set if the reply must be sent at once, even without records.
 	immediate bool
 }
@@ -131,14 +146,14 @@
 
 func (l *Log) encode(a reply, receivedAt time.Time) wireSnapshot {
 	now := l.now()
-	return wireSnapshot{Records: a.records, Version: a.version, Epoch: a.epoch, AgeMS: now.Sub(a.asOf).Milliseconds() + 1, HeldMS: now.Sub(receivedAt).Milliseconds()}
+	return wireSnapshot{Records: a.records, Version: a.version, Epoch: a.epoch, Full: a.full, AgeMS: now.Sub(a.asOf).Milliseconds() + 1, HeldMS: now.Sub(receivedAt).Milliseconds()}
 }
 
 // decode turns an answer into a Snapshot. The answer was made no earlier than sent plus the time
 // for which the call was held, so subtracting its age from that time never makes the snapshot look
 // newer than it is.
 func (w wireSnapshot) decode(sent time.Time) (platform.Snapshot, error) {
-	s := platform.Snapshot{Version: w.Version, Epoch: w.Epoch, AsOf: sent.Add(time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond)}
+	s := platform.Snapshot{Version: w.Version, Epoch: w.Epoch, Full: w.Full, AsOf: sent.Add(time.Duration(w.HeldMS-w.AgeMS) * time.Millisecond)}
 	if len(w.Records) == 0 {
 		return s, nil
 	}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -195,16 +195,25 @@
 }
 
 // changes asks the delegates of this entry, then the store if this entry is a delegate or its turn
-// has come, then the peers with the freshest copies.
+// has come, then the peers with the freshest copies. If none of them can list the changes, it reads the whole
+// table of a peer that refused to.
 func (s *Store) changes(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
 	var self bool
+	var refused []Peer
+	ask := func(p Peer) (platform.Snapshot, error) {
+		snap, err := s.askChanges(ctx, p, table, after)
+		if errors.Is(err, peer.ErrRefused) {
+			refused = append(refused, p)
+		}
+		return snap, err
+	}
 	for range maxAsked {
 		var p Peer
 		var ok bool
 		if p, ok, self = s.source(); !ok {
 			break
 		}
-		if snap, err := s.askChanges(ctx, p, table, after); err == nil {
+		if snap, err := ask(p); err == nil {
 			return snap, nil
 		}
 	}
@@ -222,13 +231,29 @@
 	}
 	s.log.markFailed(table)
 	for _, p := range s.freshest(s.settings.MaxAge) {
-		if snap, relayed := s.askChanges(ctx, p, table, after); relayed == nil {
+		if snap, relayed := ask(p); relayed == nil {
 			return snap, nil
 		}
 	}
+	if snap, ok := s.wholeTable(ctx, refused, table, after); ok {
+		return snap, nil
+	}
 	return platform.Snapshot{}, err
 }
 
+// wholeTable asks peers that refused to list the changes after a version for the whole table instead. They
+// refuse if they read the table after that version, for example since they have restarted.
+func (s *Store) wholeTable(ctx context.Context, refused []Peer, table string, after int64) (platform.Snapshot, bool) {
+	for _, p := range refused[:min(maxAsked, len(refused))] {
+		snap, err := s.ask(ctx, p, query{method: methodChanges, table: table, after: after, epoch: s.log.epoch(table), whole: true}, s.settings.MaxAge)
+		if err == nil {
+			s.applyChanges(table, p.Name, snap)
+			return snap, true
+		}
+	}
+	return platform.Snapshot{}, false
+}
+
 // changesDirect asks the store for changes. An answer that the store held may be as old as its call, so it is
 // checked by a second call that is not held: at once if it has no changes, else by the next call for the table,
 // so that changes are not delayed.
@@ -285,7 +310,7 @@
 // store.
 func (s *Store) applyChanges(table, source string, snap platform.Snapshot) {
 	s.recordSource(table, source)
-	s.log.apply(table, snap, false)
+	s.log.apply(table, snap, snap.Full)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextTurn = time.Time{}
@@ -358,7 +383,7 @@
 // however old they are: the copy here is older.
 func (s *Store) ask(ctx context.Context, p Peer, q query, oldest time.Duration) (platform.Snapshot, error) {
 	snap, err := s.callRepeated(ctx, p, q)
-	changes := q.method == methodChanges && len(snap.Records) > 0
+	changes := q.method == methodChanges && !snap.Full && len(snap.Records) > 0
 	if age := s.now().Sub(snap.AsOf); err == nil && age > oldest && !changes {
 		err = fmt.Errorf("%w: table of %s is %s old", ErrStale, p.Name, age.Round(time.Millisecond))
 	}
