perf(relay): routes are rechecked without waiting for a held answer, and earlier in a slow store

Change: the recheck of a held call is sent once the hold time is over instead of after the answer, and the hold time is shorter by what the latest recheck took.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -74,8 +74,8 @@
 	relayTimeoutMargin = 250 * time.Millisecond
 	// relayOverdue is how late an answer of an entry may be before the call is repeated on a new connection.
 	relayOverdue = 150 * time.Millisecond
-	// relayRecheckAge is the age from which the routes that the store has just sent are checked again. It
-	// leaves out calls that the store answered at once, also while it is slow.
+	// relayRecheckAge is the time for which the store may hold a call for the routes without another call that
+	// it does not hold.
 	relayRecheckAge = 500 * time.Millisecond
 	// relayMaxAge is the age beyond which data from a delegate is not used. It is slightly longer
 	// than the age of that data in normal operation and shorter than the age up to which routes are
@@ -276,7 +276,7 @@
 	b.relayLog = relay.NewLog(time.Now)
 	b.source = relay.New(relay.Settings{
 		Name: s.Name, Zone: s.Zone, Size: s.size(), Delegates: delegateCount, PeerListTimeout: listedTimeout,
-		Wait: relayWait, Slack: relayTimeoutMargin, Overdue: relayOverdue, StoreSlack: followTimeoutMargin, RecheckAge: relayRecheckAge, MaxAge: relayMaxAge, AvoidFor: relayAvoidFailed, AvoidStaleFor: relayAvoidStale, StoreCallInterval: relayCallInterval, RetryAfter: relayRetryInterval,
+		Wait: relayWait, Slack: relayTimeoutMargin, Overdue: relayOverdue, StoreSlack: followTimeoutMargin, Rechecked: []string{platform.TableRoutes}, RecheckAge: relayRecheckAge, MaxAge: relayMaxAge, AvoidFor: relayAvoidFailed, AvoidStaleFor: relayAvoidStale, StoreCallInterval: relayCallInterval, RetryAfter: relayRetryInterval,
 	}, b.store, b.relayLog, b.relayPeers, b.listed, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	registerRouteMetrics(b.reg, b.routes.Confirmations)
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -21,13 +21,13 @@
 	}
 }
 
-// storeClient returns a client that keeps few connections: one for each table that is followed and one for
-// other calls.
+// storeClient returns a client that keeps few connections: one for each table that is followed, one to recheck
+// the routes and one for other calls.
 func (b *gatewayBuilder) storeClient() *reconnect.Client {
 	return reconnect.New(reconnect.Settings{OverdueMin: storeOverdueMin, OverdueMax: storeOverdueMax, MaxBody: platform.MaxResponseBytes}, func() *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 3,
+			MaxIdleConnsPerHost: 4,
 			DisableCompression:  true,
 		}
 	}, b.rec, time.Now)
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,8 +37,9 @@
 	Overdue time.Duration
 	// StoreSlack is the time beyond the hold time after which a call for changes to the store times out.
 	StoreSlack time.Duration
-	// RecheckAge is the age from which a copy that the store has just sent is checked again by a call that
-	// the store does not hold: an answer that was held may count only from when its call was sent.
+	// Rechecked lists the tables whose answers count only from when their calls were sent. If the store held a
+	// call for longer than RecheckAge, another call follows that it does not hold.
+	Rechecked  []string
 	RecheckAge time.Duration
 	// MaxAge is the age from which the answer of a peer is not used any more, unless it has changes.
 	MaxAge time.Duration
@@ -88,6 +90,8 @@
 	sources    map[string]string
 	// recheck holds the tables whose latest changes came in an answer older than RecheckAge.
 	recheck map[string]bool
+	// recheckTook is how long the latest recheck took.
+	recheckTook time.Duration
 	// storeFailedAt is when a direct call to the store last failed. It is zero once a later call
 	// has succeeded.
 	storeFailedAt time.Time
@@ -254,36 +258,70 @@
 	return platform.Snapshot{}, false
 }
 
-// changesDirect asks the store for changes. An answer that the store held may be as old as its call, so it is
-// checked by a second call that is not held: at once if it has no changes, else by the next call for the table,
-// so that changes are not delayed.
+// changesDirect asks the store for changes. An answer that the store held may be as old as its call. For the
+// rechecked tables a second call, which is not held, therefore follows once the hold time is over. It does not wait
+// for the first answer, which a slow store sends late. Changes that arrive before are not delayed: then the next
+// call for the table is not held.
 func (s *Store) changesDirect(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
-	if s.takeRecheck(table) {
-		wait = 0
+	if !slices.Contains(s.settings.Rechecked, table) {
+		return s.callDirect(ctx, table, after, wait)
 	}
-	snap, err := s.callDirect(ctx, table, after, wait)
-	if err != nil || wait == 0 || s.now().Sub(snap.AsOf) <= s.settings.RecheckAge {
-		return snap, err
+	if wait = s.holdWithRecheck(table, wait); wait <= s.settings.RecheckAge {
+		return s.recheckNow(ctx, table, after, wait)
 	}
-	if len(snap.Records) > 0 {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.recheck[table] = true
-		return snap, nil
+	held := make(chan directAnswer, 1)
+	go func() {
+		snap, err := s.callDirect(ctx, table, after, wait)
+		held <- directAnswer{snap, err}
+	}()
+	holdEnds := time.NewTimer(wait)
+	defer holdEnds.Stop()
+	select {
+	case a := <-held:
+		if a.err == nil && s.now().Sub(a.snap.AsOf) > s.settings.RecheckAge {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.recheck[table] = true
+		}
+		return a.snap, a.err
+	case <-holdEnds.C:
 	}
-	if checked, err := s.callDirect(ctx, table, after, 0); err == nil {
+	checked, err := s.recheckNow(ctx, table, after, 0)
+	a := <-held
+	if err == nil && (a.err != nil || checked.AsOf.After(a.snap.AsOf)) {
 		return checked, nil
 	}
-	return snap, nil
+	return a.snap, a.err
+}
+
+// directAnswer is the answer to a call to the store.
+type directAnswer struct {
+	snap platform.Snapshot
+	err  error
 }
 
-// takeRecheck reports whether the next call for a table must not be held, and forgets it.
-func (s *Store) takeRecheck(table string) bool {
+// holdWithRecheck returns how long the store may hold the next call for a rechecked table so that the copy is not
+// older than after wait when the recheck is answered. It is 0 if the copy is to be rechecked at once.
+func (s *Store) holdWithRecheck(table string, wait time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	due := s.recheck[table]
-	delete(s.recheck, table)
-	return due
+	if s.recheck[table] {
+		delete(s.recheck, table)
+		return 0
+	}
+	return max(wait-s.recheckTook, min(wait, minLongPollWait))
+}
+
+// recheckNow makes a call that the store may hold for a short time only, and measures how long it takes beyond
+// that.
+func (s *Store) recheckNow(ctx context.Context, table string, after int64, wait time.Duration) (platform.Snapshot, error) {
+	snap, err := s.callDirect(ctx, table, after, wait)
+	if err == nil && len(snap.Records) == 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.recheckTook = max(s.now().Sub(snap.AsOf)-wait, 0)
+	}
+	return snap, err
 }
 
 // callDirect asks the store for changes once. The call has a time limit of its own, whatever the calls before
--- a/internal/retryuse/retryuse_test.go
+++ b/internal/retryuse/retryuse_test.go
@@ -35,8 +35,8 @@
 	// listTakes is how long the answer of a read takes after the store has read its clock.
 	listTakes time.Duration
 	lists     int
-	puts       []string
-	removed    []string
+	puts      []string
+	removed   []string
 	// answers holds the answer of each peer, by name; the others fail.
 	answers map[string]usageAnswer
 
