--- a/internal/belief/follower_test.go
+++ b/internal/belief/follower_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// TestWholeTableInPlaceOfChanges checks that an answer with the whole table replaces the rows although changes were
+// asked for.
+func TestWholeTableInPlaceOfChanges(t *testing.T) {
+	s := newScriptedFollower(answerWith(5, "a", "b"), func() (platform.Snapshot, error) {
+		snap, err := answerWith(9, "b")()
+		snap.Full = true
+		return snap, err
+	}, answerWith(9))
+	s.run(t)
+	if !slices.Equal(s.full, []bool{true, true}) {
+		t.Errorf("answers applied as whole tables: %v, want both", s.full)
+	}
+}
+
 // TestFirstCallAfterAnOutageIsNotHeld checks that the first call after an outage is not held for
 // changes, because requests are refused while the routes are unconfirmed.
 func TestFirstCallAfterAnOutageIsNotHeld(t *testing.T) {
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// The time for which the echoed message was held ends when the ages of the message were computed, however long it
+// took to send it.
+func TestLimitMessageCountsFromItsAges(t *testing.T) {
+	c := &clock{at: time.Now()}
+	a, b := newNode(c, "a", "1"), newNode(c, "b", "1")
+	deliver(t, b, a)
+	c.at = c.at.Add(time.Second)
+	for _, late := range []time.Duration{0, 400 * time.Millisecond, 3 * time.Second} {
+		a.Send("b", limits.Message{}, c.at.Add(-late))
+		d, err := decodeDatagram(a.conn.sent[len(a.conn.sent)-1])
+		if want := time.Second - late; err != nil || time.Duration(d.Echo.HeldUS)*time.Microsecond != want {
+			t.Errorf("ages of %s ago: the echoed message was held for %d us, error %v, want %s", late, d.Echo.HeldUS, err, want)
+		}
+	}
+}
+
 func TestLimitMessageSender(t *testing.T) {
 	c := &clock{at: time.Now()}
 	a := newNode(c, "a", "1")
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,8 +77,9 @@
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Extra\), privateFraction\*share\)/float64(u.Extra)/' internal/routing TestIdleEntries
 mutant link-pairs internal/link/link.go 's/if !p\.answersPreviousRequest\(c, req, resp\) \{/if p != nil {/' internal/link TestRepeatedAnswerIsSkipped
 mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && openAndSilent\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionReuse'
-mutant gossip-life internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Incarnation//' internal/gossip TestEchoOfEarlierIncarnation
-mutant relay-stale internal/relay/store.go 's/err == nil && age > oldest \{/false \&\& age > oldest {/' internal/relay TestStoreCalledWhenDelegate
+mutant gossip-life internal/gossip/limits.go 's/ \|\| e\.Life != n\.settings\.Incarnation//' internal/gossip TestEchoOfEarlierIncarnation
+mutant gossip-life-received internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Incarnation//' internal/gossip TestTimeOfLastReceivedMessage
+mutant relay-stale internal/relay/store.go 's/err == nil && age > oldest && !changes \{/false \&\& age > oldest \&\& !changes {/' internal/relay TestStoreCalledWhenDelegate
 mutant fleet-back internal/fleet/set.go 's/if m\.state != Serving && !m\.selfReported && !stale \{/if m.state == Lapsed \&\& !stale {/' internal/fleet TestUpstreamComesBack
 mutant routes-monotone internal/belief/routes.go 's/if r\.table != nil && table\.Version\(\) < r\.table\.Version\(\) \{/if false {/' $gateway TestRouteTableVersionNeverDecreases
 
@@ -574,4 +575,24 @@
 mutant line-deadline $placement/line.go 's/maxWaitShare = 0\.25/maxWaitShare = 0.9/; s/return time\.Duration\(maxWaitShare/return time.Duration(0*maxWaitShare/' $gateway TestWaitForRoom
 mutant line-leave $gateway/wait.go 's/\tdefer line\.Leave\(place\)\n//' $gateway TestWaitForRoom
 
+# Ages that are counted from a later moment than that at which they were taken.
+mutant gossip-echo-first internal/gossip/exchange.go 's/\tto := n\.recipients\(include\)\n//; s/\tlimitMessages := n\.limits\.Round/\tto := n.recipients(include)\n\tlimitMessages := n.limits.Round/' internal/gossip 'TestPausedSender|TestEntriesWithoutStore'
+mutant gossip-negative-hold internal/gossip/limits.go 's/time\.Duration\(e\.HeldUS\)/time.Duration(max(e.HeldUS, 0))/' internal/gossip TestAgeFromBeforeTheEcho
+mutant gossip-hold-bound internal/gossip/limits.go 's/ \|\| e\.HeldUS < -maxHeldUS \|\| e\.HeldUS > maxHeldUS//' internal/gossip TestEncodedNotBefore
+mutant gossip-forward-clock internal/gossip/spread.go 's/\tn\.mu\.Lock\(\)\n\tdefer n\.mu\.Unlock\(\)\n\tnow := n\.now\(\)\n\tout := n\.outbox/\tnow := n.now()\n\tn.mu.Lock()\n\tdefer n.mu.Unlock()\n\tout := n.outbox/' internal/gossip TestStateQueuedWhileForwarding
+mutant gossip-send-time internal/gossip/exchange.go 's/n\.writeEncoded\(p\.recipient\(\), version, body, at\)/n.writeEncoded(p.recipient(), version, body, n.now())/' internal/gossip TestLimitMessageCountsFromItsAges
+mutant limits-answer-age internal/limits/grant.go 's/encodeObservation\(cached\.observed, now\)/encodeObservation(cached.observed, cached.at)/' internal/gossip TestRepeatedAnswerDoesNotEndLaterLimit
+mutant store-clock internal/belief/anchor.go 's/if slices\.Contains\(proven, table\)/if slices.Contains(proven, table) \&\& false/' internal/belief TestAnswerOfPausedStore
+mutant relay-recheck internal/relay/store.go 's/!slices\.Contains\(s\.settings\.Rechecked, table\)/slices.Contains(s.settings.Rechecked, table)/' internal/relay TestHeldAnswerIsRechecked
+mutant relay-recheck-next internal/relay/store.go 's/\t\t\ts\.recheck\[table\] = true\n//' internal/relay TestHeldAnswerIsRechecked
+mutant relay-recheck-slow internal/relay/store.go 's/max\(wait-s\.recheckTook, /max(wait, /' internal/relay TestHeldAnswerIsRechecked
+mutant relay-old-changes internal/relay/store.go 's/ && !changes \{/ \&\& (changes || !changes) {/' internal/relay TestOldAnswerWithChangesIsUsed
+mutant relay-whole internal/relay/server.go 's/errors\.Is\(err, errHistoryTooShort\) && p\.Whole/false/' internal/relay TestEntryBehindTheHistoryOfItsPeers
+mutant relay-whole-age internal/relay/store.go 's/ && !snap\.Full && / \&\& /' internal/relay TestEntryBehindTheHistoryOfStalePeers
+mutant relay-whole-failing internal/relay/log.go 's/after < t\.floor && !t\.failing:/after <= t.version:/' internal/relay TestPeersThatCannotAnswer
+mutant follower-whole internal/belief/follower.go 's/\tfull = full \|\| s\.Full\n//' internal/belief TestWholeTableInPlaceOfChanges
+mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
+mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
+mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
+
 finish
