--- a/internal/belief/answertimes_test.go
+++ b/internal/belief/answertimes_test.go
@@ -18,16 +18,16 @@
 				start := time.Now()
 				now, stands, jumped := start, time.Duration(0), time.Duration(0)
 				var read time.Time
-				answer := func(hold time.Duration) (platform.Snapshot, error) {
+				answer := func(hold time.Duration) platform.Snapshot {
 					now = now.Add(hold)
 					read = now
 					now = now.Add(stands)
-					return platform.Snapshot{Version: 1, Clock: now.Sub(start) + time.Hour + jumped}, nil
+					return platform.Snapshot{Version: 1, Clock: now.Sub(start) + time.Hour + jumped}
 				}
 				direct := &platform.Store{
-					List: func(context.Context, string) (platform.Snapshot, error) { return answer(0) },
+					List: func(context.Context, string) (platform.Snapshot, error) { return answer(0), nil },
 					Changes: func(_ context.Context, _ string, _ int64, wait time.Duration) (platform.Snapshot, error) {
-						return answer(wait)
+						return answer(wait), nil
 					},
 				}
 				store := WithAnswerTimes(direct, func() time.Time { return now }, "routes")
