--- a/internal/belief/answertimes_test.go
+++ b/internal/belief/answertimes_test.go
@@ -9,19 +9,19 @@
 	"github.com/sparshore/sparshore/internal/platform"
 )
 
-// A store read its rows, stood still or changed to a process with another clock, and then stamped the answer. Its
-// clock made the table look confirmed after the read.
+// A store read its rows, paused or failed over to a process with another clock, and then read its clock for the
+// answer, which made the table look confirmed after the read.
 func TestAnswerOfPausedStoreIsNotTakenForNewer(t *testing.T) {
 	for _, pause := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
 		for _, clockJump := range []time.Duration{0, 300 * time.Millisecond, time.Hour, -time.Hour} {
 			t.Run(fmt.Sprintf("%s clock jump %s", pause, clockJump), func(t *testing.T) {
 				start := time.Now()
-				now, stands, jumped := start, time.Duration(0), time.Duration(0)
+				now, pausedFor, jumped := start, time.Duration(0), time.Duration(0)
 				var read time.Time
 				answer := func(hold time.Duration) platform.Snapshot {
 					now = now.Add(hold)
 					read = now
-					now = now.Add(stands)
+					now = now.Add(pausedFor)
 					return platform.Snapshot{Version: 1, Clock: now.Sub(start) + time.Hour + jumped}
 				}
 				direct := &platform.Store{
@@ -38,7 +38,7 @@
 					}
 				}
 				check(store.List(t.Context(), "routes"))
-				stands = pause
+				pausedFor = pause
 				check(store.Changes(t.Context(), "routes", 1, time.Second))
 				jumped = clockJump
 				check(store.Changes(t.Context(), "routes", 1, time.Second))
--- a/internal/gossip/pause_test.go
+++ b/internal/gossip/pause_test.go
@@ -15,9 +15,8 @@
 // pauses are the lengths of the pauses that tests put between two steps of a sender.
 var pauses = []time.Duration{0, 50 * time.Millisecond, time.Second, 4 * time.Second}
 
-// pauseAtReading makes a node stand still for a time after it has read its clock for the nth time, and passes it
-// then what arrived meanwhile. A message cannot be handled while the node's lock is held. It returns a function
-// that reports whether the clock was read as often.
+// pauseAtReading pauses a node after it has read its clock for the nth time. Unless the node holds its lock then,
+// arrives delivers messages during the pause. The returned function reports whether the clock was read that often.
 func pauseAtReading(n *node, c *clock, nth int, pause time.Duration, arrives func()) (reached func() bool) {
 	readings := 0
 	n.now = func() time.Time {
@@ -52,8 +51,8 @@
 	return receiver.start.Add(time.Duration(m.echo.Sent) - time.Duration(m.body.AgeMS)*time.Millisecond)
 }
 
-// A sender that stood still after it had taken the age of its routes echoed a message from after that, and the
-// receiver took the routes for confirmed by as much too late.
+// A sender that was paused after it had computed the age of its routes echoed a message that had arrived during the
+// pause, and the receiver took the routes for confirmed later than they were.
 func TestPausedSenderDoesNotRenewConfirmation(t *testing.T) {
 	for _, pause := range pauses {
 		for nth, more := 1, true; more; nth++ {
