--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	host    = "ficu95.example"
+	key     = "xd9dnn2ctnfzs989anu6"
+	chatURL = "/lohu930/2f"
+)
+
+// config is a configuration of one streaming route, which may not be repeated.
+func config(version int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "chat", "host": host, "path_prefix": "/lohu930/", "route_type": "streaming", "timeout_ms": 39000, "target_latency_ms": 1800, "priority": 1,
+			"service": service, "max_attempts": 1, "public": false, "sticky": true, "resumable": false, "gap_aim_ms": 180,
+		}},
+		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 372, "protocol": "h1", "tls": false, "engine": map[string]any{
+			"slots": 48, "kv_capacity_tokens": 34414, "kv_token_bytes": 131072, "link_mbps": 19000.0, "moves": true, "backups": true, "stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
+			"models": []any{map[string]any{"name": "m"}},
+		}}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []string{key}, "priority": 1}},
+	}
+}
+
+// streamResult is what a client saw of a stream.
+type streamResult struct {
+	status   int
+	events   int
+	complete bool
+	// wrong lists pieces that are missing, doubled or of another request.
+	wrong []string
+}
+
+// stream sends a generation of n events to a gateway and reads its answer.
+func (w *world) stream(g *gateway, id string, n int) (res streamResult) {
+	defer func() { w.note("client: %s ends: %+v", id, res) }()
+	c, err := net.DialTimeout("tcp4", g.listen, time.Second)
+	if err != nil {
+		return res
+	}
+	defer func() { _ = c.Close() }()
+	body := "{\"prompt\":\"" + id + "\"}"
+	w.note("client: sends %s to %s", id, g.name)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Usage: 3000,%d\r\nX-Prefix-Hash: 5c1e07a2:79,%x:2921\r\nX-Deadline-Ms: 39000\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		chatURL, host, id, 4*n, id, key, len(body), body)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return res
+	}
+	defer func() { _ = resp.Body.Close() }()
+	res.status = resp.StatusCode
+	if res.status != http.StatusOK {
+		return res
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		res.events++
+		if want := fmt.Sprintf("%s %d", id, res.events); data != want && len(res.wrong) < 3 {
+			res.wrong = append(res.wrong, fmt.Sprintf("piece %q where %q is due", data, want))
+		}
+	}
+	res.complete = lines.Err() == nil
+	return res
+}
