--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"surplus-before-copy": surplusBeforeCopy,
 	"crash-in-answer":     crashInAnswer,
+	"hup-at-start":        hupAtStart,
 }
 
 // workerCommand starts the process of a plain worker.
