review: case 3, a spoiled stream goes on elsewhere beside its first run

A resumable stream whose worker sends bytes that are not an answer is sent to another worker at once, and nothing ends the run at the first one, which is among those that don't drop a request when its channel closes.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -15,13 +15,17 @@
 	chatURL = "/lohu930/2f"
 )
 
-// config is a configuration of one streaming route, which may not be repeated.
-func config(version int) map[string]any {
+// config is a configuration of one streaming route.
+func config(version int, resumable bool) map[string]any {
+	attempts := 1
+	if resumable {
+		attempts = 2
+	}
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
 			"name": "chat", "host": host, "path_prefix": "/lohu930/", "route_type": "streaming", "timeout_ms": 39000, "target_latency_ms": 1800, "priority": 1,
-			"service": service, "max_attempts": 1, "public": false, "sticky": true, "resumable": false, "gap_aim_ms": 180,
+			"service": service, "max_attempts": attempts, "public": false, "sticky": true, "resumable": resumable, "gap_aim_ms": 180,
 		}},
 		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 372, "protocol": "h1", "tls": false, "engine": map[string]any{
 			"slots": 48, "kv_capacity_tokens": 34414, "kv_token_bytes": 131072, "link_mbps": 19000.0, "moves": true, "backups": true, "stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -57,6 +57,10 @@
 	// surplusOf is a request whose answer the worker sends once more, late, in the place of the next answer
 	// on its channel; empty for none.
 	surplusOf string
+	// spoilOf is a request whose answer the worker spoils in its middle, if no other worker has; empty for none.
+	// The worker is one of those that go on when the channel of a request closes.
+	spoilOf string
+	spoiled *atomic.Bool
 
 	mu     sync.Mutex
 	state  string
@@ -148,6 +152,13 @@
 	e.w.note("%s: ended", e.id)
 }
 
+// works reports whether the worker is at work on a request.
+func (e *engine) works(request string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[request] != nil
+}
+
 func (e *engine) mixedUp() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -325,7 +336,13 @@
 		n := r.made
 		e.mu.Unlock()
 		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, r.of, n)
-		if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if id == e.spoilOf && n == r.last/3 && e.spoiled.CompareAndSwap(false, true) {
+			e.w.note("%s: sends bytes that are not an answer in the middle of %s", e.id, id)
+			event = "?\r\n" + event
+			_, _ = io.WriteString(w, event)
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event); err != nil && e.spoilOf == "" {
 			e.w.note("%s: the channel of %s closed after event %d", e.id, id, n)
 			return false
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"surplus-before-copy": surplusBeforeCopy,
 	"crash-in-answer":     crashInAnswer,
 	"hup-at-start":        hupAtStart,
+	"spoiled-stream":      spoiledStream,
 }
 
 // workerCommand starts the process of a plain worker.
--- a/review/standin/plain.go
+++ b/review/standin/plain.go
@@ -120,6 +120,7 @@
 	}
 	p := &plainWorker{w: w, id: id, address: l.Addr().String(), cmd: exec.Command(self, workerCommand, id, strconv.FormatBool(faulty)), done: make(chan struct{})}
 	p.cmd.ExtraFiles = []*os.File{f}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/review/standin/surplus.go
+++ b/review/standin/surplus.go
@@ -25,7 +25,7 @@
 		mu.Unlock()
 		return e, nil
 	}
-	w.store.put("op", "config", config(3))
+	w.store.put("op", "config", config(3, false))
 	old, err := add("i-old")
 	if err != nil {
 		return false, err
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -16,13 +16,15 @@
 
 // The bounds of the site binday-prod, as the settings of its processes state them.
 const (
-	grace      = 8 * time.Second
-	revokeMS   = 5000
-	drainTime  = 2 * time.Second
-	heartbeat  = 1200 * time.Millisecond
-	readyLimit = 15 * time.Second
+	grace     = 8 * time.Second
+	revokeMS  = 5000
+	drainTime = 2 * time.Second
+	heartbeat = 1200 * time.Millisecond
 )
 
+// readyLimit is how long a gateway may take to become ready before the case counts as not run.
+const readyLimit = 15 * time.Second
+
 // world is one deployment: a store, workers and gateway processes, all on loopback.
 type world struct {
 	sparshored, scratch string
@@ -142,6 +144,7 @@
 		"SPARSHORE_STOP_WITHIN=" + strconv.Itoa(int(grace.Seconds())) + "s",
 	}
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
