jsonbound: bound the depth of JSON before it is decoded

What callers saw: the machines that read the list of upstreams stopped following it, or ended, after another writer had left one odd row. New upstreams got no requests meanwhile.

Cause: decoders recurse for each level of nesting. The version of an upstream was decoded into a value of any type, and that decoder reads the inner levels again at each level, so its time grows with the square of the depth. Nothing bounded the depth itself: an answer of the store or a configuration of 2 MB of brackets overflows the stack, which ends the process and cannot be recovered.

Evidence: TestNestedRowTakesNoLongerThanValidRow failed before: "rejected after 17.235037316s with error row of an upstream cannot be used: i-1: version is neither a string nor a number; a valid row of 65276 bytes takes 696.607µs". TestNestingOverflowsNoStack: "runtime: goroutine stack exceeds-byte limit", "fatal error: stack overflow". TestLongRowIsRejected: "<nil>, want reason size".

jsonbound.Check counts the levels without recursion, in linear time and without memory, before rows, routes, answers of the store and answers of upstreams are decoded. The version is decoded as a string or a number, never as any type.

The mutant rows-version is rewritten for the new code; it still accepts a bool as a version.

--- /dev/null
+++ b/internal/jsonbound/jsonbound.go
@@ -0,0 +1,61 @@
+// Package jsonbound bounds JSON from other processes before a decoder reads it. Decoders recurse for each level of
+// nesting: a stack overflow ends the process and cannot be recovered, and some decoders read the inner levels again at
+// each level, so that their time grows with the square of the depth.
+package jsonbound
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/sparshore/sparshore/internal/sizebound"
+)
+
+// ErrTooDeep is wrapped by the errors for JSON that is nested deeper than MaxDepth.
+var ErrTooDeep = errors.New("JSON is nested too deeply")
+
+// MaxDepth is the number of arrays and objects that may be nested. Those of this program and of the platform nest at
+// most six.
+const MaxDepth = 64
+
+// Check returns an error that wraps ErrTooDeep or sizebound.ErrTooLong if a text has more than maxBytes bytes, or
+// nests more than MaxDepth arrays and objects. It neither allocates nor recurses and does not check the syntax
+// otherwise: up to a syntax error, where decoders stop, it counts as they do.
+func Check(text []byte, maxBytes int) error {
+	if len(text) > maxBytes {
+		return fmt.Errorf("%w: %d bytes, at most %d are decoded", sizebound.ErrTooLong, len(text), maxBytes)
+	}
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i = stringEnd(text, i+1)
+		case '[', '{':
+			if depth++; depth > MaxDepth {
+				return fmt.Errorf("%w: more than %d levels at byte %d", ErrTooDeep, MaxDepth, i)
+			}
+		case ']', '}':
+			depth--
+		}
+	}
+	return nil
+}
+
+// stringEnd returns the index of the quotation mark that ends the string whose content begins at index i.
+func stringEnd(text []byte, i int) int {
+	for i < len(text) && text[i] != '"' {
+		if text[i] == '\\' {
+			i++
+		}
+		i++
+	}
+	return i
+}
+
+// Unmarshal decodes a text that Check accepts, as json.Unmarshal does.
+func Unmarshal(text []byte, maxBytes int, into any) error {
+	if err := Check(text, maxBytes); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -110,10 +110,13 @@
 mutant rows-most $rows 's/ \|\| n > float64\(most\) \{/ {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-address $rows 's/a\.Port\(\) == 0 \|\| //' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-host $rows 's/ \|\| a\.Addr\(\)\.IsUnspecified\(\)//' platform TestDecodeUpstreamRejectsInvalidFields
-mutant rows-version $rows 's/\tcase float64:\n\t\treturn strconv/\tcase bool:\n\t\treturn \"true\"\n\tcase float64:\n\t\treturn strconv/' platform TestDecodeUpstreamRejectsInvalidFields
+mutant rows-version $rows 's/(\treturn strconv\.FormatFloat\(f\.number)/\tif string(f.fields[name]) == "true" {\n\t\treturn "true"\n\t}\n$1/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.nonEmptyString("state")/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-cold platform/upstreams.go 's/if cold > maxColdMS \{/if false {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestDecodeUpstreamAcceptsValidRows
+mutant rows-size $rows 's/f\.fail\(reasonSize, "%v", err\)\n\t\treturn f/_ = reasonSize/' platform "TestNestedRowTakesNoLongerThanValidRow|TestLongRowIsRejected"
+mutant json-depth internal/jsonbound/jsonbound.go 's/if depth\+\+; depth > MaxDepth \{/if depth++; depth > 1<<40 {/' platform TestNestingOverflowsNoStack
+mutant json-strings internal/jsonbound/jsonbound.go 's/i = stringEnd\(text, i\+1\)/_ = stringEnd(text, i+1)/' internal/jsonbound TestCheck
 mutant routes-kind-told platform/routes.go 's/is not known", excerpt\(r\.RouteType\)/is not known", r.RouteType/' platform TestDecodeRoutesRejectsInvalidConfig
 mutant times-bounded platform/routes.go 's/\tv = min\(max\(v, 0\), float64\(maxDuration\/time\.Millisecond\)\)\n//' platform TestMilliseconds
 mutant rows-each platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\treturn err\n/' platform TestUnreadableRowLeavesOtherRows
