fix(gateway): a request reads the route table, its age and its evidence once

Logs of a request named the age and the confirming entry of another table than the one that it was refused by: the check of the age, the table, its confirmation and its evidence were read one after another. A table that arrived in between was taken with the age of the one before. No request ran wrongly by that: a later table never allows more than the check of the earlier one's age assumed.

Evidence: a table that arrives at the third reading of the clock. Before: status 503 by the table 2 from relay e2, confirmed -118.252µs ago

Routes.Read returns all of it for one moment. request-routed, request-refused and routes-loaded also name the store's version of the row (routes-row), which tells an older row under a later version of the table from the right one.

--- a/internal/belief/routes.go
+++ b/internal/belief/routes.go
@@ -42,6 +42,17 @@
 	return e.Source.String() + " " + e.Entry
 }
 
+// Reading is the route table in force at one moment.
+type Reading struct {
+	// Table is nil if there is none.
+	Table *routetable.Table
+	// Row is the store's version of the row that holds the table.
+	Row int64
+	// Confirmed is when the table was last known to be the newest, and Evidence states by whom.
+	Confirmed time.Time
+	Evidence  Evidence
+}
+
 // gossipOnlyAfter is how long only gossip has confirmed the table when that is logged: longer than the usual
 // interval between two answers of the store.
 const gossipOnlyAfter = 2 * time.Second
@@ -133,7 +144,7 @@
 		before = r.table.Version()
 	}
 	r.table, r.row = table, rec
-	r.rec.Note(events.RoutesLoaded, "", "source", source, "version", table.Version(), "before", before)
+	r.rec.Note(events.RoutesLoaded, "", "source", source, "version", table.Version(), "row", rec.Version, "before", before)
 }
 
 // applyStored puts a stored table in force if it is newer than the current one. A row that cannot
@@ -175,11 +186,11 @@
 	return r.row, r.older
 }
 
-// Evidence returns what confirmed the table last.
-func (r *Routes) Evidence() Evidence {
+// Read returns the table in force with what is known of it at the same moment.
+func (r *Routes) Read() Reading {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.evidence
+	return Reading{Table: r.table, Row: r.row.Version, Confirmed: r.confirmed, Evidence: r.evidence}
 }
 
 // Confirmations returns how often each source confirmed the table.
--- a/internal/belief/routes_test.go
+++ b/internal/belief/routes_test.go
@@ -77,7 +77,7 @@
 		} else {
 			r.ConfirmCurrent(start.Add(step.at), step.by)
 		}
-		if got := r.Evidence().String(); got != step.want {
+		if got := r.Read().Evidence.String(); got != step.want {
 			t.Errorf("confirmed by %q at %s, want %q", got, step.at, step.want)
 		}
 		if got := countEvents(rec, events.RoutesOnlyGossip); got != step.onlyGossip {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 	g.met.attempted(st.why)
 	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "software", st.at.Software, "why", st.why, "resumes", rq.call.Resumes, "parts", partIDs(rq.call.Shared),
 		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens, "unread", load.Prefill, "news-delay", g.peers.Delay(st.at.Zone, true), "limit", g.limits.Rate(st.at.ID), "slowdown", g.Slowdown(st.at.ID),
-		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-age", rq.tableAge, "routes-from", rq.evidence)
+		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence)
 }
 
 // maxPartBytes bounds the IDs of prompt parts in one log line.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -253,7 +253,7 @@
 	c.g.met.attempted(reason)
 	load := c.g.loads.total(u.ID)
 	c.g.rec.Note(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "fingerprint", c.rq.fingerprint, "upstream", u.ID, "why", reason,
-		"running", load.Running, "failure-rate", u.FailureRate(), "limit", c.g.limits.Rate(u.ID), "routes", c.rq.table.Version(), "routes-age", c.rq.tableAge, "routes-from", c.rq.evidence)
+		"running", load.Running, "failure-rate", u.FailureRate(), "limit", c.g.limits.Rate(u.ID), "routes", c.rq.table.Version(), "routes-row", c.rq.tableRow, "routes-age", c.rq.tableAge, "routes-from", c.rq.evidence)
 	claim := c.g.loads.add(u.ID, gossip.Load{Running: 1})
 	go func() {
 		defer claim.release()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,7 +184,7 @@
 	switch {
 	case !g.StopDeadline().IsZero():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case !g.servesKeys():
+	case !g.servesKeys(g.readRoutes()):
 		http.Error(w, "no confirmed routes", http.StatusServiceUnavailable)
 	case !g.peersKnown():
 		http.Error(w, "other entries are not known", http.StatusServiceUnavailable)
@@ -205,29 +205,25 @@
 	return g.entriesListed.Load() || len(g.peers.LivePeers()) > 0 || g.now().Sub(g.startedAt) > peersWait
 }
 
-// routesTrusted reports whether there is a route table that is recent enough to check keys with,
-// and logs each change.
-func (g *Gateway) routesTrusted() bool {
-	table, confirmed := g.routes.Current()
-	age := g.now().Sub(confirmed)
-	ok := table != nil && age < g.settings.MaxRoutesAge
-	if g.trusted.Swap(ok) != ok {
+// readRoutes reads the route table once, reports whether it is recent enough to check keys with, and logs each
+// change of that.
+func (g *Gateway) readRoutes() (read belief.Reading, trusted bool) {
+	read = g.routes.Read()
+	age := g.now().Sub(read.Confirmed)
+	trusted = read.Table != nil && age < g.settings.MaxRoutesAge
+	if g.trusted.Swap(trusted) != trusted {
 		id := events.RoutesConfirmed
-		if !ok {
+		if !trusted {
 			id = events.RoutesUnconfirmed
 		}
-		g.rec.Note(id, "", "age", age, "from", g.routes.Evidence(), "bound", g.settings.MaxRoutesAge, "known-keys-served", table != nil && (ok || !g.settings.HardKeyBound))
+		g.rec.Note(id, "", "age", age, "from", read.Evidence, "row", read.Row, "bound", g.settings.MaxRoutesAge, "known-keys-served", g.servesKeys(read, trusted))
 	}
-	return ok
+	return read, trusted
 }
 
-// servesKeys reports whether requests with known keys are served.
-func (g *Gateway) servesKeys() bool {
-	if g.routesTrusted() {
-		return true
-	}
-	table, _ := g.routes.Current()
-	return table != nil && !g.settings.HardKeyBound
+// servesKeys reports whether requests with known keys are served by a table.
+func (g *Gateway) servesKeys(read belief.Reading, trusted bool) bool {
+	return read.Table != nil && (trusted || !g.settings.HardKeyBound)
 }
 
 // routesAge returns the time since the route table was last confirmed, or 0 if there is none.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,8 +25,10 @@
 	call  protocol.Call
 	body  []byte
 	table *routetable.Table
-	// tableAge is the time since the table was confirmed, and evidence states who confirmed it.
+	// tableAge is the time since the table was confirmed, tableRow the store's version of its row, and evidence
+	// states who confirmed it.
 	tableAge time.Duration
+	tableRow int64
 	evidence belief.Evidence
 	route    *routetable.Route
 	service  *routetable.Service
@@ -156,14 +158,13 @@
 // prepareRequest determines the route, account and service of a request and reads its body. If the
 // request cannot be served, prepareRequest answers it and returns false.
 func (g *Gateway) prepareRequest(rq *request, r *http.Request) bool {
-	trusted := g.routesTrusted()
-	var confirmed time.Time
-	rq.table, confirmed = g.routes.Current()
+	read, trusted := g.readRoutes()
+	rq.table = read.Table
 	if rq.table == nil {
 		g.refuse(rq, http.StatusServiceUnavailable, "no routes are known yet", unreadyRetryDelay)
 		return false
 	}
-	rq.tableAge, rq.evidence = rq.start.Sub(confirmed), g.routes.Evidence()
+	rq.tableAge, rq.tableRow, rq.evidence = rq.start.Sub(read.Confirmed), read.Row, read.Evidence
 	if maxBytes := rq.table.Limits().HeaderBytes; maxBytes > 0 && headerBytes(r) > maxBytes {
 		g.refuse(rq, http.StatusRequestHeaderFieldsTooLarge, "headers are too large", 0)
 		return false
@@ -287,7 +288,7 @@
 	if rq.table != nil {
 		version = rq.table.Version()
 	}
-	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
+	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
 	g.met.refused(status)
 	g.proto.Refuse(rq.w, &rq.call, refusal, now)
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -596,6 +596,7 @@
 mutant follower-whole internal/belief/follower.go 's/\tfull = full \|\| s\.Full\n//' internal/belief TestWholeTableInPlaceOfChanges
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
+mutant routes-one-reading $gateway/request.go 's/rq\.table = read\.Table/rq.table, _ = g.routes.Current()/' $gateway TestRequestReadsTheRouteTableOnce
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
 
 finish
