gateway: request-ended says whether the upstream's answer was framed

An answer without a length and chunks ends with its connection, as one of an upstream that crashes does. request-ended did not tell the two kinds apart, so a cut answer that a caller took for a whole one could not be found in the logs. request-ended and the answer-rejected of plain calls now have the field framed, which that of streams had already.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -188,7 +188,7 @@
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream. For a stream, `software` is the version of the upstream's software, `after-event` the last event that the caller has, `resumes` the request whose answer began the stream, if the caller resumes one, and `parts` the parts of its prompt that other requests may share."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with the time after which the caller may retry."},
 	{RequestRetried, "request-retried", "A request that provably did not run is retried on another upstream."},
-	{RequestEnded, "request-ended", "A caller received the last byte of its answer."},
+	{RequestEnded, "request-ended", "A caller received the last byte of its answer. `framed` is false if neither a length nor chunks, but only the end of the upstream's connection marked the end of the answer."},
 	{StreamResumed, "stream-resumed", "A caller resumed a stream at the next offset."},
 	{StreamCut, "stream-cut", "A stream ended before it was complete, and the caller was told where and why."},
 	{CallerGone, "caller-gone", "A caller's connection closed before its answer was complete; `ended-here` gives the reason if this entry closed it, and `evicted` tells that it did because the caller did not read."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,6 +182,6 @@
 		s.rq.discard(body)
 		return streamBroken
 	}
-	s.g.forwardAnswer(s.rq, result{upstream: st.at.ID, status: answer.Status, header: answer.Header, body: body})
+	s.g.forwardAnswer(s.rq, result{upstream: st.at.ID, status: answer.Status, header: answer.Header, body: body, framed: answer.Framed})
 	return streamFailed
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,7 +66,9 @@
 	header   http.Header
 	body     pieces
 	verdict  protocol.Verdict
-	err      error
+	// framed is false if the body ends only with the end of the connection.
+	framed bool
+	err    error
 }
 
 // usable reports whether there is an answer that can be passed on to the caller.
@@ -303,7 +305,7 @@
 		return result{upstream: u.ID, err: err}
 	}
 	defer a.Close()
-	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header)}
+	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header), framed: a.Framed}
 	r.body, r.err = g.readResponse(rq, a)
 	switch {
 	case r.err != nil:
@@ -315,7 +317,7 @@
 	if r.err != nil {
 		rq.discard(r.body)
 		r.body = nil
-		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err)
+		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err, "framed", a.Framed)
 	}
 	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final() && a.Clean()})
 	return r
@@ -373,5 +375,5 @@
 	elapsed := g.now().Sub(rq.start)
 	g.met.ended(strconv.Itoa(r.status))
 	g.met.observeAnswer(elapsed)
-	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size)
+	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size, "framed", r.framed)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -141,7 +141,7 @@
 		s.g.met.ended("stream")
 		s.g.eventInterval.note(s.timeToFirstEvent, now.Sub(s.rq.start), s.events)
 		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.attempts, "took", now.Sub(s.rq.start), "events", s.events,
-			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt)
+			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt, "framed", answer.Framed)
 		return streamComplete
 	}
 	if !s.moving() {
