fix(relay): an older whole table is not relayed as the newest

Callers would have seen a revoked key served, a closed zone used or an upstream that had left asked: an entry that starts took older rows under the newest version, asked for the changes after that version and never got the later rows. Nothing but a later write of the same row repaired that. Its routes counted as confirmed meanwhile, since each answer to "changes after 10" confirms them.

Cause: Log.apply kept the higher version and the later time of two answers, but the rows of whichever came last. An entry at version 10 that reads the whole table again (history gone, the read after a restore) from an entry at version 8 had the rows of 8 as "version 10, just now" and answered others from that.

Now the merge of an answer is one place that keeps version, rows and time together. A whole table of a lower version is rejected (ErrOlderTable), so another entry or the store is asked; it confirms nothing. A row is never replaced by one of a lower version within an epoch, and tombstones stay. An entry without the table takes any, with its age. A later epoch begins anew, and so does a store without epochs whose versions go back. relay-older and a counter tell it.

apply returns an error, so tests call it through mustApply, which reports the error. The mutant epoch-log follows the moved code.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -280,6 +280,7 @@
 	}, b.store, b.relayLog, b.relayPeers, b.listed, b.rec, time.Now)
 	b.routes = belief.NewRoutes(platform.RowRoutes, platform.DecodeRoutes, b.rec, time.Now)
 	registerRouteMetrics(b.reg, b.routes.Confirmations)
+	registerRelayMetrics(b.reg, b.source.OlderTables)
 	b.fleet = fleet.New(b.rec, time.Now, func(id string) { b.gateway.Evacuate(id) })
 	b.upstreams = newUpstreamRows(platform.DecodeUpstream, b.fleet, newBadRows(events.UpstreamRejected, platform.RejectReason, b.reg, b.rec, time.Now))
 	proto := platform.NewProtocol()
--- a/internal/daemon/gatewaymetrics.go
+++ b/internal/daemon/gatewaymetrics.go
@@ -39,3 +39,10 @@
 		}, func() float64 { return float64(confirmations()[source]) }))
 	}
 }
+
+// registerRelayMetrics registers the counter of older tables that other entries answered with.
+func registerRelayMetrics(reg prometheus.Registerer, olderTables func() int64) {
+	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sparshore_gateway_relay_older_tables_total", Help: "Whole tables of other entries that were rejected because a later one was known.",
+	}, func() float64 { return float64(olderTables()) }))
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -119,6 +119,7 @@
 	RelayFailed         ID = 606
 	StoreRestored       ID = 607
 	ConnectionSilent    ID = 608
+	RelayOlder          ID = 609
 )
 
 // Kind describes one event kind.
@@ -251,6 +252,7 @@
 	{RelayFailed, "relay-failed", "Another entry could not relay a table; the store is queried directly."},
 	{StoreRestored, "store-restored", "The store was restored from an older copy of itself: its versions continue from `version` in a new `epoch`, and records may be older than the known ones."},
 	{ConnectionSilent, "connection-silent", "A call was answered on a new connection, but not on one that was open before, which is closed. Other calls on older connections to the same process are repeated at once."},
+	{RelayOlder, "relay-older", "Another entry answered with an older whole table (`version`) than the one that this entry has (`known`). The answer is not used; another entry or the store is asked."},
 	{RegisterFailed, "register-failed", "An entry could not write or read the list of entries."},
 }
 
--- a/internal/relay/behind_test.go
+++ b/internal/relay/behind_test.go
@@ -17,7 +17,7 @@
 	}
 	for _, e := range d.entries[:2] {
 		e.log.tables = map[string]*tableLog{}
-		e.log.apply(table, platform.Snapshot{Version: 9, AsOf: time.Now(), Records: []platform.Record{row("b", 9)}}, true)
+		mustApply(t, e.log, platform.Snapshot{Version: 9, AsOf: time.Now(), Records: []platform.Record{row("b", 9)}}, true)
 	}
 	behind := d.entries[2]
 	behind.store.down = true
@@ -38,7 +38,7 @@
 	d := newDeployment(t, "a", "b")
 	d.list()
 	d.entries[0].log.tables = map[string]*tableLog{}
-	d.entries[0].log.apply(table, platform.Snapshot{Version: 9, AsOf: time.Now().Add(-time.Minute), Records: []platform.Record{{Name: "b", Version: 9}}}, true)
+	mustApply(t, d.entries[0].log, platform.Snapshot{Version: 9, AsOf: time.Now().Add(-time.Minute), Records: []platform.Record{{Name: "b", Version: 9}}}, true)
 	behind := d.entries[1]
 	behind.store.down = true
 	if snap, err := behind.relayed.Changes(t.Context(), table, 5, 0); err == nil {
--- a/internal/relay/epochs_test.go
+++ b/internal/relay/epochs_test.go
@@ -222,20 +222,20 @@
 		return platform.Snapshot{Epoch: epoch, Version: version, AsOf: time.Now(), Records: []platform.Record{{Name: "a", Version: version}}}
 	}
 	l := NewLog(time.Now)
-	l.apply(table, snap(1, 38), true)
-	l.apply(table, snap(1, 39), false)
+	mustApply(t, l, snap(1, 38), true)
+	mustApply(t, l, snap(1, 39), false)
 	if a, _, err := l.changesReply(table, 38, 0); err != nil || len(a.records) == 0 || a.epoch != 1 {
 		t.Errorf("reply to an earlier release before a restore is %v, %v, want the changes", a, err)
 	}
 	if !l.acceptsEpoch(table, 0) {
 		t.Error("an answer of an earlier release is rejected before a restore")
 	}
-	l.apply(table, snap(2, 36), false)
+	mustApply(t, l, snap(2, 36), false)
 	if _, _, err := l.tableReply(table); !errors.Is(err, errNotAnswerable) {
 		t.Errorf("the whole table is returned before it was read in the new epoch: %v", err)
 	}
-	l.apply(table, snap(2, 35), true)
-	l.apply(table, snap(2, 36), false)
+	mustApply(t, l, snap(2, 35), true)
+	mustApply(t, l, snap(2, 36), false)
 	if _, _, err := l.changesReply(table, 39, 0); !errors.Is(err, errNotAnswerable) {
 		t.Errorf("a call of an earlier release is answered after a restore: %v", err)
 	}
@@ -248,7 +248,7 @@
 	if a, _, err := l.changesReply(table, 35, 2); err != nil || len(a.records) == 0 {
 		t.Errorf("reply to a call in the same epoch is %+v, %v, want the changes", a, err)
 	}
-	l.apply(table, snap(1, 50), true)
+	mustApply(t, l, snap(1, 50), true)
 	if a, _, err := l.changesReply(table, 36, 2); err != nil || a.version != 36 {
 		t.Errorf("version %d, %v after an answer of the earlier epoch, want 36", a.version, err)
 	}
@@ -257,13 +257,13 @@
 // A long poll ends when the store was restored, so that the peer reads the whole table at once.
 func TestNewEpochEndsLongPoll(t *testing.T) {
 	l := NewLog(time.Now)
-	l.apply(table, platform.Snapshot{Epoch: 1, Version: 39, AsOf: time.Now()}, true)
+	mustApply(t, l, platform.Snapshot{Epoch: 1, Version: 39, AsOf: time.Now()}, true)
 	params, err := json.Marshal(changesParams{Table: table, After: 39, Epoch: 1, WaitMS: 10_000})
 	if err != nil {
 		t.Fatal(err)
 	}
 	time.AfterFunc(30*time.Millisecond, func() {
-		l.apply(table, platform.Snapshot{Epoch: 2, Version: 36, AsOf: time.Now()}, true)
+		mustApply(t, l, platform.Snapshot{Epoch: 2, Version: 36, AsOf: time.Now()}, true)
 	})
 	begun := time.Now()
 	got, err := l.handleChanges(t.Context(), nil, params)
@@ -281,12 +281,12 @@
 		return string(l.liveSnapshot(l.table(table)).Records[0].Value)
 	}
 	l := NewLog(time.Now)
-	l.apply(table, platform.Snapshot{Epoch: 2, Version: 36, Records: []platform.Record{{Name: "config", Version: 5, Value: []byte("52")}}}, true)
+	mustApply(t, l, platform.Snapshot{Epoch: 2, Version: 36, Records: []platform.Record{{Name: "config", Version: 5, Value: []byte("52")}}}, true)
 	l.OverrideRow(table, platform.Record{Name: "config", Version: 39, Value: []byte("59")})
 	if got := value(l); got != "59" {
 		t.Errorf("relayed row is %s, want the kept one", got)
 	}
-	l.apply(table, platform.Snapshot{Epoch: 2, Version: 38, Records: []platform.Record{{Name: "config", Version: 38, Value: []byte("60")}}}, false)
+	mustApply(t, l, platform.Snapshot{Epoch: 2, Version: 38, Records: []platform.Record{{Name: "config", Version: 38, Value: []byte("60")}}}, false)
 	if got := value(l); got != "60" {
 		t.Errorf("relayed row is %s, want the store's later one", got)
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -9,6 +9,7 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -73,17 +74,41 @@
 	return t
 }
 
-// apply merges an answer of the store or of a peer into the log. full is set if the answer holds
-// the whole table.
-func (l *Log) apply(table string, s platform.Snapshot, full bool) {
+// ErrOlderTable is wrapped when a whole table has a lower version than the one that is known. It wraps ErrStale.
+var ErrOlderTable = fmt.Errorf("%w: an older table than the known one", ErrStale)
+
+// applyStored merges an answer of the store. A store that states no epoch shows only by a lower version that it was
+// restored from a backup copy.
+func (l *Log) applyStored(table string, s platform.Snapshot, full bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.table(table); full && s.Epoch == 0 && t.epoch == 0 && s.Version < t.version {
+		t.forget()
+	}
+	return l.merge(table, s, full)
+}
+
+// apply merges an answer of a peer into the log. full is set if the answer holds the whole table.
+func (l *Log) apply(table string, s platform.Snapshot, full bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.merge(table, s, full)
+}
+
+// merge merges an answer into the log. Versions and times of two answers of one epoch may be combined only if the
+// rows of the higher version stay: the store had no later version at the later of the two times. Changes of a table
+// that was not read are therefore not used, and a whole table of a lower version is rejected. The caller must hold
+// l.mu.
+func (l *Log) merge(table string, s platform.Snapshot, full bool) error {
 	t := l.table(table)
-	if !t.advanceEpoch(s.Epoch, full) {
-		return
+	if !t.advanceEpoch(s.Epoch, full) || t.floor < 0 && !full {
+		return nil
+	}
+	if full && s.Version < t.version {
+		return ErrOlderTable
 	}
 	t.failing = false
-	if s.AsOf.After(t.asOf) {
+	if t.floor < 0 || s.AsOf.After(t.asOf) {
 		t.asOf = s.AsOf
 		t.signals.confirmed = closeAndReplace(t.signals.confirmed)
 	}
@@ -94,7 +119,9 @@
 		if r.Version == 0 {
 			r.Version = s.Version
 		}
-		t.rows[r.Name] = l.track(r)
+		if r.Version >= t.rows[r.Name].record.Version {
+			t.rows[r.Name] = l.track(r)
+		}
 	}
 	t.version = max(t.version, s.Version)
 	if full || len(s.Records) > 0 {
@@ -102,6 +129,7 @@
 		t.cachedChanges, t.cachedTable = reply{}, reply{}
 		l.pruneTombstones(t)
 	}
+	return nil
 }
 
 // advanceEpoch moves the table to the epoch of an answer if that is a later one, and reports
@@ -118,14 +146,18 @@
 	t.restored = t.restored || t.epoch != 0
 	t.epoch = epoch
 	if known {
-		t.rows, t.floor, t.version = map[string]trackedRow{}, -1, 0
-		t.cachedChanges, t.cachedTable = reply{}, reply{}
-		// Waiting peers must read the whole table again.
-		t.signals.changed = closeAndReplace(t.signals.changed)
+		t.forget()
 	}
 	return full
 }
 
+// forget drops all rows. Waiting peers must read the whole table again.
+func (t *tableLog) forget() {
+	t.rows, t.floor, t.version = map[string]trackedRow{}, -1, 0
+	t.cachedChanges, t.cachedTable = reply{}, reply{}
+	t.signals.changed = closeAndReplace(t.signals.changed)
+}
+
 // versionsComparable reports whether versions that a peer counts in the given epoch can be
 // compared with the versions here. Epoch 0 means that the peer did not state one.
 func (t *tableLog) versionsComparable(epoch int64) bool {
@@ -152,13 +184,20 @@
 	return l.table(table).epoch
 }
 
+// version returns the version of a table.
+func (l *Log) version(table string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table(table).version
+}
+
 // OverrideRow replaces a row that the store restored in an older version. Peers that ask this entry get
 // the kept row until the store has a later one.
 func (l *Log) OverrideRow(table string, row platform.Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.table(table)
-	row.Version = t.version
+	row.Version = max(t.version, t.rows[row.Name].record.Version)
 	t.rows[row.Name] = l.track(row)
 	t.cachedChanges, t.cachedTable = reply{}, reply{}
 }
@@ -169,14 +208,15 @@
 	return make(chan struct{})
 }
 
-// tombstoneMissing marks the rows that are missing from a snapshot of the whole table as removed.
+// tombstoneMissing marks the rows that are missing from a snapshot of the whole table as removed. A later row may
+// have been written while the pages of the table were read.
 func (l *Log) tombstoneMissing(t *tableLog, s platform.Snapshot) {
 	listed := make(map[string]bool, len(s.Records))
 	for _, r := range s.Records {
 		listed[r.Name] = true
 	}
 	for name, e := range t.rows {
-		if !listed[name] && !e.record.Removed {
+		if !listed[name] && !e.record.Removed && e.record.Version <= s.Version {
 			t.rows[name] = l.track(platform.Record{Name: name, Version: s.Version, Removed: true})
 		}
 	}
--- a/internal/relay/recheck_test.go
+++ b/internal/relay/recheck_test.go
@@ -77,7 +77,7 @@
 	d.list()
 	a, b := d.entries[0], d.entries[1]
 	a.store.down = true
-	a.log.apply(table, platform.Snapshot{Version: 6, AsOf: time.Now().Add(-time.Minute), Records: []platform.Record{{Name: "a", Version: 6, Value: []byte("2")}}}, false)
+	mustApply(t, a.log, platform.Snapshot{Version: 6, AsOf: time.Now().Add(-time.Minute), Records: []platform.Record{{Name: "a", Version: 6, Value: []byte("2")}}}, false)
 	a.log.table(table).asOf = time.Now().Add(-time.Minute)
 	b.store.down = true
 	snap, err := b.relayed.Changes(t.Context(), table, 5, 0)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -146,7 +146,7 @@
 		}
 		got <- s
 	}()
-	d.entries[0].log.apply(table, platform.Snapshot{Version: 8, AsOf: time.Now(), Records: []platform.Record{{Name: "a", Version: 8, Removed: true}}}, false)
+	mustApply(t, d.entries[0].log, platform.Snapshot{Version: 8, AsOf: time.Now(), Records: []platform.Record{{Name: "a", Version: 8, Removed: true}}}, false)
 	s := <-got
 	if len(s.Records) != 1 || !s.Records[0].Removed || s.Version != 8 {
 		t.Errorf("got %+v, want the removal", s)
@@ -375,8 +375,8 @@
 
 func TestWholeTableTombstonesMissingRows(t *testing.T) {
 	l := NewLog(time.Now)
-	l.apply(table, platform.Snapshot{Version: 3, Records: []platform.Record{{Name: "a", Version: 1}, {Name: "b", Version: 2}}}, true)
-	l.apply(table, platform.Snapshot{Version: 9, Records: []platform.Record{{Name: "b", Version: 2}}}, true)
+	mustApply(t, l, platform.Snapshot{Version: 3, Records: []platform.Record{{Name: "a", Version: 1}, {Name: "b", Version: 2}}}, true)
+	mustApply(t, l, platform.Snapshot{Version: 9, Records: []platform.Record{{Name: "b", Version: 2}}}, true)
 	s, ok := l.since(table, 3)
 	if !ok || len(s.Records) != 1 || s.Records[0].Name != "a" || !s.Records[0].Removed {
 		t.Errorf("since 3: %+v, %v; want the removal of a", s.Records, ok)
@@ -389,10 +389,10 @@
 func TestTombstonesArePruned(t *testing.T) {
 	at := time.Now()
 	l := NewLog(func() time.Time { return at })
-	l.apply(table, platform.Snapshot{Version: 1}, true)
-	l.apply(table, platform.Snapshot{Version: 5, Records: []platform.Record{{Name: "a", Version: 5, Removed: true}}}, false)
+	mustApply(t, l, platform.Snapshot{Version: 1}, true)
+	mustApply(t, l, platform.Snapshot{Version: 5, Records: []platform.Record{{Name: "a", Version: 5, Removed: true}}}, false)
 	at = at.Add(2 * tombstoneTTL)
-	l.apply(table, platform.Snapshot{Version: 6, Records: []platform.Record{{Name: "b", Version: 6}}}, false)
+	mustApply(t, l, platform.Snapshot{Version: 6, Records: []platform.Record{{Name: "b", Version: 6}}}, false)
 	if _, ok := l.since(table, 4); ok {
 		t.Error("the log answers from a version whose tombstones were pruned")
 	}
@@ -433,7 +433,7 @@
 	}
 	confirmed := time.Now().Add(200 * time.Millisecond)
 	time.AfterFunc(time.Until(confirmed), func() {
-		d.entries[0].log.apply(table, platform.Snapshot{Version: 5, AsOf: confirmed}, false)
+		mustApply(t, d.entries[0].log, platform.Snapshot{Version: 5, AsOf: confirmed}, false)
 	})
 	got, err := d.entries[1].changes(t)
 	if err != nil {
@@ -473,9 +473,9 @@
 // bytes, and that the cached bytes are dropped when the rows change.
 func TestRepliesAreEncodedOnce(t *testing.T) {
 	l := NewLog(time.Now)
-	l.apply(table, platform.Snapshot{Version: 5}, true)
+	mustApply(t, l, platform.Snapshot{Version: 5}, true)
 	put := func(version int64, name string) {
-		l.apply(table, platform.Snapshot{Version: version, Records: []platform.Record{{Name: name, Version: version, Value: []byte(name)}}}, false)
+		mustApply(t, l, platform.Snapshot{Version: version, Records: []platform.Record{{Name: name, Version: version, Value: []byte(name)}}}, false)
 	}
 	ask := func(after int64) reply {
 		t.Helper()
--- a/internal/relay/starts_test.go
+++ b/internal/relay/starts_test.go
@@ -57,7 +57,7 @@
 		{"delegate has no table yet", func(*entryFixture) {}},
 		{"delegate is down", func(e *entryFixture) { e.server.Close() }},
 		{"table of the delegate is stale", func(e *entryFixture) {
-			e.log.apply(table, platform.Snapshot{Version: 1, AsOf: time.Now().Add(-time.Hour)}, true)
+			mustApply(t, e.log, platform.Snapshot{Version: 1, AsOf: time.Now().Add(-time.Hour)}, true)
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -82,7 +83,8 @@
 	now        func() time.Time
 	dial       func(ctx context.Context, address string) (*peer.Conn, error)
 	// random returns a number in [0, 1).
-	random func() float64
+	random      func() float64
+	olderTables atomic.Int64
 
 	mu         sync.Mutex
 	conns      map[string]openConn
@@ -141,8 +143,7 @@
 		return platform.Snapshot{}, err
 	}
 	s.recordSource(table, "")
-	s.log.apply(table, snap, true)
-	return snap, nil
+	return snap, s.log.applyStored(table, snap, true)
 }
 
 // askList asks a peer for the whole table and rejects an answer that is older than oldest. A peer
@@ -151,7 +152,6 @@
 	snap, err := s.ask(ctx, p, query{method: methodList, table: table, wait: s.settings.Wait}, oldest)
 	if err == nil {
 		s.recordSource(table, p.Name)
-		s.log.apply(table, snap, true)
 	}
 	return snap, err
 }
@@ -227,8 +227,8 @@
 		snap, err = s.changesDirect(ctx, table, after, wait)
 		switch {
 		case err == nil:
-			s.applyChanges(table, "", snap)
-			return snap, nil
+			s.recordChanges(table, "")
+			return snap, s.log.applyStored(table, snap, snap.Full)
 		case errors.Is(err, platform.ErrHistoryGone):
 			return snap, err
 		}
@@ -251,7 +251,7 @@
 	for _, p := range refused[:min(maxAsked, len(refused))] {
 		snap, err := s.ask(ctx, p, query{method: methodChanges, table: table, after: after, epoch: s.log.epoch(table), whole: true}, s.settings.MaxAge)
 		if err == nil {
-			s.applyChanges(table, p.Name, snap)
+			s.recordChanges(table, p.Name)
 			return snap, true
 		}
 	}
@@ -334,21 +334,19 @@
 	return snap, err
 }
 
-// askChanges asks a peer for changes and applies its answer.
+// askChanges asks a peer for changes.
 func (s *Store) askChanges(ctx context.Context, p Peer, table string, after int64) (platform.Snapshot, error) {
 	q := query{method: methodChanges, table: table, after: after, epoch: s.log.epoch(table), wait: s.longPollWait(table)}
 	snap, err := s.ask(ctx, p, q, s.settings.MaxAge)
 	if err == nil {
-		s.applyChanges(table, p.Name, snap)
+		s.recordChanges(table, p.Name)
 	}
 	return snap, err
 }
 
-// applyChanges applies an answer with changes. source is the name of the peer, empty for the
-// store.
-func (s *Store) applyChanges(table, source string, snap platform.Snapshot) {
+// recordChanges records the source of an answer to a call for changes: the name of the peer, empty for the store.
+func (s *Store) recordChanges(table, source string) {
 	s.recordSource(table, source)
-	s.log.apply(table, snap, snap.Full)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextTurn = time.Time{}
@@ -416,9 +414,9 @@
 	return peer
 }
 
-// ask calls a peer. A peer that fails on a new connection is not asked again for a while, and for a shorter
-// while if it refuses the call, or if its answer is of an earlier epoch or older than oldest. Changes are used
-// however old they are: the copy here is older.
+// ask calls a peer and merges its answer into the log. A peer that fails on a new connection is not asked again for
+// a while, and for a shorter while if it refuses the call, or if its answer is of an earlier epoch, an older whole
+// table than the known one, or older than oldest. Changes are used however old they are: the copy here is older.
 func (s *Store) ask(ctx context.Context, p Peer, q query, oldest time.Duration) (platform.Snapshot, error) {
 	snap, err := s.callRepeated(ctx, p, q)
 	changes := q.method == methodChanges && !snap.Full && len(snap.Records) > 0
@@ -428,9 +426,16 @@
 	if err == nil && !s.log.acceptsEpoch(q.table, snap.Epoch) {
 		err = fmt.Errorf("%w: %s answered from before the store was restored from a copy", ErrStale, p.Name)
 	}
+	if err == nil {
+		err = s.log.apply(q.table, snap, q.method == methodList || snap.Full)
+	}
 	if err == nil || callerCancelled(ctx) {
 		return snap, err
 	}
+	if errors.Is(err, ErrOlderTable) {
+		s.olderTables.Add(1)
+		s.rec.Note(events.RelayOlder, "", "peer", p.Name, "table", q.table, "version", snap.Version, "known", s.log.version(q.table), "epoch", snap.Epoch)
+	}
 	avoid := s.settings.AvoidFor
 	if errors.Is(err, ErrStale) || errors.Is(err, peer.ErrRefused) {
 		avoid = s.settings.AvoidStaleFor
@@ -442,6 +447,9 @@
 	return snap, err
 }
 
+// OlderTables returns how many whole tables of peers were rejected because a later one was known.
+func (s *Store) OlderTables() int64 { return s.olderTables.Load() }
+
 // CallPeer calls a method of the named peer.
 func (s *Store) CallPeer(ctx context.Context, name, method string, params, result any) error {
 	for _, p := range s.peers() {
--- a/internal/relay/zones_test.go
+++ b/internal/relay/zones_test.go
@@ -147,7 +147,7 @@
 	}()
 	time.Sleep(20 * time.Millisecond)
 	made := time.Now()
-	d.entries[0].log.apply(table, platform.Snapshot{Version: 5, AsOf: made}, false)
+	mustApply(t, d.entries[0].log, platform.Snapshot{Version: 5, AsOf: made}, false)
 	select {
 	case s := <-got:
 		if made.Sub(s.AsOf) > 10*time.Millisecond {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -346,7 +346,7 @@
 mutant epoch-older internal/belief/follower.go 's/case s\.Epoch != 0 && s\.Epoch < f\.epoch:/case false:/' internal/belief TestOnlyReadEpochsConfirm
 mutant epoch-again internal/belief/follower.go 's/\t\tf\.relistAt = f\.settled\n//' internal/belief TestTableIsReadAgain
 mutant epoch-pages platform/store.go 's/if rows\.epoch != out\.Epoch \{/if false {/' platform TestListFailsWhenStoreIsRestoredBetweenPages
-mutant epoch-log internal/relay/log.go 's/\tif known \{\n\t\tt\.rows/\tif known \&\& false {\n\t\tt.rows/' internal/relay TestEpochsWithEarlierRelease
+mutant epoch-log internal/relay/log.go 's/\tif known \{\n\t\tt\.forget/\tif known \&\& false {\n\t\tt.forget/' internal/relay TestEpochsWithEarlierRelease
 mutant epoch-asker internal/relay/log.go 's/case !t\.versionsComparable\(epoch\):/case false \&\& !t.versionsComparable(epoch):/' internal/relay TestEpochsWithEarlierRelease
 mutant epoch-unstated internal/relay/log.go 's/case epoch == 0 && t\.restored:/case false:/' internal/relay TestEpochsWithEarlierRelease
 mutant restored-gone internal/fleet/set.go 's/stale := s\.restoring && m\.state == Leaving/stale := false/' internal/fleet TestFleetAfterTheStoreWasRestored
@@ -594,6 +594,11 @@
 mutant relay-whole-age internal/relay/store.go 's/ && !snap\.Full && / \&\& /' internal/relay TestEntryBehindTheHistoryOfStalePeers
 mutant relay-whole-failing internal/relay/log.go 's/after < t\.floor && !t\.failing:/after <= t.version:/' internal/relay TestPeersThatCannotAnswer
 mutant follower-whole internal/belief/follower.go 's/\tfull = full \|\| s\.Full\n//' internal/belief TestWholeTableInPlaceOfChanges
+mutant relay-older-table internal/relay/log.go 's/if full && s\.Version < t\.version \{/if false {/' internal/relay TestOlderWholeTableIsNotRelayed
+mutant relay-older-row internal/relay/log.go 's/if r\.Version >= t\.rows\[r\.Name\]\.record\.Version \{/if true {/' internal/relay TestOlderWholeTableIsNotRelayed
+mutant relay-later-row internal/relay/log.go 's/ && e\.record\.Version <= s\.Version \{/ {/' internal/relay TestRowWrittenWhilePagesAreRead
+mutant relay-unread internal/relay/log.go 's/ \|\| t\.floor < 0 && !full \{/ {/' internal/relay TestChangesOfAnUnreadTable
+mutant relay-store-older internal/relay/log.go 's/\t\tt\.forget\(\)\n\t\}\n\treturn l\.merge/\t\t_ = t\n\t}\n\treturn l.merge/' internal/relay TestWholeTableOfRestoredStore
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
 mutant routes-one-reading $gateway/request.go 's/rq\.table = read\.Table/rq.table, _ = g.routes.Current()/' $gateway TestRequestReadsTheRouteTableOnce
