fix(belief): a follower doesn't apply an older whole table under the later version

Callers would have seen a zone used that was closed, or an upstream asked that had left: the rows between an older whole table and the known version were never read again.

Cause: Follower kept the higher version while it applied the rows of an older whole table, and asked for the changes after the higher version.

Evidence, before: applied versions [10 8 10] with 3 confirmations and 0 failures, want [10 10] and 1 failure.

An older whole table of the same epoch is a failed call: it changes and confirms nothing. Otherwise a whole table sets the version, so both belong together also for a store that states no epoch.

--- a/internal/belief/epochs_test.go
+++ b/internal/belief/epochs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -206,3 +207,44 @@
 		t.Errorf("%d whole tables, %d of them marked as restored, want one more", lists, restored)
 	}
 }
+
+// An older whole table was applied while the follower kept the later version, so the rows in between were never read.
+func TestOlderWholeTableIsNotApplied(t *testing.T) {
+	answer := func(epoch, version int64) func() (platform.Snapshot, error) {
+		return func() (platform.Snapshot, error) {
+			return platform.Snapshot{Epoch: epoch, Version: version, Records: []platform.Record{{Name: "a", Version: version}}}, nil
+		}
+	}
+	full := func(version int64) func() (platform.Snapshot, error) {
+		return func() (platform.Snapshot, error) {
+			s, err := answer(1, version)()
+			s.Full = true
+			return s, err
+		}
+	}
+	for _, tc := range []struct {
+		name     string
+		answers  []func() (platform.Snapshot, error)
+		applied  []int64
+		after    int64
+		failures int
+	}{
+		{"an older table after history is gone", []func() (platform.Snapshot, error){answer(1, 10), errorOf(platform.ErrHistoryGone), answer(1, 8), answer(1, 10)}, []int64{10, 10}, 10, 1},
+		{"an older table in place of changes", []func() (platform.Snapshot, error){answer(1, 10), full(8), full(11)}, []int64{10, 11}, 11, 1},
+		{"a later epoch", []func() (platform.Snapshot, error){answer(1, 10), errorOf(platform.ErrHistoryGone), answer(2, 8)}, []int64{10, 8}, 8, 0},
+		{"a store that states no epoch", []func() (platform.Snapshot, error){answer(0, 10), errorOf(platform.ErrHistoryGone), answer(0, 8)}, []int64{10, 8}, 8, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, confirms := newScriptedFollower(tc.answers...), 0
+			s.Follower.confirm = func(time.Time) { confirms++ }
+			s.run(t)
+			var applied []int64
+			for _, snap := range s.applied {
+				applied = append(applied, snap.Version)
+			}
+			if !slices.Equal(applied, tc.applied) || s.version != tc.after || s.lost != tc.failures || confirms != len(tc.applied) {
+				t.Errorf("applied versions %v with %d confirmations and %d failures, changes are asked for after %d; want %v, %d failures, after %d", applied, confirms, s.lost, s.version, tc.applied, tc.failures, tc.after)
+			}
+		})
+	}
+}
--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -156,6 +156,8 @@
 		// table is read next.
 		f.synced = false
 		return nil
+	case full && f.epoch != 0 && s.Epoch <= f.epoch && s.Version < f.version:
+		return fmt.Errorf("%w: version %d, known %d", errOlderTable, s.Version, f.version)
 	}
 	f.recordSuccess(&s, full)
 	if full || len(s.Records) > 0 {
@@ -212,6 +214,10 @@
 // errOlderEpoch marks an answer from before the store was restored from a backup.
 var errOlderEpoch = errors.New("answer is older than the store's restore from a backup")
 
+// errOlderTable marks a whole table of a lower version than the known one. Without epochs, a lower version shows that
+// the store was restored from a backup.
+var errOlderTable = errors.New("whole table is older than the known one")
+
 // needsWholeTable reports whether the next call is to read the whole table.
 func (f *Follower) needsWholeTable() bool {
 	f.mu.Lock()
@@ -233,7 +239,12 @@
 	if full {
 		f.relistAt = time.Time{}
 	}
-	if s.Epoch <= f.epoch {
+	switch {
+	case s.Epoch > f.epoch:
+	case full:
+		f.version = s.Version
+		return
+	default:
 		f.version = max(f.version, s.Version)
 		return
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -594,6 +594,8 @@
 mutant relay-whole-age internal/relay/store.go 's/ && !snap\.Full && / \&\& /' internal/relay TestEntryBehindTheHistoryOfStalePeers
 mutant relay-whole-failing internal/relay/log.go 's/after < t\.floor && !t\.failing:/after <= t.version:/' internal/relay TestPeersThatCannotAnswer
 mutant follower-whole internal/belief/follower.go 's/\tfull = full \|\| s\.Full\n//' internal/belief TestWholeTableInPlaceOfChanges
+mutant follower-older internal/belief/follower.go 's/case full && f\.epoch != 0 && s\.Epoch <= f\.epoch && s\.Version < f\.version:/case false:/' internal/belief TestOlderWholeTableIsNotApplied
+mutant follower-version internal/belief/follower.go 's/case full:\n\t\tf\.version = s\.Version/case full:\n\t\tf.version = max(f.version, s.Version)/' internal/belief TestOlderWholeTableIsNotApplied
 mutant relay-older-table internal/relay/log.go 's/if full && s\.Version < t\.version \{/if false {/' internal/relay TestOlderWholeTableIsNotRelayed
 mutant relay-older-row internal/relay/log.go 's/if r\.Version >= t\.rows\[r\.Name\]\.record\.Version \{/if true {/' internal/relay TestOlderWholeTableIsNotRelayed
 mutant relay-later-row internal/relay/log.go 's/ && e\.record\.Version <= s\.Version \{/ {/' internal/relay TestRowWrittenWhilePagesAreRead
