fix(relay): changes across a time that was not followed are not listed

Callers would have seen a zone avoided that was open again, or an upstream asked that had gone: an entry kept a row that the store had removed, until it read the whole table.

Cause: an entry that loses the history reads the whole table. It listed the changes since any version after its first read, although rows that were written and removed again in between are in neither table that it read. A peer with a version in between knows such a row and was not told of its removal.

Evidence, before: changes after 11: <nil>, want the table is not known here since that version

The log keeps the versions between which it read only the whole table. Who asks for the changes after one of these is refused as with too short a history, and gets the whole table. Who has the version before or a later one, which is the usual case, gets the changes.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -28,6 +28,9 @@
 	// not read.
 	floor   int64
 	version int64
+	// gapAfter and gapEnd enclose the versions of which the log may lack rows that were removed again: only the
+	// whole table at gapEnd was read. Both are 0 if there is no gap.
+	gapAfter, gapEnd int64
 	// epoch is the store's epoch in which the rows were read. restored is set once the store was
 	// restored from a backup copy, which begins a new epoch. See platform.Snapshot.
 	epoch    int64
@@ -113,6 +116,7 @@
 		t.signals.confirmed = closeAndReplace(t.signals.confirmed)
 	}
 	if full {
+		t.extendGap(s.Version)
 		l.tombstoneMissing(t, s)
 	}
 	for _, r := range s.Records {
@@ -153,7 +157,7 @@
 
 // forget drops all rows. Waiting peers must read the whole table again.
 func (t *tableLog) forget() {
-	t.rows, t.floor, t.version = map[string]trackedRow{}, -1, 0
+	t.rows, t.floor, t.version, t.gapAfter, t.gapEnd = map[string]trackedRow{}, -1, 0, 0, 0
 	t.cachedChanges, t.cachedTable = reply{}, reply{}
 	t.signals.changed = closeAndReplace(t.signals.changed)
 }
@@ -225,6 +229,23 @@
 	}
 }
 
+// extendGap records that only the whole table at a version was read, and not the changes before it. Several gaps
+// count as one.
+func (t *tableLog) extendGap(version int64) {
+	if t.floor < 0 || version == t.version {
+		return
+	}
+	if t.gapEnd == 0 {
+		t.gapAfter = t.version
+	}
+	t.gapEnd = version
+}
+
+// listsSince reports whether the log holds all changes after a version.
+func (t *tableLog) listsSince(after int64) bool {
+	return after >= t.floor && (after <= t.gapAfter || after >= t.gapEnd)
+}
+
 func (l *Log) track(r platform.Record) trackedRow {
 	e := trackedRow{record: r}
 	if r.Removed {
@@ -273,7 +294,7 @@
 		return reply{version: t.version, epoch: t.epoch, asOf: t.asOf, immediate: true}, t.signals, nil
 	case epoch == 0 && t.restored:
 		return reply{}, tableSignals{}, errNotAnswerable
-	case t.floor >= 0 && after < t.floor && !t.failing:
+	case t.floor >= 0 && !t.listsSince(after) && !t.failing:
 		return reply{}, tableSignals{}, errHistoryTooShort
 	}
 	if t.cachedChanges.records == nil || t.cachedAfter != after {
@@ -316,7 +337,7 @@
 // of date to list them. The caller must hold l.mu.
 func (l *Log) since(table string, after int64) (s platform.Snapshot, ok bool) {
 	t := l.table(table)
-	if t.floor < 0 || after < t.floor || t.failing {
+	if t.floor < 0 || !t.listsSince(after) || t.failing {
 		return platform.Snapshot{}, false
 	}
 	if after >= t.version {
--- a/internal/relay/older_test.go
+++ b/internal/relay/older_test.go
@@ -128,6 +128,30 @@
 	}
 }
 
+// An entry listed changes across a time of which it had read only the whole table at the end. Peers that knew a row
+// from that time were not told that it had been removed.
+func TestChangesAcrossAnUnfollowedTimeAreNotListed(t *testing.T) {
+	l := NewLog(time.Now)
+	read := func(version int64, full bool, rows map[string]int64) {
+		mustApply(t, l, platform.Snapshot{Epoch: 1, Version: version, Records: rowsAt(rows)}, full)
+	}
+	read(5, true, map[string]int64{"config": 4})
+	read(8, false, map[string]int64{"config": 8})
+	read(8, true, map[string]int64{"config": 8})
+	// evacuate/z1 was written at 10 and removed at 12.
+	read(20, true, map[string]int64{"config": 8, "i-1": 15})
+	read(22, false, map[string]int64{"i-1": 22})
+	for after, want := range map[int64]error{4: errHistoryTooShort, 5: nil, 7: nil, 8: nil, 9: errHistoryTooShort, 11: errHistoryTooShort, 19: errHistoryTooShort, 20: nil, 21: nil, 22: nil} {
+		if _, _, err := l.changesReply(table, after, 1); !errors.Is(err, want) || want == nil && err != nil {
+			t.Errorf("changes after %d: %v, want %v", after, err, want)
+		}
+	}
+	mustApply(t, l, platform.Snapshot{Epoch: 2, Version: 9, Records: rowsAt(map[string]int64{"config": 9})}, true)
+	if _, _, err := l.changesReply(table, 9, 2); err != nil {
+		t.Errorf("changes of the next epoch: %v", err)
+	}
+}
+
 // An entry that read the whole table from a peer that is behind passed the older rows on, as the newest version, to
 // an entry that started. That one asked for the changes after the version and never got the later rows.
 func TestEntryThatStartsGetsNoOlderTableAsTheNewest(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -592,7 +592,7 @@
 mutant relay-old-changes internal/relay/store.go 's/ && !changes \{/ \&\& (changes || !changes) {/' internal/relay TestOldAnswerWithChangesIsUsed
 mutant relay-whole internal/relay/server.go 's/errors\.Is\(err, errHistoryTooShort\) && p\.Whole/false/' internal/relay TestEntryBehindTheHistoryOfItsPeers
 mutant relay-whole-age internal/relay/store.go 's/ && !snap\.Full && / \&\& /' internal/relay TestEntryBehindTheHistoryOfStalePeers
-mutant relay-whole-failing internal/relay/log.go 's/after < t\.floor && !t\.failing:/after <= t.version:/' internal/relay TestPeersThatCannotAnswer
+mutant relay-whole-failing internal/relay/log.go 's/!t\.listsSince\(after\) && !t\.failing:/after <= t.version:/' internal/relay TestPeersThatCannotAnswer
 mutant follower-whole internal/belief/follower.go 's/\tfull = full \|\| s\.Full\n//' internal/belief TestWholeTableInPlaceOfChanges
 mutant follower-older internal/belief/follower.go 's/case full && f\.epoch != 0 && s\.Epoch <= f\.epoch && s\.Version < f\.version:/case false:/' internal/belief TestOlderWholeTableIsNotApplied
 mutant follower-version internal/belief/follower.go 's/case full:\n\t\tf\.version = s\.Version/case full:\n\t\tf.version = max(f.version, s.Version)/' internal/belief TestOlderWholeTableIsNotApplied
@@ -600,6 +600,7 @@
 mutant relay-older-row internal/relay/log.go 's/if r\.Version >= t\.rows\[r\.Name\]\.record\.Version \{/if true {/' internal/relay TestOlderWholeTableIsNotRelayed
 mutant relay-later-row internal/relay/log.go 's/ && e\.record\.Version <= s\.Version \{/ {/' internal/relay TestRowWrittenWhilePagesAreRead
 mutant relay-unread internal/relay/log.go 's/ \|\| t\.floor < 0 && !full \{/ {/' internal/relay TestChangesOfAnUnreadTable
+mutant relay-gap internal/relay/log.go 's/ && \(after <= t\.gapAfter \|\| after >= t\.gapEnd\)//' internal/relay TestChangesAcrossAnUnfollowedTime
 mutant relay-store-older internal/relay/log.go 's/\t\tt\.forget\(\)\n\t\}\n\treturn l\.merge/\t\t_ = t\n\t}\n\treturn l.merge/' internal/relay TestWholeTableOfRestoredStore
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
