--- a/internal/relay/epochs_test.go
+++ b/internal/relay/epochs_test.go
@@ -71,6 +71,14 @@
 }
 
 func newFollowers(t *testing.T, n int) *followers {
+	t.Helper()
+	return newFollowersWith(t, n, func(_ int, m *member) (*platform.Store, func(s platform.Snapshot, full bool)) {
+		return m.source.Platform(), m.apply
+	})
+}
+
+// newFollowersWith is newFollowers with the store that each follower reads and what it applies answers to.
+func newFollowersWith(t *testing.T, n int, with func(i int, m *member) (*platform.Store, func(s platform.Snapshot, full bool))) *followers {
 	t.Helper()
 	f := &followers{store: standin.NewRecordStore()}
 	for i := range n {
@@ -89,11 +97,12 @@
 		}, belief.WithAnswerTimes(f.storeFor(m), time.Now), m.log, func() []Peer { return f.others(m) }, closedChannel(), events.Nop(), time.Now)
 		f.list = append(f.list, m)
 	}
-	for _, m := range f.list {
+	for i, m := range f.list {
+		store, apply := with(i, m)
 		follower := belief.New(belief.Settings{
 			Table: table, HoldTime: 60 * time.Millisecond, CallSlack: 200 * time.Millisecond, ListTimeout: 500 * time.Millisecond,
 			BackoffMin: 5 * time.Millisecond, BackoffMax: 20 * time.Millisecond, SettleFor: 200 * time.Millisecond, GatherDelay: time.Millisecond,
-		}, m.source.Platform(), m.apply, func(time.Time) {}, func() {}, events.Nop(), time.Now)
+		}, store, apply, func(time.Time) {}, func() {}, events.Nop(), time.Now)
 		go follower.Run(t.Context())
 	}
 	return f
