--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -605,6 +605,7 @@
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
 mutant routes-one-reading $gateway/request.go 's/rq\.table = read\.Table/rq.table, _ = g.routes.Current()/' $gateway TestRequestReadsTheRouteTableOnce
+mutant routes-confirm-version internal/belief/routes.go 's/r\.table\.Version\(\) == v && at/at/' internal/belief TestCrossingAnswersConfirm
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
 
 finish
