platform: read the table in pages when changes exceed one answer

What callers saw: after another writer had written some hundred rows of 64 KiB at once, no entry used a new upstream any more: none of three new upstreams got a request within 12 s.

Cause: the store's answer with the changes since a version has no pages. Once the changes exceed MaxResponseBytes the entry refused the answer, and asked for the same changes again, for as long as the store keeps its history.

Such an answer now counts as a history that is gone, so the whole table is read, which comes in pages. store-history-gone says why.

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -141,7 +141,7 @@
 	}
 	if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrRestored) {
 		f.synced = false
-		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version, "epoch", f.epoch)
+		f.rec.Note(events.StoreHistoryGone, "", "table", f.settings.Table, "version", f.version, "epoch", f.epoch, "error", err)
 		return nil
 	}
 	if err != nil {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -247,7 +247,7 @@
 	{PlatformFailed, "platform-failed", "A call to a platform store failed; it is retried with backoff."},
 	{StoreLost, "store-lost", "A call that follows a table of the store failed; the last known records stay in use."},
 	{StoreRegained, "store-regained", "The store answers again."},
-	{StoreHistoryGone, "store-history-gone", "The store discarded the changes since the last answer; the whole table is read again."},
+	{StoreHistoryGone, "store-history-gone", "The store discarded the changes since the last answer, or they are too many for one answer; the whole table is read again."},
 	{SourceChanged, "source-changed", "A table is followed through another source: the store, or an entry that follows the store."},
 	{RelayFailed, "relay-failed", "Another entry could not relay a table; the store is queried directly."},
 	{StoreRestored, "store-restored", "The store was restored from an older copy of itself: its versions continue from `version` in a new `epoch`, and records may be older than the known ones."},
