jsonbound: check everything that other processes write

The bound on the depth of JSON now holds for each decoder of what other writers, upstreams, peers and operators write: rows of the entries, of the use of retry budgets, of leases and of rollouts, the list of VMs, answers and events of engines, messages of peers and callers' bodies.

A message of a peer that nests too deeply ends a connection that others use as well. Bodies of callers and events of engines are sent on inside such messages, so they may nest half as deeply; the entry answers others with 400. Before, a body that nested nearly as deeply as the decoder allows was accepted and failed only as its message was sent ("connection lost: ... exceeded max depth").

The bound is 128 levels instead of 64, so that bodies and events keep 64. Messages in CBOR need no change: that decoder stops at 32 levels, 131,072 elements and the end of the data before it decodes.

--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,7 @@
 	$(GO) test ./internal/sidecar -run '^$$' -fuzz FuzzTokensFrame -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/gossip -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/gossip -run '^$$' -fuzz FuzzMembersAndBundles -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/jsonbound -run '^$$' -fuzz FuzzCheck -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/directory -run '^$$' -fuzz FuzzDecodeRow -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeUpstream -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeRoutes -fuzztime $(FUZZTIME)
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -14,6 +14,8 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+
+	"github.com/sparshore/sparshore/internal/jsonbound"
 )
 
 // ErrInvalid is wrapped by every error about the content of a configuration.
@@ -68,9 +70,15 @@
 	return c.finish(form, &checker{file: file, source: source})
 }
 
+// maxCanonicalBytes bounds the canonical form, which entries send to each other and keep as one object.
+const maxCanonicalBytes = 64 << 20
+
 // ParseCanonical parses and checks the canonical form. It rejects fields that this build does not know, so
 // that an older process never applies only a part of a configuration.
 func ParseCanonical(form []byte) (*Config, error) {
+	if err := jsonbound.Check(form, maxCanonicalBytes); err != nil {
+		return nil, syntaxFaults("canonical", err)
+	}
 	c := &Config{}
 	d := json.NewDecoder(bytes.NewReader(form))
 	d.DisallowUnknownFields()
--- a/internal/directory/row.go
+++ b/internal/directory/row.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -9,6 +8,7 @@
 	"unicode/utf8"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/roster"
 )
@@ -52,7 +52,7 @@
 	}
 	// The invalid default makes a missing field fail the range check below.
 	r := row{RenewedMS: -1}
-	if err := json.Unmarshal(value, &r); err != nil {
+	if err := jsonbound.Unmarshal(value, jsonbound.MaxRowBytes, &r); err != nil {
 		return row{}, fmt.Errorf("%w: %s", ErrRow, events.Excerpt(err.Error(), maxExcerptBytes))
 	}
 	a, err := netip.ParseAddrPort(r.Address)
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/rollout"
 	"github.com/sparshore/sparshore/internal/timeline"
@@ -152,7 +152,7 @@
 		return
 	}
 	var b applyBody
-	if err := json.Unmarshal(raw, &b); err != nil || b.Change == "" {
+	if err := jsonbound.Unmarshal(raw, len(raw), &b); err != nil || b.Change == "" {
 		writeJSON(w, http.StatusBadRequest, errBadBody.withMessage("change, base and source are needed").body(""))
 		return
 	}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -14,6 +14,7 @@
 
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -68,6 +69,9 @@
 }
 
 func parseCompletion(body []byte, api completionAPI) (completionRequest, *apiError) {
+	if err := jsonbound.CheckEmbedded(body, len(body)); err != nil {
+		return completionRequest{}, errBadBody.withMessage("the request body: " + err.Error())
+	}
 	var c completionRequest
 	if err := json.Unmarshal(body, &c); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -356,8 +360,7 @@
 	}
 	model := ""
 	if body, apiErr := e.readBody(w, r.Request); apiErr == nil {
-		var c completionRequest
-		_ = json.Unmarshal(body, &c)
+		c, _ := parseCompletion(body, api)
 		model = c.Model
 	}
 	st, err := e.resume(r.Context(), generation, offset, r.account.Name)
--- a/internal/jsonbound/jsonbound.go
+++ b/internal/jsonbound/jsonbound.go
@@ -14,14 +14,24 @@
 // ErrTooDeep is wrapped by the errors for JSON that is nested deeper than MaxDepth.
 var ErrTooDeep = errors.New("JSON is nested too deeply")
 
-// MaxDepth is the number of arrays and objects that may be nested. Those of this program and of the platform nest at
-// most six.
-const MaxDepth = 64
+const (
+	// MaxDepth is the number of arrays and objects that may be nested. Those of this program and of the platform
+	// nest at most six.
+	MaxDepth = 128
+	// MaxEmbeddedDepth is MaxDepth for texts that are sent on as a part of a message. The levels of the message add
+	// to theirs, and a message that nests too deeply ends a connection that others use as well.
+	MaxEmbeddedDepth = MaxDepth / 2
+)
+
+// MaxRowBytes is the size of the rows that the store keeps.
+const MaxRowBytes = 64 << 10
 
 // Check returns an error that wraps ErrTooDeep or sizebound.ErrTooLong if a text has more than maxBytes bytes, or
 // nests more than MaxDepth arrays and objects. It neither allocates nor recurses and does not check the syntax
 // otherwise: up to a syntax error, where decoders stop, it counts as they do.
-func Check(text []byte, maxBytes int) error {
+func Check(text []byte, maxBytes int) error { return check(text, maxBytes, MaxDepth) }
+
+func check(text []byte, maxBytes, maxDepth int) error {
 	if len(text) > maxBytes {
 		return fmt.Errorf("%w: %d bytes, at most %d are decoded", sizebound.ErrTooLong, len(text), maxBytes)
 	}
@@ -31,8 +41,8 @@
 		case '"':
 			i = stringEnd(text, i+1)
 		case '[', '{':
-			if depth++; depth > MaxDepth {
-				return fmt.Errorf("%w: more than %d levels at byte %d", ErrTooDeep, MaxDepth, i)
+			if depth++; depth > maxDepth {
+				return fmt.Errorf("%w: more than %d levels at byte %d", ErrTooDeep, maxDepth, i)
 			}
 		case ']', '}':
 			depth--
@@ -52,6 +62,9 @@
 	return i
 }
 
+// CheckEmbedded is Check with MaxEmbeddedDepth.
+func CheckEmbedded(text []byte, maxBytes int) error { return check(text, maxBytes, MaxEmbeddedDepth) }
+
 // Unmarshal decodes a text that Check accepts, as json.Unmarshal does.
 func Unmarshal(text []byte, maxBytes int, into any) error {
 	if err := Check(text, maxBytes); err != nil {
--- a/internal/jsonbound/jsonbound_test.go
+++ b/internal/jsonbound/jsonbound_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards against a text that is accepted but makes the message that carries it too deep.
+func TestEmbeddedTextFitsIntoAMessage(t *testing.T) {
+	for _, depth := range []int{MaxEmbeddedDepth, MaxEmbeddedDepth + 1} {
+		text := nested("[", depth, "]")
+		err := CheckEmbedded([]byte(text), maxTestBytes)
+		if errors.Is(err, ErrTooDeep) != (depth > MaxEmbeddedDepth) {
+			t.Errorf("%d levels: %v", depth, err)
+		}
+		if err := Check([]byte(`{"params":{"body":`+text+`}}`), maxTestBytes); err != nil {
+			t.Errorf("message with %d more levels: %v", depth, err)
+		}
+	}
+}
+
 // FuzzCheck checks that valid JSON is rejected exactly if it is nested too deeply, and that of other texts no decoder
 // reads more than MaxDepth levels before it finds the error.
 func FuzzCheck(f *testing.F) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/platform"
 )
 
@@ -188,7 +189,7 @@
 		return row{}, platform.Row{}, fmt.Errorf("lease %s: %w", l.key.Name, err)
 	}
 	var v row
-	if err := json.Unmarshal(r.Value, &v); err != nil {
+	if err := jsonbound.Unmarshal(r.Value, jsonbound.MaxRowBytes, &v); err != nil {
 		return row{}, platform.Row{}, fmt.Errorf("lease %s: %w", l.key.Name, err)
 	}
 	return v, r, nil
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -2,13 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/sparshore/sparshore/internal/jsonbound"
 )
 
 // ErrTooLong is wrapped when a message exceeds maxMessageBytes.
@@ -30,5 +32,9 @@
 	if n > maxMessageBytes {
 		return fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLong, n, maxMessageBytes)
 	}
-	return json.NewDecoder(io.LimitReader(stream, int64(n))).Decode(v)
+	var message bytes.Buffer
+	if _, err := io.CopyN(&message, stream, int64(n)); err != nil {
+		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
+	}
+	return jsonbound.Unmarshal(message.Bytes(), maxMessageBytes, v)
 }
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/sparshore/sparshore/internal/jsonbound"
 )
 
 // VMState is the state of a VM according to the platform.
@@ -98,7 +100,11 @@
 		return nil, fmt.Errorf("vm list: status %d", resp.StatusCode)
 	}
 	var page vmPage
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("vm list: %w", err)
+	}
+	if err := jsonbound.Unmarshal(body, maxBodyBytes, &page); err != nil {
 		return nil, fmt.Errorf("vm list: %w", err)
 	}
 	out := make([]VM, 0, len(page.VMs))
--- a/internal/retryuse/retryuse.go
+++ b/internal/retryuse/retryuse.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/routing"
@@ -249,8 +250,8 @@
 }
 
 func decodeRow(value []byte) (row storedRow, err error) {
-	if err := json.Unmarshal(value, &row); err != nil {
-		return storedRow{}, fmt.Errorf("row of the use of retry budgets: %w", err)
+	if err := jsonbound.Unmarshal(value, jsonbound.MaxRowBytes, &row); err != nil {
+		return storedRow{}, fmt.Errorf("row of the use of retry budgets: %s", events.Excerpt(err.Error(), maxExcerptBytes))
 	}
 	return row, nil
 }
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -13,6 +13,7 @@
 
 	"github.com/sparshore/sparshore/internal/config"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/membership"
 	"github.com/sparshore/sparshore/internal/platform"
 )
@@ -239,7 +240,7 @@
 		return head{}, platform.Row{}, err
 	}
 	var h head
-	if err := json.Unmarshal(r.Value, &h); err != nil {
+	if err := jsonbound.Unmarshal(r.Value, jsonbound.MaxRowBytes, &h); err != nil {
 		return head{}, platform.Row{}, fmt.Errorf("head row: %w", err)
 	}
 	return h, r, nil
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
@@ -158,6 +159,9 @@
 }
 
 func parseChunk(data string) (chunk, error) {
+	if err := jsonbound.CheckEmbedded([]byte(data), maxEventBytes); err != nil {
+		return chunk{}, fmt.Errorf("%w: %v", errMalformed, err)
+	}
 	var c engineChunk
 	if err := json.Unmarshal([]byte(data), &c); err != nil {
 		return chunk{}, fmt.Errorf("%w: %v", errMalformed, err)
@@ -229,7 +233,11 @@
 		return l, fmt.Errorf("%w: load: %w", errEngine, bound.wrap(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&l); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	if err != nil {
+		return l, fmt.Errorf("%w: load: %w", errEngine, bound.wrap(err))
+	}
+	if err := jsonbound.Unmarshal(body, maxControlBytes, &l); err != nil {
 		return l, fmt.Errorf("%w: load: %v", errEngine, err)
 	}
 	return l, nil
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,8 +115,11 @@
 mutant rows-cold platform/upstreams.go 's/if cold > maxColdMS \{/if false {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestDecodeUpstreamAcceptsValidRows
 mutant rows-size $rows 's/f\.fail\(reasonSize, "%v", err\)\n\t\treturn f/_ = reasonSize/' platform "TestNestedRowTakesNoLongerThanValidRow|TestLongRowIsRejected"
-mutant json-depth internal/jsonbound/jsonbound.go 's/if depth\+\+; depth > MaxDepth \{/if depth++; depth > 1<<40 {/' platform TestNestingOverflowsNoStack
+mutant json-depth internal/jsonbound/jsonbound.go 's/if depth\+\+; depth > maxDepth \{/if depth++; depth > 1<<40 {/' platform TestNestingOverflowsNoStack
 mutant json-strings internal/jsonbound/jsonbound.go 's/i = stringEnd\(text, i\+1\)/_ = stringEnd(text, i+1)/' internal/jsonbound TestCheck
+mutant json-embedded internal/jsonbound/jsonbound.go 's/MaxEmbeddedDepth = MaxDepth \/ 2/MaxEmbeddedDepth = MaxDepth/' internal/jsonbound TestEmbeddedTextFitsIntoAMessage
+mutant body-depth internal/entry/completions.go 's/if err := jsonbound\.CheckEmbedded\(body, len\(body\)\); err != nil \{/if err := jsonbound.CheckEmbedded(nil, 0); err != nil {/' internal/entry TestDeeplyNestedBodyIsRefused
+mutant event-depth internal/sidecar/enginelink.go 's/jsonbound\.CheckEmbedded\(\[\]byte\(data\), maxEventBytes\)/jsonbound.CheckEmbedded(nil, maxEventBytes)/' internal/sidecar TestDeeplyNestedEventIsMalformed
 mutant routes-kind-told platform/routes.go 's/is not known", excerpt\(r\.RouteType\)/is not known", r.RouteType/' platform TestDecodeRoutesRejectsInvalidConfig
 mutant times-bounded platform/routes.go 's/\tv = min\(max\(v, 0\), float64\(maxDuration\/time\.Millisecond\)\)\n//' platform TestMilliseconds
 mutant rows-each platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\treturn err\n/' platform TestUnreadableRowLeavesOtherRows
