log rows of other writers in own tables once, in bounded lines

What operators saw: rows of another writer in the tables of the entries and of the use of retry budgets could fill the log. The data that an entry keeps for others in its row was logged with each read of the list if it could not be decoded. Each row of the use of retry budgets was logged at the start of a process, with an error that repeats a number of any length.

The directory now logs data that cannot be used as it logs rows: once for each version, at most 20 lines in a read.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -147,13 +147,13 @@
 
 // restoreQuarantined takes over the quarantined requests in the row of another entry. For an entry
 // that starts when all others have stopped, the rows are the only source for them.
-func (b *gatewayBuilder) restoreQuarantined(entry string, value []byte, age time.Duration) {
+func (b *gatewayBuilder) restoreQuarantined(_ string, value []byte, age time.Duration) error {
 	var held []quarantine.Message
 	if err := cbor.Unmarshal(value, &held); err != nil {
-		b.rec.Note(events.RegisterFailed, "", "row", entry, "error", err)
-		return
+		return fmt.Errorf("quarantined requests: %w", err)
 	}
 	b.gateway.Quarantine().Restore(quarantine.Decode(held, time.Now().Add(-max(age, 0))))
+	return nil
 }
 
 // publishQuarantines renews the row of this entry once it has quarantined another request.
--- a/internal/directory/carried_test.go
+++ b/internal/directory/carried_test.go
@@ -16,7 +16,7 @@
 }
 
 // noRowData is for entries without data to keep in their rows.
-var noRowData = RowData{Value: func() []byte { return nil }, OnRead: func(string, []byte, time.Duration) {}}
+var noRowData = RowData{Value: func() []byte { return nil }, OnRead: func(string, []byte, time.Duration) error { return nil }}
 
 // TestCarriedValueSurvivesTheLossOfAllEntries checks that an entry which starts after all others
 // have stopped reads the data in their rows, and in its own earlier row, before it overwrites its
@@ -34,7 +34,7 @@
 	ages, writes := map[string]time.Duration{}, make(chan []byte)
 	carried := RowData{
 		Value:  func() []byte { return []byte("all") },
-		OnRead: func(_ string, value []byte, age time.Duration) { ages[string(value)] = age },
+		OnRead: func(_ string, value []byte, age time.Duration) error { ages[string(value)] = age; return nil },
 	}
 	fake := store.platformStore()
 	put := fake.Put
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -69,8 +69,9 @@
 type RowData struct {
 	// Value returns the data for this entry's row, or nil if there is none.
 	Value func() []byte
-	// OnRead receives the data in an entry's row and the time since that row was written.
-	OnRead func(entry string, value []byte, age time.Duration)
+	// OnRead receives the data in an entry's row and the time since that row was written. An error marks data
+	// that cannot be used; it is logged once for each version of the row.
+	OnRead func(entry string, value []byte, age time.Duration) error
 }
 
 const (
@@ -217,18 +218,23 @@
 	d.clock, d.clockAt = s.Clock, d.now()
 	listed := make(map[string]roster.Entry, len(s.Records))
 	bad, logged := badRows{}, 0
+	reject := func(r platform.Record, err error) {
+		bad[r.Name] = r.Version
+		if d.bad.isNew(r) && logged < maxBadRowLogs {
+			logged++
+			d.rec.Note(events.RegisterFailed, "", "row", events.Excerpt(r.Name, maxExcerptBytes), "version", r.Version, "error", err)
+		}
+	}
 	for _, r := range s.Records {
 		v, err := decodeRow(r.Value)
 		if err != nil {
-			bad[r.Name] = r.Version
-			if d.bad.isNew(r) && logged < maxBadRowLogs {
-				logged++
-				d.rec.Note(events.RegisterFailed, "", "row", events.Excerpt(r.Name, maxExcerptBytes), "version", r.Version, "error", err)
-			}
+			reject(r, err)
 			continue
 		}
 		if len(v.Carried) > 0 {
-			d.rowData.OnRead(r.Name, v.Carried, v.age(s.Clock))
+			if err := d.rowData.OnRead(r.Name, v.Carried, v.age(s.Clock)); err != nil {
+				reject(r, err)
+			}
 		}
 		switch missed := v.missed(s.Clock); {
 		case missed > removeAfter:
--- a/internal/directory/row_test.go
+++ b/internal/directory/row_test.go
@@ -113,3 +113,17 @@
 		}
 	}
 }
+
+// Guards against a log line for each read about data of another writer in a row that can be used otherwise.
+func TestUnreadableDataIsLoggedOncePerVersion(t *testing.T) {
+	rec := events.Nop()
+	data := RowData{OnRead: func(string, []byte, time.Duration) error { return ErrRow }}
+	d := New(Settings{Table: "entries"}, &platform.Store{}, noContact(func(map[string]roster.Entry) {}), data, rec, time.Now)
+	value := []byte(`{"address":"10.0.0.1:7300","renewed_ms":999000,"renews_each_ms":30000,"carried":"eA=="}`)
+	for _, version := range []int64{1, 1, 2, 2} {
+		d.applySnapshot(platform.Snapshot{Clock: 1000 * time.Second, Records: []platform.Record{{Name: "odd", Version: version, Value: value}}})
+	}
+	if n := len(badRowLogs(rec)); n != 2 {
+		t.Errorf("%d log lines for two versions, want 2", n)
+	}
+}
--- a/internal/retryuse/retryuse.go
+++ b/internal/retryuse/retryuse.go
@@ -209,11 +209,15 @@
 	}
 	var used map[string][]routing.Bucket
 	var expired []string
+	rejected := 0
 	for _, r := range s.Records {
 		row, err := decodeRow(r.Value)
 		age := s.Clock - time.Duration(row.AtMS)*time.Millisecond
 		switch {
 		case err != nil:
+			if rejected++; rejected > maxBadRowLogs {
+				continue
+			}
 			k.rec.Note(events.RetryUseRestored, "", "source", "store", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
 		case r.Name == k.settings.Name:
 			used = decodeUsed(row.Used, max(age, 0))
@@ -233,6 +237,8 @@
 const (
 	// maxExcerptBytes limits how much of a row's name is logged.
 	maxExcerptBytes = 128
+	// maxBadRowLogs limits the log lines about rows that cannot be used.
+	maxBadRowLogs = 20
 	// removeAfter is the number of windows after which a row is removed.
 	removeAfter = 10
 	// maxRemoved is the number of rows that one call removes.
--- a/internal/retryuse/retryuse_test.go
+++ b/internal/retryuse/retryuse_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"reflect"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -206,6 +208,28 @@
 	}
 }
 
+// Guards against rows of other writers that fill the log: many of them, or one whose error repeats it.
+func TestOddRowsAreLoggedShortly(t *testing.T) {
+	f := newFixture()
+	f.rows = map[string]string{}
+	for i := range 10 * maxBadRowLogs {
+		f.rows[strconv.Itoa(i)] = `{"at_ms":` + strings.Repeat("9", 5000) + `}`
+	}
+	f.restoreStored(t.Context())
+	lines := 0
+	for _, e := range f.rec.Select("") {
+		if len(e.Fields["error"]) > 0 {
+			lines++
+		}
+		if n := len(e.Fields["error"]); n > 300 {
+			t.Fatalf("error of %d bytes", n)
+		}
+	}
+	if lines != maxBadRowLogs {
+		t.Errorf("%d log lines, want %d", lines, maxBadRowLogs)
+	}
+}
+
 // TestExpiredRowsAreRemoved checks that a starting entry removes the rows of entries that are long gone.
 func TestExpiredRowsAreRemoved(t *testing.T) {
 	f := newFixture()
