directory: remove expired rows in parts that the store accepts

What operators saw: nothing yet. Another writer that leaves some hundred rows of entries that are long gone makes each read of the list end with a refused call: the store takes at most 100 rows in one call, and all expired rows were removed at once. The rows would have stayed, with an error for each read.

Evidence: TestExpiredRowsAreRemovedInPartsThatTheStoreAccepts failed before: "300 rows removed at once, <nil>; want 100".

A read removes at most 100 rows; the next read removes further ones.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -85,6 +85,8 @@
 	staleAfter = 3
 	// removeAfter is the number of missed renewals after which a row is removed.
 	removeAfter = 10
+	// maxRemoved is the number of rows that one call removes; the store refuses a call with more.
+	maxRemoved = 100
 )
 
 // Directory maintains this entry's row and reads the rows of the others.
@@ -209,7 +211,7 @@
 	if len(expired) == 0 {
 		return nil
 	}
-	return d.store.Remove(ctx, d.settings.Table, expired...)
+	return d.store.Remove(ctx, d.settings.Table, expired[:min(len(expired), maxRemoved)]...)
 }
 
 // applySnapshot processes the whole table and returns the names of expired rows, which are to be
--- a/internal/directory/row_test.go
+++ b/internal/directory/row_test.go
@@ -1,8 +1,10 @@
 package directory
 
 import (
+	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -127,3 +129,22 @@
 		t.Errorf("%d log lines for two versions, want 2", n)
 	}
 }
+
+// Guards against hundreds of expired rows, which the store would refuse to remove in one call.
+func TestExpiredRowsAreRemovedInPartsThatTheStoreAccepts(t *testing.T) {
+	removed := 0
+	store := &platform.Store{
+		List: func(context.Context, string) (s platform.Snapshot, err error) {
+			s.Clock = time.Hour
+			for i := range 3 * maxRemoved {
+				s.Records = append(s.Records, platform.Record{Name: strconv.Itoa(i), Value: []byte(`{"address":"10.0.0.1:7300","renewed_ms":1,"renews_each_ms":1000}`)})
+			}
+			return s, nil
+		},
+		Remove: func(_ context.Context, _ string, names ...string) error { removed = len(names); return nil },
+	}
+	d := New(Settings{Table: "entries", CallTimeout: time.Second}, store, noContact(func(map[string]roster.Entry) {}), noRowData, events.Nop(), time.Now)
+	if err := d.read(t.Context()); err != nil || removed != maxRemoved {
+		t.Errorf("%d rows removed at once, %v; want %d", removed, err, maxRemoved)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -127,6 +127,7 @@
 mutant rows-advance platform/store.go 's/if next <= from \{/if next < from {/' platform TestListFailsWhenPagesDoNotAdvance
 mutant changes-too-long platform/store.go 's/if errors\.Is\(err, sizebound\.ErrTooLong\) \{/if errors.Is(err, sizebound.ErrTooLong) \&\& wait < 0 {/' platform TestTooManyChangesForOneAnswer
 mutant retry-rows-told internal/retryuse/retryuse.go 's/if rejected\+\+; rejected > maxBadRowLogs \{/if rejected++; rejected < 0 {/' internal/retryuse TestOddRowsAreLoggedShortly
+mutant entry-rows-removed internal/directory/directory.go 's/expired\[:min\(len\(expired\), maxRemoved\)\]/expired/' internal/directory TestExpiredRowsAreRemovedInParts
 mutant entry-data-told internal/directory/directory.go 's/(v\.age\(s\.Clock\)\); err != nil \{\n\t\t\t\t)reject\(r, err\)/$1d.rec.Note(events.RegisterFailed, "", "error", err)/' internal/directory TestUnreadableDataIsLoggedOncePerVersion
 mutant rows-last-name platform/store.go 's/if r\.Key != "" \{/if r.Ver >= 0 {/' platform TestListContinuesAfterPageWhoseLastRow
 mutant bad-rows-there internal/daemon/upstreamrows.go 's/\t\t\tunreadable = append\(unreadable, row\.Name\)\n//' internal/daemon TestBadRowDoesNotAffect
