platform: bound the texts in a row of an upstream

What operators saw: rows of another writer that were valid but useless, with a service, a zone or a version of 64 KiB, were accepted and filled the log: each was logged whole when the upstream joined, at each entry.

Cause: only the errors of rejected rows were shortened. The texts of accepted rows had no bound.

Evidence: TestOddRowsOfOtherWriters/hundreds_at_once failed before: "entry-1 wrote a line of 65892 bytes"; TestDecodeUpstreamRejectsInvalidFields accepted the service, the zone and the version.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -104,7 +104,7 @@
 mutant rows-told internal/events/excerpt.go 's/if len\(text\) <= maxBytes \{/if len(text) >= 0 {/' internal/events TestExcerpt
 mutant rows-missing $rows 's/\t\tf\.fail\(reasonMissing, "%s is missing", name\)\n//' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-null $rows 's/string\(raw\) == "null" \|\| //' platform TestDecodeUpstreamRejectsInvalidFields
-mutant rows-empty $rows 's/if f\.read\(name, &s\) && s == "" \{/if f.read(name, \&s) \&\& s == "\\x00" {/' platform TestDecodeUpstreamRejectsInvalidFields
+mutant rows-empty $rows 's/if ok && s == "" \{/if ok \&\& s == "\\x00" {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-whole $rows 's/n != math\.Trunc\(n\) \|\| n < 0/math.Trunc(0) != 0 || n < 0/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-negative $rows 's/ \|\| n < 0 \|\|/ ||/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-most $rows 's/ \|\| n > float64\(most\) \{/ {/' platform TestDecodeUpstreamRejectsInvalidFields
@@ -114,6 +114,8 @@
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.nonEmptyString("state")/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-cold platform/upstreams.go 's/if cold > maxColdMS \{/if false {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestDecodeUpstreamAcceptsValidRows
+mutant rows-text $rows 's/if len\(s\) > maxTextBytes \{/if len(s) > jsonbound.MaxRowBytes {/' platform TestDecodeUpstreamRejectsInvalidFields
+mutant rows-long-name $rows 's/if len\(row\) > maxTextBytes \{/if len(row) > jsonbound.MaxRowBytes {/' platform TestDecodeUpstreamRejectsMalformedRows
 mutant rows-size $rows 's/f\.fail\(reasonSize, "%v", err\)\n\t\treturn f/_ = reasonSize/' platform "TestNestedRowTakesNoLongerThanValidRow|TestLongRowIsRejected"
 mutant json-depth internal/jsonbound/jsonbound.go 's/if depth\+\+; depth > maxDepth \{/if depth++; depth > 1<<40 {/' platform TestNestingOverflowsNoStack
 mutant json-strings internal/jsonbound/jsonbound.go 's/i = stringEnd\(text, i\+1\)/_ = stringEnd(text, i+1)/' internal/jsonbound TestCheck
