gateway: stream-origin says for how long the upstreams were followed

The fleet records since when the rows of all upstreams have been known without a gap, and stream-origin has it as `followed`. It tells a process that knows of one software version because it has just started from one for which no other served, and both from a stream that is recorded with the wrong version.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -311,7 +311,7 @@
 	b.gateway.Quarantine().SetName(s.Name)
 	b.retryUse = b.newRetryUse()
 	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
-	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, func(time.Time) {}, func() {}, b.rec, time.Now)
+	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, b.fleet.Followed, func() {}, b.rec, time.Now)
 	return b
 }
 
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -38,6 +38,7 @@
 	settled, _ := b.upstreamsFollower.Settled()
 	if s.Restored {
 		b.upstreams.restore(s.Records, settled)
+		b.fleet.MissedChanges()
 		return
 	}
 	b.upstreams.apply(s.Records, full, settled)
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -116,6 +116,8 @@
 	restoring bool
 	// software holds when an upstream of each software version was last known, by service and version.
 	software map[string]map[string]time.Time
+	// followedSince and followedUntil bound the time for which the rows of all upstreams were known.
+	followedSince, followedUntil time.Time
 	// anyBackOffUntil is at or after the end of every upstream's backoff.
 	anyBackOffUntil time.Time
 }
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -6,9 +6,13 @@
 	"time"
 )
 
-// softwareRetention is how long a software version is remembered after its last upstream: longer than any
+// SoftwareRetention is how long a software version is remembered after its last upstream: longer than any
 // stream runs.
-const softwareRetention = 10 * time.Minute
+const SoftwareRetention = 10 * time.Minute
+
+// maxFollowGap is the longest time between two answers about the upstreams after which a version that came and
+// went in between may have been missed.
+const maxFollowGap = 5 * time.Second
 
 // maxVersions bounds the software versions that are remembered of one service, in case rows invent some.
 const maxVersions = 64
@@ -25,10 +29,10 @@
 	}
 }
 
-// sweepSoftware forgets the versions that no upstream had for softwareRetention. The caller must hold s.mu.
+// sweepSoftware forgets the versions that no upstream had for SoftwareRetention. The caller must hold s.mu.
 func (s *Set) sweepSoftware(now time.Time) {
 	for service, versions := range s.software {
-		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > softwareRetention })
+		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > SoftwareRetention })
 		if len(versions) == 0 {
 			delete(s.software, service)
 		}
@@ -54,6 +58,31 @@
 	return slices.Sorted(maps.Keys(out))
 }
 
+// Followed notes that the rows of all upstreams were known as of a steady time.
+func (s *Set) Followed(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.followedSince.IsZero() || at.Sub(s.followedUntil) > maxFollowGap {
+		s.followedSince = at
+	}
+	s.followedUntil = later(s.followedUntil, at)
+}
+
+// MissedChanges notes that changes of the rows may be missing: the store was restored from a backup.
+func (s *Set) MissedChanges() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followedSince = time.Time{}
+}
+
+// FollowedSince returns the time since which the rows of all upstreams have been known without a gap; ok is
+// false if they are not known now.
+func (s *Set) FollowedSince() (since time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.followedSince, !s.followedSince.IsZero() && s.now().Sub(s.followedUntil) <= maxFollowGap
+}
+
 // AvailableOf is Available for the upstreams of one software version.
 func (s *Set) AvailableOf(service, software string) []Upstream {
 	s.mu.Lock()
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -28,7 +28,7 @@
 	}{
 		{"within the period", time.Minute, -time.Minute, "v1 v2"},
 		{"before the period", time.Minute, -time.Second, "v2"},
-		{"after it was forgotten", softwareRetention + time.Minute, -time.Hour, "v2"},
+		{"after it was forgotten", SoftwareRetention + time.Minute, -time.Hour, "v2"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f.at = removed.Add(tc.later)
@@ -40,6 +40,43 @@
 	}
 }
 
+// TestFollowedSince checks since when a process can tell which versions served.
+func TestFollowedSince(t *testing.T) {
+	f := newFixture()
+	start := f.at
+	if _, ok := f.FollowedSince(); ok {
+		t.Error("known before the first answer")
+	}
+	for _, tc := range []struct {
+		name string
+		// answers are the times of answers after the start.
+		answers []time.Duration
+		missed  bool
+		now     time.Duration
+		since   time.Duration
+		ok      bool
+	}{
+		{"without a gap", []time.Duration{0, 2 * time.Second, 6 * time.Second}, false, 7 * time.Second, 0, true},
+		{"after a gap", []time.Duration{13 * time.Second}, false, 14 * time.Second, 13 * time.Second, true},
+		{"an answer is older than the one before", []time.Duration{12 * time.Second}, false, 18 * time.Second, 13 * time.Second, true},
+		{"the store is away", nil, false, 19 * time.Second, 13 * time.Second, false},
+		{"the store was restored", []time.Duration{20 * time.Second}, true, 20 * time.Second, 20 * time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.missed {
+				f.MissedChanges()
+			}
+			for _, at := range tc.answers {
+				f.Followed(start.Add(at))
+			}
+			f.at = start.Add(tc.now)
+			if since, ok := f.FollowedSince(); ok != tc.ok || !since.Equal(start.Add(tc.since)) {
+				t.Errorf("since %s, %v", since.Sub(start), ok)
+			}
+		})
+	}
+}
+
 func TestAvailableOfReturnsOneVersion(t *testing.T) {
 	f := newFixture()
 	f.Update([]Record{versionRecord("a", "v1"), versionRecord("b", "v2"), versionRecord("c", "v2")}, nil, true, time.Time{})
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -59,8 +59,9 @@
 			o, source = origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
 		}
 	}
+	followed := g.followedFor()
 	g.met.resumed(source)
-	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "took", g.now().Sub(asked))
+	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "took", g.now().Sub(asked))
 	switch source {
 	case origin.FromRecord, origin.FromPeer, sourceOnlyVersion:
 		rq.software = streamSoftware{begun: true, version: o.Software, known: true}
@@ -78,6 +79,16 @@
 	return false
 }
 
+// followedFor returns for how long this entry has known all upstreams without a gap, 0 if it does not know them
+// now.
+func (g *Gateway) followedFor() time.Duration {
+	since, ok := g.fleet.FollowedSince()
+	if !ok {
+		return 0
+	}
+	return g.now().Sub(since)
+}
+
 // returnToService makes a resumed stream go to the service that began it, if its route still leads there.
 func (g *Gateway) returnToService(rq *request, name string) {
 	for _, share := range rq.route.Shares {
