gateway: an unframed answer is whole only if its upstream survived its end

Callers of plain services got 200 with a part of the body, or none of it, and a Content-Length that made it look whole, when an upstream crashed in the middle of an answer without a length and chunks.

Cause: tryCall took the end of the connection for the end of the answer. A crash ends the connection too, so it proves nothing. The answers to failures of engines had the same fault.

Such an answer now counts as whole only if the incarnation that sent it answers after the end: an engine's report with the time of birth of its row, or the answer to the service's health_path with the name of the upstream, which the check also names (X-Expect-Instance). 421, another name or time of birth, no answer, and a refusal that names nobody (asked up to three times) prove nothing. The check starts after the end, on a new connection; answers of one upstream that end within 20 ms share one. No check is sent in a backoff that the upstream asked for. Without proof the request is repeated where that is allowed, and gets 502 otherwise, since it may have run.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -24,6 +24,7 @@
 	UpstreamRejected    ID = 126
 	UpstreamAsked       ID = 127
 	UpstreamSuspected   ID = 128
+	AnswerEndChecked    ID = 129
 	EntryHeard          ID = 130
 	EntrySilent         ID = 131
 	GossipRejected      ID = 132
@@ -158,6 +159,7 @@
 	{UpstreamRejected, "upstream-rejected", "The record of an upstream is invalid; logged once for each version of the record."},
 	{UpstreamAsked, "upstream-asked", "An entry queried an engine for its state, because the store could not provide it, a generation had not started there in time, or a stream without length or chunks ended (`why`). `waiting` counts the requests that the engine has not admitted, `unbegun` the admitted ones whose prompts it is still processing."},
 	{UpstreamSuspected, "upstream-suspected", "An engine failed a request that a healthy engine serves; for a while it gets no requests that must not be repeated."},
+	{AnswerEndChecked, "answer-end-checked", "The connection of one or more `answers` without length and chunks ended, and an entry asked their upstream `asked` times whether it still serves; `proof` tells what proved that. Without proof the answers count as broken."},
 	{EntryHeard, "entry-heard", "An entry receives gossip from another entry for the first time, or again after a silence."},
 	{EntrySilent, "entry-silent", "An entry no longer receives gossip from another entry, whose load no longer counts."},
 	{GossipRejected, "gossip-rejected", "A message from another entry is invalid and was ignored."},
@@ -189,7 +191,7 @@
 	{RequestRouted, "request-routed", "An entry sent a request to an upstream. For a stream, `software` is the version of the upstream's software, `after-event` the last event that the caller has, `resumes` the request whose answer began the stream, if the caller resumes one, and `parts` the parts of its prompt that other requests may share."},
 	{RequestRefused, "request-refused", "A request got its final refusal, with the time after which the caller may retry."},
 	{RequestRetried, "request-retried", "A request that provably did not run is retried on another upstream."},
-	{RequestEnded, "request-ended", "A caller received the last byte of its answer. `framed` is false if neither a length nor chunks, but only the end of the upstream's connection marked the end of the answer."},
+	{RequestEnded, "request-ended", "A caller received the last byte of its answer. `framed` is false if neither a length nor chunks, but only the end of the upstream's connection marked the end of the answer. `end-proved-by` tells how it is known that the answer is complete: by its `framing`, or by a `report` or `health check` of the upstream after the end."},
 	{StreamResumed, "stream-resumed", "A caller resumed a stream at the next offset."},
 	{StreamCut, "stream-cut", "A stream ended before it was complete, and the caller was told where and why."},
 	{CallerGone, "caller-gone", "A caller's connection closed before its answer was complete; `ended-here` gives the reason if this entry closed it, and `evicted` tells that it did because the caller did not read."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,6 +169,12 @@
 		s.g.markFaulty(st.at.ID)
 	}
 	body, err := s.g.readResponse(s.rq, answer)
+	proof := unproven
+	if err == nil {
+		if proof = s.g.proveEnd(ctx, s.rq.service, st.at, answer); proof == unproven {
+			err = errEndUnproven
+		}
+	}
 	if errors.Is(err, link.ErrTooLong) && ctx.Err() == nil {
 		s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
 		s.g.recordBrokenAnswer(s.rq, st.at, err)
@@ -182,6 +188,6 @@
 		s.rq.discard(body)
 		return streamBroken
 	}
-	s.g.forwardAnswer(s.rq, result{upstream: st.at.ID, status: answer.Status, header: answer.Header, body: body, framed: answer.Framed})
+	s.g.forwardAnswer(s.rq, result{upstream: st.at.ID, status: answer.Status, header: answer.Header, body: body, proof: proof})
 	return streamFailed
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,9 +66,9 @@
 	header   http.Header
 	body     pieces
 	verdict  protocol.Verdict
-	// framed is false if the body ends only with the end of the connection.
-	framed bool
-	err    error
+	// proof tells how it is known that the answer is complete.
+	proof endProof
+	err   error
 }
 
 // usable reports whether there is an answer that can be passed on to the caller.
@@ -305,7 +305,7 @@
 		return result{upstream: u.ID, err: err}
 	}
 	defer a.Close()
-	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header), framed: a.Framed}
+	r := result{upstream: u.ID, status: a.Status, header: a.Header, verdict: g.proto.Verdict(a.Status, a.Header)}
 	r.body, r.err = g.readResponse(rq, a)
 	switch {
 	case r.err != nil:
@@ -313,6 +313,10 @@
 		r.err = errOtherAnswer
 	case r.verdict == protocol.Ran && !g.proto.Complete(a.Status, a.Header):
 		r.err = errMissingProof
+	case r.verdict == protocol.Ran:
+		if r.proof = g.proveEnd(ctx, rq.service, u, a); r.proof == unproven {
+			r.err = errEndUnproven
+		}
 	}
 	if r.err != nil {
 		rq.discard(r.body)
@@ -375,5 +379,5 @@
 	elapsed := g.now().Sub(rq.start)
 	g.met.ended(strconv.Itoa(r.status))
 	g.met.observeAnswer(elapsed)
-	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size, "framed", r.framed)
+	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size, "framed", r.proof == provenByFraming, "end-proved-by", r.proof)
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,7 @@
 	testRetryMs   = "Test-Back-Ms"
 	testLimit     = "Test-Limit"
 	testLeaving   = "Test-Leaving"
+	testOwnID     = "Test-Own-Id"
 )
 
 func testProtocol() protocol.Protocol {
@@ -137,6 +139,17 @@
 			}
 			return s, nil
 		},
+		HealthCheck: func(upstream, path string) link.Request {
+			return link.Request{Method: http.MethodGet, Target: path, Host: "upstream", Header: http.Header{testUpstream: {upstream}}}
+		},
+		DecodeIdentity: func(upstream string, status int, h http.Header, body []byte) protocol.Identity {
+			i := protocol.Identity{Name: h.Get(testOwnID)}
+			i.Other = status == http.StatusMisdirectedRequest || i.Name != "" && i.Name != upstream
+			if _, born, ok := strings.Cut(string(body), "born "); ok {
+				i.StartedAt, _ = strconv.ParseInt(born, 10, 64)
+			}
+			return i
+		},
 	}
 }
 
@@ -144,9 +157,31 @@
 type upstream struct {
 	id      string
 	address string
+	// health answers health checks; by default they are answered with the name of the upstream.
+	health http.HandlerFunc
 
 	mu   sync.Mutex
 	seen []http.Header
+	// checked are the times of the health checks.
+	checked []time.Time
+}
+
+func (u *upstream) serveHealth(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	u.checked = append(u.checked, time.Now())
+	u.mu.Unlock()
+	if u.health != nil {
+		u.health(w, r)
+		return
+	}
+	w.Header().Set(testOwnID, u.id)
+}
+
+// healthChecks returns the times of the health checks.
+func (u *upstream) healthChecks() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.checked)
 }
 
 func (u *upstream) runs() int {
@@ -186,6 +221,8 @@
 	pathResume = "/resume/"
 	pathOpen   = "/open/"
 	pathLater  = "/later/"
+
+	testHealthPath = "/health"
 )
 
 // testHeadWithin is how long the link waits for the head of an answer to a cancelled request.
@@ -267,8 +304,8 @@
 		route(pathStream, routetable.Stream, "llm", 1), resume, open,
 	}
 	services := []routetable.Service{
-		{Name: "app"},
-		{Name: "llm", Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, Moves: true, EventTokens: 4}},
+		{Name: "app", HealthPath: testHealthPath},
+		{Name: "llm", HealthPath: testHealthPath, Engine: &routetable.Engine{Slots: 8, MemoryTokens: 100000, Moves: true, EventTokens: 4}},
 	}
 	if more == "pauses" {
 		for i := range routes {
@@ -297,6 +334,10 @@
 	f.t.Helper()
 	u := &upstream{id: id}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == testHealthPath {
+			u.serveHealth(w, r)
+			return
+		}
 		if !strings.HasPrefix(r.URL.Path, "/copy") && r.URL.Path != "/report" {
 			u.mu.Lock()
 			u.seen = append(u.seen, r.Header.Clone())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,8 @@
 	retryTimes placement.RetrySchedule
 	// queriedAt holds the time at which each engine was last queried for its state.
 	queriedAt map[string]time.Time
+	// endChecks holds the end checks of each upstream.
+	endChecks map[string]*endChecks
 	// probing holds the upstreams that are being probed for a crash.
 	probing map[string]bool
 	peers   Peers
@@ -167,7 +169,7 @@
 		settings: settings, routes: routes, fleet: set, link: pool, proto: proto, rec: rec,
 		met: newMetrics(reg, func() float64 { return routesAge(routes, now).Seconds() }), now: now, loads: newLoadTracker(now), prefixes: newPrefixes(), entries: 1,
 		budgets: map[string]*routing.SharedBudget{}, retryPeers: map[string]retryPeer{}, retriesUsedUp: map[string]usedUp{}, streams: map[string]map[*stream]bool{}, moving: map[string]bool{}, overloads: map[string]*placement.Overload{}, lines: map[string]*placement.Line{}, briefForecasts: map[string]*placement.BriefForecast{},
-		queriedAt: map[string]time.Time{}, probing: map[string]bool{}, peers: peers,
+		queriedAt: map[string]time.Time{}, endChecks: map[string]*endChecks{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
 	g.paces = pace.New(g.recordPaceChange)
@@ -251,6 +253,7 @@
 func (g *Gateway) ForgetUnreachable() {
 	peers := g.peers.LivePeers()
 	g.loads.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
+	g.sweepEndChecks()
 	g.paces.Keep(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok })
 	g.prefixes.sweep(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }, g.now())
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	resumptions     *prometheus.CounterVec
 	evictions       *prometheus.CounterVec
 	connectChecks   *prometheus.CounterVec
+	endChecks       *prometheus.CounterVec
 	quarantined     prometheus.Counter
 	// headroomRefusals counts generations refused for the memory reserved for brief ones.
 	headroomRefusals prometheus.Counter
@@ -54,6 +55,7 @@
 		resumptions:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_resumptions_total", Help: "Streams that callers resumed, by how the software version that began them was learned."}, []string{"source"}),
 		evictions:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_memory_evictions_total", Help: "Connections closed because their callers did not read, by cause: memory was needed, or the write timeout passed."}, []string{"cause"}),
 		connectChecks:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_connection_checks_total", Help: "Connections opened to check engines that this entry or another one could not reach, by result."}, []string{"result"}),
+		endChecks:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sparshore_gateway_end_checks_total", Help: "Queries to upstreams after the end of answers that have neither a length nor chunks, by what proved that the answers are complete."}, []string{"proof"}),
 		quarantined:      prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_held_total", Help: "Requests refused because upstreams crashed while running them."}),
 		headroomRefusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "sparshore_gateway_headroom_refusals_total", Help: "Generations refused because the free memory of all engines is reserved for brief ones."}),
 		answer:           prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_answer_seconds", Help: "Time to the complete answer of a plain call.", Buckets: prometheus.ExponentialBuckets(0.004, 2, 12)}),
@@ -61,7 +63,7 @@
 		gap:              prometheus.NewHistogram(prometheus.HistogramOpts{Name: "sparshore_gateway_move_gap_seconds", Help: "Pause of a stream while its generation moved.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 	}
 	routes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sparshore_gateway_routes_age_seconds", Help: "Time since the route table was last confirmed to be current."}, age)
-	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.evictions, m.connectChecks, m.quarantined, m.headroomRefusals, m.answer, m.firstEvent, m.gap)
+	reg.MustRegister(routes, m.refusals, m.answers, m.attempts, m.moves, m.unansweredTotal, m.permits, m.resumptions, m.evictions, m.connectChecks, m.endChecks, m.quarantined, m.headroomRefusals, m.answer, m.firstEvent, m.gap)
 	return m
 }
 
@@ -81,6 +83,15 @@
 	m.connectChecks.WithLabelValues(result).Inc()
 }
 
+// endChecked counts the queries of an end check.
+func (m *metrics) endChecked(proof endProof, asked int) {
+	label := string(proof)
+	if proof == unproven {
+		label = "none"
+	}
+	m.endChecks.WithLabelValues(label).Add(float64(asked))
+}
+
 func (m *metrics) observeAnswer(d time.Duration)     { m.answer.Observe(d.Seconds()) }
 func (m *metrics) observeFirstEvent(d time.Duration) { m.firstEvent.Observe(d.Seconds()) }
 func (m *metrics) observeMoveGap(d time.Duration)    { m.gap.Observe(d.Seconds()) }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -125,6 +125,16 @@
 	Prefilling int
 }
 
+// Identity is what the answer to a health check tells about the upstream that gave it.
+type Identity struct {
+	// Name is the name of the upstream, empty if the answer does not state it.
+	Name string
+	// StartedAt is the upstream's start time in Unix milliseconds, 0 if the answer does not state it.
+	StartedAt int64
+	// Other is set if the answer comes from another upstream than the one that was asked.
+	Other bool
+}
+
 // Limit is the rate limit that an upstream states in an answer.
 type Limit struct {
 	// Limited is set when the upstream accepts at most Rate requests per second from all entries together.
@@ -187,4 +197,8 @@
 	StateQuery func() link.Request
 	// DecodeState decodes the answer to the query that StateQuery returns.
 	DecodeState func(status int, body []byte) (EngineState, error)
+	// HealthCheck returns the health check of an upstream at its service's path.
+	HealthCheck func(upstream, path string) link.Request
+	// DecodeIdentity decodes the answer to the health check of an upstream.
+	DecodeIdentity func(upstream string, status int, h http.Header, body []byte) Identity
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -85,6 +85,8 @@
 	Name string
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// HealthPath is the path of the health check of its upstreams, empty if there is none.
+	HealthPath string
 }
 
 // Limits bounds what callers may send.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -37,6 +37,15 @@
 mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/whole := errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 && \(answer\.Framed \|\| s\.closedAtItsEnd\(ctx, st\)\)/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
 mutant gateway-unframed-restart $gateway/relay.go 's/ && s\.g\.sameIncarnationServes\(ctx, st\.at\)//' $gateway TestUnframedStreamOfARestartedEngine
+mutant gateway-cut-call $gateway/endcheck.go 's/if a\.Framed \{/if a.Framed || true {/' $gateway TestCutAnswerIsTakenForAWholeOne
+mutant gateway-end-named $gateway/endcheck.go 's/case id\.Name == "":/case false:/' $gateway TestCutAnswerIsTakenForAWholeOne
+mutant gateway-end-other $gateway/endcheck.go 's/case id\.Other \|\| /case /' $gateway TestCutAnswerIsTakenForAWholeOne
+mutant gateway-end-born $gateway/endcheck.go 's/ \|\| id\.StartedAt != 0 && u\.Born != 0 && id\.StartedAt != u\.Born//' $gateway TestCutAnswerIsTakenForAWholeOne
+mutant gateway-end-again $gateway/endcheck.go 's/maxHealthChecks  = 3/maxHealthChecks  = 1/' $gateway TestCutAnswerIsTakenForAWholeOne
+mutant gateway-end-after $gateway/endcheck.go 's/\tchecks\.next, checks\.notBefore = nil, /\tdefer func() { checks.next = nil }()\n\tchecks.notBefore = /' $gateway TestEndChecksAreShared
+mutant gateway-end-shared $gateway/endcheck.go 's/if checks\.next == nil \{/if true {/' $gateway TestEndChecksAreShared
+mutant gateway-end-backoff $gateway/endcheck.go 's/!known \|\| wait <= 0/!known || wait <= time.Hour/' $gateway TestEndCheckInBackOff
+mutant gateway-end-path platform/routes.go 's/return r <= .{3} \|\| r >= 0x7f/return r == 0x7f/' platform TestHealthPath
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, held\)/_ = append(s.copies, held)/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.markFaulty\(st\.at\.ID\)/s.g.fleet.RecordOutcome(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
 mutant gateway-silent $gateway/attempt.go 's/\tg\.markFaulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
