fix(daemon): receive SIGHUP from the initialization of the process on

SIGHUP was received by a goroutine of the first service, once all services were built; until then its default action ends the process.

The test sends SIGHUP before the flags are parsed.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/sparshore/sparshore/internal/origin"
 	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/relay"
+	"github.com/sparshore/sparshore/internal/reload"
 	"github.com/sparshore/sparshore/internal/retryuse"
 	"github.com/sparshore/sparshore/platform"
 )
@@ -326,7 +327,7 @@
 				b.stalls.tick()
 				b.reportClockJump(clocks.tick())
 			})
-			go logReloads(b.ctx, b.rec, b.settings.String())
+			go logReloads(b.ctx, reload.Requests(), b.rec, b.settings.String())
 			return nil
 		},
 		Stop: func(context.Context, *kernel.Registry) error {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -23,6 +23,7 @@
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/policy"
+	"github.com/sparshore/sparshore/internal/reload"
 	"github.com/sparshore/sparshore/internal/rollout"
 	"github.com/sparshore/sparshore/internal/timeline"
 )
@@ -110,7 +111,7 @@
 		Name:  serviceNode,
 		Build: func(*kernel.Registry) (any, error) { return n, nil },
 		Start: func(context.Context, *kernel.Registry) error {
-			go logReloads(n.ctx, n.rec, "name="+n.settings.Name+" zone="+n.settings.Zone)
+			go logReloads(n.ctx, reload.Requests(), n.rec, "name="+n.settings.Name+" zone="+n.settings.Zone)
 			return nil
 		},
 		Stop: func(context.Context, *kernel.Registry) error {
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -10,6 +11,12 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"sparshored": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"sparshored-hangup": func() {
+			if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+				panic(err)
+			}
+			os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+		},
 	})
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -625,5 +625,6 @@
 mutant routes-one-reading $gateway/request.go 's/rq\.table = read\.Table/rq.table, _ = g.routes.Current()/' $gateway TestRequestReadsTheRouteTableOnce
 mutant routes-confirm-version internal/belief/routes.go 's/r\.table\.Version\(\) == v && at/at/' internal/belief TestCrossingAnswersConfirm
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
+mutant reload-early internal/reload/reload.go 's/var requests = receive\(\)/var requests <-chan os.Signal/; s/\{ return requests \}/{\n\tif requests == nil {\n\t\trequests = receive()\n\t}\n\treturn requests\n}/' internal/daemon TestScripts
 
 finish
