fix(gateway): stop the earlier run of a stream that goes on elsewhere

The close of a connection was taken for the end of the run. The gateway now commands the first engine to stop the generation, 0.1 s after the break, so that those that drop it answer that they do not run it. The stream does not wait for that; the copy that the command makes is released.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -79,6 +79,7 @@
 	EngineSlow          ID = 224
 	EngineNotSlow       ID = 225
 	PaceRejected        ID = 226
+	EarlierRunStopped   ID = 227
 	GenerationQueued    ID = 300
 	GenerationAdmitted  ID = 301
 	GenerationPaused    ID = 302
@@ -214,6 +215,7 @@
 	{EngineSlow, "engine-slow", "An engine began to count as slow: its pace, the time between two events of a stream, is `interval`, while the median of its service is `typical`. `entries` entries observed it. Long streams go elsewhere while there is room."},
 	{EngineNotSlow, "engine-not-slow", "An engine no longer counts as slow."},
 	{PaceRejected, "pace-rejected", "Reports of another entry about the pace of engines were invalid; they are dropped and change nothing."},
+	{EarlierRunStopped, "earlier-run-stopped", "A generation went on at another engine (`goes-on-at`) after its answer had broken off, but its first engine (`at`) still ran it and was commanded to stop it."},
 	{GenerationQueued, "generation-queued", "A sidecar queues a generation until memory allows it to run."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation was preempted by others and keeps its place."},
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -61,6 +61,10 @@
 	if errors.Is(err, errLimited) {
 		s.notResumedWhy = err.Error()
 	}
+	if err == nil && s.rq.service.Engine.Moves {
+		callID, from := s.rq.call.ID, s.at
+		time.AfterFunc(dropTime, func() { s.g.stopEarlierRun(callID, from, at) })
+	}
 	return step{at: at, why: "resumed"}, err == nil
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -626,5 +626,6 @@
 mutant routes-confirm-version internal/belief/routes.go 's/r\.table\.Version\(\) == v && at/at/' internal/belief TestCrossingAnswersConfirm
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
 mutant reload-early internal/reload/reload.go 's/var requests = receive\(\)/var requests <-chan os.Signal/; s/\{ return requests \}/{\n\tif requests == nil {\n\t\trequests = receive()\n\t}\n\treturn requests\n}/' internal/daemon TestScripts
+mutant gateway-earlier-run $gateway/continue.go 's/time\.AfterFunc\(dropTime, func\(\) \{ s\.g\.stopEarlierRun\(callID, from, at\) \}\)/_, _, _ = callID, from, s.g.stopEarlierRun/' $gateway TestSpoiledStreamRunsTwice
 
 finish
