fix(link): commands share no connection with callers' requests

The identifier in an answer tells a late one from the one that is due, but commands have none.

NewConnection, which only the check of the end of an answer used, became OwnConnection.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -165,7 +165,7 @@
 func (g *Gateway) checkHealth(ctx context.Context, service *routetable.Service, u fleet.Upstream) error {
 	req := g.proto.HealthCheck(u.Name, service.HealthPath)
 	// On an open connection, a late surplus answer to an earlier health check could come first.
-	req.NewConnection = true
+	req.OwnConnection = true
 	a, err := g.exchange(ctx, u, req)
 	if err != nil {
 		return err
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -51,19 +51,29 @@
 	now      func() time.Time
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[idleKey][]*conn
 }
 
+// idleKey selects the idle connections that a request can use. An upstream may send a late second answer to a
+// request, which only the identifier tells from the answer to the next one. Requests without an identifier therefore
+// share no connection with others.
+type idleKey struct {
+	address    string
+	identified bool
+}
+
+func (r Request) idleKey(address string) idleKey { return idleKey{address, r.ID != ""} }
+
 // New returns an empty Pool; dial opens a connection to an IP:port.
 func New(settings Settings, dial func(ctx context.Context, address string) (net.Conn, error), now func() time.Time) *Pool {
-	return &Pool{settings: settings, dial: dial, now: now, idle: map[string][]*conn{}}
+	return &Pool{settings: settings, dial: dial, now: now, idle: map[idleKey][]*conn{}}
 }
 
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	*deadlineConn
-	address string
-	r       *answerReader
+	key idleKey
+	r   *answerReader
 	// headRead is set once the head of the current answer was read.
 	headRead atomic.Bool
 	expires  time.Time
@@ -84,8 +94,8 @@
 	Body   []byte
 	// ID is the identifier that the answer is expected to carry; empty for none.
 	ID string
-	// NewConnection requests a new connection instead of an idle one.
-	NewConnection bool
+	// OwnConnection requests a connection that carries no other request.
+	OwnConnection bool
 }
 
 // Answer is the head of an upstream's answer; the body is read with Read. Close must be called
@@ -111,7 +121,7 @@
 // read, bytes received by then can still be read, and the connection is closed. If ctx is
 // cancelled before the head was read, this happens HeadGrace later.
 func (p *Pool) Do(ctx context.Context, address string, req Request) (*Answer, error) {
-	c, err := p.connect(ctx, address, req.NewConnection)
+	c, err := p.connect(ctx, req.idleKey(address), req.OwnConnection)
 	if err != nil {
 		return nil, err
 	}
@@ -140,26 +150,26 @@
 }
 
 // connect returns an idle connection that is still usable, or opens a new one.
-func (p *Pool) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (p *Pool) connect(ctx context.Context, key idleKey, fresh bool) (*conn, error) {
 	if !fresh {
-		if c := p.takeIdle(address); c != nil {
+		if c := p.takeIdle(key); c != nil {
 			return c, nil
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
-	nc, err := p.dial(ctx, address)
+	nc, err := p.dial(ctx, key.address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	dc := &deadlineConn{Conn: nc}
-	return &conn{deadlineConn: dc, address: address, r: newAnswerReader(dc)}, nil
+	return &conn{deadlineConn: dc, key: key, r: newAnswerReader(dc)}, nil
 }
 
 // CheckReachable opens a connection to an address and closes it. It returns an error if nothing accepts
 // connections there.
 func (p *Pool) CheckReachable(ctx context.Context, address string) error {
-	c, err := p.connect(ctx, address, true)
+	c, err := p.connect(ctx, idleKey{address: address}, true)
 	if err != nil {
 		return err
 	}
@@ -170,9 +180,9 @@
 // of a stream.
 const readBufferSize = 4 << 10
 
-func (p *Pool) takeIdle(address string) *conn {
+func (p *Pool) takeIdle(key idleKey) *conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(key)
 		if c == nil {
 			return nil
 		}
@@ -183,16 +193,16 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *conn {
+func (p *Pool) popIdle(key idleKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[key]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
 	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
+	p.idle[key] = list[:len(list)-1]
 	return c
 }
 
@@ -202,7 +212,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	for address, list := range p.idle {
+	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
 			if c.usable(now) {
@@ -212,9 +222,9 @@
 			_ = c.Close()
 		}
 		clear(list[len(kept):])
-		p.idle[address] = kept
+		p.idle[key] = kept
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, key)
 		}
 	}
 }
@@ -240,7 +250,7 @@
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 				Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-				pool:   p, conn: c, body: resp.Body, written: written, close: resp.Close,
+				pool:   p, conn: c, body: resp.Body, written: written, close: resp.Close || req.OwnConnection,
 			}, nil
 		}
 		err = c.r.skip(resp, start+maxSkippedBytes-c.r.consumed())
@@ -309,7 +319,7 @@
 	return n, err
 }
 
-// Closing reports whether the upstream announced that it closes the connection after this answer.
+// Closing reports whether the connection is closed after this answer.
 func (a *Answer) Closing() bool { return a.close }
 
 // Close returns the connection to the pool if the answer was read to its end and the connection is
@@ -342,7 +352,7 @@
 	c.expires = p.now().Add(p.idleTimeout(h))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
 // idleTimeout returns how long an idle connection may be kept, from the Keep-Alive header of the
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -262,7 +263,7 @@
 	}
 	_, _ = io.Copy(io.Discard, a)
 	a.Close()
-	if c := p.popIdle(u.address); c != nil {
+	if c := p.popIdle(request("1").idleKey(u.address)); c != nil {
 		t.Error("a connection with a partly sent body was kept")
 	}
 }
@@ -299,13 +300,13 @@
 		t.Fatal(err)
 	}
 	p.Sweep()
-	if len(p.idle[u.address]) != 1 {
+	if len(p.idle[request("1").idleKey(u.address)]) != 1 {
 		t.Fatal("a usable connection was closed")
 	}
 	later := time.Now().Add(1400 * time.Millisecond)
 	p.now = func() time.Time { return later }
 	p.Sweep()
-	if len(p.idle[u.address]) != 0 {
+	if len(p.idle[request("1").idleKey(u.address)]) != 0 {
 		t.Error("a connection was kept within IdleMargin of the upstream's timeout")
 	}
 }
@@ -380,3 +381,31 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestLateAnswerIsTakenForAnotherOne guards against late second answers of an upstream: to a request, in the place of
+// the answer to a command, which has no identifier, and to a command, in the place of the answer to the next one.
+func TestLateAnswerIsTakenForAnotherOne(t *testing.T) {
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		late := ""
+		for {
+			req, body := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			writeText(c, late)
+			late = "HTTP/1.1 200 OK\nX-Id: " + req.Header.Get("X-Id") + "\nContent-Length: " + strconv.Itoa(len(body)) + "\n\n" + body
+			writeText(c, late)
+		}
+	})
+	p := newPool()
+	command := func(body string) Request {
+		return Request{Method: http.MethodPost, Target: "/command", Host: "host.example", Header: http.Header{}, Body: []byte(body), OwnConnection: true}
+	}
+	query := command("query")
+	query.OwnConnection = false
+	for _, req := range []Request{request("1"), query, command("first"), command("second"), request("2")} {
+		if body, err := ask(t, p, u.address, req); err != nil || body != string(req.Body) {
+			t.Errorf("%s %q: got %q, %v", req.Target, req.Body, body, err)
+		}
+	}
+}
