fix(gateway): an entry doesn't vouch for the retry use of one that it did not hear

Upstreams would have got more extra attempts than the budget allows: an entry that was killed while it was out of touch with the others was told by one of them, once it had started again, that nothing had been used, and spent its share a second time within the window.

Cause: an entry that ran for the whole window said that it knew all use of another one's earlier processes, whether it had heard them or not. Found in the search for knowledge that counts as complete although the process did not look.

Evidence, before: "did not hear the earlier process for the window": complete true, want false; the same for one that heard nothing and one that heard the new process only.

An entry vouches only for one whose earlier process it heard within the window. The other one reads the store otherwise, or waits until the use is out of the window.

The row "runs for longer than the window" of TestEntryVouchesForWhatItDidNotHear expected the fault (nothing was heard, and true); it is replaced by rows for what was heard and when. Real processes: TestKilledGatewaysForgetTheRetryBudget passes, four cases.

--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -10,8 +10,8 @@
 // retryPeer is what another entry reported last of its use of the retry budgets.
 type retryPeer struct {
 	incarnation string
-	// restarted is set if an earlier process of the entry reported its use as well.
-	restarted bool
+	// earlierAt is when an earlier process of the entry last reported its use; zero if none did.
+	earlierAt time.Time
 	// use is the sum over all services.
 	use routing.Use
 	at  time.Time
@@ -74,10 +74,18 @@
 			used[service] = buckets
 		}
 	}
-	p, heard := g.retryPeers[name]
-	heardEarlier := heard && (p.restarted || p.incarnation != incarnation)
-	wholeWindow := !g.settings.EarlierProcesses || g.now().Sub(g.startedAt) >= g.settings.RetryWindow
-	return used, wholeWindow || heardEarlier && g.retriesRestored.Load()
+	earlierAt := g.retryPeers[name].earlierAt
+	if p := g.retryPeers[name]; p.incarnation != incarnation {
+		earlierAt = p.at
+	}
+	now := g.now()
+	upForWindow := now.Sub(g.startedAt) >= g.settings.RetryWindow
+	if !g.settings.EarlierProcesses && !upForWindow {
+		return used, true
+	}
+	// An entry that was not heard lately may have made extra attempts out of touch with this one.
+	heardLately := !earlierAt.IsZero() && now.Sub(earlierAt) < g.settings.RetryWindow
+	return used, heardLately && (upForWindow || g.retriesRestored.Load())
 }
 
 // usedUpLogInterval is the least time between two log lines about the used up budget of a service.
@@ -127,7 +135,10 @@
 	}
 	g.mu.Lock()
 	last, known := g.retryPeers[name]
-	p.restarted = known && (last.restarted || last.incarnation != incarnation)
+	p.earlierAt = last.earlierAt
+	if known && last.incarnation != incarnation {
+		p.earlierAt = last.at
+	}
 	g.retryPeers[name] = p
 	g.mu.Unlock()
 	if known && last.incarnation != incarnation {
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -58,25 +58,33 @@
 }
 
 // TestEntryVouchesForWhatItDidNotHear guards against an entry that tells another one that nothing was used,
-// though it has not run for long enough to know.
+// though it has not run for long enough to know, or was out of touch with the earlier process.
 func TestEntryVouchesForWhatItDidNotHear(t *testing.T) {
 	const peer = "entry-2"
 	for _, tc := range []struct {
 		name string
 		// earlier is set if this entry may have run before, restored if it knows what it used then. heard are
-		// the processes of the other entry that it heard, up the time for which it runs.
+		// the processes of the other entry that it heard, up the time for which it ran before, and silent the
+		// time after each.
 		earlier, restored bool
 		heard             []string
-		up                time.Duration
+		up, silent        time.Duration
 		want              bool
 	}{
-		{"runs for longer than the window", true, false, nil, 10 * time.Second, true},
-		{"first start of the deployment", false, false, nil, time.Second, true},
-		{"has just started, heard nothing", true, true, nil, time.Second, false},
-		{"has just started, heard the new process only", true, true, []string{"new"}, time.Second, false},
-		{"has just started, heard the earlier process", true, true, []string{"old"}, time.Second, true},
-		{"has just started, heard both", true, true, []string{"old", "new"}, time.Second, true},
-		{"does not know its own use", true, false, []string{"old", "new"}, time.Second, false},
+		{"runs for longer than the window, heard the earlier process", true, false, []string{"old"}, 10 * time.Second, time.Second, true},
+		{"runs for longer than the window, heard both", true, false, []string{"old", "new"}, 10 * time.Second, time.Second, true},
+		{"runs for longer than the window, heard nothing", true, true, nil, 10 * time.Second, 0, false},
+		{"runs for longer than the window, heard the new process only", true, true, []string{"new"}, 10 * time.Second, 0, false},
+		{"did not hear the earlier process for the window", true, true, []string{"old"}, 10 * time.Second, 10 * time.Second, false},
+		{"did not hear the earlier process for the window before the new one", true, true, []string{"old", "new", "new"}, time.Second, 10 * time.Second, false},
+		{"first start of the deployment", false, false, nil, time.Second, 0, true},
+		{"of the first start, heard nothing in the window", false, false, nil, 10 * time.Second, 0, false},
+		{"of the first start, heard the earlier process", false, false, []string{"old"}, 10 * time.Second, 0, true},
+		{"has just started, heard nothing", true, true, nil, time.Second, 0, false},
+		{"has just started, heard the new process only", true, true, []string{"new"}, time.Second, 0, false},
+		{"has just started, heard the earlier process", true, true, []string{"old"}, time.Second, 0, true},
+		{"has just started, heard both", true, true, []string{"old", "new"}, time.Second, 0, true},
+		{"does not know its own use", true, false, []string{"old", "new"}, time.Second, 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			at := time.Now()
@@ -86,7 +94,8 @@
 			}
 			at = at.Add(tc.up)
 			for i, incarnation := range tc.heard {
-				g.SetPeerRetryUse(peer, incarnation, map[string]routing.Use{"llm": {Extra: 7 * (1 - i)}}, at)
+				g.SetPeerRetryUse(peer, incarnation, map[string]routing.Use{"llm": {Extra: 7 * max(1-i, 0)}}, at)
+				at = at.Add(tc.silent)
 			}
 			used, ok := g.PeerRetries(peer, "new")
 			if ok != tc.want {
@@ -96,7 +105,7 @@
 			for _, b := range used["llm"] {
 				extra += b.Extra
 			}
-			if len(tc.heard) > 0 && tc.heard[0] == "old" && extra != 7 {
+			if len(tc.heard) > 0 && tc.heard[0] == "old" && tc.silent < g.settings.RetryWindow && extra != 7 {
 				t.Errorf("%d extra attempts of the earlier process, want 7", extra)
 			}
 		})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -408,7 +408,8 @@
 mutant retries-seen $routing/window.go 's/use\.Extra = max\(use\.Extra, p\.Extra\)/use.Extra = p.Extra/' $routing TestReportOfNewProcess
 mutant retries-reported $routing/window.go 's/use\.Extra = max\(use\.Extra, p\.Extra\)\n//' $routing TestReportCounts
 mutant retries-unknown internal/gateway/retries.go 's/if g\.retriesKnown\(\) && b\.TakeExtra/if b.TakeExtra/' internal/gateway TestNewProcess
-mutant retries-vouch internal/gateway/retries.go 's/return used, wholeWindow \|\| heardEarlier && g\.retriesRestored\.Load\(\)/_, _ = wholeWindow, heardEarlier\n\treturn used, true/' internal/gateway TestEntryVouches
+mutant retries-vouch internal/gateway/retries.go 's/return used, heardLately && \(upForWindow \|\| g\.retriesRestored\.Load\(\)\)/_, _ = heardLately, upForWindow\n\treturn used, true/' internal/gateway TestEntryVouches
+mutant retries-vouch-lately internal/gateway/retries.go 's/heardLately := !earlierAt\.IsZero\(\) && now\.Sub\(earlierAt\) < g\.settings\.RetryWindow/heardLately := !earlierAt.IsZero() || upForWindow/' internal/gateway TestEntryVouches
 mutant retries-stored-late internal/retryuse/retryuse.go 's/\t\tk\.rec\.Note\(events\.RetryUseRestored, "", "source", "store", "error", err\)\n\t\treturn false/\t\treturn k.restoreStored(ctx)/' internal/retryuse TestNewProcessLearns
 mutant retries-ahead internal/retryuse/retryuse.go 's/bucket\{0, 0, int64\(growth\(u\)\)\}/bucket{}/' internal/retryuse TestUseIsStored
 
