--- a/internal/jsonbound/jsonbound.go
+++ b/internal/jsonbound/jsonbound.go
@@ -33,7 +33,7 @@
 
 func check(text []byte, maxBytes, maxDepth int) error {
 	if len(text) > maxBytes {
-		return fmt.Errorf("%w: %d bytes, at most %d are decoded", sizebound.ErrTooLong, len(text), maxBytes)
+		return fmt.Errorf("%w: more than %d bytes", sizebound.ErrTooLong, maxBytes)
 	}
 	depth := 0
 	for i := 0; i < len(text); i++ {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,8 +123,8 @@
 mutant rows-state platform/upstreams.go 's/f\.oneOf\("state", stateReady, stateDraining\)/f.nonEmptyString("state")/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-cold platform/upstreams.go 's/if cold > maxColdMS \{/if false {/' platform TestDecodeUpstreamRejectsInvalidFields
 mutant rows-no-longer-cold platform/routes.go 's/min\(max\(v, 0\), /min(v, /' platform TestDecodeUpstreamAcceptsValidRows
-mutant rows-text $rows 's/if len\(s\) > maxTextBytes \{/if len(s) > jsonbound.MaxRowBytes {/' platform TestDecodeUpstreamRejectsInvalidFields
-mutant rows-long-name $rows 's/if len\(row\) > maxTextBytes \{/if len(row) > jsonbound.MaxRowBytes {/' platform TestDecodeUpstreamRejectsMalformedRows
+mutant rows-text $rows 's/if len\(s\) > maxTextBytes \{/if len(s) > 64<<10 {/' platform TestDecodeUpstreamRejectsInvalidFields
+mutant rows-long-name $rows 's/if len\(row\) > maxTextBytes \{/if len(row) > 64<<10 {/' platform TestDecodeUpstreamRejectsMalformedRows
 mutant rows-size $rows 's/f\.fail\(reasonSize, "%v", err\)\n\t\treturn f/_ = reasonSize/' platform "TestNestedRowTakesNoLongerThanValidRow|TestLongRowIsRejected"
 mutant json-depth internal/jsonbound/jsonbound.go 's/if depth\+\+; depth > maxDepth \{/if depth++; depth > 1<<40 {/' platform TestNestingOverflowsNoStack
 mutant json-strings internal/jsonbound/jsonbound.go 's/i = stringEnd\(text, i\+1\)/_ = stringEnd(text, i+1)/' internal/jsonbound TestCheck
@@ -140,6 +140,8 @@
 mutant retry-rows-told internal/retryuse/retryuse.go 's/if rejected\+\+; rejected > maxBadRowLogs \{/if rejected++; rejected < 0 {/' internal/retryuse TestOddRowsAreLoggedShortly
 mutant entry-rows-removed internal/directory/directory.go 's/expired\[:min\(len\(expired\), maxRemoved\)\]/expired/' internal/directory TestExpiredRowsAreRemovedInParts
 mutant entry-data-told internal/directory/directory.go 's/(v\.age\(s\.Clock\)\); err != nil \{\n\t\t\t\t)reject\(r, err\)/$1d.rec.Note(events.RegisterFailed, "", "error", err)/' internal/directory TestUnreadableDataIsLoggedOncePerVersion
+mutant rows-kept platform/store.go 's/case table == TableUpstreams && len\(r\.Value\) > maxRowBytes:/case table == "":/' platform TestUnusedValuesAreNotKept
+mutant rows-kept-operator platform/store.go 's/case table == TableRoutes && r\.Key != RowRoutes:/case table == "":/' platform TestUnusedValuesAreNotKept
 mutant rows-last-name platform/store.go 's/if r\.Key != "" \{/if r.Ver >= 0 {/' platform TestListContinuesAfterPageWhoseLastRow
 mutant bad-rows-there internal/daemon/upstreamrows.go 's/\t\t\tunreadable = append\(unreadable, row\.Name\)\n//' internal/daemon TestBadRowDoesNotAffect
 mutant bad-rows-once internal/daemon/badrows.go 's/if known && old\.version == row\.Version \{/if known \&\& old.version < 0 {/' internal/daemon TestBadRowsAreReported
