--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/logline"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/originstore"
 	product "github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/relay"
 	"github.com/sparshore/sparshore/internal/reload"
@@ -206,6 +207,17 @@
 	// a few round trips and a busy processor.
 	retryUseCallTimeout = time.Second
 	retryUseAskTimeout  = 250 * time.Millisecond
+	// tableOrigins is the table in which entries store the software versions in service and the streams that
+	// they began.
+	tableOrigins = "origins"
+	// originStoreTick is the time between two checks for what to store, originStoreInterval the least time
+	// between two writes of an entry's streams, and originStoreSpacing the one between the writes of all
+	// entries together.
+	originStoreTick     = 50 * time.Millisecond
+	originStoreInterval = time.Second
+	originStoreSpacing  = 25 * time.Millisecond
+	// originStoreCallTimeout bounds a call to the store for that, which a caller may wait for.
+	originStoreCallTimeout = time.Second
 )
 
 // RunGateway runs a gateway until the process is asked to stop.
@@ -253,8 +265,10 @@
 	directory         *directory.Directory
 	// retryUse carries the use of the retry budgets over to the next process of this entry.
 	retryUse *retryuse.Keeper
-	stalls   *stallDetector
-	lags     *lagDetector
+	// originStore stores what a process needs to resume streams after a loss of all entries.
+	originStore *originstore.Keeper
+	stalls      *stallDetector
+	lags        *lagDetector
 	// publishedQuarantines is the number of quarantines of this entry as of the latest renewal
 	// of its row.
 	publishedQuarantines int
@@ -308,9 +322,16 @@
 			Send:      func(to string, m origin.Message) { b.gossip.SendOrigins(to, m) },
 			RoundTrip: func() time.Duration { return b.gossip.RoundTrip() },
 		},
+		StoredOrigins: gateway.StoredOrigins{
+			Find: func(ctx context.Context, k origin.Key, service string) (originstore.Stored, error) {
+				return b.originStore.Find(ctx, k, service)
+			},
+			Confirm: func(ctx context.Context, o origin.Origin) bool { return b.originStore.Confirm(ctx, o) },
+		},
 	}, b.rec, b.reg, time.Now)
 	b.gateway.Quarantine().SetName(s.Name)
 	b.retryUse = b.newRetryUse()
+	b.originStore = b.newOriginStore()
 	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
 	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, b.fleet.Followed, func() {}, b.rec, time.Now)
 	return b
--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -12,8 +12,10 @@
 
 	"github.com/sparshore/sparshore/internal/directory"
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/gossip"
 	"github.com/sparshore/sparshore/internal/kernel"
+	"github.com/sparshore/sparshore/internal/originstore"
 	"github.com/sparshore/sparshore/internal/peer"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/relay"
@@ -46,6 +48,7 @@
 			go b.gossip.Run(b.ctx)
 			go b.directory.Run(b.ctx)
 			go b.retryUse.Run(b.ctx)
+			go b.originStore.Run(b.ctx)
 			return nil
 		},
 	}
@@ -93,6 +96,33 @@
 	}, b.rec, time.Now)
 }
 
+// newOriginStore returns the Keeper of what is stored of streams.
+func (b *gatewayBuilder) newOriginStore() *originstore.Keeper {
+	s := b.settings
+	return originstore.New(originstore.Settings{
+		Table: tableOrigins, Name: s.Name, Incarnation: b.incarnation, TickInterval: originStoreTick, CallTimeout: originStoreCallTimeout, Retention: fleet.SoftwareRetention,
+	}, b.store, originstore.Fleet{Software: b.engineSoftware, FollowedSince: b.fleet.FollowedSince}, originstore.Peers{
+		Known: func() []string { return b.gossip.PeerNames() }, Ready: b.listed,
+		StoreInterval: func() time.Duration {
+			return max(originStoreInterval, time.Duration(b.liveEntries()+1)*originStoreSpacing)
+		},
+	}, b.gateway.Origins().Own, b.rec, time.Now)
+}
+
+// engineSoftware returns the software versions of the services whose streams may be resumed.
+func (b *gatewayBuilder) engineSoftware() map[string][]string {
+	table, _ := b.routes.Current()
+	software := b.fleet.Software()
+	maps.DeleteFunc(software, func(name string, _ []string) bool {
+		if table == nil {
+			return true
+		}
+		service, ok := table.Service(name)
+		return !ok || service.Engine == nil
+	})
+	return software
+}
+
 // relayPeerNames returns the names of the entries that can be asked, those that are heard first.
 func (b *gatewayBuilder) relayPeerNames() []string {
 	peers := b.relayPeers()
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -39,6 +39,7 @@
 	if s.Restored {
 		b.upstreams.restore(s.Records, settled)
 		b.fleet.MissedChanges()
+		b.originStore.Restored()
 		return
 	}
 	b.upstreams.apply(s.Records, full, settled)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -50,6 +50,8 @@
 	UpstreamReachable   ID = 152
 	GossipLateEcho      ID = 153
 	ClockJumped         ID = 154
+	SoftwareStored      ID = 155
+	OriginStoreFailed   ID = 156
 	MemoryExhausted     ID = 160
 	MemoryAvailable     ID = 161
 	RequestReceived     ID = 200
@@ -186,6 +188,8 @@
 	{UpstreamReachable, "upstream-reachable", "An entry could connect again to an engine that it could not reach; `last-failed` is the time since its last failed attempt."},
 	{GossipLateEcho, "gossip-late-echo", "Another entry echoed a message that arrived after it had encoded the rest of its own message (`by`), so the ages in it must not be counted from the echoed one. Logged at most once a second; `late-echoes` counts all."},
 	{ClockJumped, "clock-jumped", "The time of day moved by more than the steady clock (`by`): it was set, or the machine was suspended, which the steady clock does not count."},
+	{SoftwareStored, "software-stored", "An entry wrote to the store that a software version of a service is in service, `after` it learned of it."},
+	{OriginStoreFailed, "origin-store-failed", "A `call` to the store for the software versions of streams failed, or a row that it returned cannot be used (`row`), or a row has no room for all streams (`left-out`). Only streams that callers resume after a loss of all entries depend on it."},
 	{MemoryExhausted, "memory-exhausted", "An entry buffers as much of requests and responses as its memory allows (`used` of `limit` bytes): what no longer fits is refused with 503, and callers that do not read are disconnected."},
 	{MemoryAvailable, "memory-available", "Less than half of the memory for buffered requests and responses is in use again."},
 	{RequestReceived, "request-received", "An entry accepted a caller's request."},
@@ -211,7 +215,7 @@
 	{RequestHeld, "request-held", "A request crashed one upstream after another (`upstreams`) and is in quarantine: every entry refuses it at once."},
 	{RequestCleared, "request-cleared", "A request under which upstreams crashed is no longer a suspect: an upstream served it, or an operator lifted its quarantine (`why`)."},
 	{RequestForgotten, "request-forgotten", "More requests under which upstreams crashed are recorded than the limit allows; the least important record was dropped."},
-	{StreamOrigin, "stream-origin", "An entry looked for the software version that began the stream that a caller resumes (`resumes`); `source` tells how it was learned: from this entry's own `record`, from another entry (`peer`), or because it is the `only version`; `followed` tells for how long this entry has known all upstreams without a gap, 0 if it does not. Otherwise the caller is refused: with `nobody` no entry knows the stream, with `no answer` not all entries answered, with `not named` the caller did not name the request that began it."},
+	{StreamOrigin, "stream-origin", "An entry looked for the software version that began the stream that a caller resumes (`resumes`); `source` tells how it was learned: from this entry's own `record`, from another entry (`peer`), from the `store`, or because it is the `only version`: by this entry's own view of the upstreams, which it has followed for `followed`, or by the versions in the store (`stored`). Otherwise the caller is refused: with `nobody` neither an entry nor the store knows the stream, with `no answer` not all entries answered, with `not named` the caller did not name the request that began it, with `no store` the store did not answer (`error`)."},
 	{EngineSlow, "engine-slow", "An engine began to count as slow: its pace, the time between two events of a stream, is `interval`, while the median of its service is `typical`. `entries` entries observed it. Long streams go elsewhere while there is room."},
 	{EngineNotSlow, "engine-not-slow", "An engine no longer counts as slow."},
 	{PaceRejected, "pace-rejected", "Reports of another entry about the pace of engines were invalid; they are dropped and change nothing."},
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -58,6 +58,17 @@
 	return slices.Sorted(maps.Keys(out))
 }
 
+// Software returns the software versions that are remembered, by service.
+func (s *Set) Software() map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string][]string, len(s.software))
+	for service, versions := range s.software {
+		out[service] = slices.Sorted(maps.Keys(versions))
+	}
+	return out
+}
+
 // Followed notes that the rows of all upstreams were known as of a steady time.
 func (s *Set) Followed(at time.Time) {
 	s.mu.Lock()
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -59,8 +59,8 @@
 		{"without a gap", []time.Duration{0, 2 * time.Second, 6 * time.Second}, false, 7 * time.Second, 0, true},
 		{"after a gap", []time.Duration{13 * time.Second}, false, 14 * time.Second, 13 * time.Second, true},
 		{"an answer is older than the one before", []time.Duration{12 * time.Second}, false, 18 * time.Second, 13 * time.Second, true},
-		{"the store is away", nil, false, 19 * time.Second, 13 * time.Second, false},
-		{"the store was restored", []time.Duration{20 * time.Second}, true, 20 * time.Second, 20 * time.Second, true},
+		{"the store was restored", []time.Duration{17 * time.Second}, true, 18 * time.Second, 17 * time.Second, true},
+		{"the store is away", nil, false, 23 * time.Second, 17 * time.Second, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			if tc.missed {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -25,6 +25,7 @@
 	"github.com/sparshore/sparshore/internal/limits"
 	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/originstore"
 	"github.com/sparshore/sparshore/internal/platform"
 	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
@@ -209,6 +210,11 @@
 	software string
 	// lastServer is the server of the upstream that was added last.
 	lastServer *httptest.Server
+	// stored is what the store has for each stream, unless storeErr is set.
+	stored   originstore.Stored
+	storeErr error
+	// confirm is called before the first event of a stream that may be resumed is passed on.
+	confirm func(o origin.Origin) bool
 	// peers are the other entries that are reachable.
 	peers map[string]gossip.Peer
 	delay time.Duration
@@ -230,7 +236,7 @@
 
 func newFixture(t *testing.T, change ...func(*Settings)) *fixture {
 	t.Helper()
-	f := &fixture{t: t, rec: events.Nop()}
+	f := &fixture{t: t, rec: events.Nop(), confirm: func(origin.Origin) bool { return true }}
 	decode := func(value []byte) (*routetable.Table, error) { return testTable(string(value)), nil }
 	f.routes = belief.NewRoutes("routes", decode, f.rec, time.Now)
 	f.fleet = fleet.New(f.rec, time.Now, func(id string) { f.gateway.Evacuate(id) })
@@ -247,8 +253,12 @@
 		f.routes, f.fleet, pool, testProtocol(), Peers{
 			SendSoon: func() {}, SendNow: func() {}, DeliveryTimes: func() (delivery, silence time.Duration) { return 0, 0 }, LivePeers: func() map[string]gossip.Peer { return f.peers },
 			Delay:  func(string, bool) time.Duration { return f.delay },
-			Limits: limits.Alone(), Origins: origin.Alone(),
+			Limits: limits.Alone(), Origins: origin.Alone(), StoredOrigins: StoredOrigins{
+				Find:    func(context.Context, origin.Key, string) (originstore.Stored, error) { return f.stored, f.storeErr },
+				Confirm: func(_ context.Context, o origin.Origin) bool { return f.confirm(o) },
+			},
 		}, f.rec, prometheus.NewRegistry(), time.Now)
+	follow(f.fleet, time.Hour)
 	f.gateway.SetListedEntries(1)
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.server.Close)
@@ -257,6 +267,13 @@
 	return f
 }
 
+// follow makes a fleet follow the upstreams for some time until now.
+func follow(set *fleet.Set, d time.Duration) {
+	for ; d >= 0; d -= time.Second {
+		set.Followed(time.Now().Add(-d))
+	}
+}
+
 // testTimeout is longer than any test server takes on a busy machine: 2 s cut a stream of some
 // hundred milliseconds once at a load of 45 on 12 cores.
 const testTimeout = 30 * time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,8 @@
 	Limits limits.Peers
 	// Origins is how entries report to each other which software version began a stream.
 	Origins origin.Peers
+	// StoredOrigins is what the entries stored of that.
+	StoredOrigins StoredOrigins
 }
 
 // New returns a Gateway.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -57,7 +57,7 @@
 
 // attemptBegan handles the first event of an attempt.
 func (s *stream) attemptBegan(ctx context.Context, st step, answer *link.Answer, sent time.Time) {
-	s.recordFirstEvent(st, answer, sent)
+	s.recordFirstEvent(ctx, st, answer, sent)
 	if st.from == nil {
 		s.noteStart(st.at, s.g.now().Sub(sent))
 	}
@@ -93,7 +93,7 @@
 
 // recordFirstEvent records the first event of an attempt. If that is the first event of the stream,
 // recordFirstEvent also sends the head of the answer to the caller.
-func (s *stream) recordFirstEvent(st step, answer *link.Answer, sent time.Time) {
+func (s *stream) recordFirstEvent(ctx context.Context, st step, answer *link.Answer, sent time.Time) {
 	g, now := s.g, s.g.now()
 	g.fleet.RecordOutcome(st.at.ID, fleet.Served)
 	if st.from != nil {
@@ -107,7 +107,7 @@
 		return
 	}
 	s.headSent = true
-	s.begin(st.at)
+	s.begin(ctx, st.at)
 	g.proto.CopyHeaders(answer.Header, s.rq.w.Header())
 	s.rq.w.WriteHeader(answer.Status)
 	s.timeToFirstEvent = now.Sub(s.rq.start)
@@ -133,7 +133,7 @@
 	whole := errors.Is(err, io.EOF) && len(rest) == 0 && (answer.Framed || s.closedAtItsEnd(ctx, st))
 	// A caller that had the last event, but not the end of the answer, resumes a stream without a rest.
 	if whole && !s.headSent && s.rq.call.LastEvent != "" && s.rq.beginAnswer() {
-		s.recordFirstEvent(st, answer, s.g.now())
+		s.recordFirstEvent(ctx, st, answer, s.g.now())
 	}
 	if whole && s.headSent {
 		now := s.g.now()
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -9,16 +9,19 @@
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/originstore"
 )
 
 // The reasons for refusing to resume a stream.
 var (
 	errOriginUnknown     = errors.New("the software version that began this stream is not known")
 	errOriginNotAnswered = errors.New("other entries have not said which software version began this stream")
+	errOriginNotStored   = errors.New("the store has not said which software version began this stream")
 	errVersionGone       = errors.New("no engine of the software version that began this stream serves")
 )
 
-// originRetryDelay is the retry delay of a caller that resumes a stream while other entries do not answer.
+// originRetryDelay is the retry delay of a caller that resumes a stream while other entries or the store do not
+// answer.
 const originRetryDelay = 300 * time.Millisecond
 
 // streamSoftware tells at which software version a stream may go on. What engines of two versions write does
@@ -40,10 +43,22 @@
 const (
 	// sourceOnlyVersion means that no other version served for as long as the stream may have run.
 	sourceOnlyVersion origin.Source = "only version"
+	// sourceStore means that the store has the stream.
+	sourceStore origin.Source = "store"
 	// sourceNotNamed means that the caller does not name the request that began the stream.
 	sourceNotNamed origin.Source = "not named"
+	// sourceNoStore means that no entry knows the stream and the store did not answer.
+	sourceNoStore origin.Source = "no store"
 )
 
+// StoredOrigins gives access to what the entries stored of streams, for the time after a loss of all of them.
+type StoredOrigins struct {
+	// Find returns what the store has for a stream of a service.
+	Find func(ctx context.Context, k origin.Key, service string) (originstore.Stored, error)
+	// Confirm waits a short time until the store has that a software version of a service is in service.
+	Confirm func(ctx context.Context, o origin.Origin) bool
+}
+
 // findOrigin finds out which software version began the stream that a caller resumes. It refuses the request
 // and returns false if that cannot be told.
 func (g *Gateway) findOrigin(ctx context.Context, rq *request) bool {
@@ -54,39 +69,83 @@
 	if rq.call.Resumes != "" {
 		o, source = g.origins.Lookup(ctx, origin.KeyOf(rq.call.Resumes))
 	}
-	if source == origin.FromNobody || source == sourceNotNamed {
-		if versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longestStream(rq))); len(versions) == 1 {
-			o, source = origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
-		}
+	var stored originstore.Stored
+	var err error
+	if source != origin.FromRecord && source != origin.FromPeer {
+		o, source = g.onlyVersion(rq, source)
 	}
-	followed := g.followedFor()
+	if o == (origin.Origin{}) {
+		stored, err = g.peers.StoredOrigins.Find(ctx, origin.KeyOf(rq.call.Resumes), rq.service.Name)
+		o, source = g.storedOrigin(rq, source, stored, err)
+	}
+	followed, _ := g.followedFor()
 	g.met.resumed(source)
-	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "took", g.now().Sub(asked))
+	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "stored", stored.Versions, "error", err, "took", g.now().Sub(asked))
 	switch source {
-	case origin.FromRecord, origin.FromPeer, sourceOnlyVersion:
+	case origin.FromRecord, origin.FromPeer, sourceStore, sourceOnlyVersion:
 		rq.software = streamSoftware{begun: true, version: o.Software, known: true}
 		g.returnToService(rq, o.Service)
 		return true
 	case origin.NoAnswer:
-		if ctx.Err() != nil {
-			g.giveUp(ctx, rq, errOriginNotAnswered.Error())
-			return false
-		}
-		g.refuse(rq, http.StatusServiceUnavailable, errOriginNotAnswered.Error(), originRetryDelay)
+		g.refuseUnanswered(ctx, rq, errOriginNotAnswered)
+	case sourceNoStore:
+		g.refuseUnanswered(ctx, rq, errOriginNotStored)
 	default:
 		g.refuse(rq, http.StatusServiceUnavailable, errOriginUnknown.Error(), 0)
 	}
 	return false
 }
 
-// followedFor returns for how long this entry has known all upstreams without a gap, 0 if it does not know them
-// now.
-func (g *Gateway) followedFor() time.Duration {
+// refuseUnanswered refuses to resume a stream whose origin may be learned a moment later.
+func (g *Gateway) refuseUnanswered(ctx context.Context, rq *request, why error) {
+	if ctx.Err() != nil {
+		g.giveUp(ctx, rq, why.Error())
+		return
+	}
+	g.refuse(rq, http.StatusServiceUnavailable, why.Error(), originRetryDelay)
+}
+
+// followedFor returns for how long this entry has known all upstreams without a gap; ok is false if it does not
+// know them now.
+func (g *Gateway) followedFor() (d time.Duration, ok bool) {
 	since, ok := g.fleet.FollowedSince()
 	if !ok {
-		return 0
+		return 0, false
+	}
+	return g.now().Sub(since), true
+}
+
+// onlyVersion returns the software version that began a stream which no entry knows, if this entry knew all
+// upstreams for as long as the stream may have run and all had that version.
+func (g *Gateway) onlyVersion(rq *request, source origin.Source) (origin.Origin, origin.Source) {
+	longest := longestStream(rq)
+	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
+	followed, ok := g.followedFor()
+	if source == origin.NoAnswer || len(versions) != 1 || !ok || followed < longest || longest > fleet.SoftwareRetention {
+		return origin.Origin{}, source
+	}
+	return origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
+}
+
+// storedOrigin returns the software version that began a stream by what the store has. Streams that it does not
+// have began at the only version in service, if this entry has known the upstreams since the store was read.
+func (g *Gateway) storedOrigin(rq *request, source origin.Source, stored originstore.Stored, err error) (origin.Origin, origin.Source) {
+	switch {
+	case err != nil:
+		return origin.Origin{}, sourceNoStore
+	case stored.Known:
+		return stored.Origin, sourceStore
+	case source == origin.NoAnswer:
+		return origin.Origin{}, source
+	}
+	since, followed := g.fleet.FollowedSince()
+	longest := longestStream(rq)
+	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
+	only := len(stored.Versions) == 1 && stored.Complete && len(versions) == 1 && versions[0] == stored.Versions[0]
+	if !only || !followed || since.After(stored.AsOf) || longest > fleet.SoftwareRetention {
+		return origin.Origin{}, source
 	}
-	return g.now().Sub(since)
+	return origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
 }
 
 // returnToService makes a resumed stream go to the service that began it, if its route still leads there.
@@ -119,8 +178,10 @@
 }
 
 // begin records that an engine wrote the first event of an answer. Other entries learn the software version
-// before the caller has the event, so that the caller can resume the stream if this entry ends.
-func (s *stream) begin(at fleet.Upstream) {
+// before the caller has the event, so that the caller can resume the stream if this entry ends, and the store has
+// that the version is in service, so that a process which starts after a loss of all entries does not take another
+// one for the only one.
+func (s *stream) begin(ctx context.Context, at fleet.Upstream) {
 	s.mu.Lock()
 	if !s.software.begun {
 		s.software = streamSoftware{begun: true, version: at.Software, known: s.g.softwareCertain(at)}
@@ -134,7 +195,9 @@
 	if s.rq.call.Resumes != "" {
 		id = s.rq.call.Resumes
 	}
-	s.g.origins.Began(origin.KeyOf(id), origin.Origin{Service: s.rq.service.Name, Software: software.version}, resumableUntil(s.rq))
+	o := origin.Origin{Service: s.rq.service.Name, Software: software.version}
+	s.g.peers.StoredOrigins.Confirm(ctx, o)
+	s.g.origins.Began(origin.KeyOf(id), o, resumableUntil(s.rq))
 }
 
 // softwareCertain reports whether a request that was sent to an upstream ran at the software version that was
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/originstore"
 	"github.com/sparshore/sparshore/internal/protocol"
 )
 
@@ -168,6 +170,91 @@
 	}
 }
 
+// TestProcessThatHasJustStartedJoinsStreams guards against streams that go on at the only software version that a
+// process knows since its start, although another one began them.
+func TestProcessThatHasJustStartedJoinsStreams(t *testing.T) {
+	const young, long = time.Second, time.Hour
+	known := originstore.Stored{Origin: origin.Origin{Service: "llm", Software: "v1"}, Known: true, Versions: []string{"v1", "v2"}, Complete: true}
+	versions := func(v ...string) originstore.Stored { return originstore.Stored{Versions: v, Complete: true} }
+	silent := origin.Alone()
+	silent.Known = func() []string { return []string{"entry-2"} }
+	for _, tc := range []struct {
+		name     string
+		followed time.Duration
+		versions []string
+		stored   originstore.Stored
+		err      error
+		// readBefore is how long the store was read before the process knew the upstreams.
+		readBefore time.Duration
+		peers      origin.Peers
+		want       int
+		reason     error
+	}{
+		{"the store has the stream", young, []string{"v1", "v2"}, known, nil, 0, origin.Alone(), http.StatusOK, nil},
+		{"the store has the stream and other entries do not answer", young, []string{"v1", "v2"}, known, nil, 0, silent, http.StatusOK, nil},
+		{"the store has the stream and its version is gone", young, []string{"v2"}, known, nil, 0, origin.Alone(), http.StatusServiceUnavailable, errVersionGone},
+		{"one version is in service", young, []string{"v2"}, versions("v2"), nil, 0, origin.Alone(), http.StatusOK, nil},
+		{"one version is in service and other entries do not answer", young, []string{"v2"}, versions("v2"), nil, 0, silent, http.StatusServiceUnavailable, errOriginNotAnswered},
+		{"another version has just left", young, []string{"v2"}, versions("v1", "v2"), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"another version has just come", young, []string{"v2", "v3"}, versions("v2"), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"another version replaced the one in the store", young, []string{"v2"}, versions("v1"), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"the store has no version", young, []string{"v2"}, versions(), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"the store may have more versions", young, []string{"v2"}, originstore.Stored{Versions: []string{"v2"}}, nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"the store was read before the upstreams", young, []string{"v2"}, versions("v2"), nil, 2 * young, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"the store is away", young, []string{"v2"}, originstore.Stored{}, errTest, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginNotStored},
+		{"it has followed the upstreams for long", long, []string{"v2"}, originstore.Stored{}, errTest, 0, origin.Alone(), http.StatusOK, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.fleet.MissedChanges()
+			follow(f.fleet, tc.followed)
+			f.gateway.origins = origin.New(tc.peers, f.rec, time.Now)
+			for i, version := range tc.versions {
+				f.addEngineOf(string(rune('a'+i)), version)
+			}
+			f.stored, f.storeErr = tc.stored, tc.err
+			f.stored.AsOf = time.Now().Add(-tc.readBefore)
+			got := f.ask(pathResume, resumes("unknown", "9"))
+			if got.status != tc.want || tc.reason != nil && !strings.Contains(got.body, tc.reason.Error()) {
+				t.Errorf("%d, %q; want %d, %v", got.status, got.body, tc.want, tc.reason)
+			}
+			if retry := got.header.Get(testRetryMs) != ""; retry != (errors.Is(tc.reason, errOriginNotStored) || errors.Is(tc.reason, errOriginNotAnswered)) {
+				t.Errorf("retry time stated: %v", retry)
+			}
+		})
+	}
+}
+
+var errTest = errors.New("the store does not answer")
+
+// TestFirstEventWaitsForTheRowOfItsVersion checks that a caller gets nothing of a stream that it may resume before
+// the version that began it is in the store.
+func TestFirstEventWaitsForTheRowOfItsVersion(t *testing.T) {
+	f := newFixture(t)
+	f.addEngineOf("a", "v1")
+	confirming, confirmed := make(chan origin.Origin), make(chan struct{})
+	f.confirm = func(o origin.Origin) bool {
+		confirming <- o
+		<-confirmed
+		return true
+	}
+	result := make(chan answer, 1)
+	go func() { result <- f.ask(pathResume) }()
+	if o := <-confirming; o != (origin.Origin{Service: "llm", Software: "v1"}) {
+		t.Errorf("%+v", o)
+	}
+	if n := len(f.gateway.Origins().Own()); n != 0 {
+		t.Errorf("%d streams are recorded", n)
+	}
+	close(confirmed)
+	if got := <-result; got.body != wholeStream() {
+		t.Errorf("%d, %v, %q", got.status, got.err, got.body)
+	}
+	if n := len(f.gateway.Origins().Own()); n != 1 {
+		t.Errorf("%d streams are recorded, want 1", n)
+	}
+}
+
 // TestRestartWithOtherSoftwareEndsTheStream guards against a stream that goes on at the version that its
 // engine had before a restart, although it may have run after it.
 func TestRestartWithOtherSoftwareEndsTheStream(t *testing.T) {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -74,6 +74,8 @@
 	Origin
 	// until is when the caller can no longer resume the stream.
 	until time.Time
+	// own is set if this entry passed the stream on.
+	own bool
 }
 
 // question is a stream that this entry asks the others for.
@@ -110,7 +112,7 @@
 // its holders. The reports are on their way when Began returns.
 func (s *Set) Began(k Key, o Origin, until time.Time) {
 	s.mu.Lock()
-	r := record{Origin: o, until: earlier(until, s.now().Add(maxKept))}
+	r := record{Origin: o, until: earlier(until, s.now().Add(maxKept)), own: true}
 	s.store(k, r)
 	s.mu.Unlock()
 	m := Message{Streams: []wireStream{encodeStream(k, r, s.now())}}
@@ -121,6 +123,7 @@
 
 // store keeps a record. The caller must hold s.mu.
 func (s *Set) store(k Key, r record) {
+	r.own = r.own || s.records[k].own
 	if len(s.records) >= maxRecords {
 		s.sweep()
 	}
@@ -134,6 +137,27 @@
 	s.records[k] = r
 }
 
+// Stream is a stream that this entry passed on and that its caller may resume until the given time.
+type Stream struct {
+	Key
+	Origin
+	Until time.Time
+}
+
+// Own returns the streams that this entry passed on and that their callers may still resume.
+func (s *Set) Own() []Stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	var out []Stream
+	for k, r := range s.records {
+		if r.own && now.Before(r.until) {
+			out = append(out, Stream{Key: k, Origin: r.Origin, Until: r.until})
+		}
+	}
+	return out
+}
+
 // Sweep drops the streams that can no longer be resumed.
 func (s *Set) Sweep() {
 	s.mu.Lock()
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -236,6 +236,27 @@
 	})
 }
 
+// TestOwnStreams checks that an entry keeps the streams that it began apart from those of other entries.
+func TestOwnStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 4)
+		n.began("entry-0", "r")
+		n.began("entry-1", "other")
+		time.Sleep(10 * time.Millisecond)
+		s := n.sets["entry-0"]
+		s.Receive("entry-1", Message{Streams: []wireStream{{Key: KeyOf("r").bytes(), Service: "llm", Software: "v1", ForMS: 20_000}}})
+		if own := s.Own(); len(own) != 1 || own[0].Key != KeyOf("r") || own[0].Origin != testOrigin {
+			t.Errorf("%+v", own)
+		}
+		time.Sleep(time.Minute)
+		if own := s.Own(); len(own) != 0 {
+			t.Errorf("%d streams that can no longer be resumed", len(own))
+		}
+	})
+}
+
+func (k Key) bytes() []byte { return k[:] }
+
 func TestReceiveIgnoresInvalidMessages(t *testing.T) {
 	long := string(make([]byte, maxNameBytes+1))
 	key := make([]byte, len(Key{}))
--- /dev/null
+++ b/internal/originstore/originstore.go
@@ -0,0 +1,596 @@
+// Package originstore keeps in the store what a process needs to resume streams after all entries were lost at
+// once. Entries tell each other which software version began a stream (package origin), and nobody knows it once
+// all of them have been killed.
+//
+// A row for each software version of a service tells which versions may have begun a stream that can still be
+// resumed. An entry that finds a new version writes the row before it passes on the first event of such a stream,
+// and the row is removed only once the version has been gone for longer than any stream runs. A process that
+// finds one version there knows that it began all streams of the service, however short its own view is.
+//
+// While there are several versions, each process writes the streams that it passed on to a row of its own. The
+// gateway daemon runs one Keeper. Nothing is read or written while the versions stay the same and no caller
+// resumes a stream that no entry knows.
+package originstore
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/platform"
+	"github.com/sparshore/sparshore/internal/roster"
+)
+
+var (
+	// errInvalidRow is wrapped for rows that cannot be used.
+	errInvalidRow = errors.New("invalid row")
+	// errReadRecently is returned while a failed read is not repeated.
+	errReadRecently = errors.New("the last read failed, the next one is not due")
+)
+
+const (
+	// writerDelay is the time after which the next entry takes its turn to write the row of a version that is
+	// still missing.
+	writerDelay = 250 * time.Millisecond
+	// removers is the number of entries that remove the row of a version.
+	removers = 3
+	// peersWait bounds how long a starting process waits until it knows the other entries.
+	peersWait = 2 * time.Second
+	// confirmTimeout bounds how long streams of a new version wait for its row.
+	confirmTimeout = 500 * time.Millisecond
+	// minReadInterval is the least time between two reads of an entry, and readSpacing the one between the
+	// reads of all entries.
+	minReadInterval = 250 * time.Millisecond
+	readSpacing     = 5 * time.Millisecond
+	// removalMargin is added to the retention of versions before a row is removed, since entries lose sight
+	// of an upstream at different times.
+	removalMargin = time.Minute
+	// maxRemoved is the number of rows that one call removes.
+	maxRemoved = 100
+	// maxExcerptBytes limits how much of a row's name is logged.
+	maxExcerptBytes = 128
+)
+
+// Settings holds the fixed parameters of a Keeper.
+type Settings struct {
+	// Table is the table of the store that holds the rows.
+	Table string
+	// Name and Incarnation identify this entry and its process.
+	Name        string
+	Incarnation string
+	// TickInterval is the time between two checks for what to write.
+	TickInterval time.Duration
+	// CallTimeout bounds a call to the store.
+	CallTimeout time.Duration
+	// Retention is how long a version is kept after its last upstream: longer than any stream runs.
+	Retention time.Duration
+}
+
+// Fleet gives access to what this entry knows of the upstreams.
+type Fleet struct {
+	// Software returns the versions of upstreams within the retention, by service.
+	Software func() map[string][]string
+	// FollowedSince returns the time since which this entry has known all upstreams without a gap; ok is
+	// false if it does not know them now.
+	FollowedSince func() (since time.Time, ok bool)
+}
+
+// Peers gives access to the other entries.
+type Peers struct {
+	// Known returns the names of all other entries. Ready is closed once they are known.
+	Known func() []string
+	Ready <-chan struct{}
+	// StoreInterval returns the least time between two writes of the streams of this entry. It grows with the
+	// number of entries.
+	StoreInterval func() time.Duration
+}
+
+// Keeper reads and writes the rows.
+type Keeper struct {
+	settings Settings
+	store    *platform.Store
+	fleet    Fleet
+	peers    Peers
+	own      func() []origin.Stream
+	rec      *events.Recorder
+	now      func() time.Time
+	// wake is signalled when a stream waits for the row of its version.
+	wake chan struct{}
+
+	// readMu is held during a read, so that those that need one share it.
+	readMu sync.Mutex
+
+	mu    sync.Mutex
+	table table
+	// failedAt is when the last read failed; zero if it succeeded.
+	failedAt time.Time
+	// versions holds the versions that this entry knows by their upstreams.
+	versions map[origin.Origin]*version
+	// goneSince holds when this entry forgot a version that has a row.
+	goneSince map[origin.Origin]time.Time
+	// changed is closed when a version is confirmed.
+	changed chan struct{}
+	// written holds the streams in the row of this process; nil if there is no row.
+	written map[origin.Key]bool
+	// nextWrite is when that row may be written again; zero while there is nothing to write.
+	nextWrite time.Time
+}
+
+// table is what a read of the rows returned.
+type table struct {
+	// readAt is when the read began; zero before the first one. clock is the store's clock then or later.
+	readAt  time.Time
+	clock   time.Duration
+	streams map[origin.Key]origin.Origin
+	// software holds the versions in service, with their rows.
+	software map[origin.Origin]platform.Record
+	// unreadable is set if the row of a version cannot be decoded, so that more versions than known may be in
+	// service.
+	unreadable bool
+}
+
+// version is the state of the row of a version that this entry knows.
+type version struct {
+	// seenAt is when this entry learned of the version, and readAfter when it reads whether another
+	// entry has written the row.
+	seenAt    time.Time
+	readAfter time.Time
+	// nextWrite is when the row may be written again after a failure.
+	nextWrite time.Time
+	confirmed bool
+	needed    bool
+}
+
+// New returns a Keeper; Run starts its work. own returns the streams that this entry passed on.
+func New(settings Settings, store *platform.Store, fleet Fleet, peers Peers, own func() []origin.Stream, rec *events.Recorder, now func() time.Time) *Keeper {
+	return &Keeper{
+		settings: settings, store: store, fleet: fleet, peers: peers, own: own, rec: rec, now: now,
+		wake: make(chan struct{}, 1), versions: map[origin.Origin]*version{}, goneSince: map[origin.Origin]time.Time{}, changed: make(chan struct{}),
+	}
+}
+
+// Run writes the rows of versions and streams until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	k.awaitPeers(ctx)
+	tick := time.NewTicker(k.settings.TickInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		k.confirmVersions(ctx)
+		k.writeStreams(ctx)
+		k.removeVersions(ctx)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-k.wake:
+		}
+	}
+}
+
+// awaitPeers waits until the other entries are known: an entry that knows no others writes rows that they write
+// as well.
+func (k *Keeper) awaitPeers(ctx context.Context) {
+	wait := time.NewTimer(peersWait)
+	defer wait.Stop()
+	select {
+	case <-k.peers.Ready:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
+// Restored makes the Keeper write all rows again: the store was restored from a backup that may lack them.
+func (k *Keeper) Restored() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table = table{}
+	clear(k.versions)
+	k.written = nil
+}
+
+// readInterval is the least time between two reads of this entry.
+func (k *Keeper) readInterval() time.Duration {
+	return max(minReadInterval, time.Duration(len(k.peers.Known())+1)*readSpacing)
+}
+
+// read reads the rows unless that was done at or after the given time. While the store does not answer, it fails
+// at once between two attempts.
+func (k *Keeper) read(ctx context.Context, after time.Time) (table, error) {
+	k.readMu.Lock()
+	defer k.readMu.Unlock()
+	k.mu.Lock()
+	known, failedAt := k.table, k.failedAt
+	k.mu.Unlock()
+	switch {
+	case !known.readAt.IsZero() && !known.readAt.Before(after):
+		return known, nil
+	case !failedAt.IsZero() && k.now().Sub(failedAt) < k.readInterval():
+		return table{}, errReadRecently
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.settings.CallTimeout)
+	defer cancel()
+	sent := k.now()
+	s, err := k.store.List(ctx, k.settings.Table)
+	if err != nil {
+		k.rec.Note(events.OriginStoreFailed, "", "call", "read", "error", err)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.failedAt = k.now()
+		return table{}, err
+	}
+	read, expired := k.decode(s, sent)
+	k.mu.Lock()
+	k.table, k.failedAt = read, time.Time{}
+	k.confirmRead(read)
+	k.mu.Unlock()
+	if len(expired) > 0 {
+		// What cannot be removed now is removed after the next read.
+		_ = k.store.Remove(ctx, k.settings.Table, expired[:min(len(expired), maxRemoved)]...)
+	}
+	return read, nil
+}
+
+// decode decodes the rows and returns the names of those whose streams can all no longer be resumed.
+func (k *Keeper) decode(s platform.Snapshot, sent time.Time) (t table, expired []string) {
+	t = table{readAt: sent, clock: s.Clock, streams: map[origin.Key]origin.Origin{}, software: map[origin.Origin]platform.Record{}}
+	for _, r := range s.Records {
+		switch {
+		case r.Name == "" || strings.HasPrefix(r.Name, softwarePrefix):
+			o, err := decodeSoftware(r.Value)
+			if err != nil {
+				t.unreadable = true
+				k.rec.Note(events.OriginStoreFailed, "", "call", "read", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
+				continue
+			}
+			t.software[o] = r
+		case strings.HasPrefix(r.Name, streamsPrefix):
+			n, err := decodeStreams(r.Value, s.Clock, func(key origin.Key, o origin.Origin, _ time.Duration) { t.streams[key] = o })
+			if err != nil {
+				k.rec.Note(events.OriginStoreFailed, "", "call", "read", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
+			}
+			if err == nil && n == 0 && r.Name != k.streamsRow() && k.rank(r.Name) == 0 {
+				expired = append(expired, r.Name)
+			}
+		}
+	}
+	return t, expired
+}
+
+// confirmRead confirms the versions whose rows were read. The caller must hold k.mu.
+func (k *Keeper) confirmRead(t table) {
+	for o, v := range k.versions {
+		if _, stored := t.software[o]; stored {
+			v.confirmed = true
+		}
+	}
+	k.broadcast()
+}
+
+// broadcast wakes the streams that wait for a version. The caller must hold k.mu.
+func (k *Keeper) broadcast() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// Stored is what the store has for a stream.
+type Stored struct {
+	// Origin began the stream, if Known is set.
+	Origin origin.Origin
+	Known  bool
+	// Versions are the versions of the service that may have begun a stream which can still be resumed, as
+	// of AsOf. Complete is unset if there may be more.
+	Versions []string
+	AsOf     time.Time
+	Complete bool
+}
+
+// Find returns what the store has for a stream of a service, as it was a short time ago or later.
+func (k *Keeper) Find(ctx context.Context, key origin.Key, service string) (Stored, error) {
+	t, err := k.read(ctx, k.now().Add(-k.readInterval()))
+	if err != nil {
+		return Stored{}, err
+	}
+	found := Stored{AsOf: t.readAt, Complete: !t.unreadable}
+	found.Origin, found.Known = t.streams[key]
+	for o := range t.software {
+		if o.Service == service {
+			found.Versions = append(found.Versions, o.Software)
+		}
+	}
+	slices.Sort(found.Versions)
+	return found, nil
+}
+
+// rank returns the place of this entry among those that write a row.
+func (k *Keeper) rank(row string) int {
+	own, before := roster.RendezvousHash(row, k.settings.Name), 0
+	for _, name := range k.peers.Known() {
+		if roster.RendezvousHash(row, name) > own {
+			before++
+		}
+	}
+	return before
+}
+
+// Confirm waits a short time until the row of a version is in the store, before the first event of a stream
+// that it began is passed on. It reports whether the row is there.
+func (k *Keeper) Confirm(ctx context.Context, o origin.Origin) bool {
+	for {
+		k.mu.Lock()
+		v := k.noteVersion(o)
+		v.needed = true
+		confirmed, changed, end := v.confirmed, k.changed, v.seenAt.Add(confirmTimeout)
+		k.mu.Unlock()
+		if confirmed {
+			return true
+		}
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+		wait := time.NewTimer(end.Sub(k.now()))
+		select {
+		case <-changed:
+			wait.Stop()
+		case <-wait.C:
+			return false
+		case <-ctx.Done():
+			wait.Stop()
+			return false
+		}
+	}
+}
+
+// noteVersion returns the state of a version. The caller must hold k.mu.
+func (k *Keeper) noteVersion(o origin.Origin) *version {
+	v, ok := k.versions[o]
+	if !ok {
+		now := k.now()
+		// The first of the writers checks at once, the others once it should have written the row.
+		v = &version{seenAt: now, readAfter: now}
+		if k.rank(softwareRow(o)) > 0 {
+			v.readAfter = now.Add(writerDelay/2 + rand.N(k.readInterval()))
+		}
+		k.versions[o] = v
+	}
+	return v
+}
+
+// confirmVersions makes sure that the rows of all versions of upstreams are in the store.
+func (k *Keeper) confirmVersions(ctx context.Context) {
+	current := map[origin.Origin]bool{}
+	for service, versions := range k.fleet.Software() {
+		for _, software := range versions {
+			current[origin.Origin{Service: service, Software: software}] = true
+		}
+	}
+	k.mu.Lock()
+	for o := range current {
+		k.noteVersion(o)
+	}
+	now := k.now()
+	var pending []origin.Origin
+	for o, v := range k.versions {
+		switch {
+		case !current[o] && now.Sub(v.seenAt) > k.settings.Retention:
+			delete(k.versions, o)
+		case !v.confirmed:
+			pending = append(pending, o)
+		}
+	}
+	k.mu.Unlock()
+	for _, o := range pending {
+		k.confirmVersion(ctx, o)
+	}
+}
+
+// confirmVersion reads whether the row of a version is there, and writes it if it is this entry's turn.
+func (k *Keeper) confirmVersion(ctx context.Context, o origin.Origin) {
+	k.mu.Lock()
+	v, now, readAt := k.noteVersion(o), k.now(), k.table.readAt
+	if v.confirmed || now.Before(v.readAfter) && !v.needed {
+		k.mu.Unlock()
+		return
+	}
+	// The first read has to be after the version was seen; later ones look for what other entries wrote.
+	after := v.seenAt
+	if !readAt.Before(after) {
+		after = now.Add(-k.readInterval())
+	}
+	k.mu.Unlock()
+	if _, err := k.read(ctx, after); err != nil {
+		return
+	}
+	k.mu.Lock()
+	turn := v.seenAt.Add(time.Duration(k.rank(softwareRow(o))) * writerDelay)
+	due := !v.confirmed && !k.now().Before(turn) && !k.now().Before(v.nextWrite)
+	k.mu.Unlock()
+	if due {
+		k.writeVersion(ctx, o, v)
+	}
+}
+
+// writeVersion writes the row of a version.
+func (k *Keeper) writeVersion(ctx context.Context, o origin.Origin, v *version) {
+	value, err := encodeSoftware(o)
+	if err == nil {
+		err = k.put(ctx, softwareRow(o), value)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		v.nextWrite = k.now().Add(k.readInterval())
+		k.rec.Note(events.OriginStoreFailed, "", "call", "write", "service", o.Service, "software", o.Software, "error", err)
+		return
+	}
+	v.confirmed = true
+	if k.table.software != nil {
+		software := maps.Clone(k.table.software)
+		software[o] = platform.Record{Name: softwareRow(o)}
+		k.table.software = software
+	}
+	k.broadcast()
+	k.rec.Note(events.SoftwareStored, "", "service", o.Service, "software", o.Software, "after", k.now().Sub(v.seenAt))
+}
+
+func (k *Keeper) put(ctx context.Context, name string, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
+	defer cancel()
+	return k.store.Put(ctx, k.settings.Table, name, value)
+}
+
+// streamsRow returns the name of the row of the streams of this process. Other processes never write it, so
+// a late write of an earlier process removes nothing.
+func (k *Keeper) streamsRow() string {
+	return streamsPrefix + k.settings.Name + "/" + k.settings.Incarnation
+}
+
+// severalVersions returns the services with several versions that may have begun a stream which can still be
+// resumed.
+func (k *Keeper) severalVersions() map[string]bool {
+	k.mu.Lock()
+	all := map[origin.Origin]bool{}
+	for o := range k.table.software {
+		all[o] = true
+	}
+	k.mu.Unlock()
+	for service, versions := range k.fleet.Software() {
+		for _, software := range versions {
+			all[origin.Origin{Service: service, Software: software}] = true
+		}
+	}
+	count, out := map[string]int{}, map[string]bool{}
+	for o := range all {
+		if count[o.Service]++; count[o.Service] > 1 {
+			out[o.Service] = true
+		}
+	}
+	return out
+}
+
+// writeStreams writes the streams of services with several versions if there are new ones and the write is due.
+// A failed write is repeated when the next one is due.
+func (k *Keeper) writeStreams(ctx context.Context) {
+	several, now := k.severalVersions(), k.now()
+	k.mu.Lock()
+	written := k.written
+	k.mu.Unlock()
+	switch {
+	case len(several) == 0 && len(written) == 0:
+		k.nextWrite = time.Time{}
+		return
+	case k.nextWrite.IsZero():
+		// All entries learn of a second version at about the same time.
+		k.nextWrite = now.Add(rand.N(k.peers.StoreInterval()))
+	}
+	if now.Before(k.nextWrite) {
+		return
+	}
+	streams := slices.DeleteFunc(k.own(), func(s origin.Stream) bool { return !several[s.Service] })
+	added := slices.ContainsFunc(streams, func(s origin.Stream) bool { return !written[s.Key] })
+	if !added && (len(streams) > 0 || len(written) == 0) {
+		return
+	}
+	err := k.writeOwnRow(ctx, streams)
+	k.nextWrite = k.now().Add(k.peers.StoreInterval())
+	if err != nil {
+		k.rec.Note(events.OriginStoreFailed, "", "call", "write", "streams", len(streams), "error", err)
+		return
+	}
+	written = make(map[origin.Key]bool, len(streams))
+	for _, s := range streams {
+		written[s.Key] = true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.written = written
+}
+
+// writeOwnRow writes the row of this process, or removes it if there are no streams.
+func (k *Keeper) writeOwnRow(ctx context.Context, streams []origin.Stream) error {
+	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
+	defer cancel()
+	if len(streams) == 0 {
+		return k.store.Remove(ctx, k.settings.Table, k.streamsRow())
+	}
+	// Any read will do: the store's clock is steady.
+	t, err := k.read(ctx, time.Time{})
+	if err != nil {
+		return err
+	}
+	if len(streams) > maxRowStreams {
+		k.rec.Note(events.OriginStoreFailed, "", "call", "write", "left-out", len(streams)-maxRowStreams)
+	}
+	value, err := encodeStreams(streams, func(at time.Time) time.Duration { return t.clock + at.Sub(t.readAt) })
+	if err != nil {
+		return err
+	}
+	return k.put(ctx, k.streamsRow(), value)
+}
+
+// removeVersions removes the rows of versions that have been gone for longer than any stream runs, as far as
+// this entry has followed the upstreams for that time.
+func (k *Keeper) removeVersions(ctx context.Context) {
+	since, ok := k.fleet.FollowedSince()
+	if !ok || k.now().Sub(since) < k.settings.Retention+removalMargin {
+		return
+	}
+	for _, o := range k.goneVersions() {
+		if k.rank(softwareRow(o)) < removers && !k.removeVersion(ctx, o) {
+			continue
+		}
+		k.mu.Lock()
+		software := maps.Clone(k.table.software)
+		delete(software, o)
+		k.table.software = software
+		delete(k.goneSince, o)
+		k.mu.Unlock()
+	}
+}
+
+// goneVersions returns the versions with a row that this entry has not known by their upstreams for some time.
+func (k *Keeper) goneVersions() []origin.Origin {
+	known, now := k.fleet.Software(), k.now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []origin.Origin
+	for o := range k.table.software {
+		if slices.Contains(known[o.Service], o.Software) {
+			delete(k.goneSince, o)
+			continue
+		}
+		if _, noted := k.goneSince[o]; !noted {
+			k.goneSince[o] = now
+		}
+		if now.Sub(k.goneSince[o]) >= removalMargin {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// removeVersion removes the row of a version unless it is written again meanwhile. It reports whether the row is
+// gone.
+func (k *Keeper) removeVersion(ctx context.Context, o origin.Origin) bool {
+	t, err := k.read(ctx, k.now().Add(-k.readInterval()))
+	if err != nil {
+		return false
+	}
+	r, ok := t.software[o]
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
+	defer cancel()
+	if err := k.store.RemoveVersion(ctx, k.settings.Table, r.Name, r.Version); err != nil {
+		k.rec.Note(events.OriginStoreFailed, "", "call", "remove", "service", o.Service, "software", o.Software, "error", err)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/originstore/originstore_test.go
@@ -0,0 +1,365 @@
+package originstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/platform"
+)
+
+const retention = 10 * time.Minute
+
+var errAway = errors.New("the store is away")
+
+// deployment is some entries that share a store.
+type deployment struct {
+	ready chan struct{}
+
+	mu       sync.Mutex
+	began    time.Time
+	rows     map[string]platform.Record
+	version  int64
+	away     bool
+	reads    int
+	writes   int
+	names    []string
+	software []string
+	followed time.Time
+	// beforeRemoval is called before a row is removed.
+	beforeRemoval func()
+}
+
+func newDeployment(software ...string) *deployment {
+	d := &deployment{ready: make(chan struct{}), began: time.Now(), rows: map[string]platform.Record{}, software: software, followed: time.Now(), beforeRemoval: func() {}}
+	close(d.ready)
+	return d
+}
+
+// callTime is how long a call to the store takes.
+const callTime = 5 * time.Millisecond
+
+func (d *deployment) write(name string, value []byte) error {
+	time.Sleep(callTime)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.writes++
+	if d.away {
+		return errAway
+	}
+	d.version++
+	d.rows[name] = platform.Record{Name: name, Value: value, Version: d.version}
+	if value == nil {
+		delete(d.rows, name)
+	}
+	return nil
+}
+
+func (d *deployment) store() *platform.Store {
+	return &platform.Store{
+		List: func(context.Context, string) (platform.Snapshot, error) {
+			time.Sleep(callTime)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.reads++
+			if d.away {
+				return platform.Snapshot{}, errAway
+			}
+			return platform.Snapshot{Records: slices.Collect(maps.Values(d.rows)), Clock: time.Hour + time.Since(d.began)}, nil
+		},
+		Put: func(_ context.Context, _, name string, value []byte) error { return d.write(name, value) },
+		Remove: func(_ context.Context, _ string, names ...string) error {
+			for _, name := range names {
+				if err := d.write(name, nil); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		RemoveVersion: func(_ context.Context, _, name string, version int64) error {
+			var before func()
+			d.locked(func() { before = d.beforeRemoval })
+			before()
+			var stored int64
+			d.locked(func() { stored = d.rows[name].Version })
+			if stored != version {
+				return platform.ErrConflict
+			}
+			return d.write(name, nil)
+		},
+	}
+}
+
+// start starts an entry; own returns its streams. stop kills it.
+func (d *deployment) start(t *testing.T, name string, own func() []origin.Stream) (k *Keeper, stop func()) {
+	k = New(Settings{Table: "origins", Name: name, Incarnation: "1", TickInterval: 50 * time.Millisecond, CallTimeout: time.Second, Retention: retention},
+		d.store(), Fleet{
+			Software: func() map[string][]string {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				return map[string][]string{"llm": d.software}
+			},
+			FollowedSince: func() (since time.Time, ok bool) {
+				d.locked(func() { since = d.followed })
+				return since, true
+			},
+		}, Peers{
+			Known: func() (names []string) {
+				d.locked(func() { names = slices.Clone(d.names) })
+				return slices.DeleteFunc(names, func(other string) bool { return other == name })
+			},
+			Ready: d.ready,
+			StoreInterval: func() (interval time.Duration) {
+				d.locked(func() { interval = max(time.Second, time.Duration(len(d.names))*25*time.Millisecond) })
+				return interval
+			},
+		}, own, events.Nop(), time.Now)
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { k.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+	})
+	return k, stop
+}
+
+// locked calls f while no entry uses the deployment.
+func (d *deployment) locked(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+}
+
+func (d *deployment) setSoftware(software ...string) { d.locked(func() { d.software = software }) }
+
+func (d *deployment) setAway(away bool) { d.locked(func() { d.away = away }) }
+
+// has reports whether a row is there.
+func (d *deployment) has(row string) (there bool) {
+	d.locked(func() { _, there = d.rows[row] })
+	return there
+}
+
+// calls returns the numbers of reads and writes since the last call.
+func (d *deployment) calls() (reads, writes int) {
+	d.locked(func() { reads, writes, d.reads, d.writes = d.reads, d.writes, 0, 0 })
+	return reads, writes
+}
+
+func stream(request, software string, d time.Duration) origin.Stream {
+	return origin.Stream{Key: origin.KeyOf(request), Origin: origin.Origin{Service: "llm", Software: software}, Until: time.Now().Add(d)}
+}
+
+func none() []origin.Stream { return nil }
+
+// TestStreamsOfLostEntries guards against streams that nobody knows once all entries have been killed.
+func TestStreamsOfLostEntries(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		software []string
+		disturb  func(d *deployment)
+		later    time.Duration
+		want     Stored
+		err      error
+	}{
+		{"two versions", []string{"v1", "v2"}, func(*deployment) {}, time.Second, Stored{Origin: origin.Origin{Service: "llm", Software: "v1"}, Known: true, Versions: []string{"v1", "v2"}, Complete: true}, nil},
+		{"the stream can no longer be resumed", []string{"v1", "v2"}, func(*deployment) {}, 20 * time.Second, Stored{Versions: []string{"v1", "v2"}, Complete: true}, nil},
+		{"one version", []string{"v1"}, func(*deployment) {}, time.Second, Stored{Versions: []string{"v1"}, Complete: true}, nil},
+		{"the rows of streams are spoilt", []string{"v1", "v2"}, func(d *deployment) { d.spoil(streamsPrefix) }, time.Second, Stored{Versions: []string{"v1", "v2"}, Complete: true}, nil},
+		{"the rows of versions are spoilt", []string{"v1"}, func(d *deployment) { d.spoil(softwarePrefix) }, time.Second, Stored{}, nil},
+		{"a row has no name", []string{"v1"}, func(d *deployment) { d.locked(func() { d.rows[""] = platform.Record{} }) }, time.Second, Stored{Versions: []string{"v1"}}, nil},
+		{"the store is away", []string{"v1"}, func(d *deployment) { d.setAway(true) }, time.Second, Stored{}, errAway},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(tc.software...)
+				s := stream("r", "v1", 15*time.Second)
+				_, kill := d.start(t, "entry-1", func() []origin.Stream { return []origin.Stream{s} })
+				time.Sleep(2 * time.Second)
+				kill()
+				tc.disturb(d)
+				time.Sleep(tc.later)
+				k := New(Settings{Name: "entry-1", CallTimeout: time.Second}, d.store(), Fleet{}, Peers{Known: func() []string { return nil }}, none, events.Nop(), time.Now)
+				got, err := k.Find(t.Context(), origin.KeyOf("r"), "llm")
+				got.AsOf = time.Time{}
+				if !errors.Is(err, tc.err) || fmt.Sprint(got) != fmt.Sprint(tc.want) {
+					t.Errorf("%+v, %v; want %+v, %v", got, err, tc.want, tc.err)
+				}
+			})
+		})
+	}
+}
+
+// spoil makes the rows of a kind unreadable.
+func (d *deployment) spoil(prefix string) {
+	d.locked(func() {
+		for name, r := range d.rows {
+			if strings.HasPrefix(name, prefix) {
+				r.Value = []byte{0xff}
+				d.rows[name] = r
+			}
+		}
+	})
+}
+
+// TestStreamsWaitForTheRowOfTheirVersion guards against streams of a version that no process can learn of after a
+// loss of all entries.
+func TestStreamsWaitForTheRowOfTheirVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		away bool
+		took time.Duration
+	}{
+		{"the store answers", false, 2 * callTime},
+		{"the store is away", true, confirmTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment("v1")
+				k, _ := d.start(t, "entry-1", none)
+				time.Sleep(time.Second)
+				d.setAway(tc.away)
+				d.setSoftware("v1", "v2")
+				began, o := time.Now(), origin.Origin{Service: "llm", Software: "v2"}
+				if ok := k.Confirm(t.Context(), o); ok == tc.away || time.Since(began) != tc.took {
+					t.Errorf("%v after %s", ok, time.Since(began))
+				}
+				if stored := d.has(softwareRow(o)); stored == tc.away {
+					t.Errorf("the row is there: %v", stored)
+				}
+				again := time.Now()
+				k.Confirm(t.Context(), o)
+				if time.Since(again) > 0 {
+					t.Errorf("a later stream waited %s", time.Since(again))
+				}
+				d.setAway(false)
+				time.Sleep(time.Second)
+				if !d.has(softwareRow(o)) {
+					t.Error("the row is not written once the store is back")
+				}
+			})
+		})
+	}
+}
+
+// TestCallsToTheStore bounds the calls of all entries together.
+func TestCallsToTheStore(t *testing.T) {
+	for _, entries := range []int{4, 30, 300} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment("v1")
+				for i := range entries {
+					d.names = append(d.names, fmt.Sprint("entry-", i))
+				}
+				for i := range entries {
+					d.start(t, fmt.Sprint("entry-", i), func() []origin.Stream {
+						return []origin.Stream{stream(fmt.Sprint(i, time.Now().Unix()), "v1", time.Minute)}
+					})
+				}
+				time.Sleep(5 * time.Second)
+				reads, writes := d.calls()
+				t.Logf("start: %d reads, %d writes", reads, writes)
+				if reads > 2*entries || writes > 1 {
+					t.Errorf("start: %d reads, %d writes", reads, writes)
+				}
+				time.Sleep(10 * time.Second)
+				if reads, writes := d.calls(); reads+writes > 0 {
+					t.Errorf("one version: %d reads, %d writes", reads, writes)
+				}
+				d.setSoftware("v1", "v2")
+				time.Sleep(20 * time.Second)
+				reads, writes = d.calls()
+				perSecond := float64(writes) / 20
+				t.Logf("two versions: %d reads, %.1f writes a second", reads, perSecond)
+				if reads > 2*entries || perSecond > 42 {
+					t.Errorf("two versions: %d reads, %.1f writes a second", reads, perSecond)
+				}
+			})
+		})
+	}
+}
+
+// TestVersionsThatAreGone checks who removes the row of a version, and when.
+func TestVersionsThatAreGone(t *testing.T) {
+	row := softwareRow(origin.Origin{Service: "llm", Software: "v1"})
+	for _, tc := range []struct {
+		name    string
+		disturb func(d *deployment)
+		after   time.Duration
+		want    bool
+	}{
+		{"for a short time", func(*deployment) {}, removalMargin / 2, true},
+		{"for long", func(*deployment) {}, 2 * removalMargin, false},
+		{"for long by an entry that has just started", func(d *deployment) { d.locked(func() { d.followed = time.Now() }) }, 2 * removalMargin, true},
+		{"for long and it is back", func(d *deployment) {
+			time.AfterFunc(2*removalMargin, func() { d.setSoftware("v1", "v2") })
+		}, 3 * removalMargin, true},
+		{"and it is back at the moment of the removal", func(d *deployment) {
+			d.locked(func() { d.beforeRemoval = func() { _ = d.write(row, []byte("written again")) } })
+		}, 2 * removalMargin, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment("v1", "v2")
+				d.start(t, "entry-1", none)
+				time.Sleep(retention + removalMargin)
+				// The fleet forgets the version once the retention is over.
+				d.setSoftware("v2")
+				tc.disturb(d)
+				time.Sleep(tc.after)
+				if there := d.has(row); there != tc.want {
+					t.Errorf("the row is there: %v, want %v", there, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// TestRowsAreWrittenAgainAfterARestore checks that a store that was restored from a backup gets the rows again.
+func TestRowsAreWrittenAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment("v1", "v2")
+		s := stream("r", "v1", time.Minute)
+		k, _ := d.start(t, "entry-1", func() []origin.Stream { return []origin.Stream{s} })
+		time.Sleep(2 * time.Second)
+		var before, after []string
+		d.locked(func() {
+			before = slices.Sorted(maps.Keys(d.rows))
+			clear(d.rows)
+		})
+		k.Restored()
+		time.Sleep(2 * time.Second)
+		d.locked(func() { after = slices.Sorted(maps.Keys(d.rows)) })
+		if len(after) != 3 || !slices.Equal(before, after) {
+			t.Errorf("before %q, after %q", before, after)
+		}
+	})
+}
+
+// TestReadsWhileTheStoreIsAway checks that callers that come back often do not each call the store.
+func TestReadsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment("v1")
+		d.setAway(true)
+		k := New(Settings{Name: "entry-1", CallTimeout: time.Second}, d.store(), Fleet{}, Peers{Known: func() []string { return nil }}, none, events.Nop(), time.Now)
+		for range 200 {
+			if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm"); err == nil {
+				t.Fatal("no error")
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if reads, _ := d.calls(); reads > 5 {
+			t.Errorf("%d reads in a second", reads)
+		}
+	})
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -59,4 +59,6 @@
 	Put func(ctx context.Context, table, name string, value []byte) error
 	// Remove removes rows; rows that do not exist are no error.
 	Remove func(ctx context.Context, table string, names ...string) error
+	// RemoveVersion removes a row if it has the given version; otherwise it fails with ErrConflict.
+	RemoveVersion func(ctx context.Context, table, name string, version int64) error
 }
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -115,7 +115,7 @@
 // Platform returns this Store in the form that table followers use. Writes go to the platform's
 // store directly.
 func (s *Store) Platform() *platform.Store {
-	return &platform.Store{List: s.list, Changes: s.changes, Put: s.direct.Put, Remove: s.direct.Remove}
+	return &platform.Store{List: s.list, Changes: s.changes, Put: s.direct.Put, Remove: s.direct.Remove, RemoveVersion: s.direct.RemoveVersion}
 }
 
 // list reads the whole table from a delegate, or else from the store. If both fail, it reads the
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -45,6 +45,7 @@
 			r.Remove(table, names...)
 			return nil
 		},
+		RemoveVersion: r.removeVersion,
 	}
 }
 
@@ -62,6 +63,17 @@
 	return r.write(table, list...)
 }
 
+func (r *RecordStore) removeVersion(_ context.Context, table, name string, version int64) error {
+	r.mu.Lock()
+	stored := r.records[table+"/"+name]
+	r.mu.Unlock()
+	if stored.Removed || stored.Version != version {
+		return platform.ErrConflict
+	}
+	r.Remove(table, name)
+	return nil
+}
+
 func (r *RecordStore) write(table string, list ...platform.Record) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -433,12 +433,38 @@
 mutant software-target $gateway/choose.go 's/return view\.Target\(g\.candidates\(s\.available\(\)/return view.Target(g.candidates(g.fleet.Available(s.rq.service.Name)/' $gateway TestStreamGoesOnAtAnother
 mutant software-begun $gateway/software.go 's/s\.software = streamSoftware\{begun: true, version: at/s.software = streamSoftware{version: at/' $gateway TestStreamGoesOnAtAnother
 mutant software-caller $gateway/software.go 's/!rq\.call\.ResumesStream\(\)/true/' $gateway 'TestCallerResumes|TestStreamIsResumed'
-mutant software-unknown $gateway/software.go 's/len\(versions\) == 1/len(versions) > 0/' $gateway TestResumedStreamOfUnknown
+mutant software-unknown $gateway/software.go 's/len\(versions\) != 1/len(versions) == 0/' $gateway TestResumedStreamOfUnknown
 mutant software-restart $gateway/continue.go 's/\ts\.noteRestart\(\)\n//' $gateway TestRestartWithOther
 mutant software-copy $gateway/continue.go 's/ && s\.software\.fits\(held\.at\)//' $gateway TestRowOfAnEngine
 mutant origin-handover internal/origin/origin.go 's/if before != incarnation \{/if before != before {/' internal/origin TestStartedEntries
 mutant origin-report internal/origin/origin.go 's/\t\ts\.peers\.Send\(name, m\)\n\t\}\n\}\n\n\/\/ store/\t\t_ = name\n\t\t_ = m\n\t}\n}\n\n\/\/ store/' internal/origin TestOriginOf
 
+# A process that has just started takes what it knows for all there is, or what is stored costs too many calls.
+originstore=internal/originstore
+mutant software-young $gateway/software.go 's/followed < longest/followed < 0/' $gateway TestProcessThatHasJustStarted
+mutant software-gap internal/fleet/software.go 's/at\.Sub\(s\.followedUntil\) > maxFollowGap/false/' internal/fleet TestFollowedSince
+mutant software-restored internal/fleet/software.go 's/\ts\.followedSince = time\.Time\{\}\n//' internal/fleet TestFollowedSince
+mutant software-stored-first $gateway/software.go 's/since\.After\(stored\.AsOf\)/since.IsZero()/' $gateway TestProcessThatHasJustStarted
+mutant software-stored-new $gateway/software.go 's/ && len\(versions\) == 1 && versions/ \&\& versions/' $gateway TestProcessThatHasJustStarted
+mutant software-stored-spoilt $gateway/software.go 's/ && stored\.Complete//' $gateway TestProcessThatHasJustStarted
+mutant software-stored-several $gateway/software.go 's/len\(stored\.Versions\) == 1 &&/len(stored.Versions) > 0 \&\&/; s/versions\[0\] == stored\.Versions\[0\]/slices.Contains(stored.Versions, versions[0])/; s/\t"net\/http"\n/\t"net\/http"\n\t"slices"\n/' $gateway TestProcessThatHasJustStarted
+mutant software-confirm $gateway/software.go 's/\ts\.g\.peers\.StoredOrigins\.Confirm\(ctx, o\)\n//' $gateway TestFirstEventWaits
+mutant origin-own internal/origin/origin.go 's/\tr\.own = r\.own \|\| s\.records\[k\]\.own\n//' internal/origin TestOwnStreams
+mutant stored-expired $originstore/row.go 's/ \|\| until <= clock//' $originstore TestStreamsOfLost
+mutant stored-spoilt $originstore/originstore.go 's/\t\t\t\tt\.unreadable = true\n//' $originstore TestStreamsOfLost
+mutant stored-unnamed $originstore/originstore.go 's/r\.Name == "" \|\| //' $originstore TestStreamsOfLost
+mutant stored-wait $originstore/originstore.go 's/v\.seenAt\.Add\(confirmTimeout\)$/k.now().Add(confirmTimeout)/m' $originstore TestStreamsWait
+mutant stored-turns $originstore/originstore.go 's/time\.Duration\(k\.rank\(softwareRow\(o\)\)\) \* writerDelay/0/; s/if k\.rank\(softwareRow\(o\)\) > 0 \{/if false {/' $originstore TestCallsToTheStore
+mutant stored-at-once $originstore/originstore.go 's/now\.Add\(rand\.N\(k\.peers\.StoreInterval\(\)\)\)/now/' $originstore TestCallsToTheStore
+mutant stored-interval $originstore/originstore.go 's/k\.nextWrite = k\.now\(\)\.Add\(k\.peers\.StoreInterval\(\)\)/k.nextWrite = k.now()/' $originstore TestCallsToTheStore
+mutant stored-one-version $originstore/originstore.go 's/count\[o\.Service\] > 1/count[o.Service] > 0/' $originstore TestCallsToTheStore
+mutant stored-removed-early $originstore/originstore.go 's/ >= removalMargin/ >= 0/' $originstore TestVersionsThatAreGone
+mutant stored-removed-young $originstore/originstore.go 's/k\.now\(\)\.Sub\(since\) < k\.settings\.Retention\+removalMargin/since.IsZero()/' $originstore TestVersionsThatAreGone
+mutant stored-removed-blindly $originstore/originstore.go 's/RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/Remove(ctx, k.settings.Table, r.Name)/' $originstore TestVersionsThatAreGone
+mutant stored-restored $originstore/originstore.go 's/\tk\.written = nil\n//' $originstore TestRowsAreWrittenAgain
+mutant stored-away $originstore/originstore.go 's/k\.now\(\)\.Sub\(failedAt\) < k\.readInterval\(\)/false/' $originstore TestReadsWhile
+mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
+
 # Prompt parts are no suspects, or harmless ones are taken for bad ones.
 quarantine=internal/quarantine
 mutant part-suspects $quarantine/run.go 's/for _, p := range r\.parts \{\n\t\ts\.noteLostResponse/for _, p := range r.parts[:0] {\n\t\ts.noteLostResponse/' $quarantine TestPartWithDifferent
