test(relay): entries also restart, and no replaced row is confirmed

The random test of tables that are read again now kills and starts its entries, and checks each confirmation: all that was written before it must be known.

--- a/internal/relay/epochs_test.go
+++ b/internal/relay/epochs_test.go
@@ -72,13 +72,15 @@
 
 func newFollowers(t *testing.T, n int) *followers {
 	t.Helper()
-	return newFollowersWith(t, n, func(_ int, m *member) (*platform.Store, func(s platform.Snapshot, full bool)) {
-		return m.source.Platform(), m.apply
-	})
+	f := newMembers(t, n)
+	for _, m := range f.list {
+		go m.follow(t.Context(), m.source.Platform(), m.apply, func(time.Time) {})
+	}
+	return f
 }
 
-// newFollowersWith is newFollowers with the store that each follower reads and what it applies answers to.
-func newFollowersWith(t *testing.T, n int, with func(i int, m *member) (*platform.Store, func(s platform.Snapshot, full bool))) *followers {
+// newMembers returns entries that do not follow the store yet.
+func newMembers(t *testing.T, n int) *followers {
 	t.Helper()
 	f := &followers{store: standin.NewRecordStore()}
 	for i := range n {
@@ -97,17 +99,17 @@
 		}, belief.WithAnswerTimes(f.storeFor(m), time.Now), m.log, func() []Peer { return f.others(m) }, closedChannel(), events.Nop(), time.Now)
 		f.list = append(f.list, m)
 	}
-	for i, m := range f.list {
-		store, apply := with(i, m)
-		follower := belief.New(belief.Settings{
-			Table: table, HoldTime: 60 * time.Millisecond, CallSlack: 200 * time.Millisecond, ListTimeout: 500 * time.Millisecond,
-			BackoffMin: 5 * time.Millisecond, BackoffMax: 20 * time.Millisecond, SettleFor: 200 * time.Millisecond, GatherDelay: time.Millisecond,
-		}, store, apply, func(time.Time) {}, func() {}, events.Nop(), time.Now)
-		go follower.Run(t.Context())
-	}
 	return f
 }
 
+// follow follows the table until ctx ends.
+func (m *member) follow(ctx context.Context, store *platform.Store, apply func(s platform.Snapshot, full bool), confirm func(at time.Time)) {
+	belief.New(belief.Settings{
+		Table: table, HoldTime: 60 * time.Millisecond, CallSlack: 200 * time.Millisecond, ListTimeout: 500 * time.Millisecond,
+		BackoffMin: 5 * time.Millisecond, BackoffMax: 20 * time.Millisecond, SettleFor: 200 * time.Millisecond, GatherDelay: time.Millisecond,
+	}, store, apply, confirm, func() {}, events.Nop(), time.Now).Run(ctx)
+}
+
 // storeFor returns the store as seen by one entry.
 func (f *followers) storeFor(m *member) *platform.Store {
 	direct := f.store.Store()
--- a/internal/relay/rereads_test.go
+++ b/internal/relay/rereads_test.go
@@ -12,28 +12,73 @@
 	"github.com/sparshore/sparshore/internal/platform"
 )
 
-// countedRows are the rows that a follower was told, whose values only rise in the store. It records the first that
-// went back.
+// writes are the rows that were written, each with a higher value than all before.
+type writes struct {
+	mu   sync.Mutex
+	list []write
+}
+
+type write struct {
+	row   string
+	value int
+	at    time.Time
+}
+
+func (w *writes) note(row string, value int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list = append(w.list, write{row, value, time.Now()})
+}
+
+// countedRows are the rows that the process of an entry knows. It records the first fault.
 type countedRows struct {
+	writes *writes
+
 	mu    sync.Mutex
 	rows  map[string]int
 	fault string
 }
 
+// start forgets all, as a new process does.
+func (c *countedRows) start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows = map[string]int{}
+}
+
+func (c *countedRows) fail(format string, args ...any) {
+	if c.fault == "" {
+		c.fault = fmt.Sprintf(format, args...)
+	}
+}
+
 func (c *countedRows) apply(s platform.Snapshot, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	listed := map[string]bool{}
 	for _, r := range s.Records {
 		n, err := strconv.Atoi(string(r.Value))
-		if c.fault == "" && (err != nil || n < c.rows[r.Name]) {
-			c.fault = fmt.Sprintf("%s went back from %d to %q", r.Name, c.rows[r.Name], r.Value)
+		if err != nil || n < c.rows[r.Name] {
+			c.fail("%s went back from %d to %q", r.Name, c.rows[r.Name], r.Value)
 		}
 		c.rows[r.Name], listed[r.Name] = n, true
 	}
 	for name, n := range c.rows {
-		if full && !listed[name] && c.fault == "" {
-			c.fault = fmt.Sprintf("%s with %d is gone", name, n)
+		if full && !listed[name] {
+			c.fail("%s with %d is gone", name, n)
+		}
+	}
+}
+
+// confirm checks that all that was written before the given time is known.
+func (c *countedRows) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes.mu.Lock()
+	defer c.writes.mu.Unlock()
+	for _, w := range c.writes.list {
+		if w.at.Before(at) && c.rows[w.row] < w.value {
+			c.fail("%s with %d is confirmed %s after %d was written", w.row, c.rows[w.row], at.Sub(w.at), w.value)
 		}
 	}
 }
@@ -51,31 +96,50 @@
 	return store
 }
 
-// Entries that read the whole table again, beside entries that lost the store, went back to older rows.
+// restart runs the member as several processes one after the other until ctx ends.
+func (m *member) restart(ctx context.Context, c *countedRows, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		m.log.mu.Lock()
+		m.log.tables = map[string]*tableLog{}
+		m.log.mu.Unlock()
+		c.start()
+		process, kill := context.WithTimeout(ctx, time.Duration(100+rng.IntN(900))*time.Millisecond)
+		m.follow(process, m.rereads(rng), c.apply, c.confirm)
+		kill()
+	}
+}
+
+// Entries that read the whole table again, beside entries that lost the store, went back to older rows, and others that
+// started counted these as the newest.
 func TestRowsNeverGoBackWhileTablesAreReadAgain(t *testing.T) {
 	var seeds sync.WaitGroup
 	for seed := range uint64(8) {
 		seeds.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, 13))
+			f, done := newMembers(t, 5), &writes{}
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
 			var all []*countedRows
-			f := newFollowersWith(t, 5, func(i int, m *member) (*platform.Store, func(s platform.Snapshot, full bool)) {
-				c := &countedRows{rows: map[string]int{}}
+			for i, m := range f.list {
+				c := &countedRows{writes: done}
 				all = append(all, c)
-				return m.rereads(rand.New(rand.NewPCG(seed, uint64(i)))), c.apply
-			})
+				running.Go(func() { m.restart(ctx, c, rand.New(rand.NewPCG(seed, uint64(i)))) })
+			}
 			for n := range 150 {
-				f.store.Put(table, fmt.Sprint("row-", rng.IntN(4)), strconv.Itoa(n+1))
+				row := fmt.Sprint("row-", rng.IntN(4))
+				f.store.Put(table, row, strconv.Itoa(n+1))
+				done.note(row, n+1)
 				if cut := f.list[rng.IntN(len(f.list))]; rng.IntN(4) == 0 {
 					cut.storeCutOff.Store(!cut.storeCutOff.Load())
 				}
 				time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 			}
+			cancel()
+			running.Wait()
 			for i, c := range all {
-				c.mu.Lock()
 				if c.fault != "" {
 					t.Errorf("seed %d: at e%d %s", seed, i, c.fault)
 				}
-				c.mu.Unlock()
 			}
 		})
 	}
