fleet: forget the departures of services that nobody names any more

What operators saw: nothing yet. An entry kept the times of departures for each service that a row ever named, so that a writer that names a new service in each row fills the memory.

Evidence: TestDeparturesAreForgotten failed before: "departures of 100 services, later of 100; want 100, then none".

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// departureWindow is the time within which departures count as simultaneous, since their
@@ -22,6 +25,13 @@
 	s.departures[service] = departures
 }
 
+// sweepDepartures forgets the departures that are no longer kept. The caller must hold s.mu.
+func (s *Set) sweepDepartures(now time.Time) {
+	maps.DeleteFunc(s.departures, func(_ string, at []time.Time) bool {
+		return now.Sub(at[len(at)-1]) > departureRetention
+	})
+}
+
 // LeavingShare returns the largest share of a service's upstreams, from 0 to 1, that recently began
 // to leave at the same time.
 func (s *Set) LeavingShare(service string) float64 {
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -42,3 +42,19 @@
 		})
 	}
 }
+
+// Guards against departures that are kept forever for each service that a row of another writer names.
+func TestDeparturesAreForgotten(t *testing.T) {
+	now := time.Now()
+	s := New(events.Nop(), func() time.Time { return now }, func(string) {})
+	for i := range 100 {
+		s.Update([]Record{{Name: "odd", Service: strconv.Itoa(i), Version: int64(i + 1), Leaving: true, Born: int64(i + 1)}}, nil, true, time.Time{})
+	}
+	s.Sweep()
+	before := len(s.departures)
+	now = now.Add(departureRetention + time.Second)
+	s.Sweep()
+	if before != 100 || len(s.departures) != 0 {
+		t.Errorf("departures of %d services, later of %d; want 100, then none", before, len(s.departures))
+	}
+}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -280,6 +280,7 @@
 	s.mu.Lock()
 	now := s.now()
 	s.sweepSoftware(now)
+	s.sweepDepartures(now)
 	var departed []string
 	for id, m := range s.byID {
 		if m.expiresAt.IsZero() || now.Before(m.expiresAt) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -106,6 +106,7 @@
 mutant fleet-held-lapse internal/fleet/unreadable.go 's/if m\.state == Lapsed \{/if false {/' internal/fleet TestUnreadable
 mutant fleet-held-list internal/fleet/unreadable.go 's/m\.unreadable = true\n\t\t\ts\.serving = nil/m.unreadable = true/' internal/fleet TestUnreadable
 mutant fleet-zones-counted internal/fleet/zones.go 's/for zone := range closed \{\n/for zone := range closed {\n\t\tfor _, m := range s.byID {\n\t\t\tupstreams[m.Zone] += 0\n\t\t}\n/' internal/fleet TestManyClosedZonesTakeNoLonger
+mutant fleet-departures internal/fleet/set.go 's/\ts\.sweepDepartures\(now\)\n//' internal/fleet TestDeparturesAreForgotten
 mutant fleet-released internal/fleet/set.go 's/\ts\.release\(m\)\n//' internal/fleet TestUnreadable
 
 rows=platform/fields.go
