gateway: an unframed stream is whole only if its engine survived its end

Callers got streams that ended as complete after a part of their events, when an engine crashed in the middle of a stream without a length and chunks and served again at its address before the entry asked.

Cause: closedAtItsEnd took any readable report from the address for a sign that the engine had not crashed. A report names no incarnation unless it states a time of birth, and the row of the former one stays for some seconds.

The end of a stream now needs the proof that the end of a plain answer needs: a report with the time of birth of the row, or the answer to the service's health check, which names the upstream. An engine in a backoff, which counted as alive unasked, is asked after it. Without proof a stream is resumed elsewhere where that is allowed, and cut otherwise. request-ended names the proof.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -160,7 +160,7 @@
 	{UpstreamGone, "upstream-gone", "An upstream that left was removed from the set of upstreams."},
 	{UpstreamAvoided, "upstream-avoided", "A connection to an upstream failed; the upstream is avoided while others can serve."},
 	{UpstreamRejected, "upstream-rejected", "The record of an upstream is invalid; logged once for each version of the record."},
-	{UpstreamAsked, "upstream-asked", "An entry queried an engine for its state, because the store could not provide it, a generation had not started there in time, or a stream without length or chunks ended (`why`). `waiting` counts the requests that the engine has not admitted, `unbegun` the admitted ones whose prompts it is still processing."},
+	{UpstreamAsked, "upstream-asked", "An entry queried an engine for its state, because the store could not provide it, a generation had not started there in time, or an answer without length and chunks ended (`why`). `waiting` counts the requests that the engine has not admitted, `unbegun` the admitted ones whose prompts it is still processing."},
 	{UpstreamSuspected, "upstream-suspected", "An engine failed a request that a healthy engine serves; for a while it gets no requests that must not be repeated."},
 	{AnswerEndChecked, "answer-end-checked", "The connection of one or more `answers` without length and chunks ended, and an entry asked their upstream `asked` times whether it still serves; `proof` tells what proved that. Without proof the answers count as broken."},
 	{EntryHeard, "entry-heard", "An entry receives gossip from another entry for the first time, or again after a silence."},
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -8,7 +8,6 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
-	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
 )
 
@@ -56,17 +55,6 @@
 	return state, err
 }
 
-// sameIncarnationServes queries an engine and reports whether no other incarnation answers at its address. An
-// engine that crashes may start again there before its new row is read. An engine that gives no readable report,
-// or asked for a backoff, is not known to be another one.
-func (g *Gateway) sameIncarnationServes(ctx context.Context, u fleet.Upstream) bool {
-	if known, ok := g.fleet.Get(u.ID); !ok || known.InBackOff(g.now()) {
-		return ok
-	}
-	_, err := g.query(ctx, u, "a stream without length or chunks ended")
-	return !errors.Is(err, errOtherIncarnation) && !errors.Is(err, link.ErrNotSent) && !errors.Is(err, link.ErrBroken)
-}
-
 // errOtherIncarnation means that a report comes from another incarnation of the engine.
 var errOtherIncarnation = errors.New("report comes from another incarnation of the engine")
 
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -69,7 +69,7 @@
 // newReadAhead returns a reader of the events in the body of an answer. Without a memory budget it never
 // reads ahead.
 func (s *stream) newReadAhead(ctx context.Context, st step, answer *link.Answer, body io.Reader) *readAhead {
-	s.endCheck = nil
+	s.endProof = nil
 	a := &readAhead{s: s, step: st, ctx: ctx, answer: answer, body: body, direct: true, enabled: s.rq.memory != nil}
 	if !a.enabled {
 		a.reader = newEventReader(body)
@@ -191,8 +191,8 @@
 		b, err := a.reader.next()
 		if errors.Is(err, io.EOF) && len(b) == 0 && !a.answer.Framed {
 			// By the time the caller has read all events, the engine may have ended as well.
-			closed := a.s.closedAtItsEnd(a.ctx, a.step)
-			a.s.endCheck = &closed
+			proof := a.s.proveEnd(a.ctx, a.step, a.answer)
+			a.s.endProof = &proof
 		}
 		if !a.pass(b, err) {
 			return
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -114,23 +114,33 @@
 	g.met.observeFirstEvent(s.timeToFirstEvent)
 }
 
-// closedAtItsEnd reports whether the end of a connection, after a whole event, is the end of an answer that has
-// neither a length nor chunks. An engine that crashes, or that stops a generation for a move, closes the
-// connection as well.
-func (s *stream) closedAtItsEnd(ctx context.Context, st step) bool {
-	if s.endCheck != nil {
-		return *s.endCheck
+// proveEnd returns how it is known that an answer is complete whose connection has ended after a whole event. An
+// engine that stops a generation for a move closes the connection as well.
+func (s *stream) proveEnd(ctx context.Context, st step, answer *link.Answer) endProof {
+	if s.endProof != nil {
+		return *s.endProof
 	}
-	s.awaitHandover(ctx)
-	s.mu.Lock()
-	stopped := s.handover != nil && !s.endedBeforeStop
-	s.mu.Unlock()
-	return !stopped && s.g.link.CheckReachable(ctx, st.at.Address) == nil && s.g.sameIncarnationServes(ctx, st.at) && s.g.incarnationKnown(st.at.ID)
+	if !answer.Framed {
+		s.awaitHandover(ctx)
+		s.mu.Lock()
+		stopped := s.handover != nil && !s.endedBeforeStop
+		s.mu.Unlock()
+		if stopped {
+			return unproven
+		}
+	}
+	return s.g.proveEnd(ctx, s.rq.service, st.at, answer)
 }
 
 // answerEnded handles the end of an attempt's answer, which is complete or has broken off.
 func (s *stream) answerEnded(ctx context.Context, st step, answer *link.Answer, rest []byte, err error) outcome {
-	whole := errors.Is(err, io.EOF) && len(rest) == 0 && (answer.Framed || s.closedAtItsEnd(ctx, st))
+	proof := unproven
+	if errors.Is(err, io.EOF) && len(rest) == 0 {
+		if proof = s.proveEnd(ctx, st, answer); proof == unproven {
+			err = errEndUnproven
+		}
+	}
+	whole := proof != unproven
 	// A caller that had the last event, but not the end of the answer, resumes a stream without a rest.
 	if whole && !s.headSent && s.rq.call.LastEvent != "" && s.rq.beginAnswer() {
 		s.recordFirstEvent(ctx, st, answer, s.g.now())
@@ -141,7 +151,7 @@
 		s.g.met.ended("stream")
 		s.g.eventInterval.note(s.timeToFirstEvent, now.Sub(s.rq.start), s.events)
 		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.attempts, "took", now.Sub(s.rq.start), "events", s.events,
-			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt, "framed", answer.Framed)
+			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt, "framed", answer.Framed, "end-proved-by", proof)
 		return streamComplete
 	}
 	if !s.moving() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,8 +23,8 @@
 	flush    func() error
 	// cancel ends the request.
 	cancel context.CancelFunc
-	// endCheck is the result of closedAtItsEnd if it was determined when the end of the answer was read.
-	endCheck *bool
+	// endProof is the result of proveEnd if it was determined when the end of the answer was read.
+	endProof *endProof
 	// timeToFirstEvent is the time from the start of the request to the first event.
 	timeToFirstEvent time.Duration
 	// longestPause is the longest pause between two events so far, and longestPauseAt the number of
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -98,6 +99,24 @@
 	}
 }
 
+// TestUnframedStreamWithoutEventsLooksWhole guards against a success without an event after a crash.
+func TestUnframedStreamWithoutEventsLooksWhole(t *testing.T) {
+	for name, lastEvent := range map[string]string{"begun": "", "resumed": "3"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var server *httptest.Server
+			f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+				serveCut(w, r, "", "", "", func() { _ = server.Listener.Close() })
+			})
+			server = f.lastServer
+			got := f.ask(pathStream, func(r *http.Request) { r.Header.Set(testLastEvent, lastEvent) })
+			if got.status != http.StatusBadGateway {
+				t.Errorf("status %d, %q, %v; want 502", got.status, got.body, got.err)
+			}
+		})
+	}
+}
+
 // TestUnframedStreamThatIsMovedLooksWhole guards against a stream that ends where its engine stopped it for a
 // move.
 func TestUnframedStreamThatIsMovedLooksWhole(t *testing.T) {
@@ -163,12 +182,19 @@
 		path string
 		// restarted is set if the engine that answers after the end of the stream is the next incarnation.
 		restarted bool
-		last      int
-		whole     bool
-		runs      int
+		// named is set if that incarnation has another name and states no time of birth. Its row states none either
+		// if unborn is set.
+		named, unborn bool
+		last          int
+		whole         bool
+		runs          int
 	}{
 		{name: "the same incarnation", path: pathStream, last: lastTestEvent, whole: true, runs: 1},
 		{name: "the next incarnation", path: pathStream, restarted: true, last: 7, runs: 1},
+		{name: "the same incarnation, known by its name", path: pathStream, named: true, unborn: true, last: lastTestEvent, whole: true, runs: 1},
+		{name: "the next incarnation, known by its name", path: pathStream, restarted: true, named: true, unborn: true, last: 7, runs: 1},
+		{name: "the next incarnation, whose report states no birth", path: pathStream, restarted: true, named: true, last: 7, runs: 1},
+		{name: "the next incarnation, known by its name, on a resumable route", path: pathResume, restarted: true, named: true, unborn: true, last: 7, whole: true, runs: 2},
 		{name: "the next incarnation on a resumable route", path: pathResume, restarted: true, last: 7, whole: true, runs: 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -176,6 +202,10 @@
 			var born atomic.Int64
 			born.Store(2)
 			first := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/report" && tc.named {
+					_, _ = io.WriteString(w, "serving")
+					return
+				}
 				if r.URL.Path == "/report" {
 					_, _ = fmt.Fprintf(w, "serving born %d", born.Load())
 					return
@@ -186,8 +216,15 @@
 					}
 				})
 			})
-			f.records[0].Born = 2
-			f.fleet.Update(f.records, nil, true, time.Time{})
+			if tc.named {
+				first.health = func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set(testOwnID, map[int64]string{2: "a", 3: "c"}[born.Load()])
+				}
+			}
+			if !tc.unborn {
+				f.records[0].Born = 2
+				f.fleet.Update(f.records, nil, true, time.Time{})
+			}
 			f.checkUnframed(first, tc.path, tc.whole, tc.runs)
 		})
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -35,8 +35,12 @@
 mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestListFromPeerWhenStoreDoesNotAnswer
 mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
-mutant gateway-whole $gateway/relay.go 's/whole := errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 && \(answer\.Framed \|\| s\.closedAtItsEnd\(ctx, st\)\)/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
-mutant gateway-unframed-restart $gateway/relay.go 's/ && s\.g\.sameIncarnationServes\(ctx, st\.at\)//' $gateway TestUnframedStreamOfARestartedEngine
+mutant gateway-whole $gateway/relay.go 's/whole := proof != unproven/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
+mutant gateway-unframed-restart $gateway/relay.go 's/return s\.g\.proveEnd\(ctx, s\.rq\.service, st\.at, answer\)/return provenByHealth/' $gateway TestUnframedStreamOfARestartedEngine
+mutant gateway-unframed-torn $gateway/relay.go 's/errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 \{/errors.Is(err, io.EOF) {/' $gateway TestUnframedStreamIsTakenForABrokenOne
+mutant gateway-unframed-stopped $gateway/relay.go 's/if stopped \{/if stopped \&\& false {/' $gateway TestUnframedStreamThatIsMoved
+mutant gateway-end-report $gateway/endcheck.go 's/state\.StartedAt == u\.Born/state.StartedAt != 1/' $gateway TestUnframedStreamOfARestartedEngine
+mutant gateway-end-report-other $gateway/endcheck.go 's/case errors\.Is\(err, errOtherIncarnation\):/case false:/' $gateway TestUnframedStreamOfARestartedEngine
 mutant gateway-cut-call $gateway/endcheck.go 's/if a\.Framed \{/if a.Framed || true {/' $gateway TestCutAnswerIsTakenForAWholeOne
 mutant gateway-end-named $gateway/endcheck.go 's/case id\.Name == "":/case false:/' $gateway TestCutAnswerIsTakenForAWholeOne
 mutant gateway-end-other $gateway/endcheck.go 's/case id\.Other \|\| /case /' $gateway TestCutAnswerIsTakenForAWholeOne
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -12,7 +12,7 @@
 gateway=internal/gateway
 soak once $gateway/call.go 's/if r\.mayHaveRun\(\) && \(!c\.rq\.route\.Repeats\(\) \|\| /if r.mayHaveRun() \&\& (/'
 soak not-run $gateway/request.go 's/case !rq\.sent:/case !rq.sent || true:/'
-soak whole $gateway/relay.go 's/whole := errors\.Is\(err, io\.EOF\) && len\(rest\) == 0 && \(answer\.Framed \|\| s\.closedAtItsEnd\(ctx, st\)\)/whole := errors.Is(err, io.EOF) || true/'
+soak whole $gateway/relay.go 's/whole := proof != unproven/whole := errors.Is(err, io.EOF) || true/'
 soak last-event $gateway/stream.go 's/\ts\.lastEvent = id\n//'
 soak instance platform/caller.go 's/\th\.Set\(headerInstance, a\.Upstream\)\n//'
 soak second-signal internal/kernel/kernel.go 's/\twaitForEnd\(ctx, sigs\)\n/\twaitForEnd(ctx, sigs)\n\tsignal.Stop(sigs)\n/'
