originstore: calls to a store that is away get rarer

An entry that did not get the row of a version into the store tried again four times a second for as long as the store was away, and so did each entry that callers came back to. Failed calls are repeated after 0.25 s, then at longer pauses of up to 2 s. A stream that waits for its version's row no longer waits for the list of entries.

--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -49,6 +49,9 @@
 	// reads of all entries.
 	minReadInterval = 250 * time.Millisecond
 	readSpacing     = 5 * time.Millisecond
+	// maxRetryDelay bounds the time before a failed call is repeated, unless there are more entries than
+	// the store could serve then.
+	maxRetryDelay = 2 * time.Second
 	// removalMargin is added to the retention of versions before a row is removed, since entries lose sight
 	// of an upstream at different times.
 	removalMargin = time.Minute
@@ -109,8 +112,10 @@
 
 	mu    sync.Mutex
 	table table
-	// failedAt is when the last read failed; zero if it succeeded.
-	failedAt time.Time
+	// readFailures counts the reads that failed since the last successful one, and nextRead is when the next
+	// one is due.
+	readFailures int
+	nextRead     time.Time
 	// versions holds the versions that this entry knows by their upstreams.
 	versions map[origin.Origin]*version
 	// goneSince holds when this entry forgot a version that has a row.
@@ -142,7 +147,8 @@
 	// entry has written the row.
 	seenAt    time.Time
 	readAfter time.Time
-	// nextWrite is when the row may be written again after a failure.
+	// failures counts the writes of the row that failed, and nextWrite is when the next one is due.
+	failures  int
 	nextWrite time.Time
 	confirmed bool
 	needed    bool
@@ -173,14 +179,15 @@
 	}
 }
 
-// awaitPeers waits until the other entries are known: an entry that knows no others writes rows that they write
-// as well.
+// awaitPeers waits until the other entries are known, or a stream needs the row of its version: an entry that knows
+// no others writes rows that they write as well.
 func (k *Keeper) awaitPeers(ctx context.Context) {
 	wait := time.NewTimer(peersWait)
 	defer wait.Stop()
 	select {
 	case <-k.peers.Ready:
 	case <-wait.C:
+	case <-k.wake:
 	case <-ctx.Done():
 	}
 }
@@ -199,18 +206,23 @@
 	return max(minReadInterval, time.Duration(len(k.peers.Known())+1)*readSpacing)
 }
 
+// retryDelay returns the time before a call is repeated that has failed a number of times.
+func (k *Keeper) retryDelay(failures int) time.Duration {
+	return min(k.readInterval()<<min(failures-1, 16), max(k.readInterval(), maxRetryDelay))
+}
+
 // read reads the rows unless that was done at or after the given time. While the store does not answer, it fails
 // at once between two attempts.
 func (k *Keeper) read(ctx context.Context, after time.Time) (table, error) {
 	k.readMu.Lock()
 	defer k.readMu.Unlock()
 	k.mu.Lock()
-	known, failedAt := k.table, k.failedAt
+	known, nextRead := k.table, k.nextRead
 	k.mu.Unlock()
 	switch {
 	case !known.readAt.IsZero() && !known.readAt.Before(after):
 		return known, nil
-	case !failedAt.IsZero() && k.now().Sub(failedAt) < k.readInterval():
+	case k.now().Before(nextRead):
 		return table{}, errReadRecently
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.settings.CallTimeout)
@@ -221,12 +233,13 @@
 		k.rec.Note(events.OriginStoreFailed, "", "call", "read", "error", err)
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.failedAt = k.now()
+		k.readFailures++
+		k.nextRead = k.now().Add(k.retryDelay(k.readFailures))
 		return table{}, err
 	}
 	read, expired := k.decode(s, sent)
 	k.mu.Lock()
-	k.table, k.failedAt = read, time.Time{}
+	k.table, k.readFailures, k.nextRead = read, 0, time.Time{}
 	k.confirmRead(read)
 	k.mu.Unlock()
 	if len(expired) > 0 {
@@ -425,7 +438,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
-		v.nextWrite = k.now().Add(k.readInterval())
+		v.failures++
+		v.nextWrite = k.now().Add(k.retryDelay(v.failures))
 		k.rec.Note(events.OriginStoreFailed, "", "call", "write", "service", o.Service, "software", o.Software, "error", err)
 		return
 	}
--- a/internal/originstore/originstore_test.go
+++ b/internal/originstore/originstore_test.go
@@ -243,7 +243,7 @@
 					t.Errorf("a later stream waited %s", time.Since(again))
 				}
 				d.setAway(false)
-				time.Sleep(time.Second)
+				time.Sleep(2 * maxRetryDelay)
 				if !d.has(softwareRow(o)) {
 					t.Error("the row is not written once the store is back")
 				}
@@ -352,14 +352,18 @@
 		d := newDeployment("v1")
 		d.setAway(true)
 		k := New(Settings{Name: "entry-1", CallTimeout: time.Second}, d.store(), Fleet{}, Peers{Known: func() []string { return nil }}, none, events.Nop(), time.Now)
-		for range 200 {
+		for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
 			if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm"); err == nil {
 				t.Fatal("no error")
 			}
-			time.Sleep(5 * time.Millisecond)
 		}
-		if reads, _ := d.calls(); reads > 5 {
-			t.Errorf("%d reads in a second", reads)
+		if reads, _ := d.calls(); reads > 8 {
+			t.Errorf("%d reads in 10 s", reads)
+		}
+		d.setAway(false)
+		time.Sleep(maxRetryDelay)
+		if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm"); err != nil {
+			t.Errorf("once the store is back: %v", err)
 		}
 	})
 }
