jsonbound: short errors for JSON that cannot be decoded

The error of a decoder repeats a number of any length, so that the report of an upstream, an event of an engine or a choice could put up to 1 MiB into one line of the log.

Evidence, with the excerpt taken out: TestErrorsAreShort failed for a number of 5,000 digits (mutant json-errors).

Unmarshal repeats at most 128 bytes of such an error. Events of engines and their choices are decoded by it as well, so two exceptions of TestDecodersHaveBounds are gone.

--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -13,7 +13,7 @@
 		want  *apiError
 	}{
 		{"usual", 30, nil},
-		{"deep", 200, errBadBody},
+		{"deep", 100, errBadBody},
 		{"as deep as the decoder allows", 9_990, errBadBody},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/jsonbound"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/sidecar"
 )
@@ -281,7 +282,7 @@
 // mergeChoice adds a streamed choice to the fields collected so far and updates the finish reason.
 func mergeChoice(into map[string]any, finish *json.RawMessage, raw json.RawMessage) error {
 	var c choiceBody
-	if err := json.Unmarshal(raw, &c); err != nil {
+	if err := jsonbound.Unmarshal(raw, len(raw), &c); err != nil {
 		return fmt.Errorf("%w: %v", errChoice, err)
 	}
 	if len(c.FinishReason) > 0 && string(c.FinishReason) != "null" {
--- a/internal/jsonbound/jsonbound.go
+++ b/internal/jsonbound/jsonbound.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/sizebound"
 )
 
@@ -65,10 +66,29 @@
 // CheckEmbedded is Check with MaxEmbeddedDepth.
 func CheckEmbedded(text []byte, maxBytes int) error { return check(text, maxBytes, MaxEmbeddedDepth) }
 
-// Unmarshal decodes a text that Check accepts, as json.Unmarshal does.
+// ErrInvalid is wrapped by the errors for a text that cannot be decoded.
+var ErrInvalid = errors.New("invalid JSON")
+
+// maxExcerptBytes bounds how much of a decoder's error is repeated. Errors are logged, and those of decoders repeat
+// numbers of any length.
+const maxExcerptBytes = 128
+
+// Unmarshal decodes a text that Check accepts, as json.Unmarshal does, but with short errors.
 func Unmarshal(text []byte, maxBytes int, into any) error {
-	if err := Check(text, maxBytes); err != nil {
-		return err
+	return unmarshal(text, into, Check(text, maxBytes))
+}
+
+// UnmarshalEmbedded is Unmarshal for a text that CheckEmbedded accepts.
+func UnmarshalEmbedded(text []byte, maxBytes int, into any) error {
+	return unmarshal(text, into, CheckEmbedded(text, maxBytes))
+}
+
+func unmarshal(text []byte, into any, checked error) error {
+	if checked != nil {
+		return checked
 	}
-	return json.Unmarshal(text, into)
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%w: %s", ErrInvalid, events.Excerpt(err.Error(), maxExcerptBytes))
+	}
+	return nil
 }
--- a/internal/jsonbound/jsonbound_test.go
+++ b/internal/jsonbound/jsonbound_test.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// Guards against errors that fill the log, since those of decoders repeat what they read.
+func TestErrorsAreShort(t *testing.T) {
+	for _, text := range []string{`{"n":` + strings.Repeat("9", 5000) + `}`, `{"n":1e999}`, `{"n":"` + strings.Repeat("x", 5000) + `"}`, strings.Repeat("x", 5000)} {
+		var v struct{ N int }
+		if err := Unmarshal([]byte(text), maxTestBytes, &v); !errors.Is(err, ErrInvalid) || len(err.Error()) > 2*maxExcerptBytes {
+			t.Errorf("%.20s: %v", text, err)
+		}
+	}
+}
+
 // Guards against a text that is accepted but makes the message that carries it too deep.
 func TestEmbeddedTextFitsIntoAMessage(t *testing.T) {
 	for _, depth := range []int{MaxEmbeddedDepth, MaxEmbeddedDepth + 1} {
--- a/internal/jsonbound/uses_test.go
+++ b/internal/jsonbound/uses_test.go
@@ -18,17 +18,15 @@
 var checkedBefore = map[string]int{
 	"internal/config/parse.go":        1, // after Check
 	"internal/entry/completions.go":   2, // after CheckEmbedded
-	"internal/entry/relay.go":         1, // in a message of a peer
 	"internal/membership/identity.go": 1, // in a message of a peer
 	"internal/relay/server.go":        2, // in a message of a peer
 	"internal/retryuse/retryuse.go":   1, // in a message of a peer
 	"internal/rollout/store.go":       2, // in a message of a peer
 	"internal/sidecar/calls.go":       2, // in a message of a peer
 	"internal/sidecar/client.go":      1, // in a message of a peer
-	"internal/sidecar/enginelink.go":  2, // after CheckEmbedded
 	"internal/sidecar/server.go":      5, // in a message of a peer
 	"internal/timeline/timeline.go":   1, // in a message of a peer
-	"internal/jsonbound/jsonbound.go": 1, // Unmarshal
+	"internal/jsonbound/jsonbound.go": 1, // after Check
 	"platform/fields.go":              3, // after Check
 	"platform/routes.go":              1, // after Check
 	"platform/store.go":               1, // a row of an answer, after Check
--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -224,7 +224,7 @@
 
 // Guards against an event that makes the message to the entry too deep, which ends the connection of all streams.
 func TestDeeplyNestedEventIsMalformed(t *testing.T) {
-	for depth, want := range map[int]error{30: nil, 200: errMalformed, 9_990: errMalformed} {
+	for depth, want := range map[int]error{30: nil, 100: errMalformed, 9_990: errMalformed} {
 		event := `{"choices":[{"delta":` + strings.Repeat("[", depth) + strings.Repeat("]", depth) + `}]}`
 		if _, err := parseChunk(event); !errors.Is(err, want) {
 			t.Errorf("%d levels: %v, want %v", depth, err, want)
--- a/internal/sidecar/enginelink.go
+++ b/internal/sidecar/enginelink.go
@@ -159,11 +159,8 @@
 }
 
 func parseChunk(data string) (chunk, error) {
-	if err := jsonbound.CheckEmbedded([]byte(data), maxEventBytes); err != nil {
-		return chunk{}, fmt.Errorf("%w: %v", errMalformed, err)
-	}
 	var c engineChunk
-	if err := json.Unmarshal([]byte(data), &c); err != nil {
+	if err := jsonbound.UnmarshalEmbedded([]byte(data), maxEventBytes, &c); err != nil {
 		return chunk{}, fmt.Errorf("%w: %v", errMalformed, err)
 	}
 	if len(c.Error) > 0 {
@@ -173,7 +170,7 @@
 		return chunk{usage: c.Usage}, nil
 	}
 	var h choiceFinish
-	if err := json.Unmarshal(c.Choices[0], &h); err != nil {
+	if err := jsonbound.Unmarshal(c.Choices[0], maxEventBytes, &h); err != nil {
 		return chunk{}, fmt.Errorf("%w: %v", errMalformed, err)
 	}
 	return chunk{choice: c.Choices[0], last: h.FinishReason != nil}, nil
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -134,10 +134,11 @@
 mutant rows-size $rows 's/f\.fail\(reasonSize, "%v", err\)\n\t\treturn f/_ = reasonSize/' platform "TestNestedRowTakesNoLongerThanValidRow|TestLongRowIsRejected"
 mutant json-depth internal/jsonbound/jsonbound.go 's/if depth\+\+; depth > maxDepth \{/if depth++; depth > 1<<40 {/' platform TestNestingOverflowsNoStack
 mutant json-strings internal/jsonbound/jsonbound.go 's/i = stringEnd\(text, i\+1\)/_ = stringEnd(text, i+1)/' internal/jsonbound TestCheck
+mutant json-errors internal/jsonbound/jsonbound.go 's/events\.Excerpt\(err\.Error\(\), maxExcerptBytes\)/events.Excerpt(err.Error(), 1<<20)/' internal/jsonbound TestErrorsAreShort
 mutant json-embedded internal/jsonbound/jsonbound.go 's/MaxEmbeddedDepth = MaxDepth \/ 2/MaxEmbeddedDepth = MaxDepth/' internal/jsonbound TestEmbeddedTextFitsIntoAMessage
 mutant merge-joined internal/entry/relay.go 's/text := joinedTextOf\(into\[k\]\)/text := \&joinedText{append([]byte(nil), joinedTextOf(into[k]).b...)}/' internal/entry TestLongAnswerIsMerged
 mutant body-depth internal/entry/completions.go 's/if err := jsonbound\.CheckEmbedded\(body, len\(body\)\); err != nil \{/if err := jsonbound.CheckEmbedded(nil, 0); err != nil {/' internal/entry TestDeeplyNestedBodyIsRefused
-mutant event-depth internal/sidecar/enginelink.go 's/jsonbound\.CheckEmbedded\(\[\]byte\(data\), maxEventBytes\)/jsonbound.CheckEmbedded(nil, maxEventBytes)/' internal/sidecar TestDeeplyNestedEventIsMalformed
+mutant event-depth internal/sidecar/enginelink.go 's/jsonbound\.UnmarshalEmbedded\(/jsonbound.Unmarshal(/' internal/sidecar TestDeeplyNestedEventIsMalformed
 mutant routes-kind-told platform/routes.go 's/is not known", excerpt\(r\.RouteType\)/is not known", r.RouteType/' platform TestDecodeRoutesRejectsInvalidConfig
 mutant times-bounded platform/routes.go 's/\tv = min\(max\(v, 0\), float64\(maxDuration\/time\.Millisecond\)\)\n//' platform TestMilliseconds
 mutant rows-each platform/store.go 's/\t\tp\.Value, p\.Gone = nil, false\n/\t\treturn err\n/' platform TestUnreadableRowLeavesOtherRows
