gateway: upstream-rejected tells the size and the decoding time of a row

The line named the row and the reason, so an operator could not tell a row that delays the list from one that is merely wrong.

--- a/internal/daemon/badrows.go
+++ b/internal/daemon/badrows.go
@@ -57,9 +57,9 @@
 	return b
 }
 
-// add records a row that cannot be used. A version that is recorded already is not reported again,
+// add records a row that cannot be used, and how long its decoding took. A version that is recorded already is not reported again,
 // because rows are repeated, for example when the whole table is read.
-func (b *badRows) add(row product.Record, err error) {
+func (b *badRows) add(row product.Record, err error, took time.Duration) {
 	old, known := b.rows[row.Name]
 	if known && old.version == row.Version {
 		return
@@ -71,11 +71,11 @@
 	b.mu.Unlock()
 	b.current.WithLabelValues(reason).Inc()
 	b.total.WithLabelValues(reason).Inc()
-	b.logRow(row, reason, err)
+	b.logRow(row, reason, err, took)
 }
 
 // logRow writes a log line about a row unless the limit for this period is reached.
-func (b *badRows) logRow(row product.Record, reason string, err error) {
+func (b *badRows) logRow(row product.Record, reason string, err error, took time.Duration) {
 	if now := b.now(); !now.Before(b.nextPeriod) {
 		b.logged, b.nextPeriod = 0, now.Add(badRowLogPeriod)
 	}
@@ -84,7 +84,7 @@
 		return
 	}
 	b.logged++
-	b.rec.Note(b.event, "", "upstream", events.Excerpt(row.Name, maxRowNameBytes), "version", row.Version, "reason", reason, "error", err, "unsaid-before", b.suppressed)
+	b.rec.Note(b.event, "", "upstream", events.Excerpt(row.Name, maxRowNameBytes), "version", row.Version, "reason", reason, "bytes", len(row.Value), "took", took, "error", err, "unsaid-before", b.suppressed)
 	b.suppressed = 0
 }
 
--- a/internal/daemon/badrows_test.go
+++ b/internal/daemon/badrows_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/fleet"
 	product "github.com/sparshore/sparshore/internal/platform"
 )
 
@@ -99,10 +100,28 @@
 		t.Errorf("counted %v, want %v", got, many)
 	}
 	f.now = f.now.Add(badRowLogPeriod)
-	f.bad.add(withVersion(invalidRow(strings.Repeat("x", 64<<10)), 1), errors.New("bad row"))
+	f.bad.add(withVersion(invalidRow(strings.Repeat("x", 64<<10)), 1), errors.New("bad row"), 0)
 	all := f.rec.Select("")
 	latest := all[len(all)-1]
 	if want := fmt.Sprint(many - badRowLogLimit); latest.Fields["unsaid-before"] != want || len(latest.Fields["upstream"]) > maxRowNameBytes {
 		t.Errorf("%.300v, want %s lines left out before", latest.Fields, want)
 	}
 }
+
+// Guards against a rejected row whose line does not tell how large it is and how long it took.
+func TestRejectedRowTellsItsSizeAndTime(t *testing.T) {
+	f := newRowsFixture()
+	f.decode = func(string, []byte) (fleet.Record, error) {
+		f.now = f.now.Add(3 * time.Second)
+		return fleet.Record{}, errors.New("bad row")
+	}
+	f.apply([]product.Record{invalidRow("a")}, false, time.Time{})
+	for _, e := range f.rec.Select("") {
+		if e.Event == events.UpstreamRejected && (e.Fields["took"] != "3s" || e.Fields["bytes"] != "1") {
+			t.Errorf("%v, want 1 byte and 3 s", e.Fields)
+		}
+	}
+	if f.rejectionLines() != 1 {
+		t.Errorf("%d lines, want 1", f.rejectionLines())
+	}
+}
--- a/internal/daemon/upstreamrows.go
+++ b/internal/daemon/upstreamrows.go
@@ -56,12 +56,13 @@
 			continue
 		}
 		var r fleet.Record
+		began := u.bad.now()
 		err := guard.Do(func() (err error) {
 			r, err = u.decode(row.Name, row.Value)
 			return err
 		})
 		if err != nil {
-			u.bad.add(row, err)
+			u.bad.add(row, err, u.bad.now().Sub(began))
 			unreadable = append(unreadable, row.Name)
 			continue
 		}
