--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -470,7 +470,7 @@
 mutant stored-removed-young $originstore/originstore.go 's/k\.now\(\)\.Sub\(since\) < k\.settings\.Retention\+removalMargin/since.IsZero()/' $originstore TestVersionsThatAreGone
 mutant stored-removed-blindly $originstore/originstore.go 's/RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/Remove(ctx, k.settings.Table, r.Name)/' $originstore TestVersionsThatAreGone
 mutant stored-restored $originstore/originstore.go 's/\tk\.written = nil\n//' $originstore TestRowsAreWrittenAgain
-mutant stored-away $originstore/originstore.go 's/k\.now\(\)\.Before\(nextRead\)/false/' $originstore TestReadsWhile
+mutant stored-away $originstore/originstore.go 's/k\.now\(\)\.Before\(nextRead\)/false \&\& nextRead.IsZero()/' $originstore TestReadsWhile
 mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
 
 # Prompt parts are no suspects, or harmless ones are taken for bad ones.
