fix(fleet): an older row of an upstream doesn't replace a later one

Requests would have gone to the address, and by the slots and the software version, that an upstream had before: an older row of the same start was taken whole and counted as the later version, so nothing corrected it until the row was written again.

Cause: the same as in the relay's log: the higher version was kept beside the content of whichever row came last.

Evidence, before: an older row at version 6 after one at version 9 left Version:9 Address:10.0.0.2:1 Slots:2 Software:v1 instead of the address, the slots and the software version of version 9.

The content of an older row is not used. That the row exists counts as before, and so does that it says that the upstream leaves, so a store without epochs that was restored loses nothing.

--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -207,9 +207,12 @@
 		m.inheritBackOff(previous)
 		s.avoidIfPossiblyLeaving(m, previous)
 	}
-	r.Version = max(r.Version, m.Version)
-	m.Record, m.predatesRestore = r, false
-	s.noteSoftware(r)
+	if r.Version == 0 || r.Version >= m.Version {
+		r.Version = max(r.Version, m.Version)
+		m.Record, m.coldUntil = r, s.now().Add(r.ColdFor)
+	}
+	m.predatesRestore = false
+	s.noteSoftware(m.Record)
 	s.release(m)
 	// A backup may be older than the removal of the row.
 	stale := s.restoring && m.state == Leaving
@@ -217,7 +220,6 @@
 		// An upstream whose row exists is neither lapsed nor removed.
 		m.expiresAt = time.Time{}
 	}
-	m.coldUntil = s.now().Add(r.ColdFor)
 	if r.Leaving {
 		s.noteSelfReport(m)
 		return r.ID, s.setLeaving(m, "own record")
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -656,6 +656,7 @@
 mutant relay-later-row internal/relay/log.go 's/ && e\.record\.Version <= s\.Version \{/ {/' internal/relay TestRowWrittenWhilePagesAreRead
 mutant relay-unread internal/relay/log.go 's/ \|\| t\.floor < 0 && !full \{/ {/' internal/relay TestChangesOfAnUnreadTable
 mutant relay-gap internal/relay/log.go 's/ && \(after <= t\.gapAfter \|\| after >= t\.gapEnd\)//' internal/relay TestChangesAcrossAnUnfollowedTime
+mutant fleet-older-row internal/fleet/set.go 's/if r\.Version == 0 \|\| r\.Version >= m\.Version \{/if true {/' internal/fleet TestOlderRowKeeps
 mutant relay-store-older internal/relay/log.go 's/\t\tt\.forget\(\)\n\t\}\n\treturn l\.merge/\t\t_ = t\n\t}\n\treturn l.merge/' internal/relay TestWholeTableOfRestoredStore
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
