relay, gossip: nested messages of peers are rejected at once

The tests now show it for a million nested lists and tags in the records of an answer, and for datagrams of that kind.

--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"reflect"
@@ -156,6 +157,8 @@
 	f.Add(encodeState(f, State{}, now))
 	f.Add(encodeState(f, State{Suspects: []quarantine.Report{{Crashes: map[string]time.Time{"e": now}}}}, now))
 	f.Add([]byte{})
+	f.Add(bytes.Repeat([]byte{0x81}, maxDatagram))
+	f.Add(bytes.Repeat([]byte{0xc1}, maxDatagram))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := decode(b)
 		if err == nil && m.body.From == "" {
--- a/internal/relay/records_test.go
+++ b/internal/relay/records_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -50,6 +51,9 @@
 		{"truncated", whole[:len(whole)/2], s2.ErrCorrupt},
 		{"decompressed size over the limit", binary.AppendUvarint(nil, 1<<31), errTooLarge},
 		{"CBOR that is not a list", s2.Encode(nil, []byte{0x61, 'x'}), nil},
+		{"lists nested a million deep", s2.Encode(nil, bytes.Repeat([]byte{0x81}, 1<<20)), nil},
+		{"tags nested a million deep", s2.Encode(nil, bytes.Repeat([]byte{0xc1}, 1<<20)), nil},
+		{"list that states a billion rows", s2.Encode(nil, []byte{0x9a, 0x3b, 0x9a, 0xca, 0x00}), nil},
 		{"truncated list of rows", s2.Encode(nil, []byte{0x82, 0x84}), nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
