gateway: a refusal of another request does not count for a generation

A generation that may run once could run twice, or its caller got 503, the promise that it did not run, or 404, when a late answer to another request came in its place.

Cause: judge read the verdict and passed on failures before it compared the identifier of the answer; only that of a 200 counted. Plain calls compare it first.

The identifier counts for every status now; the answer to another request leaves open whether this one ran.

Evidence: before, TestRefusalOfAnotherRequest/503 printed "status 503, 2 runs; want 502 after one run", /421 the same, and /404 "status 404, 1 runs; want 502 after one run".

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,6 +121,11 @@
 // judge evaluates the head of an answer. done is false if an event stream follows.
 func (s *stream) judge(ctx context.Context, st step, answer *link.Answer) (o outcome, done bool) {
 	g, rq := s.g, s.rq
+	if answer.Header.Get(g.proto.IDHeader) != rq.call.ID {
+		rq.sent = true
+		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errOtherAnswer)
+		return streamBroken, true
+	}
 	switch g.proto.Verdict(answer.Status, answer.Header) {
 	case protocol.NotRun:
 		g.markBusy(st.at.ID, answer.Header)
@@ -135,8 +140,8 @@
 	switch {
 	case answer.Status != http.StatusOK:
 		return s.handleErrorAnswer(ctx, st, answer), true
-	case answer.Header.Get(g.proto.IDHeader) != rq.call.ID || !g.proto.Complete(answer.Status, answer.Header):
-		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errOtherAnswer)
+	case !g.proto.Complete(answer.Status, answer.Header):
+		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errMissingProof)
 		return streamBroken, true
 	}
 	return streamComplete, false
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -552,3 +552,24 @@
 		b.mu.Unlock()
 	}
 }
+
+// TestRefusalOfAnotherRequest guards against a generation that runs twice, or gets the promise that it did not run,
+// because the refusal of another request on its connection is taken for its own.
+func TestRefusalOfAnotherRequest(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusNotFound} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			f := newFixture(t)
+			serve := func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(testID, "other")
+				if status == http.StatusServiceUnavailable {
+					w.Header().Set(testNotRun, "1")
+				}
+				w.WriteHeader(status)
+			}
+			a, b := f.add("llm", "a", serve), f.add("llm", "b", serve)
+			if got := f.ask(pathStream); got.status != http.StatusBadGateway || a.runs()+b.runs() != 1 {
+				t.Errorf("status %d, %d runs; want 502 after one run", got.status, a.runs()+b.runs())
+			}
+		})
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -50,6 +50,7 @@
 mutant gateway-end-shared $gateway/endcheck.go 's/if checks\.next == nil \{/if true {/' $gateway TestEndChecksAreShared
 mutant gateway-end-backoff $gateway/endcheck.go 's/!known \|\| wait <= 0/!known || wait <= time.Hour/' $gateway TestEndCheckInBackOff
 mutant gateway-end-path platform/routes.go 's/return r <= .{3} \|\| r >= 0x7f/return r == 0x7f/' platform TestHealthPath
+mutant gateway-other-answer $gateway/attempt.go 's/if answer\.Header\.Get\(g\.proto\.IDHeader\) != rq\.call\.ID \{/if false {/' $gateway TestRefusalOfAnotherRequest
 mutant gateway-second-copy $gateway/move.go 's/s\.copies = append\(s\.copies, held\)/_ = append(s.copies, held)/' $gateway TestMove
 mutant gateway-faulty $gateway/attempt.go 's/s\.g\.markFaulty\(st\.at\.ID\)/s.g.fleet.RecordOutcome(st.at.ID, fleet.Failed)/' $gateway TestEngineThatFailsAtOnce
 mutant gateway-silent $gateway/attempt.go 's/\tg\.markFaulty\(upstream\)\n//' $gateway TestEngineThatStaysSilent
