--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -280,7 +280,7 @@
 	})
 	var first sync.WaitGroup
 	first.Go(func() { f.ask(pathOnce) })
-	for backedOff.runs() == 0 {
+	for requests.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	f.ask(pathOnce)
