gateway: a caller that resumes before the upstreams are read may come back

An entry that had just started refused a stream of the only software version without a time to come back if it had read the versions in service before the rows of the upstreams.

TestProcessThatHasJustStartedJoinsStreams, before, "the store was read before the upstreams": 503, "the software version that began this stream is not known", no retry time.

A read that began before the store was restored from a copy no longer confirms the row of a version: that row may be missing afterwards. A caller that gives up no longer waits for a read that another one makes.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -323,8 +323,8 @@
 			RoundTrip: func() time.Duration { return b.gossip.RoundTrip() },
 		},
 		StoredOrigins: gateway.StoredOrigins{
-			Find: func(ctx context.Context, k origin.Key, service string) (originstore.Stored, error) {
-				return b.originStore.Find(ctx, k, service)
+			Find: func(ctx context.Context, k origin.Key, service string, after time.Time) (originstore.Stored, error) {
+				return b.originStore.Find(ctx, k, service, after)
 			},
 			Confirm: func(ctx context.Context, o origin.Origin) bool { return b.originStore.Confirm(ctx, o) },
 		},
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -254,7 +254,9 @@
 			SendSoon: func() {}, SendNow: func() {}, DeliveryTimes: func() (delivery, silence time.Duration) { return 0, 0 }, LivePeers: func() map[string]gossip.Peer { return f.peers },
 			Delay:  func(string, bool) time.Duration { return f.delay },
 			Limits: limits.Alone(), Origins: origin.Alone(), StoredOrigins: StoredOrigins{
-				Find:    func(context.Context, origin.Key, string) (originstore.Stored, error) { return f.stored, f.storeErr },
+				Find: func(context.Context, origin.Key, string, time.Time) (originstore.Stored, error) {
+					return f.stored, f.storeErr
+				},
 				Confirm: func(_ context.Context, o origin.Origin) bool { return f.confirm(o) },
 			},
 		}, f.rec, prometheus.NewRegistry(), time.Now)
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -47,14 +48,15 @@
 	sourceStore origin.Source = "store"
 	// sourceNotNamed means that the caller does not name the request that began the stream.
 	sourceNotNamed origin.Source = "not named"
-	// sourceNoStore means that no entry knows the stream and the store did not answer.
+	// sourceNoStore means that no entry knows the stream, and the store has not answered or this entry has not
+	// read the upstreams from it.
 	sourceNoStore origin.Source = "no store"
 )
 
 // StoredOrigins gives access to what the entries stored of streams, for the time after a loss of all of them.
 type StoredOrigins struct {
-	// Find returns what the store has for a stream of a service.
-	Find func(ctx context.Context, k origin.Key, service string) (originstore.Stored, error)
+	// Find returns what the store has for a stream of a service, as it was at the given time or later.
+	Find func(ctx context.Context, k origin.Key, service string, after time.Time) (originstore.Stored, error)
 	// Confirm waits a short time until the store has that a software version of a service is in service.
 	Confirm func(ctx context.Context, o origin.Origin) bool
 }
@@ -75,7 +77,8 @@
 		o, source = g.onlyVersion(rq, source)
 	}
 	if o == (origin.Origin{}) {
-		stored, err = g.peers.StoredOrigins.Find(ctx, origin.KeyOf(rq.call.Resumes), rq.service.Name)
+		since, _ := g.fleet.FollowedSince()
+		stored, err = g.peers.StoredOrigins.Find(ctx, origin.KeyOf(rq.call.Resumes), rq.service.Name, since)
 		o, source = g.storedOrigin(rq, source, stored, err)
 	}
 	followed, _ := g.followedFor()
@@ -138,14 +141,16 @@
 	case source == origin.NoAnswer:
 		return origin.Origin{}, source
 	}
-	since, followed := g.fleet.FollowedSince()
 	longest := longestStream(rq)
 	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
-	only := len(stored.Versions) == 1 && stored.Complete && len(versions) == 1 && versions[0] == stored.Versions[0]
-	if !only || !followed || since.After(stored.AsOf) || longest > fleet.SoftwareRetention {
+	others := slices.ContainsFunc(versions, func(v string) bool { return !slices.Contains(stored.Versions, v) })
+	if len(stored.Versions) != 1 || !stored.Complete || others || longest > fleet.SoftwareRetention {
 		return origin.Origin{}, source
 	}
-	return origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
+	if since, followed := g.fleet.FollowedSince(); !followed || since.After(stored.AsOf) {
+		return origin.Origin{}, sourceNoStore
+	}
+	return origin.Origin{Service: rq.service.Name, Software: stored.Versions[0]}, sourceOnlyVersion
 }
 
 // returnToService makes a resumed stream go to the service that began it, if its route still leads there.
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -200,14 +200,17 @@
 		{"another version replaced the one in the store", young, []string{"v2"}, versions("v1"), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
 		{"the store has no version", young, []string{"v2"}, versions(), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
 		{"the store may have more versions", young, []string{"v2"}, originstore.Stored{Versions: []string{"v2"}}, nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
-		{"the store was read before the upstreams", young, []string{"v2"}, versions("v2"), nil, 2 * young, origin.Alone(), http.StatusServiceUnavailable, errOriginUnknown},
+		{"the store was read before the upstreams", young, []string{"v2"}, versions("v2"), nil, 2 * young, origin.Alone(), http.StatusServiceUnavailable, errOriginNotStored},
+		{"it has not read the upstreams", 0, nil, versions("v2"), nil, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginNotStored},
 		{"the store is away", young, []string{"v2"}, originstore.Stored{}, errTest, 0, origin.Alone(), http.StatusServiceUnavailable, errOriginNotStored},
 		{"it has followed the upstreams for long", long, []string{"v2"}, originstore.Stored{}, errTest, 0, origin.Alone(), http.StatusOK, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
 			f.fleet.MissedChanges()
-			follow(f.fleet, tc.followed)
+			if tc.followed > 0 {
+				follow(f.fleet, tc.followed)
+			}
 			f.gateway.origins = origin.New(tc.peers, f.rec, time.Now)
 			for i, version := range tc.versions {
 				f.addEngineOf(string(rune('a'+i)), version)
--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -107,8 +107,8 @@
 	// wake is signalled when a stream waits for the row of its version.
 	wake chan struct{}
 
-	// readMu is held during a read, so that those that need one share it.
-	readMu sync.Mutex
+	// reading holds a value during a read, so that those that need one share it.
+	reading chan struct{}
 
 	mu    sync.Mutex
 	table table
@@ -158,7 +158,7 @@
 func New(settings Settings, store *platform.Store, fleet Fleet, peers Peers, own func() []origin.Stream, rec *events.Recorder, now func() time.Time) *Keeper {
 	return &Keeper{
 		settings: settings, store: store, fleet: fleet, peers: peers, own: own, rec: rec, now: now,
-		wake: make(chan struct{}, 1), versions: map[origin.Origin]*version{}, goneSince: map[origin.Origin]time.Time{}, changed: make(chan struct{}),
+		wake: make(chan struct{}, 1), reading: make(chan struct{}, 1), versions: map[origin.Origin]*version{}, goneSince: map[origin.Origin]time.Time{}, changed: make(chan struct{}),
 	}
 }
 
@@ -214,8 +214,12 @@
 // read reads the rows unless that was done at or after the given time. While the store does not answer, it fails
 // at once between two attempts.
 func (k *Keeper) read(ctx context.Context, after time.Time) (table, error) {
-	k.readMu.Lock()
-	defer k.readMu.Unlock()
+	select {
+	case k.reading <- struct{}{}:
+		defer func() { <-k.reading }()
+	case <-ctx.Done():
+		return table{}, ctx.Err()
+	}
 	k.mu.Lock()
 	known, nextRead := k.table, k.nextRead
 	k.mu.Unlock()
@@ -278,7 +282,8 @@
 // confirmRead confirms the versions whose rows were read. The caller must hold k.mu.
 func (k *Keeper) confirmRead(t table) {
 	for o, v := range k.versions {
-		if _, stored := t.software[o]; stored {
+		// A read that began before the store was restored tells nothing of its rows now.
+		if _, stored := t.software[o]; stored && !t.readAt.Before(v.seenAt) {
 			v.confirmed = true
 		}
 	}
@@ -303,9 +308,13 @@
 	Complete bool
 }
 
-// Find returns what the store has for a stream of a service, as it was a short time ago or later.
-func (k *Keeper) Find(ctx context.Context, key origin.Key, service string) (Stored, error) {
-	t, err := k.read(ctx, k.now().Add(-k.readInterval()))
+// Find returns what the store has for a stream of a service, as it was at the given time and a short time ago, or
+// later.
+func (k *Keeper) Find(ctx context.Context, key origin.Key, service string, after time.Time) (Stored, error) {
+	if recent := k.now().Add(-k.readInterval()); after.Before(recent) {
+		after = recent
+	}
+	t, err := k.read(ctx, after)
 	if err != nil {
 		return Stored{}, err
 	}
--- a/internal/originstore/originstore_test.go
+++ b/internal/originstore/originstore_test.go
@@ -74,7 +74,11 @@
 			if d.away {
 				return platform.Snapshot{}, errAway
 			}
-			return platform.Snapshot{Records: slices.Collect(maps.Values(d.rows)), Clock: time.Hour + time.Since(d.began)}, nil
+			s := platform.Snapshot{Records: slices.Collect(maps.Values(d.rows)), Clock: time.Hour + time.Since(d.began)}
+			d.mu.Unlock()
+			time.Sleep(callTime)
+			d.mu.Lock()
+			return s, nil
 		},
 		Put: func(_ context.Context, _, name string, value []byte) error { return d.write(name, value) },
 		Remove: func(_ context.Context, _ string, names ...string) error {
@@ -190,7 +194,7 @@
 				tc.disturb(d)
 				time.Sleep(tc.later)
 				k := New(Settings{Name: "entry-1", CallTimeout: time.Second}, d.store(), Fleet{}, Peers{Known: func() []string { return nil }}, none, events.Nop(), time.Now)
-				got, err := k.Find(t.Context(), origin.KeyOf("r"), "llm")
+				got, err := k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Time{})
 				got.AsOf = time.Time{}
 				if !errors.Is(err, tc.err) || fmt.Sprint(got) != fmt.Sprint(tc.want) {
 					t.Errorf("%+v, %v; want %+v, %v", got, err, tc.want, tc.err)
@@ -220,7 +224,7 @@
 		away bool
 		took time.Duration
 	}{
-		{"the store answers", false, 2 * callTime},
+		{"the store answers", false, 3 * callTime},
 		{"the store is away", true, confirmTimeout},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -332,12 +336,16 @@
 		s := stream("r", "v1", time.Minute)
 		k, _ := d.start(t, "entry-1", func() []origin.Stream { return []origin.Stream{s} })
 		time.Sleep(2 * time.Second)
+		// A read is under way.
+		go func() { _, _ = k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Now()) }()
+		time.Sleep(callTime + callTime/2)
 		var before, after []string
 		d.locked(func() {
 			before = slices.Sorted(maps.Keys(d.rows))
 			clear(d.rows)
 		})
 		k.Restored()
+		k.Confirm(t.Context(), s.Origin)
 		time.Sleep(2 * time.Second)
 		d.locked(func() { after = slices.Sorted(maps.Keys(d.rows)) })
 		if len(after) != 3 || !slices.Equal(before, after) {
@@ -346,14 +354,15 @@
 	})
 }
 
-// TestReadsWhileTheStoreIsAway checks that callers that come back often do not each call the store.
+// TestReadsWhileTheStoreIsAway checks that callers that come back often do not each call the store, and get what it
+// had when they asked.
 func TestReadsWhileTheStoreIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment("v1")
 		d.setAway(true)
 		k := New(Settings{Name: "entry-1", CallTimeout: time.Second}, d.store(), Fleet{}, Peers{Known: func() []string { return nil }}, none, events.Nop(), time.Now)
 		for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
-			if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm"); err == nil {
+			if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Time{}); err == nil {
 				t.Fatal("no error")
 			}
 		}
@@ -362,8 +371,18 @@
 		}
 		d.setAway(false)
 		time.Sleep(maxRetryDelay)
-		if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm"); err != nil {
+		if _, err := k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Time{}); err != nil {
 			t.Errorf("once the store is back: %v", err)
 		}
+		d.calls()
+		for range 10 {
+			if found, err := k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Now()); err != nil || found.AsOf.Before(time.Now().Add(-2*callTime)) {
+				t.Errorf("%+v, %v", found, err)
+			}
+			_, _ = k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Time{})
+		}
+		if reads, _ := d.calls(); reads != 10 {
+			t.Errorf("%d reads for 10 views of the upstreams that are later than the last read, want 10", reads)
+		}
 	})
 }
--- a/internal/originstore/row.go
+++ b/internal/originstore/row.go
@@ -89,6 +89,9 @@
 	for _, s := range streams[:min(len(streams), maxRowStreams)] {
 		i, ok := index[s.Origin]
 		if !ok {
+			if len(row.Origins) == maxRowOrigins {
+				continue
+			}
 			i = len(row.Origins)
 			index[s.Origin] = i
 			row.Origins = append(row.Origins, wireOrigin{Service: s.Service, Software: s.Software})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -453,10 +453,10 @@
 mutant software-young $gateway/software.go 's/followed < longest/followed < 0/' $gateway TestProcessThatHasJustStarted
 mutant software-gap internal/fleet/software.go 's/at\.Sub\(s\.followedUntil\) > maxFollowGap/false/' internal/fleet TestFollowedSince
 mutant software-restored internal/fleet/software.go 's/\ts\.followedSince = time\.Time\{\}\n//' internal/fleet TestFollowedSince
-mutant software-stored-first $gateway/software.go 's/since\.After\(stored\.AsOf\)/since.IsZero()/' $gateway TestProcessThatHasJustStarted
-mutant software-stored-new $gateway/software.go 's/ && len\(versions\) == 1 && versions/ \&\& versions/' $gateway TestProcessThatHasJustStarted
-mutant software-stored-spoilt $gateway/software.go 's/ && stored\.Complete//' $gateway TestProcessThatHasJustStarted
-mutant software-stored-several $gateway/software.go 's/len\(stored\.Versions\) == 1 &&/len(stored.Versions) > 0 \&\&/; s/versions\[0\] == stored\.Versions\[0\]/slices.Contains(stored.Versions, versions[0])/; s/\t"net\/http"\n/\t"net\/http"\n\t"slices"\n/' $gateway TestProcessThatHasJustStarted
+mutant software-stored-first $gateway/software.go 's/!followed \|\| since\.After\(stored\.AsOf\)/!followed || since.IsZero()/' $gateway TestProcessThatHasJustStarted
+mutant software-stored-new $gateway/software.go 's/ \|\| others \|\|/ ||/; s/\tothers := /\t_ = /' $gateway TestProcessThatHasJustStarted
+mutant software-stored-spoilt $gateway/software.go 's/ \|\| !stored\.Complete//' $gateway TestProcessThatHasJustStarted
+mutant software-stored-several $gateway/software.go 's/len\(stored\.Versions\) != 1/len(stored.Versions) == 0/' $gateway TestProcessThatHasJustStarted
 mutant software-confirm $gateway/software.go 's/\ts\.g\.peers\.StoredOrigins\.Confirm\(ctx, o\)\n//' $gateway TestFirstEventWaits
 mutant origin-own internal/origin/origin.go 's/\tr\.own = r\.own \|\| s\.records\[k\]\.own\n//' internal/origin TestOwnStreams
 mutant stored-expired $originstore/row.go 's/ \|\| until <= clock//' $originstore TestStreamsOfLost
@@ -472,6 +472,9 @@
 mutant stored-removed-blindly $originstore/originstore.go 's/RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/Remove(ctx, k.settings.Table, r.Name)/' $originstore TestVersionsThatAreGone
 mutant stored-restored $originstore/originstore.go 's/\tk\.written = nil\n//' $originstore TestRowsAreWrittenAgain
 mutant stored-away $originstore/originstore.go 's/k\.now\(\)\.Before\(nextRead\)/false \&\& nextRead.IsZero()/' $originstore TestReadsWhile
+mutant stored-after $originstore/originstore.go 's/after\.Before\(recent\)/true/' $originstore TestReadsWhile
+mutant stored-unread $gateway/software.go 's/; !followed \|\| since/; (followed || !followed) \&\& since/' $gateway TestProcessThatHasJustStarted
+mutant stored-before-restore $originstore/originstore.go 's/ && !t\.readAt\.Before\(v\.seenAt\)//' $originstore TestRowsAreWrittenAgain
 mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
 
 # Prompt parts are no suspects, or harmless ones are taken for bad ones.
