fleet: versions whose rows stay the same are remembered

Ten minutes after the last change of a row, fleet.Software lacked the versions of upstreams that served on, so a minute later the rows of versions in service were removed from the store, and streams went on without them: after a later loss of all entries they could be joined from two versions, as before.

TestSoftwareOfQuietUpstreams, before: "" although upstreams of v1 and v2 serve. Software lists the versions of all known upstreams, as SoftwareSince does. A version whose row is removed is confirmed anew when it comes back.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -64,7 +64,16 @@
 	defer s.mu.Unlock()
 	out := make(map[string][]string, len(s.software))
 	for service, versions := range s.software {
-		out[service] = slices.Sorted(maps.Keys(versions))
+		out[service] = slices.Collect(maps.Keys(versions))
+	}
+	// A version is remembered from when a row last changed, and rows may stay the same for long.
+	for _, m := range s.byID {
+		if !slices.Contains(out[m.Service], m.Software) {
+			out[m.Service] = append(out[m.Service], m.Software)
+		}
+	}
+	for _, versions := range out {
+		slices.Sort(versions)
 	}
 	return out
 }
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -40,6 +40,18 @@
 	}
 }
 
+// TestSoftwareOfQuietUpstreams guards against versions in service that count as gone because no row of their
+// upstreams has changed for long.
+func TestSoftwareOfQuietUpstreams(t *testing.T) {
+	f := newFixture()
+	f.Update([]Record{versionRecord("a", "v1"), versionRecord("b", "v2")}, nil, true, time.Time{})
+	f.at = f.at.Add(SoftwareRetention + time.Minute)
+	f.Sweep()
+	if got := strings.Join(f.Software()["llm"], " "); got != "v1 v2" {
+		t.Errorf("%q although upstreams of v1 and v2 serve", got)
+	}
+}
+
 // TestFollowedSince checks since when a process can tell which versions served.
 func TestFollowedSince(t *testing.T) {
 	f := newFixture()
--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -573,6 +573,7 @@
 		delete(software, o)
 		k.table.software = software
 		delete(k.goneSince, o)
+		delete(k.versions, o)
 		k.mu.Unlock()
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -475,6 +475,7 @@
 mutant stored-after $originstore/originstore.go 's/after\.Before\(recent\)/true/' $originstore TestReadsWhile
 mutant stored-unread $gateway/software.go 's/; !followed \|\| since/; (followed || !followed) \&\& since/' $gateway TestProcessThatHasJustStarted
 mutant stored-before-restore $originstore/originstore.go 's/ && !t\.readAt\.Before\(v\.seenAt\)//' $originstore TestRowsAreWrittenAgain
+mutant software-quiet internal/fleet/software.go 's/if !slices\.Contains\(out\[m\.Service\], m\.Software\) \{/if false {/' internal/fleet TestSoftwareOfQuiet
 mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
 
 # Prompt parts are no suspects, or harmless ones are taken for bad ones.
