gateway: the only version of one service proves nothing for a split route

A caller that resumes a stream which nobody knows, on a route that leads to two services with engines, got 200 and a rest from the other service.

The route picks a service for each request anew, also for one that resumes, and the proof that only one version served looked at that service alone. Streams of such a route that nobody knows are refused now, unrun.

The test failed before, for both proofs: "followed for long: only version, {llm v1}" and "by the store: only version, {llm v1}".

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -124,7 +124,7 @@
 	longest := longestStream(rq)
 	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
 	followed, ok := g.followedFor()
-	if source == origin.NoAnswer || len(versions) != 1 || !ok || followed < longest || longest > fleet.SoftwareRetention {
+	if source == origin.NoAnswer || severalServices(rq) || len(versions) != 1 || !ok || followed < longest || longest > fleet.SoftwareRetention {
 		return origin.Origin{}, source
 	}
 	return origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
@@ -144,7 +144,7 @@
 	longest := longestStream(rq)
 	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
 	others := slices.ContainsFunc(versions, func(v string) bool { return !slices.Contains(stored.Versions, v) })
-	if len(stored.Versions) != 1 || !stored.Complete || others || longest > fleet.SoftwareRetention {
+	if severalServices(rq) || len(stored.Versions) != 1 || !stored.Complete || others || longest > fleet.SoftwareRetention {
 		return origin.Origin{}, source
 	}
 	if since, followed := g.fleet.FollowedSince(); !followed || since.After(stored.AsOf) {
@@ -153,6 +153,18 @@
 	return origin.Origin{Service: rq.service.Name, Software: stored.Versions[0]}, sourceOnlyVersion
 }
 
+// severalServices reports whether the route of a request leads to several services with engines. The versions of one
+// of them then tell nothing of a stream that another one may have begun.
+func severalServices(rq *request) bool {
+	n := 0
+	for _, share := range rq.route.Shares {
+		if service, ok := rq.table.Service(share.Service); ok && service.Engine != nil {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // returnToService makes a resumed stream go to the service that began it, if its route still leads there.
 func (g *Gateway) returnToService(rq *request, name string) {
 	for _, share := range rq.route.Shares {
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -12,6 +12,7 @@
 	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/originstore"
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // addEngineOf adds an engine of a software version.
@@ -289,3 +290,39 @@
 		t.Errorf("the copy at %s of %s is used", held.at.ID, held.at.Software)
 	}
 }
+
+// TestStreamOfASplitRouteGoesOnAtAnotherService guards against a stream that nobody knows and that goes on at the only
+// version of the service that was picked for the rest, though another service of the route may have begun it.
+func TestStreamOfASplitRouteGoesOnAtAnotherService(t *testing.T) {
+	engine := &routetable.Engine{Slots: 8}
+	table := routetable.New(1, nil, []routetable.Service{{Name: "llm", Engine: engine}, {Name: "llm-2", Engine: engine}, {Name: "app"}}, routetable.Limits{}, nil)
+	service, _ := table.Service("llm")
+	for _, tc := range []struct {
+		name   string
+		shares []string
+		want   bool
+	}{
+		{"one service", []string{"llm"}, true},
+		{"a service without engines beside it", []string{"llm", "app"}, true},
+		{"two services with engines", []string{"llm", "llm-2"}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.software = "v1"
+			f.add("llm", "a", serveOK)
+			f.add("llm-2", "b", serveOK)
+			route := &routetable.Route{Timeout: time.Second}
+			for _, name := range tc.shares {
+				route.Shares = append(route.Shares, routetable.Share{Service: name, Weight: 1})
+			}
+			rq := &request{start: time.Now(), route: route, table: table, service: service}
+			if o, source := f.gateway.onlyVersion(rq, origin.FromNobody); (source == sourceOnlyVersion) != tc.want {
+				t.Errorf("followed for long: %s, %v", source, o)
+			}
+			stored := originstore.Stored{Versions: []string{"v1"}, Complete: true, AsOf: time.Now()}
+			if o, source := f.gateway.storedOrigin(rq, origin.FromNobody, stored, nil); (source == sourceOnlyVersion) != tc.want {
+				t.Errorf("by the store: %s, %v", source, o)
+			}
+		})
+	}
+}
