originstore: a table that was just begun is not complete

The first process of this release that starts after an upgrade of all entries at once finds no rows, writes one for the only version that it sees, and took it for all there are; so did processes that start on a store that was restored from a copy without the row of a version. Streams of a version that had left before could be joined.

A row tells since when the table has been kept, on the store's clock, and in which epoch of the store. Versions prove something only of streams that are younger. The first deployment has no streams before, so it counts as kept ever since. After a restore each entry's rows are written anew, and so is this one.

--- a/internal/daemon/gatewaypeers.go
+++ b/internal/daemon/gatewaypeers.go
@@ -100,7 +100,7 @@
 func (b *gatewayBuilder) newOriginStore() *originstore.Keeper {
 	s := b.settings
 	return originstore.New(originstore.Settings{
-		Table: tableOrigins, Name: s.Name, Incarnation: b.incarnation, TickInterval: originStoreTick, CallTimeout: originStoreCallTimeout, Retention: fleet.SoftwareRetention,
+		Table: tableOrigins, Name: s.Name, Incarnation: b.incarnation, TickInterval: originStoreTick, CallTimeout: originStoreCallTimeout, Retention: fleet.SoftwareRetention, FirstDeployment: s.StartTogether,
 	}, b.store, originstore.Fleet{Software: b.engineSoftware, FollowedSince: b.fleet.FollowedSince}, originstore.Peers{
 		Known: func() []string { return b.gossip.PeerNames() }, Ready: b.listed,
 		StoreInterval: func() time.Duration {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -144,7 +144,7 @@
 	longest := longestStream(rq)
 	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
 	others := slices.ContainsFunc(versions, func(v string) bool { return !slices.Contains(stored.Versions, v) })
-	if severalServices(rq) || len(stored.Versions) != 1 || !stored.Complete || others || longest > fleet.SoftwareRetention {
+	if severalServices(rq) || len(stored.Versions) != 1 || stored.KeptFor < longest || others || longest > fleet.SoftwareRetention {
 		return origin.Origin{}, source
 	}
 	if since, followed := g.fleet.FollowedSince(); !followed || since.After(stored.AsOf) {
--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -22,6 +22,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/origin"
 	"github.com/sparshore/sparshore/internal/platform"
@@ -39,7 +41,8 @@
 	// writerDelay is the time after which the next entry takes its turn to write the row of a version that is
 	// still missing.
 	writerDelay = 250 * time.Millisecond
-	// removers is the number of entries that remove the row of a version.
+	// removers is the number of entries that remove the row of a version, or write since when the table has been
+	// kept.
 	removers = 3
 	// peersWait bounds how long a starting process waits until it knows the other entries.
 	peersWait = 2 * time.Second
@@ -72,6 +75,8 @@
 	TickInterval time.Duration
 	// CallTimeout bounds a call to the store.
 	CallTimeout time.Duration
+	// FirstDeployment is set if no entry ever ran before.
+	FirstDeployment bool
 	// Retention is how long a version is kept after its last upstream: longer than any stream runs.
 	Retention time.Duration
 }
@@ -122,6 +127,10 @@
 	goneSince map[origin.Origin]time.Time
 	// changed is closed when a version is confirmed.
 	changed chan struct{}
+	// restored is set once the store was restored from a backup. nextKept is when this entry may write since when
+	// the table has been kept; zero if that row is there.
+	restored bool
+	nextKept time.Time
 	// written holds the streams in the row of this process; nil if there is no row.
 	written map[origin.Key]bool
 	// nextWrite is when that row may be written again; zero while there is nothing to write.
@@ -139,6 +148,11 @@
 	// unreadable is set if the row of a version cannot be decoded, so that more versions than known may be in
 	// service.
 	unreadable bool
+	// epoch is the store's epoch. kept is set if the table has been kept in this epoch, since keptSince on the
+	// store's clock.
+	epoch     int64
+	kept      bool
+	keptSince time.Duration
 }
 
 // version is the state of the row of a version that this entry knows.
@@ -168,7 +182,9 @@
 	tick := time.NewTicker(k.settings.TickInterval)
 	defer tick.Stop()
 	for ctx.Err() == nil {
-		k.confirmVersions(ctx)
+		if k.confirmVersions(ctx) {
+			k.writeKept(ctx)
+		}
 		k.writeStreams(ctx)
 		k.removeVersions(ctx)
 		select {
@@ -196,7 +212,7 @@
 func (k *Keeper) Restored() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table = table{}
+	k.table, k.restored = table{}, true
 	clear(k.versions)
 	k.written = nil
 }
@@ -255,7 +271,7 @@
 
 // decode decodes the rows and returns the names of those whose streams can all no longer be resumed.
 func (k *Keeper) decode(s platform.Snapshot, sent time.Time) (t table, expired []string) {
-	t = table{readAt: sent, clock: s.Clock, streams: map[origin.Key]origin.Origin{}, software: map[origin.Origin]platform.Record{}}
+	t = table{readAt: sent, clock: s.Clock, epoch: s.Epoch, streams: map[origin.Key]origin.Origin{}, software: map[origin.Origin]platform.Record{}}
 	for _, r := range s.Records {
 		switch {
 		case r.Name == "" || strings.HasPrefix(r.Name, softwarePrefix):
@@ -266,6 +282,12 @@
 				continue
 			}
 			t.software[o] = r
+		case r.Name == keptRow:
+			var w wireKept
+			// A row that cannot be used is written anew.
+			if cbor.Unmarshal(r.Value, &w) == nil && w.Epoch == s.Epoch {
+				t.kept, t.keptSince = true, time.Duration(w.SinceMS)*time.Millisecond
+			}
 		case strings.HasPrefix(r.Name, streamsPrefix):
 			n, err := decodeStreams(r.Value, s.Clock, func(key origin.Key, o origin.Origin, _ time.Duration) { t.streams[key] = o })
 			if err != nil {
@@ -302,10 +324,10 @@
 	Origin origin.Origin
 	Known  bool
 	// Versions are the versions of the service that may have begun a stream which can still be resumed, as
-	// of AsOf. Complete is unset if there may be more.
+	// of AsOf. They are complete for streams that began within KeptFor before that; 0 if there may be more.
 	Versions []string
 	AsOf     time.Time
-	Complete bool
+	KeptFor  time.Duration
 }
 
 // Find returns what the store has for a stream of a service, as it was at the given time and a short time ago, or
@@ -318,7 +340,10 @@
 	if err != nil {
 		return Stored{}, err
 	}
-	found := Stored{AsOf: t.readAt, Complete: !t.unreadable}
+	found := Stored{AsOf: t.readAt}
+	if t.kept && !t.unreadable {
+		found.KeptFor = max(t.clock-t.keptSince, 0)
+	}
 	found.Origin, found.Known = t.streams[key]
 	for o := range t.software {
 		if o.Service == service {
@@ -384,8 +409,9 @@
 	return v
 }
 
-// confirmVersions makes sure that the rows of all versions of upstreams are in the store.
-func (k *Keeper) confirmVersions(ctx context.Context) {
+// confirmVersions makes sure that the rows of all versions of upstreams are in the store, and reports whether they
+// are.
+func (k *Keeper) confirmVersions(ctx context.Context) bool {
 	current := map[origin.Origin]bool{}
 	for service, versions := range k.fleet.Software() {
 		for _, software := range versions {
@@ -410,6 +436,47 @@
 	for _, o := range pending {
 		k.confirmVersion(ctx, o)
 	}
+	return len(pending) == 0 && len(current) > 0
+}
+
+// writeKept writes since when the table has been kept if nobody has in this epoch of the store. Before, versions may
+// have begun streams that have no row.
+func (k *Keeper) writeKept(ctx context.Context) {
+	k.mu.Lock()
+	known, restored, now, rank := k.table, k.restored, k.now(), k.rank(keptRow)
+	k.mu.Unlock()
+	if known.readAt.IsZero() || known.kept || rank >= removers {
+		k.nextKept = time.Time{}
+		return
+	}
+	if k.nextKept.IsZero() {
+		k.nextKept = now.Add(time.Duration(rank) * writerDelay)
+	}
+	if now.Before(k.nextKept) {
+		return
+	}
+	t, err := k.read(ctx, k.nextKept)
+	if err != nil || t.kept {
+		return
+	}
+	since := t.clock + k.now().Sub(t.readAt)
+	if k.settings.FirstDeployment && !restored {
+		since = 0
+	}
+	value, err := cbor.Marshal(wireKept{SinceMS: since.Milliseconds(), Epoch: t.epoch})
+	if err == nil {
+		err = k.put(ctx, keptRow, value)
+	}
+	if err != nil {
+		k.nextKept = k.now().Add(maxRetryDelay)
+		k.rec.Note(events.OriginStoreFailed, "", "call", "write", "row", keptRow, "error", err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.table.epoch == t.epoch && !k.table.readAt.IsZero() {
+		k.table.kept, k.table.keptSince = true, since
+	}
 }
 
 // confirmVersion reads whether the row of a version is there, and writes it if it is this entry's turn.
--- a/internal/originstore/row.go
+++ b/internal/originstore/row.go
@@ -20,6 +20,8 @@
 	softwarePrefix = "software/"
 	// streamsPrefix starts the name of the row of the streams of one process.
 	streamsPrefix = "streams/"
+	// keptRow is the name of the row that tells since when the table has been kept.
+	keptRow = "kept"
 )
 
 const (
@@ -54,6 +56,15 @@
 	UntilMS int64
 }
 
+// wireKept is the value of the row keptRow.
+type wireKept struct {
+	_ struct{} `cbor:",toarray"`
+	// SinceMS is when the entries began to write each version in service, on the store's monotonic clock, and
+	// Epoch the store's epoch then: a store that was restored from a backup may lack rows.
+	SinceMS int64
+	Epoch   int64
+}
+
 // softwareRow returns the name of the row of a version; names of services and versions may be too long for one.
 func softwareRow(o origin.Origin) string {
 	sum := sha256.Sum256([]byte(o.Service + "\x00" + o.Software))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -455,7 +455,7 @@
 mutant software-restored internal/fleet/software.go 's/\ts\.followedSince = time\.Time\{\}\n//' internal/fleet TestFollowedSince
 mutant software-stored-first $gateway/software.go 's/!followed \|\| since\.After\(stored\.AsOf\)/!followed || since.IsZero()/' $gateway TestProcessThatHasJustStarted
 mutant software-stored-new $gateway/software.go 's/ \|\| others \|\|/ ||/; s/\tothers := /\t_ = /' $gateway TestProcessThatHasJustStarted
-mutant software-stored-spoilt $gateway/software.go 's/ \|\| !stored\.Complete//' $gateway TestProcessThatHasJustStarted
+mutant software-stored-kept $gateway/software.go 's/ \|\| stored\.KeptFor < longest//' $gateway TestProcessThatHasJustStarted
 mutant software-stored-several $gateway/software.go 's/len\(stored\.Versions\) != 1/len(stored.Versions) == 0/' $gateway TestProcessThatHasJustStarted
 mutant software-confirm $gateway/software.go 's/\ts\.g\.peers\.StoredOrigins\.Confirm\(ctx, o\)\n//' $gateway TestFirstEventWaits
 mutant origin-own internal/origin/origin.go 's/\tr\.own = r\.own \|\| s\.records\[k\]\.own\n//' internal/origin TestOwnStreams
@@ -476,6 +476,8 @@
 mutant stored-unread $gateway/software.go 's/; !followed \|\| since/; (followed || !followed) \&\& since/' $gateway TestProcessThatHasJustStarted
 mutant stored-before-restore $originstore/originstore.go 's/ && !t\.readAt\.Before\(v\.seenAt\)//' $originstore TestRowsAreWrittenAgain
 mutant software-quiet internal/fleet/software.go 's/if !slices\.Contains\(out\[m\.Service\], m\.Software\) \{/if false {/' internal/fleet TestSoftwareOfQuiet
+mutant stored-epoch $originstore/originstore.go 's/ && w\.Epoch == s\.Epoch//' $originstore TestTableThatWasJustBegun
+mutant stored-kept $originstore/originstore.go 's/if k\.settings\.FirstDeployment && !restored/if !restored/' $originstore TestTableThatWasJustBegun
 mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
 
 # Prompt parts are no suspects, or harmless ones are taken for bad ones.
