originstore: entries soon see the row that another one wrote

An entry whose stream waits for the row of a new version read the rows once, and again only after its usual interval: 1.5 s with 300 entries, while streams wait for 0.5 s. It reads again after 50 ms, then at doubled intervals.

TestFirstStreamsOfANewVersion: all of 4, 30 and 300 within 0.25 s, at most four reads an entry and one write.

--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -48,6 +48,9 @@
 	peersWait = 2 * time.Second
 	// confirmTimeout bounds how long streams of a new version wait for its row.
 	confirmTimeout = 500 * time.Millisecond
+	// neededReadInterval is the time after which an entry reads again whether a row is there that a stream
+	// waits for. It doubles with each read.
+	neededReadInterval = 50 * time.Millisecond
 	// minReadInterval is the least time between two reads of an entry, and readSpacing the one between the
 	// reads of all entries.
 	minReadInterval = 250 * time.Millisecond
@@ -165,7 +168,9 @@
 	failures  int
 	nextWrite time.Time
 	confirmed bool
-	needed    bool
+	// needed is set once a stream waits for the row, and reads counts the reads since then that lacked it.
+	needed bool
+	reads  int
 }
 
 // New returns a Keeper; Run starts its work. own returns the streams that this entry passed on.
@@ -490,7 +495,14 @@
 	// The first read has to be after the version was seen; later ones look for what other entries wrote.
 	after := v.seenAt
 	if !readAt.Before(after) {
-		after = now.Add(-k.readInterval())
+		interval := k.readInterval()
+		if v.needed {
+			interval = min(interval, neededReadInterval<<min(v.reads, 16))
+		}
+		after = now.Add(-interval)
+	}
+	if readAt.Before(after) && v.needed {
+		v.reads++
 	}
 	k.mu.Unlock()
 	if _, err := k.read(ctx, after); err != nil {
--- a/internal/originstore/originstore_test.go
+++ b/internal/originstore/originstore_test.go
@@ -265,6 +265,43 @@
 	}
 }
 
+// TestFirstStreamsOfANewVersion guards against streams that go on without the row of their version, which another
+// entry has written meanwhile.
+func TestFirstStreamsOfANewVersion(t *testing.T) {
+	for _, entries := range []int{4, 30, 300} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment("v1")
+				var keepers []*Keeper
+				for i := range entries {
+					d.names = append(d.names, fmt.Sprint("entry-", i))
+				}
+				for _, name := range d.names {
+					k, _ := d.start(t, name, none)
+					keepers = append(keepers, k)
+				}
+				time.Sleep(5 * time.Second)
+				d.calls()
+				d.setSoftware("v1", "v2")
+				var streams sync.WaitGroup
+				for i, k := range keepers {
+					streams.Go(func() {
+						time.Sleep(time.Duration(i%100) * time.Millisecond)
+						began := time.Now()
+						if ok := k.Confirm(t.Context(), origin.Origin{Service: "llm", Software: "v2"}); !ok || time.Since(began) > confirmTimeout/2 {
+							t.Errorf("%v after %s", ok, time.Since(began))
+						}
+					})
+				}
+				streams.Wait()
+				if reads, writes := d.calls(); reads > 4*entries || writes > 1 {
+					t.Errorf("%d reads, %d writes", reads, writes)
+				}
+			})
+		})
+	}
+}
+
 // TestCallsToTheStore bounds the calls of all entries together.
 func TestCallsToTheStore(t *testing.T) {
 	for _, entries := range []int{4, 30, 300} {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -478,6 +478,7 @@
 mutant software-quiet internal/fleet/software.go 's/if !slices\.Contains\(out\[m\.Service\], m\.Software\) \{/if false {/' internal/fleet TestSoftwareOfQuiet
 mutant stored-epoch $originstore/originstore.go 's/ && w\.Epoch == s\.Epoch//' $originstore TestTableThatWasJustBegun
 mutant stored-kept $originstore/originstore.go 's/if k\.settings\.FirstDeployment && !restored/if !restored/' $originstore TestTableThatWasJustBegun
+mutant stored-needed $originstore/originstore.go 's/interval = min\(interval, neededReadInterval<<min\(v\.reads, 16\)\)//' $originstore TestFirstStreams
 mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
 
 # Prompt parts are no suspects, or harmless ones are taken for bad ones.
