originstore: the first deployment counts as kept ever since on a young store

A row of the first deployment stated the start of the store's clock as the time since when the table has been kept. If all entries were lost while that clock was younger than a stream may run, streams of the only version were refused.

The test failed before: "KeptFor:1m0.005s; want 10m0s".

--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -466,7 +466,7 @@
 	}
 	since := t.clock + k.now().Sub(t.readAt)
 	if k.settings.FirstDeployment && !restored {
-		since = 0
+		since = min(0, since-k.settings.Retention)
 	}
 	value, err := cbor.Marshal(wireKept{SinceMS: since.Milliseconds(), Epoch: t.epoch})
 	if err == nil {
--- a/internal/originstore/originstore_test.go
+++ b/internal/originstore/originstore_test.go
@@ -25,8 +25,10 @@
 type deployment struct {
 	ready chan struct{}
 
-	mu       sync.Mutex
-	began    time.Time
+	mu    sync.Mutex
+	began time.Time
+	// clock is the store's clock at the start.
+	clock    time.Duration
 	rows     map[string]platform.Record
 	version  int64
 	away     bool
@@ -43,7 +45,7 @@
 }
 
 func newDeployment(software ...string) *deployment {
-	d := &deployment{ready: make(chan struct{}), began: time.Now(), rows: map[string]platform.Record{}, software: software, followed: time.Now(), beforeRemoval: func() {}}
+	d := &deployment{ready: make(chan struct{}), began: time.Now(), clock: time.Hour, rows: map[string]platform.Record{}, software: software, followed: time.Now(), beforeRemoval: func() {}}
 	close(d.ready)
 	return d
 }
@@ -77,7 +79,7 @@
 			if d.away {
 				return platform.Snapshot{}, errAway
 			}
-			s := platform.Snapshot{Records: slices.Collect(maps.Values(d.rows)), Clock: time.Hour + time.Since(d.began), Epoch: d.epoch}
+			s := platform.Snapshot{Records: slices.Collect(maps.Values(d.rows)), Clock: d.clock + time.Since(d.began), Epoch: d.epoch}
 			d.mu.Unlock()
 			time.Sleep(callTime)
 			d.mu.Lock()
@@ -382,16 +384,18 @@
 		name    string
 		first   bool
 		restore bool
+		clock   time.Duration
 		want    time.Duration
 	}{
-		{"by an entry that was upgraded", false, false, 59 * time.Second},
-		{"by the first entry that ever ran", true, false, time.Hour},
-		{"after the store was restored while no entry ran", true, true, 0},
+		{"by an entry that was upgraded", false, false, time.Hour, 59 * time.Second},
+		{"by the first entry that ever ran", true, false, time.Hour, time.Hour},
+		{"by the first entry that ever ran, on a store that has just started", true, false, 0, retention},
+		{"after the store was restored while no entry ran", true, true, time.Hour, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDeployment("v1")
-				d.first = tc.first
+				d.first, d.clock = tc.first, tc.clock
 				_, kill := d.start(t, "entry-1", none)
 				time.Sleep(time.Minute)
 				kill()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -676,5 +676,6 @@
 mutant link-unidentified internal/link/link.go 's/idleKey\{address, r\.ID != ""\}/idleKey{address, true}/' internal/link TestLateAnswerIsTakenForAnotherOne
 mutant link-own-connection internal/link/link.go 's/resp\.Close \|\| req\.OwnConnection/resp.Close/; s/req\.idleKey\(address\), req\.OwnConnection/req.idleKey(address), false/' internal/link TestLateAnswerIsTakenForAnotherOne
 mutant software-split-route $gateway/software.go 's/\treturn n > 1\n/\treturn n > 9\n/' $gateway TestStreamOfASplitRoute
+mutant kept-young-store internal/originstore/originstore.go 's/since = min\(0, since-k\.settings\.Retention\)/since = 0/' internal/originstore TestTableThatWasJustBegun
 
 finish
