originstore: spoilt rows, and calls that cross a restore or a write

Found by a reviewer's reading. A version of 257 to 1,024 bytes, which rows of upstreams may have, got a row that no entry could decode, so that no version in the store proved anything any more, for good. The bound is that of the rows now, also for what entries tell each other, and rows that cannot be decoded are removed once an entry has followed the upstreams for longer than a stream runs.

Rows whose streams had all expired were removed whatever they held by then; they are removed only at the version that was read. What was read or written before the store was restored from a copy no longer counts afterwards.

With the bound of before, TestRowsThatCannotBeUsed: "0 versions, kept for 11m59.94s", want one. The mutants show the others.

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -33,8 +33,9 @@
 	maxRecords = 16384
 	// maxKept bounds how long a stream is kept, whatever deadline its caller states.
 	maxKept = 10 * time.Minute
-	// maxNameBytes bounds the names of services and versions that other entries report.
-	maxNameBytes = 256
+	// maxNameBytes bounds the names of services and versions that other entries report. Those of upstreams' rows
+	// are no longer.
+	maxNameBytes = 1 << 10
 )
 
 // Key identifies a stream by the ID of the request whose answer began it.
--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -61,8 +61,8 @@
 	// removalMargin is added to the retention of versions before a row is removed, since entries lose sight
 	// of an upstream at different times.
 	removalMargin = time.Minute
-	// maxRemoved is the number of rows that one call removes.
-	maxRemoved = 100
+	// maxRemoved is the number of expired rows that are removed after a read.
+	maxRemoved = 4
 	// maxExcerptBytes limits how much of a row's name is logged.
 	maxExcerptBytes = 128
 )
@@ -130,9 +130,9 @@
 	goneSince map[origin.Origin]time.Time
 	// changed is closed when a version is confirmed.
 	changed chan struct{}
-	// restored is set once the store was restored from a backup. nextKept is when this entry may write since when
+	// restores counts how often the store was restored from a backup. nextKept is when this entry may write since when
 	// the table has been kept; zero if that row is there.
-	restored bool
+	restores int
 	nextKept time.Time
 	// written holds the streams in the row of this process; nil if there is no row.
 	written map[origin.Key]bool
@@ -151,6 +151,8 @@
 	// unreadable is set if the row of a version cannot be decoded, so that more versions than known may be in
 	// service.
 	unreadable bool
+	// spoilt are these rows, as far as they can be removed.
+	spoilt []platform.Record
 	// epoch is the store's epoch. kept is set if the table has been kept in this epoch, since keptSince on the
 	// store's clock.
 	epoch     int64
@@ -217,7 +219,8 @@
 func (k *Keeper) Restored() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table, k.restored = table{}, true
+	k.table = table{}
+	k.restores++
 	clear(k.versions)
 	k.written = nil
 }
@@ -242,7 +245,7 @@
 		return table{}, ctx.Err()
 	}
 	k.mu.Lock()
-	known, nextRead := k.table, k.nextRead
+	known, nextRead, restores := k.table, k.nextRead, k.restores
 	k.mu.Unlock()
 	switch {
 	case !known.readAt.IsZero() && !known.readAt.Before(after):
@@ -264,18 +267,23 @@
 	}
 	read, expired := k.decode(s, sent)
 	k.mu.Lock()
+	if k.restores != restores {
+		// What was read before the restore tells nothing of the rows now.
+		k.mu.Unlock()
+		return table{}, platform.ErrRestored
+	}
 	k.table, k.readFailures, k.nextRead = read, 0, time.Time{}
 	k.confirmRead(read)
 	k.mu.Unlock()
-	if len(expired) > 0 {
-		// What cannot be removed now is removed after the next read.
-		_ = k.store.Remove(ctx, k.settings.Table, expired[:min(len(expired), maxRemoved)]...)
+	for _, r := range expired[:min(len(expired), maxRemoved)] {
+		// What cannot be removed now is removed after a later read.
+		_ = k.store.RemoveVersion(ctx, k.settings.Table, r.Name, r.Version)
 	}
 	return read, nil
 }
 
-// decode decodes the rows and returns the names of those whose streams can all no longer be resumed.
-func (k *Keeper) decode(s platform.Snapshot, sent time.Time) (t table, expired []string) {
+// decode decodes the rows and returns those whose streams can all no longer be resumed.
+func (k *Keeper) decode(s platform.Snapshot, sent time.Time) (t table, expired []platform.Record) {
 	t = table{readAt: sent, clock: s.Clock, epoch: s.Epoch, streams: map[origin.Key]origin.Origin{}, software: map[origin.Origin]platform.Record{}}
 	for _, r := range s.Records {
 		switch {
@@ -283,6 +291,9 @@
 			o, err := decodeSoftware(r.Value)
 			if err != nil {
 				t.unreadable = true
+				if r.Name != "" {
+					t.spoilt = append(t.spoilt, r)
+				}
 				k.rec.Note(events.OriginStoreFailed, "", "call", "read", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
 				continue
 			}
@@ -299,7 +310,7 @@
 				k.rec.Note(events.OriginStoreFailed, "", "call", "read", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
 			}
 			if err == nil && n == 0 && r.Name != k.streamsRow() && k.rank(r.Name) == 0 {
-				expired = append(expired, r.Name)
+				expired = append(expired, r)
 			}
 		}
 	}
@@ -309,8 +320,7 @@
 // confirmRead confirms the versions whose rows were read. The caller must hold k.mu.
 func (k *Keeper) confirmRead(t table) {
 	for o, v := range k.versions {
-		// A read that began before the store was restored tells nothing of its rows now.
-		if _, stored := t.software[o]; stored && !t.readAt.Before(v.seenAt) {
+		if _, stored := t.software[o]; stored {
 			v.confirmed = true
 		}
 	}
@@ -448,7 +458,7 @@
 // have begun streams that have no row.
 func (k *Keeper) writeKept(ctx context.Context) {
 	k.mu.Lock()
-	known, restored, now, rank := k.table, k.restored, k.now(), k.rank(keptRow)
+	known, restores, now, rank := k.table, k.restores, k.now(), k.rank(keptRow)
 	k.mu.Unlock()
 	if known.readAt.IsZero() || known.kept || rank >= removers {
 		k.nextKept = time.Time{}
@@ -465,7 +475,7 @@
 		return
 	}
 	since := t.clock + k.now().Sub(t.readAt)
-	if k.settings.FirstDeployment && !restored {
+	if k.settings.FirstDeployment && restores == 0 {
 		since = min(0, since-k.settings.Retention)
 	}
 	value, err := cbor.Marshal(wireKept{SinceMS: since.Milliseconds(), Epoch: t.epoch})
@@ -479,7 +489,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.table.epoch == t.epoch && !k.table.readAt.IsZero() {
+	if k.restores == restores {
 		k.table.kept, k.table.keptSince = true, since
 	}
 }
@@ -531,6 +541,10 @@
 		k.rec.Note(events.OriginStoreFailed, "", "call", "write", "service", o.Service, "software", o.Software, "error", err)
 		return
 	}
+	if k.versions[o] != v {
+		// The store was restored meanwhile and may lack the row.
+		return
+	}
 	v.confirmed = true
 	if k.table.software != nil {
 		software := maps.Clone(k.table.software)
@@ -581,7 +595,7 @@
 func (k *Keeper) writeStreams(ctx context.Context) {
 	several, now := k.severalVersions(), k.now()
 	k.mu.Lock()
-	written := k.written
+	written, restores := k.written, k.restores
 	k.mu.Unlock()
 	switch {
 	case len(several) == 0 && len(written) == 0:
@@ -611,7 +625,9 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.written = written
+	if k.restores == restores {
+		k.written = written
+	}
 }
 
 // writeOwnRow writes the row of this process, or removes it if there are no streams.
@@ -643,6 +659,7 @@
 	if !ok || k.now().Sub(since) < k.settings.Retention+removalMargin {
 		return
 	}
+	k.removeSpoilt(ctx)
 	for _, o := range k.goneVersions() {
 		if k.rank(softwareRow(o)) < removers && !k.removeVersion(ctx, o) {
 			continue
@@ -697,3 +714,23 @@
 	}
 	return true
 }
+
+// removeSpoilt removes rows of versions that cannot be decoded. The versions that this entry has known meanwhile have
+// rows of their own.
+func (k *Keeper) removeSpoilt(ctx context.Context) {
+	k.mu.Lock()
+	spoilt := k.table.spoilt
+	k.table.spoilt = nil
+	k.mu.Unlock()
+	for _, r := range spoilt {
+		if k.rank(r.Name) >= removers {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
+		err := k.store.RemoveVersion(ctx, k.settings.Table, r.Name, r.Version)
+		cancel()
+		if err != nil {
+			k.rec.Note(events.OriginStoreFailed, "", "call", "remove", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
+		}
+	}
+}
--- a/internal/originstore/originstore_test.go
+++ b/internal/originstore/originstore_test.go
@@ -412,6 +412,57 @@
 	}
 }
 
+// TestRowsThatCannotBeUsed checks that versions of any length have usable rows, and that rows which are spoilt are
+// removed, or the versions in the store never prove anything again.
+func TestRowsThatCannotBeUsed(t *testing.T) {
+	long := strings.Repeat("v", 1<<10)
+	for _, tc := range []struct {
+		name     string
+		software string
+		disturb  func(d *deployment)
+	}{
+		{"a long version", long, func(*deployment) {}},
+		{"a spoilt row", "v1", func(d *deployment) {
+			d.locked(func() {
+				d.version++
+				d.rows[softwarePrefix+"0"] = platform.Record{Name: softwarePrefix + "0", Value: []byte{0xff}, Version: d.version}
+			})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(tc.software)
+				tc.disturb(d)
+				k, _ := d.start(t, "entry-1", none)
+				time.Sleep(retention + 2*removalMargin)
+				got, err := k.Find(t.Context(), origin.KeyOf("r"), "llm", time.Now())
+				if err != nil || len(got.Versions) != 1 || got.Versions[0] != tc.software || got.KeptFor < retention {
+					t.Errorf("%d versions, kept for %s, %v", len(got.Versions), got.KeptFor, err)
+				}
+			})
+		})
+	}
+}
+
+// TestExpiredRowIsWrittenAgain guards against streams that are lost because another entry removes the row that held
+// only expired ones when it was read.
+func TestExpiredRowIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment("v1", "v2")
+		row := streamsPrefix + "entry-2/1"
+		value, err := encodeStreams(nil, nil)
+		if err != nil || d.write(row, value) != nil {
+			t.Fatal(err)
+		}
+		d.beforeRemoval = func() { _ = d.write(row, []byte("new streams")) }
+		d.start(t, "entry-1", none)
+		time.Sleep(2 * time.Second)
+		if !d.has(row) {
+			t.Error("the row with new streams is removed")
+		}
+	})
+}
+
 // TestRowsAreWrittenAgainAfterARestore checks that a store that was restored from a backup gets the rows again.
 func TestRowsAreWrittenAgainAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/originstore/row.go
+++ b/internal/originstore/row.go
@@ -29,8 +29,8 @@
 	maxRowStreams = 1500
 	// maxRowOrigins bounds the versions that the streams of a row have.
 	maxRowOrigins = 64
-	// maxNameBytes bounds the names of services and versions.
-	maxNameBytes = 256
+	// maxNameBytes bounds the names of services and versions. Those of upstreams' rows are no longer.
+	maxNameBytes = 1 << 10
 )
 
 // wireOrigin is the value of the row of a software version in service.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -471,13 +471,16 @@
 mutant stored-removed-young $originstore/originstore.go 's/k\.now\(\)\.Sub\(since\) < k\.settings\.Retention\+removalMargin/since.IsZero()/' $originstore TestVersionsThatAreGone
 mutant stored-removed-blindly $originstore/originstore.go 's/RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/Remove(ctx, k.settings.Table, r.Name)/' $originstore TestVersionsThatAreGone
 mutant stored-restored $originstore/originstore.go 's/\tk\.written = nil\n//' $originstore TestRowsAreWrittenAgain
+mutant stored-crossed $originstore/originstore.go 's/if k\.restores != restores \{/if false {/' $originstore TestRowsAreWrittenAgain
+mutant stored-bound $originstore/row.go 's/maxNameBytes = 1 << 10/maxNameBytes = 256/' $originstore TestRowsThatCannot
+mutant stored-spoilt-gone $originstore/originstore.go 's/\tk\.removeSpoilt\(ctx\)\n//' $originstore TestRowsThatCannot
+mutant stored-expired-blindly $originstore/originstore.go 's/_ = k\.store\.RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/_ = k.store.Remove(ctx, k.settings.Table, r.Name)/' $originstore TestExpiredRow
 mutant stored-away $originstore/originstore.go 's/k\.now\(\)\.Before\(nextRead\)/false \&\& nextRead.IsZero()/' $originstore TestReadsWhile
 mutant stored-after $originstore/originstore.go 's/after\.Before\(recent\)/true/' $originstore TestReadsWhile
 mutant stored-unread $gateway/software.go 's/; !followed \|\| since/; (followed || !followed) \&\& since/' $gateway TestProcessThatHasJustStarted
-mutant stored-before-restore $originstore/originstore.go 's/ && !t\.readAt\.Before\(v\.seenAt\)//' $originstore TestRowsAreWrittenAgain
 mutant software-quiet internal/fleet/software.go 's/if !slices\.Contains\(out\[m\.Service\], m\.Software\) \{/if false {/' internal/fleet TestSoftwareOfQuiet
 mutant stored-epoch $originstore/originstore.go 's/ && w\.Epoch == s\.Epoch//' $originstore TestTableThatWasJustBegun
-mutant stored-kept $originstore/originstore.go 's/if k\.settings\.FirstDeployment && !restored/if !restored/' $originstore TestTableThatWasJustBegun
+mutant stored-kept $originstore/originstore.go 's/if k\.settings\.FirstDeployment && restores == 0/if restores == 0/' $originstore TestTableThatWasJustBegun
 mutant stored-needed $originstore/originstore.go 's/interval = min\(interval, neededReadInterval<<min\(v\.reads, 16\)\)//' $originstore TestFirstStreams
 mutant stored-version platform/store.go 's/Key: name, Ver: version/Key: name/' platform TestWrites
 
