--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -288,16 +288,7 @@
 	for _, r := range s.Records {
 		switch {
 		case r.Name == "" || strings.HasPrefix(r.Name, softwarePrefix):
-			o, err := decodeSoftware(r.Value)
-			if err != nil {
-				t.unreadable = true
-				if r.Name != "" {
-					t.spoilt = append(t.spoilt, r)
-				}
-				k.rec.Note(events.OriginStoreFailed, "", "call", "read", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
-				continue
-			}
-			t.software[o] = r
+			k.decodeVersion(&t, r)
 		case r.Name == keptRow:
 			var w wireKept
 			// A row that cannot be used is written anew.
@@ -317,6 +308,20 @@
 	return t, expired
 }
 
+// decodeVersion adds the row of a version to a table.
+func (k *Keeper) decodeVersion(t *table, r platform.Record) {
+	o, err := decodeSoftware(r.Value)
+	if err == nil {
+		t.software[o] = r
+		return
+	}
+	t.unreadable = true
+	if r.Name != "" {
+		t.spoilt = append(t.spoilt, r)
+	}
+	k.rec.Note(events.OriginStoreFailed, "", "call", "read", "row", events.Excerpt(r.Name, maxExcerptBytes), "error", err)
+}
+
 // confirmRead confirms the versions whose rows were read. The caller must hold k.mu.
 func (k *Keeper) confirmRead(t table) {
 	for o, v := range k.versions {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -460,7 +460,7 @@
 mutant software-confirm $gateway/software.go 's/\ts\.g\.peers\.StoredOrigins\.Confirm\(ctx, o\)\n//' $gateway TestFirstEventWaits
 mutant origin-own internal/origin/origin.go 's/\tr\.own = r\.own \|\| s\.records\[k\]\.own\n//' internal/origin TestOwnStreams
 mutant stored-expired $originstore/row.go 's/ \|\| until <= clock//' $originstore TestStreamsOfLost
-mutant stored-spoilt $originstore/originstore.go 's/\t\t\t\tt\.unreadable = true\n//' $originstore TestStreamsOfLost
+mutant stored-spoilt $originstore/originstore.go 's/\tt\.unreadable = true\n//' $originstore TestStreamsOfLost
 mutant stored-unnamed $originstore/originstore.go 's/r\.Name == "" \|\| //' $originstore TestStreamsOfLost
 mutant stored-wait $originstore/originstore.go 's/v\.seenAt\.Add\(confirmTimeout\)$/k.now().Add(confirmTimeout)/m' $originstore TestStreamsWait
 mutant stored-turns $originstore/originstore.go 's/time\.Duration\(k\.rank\(softwareRow\(o\)\)\) \* writerDelay/0/; s/if k\.rank\(softwareRow\(o\)\) > 0 \{/if false {/' $originstore TestCallsToTheStore
