--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -469,9 +469,9 @@
 mutant stored-one-version $originstore/originstore.go 's/count\[o\.Service\] > 1/count[o.Service] > 0/' $originstore TestCallsToTheStore
 mutant stored-removed-early $originstore/originstore.go 's/ >= removalMargin/ >= 0/' $originstore TestVersionsThatAreGone
 mutant stored-removed-young $originstore/originstore.go 's/k\.now\(\)\.Sub\(since\) < k\.settings\.Retention\+removalMargin/since.IsZero()/' $originstore TestVersionsThatAreGone
-mutant stored-removed-blindly $originstore/originstore.go 's/RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/Remove(ctx, k.settings.Table, r.Name)/' $originstore TestVersionsThatAreGone
+mutant stored-removed-blindly $originstore/originstore.go 's/if err := k\.store\.RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/if err := k.store.Remove(ctx, k.settings.Table, r.Name)/' $originstore TestVersionsThatAreGone
 mutant stored-restored $originstore/originstore.go 's/\tk\.written = nil\n//' $originstore TestRowsAreWrittenAgain
-mutant stored-crossed $originstore/originstore.go 's/if k\.restores != restores \{/if false {/' $originstore TestRowsAreWrittenAgain
+mutant stored-crossed $originstore/originstore.go 's/if k\.restores != restores \{/if false \&\& k.restores != restores {/' $originstore TestRowsAreWrittenAgain
 mutant stored-bound $originstore/row.go 's/maxNameBytes = 1 << 10/maxNameBytes = 256/' $originstore TestRowsThatCannot
 mutant stored-spoilt-gone $originstore/originstore.go 's/\tk\.removeSpoilt\(ctx\)\n//' $originstore TestRowsThatCannot
 mutant stored-expired-blindly $originstore/originstore.go 's/_ = k\.store\.RemoveVersion\(ctx, k\.settings\.Table, r\.Name, r\.Version\)/_ = k.store.Remove(ctx, k.settings.Table, r.Name)/' $originstore TestExpiredRow
