gateway: a full upstream that refuses its health check is asked again

Whole unframed answers of upstreams under load were lost: the check after their end gave up after three refusals without a name within 0.1 s, and at the first connection that was reset or closed, as an upstream at its connection limit does.

Cause: each failed query except a refusal counted as a sign of the end of the upstream. Only a refused connection, 421, another name or another birth is one.

Other failures decide nothing now: the query is repeated after 20 ms and growing pauses, up to 80 ms, for 3 s at most and within the time of each request. One loop for each upstream repeats it for all answers that wait, so a full upstream gets no more queries the more answers end. An answer counts only with a query that began after its end, as before.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
@@ -25,15 +26,15 @@
 )
 
 const (
-	// endCheckTimeout limits the time of one end check. A health check waits for a slot as requests do.
+	// endCheckTimeout limits the time of an end check. Health checks wait for a slot as requests do, and an upstream that
+	// is full refuses them, or resets their connections.
 	endCheckTimeout = 3 * time.Second
 	// endCheckInterval is the least time between the starts of two end checks of one upstream. All answers that
 	// end in between share a check.
 	endCheckInterval = 20 * time.Millisecond
-	// maxHealthChecks limits the health checks of one end check if the upstream refuses them without its name, and
-	// healthCheckPause is the time between two of them.
-	maxHealthChecks  = 3
-	healthCheckPause = 50 * time.Millisecond
+	// firstCheckPause is the pause before a query that decided nothing is repeated. It doubles up to maxCheckPause.
+	firstCheckPause = 20 * time.Millisecond
+	maxCheckPause   = 80 * time.Millisecond
 )
 
 // The reasons for not taking the end of a connection for the end of an answer.
@@ -47,10 +48,11 @@
 // endCheck finds out whether an upstream has survived the ends of some of its answers.
 type endCheck struct {
 	// done is closed once proof is set.
-	done  chan struct{}
-	proof endProof
-	// answers counts the answers that have ended.
-	answers int
+	done     chan struct{}
+	proof    endProof
+	deadline time.Time
+	// answers counts the answers that have ended, and asked the queries that began after that.
+	answers, asked int
 }
 
 // endChecks holds the end checks of one upstream.
@@ -58,6 +60,10 @@
 	// next is the check that has not started; nil if there is none. No check starts before notBefore.
 	next      *endCheck
 	notBefore time.Time
+	// repeating is set while queries are repeated that decided nothing. They serve all further checks, and waiting are
+	// those that have joined since the latest query began.
+	repeating bool
+	waiting   []*endCheck
 }
 
 // proveEnd returns how it is known that an answer is complete whose connection has just ended. It asks the upstream
@@ -90,27 +96,85 @@
 		checks = &endChecks{}
 		g.endChecks[u.ID] = checks
 	}
-	if checks.next == nil {
-		checks.next = &endCheck{done: make(chan struct{})}
+	c := checks.next
+	switch {
+	case checks.repeating && len(checks.waiting) > 0:
+		c = checks.waiting[len(checks.waiting)-1]
+	case checks.repeating:
+		c = g.newEndCheck()
+		checks.waiting = append(checks.waiting, c)
+	case c == nil:
+		c = g.newEndCheck()
+		checks.next = c
 		time.AfterFunc(checks.notBefore.Sub(g.now()), func() { g.runEndCheck(service, u, checks) })
 	}
-	checks.next.answers++
-	return checks.next
+	c.answers++
+	return c
+}
+
+func (g *Gateway) newEndCheck() *endCheck {
+	return &endCheck{done: make(chan struct{}), deadline: g.now().Add(endCheckTimeout)}
 }
 
+// runEndCheck runs the next check of an upstream. If its first query decides nothing, it repeats the query, unless
+// another check does so already.
 func (g *Gateway) runEndCheck(service *routetable.Service, u fleet.Upstream, checks *endChecks) {
-	started := g.now()
 	g.mu.Lock()
-	c := checks.next
-	checks.next, checks.notBefore = nil, started.Add(endCheckInterval)
+	list := []*endCheck{checks.next}
+	checks.next, checks.notBefore = nil, g.now().Add(endCheckInterval)
 	g.mu.Unlock()
-	defer close(c.done)
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	list = g.askForChecks(service, u, list)
+	g.mu.Lock()
+	if checks.repeating {
+		checks.waiting, list = append(checks.waiting, list...), nil
+	} else {
+		checks.repeating = len(list) > 0
+	}
+	g.mu.Unlock()
+	for pause := firstCheckPause; len(list) > 0; pause = min(max(2*pause, firstCheckPause), maxCheckPause) {
+		time.Sleep(pause)
+		g.mu.Lock()
+		list, checks.waiting = append(list, checks.waiting...), nil
+		g.mu.Unlock()
+		list = g.askForChecks(service, u, list)
+		if len(list) > 0 {
+			continue
+		}
+		pause = 0
+		g.mu.Lock()
+		list, checks.waiting = checks.waiting, nil
+		checks.repeating = len(list) > 0
+		g.mu.Unlock()
+	}
+}
+
+// askForChecks queries an upstream on behalf of checks and returns those that need another query.
+func (g *Gateway) askForChecks(service *routetable.Service, u fleet.Upstream, list []*endCheck) (undecided []*endCheck) {
+	ctx, cancel := context.WithDeadline(context.Background(), list[len(list)-1].deadline)
 	defer cancel()
-	proof, asked, err := g.checkIncarnation(ctx, service, u)
-	c.proof = proof
-	g.met.endChecked(proof, asked)
-	g.rec.Note(events.AnswerEndChecked, "", "upstream", u.ID, "proof", proof, "answers", c.answers, "asked", asked, "took", g.now().Sub(started), "error", err)
+	proof, err := g.checkIncarnation(ctx, service, u)
+	g.met.endChecked(proof)
+	for _, c := range list {
+		c.asked++
+		if proof == unproven && !decidesEnd(err) && g.now().Before(c.deadline) && g.incarnationKnown(u.ID) {
+			undecided = append(undecided, c)
+			continue
+		}
+		c.proof = proof
+		g.rec.Note(events.AnswerEndChecked, "", "upstream", u.ID, "proof", proof, "answers", c.answers, "asked", c.asked, "took", endCheckTimeout-c.deadline.Sub(g.now()), "error", err)
+		close(c.done)
+	}
+	return undecided
+}
+
+// decidesEnd reports whether an error shows that an incarnation cannot be asked. Other errors may be due to load.
+func decidesEnd(err error) bool {
+	for _, decisive := range []error{errOtherIncarnation, syscall.ECONNREFUSED, errNoHealthCheck, errBacksOff} {
+		if errors.Is(err, decisive) {
+			return true
+		}
+	}
+	return false
 }
 
 // sweepEndChecks forgets the end checks of upstreams that had none lately.
@@ -119,45 +183,38 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	for id, checks := range g.endChecks {
-		if checks.next == nil && checks.notBefore.Before(now) {
+		if checks.next == nil && !checks.repeating && checks.notBefore.Before(now) {
 			delete(g.endChecks, id)
 		}
 	}
 }
 
-// checkIncarnation asks an upstream whether its incarnation still serves, and counts the queries. It prefers the
-// report of an engine, which needs no slot and tells incarnations of one name apart.
-func (g *Gateway) checkIncarnation(ctx context.Context, service *routetable.Service, u fleet.Upstream) (proof endProof, asked int, err error) {
+// checkIncarnation asks an upstream whether its incarnation still serves. It prefers the report of an engine, which
+// needs no slot and tells incarnations of one name apart.
+func (g *Gateway) checkIncarnation(ctx context.Context, service *routetable.Service, u fleet.Upstream) (endProof, error) {
 	if err := g.awaitBackOff(ctx, u.ID); err != nil {
-		return unproven, 0, err
+		return unproven, err
 	}
 	if service.Engine != nil && u.Born != 0 {
 		state, err := g.query(ctx, u, "an answer without length and chunks ended")
-		asked++
 		switch {
 		case err == nil && state.StartedAt == u.Born:
-			return provenByReport, asked, nil
+			return provenByReport, nil
 		case errors.Is(err, errOtherIncarnation):
-			return unproven, asked, err
+			return unproven, err
 		}
 	}
 	if service.HealthPath == "" {
-		return unproven, asked, errNoHealthCheck
+		return unproven, errNoHealthCheck
 	}
-	for range maxHealthChecks {
-		if err = g.awaitBackOff(ctx, u.ID); err != nil {
-			break
-		}
-		asked++
-		if err = g.checkHealth(ctx, service, u); !errors.Is(err, errUnnamed) {
-			break
-		}
-		sleep(ctx, healthCheckPause)
+	// The report may have asked for a backoff.
+	if err := g.awaitBackOff(ctx, u.ID); err != nil {
+		return unproven, err
 	}
-	if err != nil {
-		return unproven, asked, err
+	if err := g.checkHealth(ctx, service, u); err != nil {
+		return unproven, err
 	}
-	return provenByHealth, asked, nil
+	return provenByHealth, nil
 }
 
 // checkHealth sends a health check to an upstream and returns nil if the answer names its incarnation, whatever else
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -83,13 +83,13 @@
 	m.connectChecks.WithLabelValues(result).Inc()
 }
 
-// endChecked counts the queries of an end check.
-func (m *metrics) endChecked(proof endProof, asked int) {
+// endChecked counts a query of end checks.
+func (m *metrics) endChecked(proof endProof) {
 	label := string(proof)
 	if proof == unproven {
 		label = "none"
 	}
-	m.endChecks.WithLabelValues(label).Add(float64(asked))
+	m.endChecks.WithLabelValues(label).Inc()
 }
 
 func (m *metrics) observeAnswer(d time.Duration)     { m.answer.Observe(d.Seconds()) }
