fix(gateway): a request to back off clears no suspect

An upstream in overload answers 503 with a time to come back, without saying that it did not run the request. The entry took that for a request that was served, which clears it: the log has request-cleared, "it was served", right after such an answer, and the crashes around it did not count. The code was so before this incident.

Answers that ask to back off clear nothing now. The test failed before: "a call is to come back later: cleared: true, want false", and the same for a generation.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -185,7 +185,7 @@
 		s.g.recordBrokenAnswer(s.rq, st.at, err)
 		s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", err)
 	}
-	if err == nil {
+	if err == nil && !s.g.asksBackOff(answer.Status, answer.Header) {
 		s.rq.run.AnsweredWithError()
 	}
 	retryable := s.rq.route.Repeats() && s.rq.attempts < s.rq.route.MaxAttempts && answer.Status >= http.StatusInternalServerError
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -337,7 +337,7 @@
 // reportOutcome reports the outcome of an attempt to the fleet. An attempt that this entry cancelled
 // does not count.
 func (g *Gateway) reportOutcome(ctx context.Context, rq *request, u fleet.Upstream, r result) {
-	if r.usable() {
+	if r.usable() && !g.asksBackOff(r.status, r.header) {
 		rq.run.Served()
 	}
 	switch {
--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -271,3 +271,41 @@
 		})
 	}
 }
+
+// TestRequestToBackOffClearsNoSuspect guards against an upstream in overload that clears a poison request: it
+// answers without running it, but does not say so.
+func TestRequestToBackOffClearsNoSuspect(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, service string
+		answer              http.HandlerFunc
+		cleared             bool
+	}{
+		{"a call is answered", pathOnce, "app", serveError, true},
+		{"a call is to come back later", pathOnce, "app", serveBackOff, false},
+		{"a generation is answered", pathStream, "llm", serveError, true},
+		{"a generation is to come back later", pathStream, "llm", serveBackOff, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add(tc.service, "a", tc.answer)
+			run, err := f.gateway.quarantine.Enter(t.Context(), quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", tc.path, "acme", []byte("body"))}, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			run.ResponseLost("earlier")
+			f.gateway.quarantine.ConfirmCrash("earlier")
+			run.Leave()
+			f.ask(tc.path)
+			if cleared := len(f.gateway.Quarantine().List()) == 0; cleared != tc.cleared {
+				t.Errorf("cleared: %v, want %v", cleared, tc.cleared)
+			}
+		})
+	}
+}
+
+// serveBackOff answers that the request is to come back later, but not whether it ran.
+func serveBackOff(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testProof, "p")
+	w.Header().Set(testRetryMs, "50")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -683,5 +683,7 @@
 mutant link-own-connection internal/link/link.go 's/resp\.Close \|\| req\.OwnConnection/resp.Close/; s/req\.idleKey\(address\), req\.OwnConnection/req.idleKey(address), false/' internal/link TestLateAnswerIsTakenForAnotherOne
 mutant software-split-route $gateway/software.go 's/\treturn n > 1\n/\treturn n > 9\n/' $gateway TestStreamOfASplitRoute
 mutant kept-young-store internal/originstore/originstore.go 's/since = min\(0, since-k\.settings\.Retention\)/since = 0/' internal/originstore TestTableThatWasJustBegun
+mutant suspect-backoff-call $gateway/call.go 's/if r\.usable\(\) && !g\.asksBackOff\(r\.status, r\.header\) \{\n\t\trq\.run/if r.usable() {\n\t\trq.run/' $gateway TestRequestToBackOffClearsNoSuspect
+mutant suspect-backoff-stream $gateway/attempt.go 's/if err == nil && !s\.g\.asksBackOff\(answer\.Status, answer\.Header\) \{/if err == nil {/' $gateway TestRequestToBackOffClearsNoSuspect
 
 finish
