gateway: the log tells which connection each attempt had and what refused it

An unsafe call that ran twice left no line that tells why it was sent again: a refused attempt of a plain call was not logged, no line named the connection, and the bound on lines left out those of requests sent more than once.

attempt-refused has the verdict, the status, the instance that the answer names, the connection (new, or idle and for how long) and the number of late answers that came first there; answer-rejected has the connection too. From the second attempt on, the lines of a request have a bound of their own.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -284,8 +285,10 @@
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.logWriter = logline.New(logline.Settings{Lines: s.LogLines, Queue: logQueueLines}, logs, time.Now)
 	b.incarnation = newIncarnation()
-	log := newLogger(b.logWriter).WithValues("process", s.Name, "incarnation", b.incarnation)
-	b.rec = events.New(log, s.Name, b.incarnation, s.TimelineSize, time.Now)
+	logTo := func(w io.Writer) logr.Logger {
+		return newLogger(w).WithValues("process", s.Name, "incarnation", b.incarnation)
+	}
+	b.rec = events.New(events.Logs{Usual: logTo(b.logWriter), Reserved: logTo(b.logWriter.Reserved())}, s.Name, b.incarnation, s.TimelineSize, time.Now)
 	b.reg.MustRegister(collectors.NewGoCollector())
 	b.store = belief.WithAnswerTimes(platform.NewStore(s.Store, b.storeClient()), time.Now, platform.TableRoutes)
 	b.relayLog = relay.NewLog(time.Now)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -73,7 +73,7 @@
 	n := &node{
 		settings: c,
 		identity: membership.NewIdentity(c.Name, role, c.Zone, upstream, incarnation, now()),
-		rec:      events.New(log, c.Name, incarnation, c.TimelineSize, now),
+		rec:      events.New(events.LogTo(log), c.Name, incarnation, c.TimelineSize, now),
 		reg:      reg,
 		table:    platform.NewTable(c.TableURL, c.TableName, creds),
 		objects:  platform.NewObjects(c.ObjectsURL, c.Bucket, creds),
--- a/internal/daemon/upstreamrows_test.go
+++ b/internal/daemon/upstreamrows_test.go
@@ -46,7 +46,7 @@
 }
 
 func newRowsFixture() *rowsFixture {
-	f := &rowsFixture{rec: events.New(logr.Discard(), "p", "i", 1000, time.Now), now: time.Now()}
+	f := &rowsFixture{rec: events.New(events.LogTo(logr.Discard()), "p", "i", 1000, time.Now), now: time.Now()}
 	f.set = fleet.New(f.rec, time.Now, func(id string) { f.left = append(f.left, id) })
 	f.upstreamRows = newUpstreamRows(decodeServiceAddress, f.set, newBadRows(events.UpstreamRejected, error.Error, prometheus.NewRegistry(), f.rec, func() time.Time { return f.now }))
 	return f
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -82,6 +82,7 @@
 	EngineNotSlow       ID = 225
 	PaceRejected        ID = 226
 	EarlierRunStopped   ID = 227
+	AttemptRefused      ID = 228
 	GenerationQueued    ID = 300
 	GenerationAdmitted  ID = 301
 	GenerationPaused    ID = 302
@@ -220,6 +221,7 @@
 	{EngineNotSlow, "engine-not-slow", "An engine no longer counts as slow."},
 	{PaceRejected, "pace-rejected", "Reports of another entry about the pace of engines were invalid; they are dropped and change nothing."},
 	{EarlierRunStopped, "earlier-run-stopped", "A generation went on at another engine (`goes-on-at`) after its answer had broken off, but its first engine (`at`) still ran it and was commanded to stop it."},
+	{AttemptRefused, "attempt-refused", "An upstream refused a request without running it (`verdict`). `instance` is the upstream that the answer names, `connection` the one that carried the request, and `late` how many answers to earlier requests came first there. The request may be sent to another upstream."},
 	{GenerationQueued, "generation-queued", "A sidecar queues a generation until memory allows it to run."},
 	{GenerationAdmitted, "generation-admitted", "A sidecar sent a generation to its engine."},
 	{GenerationPaused, "generation-paused", "A generation was preempted by others and keeps its place."},
--- a/internal/events/recorder.go
+++ b/internal/events/recorder.go
@@ -37,9 +37,18 @@
 	Fields      map[string]string `json:"fields,omitempty"`
 }
 
-// Recorder writes events to a log and keeps the newest ones in a ring buffer.
+// Logs are the logs of a Recorder. Reserved has room for events that must not be left out when there are too many
+// for Usual.
+type Logs struct {
+	Usual, Reserved logr.Logger
+}
+
+// LogTo returns Logs that write all events to one log.
+func LogTo(log logr.Logger) Logs { return Logs{Usual: log, Reserved: log} }
+
+// Recorder writes events to its logs and keeps the newest ones in a ring buffer.
 type Recorder struct {
-	log         logr.Logger
+	logs        Logs
 	process     string
 	incarnation string
 	now         func() time.Time
@@ -51,9 +60,9 @@
 }
 
 // New returns a Recorder for the named process that keeps at most size events.
-func New(log logr.Logger, process, incarnation string, size int, now func() time.Time) *Recorder {
+func New(logs Logs, process, incarnation string, size int, now func() time.Time) *Recorder {
 	return &Recorder{
-		log:         log,
+		logs:        logs,
 		process:     process,
 		incarnation: incarnation,
 		now:         now,
@@ -62,13 +71,21 @@
 }
 
 // Nop returns a Recorder for tests that keeps 256 events and logs nothing.
-func Nop() *Recorder { return New(logr.Discard(), "test", "0", 256, time.Now) }
+func Nop() *Recorder { return New(LogTo(logr.Discard()), "test", "0", 256, time.Now) }
 
 // Note records one event. request may be empty; kv are alternating names and
 // values, as in logr.
-func (r *Recorder) Note(id ID, request string, kv ...any) {
+func (r *Recorder) Note(id ID, request string, kv ...any) { r.note(r.logs.Usual, id, request, kv) }
+
+// NoteReserved is Note for an event whose line must be there when the log is full: without it a failure cannot be
+// explained.
+func (r *Recorder) NoteReserved(id ID, request string, kv ...any) {
+	r.note(r.logs.Reserved, id, request, kv)
+}
+
+func (r *Recorder) note(log logr.Logger, id ID, request string, kv []any) {
 	kind := byID[id]
-	r.log.Info(kind.name, append([]any{"event", int(id), "request", request}, kv...)...)
+	log.Info(kind.name, append([]any{"event", int(id), "request", request}, kv...)...)
 	e := Event{Process: r.process, Incarnation: r.incarnation, Event: id, Name: kind.name, Request: request, Fields: fields(kv)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/events/recorder_test.go
+++ b/internal/events/recorder_test.go
@@ -36,7 +36,7 @@
 // another process has sent a later stamp.
 func TestStampsOrderEventsWhenClockDoesNotAdvance(t *testing.T) {
 	fixed := time.Unix(100, 0)
-	r := New(logr.Discard(), "p", "1", 8, func() time.Time { return fixed })
+	r := New(LogTo(logr.Discard()), "p", "1", 8, func() time.Time { return fixed })
 	r.Observe(Stamp{Wall: fixed.UnixNano() + 5, Logic: 7})
 	r.Note(ProcessStarted, "")
 	got := r.Select("")[0].Stamp
@@ -47,7 +47,7 @@
 }
 
 func TestSelectReturnsNewestEventsOldestFirst(t *testing.T) {
-	r := New(logr.Discard(), "p", "1", 3, time.Now)
+	r := New(LogTo(logr.Discard()), "p", "1", 3, time.Now)
 	for i := range 5 {
 		r.Note(RequestEnded, fmt.Sprint(i))
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,7 +101,7 @@
 	g, rq := s.g, s.rq
 	load := g.loads.total(st.at.ID)
 	g.met.attempted(st.why)
-	g.rec.Note(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "software", st.at.Software, "why", st.why, "resumes", rq.call.Resumes, "parts", partIDs(rq.call.Shared),
+	rq.note(g.rec)(events.RequestRouted, rq.call.ID, "route", rq.route.Name, "account", rq.account, "fingerprint", rq.fingerprint, "upstream", st.at.ID, "software", st.at.Software, "why", st.why, "resumes", rq.call.Resumes, "parts", partIDs(rq.call.Shared),
 		"prompt", rq.call.Prompt, "most-output", rq.call.MaxOutput, "hint", rq.call.Hint, "running", load.Running, "tokens", load.Tokens, "unread", load.Prefill, "news-delay", g.peers.Delay(st.at.Zone, true), "limit", g.limits.Rate(st.at.ID), "slowdown", g.Slowdown(st.at.ID),
 		"after-event", s.lastEvent, "routes", rq.table.Version(), "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence)
 }
@@ -123,15 +123,16 @@
 	g, rq := s.g, s.rq
 	if answer.Header.Get(g.proto.IDHeader) != rq.call.ID {
 		rq.sent = true
-		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errOtherAnswer)
+		g.rec.NoteReserved(events.AnswerRejected, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "error", errOtherAnswer, "connection", answer.Connection, "late", answer.Late)
 		return streamBroken, true
 	}
 	switch g.proto.Verdict(answer.Status, answer.Header) {
 	case protocol.NotRun:
 		g.markBusy(st.at.ID, answer.Header)
-		g.rec.Note(events.RequestRetried, rq.call.ID, "upstream", st.at.ID, "status", answer.Status, "why", "the engine did not run the request")
+		g.noteRefusal(rq, st.at, answer)
 		return streamNotRun, true
 	case protocol.WrongUpstream:
+		g.noteRefusal(rq, st.at, answer)
 		g.fleet.MarkLeaving(st.at.ID, "another upstream has its address")
 		return streamNotRun, true
 	case protocol.Ran:
@@ -153,7 +154,7 @@
 		s.g.fleet.RecordOutcome(st.at.ID, fleet.Broken)
 		s.g.recordBrokenAnswer(s.rq, st.at, err)
 	}
-	s.g.rec.Note(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err, "unreachable", errors.Is(context.Cause(ctx), errUnreachable))
+	s.g.rec.NoteReserved(events.AnswerRejected, s.rq.call.ID, "upstream", st.at.ID, "error", err, "unreachable", errors.Is(context.Cause(ctx), errUnreachable))
 	if errors.Is(err, link.ErrNotSent) {
 		if ctx.Err() == nil && s.rq.route.MaxPause > 0 {
 			s.g.engineUnreachable(st.at)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -254,7 +254,7 @@
 	c.rq.attempts++
 	c.g.met.attempted(reason)
 	load := c.g.loads.total(u.ID)
-	c.g.rec.Note(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "fingerprint", c.rq.fingerprint, "upstream", u.ID, "why", reason,
+	c.rq.note(c.g.rec)(events.RequestRouted, c.rq.call.ID, "route", c.rq.route.Name, "account", c.rq.account, "fingerprint", c.rq.fingerprint, "upstream", u.ID, "why", reason,
 		"running", load.Running, "failure-rate", u.FailureRate(), "limit", c.g.limits.Rate(u.ID), "routes", c.rq.table.Version(), "routes-row", c.rq.tableRow, "routes-age", c.rq.tableAge, "routes-from", c.rq.evidence)
 	claim := c.g.loads.add(u.ID, gossip.Load{Running: 1})
 	go func() {
@@ -321,12 +321,21 @@
 	if r.err != nil {
 		rq.discard(r.body)
 		r.body = nil
-		g.rec.Note(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err, "framed", a.Framed)
+		g.rec.NoteReserved(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "status", a.Status, "error", r.err, "framed", a.Framed, "connection", a.Connection, "late", a.Late)
+	}
+	if r.err == nil && r.verdict != protocol.Ran {
+		g.noteRefusal(rq, u, a)
 	}
 	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final() && a.Clean()})
 	return r
 }
 
+// noteRefusal logs that an upstream refused a request without running it.
+func (g *Gateway) noteRefusal(rq *request, u fleet.Upstream, a *link.Answer) {
+	instance := g.proto.DecodeIdentity(u.Name, a.Status, a.Header, nil).Name
+	g.rec.NoteReserved(events.AttemptRefused, rq.call.ID, "upstream", u.ID, "address", u.Address, "status", a.Status, "verdict", g.proto.Verdict(a.Status, a.Header), "instance", instance, "connection", a.Connection, "late", a.Late)
+}
+
 // The reasons for not passing on an upstream's answer.
 var (
 	errOtherAnswer  = errors.New("answer names another request")
@@ -379,5 +388,5 @@
 	elapsed := g.now().Sub(rq.start)
 	g.met.ended(strconv.Itoa(r.status))
 	g.met.observeAnswer(elapsed)
-	g.rec.Note(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size, "framed", r.proof == provenByFraming, "end-proved-by", r.proof)
+	rq.note(g.rec)(events.RequestEnded, rq.call.ID, "status", r.status, "upstream", r.upstream, "tries", rq.attempts, "took", elapsed, "bytes", size, "framed", r.proof == provenByFraming, "end-proved-by", r.proof)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -150,7 +150,7 @@
 		s.rq.run.Served()
 		s.g.met.ended("stream")
 		s.g.eventInterval.note(s.timeToFirstEvent, now.Sub(s.rq.start), s.events)
-		s.g.rec.Note(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.attempts, "took", now.Sub(s.rq.start), "events", s.events,
+		s.rq.note(s.g.rec)(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.attempts, "took", now.Sub(s.rq.start), "events", s.events,
 			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt, "framed", answer.Framed, "end-proved-by", proof)
 		return streamComplete
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -288,7 +288,7 @@
 	if rq.table != nil {
 		version = rq.table.Version()
 	}
-	g.rec.Note(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
+	rq.note(g.rec)(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
 	g.met.refused(status)
 	g.proto.Refuse(rq.w, &rq.call, refusal, now)
 }
@@ -350,3 +350,12 @@
 func (rq *request) attemptFor(u fleet.Upstream) protocol.Attempt {
 	return protocol.Attempt{Upstream: u.Name, Account: rq.account, Deadline: rq.deadline}
 }
+
+// note returns how the events of a request are recorded. Those of a request that was sent more than once are always
+// in the log.
+func (rq *request) note(rec *events.Recorder) func(id events.ID, request string, kv ...any) {
+	if rq.attempts > 1 {
+		return rec.NoteReserved
+	}
+	return rec.Note
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -78,6 +78,37 @@
 	headRead atomic.Bool
 	expires  time.Time
 	lastID   string
+	// carried is the number of requests that were sent before the current one, and idleSince when the last of them
+	// ended.
+	carried   int
+	idleSince time.Time
+}
+
+// Connection describes the connection of a request.
+type Connection struct {
+	// Local is the address at this end.
+	Local string
+	// Carried is the number of earlier requests; 0 for a new connection.
+	Carried int
+	// IdleFor is the time since the last of them ended.
+	IdleFor time.Duration
+}
+
+// String returns a short text for the log.
+func (c Connection) String() string {
+	if c.Carried == 0 {
+		return c.Local + " new"
+	}
+	return fmt.Sprintf("%s after %d requests, idle for %v", c.Local, c.Carried, c.IdleFor)
+}
+
+// describe returns a description for a request that is about to be sent.
+func (c *conn) describe(now time.Time) Connection {
+	d := Connection{Local: c.LocalAddr().String(), Carried: c.carried}
+	if c.carried > 0 {
+		d.IdleFor = now.Sub(c.idleSince)
+	}
+	return d
 }
 
 // usable reports whether an idle connection can carry another request: it has not expired, and the
@@ -107,6 +138,9 @@
 	Length int64
 	// Framed is false if the body ends only with the end of the connection.
 	Framed bool
+	// Connection is what carried the request, and Late is the number of answers to earlier requests that came first.
+	Connection Connection
+	Late       int
 
 	pool       *Pool
 	conn       *conn
@@ -127,14 +161,15 @@
 	}
 	c.headRead.Store(false)
 	stop := context.AfterFunc(ctx, func() { p.expireRequest(ctx, c) })
+	connection := c.describe(p.now())
 	a, err := p.exchange(c, req)
 	c.headRead.Store(true)
 	if err != nil {
 		stop()
 		_ = c.Close()
-		return nil, err
+		return nil, fmt.Errorf("%w (connection %v)", err, connection)
 	}
-	a.stopExpiry = stop
+	a.stopExpiry, a.Connection = stop, connection
 	return a, nil
 }
 
@@ -241,7 +276,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	start := c.r.consumed()
-	for range maxSkipped + 1 {
+	for late := range maxSkipped + 1 {
 		resp, err := c.r.readHead(req.Method) //nolint:bodyclose // the body ends with the connection, which Answer.Close handles
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
@@ -249,8 +284,8 @@
 		if !p.answersPreviousRequest(c, req, resp) {
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-				Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-				pool:   p, conn: c, body: resp.Body, written: written, close: resp.Close || req.OwnConnection,
+				Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Late: late,
+				pool: p, conn: c, body: resp.Body, written: written, close: resp.Close || req.OwnConnection,
 			}, nil
 		}
 		err = c.r.skip(resp, start+maxSkippedBytes-c.r.consumed())
@@ -349,7 +384,9 @@
 }
 
 func (p *Pool) putIdle(c *conn, h http.Header) {
-	c.expires = p.now().Add(p.idleTimeout(h))
+	c.idleSince = p.now()
+	c.expires = c.idleSince.Add(p.idleTimeout(h))
+	c.carried++
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.key] = append(p.idle[c.key], c)
--- a/internal/logline/writer.go
+++ b/internal/logline/writer.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// Settings bound the number of lines that a Writer accepts.
+// Settings bound the number of lines that a Writer accepts. The bounds apply to the usual and the reserved lines
+// separately.
 type Settings struct {
 	// Lines is the maximum number of lines per second.
 	Lines int
@@ -18,37 +19,55 @@
 
 // Writer is an io.Writer that expects one complete line in each Write.
 type Writer struct {
+	out     io.Writer
+	usual   *lane
+	reserve *lane
+	closed  chan struct{}
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// lane holds the lines of one kind that wait for the output.
+type lane struct {
 	settings Settings
-	out      io.Writer
 	now      func() time.Time
+	dropped  *atomic.Int64
 	queue    chan []byte
-	done     chan struct{}
 	second   atomic.Int64
 	lines    atomic.Int64
-	dropped  atomic.Int64
 }
 
 // New returns a Writer and starts the goroutine that writes to out.
 func New(settings Settings, out io.Writer, now func() time.Time) *Writer {
-	w := &Writer{settings: settings, out: out, now: now, queue: make(chan []byte, settings.Queue), done: make(chan struct{})}
+	w := &Writer{out: out, closed: make(chan struct{}), done: make(chan struct{})}
+	newLane := func() *lane {
+		return &lane{settings: settings, now: now, dropped: &w.dropped, queue: make(chan []byte, settings.Queue)}
+	}
+	w.usual, w.reserve = newLane(), newLane()
 	go w.writeQueued()
 	return w
 }
 
 // Write queues a copy of one line. It never blocks; a line that exceeds the bounds is dropped and counted.
-func (w *Writer) Write(line []byte) (int, error) {
-	second := w.now().Unix()
-	if w.second.Swap(second) != second {
-		w.lines.Store(0)
+func (w *Writer) Write(line []byte) (int, error) { return w.usual.Write(line) }
+
+// Reserved returns a writer for lines that are still written when there are too many usual lines.
+func (w *Writer) Reserved() io.Writer { return w.reserve }
+
+// Write queues a copy of one line.
+func (l *lane) Write(line []byte) (int, error) {
+	second := l.now().Unix()
+	if l.second.Swap(second) != second {
+		l.lines.Store(0)
 	}
-	if w.lines.Add(1) > int64(w.settings.Lines) {
-		w.dropped.Add(1)
+	if l.lines.Add(1) > int64(l.settings.Lines) {
+		l.dropped.Add(1)
 		return len(line), nil
 	}
 	select {
-	case w.queue <- append([]byte(nil), line...):
+	case l.queue <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		l.dropped.Add(1)
 	}
 	return len(line), nil
 }
@@ -58,14 +77,39 @@
 
 // Close writes the queued lines and stops the Writer. Write must not be called after Close.
 func (w *Writer) Close() {
-	close(w.queue)
+	close(w.closed)
 	<-w.done
 }
 
 func (w *Writer) writeQueued() {
 	defer close(w.done)
-	for line := range w.queue {
-		// A failed write is ignored: a failure of the log output cannot be logged.
-		_, _ = w.out.Write(line)
+	for {
+		select {
+		case line := <-w.usual.queue:
+			w.write(line)
+		case line := <-w.reserve.queue:
+			w.write(line)
+		case <-w.closed:
+			w.drain(w.reserve)
+			w.drain(w.usual)
+			return
+		}
 	}
 }
+
+// drain writes the lines that are queued.
+func (w *Writer) drain(l *lane) {
+	for {
+		select {
+		case line := <-l.queue:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *Writer) write(line []byte) {
+	// A failed write is ignored: a failure of the log output cannot be logged.
+	_, _ = w.out.Write(line)
+}
--- a/internal/logline/writer_test.go
+++ b/internal/logline/writer_test.go
@@ -57,3 +57,20 @@
 		t.Errorf("%d lines written, want 17", n)
 	}
 }
+
+// The lines of a request that was sent twice were left out because the log was full.
+func TestFullLogLeavesOutReservedLines(t *testing.T) {
+	var out bytes.Buffer
+	w := New(Settings{Lines: 10, Queue: 1000}, &out, func() time.Time { return time.Unix(100, 0) })
+	for range 25 {
+		_, _ = w.Write([]byte("usual\n"))
+	}
+	for range 12 {
+		_, _ = w.Reserved().Write([]byte("reserved\n"))
+	}
+	w.Close()
+	usual, reserved := bytes.Count(out.Bytes(), []byte("usual")), bytes.Count(out.Bytes(), []byte("reserved"))
+	if usual != 10 || reserved != 10 || w.Dropped() != 17 {
+		t.Errorf("%d usual and %d reserved lines written, want 10 of each", usual, reserved)
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -86,6 +86,18 @@
 	WrongUpstream
 )
 
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not run"
+	case WrongUpstream:
+		return "wrong upstream"
+	default:
+		return "ran"
+	}
+}
+
 // CopyResult is an engine's answer to a copy command.
 type CopyResult struct {
 	Outcome CopyOutcome
