fix(link): a connection carries an identifier once, for one incarnation

Callers got one answer to an unsafe call that had run twice, or a 503 for one that had run.

An answer is matched by the identifier of the request, but a request may be sent again, and an attempt has no identifier of its own. Idle connections were kept by address. A call that was meant for the former upstream at an address was refused with 421 by the present one, sent again to the present one, and took the connection that had just become idle; the surplus 421 to the first attempt came first there and counted as the refusal of the second, which ran.

Now idle connections belong to the incarnation that they were opened for, and a connection is not used for an identifier that it has carried, so that connection and identifier together name the attempt. Late answers to any request that it has carried are skipped, not only to the last one, and it is closed after a 421 or an answer that names none of them.

Streams were safe by chance: the body of a refusal is not read, so its connection closes. Mutants: link-carries-twice, link-previous-only, link-by-address.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -14,6 +14,7 @@
 // about the upstream itself: that it leaves, asks for backoff or limits its request rate. All
 // requests of this entry to upstreams go through exchange, so that none of this is missed.
 func (g *Gateway) exchange(ctx context.Context, to fleet.Upstream, req link.Request) (*link.Answer, error) {
+	req.Upstream = to.ID
 	a, err := g.link.Do(ctx, to.Address, req)
 	if err != nil {
 		return nil, err
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,8 +1,10 @@
 // Package link sends single HTTP/1.1 requests to upstreams over pooled connections. The gateway uses
 // it in place of net/http's client because it must know whether a request can have reached the
 // upstream: a Pool never sends a request twice, distinguishes a failure before the first byte from
-// a later one, and matches each answer to its request by identifier. Headers are encoded and
-// answers are parsed by net/http.
+// a later one, and matches each answer to its request by identifier. The caller may send a request
+// again; a connection carries an identifier only once, so that a late answer to an earlier attempt
+// is not taken for the answer to a later one. Headers are encoded and answers are parsed by
+// net/http.
 package link
 
 import (
@@ -54,15 +56,16 @@
 	idle map[idleKey][]*conn
 }
 
-// idleKey selects the idle connections that a request can use. An upstream may send a late second answer to a
-// request, which only the identifier tells from the answer to the next one. Requests without an identifier therefore
-// share no connection with others.
+// idleKey selects the idle connections that a request can use. A connection leads to the upstream that had the address
+// when it was opened. An upstream may send a late second answer to a request, which only the identifier tells from the
+// answer to the next one. Requests without an identifier therefore share no connection with others.
 type idleKey struct {
 	address    string
+	upstream   string
 	identified bool
 }
 
-func (r Request) idleKey(address string) idleKey { return idleKey{address, r.ID != ""} }
+func (r Request) idleKey(address string) idleKey { return idleKey{address, r.Upstream, r.ID != ""} }
 
 // New returns an empty Pool; dial opens a connection to an IP:port.
 func New(settings Settings, dial func(ctx context.Context, address string) (net.Conn, error), now func() time.Time) *Pool {
@@ -77,7 +80,8 @@
 	// headRead is set once the head of the current answer was read.
 	headRead atomic.Bool
 	expires  time.Time
-	lastID   string
+	// ids are the identifiers of the requests that were sent so far.
+	ids carriedIDs
 	// carried is the number of requests that were sent before the current one, and idleSince when the last of them
 	// ended.
 	carried   int
@@ -115,6 +119,11 @@
 // upstream has neither closed it nor sent unsolicited bytes.
 func (c *conn) usable(now time.Time) bool { return now.Before(c.expires) && openAndSilent(c.Conn) }
 
+// mayCarry reports whether a connection can carry a request with an identifier.
+func (c *conn) mayCarry(id string) bool {
+	return id == "" || len(c.ids) < maxCarried && !c.ids.has(id)
+}
+
 // Request is a request to an upstream. Target is the request target exactly as on the caller's
 // request line, so that its bytes are passed on unchanged.
 type Request struct {
@@ -125,6 +134,8 @@
 	Body   []byte
 	// ID is the identifier that the answer is expected to carry; empty for none.
 	ID string
+	// Upstream identifies the intended upstream and its incarnation. Requests for different ones share no connection.
+	Upstream string
 	// OwnConnection requests a connection that carries no other request.
 	OwnConnection bool
 }
@@ -155,7 +166,7 @@
 // read, bytes received by then can still be read, and the connection is closed. If ctx is
 // cancelled before the head was read, this happens HeadGrace later.
 func (p *Pool) Do(ctx context.Context, address string, req Request) (*Answer, error) {
-	c, err := p.connect(ctx, req.idleKey(address), req.OwnConnection)
+	c, err := p.connect(ctx, req.idleKey(address), req.ID, req.OwnConnection)
 	if err != nil {
 		return nil, err
 	}
@@ -184,10 +195,10 @@
 	time.AfterFunc(p.settings.HeadGrace, c.expire)
 }
 
-// connect returns an idle connection that is still usable, or opens a new one.
-func (p *Pool) connect(ctx context.Context, key idleKey, fresh bool) (*conn, error) {
+// connect returns an idle connection that can carry a request with an identifier, or opens a new one.
+func (p *Pool) connect(ctx context.Context, key idleKey, id string, fresh bool) (*conn, error) {
 	if !fresh {
-		if c := p.takeIdle(key); c != nil {
+		if c := p.takeIdle(key, id); c != nil {
 			return c, nil
 		}
 	}
@@ -204,7 +215,7 @@
 // CheckReachable opens a connection to an address and closes it. It returns an error if nothing accepts
 // connections there.
 func (p *Pool) CheckReachable(ctx context.Context, address string) error {
-	c, err := p.connect(ctx, idleKey{address: address}, true)
+	c, err := p.connect(ctx, idleKey{address: address}, "", true)
 	if err != nil {
 		return err
 	}
@@ -215,13 +226,13 @@
 // of a stream.
 const readBufferSize = 4 << 10
 
-func (p *Pool) takeIdle(key idleKey) *conn {
+func (p *Pool) takeIdle(key idleKey, id string) *conn {
 	for {
 		c := p.popIdle(key)
 		if c == nil {
 			return nil
 		}
-		if c.usable(p.now()) {
+		if c.mayCarry(id) && c.usable(p.now()) {
 			return c
 		}
 		_ = c.Close()
@@ -268,9 +279,12 @@
 // upstream may answer before it has read all of it.
 const asyncBodySize = 16 << 10
 
-// exchange writes the request and reads the head of its answer, skipping repeated answers to the
-// previous request.
+// exchange writes the request and reads the head of its answer, skipping repeated answers to earlier
+// requests.
 func (p *Pool) exchange(c *conn, req Request) (*Answer, error) {
+	if req.ID != "" {
+		c.ids.add(req.ID)
+	}
 	written, err := writeRequest(c, req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
@@ -281,11 +295,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
-		if !p.answersPreviousRequest(c, req, resp) {
+		if !p.answersEarlierRequest(c, req, resp) {
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 				Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Late: late,
-				pool: p, conn: c, body: resp.Body, written: written, close: resp.Close || req.OwnConnection,
+				pool: p, conn: c, body: resp.Body, written: written, close: resp.Close || req.OwnConnection || !p.sharesConnection(req, resp),
 			}, nil
 		}
 		err = c.r.skip(resp, start+maxSkippedBytes-c.r.consumed())
@@ -296,17 +310,23 @@
 	return nil, fmt.Errorf("%w: answers to another request: %w", ErrBroken, ErrTooLong)
 }
 
-// answersPreviousRequest reports whether an answer belongs to the previous request on the
-// connection, since an upstream may answer a request twice.
-func (p *Pool) answersPreviousRequest(c *conn, req Request, resp *http.Response) bool {
+// answersEarlierRequest reports whether an answer belongs to an earlier request on the connection,
+// since an upstream may answer a request twice.
+func (p *Pool) answersEarlierRequest(c *conn, req Request, resp *http.Response) bool {
 	if req.ID == "" || p.settings.IDHeader == "" {
 		return false
 	}
-	if resp.Header.Get(p.settings.IDHeader) == req.ID {
-		c.lastID = req.ID
+	id := resp.Header.Get(p.settings.IDHeader)
+	return id != req.ID && id != "" && c.ids.has(id)
+}
+
+// sharesConnection reports whether a connection can carry another request after an answer. After an answer to another
+// request the right one may still come, and a connection to another upstream is of no use.
+func (p *Pool) sharesConnection(req Request, resp *http.Response) bool {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return false
 	}
-	return c.lastID != "" && resp.Header.Get(p.settings.IDHeader) == c.lastID
+	return req.ID == "" || p.settings.IDHeader == "" || resp.Header.Get(p.settings.IDHeader) == req.ID
 }
 
 // writeRequest writes the request, a large body in the background. The channel receives the result
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -409,3 +410,75 @@
 		}
 	}
 }
+
+// A late second answer to a request was taken for the answer when the request was sent again, although another
+// request had used the connection in between.
+func TestLateAnswerToAnEarlierAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// ids are the identifiers of the requests, and second names the one that is answered twice, the second
+		// time after the last request.
+		ids    []string
+		second string
+		opened int
+	}{
+		{"the request is sent again", []string{"1", "1"}, "1", 2},
+		{"another request comes in between", []string{"1", "2", "1"}, "1", 2},
+		{"the late answer is to an earlier request", []string{"1", "2", "3"}, "1", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var mu sync.Mutex
+			arrived := 0
+			var late net.Conn
+			u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				for {
+					req, _ := readRequest(t, r)
+					if req == nil {
+						return
+					}
+					id := req.Header.Get("X-Id")
+					mu.Lock()
+					arrived++
+					body := strconv.Itoa(arrived)
+					if id == tc.second && arrived == 1 {
+						late = c
+					}
+					if arrived == len(tc.ids) {
+						writeText(late, "HTTP/1.1 200 OK\nX-Id: "+tc.second+"\nContent-Length: 4\n\nlate")
+					}
+					mu.Unlock()
+					writeText(c, "HTTP/1.1 200 OK\nX-Id: "+id+"\nContent-Length: 1\n\n"+body)
+				}
+			})
+			p := newPool()
+			for i, id := range tc.ids {
+				if body, err := ask(t, p, u.address, request(id)); err != nil || body != strconv.Itoa(i+1) {
+					t.Errorf("attempt %d, request %s: %q, %v", i+1, id, body, err)
+				}
+			}
+			if n := len(u.opened); n != tc.opened {
+				t.Errorf("%d connections opened, want %d", n, tc.opened)
+			}
+		})
+	}
+}
+
+// Connections were shared by requests for two upstreams that had an address one after the other.
+func TestConnectionOfAnotherUpstream(t *testing.T) {
+	u := newUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		for req, _ := readRequest(t, r); req != nil; req, _ = readRequest(t, r) {
+			writeText(c, "HTTP/1.1 200 OK\nX-Id: "+req.Header.Get("X-Id")+"\nContent-Length: 2\n\nok")
+		}
+	})
+	p := newPool()
+	for i, upstream := range []string{"a", "b", "a"} {
+		req := request(strconv.Itoa(i))
+		req.Upstream = upstream
+		if body, err := ask(t, p, u.address, req); err != nil || body != "ok" {
+			t.Errorf("answer %q, %v", body, err)
+		}
+	}
+	if n := len(u.opened); n != 2 {
+		t.Errorf("%d connections opened, want one for each upstream", n)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -91,7 +91,7 @@
 mutant relay-hold internal/relay/store.go 's/return min\(max\(left, minLongPollWait\), s\.settings\.Wait\)/_ = left\n\treturn s.settings.Wait/' internal/relay TestLongPollEndsBeforeTableIsStale
 mutant retries-together internal/routing/window.go 's/\(recent\+1\)\*float64\(sharers\) > available\+recent/recent+1 > available+recent+0*float64(sharers)/' internal/routing TestConcurrentEntries
 mutant retries-kept internal/routing/window.go 's/max\(float64\(u\.Extra\), privateFraction\*share\)/float64(u.Extra)/' internal/routing TestIdleEntries
-mutant link-pairs internal/link/link.go 's/if !p\.answersPreviousRequest\(c, req, resp\) \{/if p != nil {/' internal/link TestRepeatedAnswerIsSkipped
+mutant link-pairs internal/link/link.go 's/if !p\.answersEarlierRequest\(c, req, resp\) \{/if p != nil {/' internal/link TestRepeatedAnswerIsSkipped
 mutant link-quiet internal/link/link.go 's/now\.Before\(c\.expires\) && openAndSilent\(c\.Conn\)/now.Before(c.expires)/' internal/link 'TestConnectionReuse'
 mutant gossip-life internal/gossip/limits.go 's/ \|\| e\.Life != n\.settings\.Incarnation//' internal/gossip TestEchoOfEarlierIncarnation
 mutant gossip-life-received internal/gossip/exchange.go 's/ && m\.echo\.Life == n\.settings\.Incarnation//' internal/gossip TestTimeOfLastReceivedMessage
@@ -537,7 +537,7 @@
 mutant bound-head $bounds 's/\tr\.limit\(sizebound\.MaxHeadBytes\)\n//' internal/link TestEndlessAnswers
 mutant bound-informational $bounds 's/for range maxInformational \+ 1 \{/for {/; s/\treturn nil, ErrTooLong\n\}\n\n\/\/ skip/}\n\n\/\/ skip/' internal/link TestInformationalAnswers
 mutant bound-skipped $bounds 's/\tr\.limit\(most\)\n/\t_ = most\n/' internal/link TestEndlessAnswers
-mutant bound-skipped-number internal/link/link.go 's/for range maxSkipped \+ 1 \{/for range 1 << 30 {/' internal/link TestEndlessAnswers
+mutant bound-skipped-number internal/link/link.go 's/for late := range maxSkipped \+ 1 \{/for late := range 1 << 30 {/' internal/link TestEndlessAnswers
 mutant bound-announced $bounds 's/if a\.Length > most \{/if false {/' internal/link TestAnnouncedLength
 mutant bound-framing $bounds 's/\ta\.Limit\(most \+ 1 \+ most\/2\)\n//' internal/link TestEndlessAnswers
 
@@ -679,11 +679,14 @@
 mutant reload-early internal/reload/reload.go 's/var requests = receive\(\)/var requests <-chan os.Signal/; s/\{ return requests \}/{\n\tif requests == nil {\n\t\trequests = receive()\n\t}\n\treturn requests\n}/' internal/daemon TestScripts
 mutant gateway-earlier-run $gateway/continue.go 's/time\.AfterFunc\(dropTime, func\(\) \{ s\.g\.stopEarlierRun\(callID, from, at\) \}\)/_, _, _ = callID, from, s.g.stopEarlierRun/' $gateway TestSpoiledStreamRunsTwice
 mutant gateway-earlier-copy $gateway/move.go 's/if r\.Outcome != protocol\.CopyInProgress \{/if true {/' $gateway TestSpoiledStreamRunsTwice
-mutant link-unidentified internal/link/link.go 's/idleKey\{address, r\.ID != ""\}/idleKey{address, true}/' internal/link TestLateAnswerIsTakenForAnotherOne
-mutant link-own-connection internal/link/link.go 's/resp\.Close \|\| req\.OwnConnection/resp.Close/; s/req\.idleKey\(address\), req\.OwnConnection/req.idleKey(address), false/' internal/link TestLateAnswerIsTakenForAnotherOne
+mutant link-unidentified internal/link/link.go 's/idleKey\{address, r\.Upstream, r\.ID != ""\}/idleKey{address, r.Upstream, true}/' internal/link TestLateAnswerIsTakenForAnotherOne
+mutant link-own-connection internal/link/link.go 's/resp\.Close \|\| req\.OwnConnection/resp.Close/; s/req\.idleKey\(address\), req\.ID, req\.OwnConnection/req.idleKey(address), req.ID, false/' internal/link TestLateAnswerIsTakenForAnotherOne
 mutant software-split-route $gateway/software.go 's/\treturn n > 1\n/\treturn n > 9\n/' $gateway TestStreamOfASplitRoute
 mutant kept-young-store internal/originstore/originstore.go 's/since = min\(0, since-k\.settings\.Retention\)/since = 0/' internal/originstore TestTableThatWasJustBegun
 mutant suspect-backoff-call $gateway/call.go 's/if r\.usable\(\) && !g\.asksBackOff\(r\.status, r\.header\) \{\n\t\trq\.run/if r.usable() {\n\t\trq.run/' $gateway TestRequestToBackOffClearsNoSuspect
 mutant suspect-backoff-stream $gateway/attempt.go 's/if err == nil && !s\.g\.asksBackOff\(answer\.Status, answer\.Header\) \{/if err == nil {/' $gateway TestRequestToBackOffClearsNoSuspect
 
+mutant link-carries-twice internal/link/link.go 's/ && !c\.ids\.has\(id\)$//m' internal/link TestLateAnswerToAnEarlierAttempt
+mutant link-previous-only internal/link/link.go 's/id != "" && c\.ids\.has\(id\)/id != "" \&\& carriedIDs(c.ids[max(len(c.ids)-2, 0):]).has(id)/' internal/link TestLateAnswerToAnEarlierAttempt
+mutant link-by-address internal/link/link.go 's/idleKey\{address, r\.Upstream, /idleKey{address, "", /' internal/link TestConnectionOfAnotherUpstream
 finish
