fix(gateway): an answer to another request states nothing of an upstream

What an answer states (a limit, a backoff, a leave) was applied before the answer was known to be to this request, and a 421 gave the limit of the upstream that has the address now to the one that had it before. Callers may be refused for a backoff or a limit that nobody asked for, and upstreams avoided that do not leave.

TestAnswerThatIsNotOfTheAttemptHasNoEffect failed before in six of its eight rows.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 		return s.handleNoAnswer(ctx, st, err)
 	}
 	defer answer.Close()
-	g.applyLimit(rq, st.at, head{sentAt: sentAt, header: answer.Header, complete: answer.Status == http.StatusOK && answer.Framed && g.proto.Complete(answer.Status, answer.Header)})
+	g.applyLimit(rq, st.at, head{sentAt: sentAt, status: answer.Status, header: answer.Header, complete: answer.Status == http.StatusOK && answer.Framed && g.proto.Complete(answer.Status, answer.Header)})
 	if o, done := s.judge(ctx, st, answer); done {
 		return o
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -326,7 +326,7 @@
 	if r.err == nil && r.verdict != protocol.Ran {
 		g.noteRefusal(rq, u, a)
 	}
-	g.applyLimit(rq, u, head{sentAt: sentAt, header: a.Header, complete: r.final() && a.Clean()})
+	g.applyLimit(rq, u, head{sentAt: sentAt, status: a.Status, header: a.Header, complete: r.final() && a.Clean()})
 	return r
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -13,6 +13,7 @@
 type head struct {
 	// sentAt is when the request was sent.
 	sentAt time.Time
+	status int
 	header http.Header
 	// complete is set if the upstream ran the request and its answer is not an error and is correct
 	// HTTP as far as it was read. Only then does an answer without a limit mean that there is none:
@@ -20,10 +21,9 @@
 	complete bool
 }
 
-// applyLimit records the rate limit that an answer states for its upstream. Answers that carry the
-// ID of another request are ignored.
+// applyLimit records the rate limit that an answer states for its upstream.
 func (g *Gateway) applyLimit(rq *request, upstream fleet.Upstream, h head) {
-	if h.header.Get(g.proto.IDHeader) != rq.call.ID {
+	if !g.isOwnAnswer(rq.call.ID, h.status, h.header) {
 		return
 	}
 	if !g.applyStatedLimit(rq.call.ID, upstream, h.header) && h.complete {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -19,17 +19,28 @@
 	if err != nil {
 		return nil, err
 	}
+	if !g.isOwnAnswer(req.ID, a.Status, a.Header) {
+		return a, nil
+	}
 	if n := g.proto.Notice(a.Status, a.Header, g.now()); n != (protocol.Notice{}) {
 		g.applyNotice(req.ID, to, n)
 	}
 	if req.ID == "" {
-		// For a caller's request, applyLimit applies the limit once the answer is known to
-		// belong to that request.
+		// For a caller's request, applyLimit applies the limit.
 		g.applyStatedLimit("", to, a.Header)
 	}
 	return a, nil
 }
 
+// isOwnAnswer reports whether an answer to a request comes from the upstream that the request was for, so that what it
+// states applies to that upstream. requestID is empty for a request without an identifier.
+func (g *Gateway) isOwnAnswer(requestID string, status int, h http.Header) bool {
+	if requestID != "" && h.Get(g.proto.IDHeader) != requestID {
+		return false
+	}
+	return g.proto.Verdict(status, h) != protocol.WrongUpstream
+}
+
 // applyNotice applies the notice in an answer of an upstream. callID is the ID of the
 // caller's request; it is empty for the answer to a query or command of this entry.
 func (g *Gateway) applyNotice(callID string, from fleet.Upstream, n protocol.Notice) {
--- a/internal/gateway/surplus_test.go
+++ b/internal/gateway/surplus_test.go
@@ -147,3 +147,36 @@
 		})
 	}
 }
+
+// The limit, the backoff and the leave that an answer states were taken for those of the upstream although the answer
+// was to another request, or from another upstream.
+func TestAnswerThatIsNotOfTheAttemptHasNoEffect(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		id     string
+		status int
+		header []string
+	}{
+		{"leave in an answer to another request", "another", http.StatusOK, []string{testLeaving, "1"}},
+		{"backoff in an answer to another request", "another", http.StatusServiceUnavailable, []string{testRetryMs, "5000"}},
+		{"limit in an answer to another request", "another", http.StatusOK, []string{testLimit, "1"}},
+		{"limit of another upstream", "", http.StatusMisdirectedRequest, []string{testLimit, "1"}},
+	} {
+		for _, path := range []string{pathOnce, pathStream} {
+			t.Run(tc.name+" "+path, func(t *testing.T) {
+				f := newFixture(t)
+				f.add(map[string]string{pathOnce: "app", pathStream: "llm"}[path], "a", withHeaders(func(w http.ResponseWriter, _ *http.Request) {
+					if tc.id != "" {
+						w.Header().Set(testID, tc.id)
+					}
+					w.WriteHeader(tc.status)
+				}, tc.header...))
+				f.ask(path)
+				u, _ := f.fleet.Get("a")
+				if f.gateway.limits.Any() || len(f.fleet.KnownLeaving()) > 0 || u.InBackOff(time.Now()) {
+					t.Errorf("limits %v, leaving %v, backoff until %v; want none", f.gateway.limits.Any(), f.fleet.KnownLeaving(), u.BackOffUntil())
+				}
+			})
+		}
+	}
+}
