fix(gateway): an end check asks for the report on a connection of its own

A stream without length and chunks may be passed on as whole though its engine crashed: queries for the report share connections, and a late surplus report of the former incarnation proves that it has survived. Health checks have had a connection of their own for that reason.

TestLateReportProvesNoEnd failed before (proof "report"). Mutant: end-check-open-connection.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -196,7 +196,7 @@
 		return unproven, err
 	}
 	if service.Engine != nil && u.Born != 0 {
-		state, err := g.query(ctx, u, "an answer without length and chunks ended")
+		state, err := g.queryAnew(ctx, u, "an answer without length and chunks ended")
 		switch {
 		case err == nil && state.StartedAt == u.Born:
 			return provenByReport, nil
--- a/internal/gateway/endcheck_test.go
+++ b/internal/gateway/endcheck_test.go
@@ -215,3 +215,26 @@
 		t.Errorf("%d health checks, want at most 12", n)
 	}
 }
+
+// A late surplus report on an open connection proved that an engine had survived the end of an answer.
+func TestLateReportProvesNoEnd(t *testing.T) {
+	f := newFixture(t)
+	var first atomic.Value
+	a := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) {
+		first.CompareAndSwap(nil, r.RemoteAddr)
+		born := 2
+		if r.RemoteAddr != first.Load() {
+			born = 3
+		}
+		_, _ = fmt.Fprintf(w, "born %d", born)
+	})
+	a.health = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	u := f.restart("a", 2)
+	if _, err := f.gateway.query(t.Context(), u, "test"); err != nil {
+		t.Fatal(err)
+	}
+	proof, err := f.gateway.checkIncarnation(t.Context(), &routetable.Service{Name: "llm", HealthPath: testHealthPath, Engine: &routetable.Engine{}}, u)
+	if proof != unproven {
+		t.Errorf("proof %q, %v; want none", proof, err)
+	}
+}
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -8,6 +8,7 @@
 
 	"github.com/sparshore/sparshore/internal/events"
 	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/link"
 	"github.com/sparshore/sparshore/internal/protocol"
 )
 
@@ -40,9 +41,20 @@
 
 // query asks an engine for its state and records whether it is leaving.
 func (g *Gateway) query(ctx context.Context, u fleet.Upstream, why string) (protocol.EngineState, error) {
+	return g.sendQuery(ctx, u, why, g.proto.StateQuery())
+}
+
+// queryAnew is query on a connection of its own, where no late answer to an earlier query can come first.
+func (g *Gateway) queryAnew(ctx context.Context, u fleet.Upstream, why string) (protocol.EngineState, error) {
+	req := g.proto.StateQuery()
+	req.OwnConnection = true
+	return g.sendQuery(ctx, u, why, req)
+}
+
+func (g *Gateway) sendQuery(ctx context.Context, u fleet.Upstream, why string, req link.Request) (protocol.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	state, err := g.fetchState(ctx, u)
+	state, err := g.fetchState(ctx, u, req)
 	if err == nil && state.StartedAt != 0 && u.Born != 0 && state.StartedAt != u.Born {
 		// Reports are delayed, and a restarted engine may have the address of the incarnation
 		// before it. Such a report does not apply to the incarnation that was queried.
@@ -69,8 +81,8 @@
 	return true
 }
 
-func (g *Gateway) fetchState(ctx context.Context, u fleet.Upstream) (protocol.EngineState, error) {
-	a, err := g.exchange(ctx, u, g.proto.StateQuery())
+func (g *Gateway) fetchState(ctx context.Context, u fleet.Upstream, req link.Request) (protocol.EngineState, error) {
+	a, err := g.exchange(ctx, u, req)
 	if err != nil {
 		return protocol.EngineState{}, err
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -690,6 +690,7 @@
 mutant link-previous-only internal/link/link.go 's/id != "" && c\.ids\.has\(id\)/id != "" \&\& carriedIDs(c.ids[max(len(c.ids)-2, 0):]).has(id)/' internal/link TestLateAnswerToAnEarlierAttempt
 mutant link-by-address internal/link/link.go 's/idleKey\{address, r\.Upstream, /idleKey{address, "", /' internal/link TestConnectionOfAnotherUpstream
 
+mutant end-check-open-connection $gateway/endcheck.go 's/g\.queryAnew\(/g.query(/' $gateway TestLateReportProvesNoEnd
 mutant notice-of-another-request $gateway/notice.go 's/if requestID != "" && h\.Get/if false \&\& h.Get/' $gateway TestAnswerThatIsNotOfTheAttemptHasNoEffect
 mutant limit-of-another-upstream $gateway/limits.go 's/if !g\.isOwnAnswer\(rq\.call\.ID, h\.status, h\.header\)/if h.header.Get(g.proto.IDHeader) != rq.call.ID/' $gateway TestAnswerThatIsNotOfTheAttemptHasNoEffect
 finish
