gateway: stream-origin tells how old the view of the upstreams is

A stream that was joined at an entry out of step could not be told from one that its view allowed: view-age is the time since the view was last known to be complete, silent-entries the number of entries that were not asked.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -103,6 +103,13 @@
 	return s.followedSince, !s.followedSince.IsZero() && s.now().Sub(s.followedUntil) <= maxFollowGap
 }
 
+// FollowedUntil returns the time as of which the rows of all upstreams were last known; zero if they never were.
+func (s *Set) FollowedUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.followedUntil
+}
+
 // AvailableOf is Available for the upstreams of one software version.
 func (s *Set) AvailableOf(service, software string) []Upstream {
 	s.mu.Lock()
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -83,7 +83,7 @@
 	}
 	followed, _ := g.followedFor()
 	g.met.resumed(source)
-	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "stored", stored.Versions, "error", err, "took", g.now().Sub(asked))
+	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "view-age", g.now().Sub(g.fleet.FollowedUntil()), "silent-entries", g.origins.Silent(), "stored", stored.Versions, "error", err, "took", g.now().Sub(asked))
 	switch source {
 	case origin.FromRecord, origin.FromPeer, sourceStore, sourceOnlyVersion:
 		rq.software = streamSoftware{begun: true, version: o.Software, known: true}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -285,6 +285,12 @@
 	return FromNobody
 }
 
+// Silent returns the number of entries that are known but not heard.
+func (s *Set) Silent() int {
+	live := s.peers.Live()
+	return len(slices.DeleteFunc(s.peers.Known(), func(name string) bool { return slices.Contains(live, name) }))
+}
+
 // PeerSeen notes the incarnation of an entry that a message came from. One that has started gets the streams
 // that it is a holder of.
 func (s *Set) PeerSeen(name, incarnation string) {
