fix(gateway): the only version is proved as of the request

Callers who resumed a stream at an entry that was cut off during a release got a text joined from two software versions, answered 200.

The entry knew one version and no stream. Its view of the upstreams counted as complete up to now for five seconds after the store's last answer, and entries that fell silent were not asked, so those that were left answered for all. A version can join and begin a stream within a second, so no bound on the age of the view is short enough.

Now the entry asks the store for changes of the upstreams, by a call that is not held, after the request came; requests that wait share it. An entry that does not hear all others says so (source some) and refuses with a time to come back too.

TestStreamGoesOnByAnOutdatedView failed to build before, its condition did not exist; with the mutants of the two conditions it fails. Its price: while the store is away, streams that no entry knows are refused at once, where they went on for up to five seconds. Mutants: only-version-outdated, stored-version-outdated, verify-unapplied, verify-restored, verify-again, origin-some-silent.

--- a/internal/belief/follower.go
+++ b/internal/belief/follower.go
@@ -59,8 +59,10 @@
 	epoch     int64
 	synced    bool
 	confirmed time.Time
-	failures  int
-	settled   time.Time
+	// appliedVersion is the version up to which changes have been applied.
+	appliedVersion int64
+	failures       int
+	settled        time.Time
 	// relistAt is when the whole table is to be read again; zero if that is not planned.
 	relistAt  time.Time
 	interrupt context.CancelFunc
@@ -169,7 +171,7 @@
 		made = sent
 	}
 	f.mu.Lock()
-	f.confirmed = made
+	f.confirmed, f.appliedVersion = made, f.version
 	f.mu.Unlock()
 	f.confirm(made)
 	return nil
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -154,6 +154,10 @@
 	// listedTimeout is how long a starting entry waits for the list of entries before it reads the
 	// tables from the store: a few calls, also while the store is slow.
 	listedTimeout = time.Second
+	// verifyTimeout bounds the time in which the store says whether the upstreams have changed, while a caller waits to
+	// resume a stream. After a failure it is not asked again for verifyRetryAfter.
+	verifyTimeout    = time.Second
+	verifyRetryAfter = 250 * time.Millisecond
 	// sweepInterval is the time between two checks for lapsed upstreams and idle connections.
 	sweepInterval = 250 * time.Millisecond
 	// dialTimeout bounds the time to connect to an upstream: a few round trips between zones.
@@ -262,6 +266,7 @@
 	callers           *httpServer
 	routesFollower    *belief.Follower
 	upstreamsFollower *belief.Follower
+	upstreamsVerifier *belief.Verifier
 	gossip            *gossip.Node
 	directory         *directory.Directory
 	// retryUse carries the use of the retry budgets over to the next process of this entry.
@@ -331,12 +336,14 @@
 			},
 			Confirm: func(ctx context.Context, o origin.Origin) bool { return b.originStore.Confirm(ctx, o) },
 		},
+		VerifyUpstreams: func(ctx context.Context, after time.Time) error { return b.upstreamsVerifier.Verify(ctx, after) },
 	}, b.rec, b.reg, time.Now)
 	b.gateway.Quarantine().SetName(s.Name)
 	b.retryUse = b.newRetryUse()
 	b.originStore = b.newOriginStore()
 	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
 	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, b.fleet.Followed, func() {}, b.rec, time.Now)
+	b.upstreamsVerifier = belief.NewVerifier(belief.VerifierSettings{Timeout: verifyTimeout, RetryAfter: verifyRetryAfter}, b.upstreamsFollower, b.store, time.Now)
 	return b
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -213,6 +213,8 @@
 	// stored is what the store has for each stream, unless storeErr is set.
 	stored   originstore.Stored
 	storeErr error
+	// unverified is the reason why the upstreams are not known as of the present time.
+	unverified error
 	// confirm is called before the first event of a stream that may be resumed is passed on.
 	confirm func(o origin.Origin) bool
 	// peers are the other entries that are reachable.
@@ -259,6 +261,7 @@
 				},
 				Confirm: func(_ context.Context, o origin.Origin) bool { return f.confirm(o) },
 			},
+			VerifyUpstreams: func(context.Context, time.Time) error { return f.unverified },
 		}, f.rec, prometheus.NewRegistry(), time.Now)
 	follow(f.fleet, time.Hour)
 	f.gateway.SetListedEntries(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,6 +163,8 @@
 	Origins origin.Peers
 	// StoredOrigins is what the entries stored of that.
 	StoredOrigins StoredOrigins
+	// VerifyUpstreams makes sure that the rows of all upstreams are known as of a steady time or later.
+	VerifyUpstreams func(ctx context.Context, after time.Time) error
 }
 
 // New returns a Gateway.
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -72,24 +72,26 @@
 		o, source = g.origins.Lookup(ctx, origin.KeyOf(rq.call.Resumes))
 	}
 	var stored originstore.Stored
-	var err error
+	var unverified, err error
 	if source != origin.FromRecord && source != origin.FromPeer {
-		o, source = g.onlyVersion(rq, source)
+		// The stream began before the request came, and its version was in service by then.
+		unverified = g.peers.VerifyUpstreams(ctx, rq.start)
+		o, source = g.onlyVersion(rq, source, unverified)
 	}
 	if o == (origin.Origin{}) {
 		since, _ := g.fleet.FollowedSince()
 		stored, err = g.peers.StoredOrigins.Find(ctx, origin.KeyOf(rq.call.Resumes), rq.service.Name, since)
-		o, source = g.storedOrigin(rq, source, stored, err)
+		o, source = g.storedOrigin(rq, source, stored, errors.Join(err, unverified))
 	}
 	followed, _ := g.followedFor()
 	g.met.resumed(source)
-	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "view-age", g.now().Sub(g.fleet.FollowedUntil()), "silent-entries", g.origins.Silent(), "stored", stored.Versions, "error", err, "took", g.now().Sub(asked))
+	g.rec.Note(events.StreamOrigin, rq.call.ID, "resumes", rq.call.Resumes, "after-event", rq.call.LastEvent, "source", source, "service", o.Service, "software", o.Software, "followed", followed, "view-age", g.now().Sub(g.fleet.FollowedUntil()), "silent-entries", g.origins.Silent(), "stored", stored.Versions, "error", err, "unverified", unverified, "took", g.now().Sub(asked))
 	switch source {
 	case origin.FromRecord, origin.FromPeer, sourceStore, sourceOnlyVersion:
 		rq.software = streamSoftware{begun: true, version: o.Software, known: true}
 		g.returnToService(rq, o.Service)
 		return true
-	case origin.NoAnswer:
+	case origin.NoAnswer, origin.FromSome:
 		g.refuseUnanswered(ctx, rq, errOriginNotAnswered)
 	case sourceNoStore:
 		g.refuseUnanswered(ctx, rq, errOriginNotStored)
@@ -119,25 +121,27 @@
 }
 
 // onlyVersion returns the software version that began a stream which no entry knows, if this entry knew all
-// upstreams for as long as the stream may have run and all had that version.
-func (g *Gateway) onlyVersion(rq *request, source origin.Source) (origin.Origin, origin.Source) {
+// upstreams for as long as the stream may have run until the request came, and all had that version. unverified is the
+// reason if they may not be known until then.
+func (g *Gateway) onlyVersion(rq *request, source origin.Source, unverified error) (origin.Origin, origin.Source) {
 	longest := longestStream(rq)
 	versions := g.fleet.SoftwareSince(rq.service.Name, g.now().Add(-longest))
 	followed, ok := g.followedFor()
-	if source == origin.NoAnswer || severalServices(rq) || len(versions) != 1 || !ok || followed < longest || longest > fleet.SoftwareRetention {
+	if unverified != nil || source == origin.NoAnswer || severalServices(rq) || len(versions) != 1 || !ok || followed < longest || longest > fleet.SoftwareRetention {
 		return origin.Origin{}, source
 	}
 	return origin.Origin{Service: rq.service.Name, Software: versions[0]}, sourceOnlyVersion
 }
 
 // storedOrigin returns the software version that began a stream by what the store has. Streams that it does not
-// have began at the only version in service, if this entry has known the upstreams since the store was read.
+// have began at the only version in service, if this entry has known the upstreams since the store was read until the
+// request came. err is the reason if one of the two is not known.
 func (g *Gateway) storedOrigin(rq *request, source origin.Source, stored originstore.Stored, err error) (origin.Origin, origin.Source) {
 	switch {
-	case err != nil:
-		return origin.Origin{}, sourceNoStore
 	case stored.Known:
 		return stored.Origin, sourceStore
+	case err != nil:
+		return origin.Origin{}, sourceNoStore
 	case source == origin.NoAnswer:
 		return origin.Origin{}, source
 	}
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -316,7 +316,7 @@
 				route.Shares = append(route.Shares, routetable.Share{Service: name, Weight: 1})
 			}
 			rq := &request{start: time.Now(), route: route, table: table, service: service}
-			if o, source := f.gateway.onlyVersion(rq, origin.FromNobody); (source == sourceOnlyVersion) != tc.want {
+			if o, source := f.gateway.onlyVersion(rq, origin.FromNobody, nil); (source == sourceOnlyVersion) != tc.want {
 				t.Errorf("followed for long: %s, %v", source, o)
 			}
 			stored := originstore.Stored{Versions: []string{"v1"}, KeptFor: time.Hour, AsOf: time.Now()}
@@ -326,3 +326,40 @@
 		})
 	}
 }
+
+// A stream of a version that had just joined went on at the only version that an entry knew, whose view of the
+// upstreams ended before the stream began.
+func TestStreamGoesOnByAnOutdatedView(t *testing.T) {
+	oneVersion := originstore.Stored{Versions: []string{"v1"}, KeptFor: time.Hour}
+	for _, tc := range []struct {
+		name       string
+		unverified error
+		first      string
+		stored     originstore.Stored
+		want       int
+	}{
+		{"verified", nil, "unknown", originstore.Stored{}, http.StatusOK},
+		{"not verified", errStoreAway, "unknown", originstore.Stored{}, http.StatusServiceUnavailable},
+		{"not verified, the store has one version", errStoreAway, "unknown", oneVersion, http.StatusServiceUnavailable},
+		{"not verified, the first request is not named", errStoreAway, "", oneVersion, http.StatusServiceUnavailable},
+		{"not verified, the stream is known", errStoreAway, "first", originstore.Stored{}, http.StatusOK},
+		{"not verified, the store has the stream", errStoreAway, "unknown", originstore.Stored{Known: true, Origin: origin.Origin{Service: "llm", Software: "v1"}}, http.StatusOK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addEngineOf("a", "v1")
+			f.unverified, f.stored = tc.unverified, tc.stored
+			f.stored.AsOf = time.Now()
+			f.gateway.Origins().Began(origin.KeyOf("first"), origin.Origin{Service: "llm", Software: "v1"}, time.Now().Add(time.Minute))
+			got := f.ask(pathResume, resumes(tc.first, "7"))
+			if got.status != tc.want {
+				t.Errorf("%d, %q; want %d", got.status, got.body, tc.want)
+			}
+			if retry := got.header.Get(testRetryMs) != ""; got.status != http.StatusOK && !retry {
+				t.Errorf("no retry time is stated")
+			}
+		})
+	}
+}
+
+var errStoreAway = errors.New("the store does not answer")
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -191,13 +191,15 @@
 	FromRecord Source = "record"
 	// FromPeer means that another entry told it.
 	FromPeer Source = "peer"
-	// FromNobody means that no other entry knows the stream, and all that are alive said so.
+	// FromNobody means that no other entry knows the stream, and all said so.
 	FromNobody Source = "nobody"
+	// FromSome means that those of the other entries that are heard do not know the stream.
+	FromSome Source = "some"
 	// NoAnswer means that not all entries answered in time, and none of the others knows the stream.
 	NoAnswer Source = "no answer"
 )
 
-// Lookup returns the origin of a stream. With the sources FromNobody and NoAnswer there is none.
+// Lookup returns the origin of a stream. With the sources FromNobody, FromSome and NoAnswer there is none.
 func (s *Set) Lookup(ctx context.Context, k Key) (Origin, Source) {
 	if o, ok := s.known(k); ok {
 		return o, FromRecord
@@ -279,10 +281,15 @@
 // whenUnknown returns the source if all entries that are alive answered that they do not know a stream. An
 // entry that is cut off from all others cannot tell.
 func (s *Set) whenUnknown() Source {
-	if len(s.peers.Live()) == 0 && len(s.peers.Known()) > 0 {
+	silent := s.Silent()
+	switch {
+	case silent == 0:
+		return FromNobody
+	case len(s.peers.Live()) == 0:
 		return NoAnswer
+	default:
+		return FromSome
 	}
-	return FromNobody
 }
 
 // Silent returns the number of entries that are known but not heard.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -142,6 +142,11 @@
 			n.start("entry-1")
 			n.cut["entry-1"] = true
 		}, NoAnswer},
+		{"the entries that know it are cut off", 4, 0, func(n *network) {
+			n.start("entry-1")
+			n.start("entry-2")
+			n.cut["entry-0"], n.cut["entry-3"] = true, true
+		}, FromSome},
 		{"it was never begun", 4, 0, func(n *network) {
 			for _, s := range n.sets {
 				s.mu.Lock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -693,4 +693,10 @@
 mutant end-check-open-connection $gateway/endcheck.go 's/g\.queryAnew\(/g.query(/' $gateway TestLateReportProvesNoEnd
 mutant notice-of-another-request $gateway/notice.go 's/if requestID != "" && h\.Get/if false \&\& h.Get/' $gateway TestAnswerThatIsNotOfTheAttemptHasNoEffect
 mutant limit-of-another-upstream $gateway/limits.go 's/if !g\.isOwnAnswer\(rq\.call\.ID, h\.status, h\.header\)/if h.header.Get(g.proto.IDHeader) != rq.call.ID/' $gateway TestAnswerThatIsNotOfTheAttemptHasNoEffect
+mutant only-version-outdated $gateway/software.go 's/unverified != nil \|\| source == origin\.NoAnswer/source == origin.NoAnswer/' $gateway TestStreamGoesOnByAnOutdatedView
+mutant stored-version-outdated $gateway/software.go 's/errors\.Join\(err, unverified\)/err/' $gateway TestStreamGoesOnByAnOutdatedView
+mutant verify-unapplied internal/belief/verifier.go 's/case f\.appliedVersion < version:/case false:/' internal/belief TestOutdatedStateIsVerified
+mutant verify-restored internal/belief/verifier.go 's/case answered != epoch \|\| f\.epoch != epoch:/case false:/' internal/belief TestOutdatedStateIsVerified
+mutant verify-again internal/belief/verifier.go 's/if v\.now\(\)\.Before\(v\.nextCall\) \{/if false {/' internal/belief TestOutdatedStateIsVerified
+mutant origin-some-silent internal/origin/origin.go 's/case silent == 0:/case silent >= 0:/' internal/origin TestOriginOfStreamIsLost
 finish
