fix(fleet): a version that came and went between two answers is missed

A stream may be joined from two software versions, and the row of a version that began streams may be removed too early: an entry counted as having followed all upstreams although a version came and went while it got no answer, as long as that took less than five seconds. What an answer leaves out is seen from the answer, not from the time: a row that is gone and was never known, or a whole table in place of changes. The entry has then followed the upstreams since that answer only, and asks the store for versions.

TestVersionThatCameAndWentIsMissed failed before in its last two rows. Mutants: followed-whole-table, followed-unknown-row.

--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -176,6 +176,8 @@
 	}
 	s.hold(unreadable, seen)
 	if full {
+		// Rows that came and went since the last answer are not in it.
+		s.followedSince = time.Time{}
 		for name := range s.byName {
 			if !seen[name] {
 				removals = append(removals, Removal{Name: name})
@@ -250,6 +252,8 @@
 func (s *Set) handleRemoval(g Removal, graceUntil time.Time) (id string, departs bool) {
 	m, ok := s.byName[g.Name]
 	if !ok {
+		// The row came and went within one answer, so its version was not seen.
+		s.followedSince = time.Time{}
 		return "", false
 	}
 	if g.Version != 0 && g.Version < m.Version {
--- a/internal/fleet/software_test.go
+++ b/internal/fleet/software_test.go
@@ -89,6 +89,34 @@
 	}
 }
 
+// A version whose only row came and went between two answers was not known, but the view counted as complete.
+func TestVersionThatCameAndWentIsMissed(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		records []Record
+		gone    []Removal
+		full    bool
+		missed  bool
+	}{
+		{"a change", []Record{versionRecord("b", "v2")}, nil, false, false},
+		{"a known row is gone", nil, []Removal{{Name: "a"}}, false, false},
+		{"an unknown row is gone", nil, []Removal{{Name: "b"}}, false, true},
+		{"the whole table", []Record{versionRecord("a", "v1")}, nil, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture()
+			f.Update([]Record{versionRecord("a", "v1")}, nil, true, time.Time{})
+			f.Followed(f.at)
+			f.at = f.at.Add(time.Second)
+			f.Update(tc.records, tc.gone, tc.full, time.Time{})
+			f.Followed(f.at)
+			if since, ok := f.FollowedSince(); !ok || since.Equal(f.at) != tc.missed {
+				t.Errorf("followed for %s, %v; want missed: %v", f.at.Sub(since), ok, tc.missed)
+			}
+		})
+	}
+}
+
 func TestAvailableOfReturnsOneVersion(t *testing.T) {
 	f := newFixture()
 	f.Update([]Record{versionRecord("a", "v1"), versionRecord("b", "v2"), versionRecord("c", "v2")}, nil, true, time.Time{})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -699,4 +699,6 @@
 mutant verify-restored internal/belief/verifier.go 's/case answered != epoch \|\| f\.epoch != epoch:/case false:/' internal/belief TestOutdatedStateIsVerified
 mutant verify-again internal/belief/verifier.go 's/if v\.now\(\)\.Before\(v\.nextCall\) \{/if false {/' internal/belief TestOutdatedStateIsVerified
 mutant origin-some-silent internal/origin/origin.go 's/case silent == 0:/case silent >= 0:/' internal/origin TestOriginOfStreamIsLost
+mutant followed-whole-table internal/fleet/set.go 's/(are not in it\.\n)\t\ts\.followedSince = time\.Time\{\}\n/$1/' internal/fleet TestVersionThatCameAndWentIsMissed
+mutant followed-unknown-row internal/fleet/set.go 's/(was not seen\.\n)\t\ts\.followedSince = time\.Time\{\}\n/$1/' internal/fleet TestVersionThatCameAndWentIsMissed
 finish
