belief: calls that verify the upstreams are spaced

Each stream that no entry knows makes a call to the store, and those that come during a call share the next one: with answers after 4 ms that is 250 calls a second at each entry, more than the store serves for 22 entries. Calls of all entries together are bounded to 1,000 a second. TestVerificationsShareCalls: 100 requests in 100 ms make 6 calls at most with a spacing of 20 ms. Mutant: verify-spacing.

--- a/internal/belief/verifier.go
+++ b/internal/belief/verifier.go
@@ -25,6 +25,8 @@
 	Timeout time.Duration
 	// RetryAfter is the time after a failed call within which none is made.
 	RetryAfter time.Duration
+	// Spacing returns the least time between two calls. It bounds the calls of all entries together.
+	Spacing func() time.Duration
 }
 
 // Verifier makes sure that what a Follower applied is the newest as of a given time. The Follower itself learns that
@@ -40,7 +42,8 @@
 	// verified is the latest time as of which the local state was the newest.
 	verified time.Time
 	failed   error
-	nextCall time.Time
+	// nextCall is when the next call may be made, and retryAt the same after a failure.
+	nextCall, retryAt time.Time
 }
 
 // NewVerifier returns a Verifier that asks store for changes that follower lacks.
@@ -60,14 +63,18 @@
 	if !v.verified.Before(after) {
 		return nil
 	}
-	if v.now().Before(v.nextCall) {
+	if v.now().Before(v.retryAt) {
 		return fmt.Errorf("%w: %w", errFailedRecently, v.failed)
 	}
+	if sleep(ctx, v.nextCall.Sub(v.now())); ctx.Err() != nil {
+		return ctx.Err()
+	}
+	v.nextCall = v.now().Add(v.settings.Spacing())
 	// The call is for all that wait, also if this caller leaves.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), v.settings.Timeout)
 	defer cancel()
 	if err := v.call(ctx); err != nil {
-		v.failed, v.nextCall = err, v.now().Add(v.settings.RetryAfter)
+		v.failed, v.retryAt = err, v.now().Add(v.settings.RetryAfter)
 		return err
 	}
 	return nil
@@ -96,11 +103,7 @@
 			v.verified = sent
 			return nil
 		}
-		wait := time.NewTimer(appliedInterval)
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
+		if sleep(ctx, appliedInterval); ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
--- a/internal/belief/verifier_test.go
+++ b/internal/belief/verifier_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/platform"
@@ -42,7 +44,7 @@
 				}
 				return tc.answer, tc.err
 			}}
-			v := NewVerifier(VerifierSettings{Timeout: timeout, RetryAfter: time.Hour}, s.Follower, store, time.Now)
+			v := NewVerifier(VerifierSettings{Timeout: timeout, RetryAfter: time.Hour, Spacing: noSpacing}, s.Follower, store, time.Now)
 			after := time.Now()
 			if err := v.Verify(t.Context(), after); !errors.Is(err, tc.want) {
 				t.Errorf("%v, want %v", err, tc.want)
@@ -57,8 +59,40 @@
 	}
 }
 
+func noSpacing() time.Duration { return 0 }
+
+// Requests that came one after another each made a call to the store.
+func TestVerificationsShareCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScriptedFollower(answerWith(5, "a"))
+		s.run(t)
+		var mu sync.Mutex
+		calls := 0
+		store := &platform.Store{Changes: func(context.Context, string, int64, time.Duration) (platform.Snapshot, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+			return platform.Snapshot{Version: 5}, nil
+		}}
+		v := NewVerifier(VerifierSettings{Timeout: time.Second, Spacing: func() time.Duration { return 20 * time.Millisecond }}, s.Follower, store, time.Now)
+		var requests sync.WaitGroup
+		for range 100 {
+			requests.Go(func() {
+				if err := v.Verify(t.Context(), time.Now()); err != nil {
+					t.Error(err)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		requests.Wait()
+		if calls > 6 {
+			t.Errorf("%d calls in 100 ms, want one for each 20 ms", calls)
+		}
+	})
+}
+
 func TestTableThatWasNotReadIsNotVerified(t *testing.T) {
-	v := NewVerifier(VerifierSettings{Timeout: time.Second}, newScriptedFollower().Follower, &platform.Store{}, time.Now)
+	v := NewVerifier(VerifierSettings{Timeout: time.Second, Spacing: noSpacing}, newScriptedFollower().Follower, &platform.Store{}, time.Now)
 	if err := v.Verify(t.Context(), time.Now()); !errors.Is(err, errNotSynced) {
 		t.Errorf("%v, want %v", err, errNotSynced)
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -156,8 +156,10 @@
 	listedTimeout = time.Second
 	// verifyTimeout bounds the time in which the store says whether the upstreams have changed, while a caller waits to
 	// resume a stream. After a failure it is not asked again for verifyRetryAfter.
+	// verifySpacing is the least time between two such calls of all entries together.
 	verifyTimeout    = time.Second
 	verifyRetryAfter = 250 * time.Millisecond
+	verifySpacing    = time.Millisecond
 	// sweepInterval is the time between two checks for lapsed upstreams and idle connections.
 	sweepInterval = 250 * time.Millisecond
 	// dialTimeout bounds the time to connect to an upstream: a few round trips between zones.
@@ -343,7 +345,10 @@
 	b.originStore = b.newOriginStore()
 	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
 	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, b.fleet.Followed, func() {}, b.rec, time.Now)
-	b.upstreamsVerifier = belief.NewVerifier(belief.VerifierSettings{Timeout: verifyTimeout, RetryAfter: verifyRetryAfter}, b.upstreamsFollower, b.store, time.Now)
+	b.upstreamsVerifier = belief.NewVerifier(belief.VerifierSettings{
+		Timeout: verifyTimeout, RetryAfter: verifyRetryAfter,
+		Spacing: func() time.Duration { return time.Duration(b.liveEntries()+1) * verifySpacing },
+	}, b.upstreamsFollower, b.store, time.Now)
 	return b
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -697,7 +697,8 @@
 mutant stored-version-outdated $gateway/software.go 's/errors\.Join\(err, unverified\)/err/' $gateway TestStreamGoesOnByAnOutdatedView
 mutant verify-unapplied internal/belief/verifier.go 's/case f\.appliedVersion < version:/case false:/' internal/belief TestOutdatedStateIsVerified
 mutant verify-restored internal/belief/verifier.go 's/case answered != epoch \|\| f\.epoch != epoch:/case false:/' internal/belief TestOutdatedStateIsVerified
-mutant verify-again internal/belief/verifier.go 's/if v\.now\(\)\.Before\(v\.nextCall\) \{/if false {/' internal/belief TestOutdatedStateIsVerified
+mutant verify-again internal/belief/verifier.go 's/if v\.now\(\)\.Before\(v\.retryAt\) \{/if false {/' internal/belief TestOutdatedStateIsVerified
+mutant verify-spacing internal/belief/verifier.go 's/v\.nextCall = v\.now\(\)\.Add\(v\.settings\.Spacing\(\)\)/v.nextCall = v.now()/' internal/belief TestVerificationsShareCalls
 mutant origin-some-silent internal/origin/origin.go 's/case silent == 0:/case silent >= 0:/' internal/origin TestOriginOfStreamIsLost
 mutant followed-whole-table internal/fleet/set.go 's/(are not in it\.\n)\t\ts\.followedSince = time\.Time\{\}\n/$1/' internal/fleet TestVersionThatCameAndWentIsMissed
 mutant followed-unknown-row internal/fleet/set.go 's/(was not seen\.\n)\t\ts\.followedSince = time\.Time\{\}\n/$1/' internal/fleet TestVersionThatCameAndWentIsMissed
