--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -343,12 +343,7 @@
 	b.gateway.Quarantine().SetName(s.Name)
 	b.retryUse = b.newRetryUse()
 	b.originStore = b.newOriginStore()
-	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
-	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, b.fleet.Followed, func() {}, b.rec, time.Now)
-	b.upstreamsVerifier = belief.NewVerifier(belief.VerifierSettings{
-		Timeout: verifyTimeout, RetryAfter: verifyRetryAfter,
-		Spacing: func() time.Duration { return time.Duration(b.liveEntries()+1) * verifySpacing },
-	}, b.upstreamsFollower, b.store, time.Now)
+	b.newFollowers()
 	return b
 }
 
--- a/internal/daemon/gatewaystore.go
+++ b/internal/daemon/gatewaystore.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// newFollowers creates the followers of the tables.
+func (b *gatewayBuilder) newFollowers() {
+	b.routesFollower = belief.New(followSettings(platform.TableRoutes, routesWait), b.source.Platform(), b.applyOperators(), b.confirmRoutes, func() { b.upstreamsFollower.Interrupt() }, b.rec, time.Now)
+	b.upstreamsFollower = belief.New(followSettings(platform.TableUpstreams, upstreamsWait), b.source.Platform(), b.applyUpstreams, b.fleet.Followed, func() {}, b.rec, time.Now)
+	b.upstreamsVerifier = belief.NewVerifier(belief.VerifierSettings{
+		Timeout: verifyTimeout, RetryAfter: verifyRetryAfter,
+		Spacing: func() time.Duration { return time.Duration(b.liveEntries()+1) * verifySpacing },
+	}, b.upstreamsFollower, b.store, time.Now)
+}
+
 // storeClient returns a client that keeps few connections: one for each table that is followed, one to recheck
 // the routes and one for other calls.
 func (b *gatewayBuilder) storeClient() *reconnect.Client {
