gateway: an attempt that fails without an answer leaves a line

A plain call that is sent again after a connection was closed or refused left no line that says why. answer-rejected has the error now, which names the connection if there was one. TestFailedAttemptLeavesALine: its row of a closed connection failed before.

Also the address of a connection is written out only for the log.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -302,6 +302,9 @@
 	req.Body = rq.body
 	a, err := g.exchange(ctx, u, req)
 	if err != nil {
+		if ctx.Err() == nil {
+			g.rec.NoteReserved(events.AnswerRejected, rq.call.ID, "upstream", u.ID, "error", err)
+		}
 		return result{upstream: u.ID, err: err}
 	}
 	defer a.Close()
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -426,3 +426,25 @@
 		t.Errorf("got %d, %v", got.status, got.err)
 	}
 }
+
+// A request was sent again after a failure that left no line in the log.
+func TestFailedAttemptLeavesALine(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		fail http.HandlerFunc
+		want events.ID
+	}{
+		{"the connection is closed", serveBreak, events.AnswerRejected},
+		{"refused", serveNotRun, events.AttemptRefused},
+		{"refused by another upstream", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, events.AttemptRefused},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "a", tc.fail)
+			f.ask(pathSafe)
+			if !f.recorded(tc.want) {
+				t.Errorf("event %d is not recorded", tc.want)
+			}
+		})
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -91,7 +91,7 @@
 // Connection describes the connection of a request.
 type Connection struct {
 	// Local is the address at this end.
-	Local string
+	Local net.Addr
 	// Carried is the number of earlier requests; 0 for a new connection.
 	Carried int
 	// IdleFor is the time since the last of them ended.
@@ -101,14 +101,14 @@
 // String returns a short text for the log.
 func (c Connection) String() string {
 	if c.Carried == 0 {
-		return c.Local + " new"
+		return fmt.Sprintf("%v new", c.Local)
 	}
-	return fmt.Sprintf("%s after %d requests, idle for %v", c.Local, c.Carried, c.IdleFor)
+	return fmt.Sprintf("%v after %d requests, idle for %v", c.Local, c.Carried, c.IdleFor)
 }
 
 // describe returns a description for a request that is about to be sent.
 func (c *conn) describe(now time.Time) Connection {
-	d := Connection{Local: c.LocalAddr().String(), Carried: c.carried}
+	d := Connection{Local: c.LocalAddr(), Carried: c.carried}
 	if c.carried > 0 {
 		d.IdleFor = now.Sub(c.idleSince)
 	}
