origin: silent entries are counted, not searched

Each resumed stream compared all known entries with all live ones, which grows with the square of the entries, also where this entry knows the stream and only the log needs the number. Live entries are known ones, so the difference of the two numbers says the same.

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -55,7 +55,7 @@
 
 // Peers gives access to the other entries.
 type Peers struct {
-	// Live returns the names of the entries that messages arrive from.
+	// Live returns the names of the entries that messages arrive from, all of which are known.
 	Live func() []string
 	// Known returns the names of all entries, whether messages arrive from them or not.
 	Known func() []string
@@ -294,8 +294,9 @@
 
 // Silent returns the number of entries that are known but not heard.
 func (s *Set) Silent() int {
-	live := s.peers.Live()
-	return len(slices.DeleteFunc(s.peers.Known(), func(name string) bool { return slices.Contains(live, name) }))
+	// An entry that is heard between the two calls counts as silent.
+	live := len(s.peers.Live())
+	return max(len(s.peers.Known())-live, 0)
 }
 
 // PeerSeen notes the incarnation of an entry that a message came from. One that has started gets the streams
