--- a/internal/gateway/surplus_test.go
+++ b/internal/gateway/surplus_test.go
@@ -16,7 +16,6 @@
 // restartedUpstream is an upstream that has started again at its address under a new name. It refuses requests for
 // the earlier name, and sends each refusal once more when a request for the new name has arrived.
 type restartedUpstream struct {
-	t       *testing.T
 	address string
 	name    string
 	// onRefusal and onRun are called before a request is refused or runs.
@@ -42,7 +41,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	u := &restartedUpstream{t: t, address: l.Addr().String(), name: name, onRefusal: func() {}, onRun: func() {}}
+	u := &restartedUpstream{address: l.Addr().String(), name: name, onRefusal: func() {}, onRun: func() {}}
 	go func() {
 		for {
 			c, err := l.Accept()
