fix(daemon): log lines that are queued when a gateway ends are lost

Operators found no line of answers that a stop had cut. Lines pass through a queue, and nothing waited for it when the process ended.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -364,6 +364,8 @@
 		Stop: func(context.Context, *kernel.Registry) error {
 			b.cancel()
 			b.rec.Note(events.ProcessStopped, "")
+			// Without this, the lines of the last moments are lost with the process.
+			b.logWriter.Close()
 			return nil
 		},
 	}
--- a/internal/logline/writer.go
+++ b/internal/logline/writer.go
@@ -75,7 +75,7 @@
 // Dropped returns the number of lines dropped since the last call.
 func (w *Writer) Dropped() int64 { return w.dropped.Swap(0) }
 
-// Close writes the queued lines and stops the Writer. Write must not be called after Close.
+// Close writes the queued lines and stops the Writer. Lines that are written later are lost.
 func (w *Writer) Close() {
 	close(w.closed)
 	<-w.done
