gateway: a cut answer tells when it was read, sent and cut

stream-cut did not tell when the body of a request came, what time the entry expected it to take, and how long after the stop was noticed it was sent and cut. The line now has these, and a part of the log of its own, so that it is not left out when the log is full.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,7 @@
 	defer s.leave()
 	rq.run.SentTo(st.at.ID)
 	sentAt := g.now()
+	s.sentAt = sentAt
 	unreadTokens := s.unreadTokens
 	var started atomic.Bool
 	startTimer := time.AfterFunc(startTimeout(rq.route), func() { g.checkLateStart(rq, st.at, unreadTokens, &started) })
--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/events"
 )
 
 // A gateway on a busy machine cannot tell how late it noticed the signal to stop. If it counts the
@@ -89,3 +91,35 @@
 		})
 	}
 }
+
+// TestCutByAStopTellsItsTimes guards against cut answers whose log line does not tell why the stop could not await them.
+func TestCutByAStopTellsItsTimes(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	defer close(release)
+	f.add("llm", "eng-1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testProof, "p")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		f.holdUntil(release)
+	})
+	resp, err := f.open(t.Context(), pathStream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.gateway.Drain(time.Now().Add(AnswerReserve + 100*time.Millisecond))
+	if got := readAnswer(resp); got.err == nil {
+		t.Fatalf("body %q, want a cut answer", got.body)
+	}
+	for _, e := range f.rec.Select("") {
+		if e.Event != events.StreamCut {
+			continue
+		}
+		read, err := time.ParseDuration(e.Fields["read-after-stop"])
+		if err != nil || read >= 0 || e.Fields["body-in"] == "" || e.Fields["sent-in"] == "" || e.Fields["expected"] == "0s" {
+			t.Errorf("the line has %v", e.Fields)
+		}
+		return
+	}
+	t.Error("no line of the cut answer")
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,10 @@
 	fingerprint quarantine.Fingerprint
 	run         *quarantine.Run
 	start       time.Time
+	// readAt is when the whole request had been read.
+	readAt time.Time
+	// expected is how long the request was expected to take when that was last asked.
+	expected time.Duration
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline time.Time
 	// caller is cancelled when the caller's connection ends.
@@ -190,7 +194,8 @@
 		return false
 	}
 	rq.deadline = deadlineOf(rq)
-	if g.stopsBefore(g.expectedDuration(rq)) {
+	rq.expected = g.expectedDuration(rq)
+	if g.stopsBefore(rq.expected) {
 		g.refuse(rq, http.StatusServiceUnavailable, "this entry stops before the request would end", g.retryDelayAfterStop())
 		return false
 	}
@@ -271,7 +276,7 @@
 		g.callerDisconnected(rq, "sending the body", err)
 		panic(http.ErrAbortHandler)
 	}
-	rq.body = body
+	rq.body, rq.readAt = body, g.now()
 	rq.fingerprint = quarantine.FingerprintOf(rq.call.Method, rq.call.Host, rq.call.Target, rq.account, body)
 	return true
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -165,6 +165,15 @@
 // too early uses up one of its few retries.
 func (g *Gateway) StopDeadline() time.Time { return g.latestEnd.Load() }
 
+// afterStop returns how long after this entry noticed a planned stop t is, as text, or "-" if none is under way.
+func (g *Gateway) afterStop(t time.Time) string {
+	balancer := g.stopNoticedAt.Load()
+	if balancer.IsZero() {
+		return "-"
+	}
+	return t.Sub(balancer.Add(-ReadinessLag)).String()
+}
+
 // stopsBefore reports whether a planned stop would give up a request that takes d from now.
 func (g *Gateway) stopsBefore(d time.Duration) bool {
 	by := g.lastRequestEnd.Load()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,8 @@
 	flush    func() error
 	// cancel ends the request.
 	cancel context.CancelFunc
+	// sentAt is when the latest attempt was sent.
+	sentAt time.Time
 	// endProof is the result of proveEnd if it was determined when the end of the answer was read.
 	endProof *endProof
 	// timeToFirstEvent is the time from the start of the request to the first event.
@@ -145,11 +147,20 @@
 		why = "its time was over"
 	}
 	s.g.met.ended("cut")
-	s.g.rec.Note(events.StreamCut, s.rq.call.ID, "why", why, "upstream", s.at.ID, "after-event", s.lastEvent, "events", s.events, "took", s.g.now().Sub(s.rq.start))
+	s.noteCut(why)
 	// Aborting the connection shows the caller that the answer is incomplete.
 	panic(http.ErrAbortHandler)
 }
 
+// noteCut logs that an answer was broken off, with what the request was accepted by. Times after a planned stop are
+// negative before it and "-" without one.
+func (s *stream) noteCut(why string) {
+	g, rq := s.g, s.rq
+	now := g.now()
+	g.rec.NoteReserved(events.StreamCut, rq.call.ID, "why", why, "upstream", s.at.ID, "after-event", s.lastEvent, "events", s.events, "most-events", rq.call.MaxOutput/max(rq.service.Engine.EventTokens, 1), "took", now.Sub(rq.start), "first-in", s.timeToFirstEvent,
+		"body-in", rq.readAt.Sub(rq.start), "sent-in", s.sentAt.Sub(rq.start), "expected", rq.expected, "read-after-stop", g.afterStop(rq.readAt), "sent-after-stop", g.afterStop(s.sentAt), "cut-after-stop", g.afterStop(now))
+}
+
 // enter registers the stream and its load with the engine that is to run it. abandon ends the attempt.
 func (s *stream) enter(st step, abandon context.CancelCauseFunc) {
 	s.mu.Lock()
