fix(gateway): a stop cuts streams that were accepted before their bodies arrived

Callers got a part of a stream and a closed connection at the end of a planned stop, also if they had sent the end of the request long after SIGTERM. Whether a request ends before the stop was asked when its headers had been read; it then waited for its body, the quarantine, the origin of a stream, room and permits, and was sent without being asked again, and so was a second attempt.

It is now asked right before each send of a request whose answer has not begun, when nothing is waited for any more, and the request is refused unrun with a time to come back. TestStopDuringBody and TestStopBeforeSecondAttempt failed before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,6 +100,8 @@
 		g.giveUp(ctx, rq, "the upstream's answer did not come: "+best.err.Error())
 	case len(c.tried) == 0 && ctx.Err() != nil:
 		g.giveUp(ctx, rq, "no upstream took it in time")
+	case c.refused != nil && !rq.sent:
+		g.refuseSend(rq, c.refused)
 	case len(c.tried) == 0 && rq.run.Isolation() == quarantine.Apart:
 		g.refuse(rq, http.StatusServiceUnavailable, quarantine.ErrOnTrial.Error(), suspectRetryDelay)
 	case len(c.tried) == 0 && c.limited != nil:
@@ -120,8 +122,9 @@
 	results chan result
 	// failed lists the upstreams that answered with a server error and did not ask to back off.
 	failed []string
-	// limited is the error of the latest choice if rate limits or backoff left no upstream.
-	limited error
+	// limited is the error of the latest choice if rate limits or backoff left no upstream, and refused that of the
+	// latest checkSend.
+	limited, refused error
 }
 
 // run sends the request to upstreams until one gives a final answer or no further attempt is
@@ -243,6 +246,9 @@
 	if err != nil || !c.rq.run.MaySend() {
 		return false
 	}
+	if c.refused = c.g.checkSend(c.rq); c.refused != nil {
+		return false
+	}
 	if c.g.limits.Any() || c.g.fleet.AnyBackOff() {
 		// Counted because the retry delay of refused callers grows as the share of admitted requests
 		// falls.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -196,7 +196,7 @@
 	rq.deadline = deadlineOf(rq)
 	rq.expected = g.expectedDuration(rq)
 	if g.stopsBefore(rq.expected) {
-		g.refuse(rq, http.StatusServiceUnavailable, "this entry stops before the request would end", g.retryDelayAfterStop())
+		g.refuseSend(rq, errStopsFirst)
 		return false
 	}
 	return g.readBody(rq, r)
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+)
+
+// errStopsFirst means that a planned stop would cut a request.
+var errStopsFirst = errors.New("this entry stops before the request would end")
+
+// checkSend returns why a request must not be sent now, although it was accepted: it may have waited since. It must be
+// called right before each send of a request whose answer has not begun, and does not wait itself.
+func (g *Gateway) checkSend(rq *request) error {
+	rq.expected = g.expectedDuration(rq)
+	if g.stopsBefore(rq.expected) {
+		return errStopsFirst
+	}
+	return nil
+}
+
+// refuseSend answers a request that checkSend did not allow.
+func (g *Gateway) refuseSend(rq *request, why error) {
+	status, retryAfter := http.StatusServiceUnavailable, time.Duration(0)
+	switch {
+	case rq.sent:
+		status = http.StatusBadGateway
+	case errors.Is(why, errStopsFirst):
+		retryAfter = g.retryDelayAfterStop()
+	}
+	g.refuse(rq, status, why.Error(), retryAfter)
+}
--- /dev/null
+++ b/internal/gateway/send_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// pipeBody replaces the body of a request by one that ends when the writer is closed.
+func pipeBody(r *http.Request) *io.PipeWriter {
+	body, w := io.Pipe()
+	r.Body, r.ContentLength = body, -1
+	return w
+}
+
+// askWithLateBody sends the headers of a request, calls between, and sends the body.
+func (f *fixture) askWithLateBody(path string, between func()) answer {
+	f.t.Helper()
+	var body *io.PipeWriter
+	answered := make(chan answer, 1)
+	go func() {
+		answered <- f.ask(path, func(r *http.Request) { body = pipeBody(r); go f.sendBody(body, between) })
+	}()
+	return <-answered
+}
+
+// sendBody calls between once the gateway serves a request, and sends its body.
+func (f *fixture) sendBody(body *io.PipeWriter, between func()) {
+	_, _ = io.WriteString(body, "bo")
+	for f.gateway.inFlight.Load() == 0 && f.t.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	// The gateway has decided by the headers when it waits for the rest of the body.
+	time.Sleep(20 * time.Millisecond)
+	between()
+	_, _ = io.WriteString(body, "dy")
+	_ = body.Close()
+}
+
+// TestStopDuringBody guards against a request that was accepted before a planned stop and is sent when its body has arrived,
+// though it would be cut.
+func TestStopDuringBody(t *testing.T) {
+	for _, path := range []string{pathOnce, pathStream} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t)
+			app, llm := f.add("app", "a", serveOK), f.add("llm", "e", serveOK)
+			got := f.askWithLateBody(path, func() { f.gateway.Drain(time.Now().Add(plainCallTime / 2)) })
+			if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, errStopsFirst.Error()) || app.runs()+llm.runs() != 0 {
+				t.Errorf("status %d, %q, %d sends; want it refused without a send", got.status, got.body, app.runs()+llm.runs())
+			}
+			if got.header.Get(testRetryMs) == "" {
+				t.Error("the caller is not told when to return")
+			}
+		})
+	}
+}
+
+// TestStopBeforeSecondAttempt guards against a second attempt that a planned stop would cut.
+func TestStopBeforeSecondAttempt(t *testing.T) {
+	for _, path := range []string{pathSafe, pathStream} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t)
+			refuse := func(w http.ResponseWriter, r *http.Request) {
+				f.gateway.Drain(time.Now().Add(plainCallTime / 2))
+				serveNotRun(w, r)
+			}
+			sends := 0
+			for _, id := range []string{"1", "2"} {
+				f.add("app", "a-"+id, refuse)
+				f.add("llm", "e-"+id, refuse)
+			}
+			got := f.ask(path)
+			for _, e := range f.rec.Select("") {
+				if e.Name == "request-routed" {
+					sends++
+				}
+			}
+			if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, errStopsFirst.Error()) || sends != 1 {
+				t.Errorf("status %d, %q after %d sends, want a refusal after one", got.status, got.body, sends)
+			}
+		})
+	}
+}
