--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -286,6 +286,8 @@
 mutant stop-waits-gateway internal/daemon/gatewayhttp.go 's/if err := b\.callers\.connections\.Drain\(drainCtx\); err != nil \{/if err := drainCtx.Err(); err != nil {/' internal/daemon TestOtherServicesStopAfterRequestsInFlight
 mutant stop-stall-looked internal/daemon/runwatch.go 's/d\.stalledFrom, d\.stalledTo = d\.lastTick, now/d.stalledFrom = d.lastTick/' internal/daemon TestStallDetector
 
+mutant judge-planned-leave platform/soak/judge_test.go 's/(for _, r := range a\.runs \{\n\t\tif !c\.undisturbed\(r\.upstream, a\.sent, a\.ended, )false/$1true/' platform/soak TestPlannedLeaveExcusesOnlyBrokenOffRequests
+
 # Panics of this program while it handles its input.
 mutant fault-table internal/belief/routes.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)\n\treturn table, err/return r.decode(rec.Value)/; s/.*internal\/guard"\n//' internal/belief TestPanickingDecoderKeepsTheLastTable
 mutant fault-message internal/peer/conn.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t*result, err = h\(ctx, c, params\)\n\t*return err\n\t*\}\)/result, err = h(ctx, c, params)/' internal/peer TestPanicInHandlerIsRecovered
