test(soak): the checker misses requests that get no answer at all

Only a request that got a response could count as late, and against its own deadline with a second more. One whose caller gave up without a response broke no rule.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -291,6 +291,7 @@
 mutant judge-accepted platform/soak/judge_test.go 's/if a\.arrived > 0 \{\n\t\treturn true/if a.arrived > 0 {\n\t\treturn len(a.runs) > 0/' platform/soak TestAcceptedRequestIsLostBeforeItRuns
 mutant judge-last-byte platform/soak/judge_test.go 's/a\.sentBy\(\)\.Sub\(at\) > keyBound/a.sent.Sub(at) > keyBound/' platform/soak TestRevokedKeyCountsFromLastByte
 mutant judge-leave-arrival platform/soak/notice_test.go 's/known && s\.at\.Sub/known \&\& a.sent.Sub/' platform/soak TestAnnouncedLeaveCountsFromArrival
+mutant judge-timeouts platform/soak/judge_test.go 's/\tc\.checkTimeouts\(\)\n//' platform/soak TestRequestsWithoutAnswerCountAsLate
 
 # Panics of this program while it handles its input.
 mutant fault-table internal/belief/routes.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)\n\treturn table, err/return r.decode(rec.Value)/; s/.*internal\/guard"\n//' internal/belief TestPanickingDecoderKeepsTheLastTable
