test(soak): callers hide lost requests by sending them again

http.Transport sends a GET again by itself when its kept connection breaks off before the first byte of a response. The request reached an upstream, its gateway closed the connection without an answer (LOST), and the checker saw the answer to the second try under the same ID.

In the test, three requests arrived before, two do now (mutant judge-sent-again).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -292,6 +292,7 @@
 mutant judge-last-byte platform/soak/judge_test.go 's/a\.sentBy\(\)\.Sub\(at\) > keyBound/a.sent.Sub(at) > keyBound/' platform/soak TestRevokedKeyCountsFromLastByte
 mutant judge-leave-arrival platform/soak/notice_test.go 's/known && s\.at\.Sub/known \&\& a.sent.Sub/' platform/soak TestAnnouncedLeaveCountsFromArrival
 mutant judge-timeouts platform/soak/judge_test.go 's/\tc\.checkTimeouts\(\)\n//' platform/soak TestRequestsWithoutAnswerCountAsLate
+mutant judge-sent-again platform/soak/caller_test.go 's/if a\.body == "" \{/if false {/' platform/soak TestLostRequestIsNotSentAgain
 
 # Panics of this program while it handles its input.
 mutant fault-table internal/belief/routes.go 's/err = guard\.Do\(func\(\) \(err error\) \{\n\t\ttable, err = r\.decode\(rec\.Value\)\n\t\treturn err\n\t\}\)\n\treturn table, err/return r.decode(rec.Value)/; s/.*internal\/guard"\n//' internal/belief TestPanickingDecoderKeepsTheLastTable
