fix(gateway): a stop cuts streams that could still end

Callers got a part of a stream and a closed connection 0.35 s before the end of the time that a gateway has for its stop, also if only a few events were missing.

Answers that had begun were cut when requests without an answer are given up. The time after that serves the responses to the latter: a caller without an answer gets a 504 if the gateway writes it before it is killed, and nothing otherwise. A caller whose answer has begun sees the same whether it is cut or the process is killed. Such answers now go on until only the time for the other services and the log is left (exitReserve, 50 ms), as before counted from when the signal was noticed. Requests without an answer are given up as before, and a process that runs late still has AnswerReserve to answer them.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -188,10 +188,11 @@
 	// gateway accepts no more connections: a few round trips. Requests that would take longer are
 	// refused before, without being executed.
 	closeReserve = 200 * time.Millisecond
-	// stopReserve is the part of the stop time that remains when requests in flight are given up.
+	// stopReserve is the part of the stop time that remains when requests without an answer have been given up and
+	// answered.
 	stopReserve = 250 * time.Millisecond
-	// exitReserve is the part of the stop time that remains for the other services once the last
-	// responses have been awaited. Most of them have nothing left to do.
+	// exitReserve is the part of the stop time that remains for the other services and the log once the last
+	// responses have been awaited and the last answers are cut. Most of the services have nothing left to do.
 	exitReserve = 50 * time.Millisecond
 	// logReserve is the part of the stop time that remains to log the end when connections are closed.
 	logReserve = 5 * time.Millisecond
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -140,28 +140,38 @@
 }
 
 // drain stops serving callers. It waits until the load balancer has noticed, still serves the
-// callers that it sends, waits for the requests in flight and gives up those that are left. Connections
+// callers that it sends, waits for the requests in flight and ends those that are left. Connections
 // whose responses are not written by then stay open until responseService stops.
 func (b *gatewayBuilder) drain(ctx context.Context, _ *kernel.Registry) error {
 	signalled, earliest := b.stopSignalTimes()
 	noticed := time.Now()
-	within := b.settings.StopWithin - stopReserve
-	deadline := noticed.Add(within)
 	b.rec.Note(events.ProcessStopping, "", "stop-within", b.settings.StopWithin, "noticed-after", noticed.Sub(signalled), "at-most", noticed.Sub(earliest))
-	b.gateway.DrainUntil(gateway.StopDeadlines{NewRequests: earliest.Add(within), Unanswered: signalled.Add(within), End: deadline})
+	d := stopDeadlines(earliest, signalled, noticed, b.settings.StopWithin)
+	b.gateway.DrainUntil(d)
 	notBefore := noticed.Add(min(gateway.ReadinessLag, b.settings.StopWithin/3))
-	b.awaitQuiet(notBefore, closeBy(earliest.Add(within-closeReserve), notBefore, deadline.Add(-closeReserve)))
+	within := b.settings.StopWithin - stopReserve
+	b.awaitQuiet(notBefore, closeBy(earliest.Add(within-closeReserve), notBefore, noticed.Add(within-closeReserve)))
 	ctx = context.WithoutCancel(ctx)
-	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-gateway.AnswerReserve))
+	drainCtx, cancel := context.WithDeadline(ctx, d.Unanswered.Add(-gateway.AnswerReserve))
 	defer cancel()
 	if err := b.callers.connections.Drain(drainCtx); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
-		b.giveUp(ctx, noticed.Add(b.settings.StopWithin-exitReserve))
+		b.giveUp(ctx, d.End)
 	}
 	b.gateway.NoteGivenUp(b.callers.connections.Open())
 	return nil
 }
 
+// stopDeadlines returns when a planned stop ends each kind of request, by the times of stopSignalTimes.
+func stopDeadlines(earliest, signalled, noticed time.Time, within time.Duration) gateway.StopDeadlines {
+	answered, cut := within-stopReserve, within-exitReserve
+	return gateway.StopDeadlines{
+		NewRequests: earliest.Add(answered),
+		Unanswered:  signalled.Add(answered),
+		End:         noticed.Add(cut),
+	}
+}
+
 // closeBy returns when the listener closes at the latest. At the kill, a connection that is still accepted ends
 // without an answer, whereas a refused one can be repeated, so that is before the earliest time of a kill.
 // But as long as the load balancer sends callers, they are answered.
@@ -193,12 +203,12 @@
 	return signalled, earliest
 }
 
-// giveUp lets the gateway answer the requests that are still in flight, and waits until the responses are
-// written, until end at most. If the process was not scheduled in time, end may have passed as well, and
-// connections would be closed before the responses are written; gateway.AnswerReserve is waited in
-// any case.
+// giveUp lets the gateway answer the requests without an answer that are still in flight, waits until the
+// responses are written and the answers that have begun have ended, until end at most, and cuts the others. If the
+// process was not scheduled in time, end may have passed as well, and connections would be closed before the
+// responses are written; gateway.AnswerReserve is waited in any case.
 func (b *gatewayBuilder) giveUp(ctx context.Context, end time.Time) {
-	b.gateway.GiveUp()
+	b.gateway.GiveUpUnanswered()
 	if least := time.Now().Add(gateway.AnswerReserve); end.Before(least) {
 		end = least
 	}
@@ -206,6 +216,7 @@
 	defer cancel()
 	if err := b.callers.connections.Drain(ctx); err != nil {
 		b.rec.Note(events.DrainTooShort, "", "error", err)
+		b.gateway.GiveUp()
 	}
 }
 
--- a/internal/daemon/gatewayhttp_test.go
+++ b/internal/daemon/gatewayhttp_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// TestStopDeadlines guards against answers that are cut while the process still has time.
+func TestStopDeadlines(t *testing.T) {
+	const within = 8 * time.Second
+	noticed := time.Now()
+	signalled, earliest := noticed.Add(-300*time.Millisecond), noticed.Add(-500*time.Millisecond)
+	d := stopDeadlines(earliest, signalled, noticed, within)
+	if kill := noticed.Add(within); d.End != kill.Add(-exitReserve) {
+		t.Errorf("answers that have begun are cut %s before the end", kill.Sub(d.End))
+	}
+}
+
 // measureOversleep adds up by how many nanoseconds sleeps of this process take longer than asked for, beyond the
 // usual, until done is closed.
 func measureOversleep(done <-chan struct{}) *atomic.Int64 {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -39,11 +39,11 @@
 type StopDeadlines struct {
 	// NewRequests is the time before which requests that still arrive have to end. Others are refused.
 	NewRequests time.Time
-	// Unanswered is when requests in flight whose answer has not begun are given up, so that their
-	// callers get an answer even if the process is killed soon after.
+	// Unanswered is when requests in flight whose answer has not begun have been answered. They are given up
+	// AnswerReserve before, so that their callers get an answer even if the process is killed soon after.
 	Unanswered time.Time
-	// End is when answers that have begun are given up. They are lost when they are cut, so this is the
-	// latest time.
+	// End is when answers that have begun are cut. They are lost then, so this is the latest time. AnswerReserve is not
+	// for them: it serves the answers to requests that are given up.
 	End time.Time
 }
 
@@ -61,13 +61,15 @@
 	g.lastRequestEnd.Store(d.NewRequests)
 	time.AfterFunc(d.Unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
 	go g.paceGivingUp(d.Unanswered.Add(-AnswerReserve))
-	time.AfterFunc(d.End.Add(-AnswerReserve).Sub(g.now()), g.GiveUp)
+	time.AfterFunc(d.End.Sub(g.now()), g.GiveUp)
 	g.limits.StopGranting()
 	g.peers.SendNow()
 }
 
-// GiveUp ends all requests in flight at the end of a planned stop. Callers whose answer has not begun
-// get one.
+// GiveUpUnanswered ends the requests in flight whose answer has not begun. Their callers get one.
+func (g *Gateway) GiveUpUnanswered() { g.giveUpUnanswered() }
+
+// GiveUp ends all requests in flight at the end of a planned stop. Answers that have begun are cut.
 func (g *Gateway) GiveUp() {
 	g.giveUpUnanswered()
 	g.giveUpAll(errStopped)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -258,10 +258,12 @@
 mutant stop-in-pieces internal/daemon/runlag.go 's/t\.late$/false/m; s/late = t\.late/late = false/' internal/daemon TestLagDetector
 mutant stop-lag-asked internal/daemon/gatewayhttp.go 's/, b\.lags\.earliestSignal\(\)$/, time.Now()/m' internal/daemon TestStopSignalTimes
 mutant stop-gives-up-late internal/gateway/stop.go 's/AfterFunc\(d\.Unanswered\.Add/AfterFunc(d.NewRequests.Add/' internal/gateway TestDrainUntilKeepsRequestsInFlight
-mutant stop-cuts-begun internal/gateway/stop.go 's/AfterFunc\(d\.End\.Add/AfterFunc(d.Unanswered.Add/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
+mutant stop-cuts-begun internal/gateway/stop.go 's/AfterFunc\(d\.End\.Sub/AfterFunc(d.Unanswered.Sub/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
+mutant stop-cuts-with-unanswered internal/daemon/gatewayhttp.go 's/\tb\.gateway\.GiveUpUnanswered\(\)/\tb.gateway.GiveUp()/' platform/soak TestStopCutsStreamsThatCouldStillEnd/4s
+mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
-mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/deadline := noticed\.Add\(within\)$/deadline := signalled.Add(within)/m' platform/soak TestStopBesidePauseCutsNoStreamEarly
+mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/noticed\.Add\(cut\)/signalled.Add(cut)/' platform/soak TestStopBesidePauseCutsNoStreamEarly
 mutant stop-given-up-goes-on internal/gateway/stop.go 's/\t\tgiveUp\(\)\n\t\treturn false/\t\treturn false/' internal/gateway TestGivenUpRequestIsCancelledAtOnce
 mutant stop-begins-after-end internal/gateway/stop.go 's/\tg\.giveUpUnanswered\(\)\n\tg\.giveUpAll/\tg.giveUpAll/' internal/gateway TestNoAnswerBeginsAfterGiveUp
 mutant stop-closes-early internal/daemon/gatewayhttp.go 's/if at\.Before\(balancerNoticed\)/if false/' internal/daemon TestLateNoticedStopKeepsListener
