fix(gateway): a stop accepts requests that it is expected to end

New requests were accepted if they were expected to end 0.25 s before the end of a stop, which is 0.1 s after requests without an answer are given up. Calls got a 504 then that allows that they have run, where a refusal would have told their callers to ask another entry. A stream could be accepted that was expected to begin after that.

--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -166,7 +166,8 @@
 func stopDeadlines(earliest, signalled, noticed time.Time, within time.Duration) gateway.StopDeadlines {
 	answered, cut := within-stopReserve, within-exitReserve
 	return gateway.StopDeadlines{
-		NewRequests: earliest.Add(answered),
+		NewRequests: earliest.Add(answered - gateway.AnswerReserve),
+		NewStreams:  earliest.Add(cut),
 		Unanswered:  signalled.Add(answered),
 		End:         noticed.Add(cut),
 	}
--- a/internal/daemon/gatewayhttp_test.go
+++ b/internal/daemon/gatewayhttp_test.go
@@ -45,12 +45,20 @@
 	}
 }
 
-// TestStopDeadlines guards against answers that are cut while the process still has time.
+// TestStopDeadlines guards against requests that are accepted for later than a stop ends them, and against answers that
+// are cut while the process still has time.
 func TestStopDeadlines(t *testing.T) {
 	const within = 8 * time.Second
 	noticed := time.Now()
 	signalled, earliest := noticed.Add(-300*time.Millisecond), noticed.Add(-500*time.Millisecond)
 	d := stopDeadlines(earliest, signalled, noticed, within)
+	givenUp := d.Unanswered.Add(-gateway.AnswerReserve)
+	if got := d.NewRequests.Sub(earliest); got != givenUp.Sub(signalled) {
+		t.Errorf("requests are accepted until %s and given up after %s", got, givenUp.Sub(signalled))
+	}
+	if got := d.NewStreams.Sub(earliest); got != d.End.Sub(noticed) {
+		t.Errorf("streams are accepted until %s and cut after %s", got, d.End.Sub(noticed))
+	}
 	if kill := noticed.Add(within); d.End != kill.Add(-exitReserve) {
 		t.Errorf("answers that have begun are cut %s before the end", kill.Sub(d.End))
 	}
--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/events"
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // A gateway on a busy machine cannot tell how late it noticed the signal to stop. If it counts the
@@ -64,6 +65,29 @@
 	}
 }
 
+// TestStopAcceptsStreamsThatItCuts guards against streams that are accepted during a planned stop although they are
+// expected to begin after unanswered requests are given up, or to end after answers are cut.
+func TestStopAcceptsStreamsThatItCuts(t *testing.T) {
+	const ms = time.Millisecond
+	f, now := newFixture(t), time.Now()
+	f.gateway.now = func() time.Time { return now }
+	f.gateway.DrainUntil(StopDeadlines{NewRequests: now.Add(1000 * ms), NewStreams: now.Add(1300 * ms), Unanswered: now.Add(time.Minute), End: now.Add(time.Minute)})
+	for _, tc := range []struct {
+		name            string
+		start, expected time.Duration
+		refused         bool
+	}{
+		{"begins and ends in time", 999 * ms, 1299 * ms, false},
+		{"ends late", 200 * ms, 1301 * ms, true},
+		{"begins late", 1001 * ms, 1200 * ms, true},
+	} {
+		rq := &request{service: &routetable.Service{Engine: &routetable.Engine{}}, route: &routetable.Route{Objective: tc.start}, expected: tc.expected}
+		if got := f.gateway.stopsBefore(rq); got != tc.refused {
+			t.Errorf("%s: refused %t, want %t", tc.name, got, tc.refused)
+		}
+	}
+}
+
 // TestUnansweredRequestsAreGivenUpFirst guards against requests that get no answer because the gateway is killed
 // before it gives them up: it noticed the signal late.
 func TestUnansweredRequestsAreGivenUpFirst(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,11 +69,12 @@
 	now      func() time.Time
 	loads    *loadTracker
 	// latestEnd is when a planned stop ends this entry at the latest, and zero if none is under way. New
-	// requests have to end before lastRequestEnd. stopNoticedAt is when the load balancer has noticed
-	// the stop.
-	latestEnd      atomicTime
-	lastRequestEnd atomicTime
-	stopNoticedAt  atomicTime
+	// requests have to be answered by lastAnswer, and streams end before lastStreamEnd. stopNoticedAt is when the
+	// load balancer has noticed the stop.
+	latestEnd     atomicTime
+	lastAnswer    atomicTime
+	lastStreamEnd atomicTime
+	stopNoticedAt atomicTime
 	// unansweredStopped is cancelled by giveUpUnanswered when a planned stop gives up the requests in
 	// flight whose answer has not begun, stopping by giveUpAll when it gives up the others.
 	unansweredStopped context.Context
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -195,7 +195,7 @@
 	}
 	rq.deadline = deadlineOf(rq)
 	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+	if g.stopsBefore(rq) {
 		g.refuseSend(rq, errStopsFirst)
 		return false
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,7 +13,7 @@
 // called right before each send of a request whose answer has not begun, and does not wait itself.
 func (g *Gateway) checkSend(rq *request) error {
 	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+	if g.stopsBefore(rq) {
 		return errStopsFirst
 	}
 	return nil
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -37,8 +37,9 @@
 // StopDeadlines are the times at which a planned stop ends requests. An entry that cannot tell how late it
 // noticed the signal to stop has a time for each kind of request.
 type StopDeadlines struct {
-	// NewRequests is the time before which requests that still arrive have to end. Others are refused.
-	NewRequests time.Time
+	// NewRequests is the time before which answers to requests that still arrive have to begin, and NewStreams the
+	// time before which streamed ones have to end. Other requests are refused.
+	NewRequests, NewStreams time.Time
 	// Unanswered is when requests in flight whose answer has not begun have been answered. They are given up
 	// AnswerReserve before, so that their callers get an answer even if the process is killed soon after.
 	Unanswered time.Time
@@ -51,14 +52,15 @@
 // entries. Requests that still arrive are served if they are expected to end before the
 // deadline.
 func (g *Gateway) Drain(deadline time.Time) {
-	g.DrainUntil(StopDeadlines{NewRequests: deadline, Unanswered: deadline, End: deadline})
+	g.DrainUntil(StopDeadlines{NewRequests: deadline, NewStreams: deadline, Unanswered: deadline, End: deadline})
 }
 
 // DrainUntil is Drain with a deadline for each kind of request.
 func (g *Gateway) DrainUntil(d StopDeadlines) {
 	g.stopNoticedAt.Store(g.now().Add(ReadinessLag))
 	g.latestEnd.Store(d.End)
-	g.lastRequestEnd.Store(d.NewRequests)
+	g.lastAnswer.Store(d.NewRequests)
+	g.lastStreamEnd.Store(d.NewStreams)
 	time.AfterFunc(d.Unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
 	go g.paceGivingUp(d.Unanswered.Add(-AnswerReserve))
 	time.AfterFunc(d.End.Sub(g.now()), g.GiveUp)
@@ -176,10 +178,17 @@
 	return t.Sub(balancer.Add(-ReadinessLag)).String()
 }
 
-// stopsBefore reports whether a planned stop would give up a request that takes d from now.
-func (g *Gateway) stopsBefore(d time.Duration) bool {
-	by := g.lastRequestEnd.Load()
-	return !by.IsZero() && g.now().Add(d+g.lateness()).After(by)
+// stopsBefore reports whether a planned stop would give up a request that is sent now, or cut its answer.
+func (g *Gateway) stopsBefore(rq *request) bool {
+	by := g.lastAnswer.Load()
+	if by.IsZero() {
+		return false
+	}
+	now := g.now().Add(g.lateness())
+	if rq.service.Engine == nil {
+		return now.Add(rq.expected).After(by)
+	}
+	return now.Add(startTimeout(rq.route)).After(by) || now.Add(rq.expected).After(g.lastStreamEnd.Load())
 }
 
 // IdleFor returns the time since the last request began or ended; 0 while requests are in
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // TestCrowdIsGivenUpInTime guards against a planned stop that gives up more requests at its end than it can still
@@ -104,8 +106,8 @@
 				_, _, release := f.gateway.untilStop(t.Context())
 				defer release()
 			}
-			f.gateway.lastRequestEnd.Store(now.Add(plainCallTime + 100*ms))
-			if got := f.gateway.stopsBefore(plainCallTime); got != tc.refused {
+			f.gateway.lastAnswer.Store(now.Add(plainCallTime + 100*ms))
+			if got := f.gateway.stopsBefore(&request{service: &routetable.Service{}, expected: plainCallTime}); got != tc.refused {
 				t.Errorf("refused %t, want %t", got, tc.refused)
 			}
 		})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -261,6 +261,9 @@
 mutant stop-cuts-begun internal/gateway/stop.go 's/AfterFunc\(d\.End\.Sub/AfterFunc(d.Unanswered.Sub/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-cuts-with-unanswered internal/daemon/gatewayhttp.go 's/\tb\.gateway\.GiveUpUnanswered\(\)/\tb.gateway.GiveUp()/' platform/soak TestStopCutsStreamsThatCouldStillEnd/4s
 mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
+mutant stop-takes-given-up internal/daemon/gatewayhttp.go 's/answered - gateway\.AnswerReserve\)/answered)/' internal/daemon TestStopDeadlines
+mutant stop-takes-cut internal/gateway/stop.go 's/ \|\| now\.Add\(rq\.expected\)\.After\(g\.lastStreamEnd\.Load\(\)\)//' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(startTimeout\(rq\.route\)\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
 mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/noticed\.Add\(cut\)/signalled.Add(cut)/' platform/soak TestStopBesidePauseCutsNoStreamEarly
@@ -276,12 +279,12 @@
 mutant stop-crowd-begins internal/gateway/stop.go 's/\t\tif unhookUnanswered\(\) \{\n\t\t\tgiveUpUnanswered\(\)/\t\tif unhookUnanswered() {\n\t\t\tg.unanswered.noteGivenUp(g.now())/' internal/gateway TestCrowdIsGivenUpInTime
 mutant stop-crowd-begun internal/gateway/stop.go 's/\t\tremove\(\)\n\t\tif unhookUnanswered/\t\tif unhookUnanswered/' internal/gateway TestNoAnswerBeginsAfterEarlyGiveUp
 mutant stop-crowd-once internal/gateway/stop.go 's/\t\tif unhookUnanswered\(\) \{\n\t\t\tgiveUpUnanswered\(\)\n\t\t\}/\t\tgiveUpUnanswered()/' internal/gateway TestNoAnswerBeginsAfterEarlyGiveUp
-mutant stop-starved-takes internal/gateway/stop.go 's/d\+g\.lateness\(\)/d/' internal/gateway TestStarvedStopRefusesRequests
+mutant stop-starved-takes internal/gateway/stop.go 's/g\.now\(\)\.Add\(g\.lateness\(\)\)/g.now()/' internal/gateway TestStarvedStopRefusesRequests
 mutant stop-run-moments internal/gateway/runmeter.go 's/ran \+= runInterval/ran += gap/' internal/gateway TestRunMeter
 mutant stop-closes-last internal/daemon/gatewayhttp.go 's/\(b\.callers\.connections\.Open\(\)\)\n\treturn nil/(b.callers.connections.Open())\n\treturn b.callers.server.Close()/' internal/daemon TestResponsesAreWrittenWhileOtherServicesStop
 mutant link-drain-large internal/link/late.go 's/firstDrainChunk = 1 << 10/firstDrainChunk = 64 << 10/' internal/link TestRequestsThatEndTogetherNeedLittleMemory
 mutant link-drain-once internal/link/late.go 's/chunk = make\(\[\]byte, drainChunk\)/return/' internal/link TestLongReceivedAnswerIsReadWhole
-mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastRequestEnd\.Store\(d\.NewRequests\)/g.lastRequestEnd.Store(d.End)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
+mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastAnswer\.Store\(d\.NewRequests\)/g.lastAnswer.Store(d.End)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
 mutant stop-return-early internal/gateway/stop.go 's/g\.latestEnd\.Store\(d\.End\)/g.latestEnd.Store(d.NewRequests)/' internal/gateway TestRetryDelayAfterLateNoticedStop
 mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
 mutant stop-waits-sidecar internal/daemon/sidecar.go 's/if !b\.server\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/leaving'
