test: the mutant of a stop that cuts begun answers applies again

It cut them AnswerReserve after requests without an answer are given up, which TestBegunAnswerOutlastsUnansweredDeadline does not await. It now cuts them together, as before, and is killed.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -258,7 +258,7 @@
 mutant stop-in-pieces internal/daemon/runlag.go 's/t\.late$/false/m; s/late = t\.late/late = false/' internal/daemon TestLagDetector
 mutant stop-lag-asked internal/daemon/gatewayhttp.go 's/, b\.lags\.earliestSignal\(\)$/, time.Now()/m' internal/daemon TestStopSignalTimes
 mutant stop-gives-up-late internal/gateway/stop.go 's/AfterFunc\(d\.Unanswered\.Add/AfterFunc(d.NewRequests.Add/' internal/gateway TestDrainUntilKeepsRequestsInFlight
-mutant stop-cuts-begun internal/gateway/stop.go 's/AfterFunc\(d\.End\.Sub/AfterFunc(d.Unanswered.Sub/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
+mutant stop-cuts-begun internal/gateway/stop.go 's/AfterFunc\(d\.End\.Sub/AfterFunc(d.Unanswered.Add(-AnswerReserve).Sub/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-cuts-with-unanswered internal/daemon/gatewayhttp.go 's/\tb\.gateway\.GiveUpUnanswered\(\)/\tb.gateway.GiveUp()/' platform/soak TestStopCutsStreamsThatCouldStillEnd/4s
 mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
 mutant stop-takes-given-up internal/daemon/gatewayhttp.go 's/answered - gateway\.AnswerReserve\)/answered)/' internal/daemon TestStopDeadlines
