--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -222,7 +222,7 @@
 	}
 	rq.deadline = deadlineOf(rq)
 	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+	if g.stopsBefore(rq) {
 		g.refuseSend(rq, errStopsFirst)
 		return false
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+	if g.stopsBefore(rq) {
 		return errStopsFirst
 	}
 	return nil
