fix(gateway): requests run as the routes allowed when their headers arrived

A caller that sent its headers before a key was revoked and its body long after ran the request with that key, at any later time, and also while the keys could not be confirmed any more. Route, account and service were determined by the headers and used once the body had arrived, which takes as long as the caller takes. A route that led elsewhere meanwhile ran at its old service.

The same decision is taken again when the body has arrived, by the routes in force then. The one by the headers stays, so that what cannot be served is refused before its body is read. The limits of headers and bodies are those when the headers arrived.

TestRoutesChangeDuringBody failed before in the cases of a revoked key, unconfirmed keys and moved routes.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -298,8 +298,9 @@
 }
 
 // testTable returns the route table of a version. The text "N revoked" stands for version N
-// without keys, "N later" for version N with an additional service, "N bodies" for version N with
-// large request bodies, and "N pauses" for version N with a bound on the pauses of streams.
+// without keys, "N later" for version N with an additional service, "N moved" for version N with routes
+// that lead to other services, "N bodies" for version N with large request bodies, and "N pauses" for
+// version N with a bound on the pauses of streams.
 func testTable(text string) *routetable.Table {
 	version, more, _ := strings.Cut(text, " ")
 	n, _ := strconv.Atoi(version)
@@ -336,6 +337,12 @@
 			}
 		}
 	}
+	if more == "moved" {
+		services = append(services, routetable.Service{Name: "app-2"}, routetable.Service{Name: "llm-2", Engine: services[1].Engine})
+		for i := range routes {
+			routes[i].Shares[0].Service += "-2"
+		}
+	}
 	if more == "later" {
 		routes, services = append(routes, route(pathLater, routetable.Repeatable, "later", 1)), append(services, routetable.Service{Name: "later"})
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,14 +25,15 @@
 	call  protocol.Call
 	body  []byte
 	table *routetable.Table
-	// tableAge is the time since the table was confirmed, tableRow the store's version of its row, and evidence
-	// states who confirmed it.
-	tableAge time.Duration
-	tableRow int64
-	evidence belief.Evidence
-	route    *routetable.Route
-	service  *routetable.Service
-	account  string
+	// tableTrusted is set if the table was recent enough to check keys with when it was read. tableAge is the time
+	// since it was confirmed, tableRow the store's version of its row, and evidence states who confirmed it.
+	tableTrusted bool
+	tableAge     time.Duration
+	tableRow     int64
+	evidence     belief.Evidence
+	route        *routetable.Route
+	service      *routetable.Service
+	account      string
 	// accountPriority is the priority of the account; 0 is the most urgent.
 	accountPriority int
 	// fingerprint is the same each time the caller sends the request. run tracks this request in
@@ -159,24 +160,50 @@
 	g.rec.Note(events.CallerGone, rq.call.ID, "while", while, "caller", rq.conn.Caller(), "ended-here", rq.conn.EndReason(), "evicted", rq.memory.Evicted(), "sent", rq.sent, "after", g.now().Sub(rq.start), "error", err)
 }
 
-// prepareRequest determines the route, account and service of a request and reads its body. If the
-// request cannot be served, prepareRequest answers it and returns false.
+// prepareRequest determines the route, account and service of a request and reads its body. It decides by the headers,
+// so that what cannot be served is refused at once, and again when the body has arrived, by the routes in force then.
+// If the request cannot be served, prepareRequest answers it and returns false.
 func (g *Gateway) prepareRequest(rq *request, r *http.Request) bool {
+	if !g.readTable(rq) || !g.checkHeaders(rq, r) || !g.decide(rq) || !g.readBody(rq, r) || !g.readTable(rq) || !g.decide(rq) {
+		return false
+	}
+	rq.fingerprint = quarantine.FingerprintOf(rq.call.Method, rq.call.Host, rq.call.Target, rq.account, rq.body)
+	return true
+}
+
+// readTable makes the route table in force the one of the request. If there is none, it refuses the request and returns
+// false.
+func (g *Gateway) readTable(rq *request) bool {
 	read, trusted := g.readRoutes()
-	rq.table = read.Table
-	if rq.table == nil {
+	if read.Table == nil {
 		g.refuse(rq, http.StatusServiceUnavailable, "no routes are known yet", unreadyRetryDelay)
 		return false
 	}
-	rq.tableAge, rq.tableRow, rq.evidence = rq.start.Sub(read.Confirmed), read.Row, read.Evidence
+	rq.setTable(read, trusted, g.now())
+	return true
+}
+
+// setTable makes a route table the one of the request.
+func (rq *request) setTable(read belief.Reading, trusted bool, now time.Time) {
+	rq.table, rq.tableTrusted, rq.tableRow, rq.evidence = read.Table, trusted, read.Row, read.Evidence
+	rq.tableAge = now.Sub(read.Confirmed)
+}
+
+// checkHeaders refuses a request whose headers are too large.
+func (g *Gateway) checkHeaders(rq *request, r *http.Request) bool {
 	if maxBytes := rq.table.Limits().HeaderBytes; maxBytes > 0 && headerBytes(r) > maxBytes {
 		g.refuse(rq, http.StatusRequestHeaderFieldsTooLarge, "headers are too large", 0)
 		return false
 	}
-	path, _, _ := strings.Cut(rq.call.Target, "?")
-	route, ok := rq.table.Match(rq.call.Host, path)
+	return true
+}
+
+// decide determines the route, account and service of a request by its route table. It does not wait. If the request
+// cannot be served, decide answers it and returns false.
+func (g *Gateway) decide(rq *request) bool {
+	route, ok := rq.table.Match(rq.call.Host, rq.path())
 	switch {
-	case !ok && !trusted:
+	case !ok && !rq.tableTrusted:
 		g.refuse(rq, http.StatusServiceUnavailable, "the routes are not confirmed", unreadyRetryDelay)
 		return false
 	case !ok:
@@ -184,7 +211,7 @@
 		return false
 	}
 	rq.route = route
-	if !g.authenticate(rq, trusted) {
+	if !g.authenticate(rq) {
 		return false
 	}
 	name := route.Pick(rand.Float64())
@@ -199,7 +226,13 @@
 		g.refuseSend(rq, errStopsFirst)
 		return false
 	}
-	return g.readBody(rq, r)
+	return true
+}
+
+// path returns the path of the request without its query.
+func (rq *request) path() string {
+	path, _, _ := strings.Cut(rq.call.Target, "?")
+	return path
 }
 
 // headerBytes returns the size of the request line and headers on the wire.
@@ -241,12 +274,13 @@
 // authenticate determines the account by the request's key. Only a route table that was confirmed
 // recently enough proves that a key does not exist. A key that may have been revoked since the
 // table was confirmed is accepted unless the operator set HardKeyBound.
-func (g *Gateway) authenticate(rq *request, trusted bool) bool {
+func (g *Gateway) authenticate(rq *request) bool {
+	rq.account, rq.accountPriority = "", 0
 	if !rq.table.NeedsKey(rq.route) {
 		return true
 	}
 	account, ok := rq.table.AccountOf(rq.call.Key)
-	if !trusted && (!ok || g.settings.HardKeyBound) {
+	if !rq.tableTrusted && (!ok || g.settings.HardKeyBound) {
 		g.refuse(rq, http.StatusServiceUnavailable, "the keys are not confirmed", unreadyRetryDelay)
 		return false
 	}
@@ -277,7 +311,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	rq.body, rq.readAt = body, g.now()
-	rq.fingerprint = quarantine.FingerprintOf(rq.call.Method, rq.call.Host, rq.call.Target, rq.account, body)
 	return true
 }
 
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/belief"
 )
 
 // pipeBody replaces the body of a request by one that ends when the writer is closed.
@@ -83,3 +85,39 @@
 		})
 	}
 }
+
+// changeRoutes puts a route table in force that testTable describes.
+func (f *fixture) changeRoutes(text string) {
+	f.routes.Apply(testSnapshot(text), true)
+	f.routes.ConfirmCurrent(time.Now(), belief.Evidence{})
+}
+
+// TestRoutesChangeDuringBody guards against a request that is run as the routes allowed when its headers arrived.
+func TestRoutesChangeDuringBody(t *testing.T) {
+	const maxAge = 500 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		change func(f *fixture)
+		status int
+		// old and moved are the runs at the services of the first routes and at those of later ones.
+		old, moved int
+	}{
+		{"key revoked", func(f *fixture) { f.changeRoutes("2 revoked") }, http.StatusUnauthorized, 0, 0},
+		{"keys unconfirmed", func(*fixture) { time.Sleep(maxAge) }, http.StatusServiceUnavailable, 0, 0},
+		{"routes moved", func(f *fixture) { f.changeRoutes("2 moved") }, http.StatusOK, 0, 1},
+		{"same routes", func(f *fixture) { f.changeRoutes("2") }, http.StatusOK, 1, 0},
+	} {
+		for _, path := range []string{pathOnce, pathStream} {
+			t.Run(tc.name+path, func(t *testing.T) {
+				f := newFixture(t, func(s *Settings) { s.HardKeyBound, s.MaxRoutesAge = true, maxAge })
+				old := []*upstream{f.add("app", "a", serveOK), f.addEngine("e").upstream}
+				moved := []*upstream{f.add("app-2", "a-2", serveOK), f.addEngineTo("llm-2", "e-2").upstream}
+				f.changeRoutes("1")
+				got := f.askWithLateBody(path, func() { tc.change(f) })
+				if got.status != tc.status || old[0].runs()+old[1].runs() != tc.old || moved[0].runs()+moved[1].runs() != tc.moved {
+					t.Errorf("status %d, %q, %d and %d runs; want %d, %d and %d", got.status, got.body, old[0].runs()+old[1].runs(), moved[0].runs()+moved[1].runs(), tc.status, tc.old, tc.moved)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -55,9 +55,12 @@
 	return e.releases
 }
 
-func (f *fixture) addEngine(id string) *engine {
+func (f *fixture) addEngine(id string) *engine { return f.addEngineTo("llm", id) }
+
+// addEngineTo starts an engine of a service.
+func (f *fixture) addEngineTo(service, id string) *engine {
 	e := &engine{f: f, stopped: make(chan struct{}), eventInterval: time.Millisecond}
-	e.upstream = f.add("llm", id, e.serve)
+	e.upstream = f.add(service, id, e.serve)
 	return e
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -266,6 +266,7 @@
 mutant stop-begins-after-end internal/gateway/stop.go 's/\tg\.giveUpUnanswered\(\)\n\tg\.giveUpAll/\tg.giveUpAll/' internal/gateway TestNoAnswerBeginsAfterGiveUp
 mutant stop-closes-early internal/daemon/gatewayhttp.go 's/if at\.Before\(balancerNoticed\)/if false/' internal/daemon TestLateNoticedStopKeepsListener
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
+mutant decide-after-body internal/gateway/request.go 's/(readBody\(rq, r\)) \|\| !g\.readTable\(rq\) \|\| !g\.decide\(rq\)/$1/' internal/gateway TestRoutesChangeDuringBody
 mutant stop-awaits-responses internal/daemon/gatewayhttp.go 's/if least := time\.Now\(\)\.Add\(gateway\.AnswerReserve\); end\.Before\(least\) \{/if least := time.Now().Add(gateway.AnswerReserve); true {/' internal/daemon TestResponsesAreAwaitedUntilTheEndOfAStop
 mutant stop-crowd internal/gateway/stop.go 's/\tg\.unanswered\.keepOldest\(int\(keep\)\)\n//' internal/gateway TestCrowdIsGivenUpInTime
 mutant stop-crowd-pause internal/gateway/stop.go 's/end\.Sub\(g\.now\(\)\)-pause/end.Sub(g.now())-0*pause/' internal/gateway TestCrowdIsGivenUpInTime
