fix(gateway): requests that waited are sent though the routes do not allow them any more

A request that waited for an upstream, the origin of a stream or a second attempt was sent with a key that had been revoked meanwhile or could not be confirmed any more, or to a service that its route had left. Nothing asked the routes again after the request was prepared.

checkSend asks them right before each send of a request whose answer has not begun. Such a request is refused as one that comes now, or with a time to come back if the routes in force would serve it. An answer that has begun goes on.

TestRoutesChangeBeforeSecondAttempt failed before: each of the requests was sent a second time.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -281,7 +281,7 @@
 	}
 	account, ok := rq.table.AccountOf(rq.call.Key)
 	if !rq.tableTrusted && (!ok || g.settings.HardKeyBound) {
-		g.refuse(rq, http.StatusServiceUnavailable, "the keys are not confirmed", unreadyRetryDelay)
+		g.refuseSend(rq, errKeysUnconfirmed)
 		return false
 	}
 	if !ok {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,15 +3,31 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/routetable"
+)
+
+// The reasons for not sending a request that was accepted.
+var (
+	// errStopsFirst means that a planned stop would cut the request.
+	errStopsFirst      = errors.New("this entry stops before the request would end")
+	errKeyRevoked      = errors.New("no account holds this key any more")
+	errKeysUnconfirmed = errors.New("the keys are not confirmed")
+	// errRouteChanged means that the routes in force would decide otherwise.
+	errRouteChanged = errors.New("the route changed while the request waited")
 )
 
-// errStopsFirst means that a planned stop would cut a request.
-var errStopsFirst = errors.New("this entry stops before the request would end")
+// changedRetryDelay is the retry delay of a request whose route has changed. It can be served at once.
+const changedRetryDelay = 50 * time.Millisecond
 
 // checkSend returns why a request must not be sent now, although it was accepted: it may have waited since. It must be
 // called right before each send of a request whose answer has not begun, and does not wait itself.
 func (g *Gateway) checkSend(rq *request) error {
+	if err := g.checkRoutes(rq); err != nil {
+		return err
+	}
 	rq.expected = g.expectedDuration(rq)
 	if g.stopsBefore(rq.expected) {
 		return errStopsFirst
@@ -19,6 +35,50 @@
 	return nil
 }
 
+// checkRoutes returns why the routes in force do not allow a request that earlier ones allowed.
+func (g *Gateway) checkRoutes(rq *request) error {
+	read, trusted := g.readRoutes()
+	if rq.table.NeedsKey(rq.route) && !g.servesKeys(read, trusted) {
+		return errKeysUnconfirmed
+	}
+	if read.Table == rq.table {
+		return nil
+	}
+	switch err := checkTable(rq, read.Table); {
+	case errors.Is(err, errKeyRevoked) && !trusted:
+		return errKeysUnconfirmed
+	case err != nil:
+		return err
+	}
+	rq.setTable(read, trusted, g.now())
+	return nil
+}
+
+// checkTable returns why a later route table does not allow a request to be sent as it was accepted.
+func checkTable(rq *request, later *routetable.Table) error {
+	route, ok := later.Match(rq.call.Host, rq.path())
+	if !ok || route.Repeats() != rq.route.Repeats() || !leadsTo(later, route, rq.service) {
+		return errRouteChanged
+	}
+	if !later.NeedsKey(route) {
+		return nil
+	}
+	account, ok := later.AccountOf(rq.call.Key)
+	switch {
+	case !ok:
+		return errKeyRevoked
+	case account.Name != rq.account:
+		return errRouteChanged
+	}
+	return nil
+}
+
+// leadsTo reports whether a route of a table leads to a service that is known from an earlier table.
+func leadsTo(table *routetable.Table, route *routetable.Route, earlier *routetable.Service) bool {
+	service, ok := table.Service(earlier.Name)
+	return ok && (service.Engine == nil) == (earlier.Engine == nil) && slices.ContainsFunc(route.Shares, func(s routetable.Share) bool { return s.Service == earlier.Name })
+}
+
 // refuseSend answers a request that checkSend did not allow.
 func (g *Gateway) refuseSend(rq *request, why error) {
 	status, retryAfter := http.StatusServiceUnavailable, time.Duration(0)
@@ -27,6 +87,12 @@
 		status = http.StatusBadGateway
 	case errors.Is(why, errStopsFirst):
 		retryAfter = g.retryDelayAfterStop()
+	case errors.Is(why, errKeyRevoked):
+		status = http.StatusUnauthorized
+	case errors.Is(why, errKeysUnconfirmed):
+		retryAfter = unreadyRetryDelay
+	case errors.Is(why, errRouteChanged):
+		retryAfter = changedRetryDelay
 	}
 	g.refuse(rq, status, why.Error(), retryAfter)
 }
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/origin"
 )
 
 // pipeBody replaces the body of a request by one that ends when the writer is closed.
@@ -121,3 +123,59 @@
 		}
 	}
 }
+
+// TestRoutesChangeBeforeSecondAttempt guards against a request that waited and is sent though the routes in force do not
+// allow it any more.
+func TestRoutesChangeBeforeSecondAttempt(t *testing.T) {
+	const maxAge = 500 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		change func(f *fixture)
+		status int
+		reason string
+		sends  int
+	}{
+		{"key revoked", func(f *fixture) { f.changeRoutes("2 revoked") }, http.StatusUnauthorized, errKeyRevoked.Error(), 1},
+		{"keys unconfirmed", func(*fixture) { time.Sleep(maxAge) }, http.StatusServiceUnavailable, errKeysUnconfirmed.Error(), 1},
+		{"routes moved", func(f *fixture) { f.changeRoutes("2 moved") }, http.StatusServiceUnavailable, errRouteChanged.Error(), 1},
+		{"same routes", func(f *fixture) { f.changeRoutes("2") }, http.StatusServiceUnavailable, "", 2},
+	} {
+		for _, path := range []string{pathOnce, pathStream} {
+			t.Run(tc.name+path, func(t *testing.T) {
+				f := newFixture(t, func(s *Settings) { s.HardKeyBound, s.MaxRoutesAge = true, maxAge })
+				refuse := func(w http.ResponseWriter, r *http.Request) {
+					tc.change(f)
+					serveNotRun(w, r)
+				}
+				var upstreams []*upstream
+				for _, id := range []string{"1", "2"} {
+					upstreams = append(upstreams, f.add("app", "a-"+id, refuse), f.add("llm", "e-"+id, refuse))
+				}
+				f.changeRoutes("1")
+				got, sends := f.ask(path), 0
+				for _, u := range upstreams {
+					sends += u.runs()
+				}
+				if got.status != tc.status || !strings.Contains(got.body, tc.reason) || sends != tc.sends {
+					t.Errorf("status %d, %q after %d sends, want %d, %q after %d", got.status, got.body, sends, tc.status, tc.reason, tc.sends)
+				}
+			})
+		}
+	}
+}
+
+// TestBegunAnswerOutlastsItsKey guards against cutting an answer whose key is revoked when it has to go on elsewhere.
+func TestBegunAnswerOutlastsItsKey(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"1", "2"} {
+		e := f.addEngine("e-" + id)
+		e.breakAfter = lastTestEvent / 2
+	}
+	f.confirm = func(origin.Origin) bool {
+		f.changeRoutes("2 revoked")
+		return true
+	}
+	if got := f.ask(pathResume); got.err != nil || !strings.Contains(got.body, fmt.Sprintf("id: %d\n", lastTestEvent)) {
+		t.Errorf("status %d, %q, %v; want a whole stream", got.status, got.body, got.err)
+	}
+}
