fix(gateway): streams that wait are sent although their requests were quarantined meanwhile

A stream that waited for an engine, or whose answer had begun and waited for another one, was sent there although its request had been found to crash engines meanwhile, so it could crash one more. The quarantine was asked before the wait.

It is asked right before each send, for the answers that have begun as well. TestQuarantineWhileStreamWaits failed before: the stream ran after the quarantine.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -28,6 +30,9 @@
 	if err := g.checkRoutes(rq); err != nil {
 		return err
 	}
+	if !rq.run.MaySend() {
+		return quarantine.ErrQuarantined
+	}
 	rq.expected = g.expectedDuration(rq)
 	if g.stopsBefore(rq.expected) {
 		return errStopsFirst
@@ -79,12 +84,36 @@
 	return ok && (service.Engine == nil) == (earlier.Engine == nil) && slices.ContainsFunc(route.Shares, func(s routetable.Share) bool { return s.Service == earlier.Name })
 }
 
+// checkSend returns why the next attempt of a stream must not be sent. An answer that has begun goes on unless its request
+// was quarantined.
+func (s *stream) checkSend() error {
+	if !s.headSent {
+		return s.g.checkSend(s.rq)
+	}
+	if !s.rq.run.MaySend() {
+		return quarantine.ErrQuarantined
+	}
+	return nil
+}
+
+// refuseAttempt ends a stream whose next attempt checkSend did not allow.
+func (s *stream) refuseAttempt(ctx context.Context, why error) {
+	if !s.headSent {
+		s.g.refuseSend(s.rq, why)
+		return
+	}
+	s.notResumedWhy = why.Error()
+	s.abort(ctx)
+}
+
 // refuseSend answers a request that checkSend did not allow.
 func (g *Gateway) refuseSend(rq *request, why error) {
 	status, retryAfter := http.StatusServiceUnavailable, time.Duration(0)
 	switch {
 	case rq.sent:
 		status = http.StatusBadGateway
+	case errors.Is(why, quarantine.ErrQuarantined):
+		g.met.quarantined.Inc()
 	case errors.Is(why, errStopsFirst):
 		retryAfter = g.retryDelayAfterStop()
 	case errors.Is(why, errKeyRevoked):
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // pipeBody replaces the body of a request by one that ends when the writer is closed.
@@ -179,3 +181,37 @@
 		t.Errorf("status %d, %q, %v; want a whole stream", got.status, got.body, got.err)
 	}
 }
+
+// quarantine makes the request for a path and the usual body one that crashed upstreams.
+func (f *fixture) quarantine(path string) {
+	req, now := quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", path, "acme", []byte("body"))}, time.Now()
+	f.gateway.quarantine.Restore([]quarantine.Report{{Request: req, Crashes: map[string]time.Time{"gone 1": now, "gone 2": now, "gone 3": now}}})
+}
+
+// TestQuarantineWhileStreamWaits guards against a stream that waited for an engine and is sent, or goes on, though its
+// request was quarantined meanwhile.
+func TestQuarantineWhileStreamWaits(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprintf("begun %t", begun), func(t *testing.T) {
+			f := newFixture(t)
+			engines := []*engine{f.addEngine("e-1"), f.addEngine("e-2")}
+			for _, e := range engines {
+				e.breakAfter = lastTestEvent / 2
+			}
+			var waits atomic.Bool
+			waits.Store(!begun)
+			f.confirm = func(origin.Origin) bool { waits.Store(true); return true }
+			// An engine is being chosen.
+			f.gateway.peers.Delay = func(string, bool) time.Duration {
+				if waits.CompareAndSwap(true, false) {
+					f.quarantine(pathResume)
+				}
+				return 0
+			}
+			got, runs := f.ask(pathResume), engines[0].runs()+engines[1].runs()
+			if begun && (got.err == nil || runs != 1) || !begun && (got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, quarantine.ErrQuarantined.Error()) || runs != 0) {
+				t.Errorf("status %d, %v, %q, %d runs; want no run after the quarantine", got.status, got.err, got.body, runs)
+			}
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -115,11 +115,9 @@
 	g.overload(rq.service.Name).Admitted(g.now())
 	next, ok := step{at: at, why: "first"}, true
 	for ok {
-		if !s.headSent {
-			if err := g.checkSend(rq); err != nil {
-				g.refuseSend(rq, err)
-				return
-			}
+		if err := s.checkSend(); err != nil {
+			s.refuseAttempt(ctx, err)
+			return
 		}
 		o := s.attempt(ctx, next)
 		exclude[next.at.ID] = true
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -268,7 +268,9 @@
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
 mutant decide-after-body internal/gateway/request.go 's/(readBody\(rq, r\)) \|\| !g\.readTable\(rq\) \|\| !g\.decide\(rq\)/$1/' internal/gateway TestRoutesChangeDuringBody
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
-mutant send-begun-goes-on internal/gateway/stream.go 's/if !s\.headSent \{(\n\t+if err := g\.checkSend)/if true {$1/' internal/gateway TestBegunAnswerOutlastsItsKey
+mutant send-begun-goes-on internal/gateway/send.go 's/if !s\.headSent \{(\n\t\treturn s\.g\.checkSend)/if true {$1/' internal/gateway TestBegunAnswerOutlastsItsKey
+mutant send-quarantine internal/gateway/send.go 's/if !rq\.run\.MaySend\(\)/if false/' internal/gateway TestQuarantineWhileStreamWaits
+mutant send-quarantine-begun internal/gateway/send.go 's/if !s\.rq\.run\.MaySend\(\)/if false/' internal/gateway TestQuarantineWhileStreamWaits
 mutant stop-awaits-responses internal/daemon/gatewayhttp.go 's/if least := time\.Now\(\)\.Add\(gateway\.AnswerReserve\); end\.Before\(least\) \{/if least := time.Now().Add(gateway.AnswerReserve); true {/' internal/daemon TestResponsesAreAwaitedUntilTheEndOfAStop
 mutant stop-crowd internal/gateway/stop.go 's/\tg\.unanswered\.keepOldest\(int\(keep\)\)\n//' internal/gateway TestCrowdIsGivenUpInTime
 mutant stop-crowd-pause internal/gateway/stop.go 's/end\.Sub\(g\.now\(\)\)-pause/end.Sub(g.now())-0*pause/' internal/gateway TestCrowdIsGivenUpInTime
