fix(gateway): requests whose time is over when their bodies arrive are sent

A request whose deadline passed while its body arrived, or whose caller had left, was written to an upstream that had an open connection, and its caller got a 504 as if it might have run. Nothing asked for the time between the body and the send.

No attempt starts any more once the request is over, so the caller is told that it has not run.

--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -22,12 +22,12 @@
 }
 
 // askWithLateBody sends the headers of a request, calls between, and sends the body.
-func (f *fixture) askWithLateBody(path string, between func()) answer {
+func (f *fixture) askWithLateBody(path string, between func(), change ...func(r *http.Request)) answer {
 	f.t.Helper()
 	var body *io.PipeWriter
 	answered := make(chan answer, 1)
 	go func() {
-		answered <- f.ask(path, func(r *http.Request) { body = pipeBody(r); go f.sendBody(body, between) })
+		answered <- f.ask(path, append(change, func(r *http.Request) { body = pipeBody(r); go f.sendBody(body, between) })...)
 	}()
 	return <-answered
 }
@@ -90,6 +90,23 @@
 	}
 }
 
+// TestDeadlinePassesDuringBody guards against a request that is sent when nobody waits for its answer any more.
+func TestDeadlinePassesDuringBody(t *testing.T) {
+	for _, path := range []string{pathOnce, pathStream} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t)
+			app, llm := f.add("app", "a", serveOK), f.addEngine("e")
+			// The connection that this opens takes the next request without a wait.
+			f.ask(path)
+			before := app.runs() + llm.runs()
+			got := f.askWithLateBody(path, func() { time.Sleep(100 * time.Millisecond) }, func(r *http.Request) { r.Header.Set(testDeadline, "50") })
+			if after := app.runs() + llm.runs(); got.status != http.StatusServiceUnavailable || after != before {
+				t.Errorf("status %d, %q, %d sends; want it refused without a send", got.status, got.body, after-before)
+			}
+		})
+	}
+}
+
 // changeRoutes puts a route table in force that testTable describes.
 func (f *fixture) changeRoutes(text string) {
 	f.routes.Apply(testSnapshot(text), true)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -267,6 +267,8 @@
 mutant stop-closes-early internal/daemon/gatewayhttp.go 's/if at\.Before\(balancerNoticed\)/if false/' internal/daemon TestLateNoticedStopKeepsListener
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
 mutant decide-after-body internal/gateway/request.go 's/(readBody\(rq, r\)) \|\| !g\.readTable\(rq\) \|\| !g\.decide\(rq\)/$1/' internal/gateway TestRoutesChangeDuringBody
+mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesDuringBody
+mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesDuringBody
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if !s\.headSent \{(\n\t\treturn s\.g\.checkSend)/if true {$1/' internal/gateway TestBegunAnswerOutlastsItsKey
 mutant send-quarantine internal/gateway/send.go 's/if !rq\.run\.MaySend\(\)/if false/' internal/gateway TestQuarantineWhileStreamWaits
