fix(gateway): requests with late bodies are refused for want of time

A request whose body took longer than a quarter of the objective of its route was refused at once when it found no room or no permit, where others wait, and a generation whose body took nearly the objective was refused wherever a prompt was being read, as it could not begin in time. Its caller had to send the body again. The time that a request may wait and may take to begin was counted from its headers.

It is counted from the moment when the whole request has arrived, and so is its place among those that wait. Deadlines and timeouts are still counted from the headers. TestLateBodyLeavesTimeToWait and TestWaitForRoom (body came late) failed before. Requests in tests that wait state when they were read.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -58,7 +58,7 @@
 	gen := &placement.Generation{Engine: rq.service.Engine, Prompt: rq.call.Prompt, Output: expectedOutput(&rq.call), MaxPause: rq.route.MaxPause, Repeatable: rq.route.Repeats()}
 	gen.Rank = rq.rank()
 	if rq.route.Objective > 0 {
-		gen.StartBy = rq.start.Add(time.Duration(startShare * float64(rq.route.Objective))).Sub(now)
+		gen.StartBy = rq.readAt.Add(time.Duration(startShare * float64(rq.route.Objective))).Sub(now)
 	}
 	// A generation that ends within the notice period of a leaving engine need not be moved.
 	gen.Brief = g.eventInterval.remaining(gen.Output, rq.service.Engine.EventTokens) < placement.MoveWithin
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -41,7 +41,7 @@
 			table, _ := f.routes.Current()
 			route, _ := table.Match("host", pathStream)
 			service, _ := table.Service("llm")
-			rq := &request{run: newQuarantineRun(), route: route, service: service, start: time.Now()}
+			rq := &request{run: newQuarantineRun(), route: route, service: service, start: time.Now(), readAt: time.Now()}
 			rq.call.Prompt, rq.call.MaxOutput = 1000, 1000
 			for range 20 {
 				if u, err := f.gateway.admitEngine(&stream{g: f.gateway, rq: rq}, nil); err != nil || u.ID != tc.want {
@@ -172,6 +172,6 @@
 		g.paces.Add(pace.Segment{Engine: u.ID, Service: "llm", Interval: interval, Longest: 2 * interval, Bound: 180 * time.Millisecond}, time.Now())
 	}
 	service := &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 24, MemoryTokens: 34000, EventTokens: 4}}
-	rq := &request{run: newQuarantineRun(), call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second, MaxPause: 180 * time.Millisecond}, service: service, start: time.Now()}
+	rq := &request{run: newQuarantineRun(), call: protocol.Call{Prompt: 3000, MaxOutput: 1000}, route: &routetable.Route{Objective: time.Second, MaxPause: 180 * time.Millisecond}, service: service, start: time.Now(), readAt: time.Now()}
 	return g, &stream{g: g, rq: rq}
 }
--- a/internal/gateway/headroom_test.go
+++ b/internal/gateway/headroom_test.go
@@ -43,7 +43,7 @@
 			f.fleet.Update([]fleet.Record{{Name: "e", Service: "llm"}}, nil, true, time.Time{})
 			engine := &routetable.Engine{Slots: 24, MemoryTokens: 27000, EventTokens: 4}
 			request := func(c protocol.Call, priority int) *request {
-				return &request{run: newQuarantineRun(), call: c, start: time.Now(), service: &routetable.Service{Name: "llm", Engine: engine},
+				return &request{run: newQuarantineRun(), call: c, start: time.Now(), readAt: time.Now(), service: &routetable.Service{Name: "llm", Engine: engine},
 					route: &routetable.Route{Kind: routetable.Stream, Objective: 1500 * time.Millisecond, Priority: priority}}
 			}
 			for range tc.before {
@@ -74,7 +74,7 @@
 	route, _ := table.Match("host", pathStream)
 	service, _ := table.Service("llm")
 	for range 10 {
-		f.gateway.recordArrival(&request{call: protocol.Call{Prompt: 2000, MaxOutput: 8}, start: time.Now(), service: service, route: route})
+		f.gateway.recordArrival(&request{call: protocol.Call{Prompt: 2000, MaxOutput: 8}, start: time.Now(), readAt: time.Now(), service: service, route: route})
 	}
 	reg := prometheus.NewPedanticRegistry()
 	reg.MustRegister(newHeadroomGauge(f.gateway.headroomByService))
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -221,7 +221,7 @@
 	// Uses up the permits that may be granted now.
 	for f.gateway.limits.Take(t.Context(), "limited") == nil {
 	}
-	rq := &request{route: &routetable.Route{Objective: 100 * time.Millisecond}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}, start: time.Now(), run: newQuarantineRun()}
+	rq := &request{route: &routetable.Route{Objective: 100 * time.Millisecond}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}, start: time.Now(), readAt: time.Now(), run: newQuarantineRun()}
 	s := &stream{g: f.gateway, rq: rq}
 	if _, err := s.admit(t.Context(), nil); !errors.Is(err, errLimited) {
 		t.Errorf("a new generation got %v, want errLimited", err)
@@ -379,7 +379,7 @@
 	f.add("llm", "e", serveOK)
 	f.gateway.limits.NoteLimit("e", 0.1)
 	at, _ := f.gateway.fleet.Get("e")
-	rq := &request{route: &routetable.Route{}, service: &routetable.Service{Name: "llm"}, run: newQuarantineRun(), start: time.Now()}
+	rq := &request{route: &routetable.Route{}, service: &routetable.Service{Name: "llm"}, run: newQuarantineRun(), start: time.Now(), readAt: time.Now()}
 	s := &stream{g: f.gateway, rq: rq, copies: []heldCopy{{at: at}}}
 	if st, ok := s.nextAfterBreak(t.Context(), nil); ok || s.notResumedWhy != errLimited.Error() {
 		t.Errorf("the generation continues at %q (%v), reason %q; want errLimited", st.at.ID, ok, s.notResumedWhy)
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -107,7 +107,7 @@
 
 // permitDeadline returns the time until which a request may wait for a permit.
 func (rq *request) permitDeadline() time.Time {
-	return rq.start.Add(time.Duration(permitShare * float64(rq.route.Objective)))
+	return rq.readAt.Add(time.Duration(permitShare * float64(rq.route.Objective)))
 }
 
 // sleepUntil waits until a time, and for minPermitWait at least. It returns false if ctx ends
--- a/internal/gateway/staleload_test.go
+++ b/internal/gateway/staleload_test.go
@@ -92,7 +92,7 @@
 	o.f.gateway.settings.Zone = o.zones[rand.IntN(len(o.zones))]
 	route := &routetable.Route{Kind: routetable.Stream, Objective: simObjective}
 	service := &routetable.Service{Name: "llm", Engine: &routetable.Engine{Slots: 24, MemoryTokens: 34000, EventTokens: 4}}
-	rq := &request{run: newQuarantineRun(), route: route, service: service, start: o.now}
+	rq := &request{run: newQuarantineRun(), route: route, service: service, start: o.now, readAt: o.now}
 	rq.call.Prompt, rq.call.MaxOutput = simPrompt, 2*simOutput
 	u, err := o.f.gateway.admitEngine(&stream{g: o.f.gateway, rq: rq}, nil)
 	if err != nil {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -19,7 +19,7 @@
 func (s *stream) admitOrWait(ctx context.Context, gen *placement.Generation) (fleet.Upstream, error) {
 	g, rank := s.g, s.rq.rank()
 	line := g.line(s.rq.service.Name)
-	deadline := s.rq.start.Add(placement.MaxWait(s.rq.route.Objective))
+	deadline := s.rq.readAt.Add(placement.MaxWait(s.rq.route.Objective))
 	at, err := fleet.Upstream{}, placement.ErrHeadroom
 	if !s.leavesHeadroom(gen) || !line.Ahead(rank) {
 		at, err = s.admit(ctx, nil)
@@ -27,7 +27,7 @@
 	if !errors.Is(err, placement.ErrHeadroom) || !g.now().Before(deadline) {
 		return at, err
 	}
-	place := line.Join(rank, s.rq.start)
+	place := line.Join(rank, s.rq.readAt)
 	defer line.Leave(place)
 	for errors.Is(err, placement.ErrHeadroom) && ctx.Err() == nil && g.now().Before(deadline) {
 		select {
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -22,7 +22,8 @@
 	f.fleet.Update([]fleet.Record{{Name: "e", Service: "llm"}}, nil, true, time.Time{})
 	engine := &routetable.Engine{Slots: 24, MemoryTokens: 27000, EventTokens: 4}
 	request := func(c protocol.Call, priority int) *request {
-		return &request{run: newQuarantineRun(), caller: f.t.Context(), call: c, start: time.Now(), service: &routetable.Service{Name: "llm", Engine: engine},
+		now := time.Now()
+		return &request{run: newQuarantineRun(), caller: f.t.Context(), call: c, start: now, readAt: now, service: &routetable.Service{Name: "llm", Engine: engine},
 			route: &routetable.Route{Kind: routetable.Stream, Objective: waitObjective, Priority: priority}}
 	}
 	for range 40 {
@@ -44,6 +45,15 @@
 			t.Errorf("got %q, %v; want the engine", u.ID, err)
 		}
 	})
+	t.Run("the body came late", func(t *testing.T) {
+		f := newFixture(t)
+		s, free := f.crowdedStream()
+		s.rq.start = s.rq.readAt.Add(-2 * waitObjective)
+		time.AfterFunc(100*time.Millisecond, free)
+		if u, err := s.admitOrWait(t.Context(), f.gateway.generationOf(s.rq, s.rq.readAt)); err != nil || u.ID != "e" {
+			t.Errorf("got %q, %v; want the engine", u.ID, err)
+		}
+	})
 	t.Run("no room", func(t *testing.T) {
 		f := newFixture(t)
 		s, _ := f.crowdedStream()
@@ -76,3 +86,15 @@
 		}
 	})
 }
+
+// TestLateBodyLeavesTimeToWait guards against refusing a request for the time that its body took.
+func TestLateBodyLeavesTimeToWait(t *testing.T) {
+	f, now := newFixture(t), time.Now()
+	rq := &request{start: now.Add(-time.Minute), readAt: now, route: &routetable.Route{Objective: waitObjective}, service: &routetable.Service{Engine: &routetable.Engine{}}}
+	if got := f.gateway.generationOf(rq, now).StartBy; got <= waitObjective/2 {
+		t.Errorf("the generation has to start within %s, the objective is %s", got, waitObjective)
+	}
+	if got := rq.permitDeadline(); !got.After(now) {
+		t.Errorf("the request waits for a permit until %s before its body arrived", now.Sub(got))
+	}
+}
