fix(gateway): a request that may have run waits and is repeated although upstreams crashed under it meanwhile

A request whose first attempt broke off may be repeated once if one upstream crashed under it. Whether that holds was asked before the wait for an upstream, a permit or the retry budget, so it was sent to one more upstream although others had crashed under it by then.

It is asked right before the send. TestCrashesWhileRequestWaits failed before for the rest of a stream and for a call: both ran a second time. The test replaces TestQuarantineWhileStreamWaits, whose cases it contains.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,8 +30,8 @@
 	if err := g.checkRoutes(rq); err != nil {
 		return err
 	}
-	if !rq.run.MaySend() {
-		return quarantine.ErrQuarantined
+	if err := checkCrashes(rq, rq.sent); err != nil {
+		return err
 	}
 	rq.expected = g.expectedDuration(rq)
 	if g.stopsBefore(rq.expected) {
@@ -84,18 +84,27 @@
 	return ok && (service.Engine == nil) == (earlier.Engine == nil) && slices.ContainsFunc(route.Shares, func(s routetable.Share) bool { return s.Service == earlier.Name })
 }
 
-// checkSend returns why the next attempt of a stream must not be sent. An answer that has begun goes on unless its request
-// was quarantined.
-func (s *stream) checkSend() error {
-	if !s.headSent {
-		return s.g.checkSend(s.rq)
-	}
-	if !s.rq.run.MaySend() {
+// checkCrashes returns why the crashes of upstreams during a request do not allow to send it. repeats is set if it may
+// have run.
+func checkCrashes(rq *request, repeats bool) error {
+	switch {
+	case !rq.run.MaySend():
 		return quarantine.ErrQuarantined
+	case repeats && !rq.run.MayRepeat():
+		return quarantine.ErrOnTrial
 	}
 	return nil
 }
 
+// checkSend returns why the next attempt of a stream must not be sent. An answer that has begun goes on unless upstreams
+// crashed under its request.
+func (s *stream) checkSend(next step) error {
+	if s.headSent {
+		return checkCrashes(s.rq, next.from == nil)
+	}
+	return s.g.checkSend(s.rq)
+}
+
 // refuseAttempt ends a stream whose next attempt checkSend did not allow.
 func (s *stream) refuseAttempt(ctx context.Context, why error) {
 	if !s.headSent {
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -199,35 +199,61 @@
 	}
 }
 
-// quarantine makes the request for a path and the usual body one that crashed upstreams.
-func (f *fixture) quarantine(path string) {
-	req, now := quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", path, "acme", []byte("body"))}, time.Now()
-	f.gateway.quarantine.Restore([]quarantine.Report{{Request: req, Crashes: map[string]time.Time{"gone 1": now, "gone 2": now, "gone 3": now}}})
+// suspect makes the request for a path and the usual body one under which upstreams crashed.
+func (f *fixture) suspect(path string, crashes int) {
+	req := quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", path, "acme", []byte("body"))}
+	r := quarantine.Report{Request: req, Crashes: map[string]time.Time{}}
+	for i := range crashes {
+		r.Crashes[fmt.Sprintf("gone %d", i)] = time.Now()
+	}
+	f.gateway.quarantine.Restore([]quarantine.Report{r})
 }
 
-// TestQuarantineWhileStreamWaits guards against a stream that waited for an engine and is sent, or goes on, though its
-// request was quarantined meanwhile.
-func TestQuarantineWhileStreamWaits(t *testing.T) {
-	for _, begun := range []bool{false, true} {
-		t.Run(fmt.Sprintf("begun %t", begun), func(t *testing.T) {
+// TestCrashesWhileRequestWaits guards against a request that waited for an upstream and is sent, or sent again, though
+// others crashed under it meanwhile.
+func TestCrashesWhileRequestWaits(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		// armed is set if the crashes become known before the first attempt.
+		armed   bool
+		crashes int
+		status  int
+		reason  string
+		runs    int
+	}{
+		{"new stream quarantined", pathResume, true, 3, http.StatusServiceUnavailable, quarantine.ErrQuarantined.Error(), 0},
+		{"begun stream quarantined", pathResume, false, 3, http.StatusOK, "", 1},
+		{"begun stream repeated", pathResume, false, 2, http.StatusOK, "", 1},
+		{"call repeated", pathSafe, false, 2, http.StatusBadGateway, "", 1},
+		{"nothing crashed", pathResume, false, 0, http.StatusOK, fmt.Sprintf("id: %d\n", lastTestEvent), 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
-			engines := []*engine{f.addEngine("e-1"), f.addEngine("e-2")}
-			for _, e := range engines {
-				e.breakAfter = lastTestEvent / 2
-			}
 			var waits atomic.Bool
-			waits.Store(!begun)
+			waits.Store(tc.armed)
 			f.confirm = func(origin.Origin) bool { waits.Store(true); return true }
-			// An engine is being chosen.
+			var upstreams []*upstream
+			for _, id := range []string{"1", "2"} {
+				e := f.addEngine("e-" + id)
+				e.breakAfter = lastTestEvent / 2
+				upstreams = append(upstreams, e.upstream, f.add("app", "a-"+id, func(w http.ResponseWriter, r *http.Request) {
+					waits.Store(true)
+					serveBreak(w, r)
+				}))
+			}
+			// An upstream is being chosen.
 			f.gateway.peers.Delay = func(string, bool) time.Duration {
-				if waits.CompareAndSwap(true, false) {
-					f.quarantine(pathResume)
+				if waits.CompareAndSwap(true, false) && tc.crashes > 0 {
+					f.suspect(tc.path, tc.crashes)
 				}
 				return 0
 			}
-			got, runs := f.ask(pathResume), engines[0].runs()+engines[1].runs()
-			if begun && (got.err == nil || runs != 1) || !begun && (got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, quarantine.ErrQuarantined.Error()) || runs != 0) {
-				t.Errorf("status %d, %v, %q, %d runs; want no run after the quarantine", got.status, got.err, got.body, runs)
+			got, runs := f.ask(tc.path), 0
+			for _, u := range upstreams {
+				runs += u.runs()
+			}
+			if got.status != tc.status || !strings.Contains(got.body, tc.reason) || runs != tc.runs {
+				t.Errorf("status %d, %v, %q, %d runs; want %d, %q and %d", got.status, got.err, got.body, runs, tc.status, tc.reason, tc.runs)
 			}
 		})
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -115,7 +115,7 @@
 	g.overload(rq.service.Name).Admitted(g.now())
 	next, ok := step{at: at, why: "first"}, true
 	for ok && ctx.Err() == nil {
-		if err := s.checkSend(); err != nil {
+		if err := s.checkSend(next); err != nil {
 			s.refuseAttempt(ctx, err)
 			return
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -273,9 +273,9 @@
 mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesDuringBody
 mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesDuringBody
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
-mutant send-begun-goes-on internal/gateway/send.go 's/if !s\.headSent \{(\n\t\treturn s\.g\.checkSend)/if true {$1/' internal/gateway TestBegunAnswerOutlastsItsKey
-mutant send-quarantine internal/gateway/send.go 's/if !rq\.run\.MaySend\(\)/if false/' internal/gateway TestQuarantineWhileStreamWaits
-mutant send-quarantine-begun internal/gateway/send.go 's/if !s\.rq\.run\.MaySend\(\)/if false/' internal/gateway TestQuarantineWhileStreamWaits
+mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
+mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
+mutant send-repeats internal/gateway/send.go 's/case repeats && /case false \&\& /' internal/gateway TestCrashesWhileRequestWaits
 mutant stop-awaits-responses internal/daemon/gatewayhttp.go 's/if least := time\.Now\(\)\.Add\(gateway\.AnswerReserve\); end\.Before\(least\) \{/if least := time.Now().Add(gateway.AnswerReserve); true {/' internal/daemon TestResponsesAreAwaitedUntilTheEndOfAStop
 mutant stop-crowd internal/gateway/stop.go 's/\tg\.unanswered\.keepOldest\(int\(keep\)\)\n//' internal/gateway TestCrowdIsGivenUpInTime
 mutant stop-crowd-pause internal/gateway/stop.go 's/end\.Sub\(g\.now\(\)\)-pause/end.Sub(g.now())-0*pause/' internal/gateway TestCrowdIsGivenUpInTime
