fix(gateway): callers whose requests came before a stop are told to keep their connections

A response to a request whose headers were read before a planned stop did not end its connection, although the stop had begun by the time of the response. The caller sent its next request, and the one that the stop had refused with 50 ms to come back, to the entry that was stopping. The header was set when the headers were read.

It is set right before the response begins. TestStopDuringBodyEndsConnection failed before for a call, a stream and a refusal.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -392,6 +392,7 @@
 	g.proto.CopyHeaders(r.header, h)
 	size := r.body.size()
 	h.Set("Content-Length", strconv.Itoa(size))
+	g.closeIfStopping(rq)
 	rq.w.WriteHeader(r.status)
 	g.writeResponse(rq, r.body)
 	elapsed := g.now().Sub(rq.start)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -109,6 +109,7 @@
 	s.headSent = true
 	s.begin(ctx, st.at)
 	g.proto.CopyHeaders(answer.Header, s.rq.w.Header())
+	s.g.closeIfStopping(s.rq)
 	s.rq.w.WriteHeader(answer.Status)
 	s.timeToFirstEvent = now.Sub(s.rq.start)
 	g.met.observeFirstEvent(s.timeToFirstEvent)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -92,9 +92,6 @@
 	rq.memory = g.newMemoryHolder(w)
 	defer rq.memory.Close()
 	defer g.recoverPanic(rq)
-	if !g.StopDeadline().IsZero() {
-		w.Header().Set("Connection", "close")
-	}
 	if !g.prepareRequest(rq, r) {
 		return
 	}
@@ -314,6 +311,14 @@
 	return true
 }
 
+// closeIfStopping makes a response the last one on its connection during a planned stop. It must be called right before
+// the response begins, since the stop may begin after the request.
+func (g *Gateway) closeIfStopping(rq *request) {
+	if !g.StopDeadline().IsZero() {
+		rq.w.Header().Set("Connection", "close")
+	}
+}
+
 // refuse answers a request with an error of this system; retryAfter is 0 for no retry. A status
 // that promises that the request has not run may be used only if no upstream can have run it.
 func (g *Gateway) refuse(rq *request, status int, reason string, retryAfter time.Duration) {
@@ -328,6 +333,7 @@
 	}
 	rq.note(g.rec)(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
 	g.met.refused(status)
+	g.closeIfStopping(rq)
 	g.proto.Refuse(rq.w, &rq.call, refusal, now)
 }
 
@@ -381,6 +387,7 @@
 	}
 	g.callerDisconnected(rq, "waiting", rq.caller.Err())
 	// A caller that closed only its sending side still waits for an answer.
+	g.closeIfStopping(rq)
 	g.proto.Refuse(rq.w, &rq.call, protocol.Refusal{Status: status, Reason: reason}, g.now())
 }
 
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// TestStopDuringBodyEndsConnection guards against a stopping gateway that gets the next request of a caller whose request
+// it had got before the stop.
+func TestStopDuringBodyEndsConnection(t *testing.T) {
+	for _, tc := range []struct {
+		path   string
+		left   time.Duration
+		status int
+	}{{pathOnce, time.Minute, http.StatusOK}, {pathStream, 2 * time.Minute, http.StatusOK}, {pathOnce, plainCallTime / 2, http.StatusServiceUnavailable}} {
+		t.Run(fmt.Sprintf("%s %s", tc.path, tc.left), func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "a", serveOK)
+			f.addEngine("e")
+			got := f.askWithLateBody(tc.path, func() { f.gateway.Drain(time.Now().Add(tc.left)) })
+			if got.status != tc.status || !got.closes {
+				t.Errorf("status %d, closes: %t; want %d and the end of the connection", got.status, got.closes, tc.status)
+			}
+		})
+	}
+}
+
 // TestStopBeforeSecondAttempt guards against a second attempt that a planned stop would cut.
 func TestStopBeforeSecondAttempt(t *testing.T) {
 	for _, path := range []string{pathSafe, pathStream} {
