fix(gateway): copies that are not used stay at their engines

A copy of a generation's memory that was taken to resume from stayed at its engine, in the memory that other generations need, when the retry budget or a rate limit did not allow the attempt or its request was quarantined. Only the copies that had not been taken were released.

A copy that is not used goes back to those of the stream, which releases them at its end. TestUnusedCopyIsReleased fails in its three cases if it does not.

--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
@@ -36,19 +38,18 @@
 		held, ok = s.takeCopy()
 	}
 	if ctx.Err() != nil {
+		s.returnCopy(held)
 		return step{}, false
 	}
 	if !s.rq.run.MaySend() {
 		s.notResumedWhy = quarantine.ErrQuarantined.Error()
+		s.returnCopy(held)
 		return step{}, false
 	}
 	if ok {
-		if !s.takeReservedAttempt() && !s.awaitRetryBudget(ctx) {
-			s.notResumedWhy = "the retry budget is used up"
-			return step{}, false
-		}
-		if err := s.g.awaitPermit(ctx, held.at.ID, s.g.now().Add(resumeWait)); err != nil {
+		if err := s.awaitAttempt(ctx, held.at); err != nil {
 			s.notResumedWhy = err.Error()
+			s.returnCopy(held)
 			return step{}, false
 		}
 		return step{at: held.at, from: &held.copy, why: "copy"}, true
@@ -77,6 +78,17 @@
 	resumePollInterval = 20 * time.Millisecond
 )
 
+// errRetriesUsedUp means that the retry budget allows no attempt.
+var errRetriesUsedUp = errors.New("the retry budget is used up")
+
+// awaitAttempt waits until a generation may be resumed from a copy at an engine.
+func (s *stream) awaitAttempt(ctx context.Context, at fleet.Upstream) error {
+	if !s.takeReservedAttempt() && !s.awaitRetryBudget(ctx) {
+		return errRetriesUsedUp
+	}
+	return s.g.awaitPermit(ctx, at.ID, s.g.now().Add(resumeWait))
+}
+
 // awaitRetryBudget takes an attempt from the retry budget, waiting up to resumeWait until there is
 // one.
 func (s *stream) awaitRetryBudget(ctx context.Context) bool {
@@ -107,6 +119,16 @@
 	return heldCopy{}, false
 }
 
+// returnCopy undoes takeCopy for a copy that was not used, so that it is tried next or released. It ignores the zero value.
+func (s *stream) returnCopy(held heldCopy) {
+	if held == (heldCopy{}) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies = slices.Insert(s.copies, 0, held)
+}
+
 // awaitHandover waits until the copy command that stops the generation has been answered, for
 // handoverTimeout at most.
 func (s *stream) awaitHandover(ctx context.Context) {
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sparshore/sparshore/internal/protocol"
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -64,3 +65,43 @@
 		})
 	}
 }
+
+// TestUnusedCopyIsReleased guards against a copy that stays in the memory of an engine because the generation may not be
+// resumed from it.
+func TestUnusedCopyIsReleased(t *testing.T) {
+	next := func(s *stream) { _, _ = s.nextAfterBreak(s.rq.caller, nil) }
+	for _, tc := range []struct {
+		name   string
+		forbid func(f *fixture)
+		resume func(s *stream)
+	}{
+		{"no permit", func(f *fixture) { f.gateway.limits.NoteLimit("e", 0.1) }, next},
+		{"quarantined", func(f *fixture) { f.suspect(pathStream, 3) }, next},
+		{"quarantined while it waited", func(*fixture) {}, func(s *stream) {
+			defer func() { _ = recover() }()
+			held, _ := s.takeCopy()
+			s.refuseAttempt(s.rq.caller, step{at: held.at, from: &held.copy}, quarantine.ErrQuarantined)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			e := f.addEngine("e")
+			e.copies = []protocol.CopyResult{{}}
+			at, _ := f.fleet.Get("e")
+			run, err := f.gateway.quarantine.Enter(t.Context(), usualRequest(pathStream), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			rq := &request{caller: t.Context(), run: run, route: &routetable.Route{}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{EventTokens: 4}}}
+			s := &stream{g: f.gateway, rq: rq, headSent: true, copies: []heldCopy{{at: at, copy: protocol.Copy{Handle: "h"}}}}
+			tc.forbid(f)
+			tc.resume(s)
+			s.end()
+			for deadline := time.Now().Add(signalTimeout); e.released() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the copy is not released")
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -106,7 +106,10 @@
 }
 
 // refuseAttempt ends a stream whose next attempt checkSend did not allow.
-func (s *stream) refuseAttempt(ctx context.Context, why error) {
+func (s *stream) refuseAttempt(ctx context.Context, next step, why error) {
+	if next.from != nil {
+		s.returnCopy(heldCopy{copy: *next.from, at: next.at})
+	}
 	if !s.headSent {
 		s.g.refuseSend(s.rq, why)
 		return
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -219,10 +219,14 @@
 	}
 }
 
+// usualRequest returns the request for a path and the usual body, as the quarantine knows it.
+func usualRequest(path string) quarantine.Request {
+	return quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", path, "acme", []byte("body"))}
+}
+
 // suspect makes the request for a path and the usual body one under which upstreams crashed.
 func (f *fixture) suspect(path string, crashes int) {
-	req := quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", path, "acme", []byte("body"))}
-	r := quarantine.Report{Request: req, Crashes: map[string]time.Time{}}
+	r := quarantine.Report{Request: usualRequest(path), Crashes: map[string]time.Time{}}
 	for i := range crashes {
 		r.Crashes[fmt.Sprintf("gone %d", i)] = time.Now()
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 	next, ok := step{at: at, why: "first"}, true
 	for ok && ctx.Err() == nil {
 		if err := s.checkSend(next); err != nil {
-			s.refuseAttempt(ctx, err)
+			s.refuseAttempt(ctx, next, err)
 			return
 		}
 		o := s.attempt(ctx, next)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -271,6 +271,7 @@
 mutant late-body-permit internal/gateway/permit.go 's/return rq\.readAt/return rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
 mutant late-body-start internal/gateway/choose.go 's/gen\.StartBy = rq\.readAt/gen.StartBy = rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
 mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
+mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
 mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesDuringBody
 mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesDuringBody
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
