--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -272,8 +272,17 @@
 mutant stop-closes-early internal/daemon/gatewayhttp.go 's/if at\.Before\(balancerNoticed\)/if false/' internal/daemon TestLateNoticedStopKeepsListener
 mutant stop-unsent-return internal/gateway/request.go 's/case !rq\.sent && stopped:/case false:/' internal/gateway TestRetryDelayOfUnsentRequestGivenUp
 mutant decide-after-body internal/gateway/request.go 's/(readBody\(rq, r\)) \|\| !g\.readTable\(rq\) \|\| !g\.decide\(rq\)/$1/' internal/gateway TestRoutesChangeDuringBody
+mutant late-body-room internal/gateway/wait.go 's/deadline := s\.rq\.readAt/deadline := s.rq.start/' internal/gateway TestWaitForRoom
+mutant late-body-permit internal/gateway/permit.go 's/return rq\.readAt/return rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
+mutant late-body-start internal/gateway/choose.go 's/gen\.StartBy = rq\.readAt/gen.StartBy = rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
+mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
+mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
+mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesDuringBody
+mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesDuringBody
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
-mutant send-begun-goes-on internal/gateway/stream.go 's/if !s\.headSent \{(\n\t+if err := g\.checkSend)/if true {$1/' internal/gateway TestBegunAnswerOutlastsItsKey
+mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
+mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
+mutant send-repeats internal/gateway/send.go 's/case repeats && /case false \&\& /' internal/gateway TestCrashesWhileRequestWaits
 mutant stop-awaits-responses internal/daemon/gatewayhttp.go 's/if least := time\.Now\(\)\.Add\(gateway\.AnswerReserve\); end\.Before\(least\) \{/if least := time.Now().Add(gateway.AnswerReserve); true {/' internal/daemon TestResponsesAreAwaitedUntilTheEndOfAStop
 mutant stop-crowd internal/gateway/stop.go 's/\tg\.unanswered\.keepOldest\(int\(keep\)\)\n//' internal/gateway TestCrowdIsGivenUpInTime
 mutant stop-crowd-pause internal/gateway/stop.go 's/end\.Sub\(g\.now\(\)\)-pause/end.Sub(g.now())-0*pause/' internal/gateway TestCrowdIsGivenUpInTime
