fix(entry): requests run with keys that were revoked while their bodies arrived

An entry checked the key of a request by its headers and served it by the configuration of that moment once the body had arrived, however long that took, so a call or a completion ran with a key, a model and a pool that were no longer in force.

The key and the configuration are determined again when the body has arrived. TestKeyRevokedWhileBodyArrives failed before with status 200 for a call and for a completion.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -138,7 +138,7 @@
 			e.resumeStream(w, r, api, id)
 			return
 		}
-		j, apiErr := e.newJob(w, r, api)
+		j, apiErr := e.newJob(w, &r, api)
 		if apiErr != nil {
 			e.refuse(w, r.id, apiErr, time.Time{})
 			return
@@ -153,8 +153,8 @@
 	}
 }
 
-func (e *Entry) newJob(w http.ResponseWriter, r callerRequest, api completionAPI) (*job, *apiError) {
-	body, apiErr := e.readBody(w, r.Request)
+func (e *Entry) newJob(w http.ResponseWriter, r *callerRequest, api completionAPI) (*job, *apiError) {
+	body, apiErr := e.readCallerBody(w, r)
 	if apiErr != nil {
 		return nil, apiErr
 	}
@@ -172,7 +172,7 @@
 		return nil, errBadBody.withMessage(err.Error())
 	}
 	return &job{
-		callerRequest: r, api: api, req: req, pool: pool, body: body, created: e.now().Unix(),
+		callerRequest: *r, api: api, req: req, pool: pool, body: body, created: e.now().Unix(),
 		gen: sidecar.Generate{
 			Request: r.id, Version: r.active.Version(), Account: r.account.Name, Model: req.Model, Path: api.path,
 			Body: full, Prompt: req.promptTokens(), MaxTokens: req.maxTokens(),
@@ -363,6 +363,10 @@
 		c, _ := parseCompletion(body, api)
 		model = c.Model
 	}
+	if apiErr := r.authenticate(e.activeConfig()); apiErr != nil {
+		e.refuse(w, r.id, apiErr, time.Time{})
+		return
+	}
 	st, err := e.resume(r.Context(), generation, offset, r.account.Name)
 	if err != nil {
 		e.rec.Note(events.RequestRefused, r.id, "code", errNoStream.code, "error", err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -194,21 +194,32 @@
 			writeError(w, errNotReady, sidecar.NotRun, e.now().Add(time.Second), e.now())
 			return
 		}
-		account, ok := active.Config().AccountOfKey(bearer(r))
-		if !ok {
-			writeError(w, errBadKey, sidecar.NotRun, time.Time{}, e.now())
+		cr := callerRequest{Request: r, id: id}
+		if apiErr := cr.authenticate(active); apiErr != nil {
+			writeError(w, apiErr, sidecar.NotRun, time.Time{}, e.now())
 			return
 		}
+		account := cr.account
 		if !e.acquireSlot(account) {
 			writeError(w, errConcurrency, sidecar.NotRun, e.now().Add(time.Second), e.now())
 			return
 		}
 		defer e.releaseSlot(account)
 		e.rec.Note(events.RequestReceived, id, "account", account.Name, "path", r.URL.Path)
-		h(w, callerRequest{Request: r, id: id, account: account, active: active})
+		h(w, cr)
 	}
 }
 
+// authenticate determines the account by the request's key, and makes a configuration the one to serve it by.
+func (r *callerRequest) authenticate(active *config.Active) *apiError {
+	account, ok := active.Config().AccountOfKey(bearer(r.Request))
+	if !ok {
+		return errBadKey
+	}
+	r.account, r.active = account, active
+	return nil
+}
+
 // bearer returns the bearer token of a request, empty if there is none.
 func bearer(r *http.Request) string {
 	const prefix = "Bearer "
@@ -354,6 +365,15 @@
 	}
 }
 
+// readCallerBody is readBody for a request that is served by the configuration in force once its body has arrived.
+func (e *Entry) readCallerBody(w http.ResponseWriter, r *callerRequest) ([]byte, *apiError) {
+	body, apiErr := e.readBody(w, r.Request)
+	if apiErr != nil {
+		return nil, apiErr
+	}
+	return body, r.authenticate(e.activeConfig())
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -49,16 +49,20 @@
 
 // service forwards a call to a plain service.
 func (e *Entry) service(w http.ResponseWriter, r callerRequest) {
-	pool, ok := e.servicePool(r)
-	if !ok {
+	if _, ok := e.servicePool(r); !ok {
 		e.refuse(w, r.id, errNoPool, time.Time{})
 		return
 	}
-	body, apiErr := e.readBody(w, r.Request)
+	body, apiErr := e.readCallerBody(w, &r)
 	if apiErr != nil {
 		e.refuse(w, r.id, apiErr, time.Time{})
 		return
 	}
+	pool, ok := e.servicePool(r)
+	if !ok {
+		e.refuse(w, r.id, errNoPool, time.Time{})
+		return
+	}
 	run, ok := e.enterQuarantine(w, r, pool.Name, body)
 	if !ok {
 		return
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -252,6 +252,7 @@
 mutant held-entry-generation internal/entry/completions.go 's/\t\te\.reportCrash\(j\.run, part\.EndedIncarnation\(\)\)\n//' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-call internal/sidecar/calls.go 's/\treturn s\.incarnations\.endedDuring\(ctx, sentAt\)\n/\treturn ""\n/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-sidecar internal/entry/crashing.go 's/\trun\.ResponseLost\(incarnation\)\n\tgo func/\tgo func/' internal/scenario TestRequestThatCrashesSidecars
+mutant entry-key-after-body internal/entry/entry.go 's/return body, r\.authenticate\(e\.activeConfig\(\)\)/return body, nil/' internal/scenario TestKeyRevokedWhileBodyArrives
 mutant held-entry-told internal/membership/set.go 's/quarantine\.Encode\(status\.Suspects/quarantine.Encode(status.Suspects[:0]/; s/process, r\.Suspects\)/process, r.Suspects[:0])/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 
 mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/signalled, earliest = b\.stalls\.earliestSignal\(\), /signalled, earliest = time.Now(), /' internal/daemon TestStopSignalTimes
