fix(gateway): requests whose bodies do not arrive are never answered

A caller whose body stopped arriving got no answer at its deadline nor at the timeout of its route, and what had been read of the body stayed in memory for as long as the connection lasted. The deadline was asked once the body was whole.

The body is awaited until the deadline and no longer; then the answer is 408, which says that the request has not run, and the connection ends. TestDeadlinePassesDuringBody fails without the limit.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -290,11 +291,20 @@
 }
 
 // readBody reads the whole body before the request is sent, so that the request can be repeated
-// and a slow caller does not occupy a slot of an upstream.
+// and a slow caller does not occupy a slot of an upstream. A body that has not arrived by the deadline is not awaited.
 func (g *Gateway) readBody(rq *request, r *http.Request) bool {
+	if r.ContentLength != 0 {
+		c := http.NewResponseController(rq.w)
+		_ = c.SetReadDeadline(rq.deadline)
+		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	}
 	body, err := g.readRequestBody(rq, http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		rq.w.Header().Set("Connection", "close")
+		g.refuse(rq, http.StatusRequestTimeout, "the body did not arrive in time", 0)
+		return false
 	case errors.Is(err, errMemory):
 		// Otherwise net/http would wait for a part of the rest of the body before it sends the refusal.
 		rq.w.Header().Set("Connection", "close")
