link: a request whose context has ended is not sent

The two checks before an attempt that made are one now, right before the request is written, where an idle connection was taken without asking whether the request is over. With the checks in the gateway TestAnswerReadyAtDeadlineIsDelivered failed, which starts a call whose context has ended; it passes again, unchanged.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -243,7 +243,7 @@
 	if errors.Is(err, errLimited) {
 		c.limited = err
 	}
-	if err != nil || ctx.Err() != nil {
+	if err != nil {
 		return false
 	}
 	if c.refused = c.g.checkSend(c.rq); c.refused != nil {
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/protocol"
 	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
@@ -236,7 +237,7 @@
 	f := newFixture(t)
 	for _, id := range []string{"1", "2"} {
 		e := f.addEngine("e-" + id)
-		e.breakAfter = lastTestEvent / 2
+		e.breakAfter, e.copies = lastTestEvent/2, []protocol.CopyResult{{}}
 	}
 	f.confirm = func(origin.Origin) bool {
 		f.changeRoutes("2 revoked")
@@ -287,7 +288,7 @@
 			var upstreams []*upstream
 			for _, id := range []string{"1", "2"} {
 				e := f.addEngine("e-" + id)
-				e.breakAfter = lastTestEvent / 2
+				e.breakAfter, e.copies = lastTestEvent/2, []protocol.CopyResult{{}}
 				upstreams = append(upstreams, e.upstream, f.add("app", "a-"+id, func(w http.ResponseWriter, r *http.Request) {
 					waits.Store(true)
 					serveBreak(w, r)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -114,7 +114,7 @@
 	}
 	g.overload(rq.service.Name).Admitted(g.now())
 	next, ok := step{at: at, why: "first"}, true
-	for ok && ctx.Err() == nil {
+	for ok {
 		if err := s.checkSend(next); err != nil {
 			s.refuseAttempt(ctx, next, err)
 			return
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -164,8 +164,11 @@
 
 // Do sends one request and reads the head of its answer. When ctx ends, also while the body is
 // read, bytes received by then can still be read, and the connection is closed. If ctx is
-// cancelled before the head was read, this happens HeadGrace later.
+// cancelled before the head was read, this happens HeadGrace later. Nothing is sent if ctx has ended before.
 func (p *Pool) Do(ctx context.Context, address string, req Request) (*Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	c, err := p.connect(ctx, req.idleKey(address), req.ID, req.OwnConnection)
 	if err != nil {
 		return nil, err
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -274,8 +274,7 @@
 mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
 mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
 mutant body-in-time internal/gateway/request.go 's/\t\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
-mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesBeforeSend
-mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesBeforeSend
+mutant link-over internal/link/link.go 's/if err := ctx\.Err\(\); err != nil \{\n\t\treturn nil, fmt\.Errorf\("%w: %w", ErrNotSent, err\)/if err := ctx.Err(); false {\n\t\treturn nil, err/' internal/gateway TestDeadlinePassesBeforeSend
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
 mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
