--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -252,6 +252,7 @@
 mutant held-entry-generation internal/entry/completions.go 's/\t\te\.reportCrash\(j\.run, part\.EndedIncarnation\(\)\)\n//' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-call internal/sidecar/calls.go 's/\treturn s\.incarnations\.endedDuring\(ctx, sentAt\)\n/\treturn ""\n/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-sidecar internal/entry/crashing.go 's/\trun\.ResponseLost\(incarnation\)\n\tgo func/\tgo func/' internal/scenario TestRequestThatCrashesSidecars
+mutant entry-key-after-body internal/entry/entry.go 's/return body, r\.authenticate\(e\.activeConfig\(\)\)/return body, nil/' internal/scenario TestKeyRevokedWhileBodyArrives
 mutant held-entry-told internal/membership/set.go 's/quarantine\.Encode\(status\.Suspects/quarantine.Encode(status.Suspects[:0]/; s/process, r\.Suspects\)/process, r.Suspects[:0])/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 
 mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/signalled, earliest = b\.stalls\.earliestSignal\(\), /signalled, earliest = time.Now(), /' internal/daemon TestStopSignalTimes
@@ -277,8 +278,8 @@
 mutant late-body-start internal/gateway/choose.go 's/gen\.StartBy = rq\.readAt/gen.StartBy = rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
 mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
 mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
-mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesDuringBody
-mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesDuringBody
+mutant body-in-time internal/gateway/request.go 's/\t\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
+mutant link-over internal/link/link.go 's/if err := ctx\.Err\(\); err != nil \{\n\t\treturn nil, fmt\.Errorf\("%w: %w", ErrNotSent, err\)/if err := ctx.Err(); false {\n\t\treturn nil, err/' internal/gateway TestDeadlinePassesBeforeSend
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
 mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
