fix(gateway): a stop expects streams to take as long as in a calm moment

Callers saw streams cut at the end of a planned stop that were sent later than 3 s after SIGTERM, where engines had become slow, and refusals of streams that would have ended.

A stream counted as beginning within the objective of its route and as lasting 1.25 times its longest output at one interval between events: a mean over the complete streams of all engines and services, into which the first samples went with a tenth of their weight.

Now each engine has a forecast of its own, asked right before the send: - its pace is that of the events of the last second, as they come, or the median of its latest 16 intervals if that is longer, so that an engine that became slower is known after a few events; - its start is the time to read the prompts that are queued there, plus the longest delay of the generations that began within 2 s. One that is awaited for longer than that is expected to take as long again; - the margin is the largest error of the latest forecasts of the service, which for a long stream is smaller by the square root of its events. What was measured at the service stands in for an engine that is not known, and the objective for a service that is not. By the headers only a stream is refused that could not end at the faster engines of its service. A stream has to end before answers are cut: it was accepted up to 0.1 s too late.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,11 @@
 	rq.run.SentTo(st.at.ID)
 	sentAt := g.now()
 	s.sentAt = sentAt
+	startEnded := func(bool) {}
+	if st.from == nil {
+		startEnded = s.awaitStart(st.at, sentAt)
+	}
+	defer startEnded(false)
 	unreadTokens := s.unreadTokens
 	var started atomic.Bool
 	startTimer := time.AfterFunc(startTimeout(rq.route), func() { g.checkLateStart(rq, st.at, unreadTokens, &started) })
@@ -49,6 +54,7 @@
 	}
 	return s.relay(ctx, st, answer, sentAt, func() {
 		started.Store(true)
+		startEnded(true)
 		startTimer.Stop()
 	})
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -246,7 +246,7 @@
 	if err != nil || !c.rq.run.MaySend() {
 		return false
 	}
-	if c.refused = c.g.checkSend(c.rq); c.refused != nil {
+	if c.refused = c.g.checkSend(c.rq, u); c.refused != nil {
 		return false
 	}
 	if c.g.limits.Any() || c.g.fleet.AnyBackOff() {
--- /dev/null
+++ b/internal/gateway/duration.go
@@ -0,0 +1,375 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
+	"github.com/sparshore/sparshore/internal/pace"
+	"github.com/sparshore/sparshore/internal/placement"
+)
+
+const (
+	// paceDecay is the time constant with which the events that an engine has sent count less for its pace.
+	paceDecay = time.Second
+	// minPaceEvents is the number of recent events from which the pace of an engine is known.
+	minPaceEvents = 4
+	// shiftQuantile is the quantile of the latest intervals of an engine above whose mean the engine has become slower.
+	// A single pause lengthens one interval of each stream.
+	shiftQuantile = 0.5
+	// fastQuantile is the quantile of the latest intervals of a service that its faster engines reach.
+	fastQuantile = 0.25
+	// startPeriod is the length of a startWindow's periods.
+	startPeriod = time.Second
+	// startQuantile is the quantile of the latest delays at a service that a forecast allows for at an engine of which
+	// nothing is known.
+	startQuantile = 0.9
+	// endTime is the time from the last event of a generation to the end of its answer, on a machine that is busy.
+	endTime = 50 * time.Millisecond
+	// minErrors is the number of streams from which the errors of forecasts are known. Until then defaultSpread counts.
+	minErrors     = 8
+	defaultSpread = 0.25
+	// minSpread and maxSpread bound the relative error that a forecast allows for. Smaller errors of short streams don't
+	// show that the pace of an engine changes slowly, and larger ones are those of engines that changed it at once.
+	minSpread = 0.02
+	maxSpread = 0.5
+)
+
+// forecast is how long a generation is expected to take at an engine.
+type forecast struct {
+	// start is the time to the first event, and interval that between two events.
+	start, interval time.Duration
+	// spread is the relative error of interval that the forecast allows for.
+	spread float64
+}
+
+// total returns the time to the end of a generation with a number of events.
+func (f forecast) total(events int) time.Duration {
+	return f.start + time.Duration(float64(events)*float64(f.interval)*(1+f.spread)) + endTime
+}
+
+// latest holds the latest values of a measurement. The zero value holds none.
+type latest struct {
+	values [16]float64
+	n      int
+}
+
+func (l *latest) add(v float64) {
+	l.values[l.n%len(l.values)] = v
+	l.n++
+}
+
+// quantile returns a quantile of the values. There must be one.
+func (l *latest) quantile(q float64) float64 {
+	sorted := l.values
+	list := sorted[:min(l.n, len(sorted))]
+	slices.Sort(list)
+	return list[int(math.Ceil(q*float64(len(list))))-1]
+}
+
+// eventPace measures the mean time between two events of the streams of an engine or a service.
+type eventPace struct {
+	// seconds is the time that the counted events took.
+	seconds, events placement.Decaying
+}
+
+// add counts n events of a stream that took a time together.
+func (p *eventPace) add(n int, took time.Duration, now time.Time) {
+	p.seconds = p.seconds.Add(took.Seconds(), now, paceDecay)
+	p.events = p.events.Add(float64(n), now, paceDecay)
+}
+
+// mean returns the mean time between two events. ok is false if there are fewer recent events than least.
+func (p *eventPace) mean(least float64, now time.Time) (interval time.Duration, ok bool) {
+	n := p.events.Value(now, paceDecay)
+	if n <= 0 || n < least {
+		return 0, false
+	}
+	return time.Duration(p.seconds.Value(now, paceDecay) / n * float64(time.Second)), true
+}
+
+// startWindow holds how much later than usual the latest generations began: the longest delays of the period that
+// begins at from and of the one before.
+type startWindow struct {
+	from              time.Time
+	current, previous time.Duration
+}
+
+func (w *startWindow) add(delay time.Duration, now time.Time) {
+	switch _, known := w.longest(now); {
+	case !known:
+		*w = startWindow{from: now, current: delay}
+	case now.Sub(w.from) >= startPeriod:
+		*w = startWindow{from: now, current: delay, previous: w.current}
+	default:
+		w.current = max(w.current, delay)
+	}
+}
+
+// longest returns the longest delay. ok is false if no generation began within the latest two periods.
+func (w *startWindow) longest(now time.Time) (delay time.Duration, ok bool) {
+	return max(w.current, w.previous), !w.from.IsZero() && now.Sub(w.from) < 2*startPeriod
+}
+
+// awaitedStart is a generation at an engine whose first event has not arrived.
+type awaitedStart struct {
+	engine, service string
+	sentAt          time.Time
+	// usual is the time in which the engine is expected to read the prompts that it got until then.
+	usual time.Duration
+}
+
+// delay returns how much later than usual the generation begins if it does so now.
+func (a *awaitedStart) delay(now time.Time) time.Duration {
+	return max(now.Sub(a.sentAt)-a.usual, 0)
+}
+
+// engineDurations is what this entry recently measured at an engine.
+type engineDurations struct {
+	pace eventPace
+	// intervals holds the latest times between two events, in seconds.
+	intervals latest
+	starts    startWindow
+	awaited   []*awaitedStart
+}
+
+// serviceDurations is what this entry measured at the engines of a service together.
+type serviceDurations struct {
+	pace eventPace
+	// intervals holds the latest times between two events, in seconds.
+	intervals latest
+	// delays holds how much later than usual the latest generations began, in seconds.
+	delays latest
+	// errors holds the relative errors of the latest forecasts of the pace, times the square root of the number of
+	// events: what varies between events is smaller on average over more of them.
+	errors latest
+}
+
+// durations measures how long the generations of this entry take at each engine.
+type durations struct {
+	mu       sync.Mutex
+	engines  map[string]*engineDurations
+	services map[string]*serviceDurations
+}
+
+func newDurations() *durations {
+	return &durations{engines: map[string]*engineDurations{}, services: map[string]*serviceDurations{}}
+}
+
+// engine and service return the measurements of an engine and of a service. d.mu must be held.
+func (d *durations) engine(id string) *engineDurations {
+	e, ok := d.engines[id]
+	if !ok {
+		e = &engineDurations{}
+		d.engines[id] = e
+	}
+	return e
+}
+
+func (d *durations) service(name string) *serviceDurations {
+	s, ok := d.services[name]
+	if !ok {
+		s = &serviceDurations{}
+		d.services[name] = s
+	}
+	return s
+}
+
+// noteEvents adds n events of a stream at an engine that took a time together.
+func (d *durations) noteEvents(engine, service string, n int, took time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.engine(engine)
+	e.pace.add(n, took, now)
+	e.intervals.add(took.Seconds() / float64(n))
+	s := d.service(service)
+	s.pace.add(n, took, now)
+	s.intervals.add(took.Seconds() / float64(n))
+}
+
+// sent records that a generation was sent to an engine. The result is to be passed to ended once the generation has
+// begun or will not begin there.
+func (d *durations) sent(a awaitedStart) *awaitedStart {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.engine(a.engine)
+	e.awaited = append(e.awaited, &a)
+	return &a
+}
+
+// ended records that a generation has begun, or will not begin at the engine. Repeated calls have no effect.
+func (d *durations) ended(a *awaitedStart, begun bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.engines[a.engine]
+	if !ok {
+		return
+	}
+	i := slices.Index(e.awaited, a)
+	if i < 0 {
+		return
+	}
+	e.awaited = slices.Delete(e.awaited, i, i+1)
+	delay := a.delay(now)
+	if longest, _ := e.starts.longest(now); begun || delay > longest {
+		e.starts.add(delay, now)
+		d.service(a.service).delays.add(delay.Seconds())
+	}
+}
+
+// noteError adds the relative error of the forecast of the pace of a stream with a number of events.
+func (d *durations) noteError(service string, e float64, events int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(service).errors.add(e * math.Sqrt(float64(events)))
+}
+
+// spread returns the relative error that the forecast of a number of events allows for.
+func (s *serviceDurations) spread(events int) float64 {
+	if s.errors.n < minErrors {
+		return defaultSpread
+	}
+	return min(max(s.errors.quantile(1)/math.Sqrt(float64(max(events, 1))), minSpread), maxSpread)
+}
+
+// keep drops the engines for which known returns false.
+func (d *durations) keep(known func(id string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.engines {
+		if !known(id) {
+			delete(d.engines, id)
+		}
+	}
+}
+
+// expectation is what is expected of a generation unless measurements tell otherwise.
+type expectation struct {
+	// events is the number of events.
+	events int
+	// reading is the time in which the engine is expected to read the prompts until the first event.
+	reading time.Duration
+	// start is the time to the first event at a service of which nothing was measured.
+	start time.Duration
+	// interval is the time between two events at such a service, and slowdown how much slower than typical the engine is.
+	interval time.Duration
+	slowdown float64
+}
+
+// forecast returns how long a generation takes at an engine if it is sent now.
+func (d *durations) forecast(engine, service string, x expectation, now time.Time) forecast {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(service)
+	f := forecast{start: x.start, interval: x.interval, spread: s.spread(x.events)}
+	if mean, ok := s.pace.mean(0, now); ok {
+		f.interval = mean
+	}
+	f.interval = time.Duration(float64(f.interval) * x.slowdown)
+	if s.delays.n > 0 {
+		f.start = x.reading + time.Duration(s.delays.quantile(startQuantile)*float64(time.Second))
+	}
+	if e, ok := d.engines[engine]; ok {
+		e.adjust(&f, x.reading, now)
+	}
+	return f
+}
+
+// adjust replaces in a forecast what was recently measured at the engine itself.
+func (e *engineDurations) adjust(f *forecast, reading time.Duration, now time.Time) {
+	if mean, ok := e.pace.mean(minPaceEvents, now); ok {
+		f.interval = max(mean, time.Duration(e.intervals.quantile(shiftQuantile)*float64(time.Second)))
+	}
+	if delay, ok := e.starts.longest(now); ok {
+		f.start = reading + delay
+	}
+	for _, a := range e.awaited {
+		// What has lasted longer than known can be expected to last as long again.
+		if delay := a.delay(now); reading+delay > f.start {
+			f.start = max(f.start, reading+2*delay)
+		}
+	}
+}
+
+// expectedDuration returns the time that a request is expected to take if it is sent to an upstream now, and the forecast
+// that this follows from if it is a generation. One is assumed to reach its maximum output: of those that a stopping
+// entry accepted by the length that their callers hinted at, one in six was cut.
+func (g *Gateway) expectedDuration(rq *request, at fleet.Upstream) (time.Duration, forecast) {
+	if rq.service.Engine == nil {
+		return plainCallTime, forecast{}
+	}
+	now, service := g.now(), rq.service.Name
+	slowdown := g.paces.Profile(service, now).Slowdown(at.ID)
+	unread := g.loads.total(at.ID).Prefill + rq.call.Prompt - g.prefixes.cachedTokens(at.ID, rq.call.Shared, now)
+	f := g.durations.forecast(at.ID, service, expectation{
+		events:  rq.maxEvents(),
+		reading: time.Duration(slowdown * float64(g.readTime.expected(unread))),
+		start:   startTimeout(rq.route), interval: g.eventInterval.expected(), slowdown: slowdown,
+	}, now)
+	if rq.call.MaxOutput <= 0 {
+		return rq.deadline.Sub(now), f
+	}
+	return f.total(rq.maxEvents()), f
+}
+
+// leastDuration returns the time that a request takes at least, wherever it is sent.
+func (g *Gateway) leastDuration(rq *request) time.Duration {
+	if rq.service.Engine == nil {
+		return plainCallTime
+	}
+	if rq.call.MaxOutput <= 0 {
+		return rq.deadline.Sub(g.now())
+	}
+	return time.Duration(rq.maxEvents()) * g.durations.shortInterval(rq.service.Name, g.eventInterval.expected())
+}
+
+// shortInterval returns a short time between two events at the engines of a service, or unmeasured.
+func (d *durations) shortInterval(service string, unmeasured time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.service(service); s.intervals.n > 0 {
+		return time.Duration(s.intervals.quantile(fastQuantile) * float64(time.Second))
+	}
+	return unmeasured
+}
+
+// maxEvents returns the number of events in the longest answer that the caller allows.
+func (rq *request) maxEvents() int {
+	perEvent := max(rq.service.Engine.EventTokens, 1)
+	return (rq.call.MaxOutput + perEvent - 1) / perEvent
+}
+
+// timeToStop returns how long a request may take that is sent now, so that a planned stop does not give it up. stopping is
+// false if none is under way.
+func (g *Gateway) timeToStop(rq *request) (left time.Duration, stopping bool) {
+	by := g.lastRequestEnd.Load()
+	if by.IsZero() {
+		return 0, false
+	}
+	left = by.Sub(g.now()) - g.lateness()
+	if rq.service.Engine != nil {
+		left -= AnswerReserve
+	}
+	return left, true
+}
+
+// awaitStart records that the generation was sent to an engine. ended is to be called when it has begun, or will not
+// begin there.
+func (s *stream) awaitStart(at fleet.Upstream, sentAt time.Time) (ended func(begun bool)) {
+	g, service := s.g, s.rq.service.Name
+	slowdown := g.paces.Profile(service, sentAt).Slowdown(at.ID)
+	a := g.durations.sent(awaitedStart{engine: at.ID, service: service, sentAt: sentAt, usual: time.Duration(slowdown * float64(g.readTime.expected(s.unreadTokens)))})
+	return func(begun bool) { g.durations.ended(a, begun, g.now()) }
+}
+
+// noteDuration compares the pace of a complete stream that was sent once to the forecast.
+func (s *stream) noteDuration() {
+	interval := s.rq.forecast.interval
+	if s.rq.attempts > 1 || s.events <= pace.SegmentEvents || interval <= 0 {
+		return
+	}
+	took := s.lastAt.Sub(s.rq.start) - s.timeToFirstEvent
+	s.g.durations.noteError(s.rq.service.Name, float64(took)/float64(s.events-1)/float64(interval)-1, s.events)
+}
--- a/internal/gateway/enginepace.go
+++ b/internal/gateway/enginepace.go
@@ -45,11 +45,10 @@
 // read within some microseconds, and engines need several milliseconds for an event.
 const minEventWait = time.Millisecond
 
-// measurePace counts n events for the pace of their engine, if the operator bounds the pauses of the stream.
-// They arrived at the given time and have been passed on.
+// measurePace counts n events for the pace of their engine. They arrived at the given time and have been passed on.
 func (s *stream) measurePace(at fleet.Upstream, n int, arrived time.Time) {
 	bound := s.rq.route.MaxPause
-	if bound == 0 || n == 0 {
+	if n == 0 {
 		return
 	}
 	behindAt := s.segment.behindAt
@@ -58,11 +57,14 @@
 		return
 	}
 	s.segment.behindAt = time.Time{}
+	g := s.g
+	if previous := s.segment.lastAt; !previous.IsZero() {
+		g.durations.noteEvents(at.ID, s.rq.service.Name, n, s.lastAt.Sub(previous), s.lastAt)
+	}
 	interval, longest, ok := s.segment.add(n, s.lastAt)
-	if !ok {
+	if !ok || bound == 0 {
 		return
 	}
-	g := s.g
 	g.paces.Add(pace.Segment{
 		Engine: at.ID, Service: s.rq.service.Name, Interval: interval, Longest: longest, Bound: bound,
 		Reading: g.loads.total(at.ID).Prefill > 0,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,10 @@
 	lastRequestAt atomicTime
 	eventInterval eventInterval
 	readTime      readTime
-	moveRoom      placement.MoveReserve
-	prefixes      *prefixes
+	// durations measures how long generations take.
+	durations *durations
+	moveRoom  placement.MoveReserve
+	prefixes  *prefixes
 	// paces tracks how fast engines generate.
 	paces *pace.Set
 	// relocating is set while a generation is moved away from a slow engine.
@@ -176,6 +178,7 @@
 		queriedAt: map[string]time.Time{}, endChecks: map[string]*endChecks{}, probing: map[string]bool{}, peers: peers,
 		quarantine: quarantine.New(rec, now, peers.SendNow), limits: limits.New(settings.Name, settings.Incarnation, peers.Limits, rec, now), origins: origin.New(peers.Origins, rec, now), startedAt: now(),
 	}
+	g.durations = newDurations()
 	g.paces = pace.New(g.recordPaceChange)
 	reg.MustRegister(newLimitRates(g.limits.List), newRetryUse(g.RetryUse), newHeadroomGauge(g.headroomByService), newPaceCollector(g.paces))
 	g.memory = newMemoryBudget(settings.MemoryBytes, reg)
@@ -258,7 +261,8 @@
 	peers := g.peers.LivePeers()
 	g.loads.keepPeers(func(name string) bool { _, ok := peers[name]; return ok })
 	g.sweepEndChecks()
-	g.paces.Keep(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok })
+	g.paces.Keep(g.incarnationKnown)
+	g.durations.keep(g.incarnationKnown)
 	g.prefixes.sweep(func(engine string) bool { _, ok := g.fleet.Get(engine); return ok }, g.now())
 }
 
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -35,6 +35,14 @@
 	e.mean += time.Duration(sampleWeight * float64((total-first)/time.Duration(events-1)-e.mean))
 }
 
+// expected returns the mean time between two events.
+func (e *eventInterval) expected() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setInitial()
+	return e.mean
+}
+
 // remaining returns the expected time from the first event to the end of a stream with a number
 // of tokens, including remainingMargin.
 func (e *eventInterval) remaining(tokens, eventTokens int) time.Duration {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -149,6 +149,7 @@
 		now := s.g.now()
 		s.rq.run.Served()
 		s.g.met.ended("stream")
+		s.noteDuration()
 		s.g.eventInterval.note(s.timeToFirstEvent, now.Sub(s.rq.start), s.events)
 		s.rq.note(s.g.rec)(events.RequestEnded, s.rq.call.ID, "status", answer.Status, "upstream", st.at.ID, "tries", s.rq.attempts, "took", now.Sub(s.rq.start), "events", s.events,
 			"first-in", s.timeToFirstEvent, "longest-pause", s.longestPause, "pause-at", s.longestPauseAt, "framed", answer.Framed, "end-proved-by", proof)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,8 +42,10 @@
 	start       time.Time
 	// readAt is when the whole request had been read.
 	readAt time.Time
-	// expected is how long the request was expected to take when that was last asked.
+	// expected is how long the request was expected to take when that was last asked, and forecast what that follows
+	// from if it is a generation.
 	expected time.Duration
+	forecast forecast
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline time.Time
 	// caller is cancelled when the caller's connection ends.
@@ -194,8 +196,7 @@
 		return false
 	}
 	rq.deadline = deadlineOf(rq)
-	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+	if g.stopsBefore(g.leastDuration(rq)) {
 		g.refuseSend(rq, errStopsFirst)
 		return false
 	}
@@ -213,19 +214,6 @@
 	return n
 }
 
-// expectedDuration returns the time that a request is assumed to take. A generation is assumed to
-// reach its maximum output: of those that a stopping entry accepted by the length that their
-// callers hinted at, one in six was cut.
-func (g *Gateway) expectedDuration(rq *request) time.Duration {
-	if rq.service.Engine == nil {
-		return plainCallTime
-	}
-	if rq.call.MaxOutput <= 0 {
-		return rq.deadline.Sub(rq.start)
-	}
-	return startTimeout(rq.route) + g.eventInterval.remaining(rq.call.MaxOutput, rq.service.Engine.EventTokens)
-}
-
 func deadlineOf(rq *request) time.Time {
 	timeout := rq.route.Timeout
 	if timeout <= 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,16 +4,18 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/fleet"
 )
 
 // errStopsFirst means that a planned stop would cut a request.
 var errStopsFirst = errors.New("this entry stops before the request would end")
 
-// checkSend returns why a request must not be sent now, although it was accepted: it may have waited since. It must be
+// checkSend returns why a request must not be sent to an upstream now, although it was accepted: it may have waited since. It must be
 // called right before each send of a request whose answer has not begun, and does not wait itself.
-func (g *Gateway) checkSend(rq *request) error {
-	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+func (g *Gateway) checkSend(rq *request, at fleet.Upstream) error {
+	rq.expected, rq.forecast = g.expectedDuration(rq, at)
+	if left, stopping := g.timeToStop(rq); stopping && rq.expected > left {
 		return errStopsFirst
 	}
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 	next, ok := step{at: at, why: "first"}, true
 	for ok {
 		if !s.headSent {
-			if err := g.checkSend(rq); err != nil {
+			if err := g.checkSend(rq, next.at); err != nil {
 				g.refuseSend(rq, err)
 				return
 			}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -61,7 +61,14 @@
 mutant placement-kept-room $placement/room.go 's/usable = float64\(e\.MemoryTokens\)/_ = e.Slots/' internal/placement TestRoom
 mutant placement-waiting-prompts $placement/room.go 's/return ErrPrompts/return nil/' internal/placement TestRoom
 mutant gateway-silent-load $gateway/gateway.go 's/g\.loads\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfUnreachableEntries
-mutant gateway-stop-longest $gateway/request.go 's/g\.eventInterval\.remaining\(rq\.call\.MaxOutput,/g.eventInterval.remaining(rq.call.Hint,/' $gateway TestStoppingGatewayIgnoresTheHint
+mutant gateway-stop-longest $gateway/duration.go 's/return \(rq\.call\.MaxOutput \+/return (rq.call.Hint +/' $gateway TestStoppingGatewayIgnoresTheHint
+mutant duration-engine $gateway/duration.go 's/if e, ok := d\.engines\[engine\]; ok \{/if e, ok := d.engines[engine]; false \&\& ok {/' $gateway TestForecast
+mutant duration-shift $gateway/duration.go 's/f\.interval = max\(mean, [^\n]*/f.interval = mean/' $gateway TestForecast
+mutant duration-awaited $gateway/duration.go 's/for _, a := range e\.awaited \{/for _, a := range e.awaited[:0] {/' $gateway TestForecast
+mutant duration-unbegun $gateway/duration.go 's/begun \|\| delay > longest \{/begun \&\& delay >= 0*longest {/' $gateway TestForecast
+mutant duration-spread $gateway/duration.go 's/if s\.errors\.n < minErrors \{/if true {/' $gateway TestForecastSpread
+mutant duration-never-ended $gateway/duration.go 's/\te\.awaited = slices\.Delete[^\n]*\n//' $gateway TestStreamIsMeasured
+mutant duration-keep $gateway/gateway.go 's/\tg\.durations\.keep[^\n]*\n//' $gateway TestStreamIsMeasured
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.anyServes:/case false:/' $gateway TestRetryDelayAfterStop
 mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n|\tgo g\.paceGivingUp\([^\n]*\n//g' $gateway TestStopAnswersRequestsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
