--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -81,7 +81,7 @@
 		{"ends late", 200 * ms, 1301 * ms, true},
 		{"begins late", 1001 * ms, 1200 * ms, true},
 	} {
-		rq := &request{service: &routetable.Service{Engine: &routetable.Engine{}}, route: &routetable.Route{Objective: tc.start}, expected: tc.expected}
+		rq := &request{service: &routetable.Service{Engine: &routetable.Engine{}}, forecast: forecast{start: tc.start}, expected: tc.expected}
 		if got := f.gateway.stopsBefore(rq); got != tc.refused {
 			t.Errorf("%s: refused %t, want %t", tc.name, got, tc.refused)
 		}
