fix(gateway): a stop cuts whole streams whose ends are still to be proved

Callers got all events of a stream and a closed connection instead of its end. Its engine had ended the stream.

A stream that has neither a length nor chunks ends with its connection, and the gateway asks the engine whether it survived that. Requests were accepted during a stop by when their streams are expected to end, so that streams were cut while the engine was asked.

The gateway now remembers how long that takes, for each service, and expects as much after the end. A longer time counts at once.

--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -88,6 +88,31 @@
 	}
 }
 
+// TestStopAcceptsStreamsWhoseEndsAreProvedLate guards against whole streams that a planned stop cuts, because they have
+// neither a length nor chunks and their upstream is asked for long whether it survived their end.
+func TestStopAcceptsStreamsWhoseEndsAreProvedLate(t *testing.T) {
+	const proofTime, expected = 300 * time.Millisecond, time.Second
+	f := newFixture(t)
+	a := f.add("llm", "a", func(w http.ResponseWriter, r *http.Request) { serveUnframed(w, r, 3, false, func() {}) })
+	a.health = func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(proofTime)
+		w.Header().Set(testOwnID, "a")
+	}
+	if got := f.ask(pathStream); got.err != nil || got.status != http.StatusOK {
+		t.Fatalf("status %d, %v", got.status, got.err)
+	}
+	now := time.Now()
+	f.gateway.DrainUntil(StopDeadlines{NewRequests: now.Add(time.Minute), NewStreams: now.Add(expected + proofTime/2), Unanswered: now.Add(time.Minute), End: now.Add(time.Minute)})
+	rq := &request{service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}, route: &routetable.Route{Objective: time.Millisecond}, expected: expected}
+	if !f.gateway.stopsBefore(rq) {
+		t.Error("a stream is accepted whose end is proved after streams are cut")
+	}
+	rq.service = &routetable.Service{Name: "other", Engine: &routetable.Engine{}}
+	if f.gateway.stopsBefore(rq) {
+		t.Error("a stream of a service whose answers need no proof is refused")
+	}
+}
+
 // TestUnansweredRequestsAreGivenUpFirst guards against requests that get no answer because the gateway is killed
 // before it gives them up: it noticed the signal late.
 func TestUnansweredRequestsAreGivenUpFirst(t *testing.T) {
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -66,6 +67,32 @@
 	waiting   []*endCheck
 }
 
+// endProofTimes estimates how long it takes to prove the ends of the answers of each service that have neither a length
+// nor chunks.
+type endProofTimes struct {
+	mu    sync.Mutex
+	times map[string]time.Duration
+}
+
+// note adds the time of a proof. A longer one counts in full, because a stop cuts answers whose ends are proved later than
+// expected.
+func (e *endProofTimes) note(service string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.times == nil {
+		e.times = map[string]time.Duration{}
+	}
+	t := e.times[service]
+	e.times[service] = max(took, t+time.Duration(sampleWeight*float64(took-t)))
+}
+
+// expected returns the expected time of a proof; 0 for a service whose answers have all had a length or chunks.
+func (e *endProofTimes) expected(service string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.times[service]
+}
+
 // proveEnd returns how it is known that an answer is complete whose connection has just ended. It asks the upstream
 // if the answer has neither a length nor chunks.
 func (g *Gateway) proveEnd(ctx context.Context, service *routetable.Service, u fleet.Upstream, a *link.Answer) endProof {
@@ -161,7 +188,11 @@
 			continue
 		}
 		c.proof = proof
-		g.rec.Note(events.AnswerEndChecked, "", "upstream", u.ID, "proof", proof, "answers", c.answers, "asked", c.asked, "took", endCheckTimeout-c.deadline.Sub(g.now()), "error", err)
+		took := endCheckTimeout - c.deadline.Sub(g.now())
+		if proof != unproven {
+			g.endProofTimes.note(service.Name, took)
+		}
+		g.rec.Note(events.AnswerEndChecked, "", "upstream", u.ID, "proof", proof, "answers", c.answers, "asked", c.asked, "took", took, "error", err)
 		close(c.done)
 	}
 	return undecided
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,8 @@
 	// queriedAt holds the time at which each engine was last queried for its state.
 	queriedAt map[string]time.Time
 	// endChecks holds the end checks of each upstream.
-	endChecks map[string]*endChecks
+	endChecks     map[string]*endChecks
+	endProofTimes endProofTimes
 	// probing holds the upstreams that are being probed for a crash.
 	probing map[string]bool
 	peers   Peers
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -188,7 +188,8 @@
 	if rq.service.Engine == nil {
 		return now.Add(rq.expected).After(by)
 	}
-	return now.Add(startTimeout(rq.route)).After(by) || now.Add(rq.expected).After(g.lastStreamEnd.Load())
+	end := now.Add(rq.expected + g.endProofTimes.expected(rq.service.Name))
+	return now.Add(startTimeout(rq.route)).After(by) || end.After(g.lastStreamEnd.Load())
 }
 
 // IdleFor returns the time since the last request began or ended; 0 while requests are in
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -262,7 +262,8 @@
 mutant stop-cuts-with-unanswered internal/daemon/gatewayhttp.go 's/\tb\.gateway\.GiveUpUnanswered\(\)/\tb.gateway.GiveUp()/' platform/soak TestStopCutsStreamsThatCouldStillEnd/4s
 mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
 mutant stop-takes-given-up internal/daemon/gatewayhttp.go 's/answered - gateway\.AnswerReserve\)/answered)/' internal/daemon TestStopDeadlines
-mutant stop-takes-cut internal/gateway/stop.go 's/ \|\| now\.Add\(rq\.expected\)\.After\(g\.lastStreamEnd\.Load\(\)\)//' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-cut internal/gateway/stop.go 's/end\.After\(g\.lastStreamEnd\.Load\(\)\)/end.IsZero()/' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-unproved internal/gateway/stop.go 's/rq\.expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/rq.expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
 mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(startTimeout\(rq\.route\)\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
