--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sparshore/sparshore/internal/belief"
+	"github.com/sparshore/sparshore/internal/origin"
 )
 
 // pipeBody replaces the body of a request by one that ends when the writer is closed.
@@ -83,3 +87,95 @@
 		})
 	}
 }
+
+// changeRoutes puts a route table in force that testTable describes.
+func (f *fixture) changeRoutes(text string) {
+	f.routes.Apply(testSnapshot(text), true)
+	f.routes.ConfirmCurrent(time.Now(), belief.Evidence{})
+}
+
+// TestRoutesChangeDuringBody guards against a request that is run as the routes allowed when its headers arrived.
+func TestRoutesChangeDuringBody(t *testing.T) {
+	const maxAge = 500 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		change func(f *fixture)
+		status int
+		// old and moved are the runs at the services of the first routes and at those of later ones.
+		old, moved int
+	}{
+		{"key revoked", func(f *fixture) { f.changeRoutes("2 revoked") }, http.StatusUnauthorized, 0, 0},
+		{"keys unconfirmed", func(*fixture) { time.Sleep(maxAge) }, http.StatusServiceUnavailable, 0, 0},
+		{"routes moved", func(f *fixture) { f.changeRoutes("2 moved") }, http.StatusOK, 0, 1},
+		{"same routes", func(f *fixture) { f.changeRoutes("2") }, http.StatusOK, 1, 0},
+	} {
+		for _, path := range []string{pathOnce, pathStream} {
+			t.Run(tc.name+path, func(t *testing.T) {
+				f := newFixture(t, func(s *Settings) { s.HardKeyBound, s.MaxRoutesAge = true, maxAge })
+				old := []*upstream{f.add("app", "a", serveOK), f.addEngine("e").upstream}
+				moved := []*upstream{f.add("app-2", "a-2", serveOK), f.addEngineTo("llm-2", "e-2").upstream}
+				f.changeRoutes("1")
+				got := f.askWithLateBody(path, func() { tc.change(f) })
+				if got.status != tc.status || old[0].runs()+old[1].runs() != tc.old || moved[0].runs()+moved[1].runs() != tc.moved {
+					t.Errorf("status %d, %q, %d and %d runs; want %d, %d and %d", got.status, got.body, old[0].runs()+old[1].runs(), moved[0].runs()+moved[1].runs(), tc.status, tc.old, tc.moved)
+				}
+			})
+		}
+	}
+}
+
+// TestRoutesChangeBeforeSecondAttempt guards against a request that waited and is sent though the routes in force do not
+// allow it any more.
+func TestRoutesChangeBeforeSecondAttempt(t *testing.T) {
+	const maxAge = 500 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		change func(f *fixture)
+		status int
+		reason string
+		sends  int
+	}{
+		{"key revoked", func(f *fixture) { f.changeRoutes("2 revoked") }, http.StatusUnauthorized, errKeyRevoked.Error(), 1},
+		{"keys unconfirmed", func(*fixture) { time.Sleep(maxAge) }, http.StatusServiceUnavailable, errKeysUnconfirmed.Error(), 1},
+		{"routes moved", func(f *fixture) { f.changeRoutes("2 moved") }, http.StatusServiceUnavailable, errRouteChanged.Error(), 1},
+		{"same routes", func(f *fixture) { f.changeRoutes("2") }, http.StatusServiceUnavailable, "", 2},
+	} {
+		for _, path := range []string{pathOnce, pathStream} {
+			t.Run(tc.name+path, func(t *testing.T) {
+				f := newFixture(t, func(s *Settings) { s.HardKeyBound, s.MaxRoutesAge = true, maxAge })
+				refuse := func(w http.ResponseWriter, r *http.Request) {
+					tc.change(f)
+					serveNotRun(w, r)
+				}
+				var upstreams []*upstream
+				for _, id := range []string{"1", "2"} {
+					upstreams = append(upstreams, f.add("app", "a-"+id, refuse), f.add("llm", "e-"+id, refuse))
+				}
+				f.changeRoutes("1")
+				got, sends := f.ask(path), 0
+				for _, u := range upstreams {
+					sends += u.runs()
+				}
+				if got.status != tc.status || !strings.Contains(got.body, tc.reason) || sends != tc.sends {
+					t.Errorf("status %d, %q after %d sends, want %d, %q after %d", got.status, got.body, sends, tc.status, tc.reason, tc.sends)
+				}
+			})
+		}
+	}
+}
+
+// TestBegunAnswerOutlastsItsKey guards against cutting an answer whose key is revoked when it has to go on elsewhere.
+func TestBegunAnswerOutlastsItsKey(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"1", "2"} {
+		e := f.addEngine("e-" + id)
+		e.breakAfter = lastTestEvent / 2
+	}
+	f.confirm = func(origin.Origin) bool {
+		f.changeRoutes("2 revoked")
+		return true
+	}
+	if got := f.ask(pathResume); got.err != nil || !strings.Contains(got.body, fmt.Sprintf("id: %d\n", lastTestEvent)) {
+		t.Errorf("status %d, %q, %v; want a whole stream", got.status, got.body, got.err)
+	}
+}
