--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -243,7 +243,7 @@
 	if errors.Is(err, errLimited) {
 		c.limited = err
 	}
-	if err != nil || !c.rq.run.MaySend() {
+	if err != nil || ctx.Err() != nil {
 		return false
 	}
 	if c.refused = c.g.checkSend(c.rq); c.refused != nil {
@@ -392,6 +392,7 @@
 	g.proto.CopyHeaders(r.header, h)
 	size := r.body.size()
 	h.Set("Content-Length", strconv.Itoa(size))
+	g.closeIfStopping(rq)
 	rq.w.WriteHeader(r.status)
 	g.writeResponse(rq, r.body)
 	elapsed := g.now().Sub(rq.start)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
 
@@ -28,8 +30,11 @@
 	if err := g.checkRoutes(rq); err != nil {
 		return err
 	}
+	if err := checkCrashes(rq, rq.sent); err != nil {
+		return err
+	}
 	rq.expected = g.expectedDuration(rq)
-	if g.stopsBefore(rq.expected) {
+	if g.stopsBefore(rq) {
 		return errStopsFirst
 	}
 	return nil
@@ -79,12 +84,48 @@
 	return ok && (service.Engine == nil) == (earlier.Engine == nil) && slices.ContainsFunc(route.Shares, func(s routetable.Share) bool { return s.Service == earlier.Name })
 }
 
+// checkCrashes returns why the crashes of upstreams during a request do not allow to send it. repeats is set if it may
+// have run.
+func checkCrashes(rq *request, repeats bool) error {
+	switch {
+	case !rq.run.MaySend():
+		return quarantine.ErrQuarantined
+	case repeats && !rq.run.MayRepeat():
+		return quarantine.ErrOnTrial
+	}
+	return nil
+}
+
+// checkSend returns why the next attempt of a stream must not be sent. An answer that has begun goes on unless upstreams
+// crashed under its request.
+func (s *stream) checkSend(next step) error {
+	if s.headSent {
+		return checkCrashes(s.rq, next.from == nil)
+	}
+	return s.g.checkSend(s.rq)
+}
+
+// refuseAttempt ends a stream whose next attempt checkSend did not allow.
+func (s *stream) refuseAttempt(ctx context.Context, next step, why error) {
+	if next.from != nil {
+		s.returnCopy(heldCopy{copy: *next.from, at: next.at})
+	}
+	if !s.headSent {
+		s.g.refuseSend(s.rq, why)
+		return
+	}
+	s.notResumedWhy = why.Error()
+	s.abort(ctx)
+}
+
 // refuseSend answers a request that checkSend did not allow.
 func (g *Gateway) refuseSend(rq *request, why error) {
 	status, retryAfter := http.StatusServiceUnavailable, time.Duration(0)
 	switch {
 	case rq.sent:
 		status = http.StatusBadGateway
+	case errors.Is(why, quarantine.ErrQuarantined):
+		g.met.quarantined.Inc()
 	case errors.Is(why, errStopsFirst):
 		retryAfter = g.retryDelayAfterStop()
 	case errors.Is(why, errKeyRevoked):
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/belief"
 	"github.com/sparshore/sparshore/internal/origin"
+	"github.com/sparshore/sparshore/internal/quarantine"
 )
 
 // pipeBody replaces the body of a request by one that ends when the writer is closed.
@@ -20,12 +22,12 @@
 }
 
 // askWithLateBody sends the headers of a request, calls between, and sends the body.
-func (f *fixture) askWithLateBody(path string, between func()) answer {
+func (f *fixture) askWithLateBody(path string, between func(), change ...func(r *http.Request)) answer {
 	f.t.Helper()
 	var body *io.PipeWriter
 	answered := make(chan answer, 1)
 	go func() {
-		answered <- f.ask(path, func(r *http.Request) { body = pipeBody(r); go f.sendBody(body, between) })
+		answered <- f.ask(path, append(change, func(r *http.Request) { body = pipeBody(r); go f.sendBody(body, between) })...)
 	}()
 	return <-answered
 }
@@ -61,6 +63,26 @@
 	}
 }
 
+// TestStopDuringBodyEndsConnection guards against a stopping gateway that gets the next request of a caller whose request
+// it had got before the stop.
+func TestStopDuringBodyEndsConnection(t *testing.T) {
+	for _, tc := range []struct {
+		path   string
+		left   time.Duration
+		status int
+	}{{pathOnce, time.Minute, http.StatusOK}, {pathStream, 2 * time.Minute, http.StatusOK}, {pathOnce, plainCallTime / 2, http.StatusServiceUnavailable}} {
+		t.Run(fmt.Sprintf("%s %s", tc.path, tc.left), func(t *testing.T) {
+			f := newFixture(t)
+			f.add("app", "a", serveOK)
+			f.addEngine("e")
+			got := f.askWithLateBody(tc.path, func() { f.gateway.Drain(time.Now().Add(tc.left)) })
+			if got.status != tc.status || !got.closes {
+				t.Errorf("status %d, closes: %t; want %d and the end of the connection", got.status, got.closes, tc.status)
+			}
+		})
+	}
+}
+
 // TestStopBeforeSecondAttempt guards against a second attempt that a planned stop would cut.
 func TestStopBeforeSecondAttempt(t *testing.T) {
 	for _, path := range []string{pathSafe, pathStream} {
@@ -88,6 +110,23 @@
 	}
 }
 
+// TestDeadlinePassesDuringBody guards against a request that is sent when nobody waits for its answer any more.
+func TestDeadlinePassesDuringBody(t *testing.T) {
+	for _, path := range []string{pathOnce, pathStream} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t)
+			app, llm := f.add("app", "a", serveOK), f.addEngine("e")
+			// The connection that this opens takes the next request without a wait.
+			f.ask(path)
+			before := app.runs() + llm.runs()
+			got := f.askWithLateBody(path, func() { time.Sleep(100 * time.Millisecond) }, func(r *http.Request) { r.Header.Set(testDeadline, "50") })
+			if after := app.runs() + llm.runs(); got.status != http.StatusServiceUnavailable || after != before {
+				t.Errorf("status %d, %q, %d sends; want it refused without a send", got.status, got.body, after-before)
+			}
+		})
+	}
+}
+
 // changeRoutes puts a route table in force that testTable describes.
 func (f *fixture) changeRoutes(text string) {
 	f.routes.Apply(testSnapshot(text), true)
@@ -179,3 +218,67 @@
 		t.Errorf("status %d, %q, %v; want a whole stream", got.status, got.body, got.err)
 	}
 }
+
+// usualRequest returns the request for a path and the usual body, as the quarantine knows it.
+func usualRequest(path string) quarantine.Request {
+	return quarantine.Request{Fingerprint: quarantine.FingerprintOf(http.MethodPost, "host", path, "acme", []byte("body"))}
+}
+
+// suspect makes the request for a path and the usual body one under which upstreams crashed.
+func (f *fixture) suspect(path string, crashes int) {
+	r := quarantine.Report{Request: usualRequest(path), Crashes: map[string]time.Time{}}
+	for i := range crashes {
+		r.Crashes[fmt.Sprintf("gone %d", i)] = time.Now()
+	}
+	f.gateway.quarantine.Restore([]quarantine.Report{r})
+}
+
+// TestCrashesWhileRequestWaits guards against a request that waited for an upstream and is sent, or sent again, though
+// others crashed under it meanwhile.
+func TestCrashesWhileRequestWaits(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		// armed is set if the crashes become known before the first attempt.
+		armed   bool
+		crashes int
+		status  int
+		reason  string
+		runs    int
+	}{
+		{"new stream quarantined", pathResume, true, 3, http.StatusServiceUnavailable, quarantine.ErrQuarantined.Error(), 0},
+		{"begun stream quarantined", pathResume, false, 3, http.StatusOK, "", 1},
+		{"begun stream repeated", pathResume, false, 2, http.StatusOK, "", 1},
+		{"call repeated", pathSafe, false, 2, http.StatusBadGateway, "", 1},
+		{"nothing crashed", pathResume, false, 0, http.StatusOK, fmt.Sprintf("id: %d\n", lastTestEvent), 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			var waits atomic.Bool
+			waits.Store(tc.armed)
+			f.confirm = func(origin.Origin) bool { waits.Store(true); return true }
+			var upstreams []*upstream
+			for _, id := range []string{"1", "2"} {
+				e := f.addEngine("e-" + id)
+				e.breakAfter = lastTestEvent / 2
+				upstreams = append(upstreams, e.upstream, f.add("app", "a-"+id, func(w http.ResponseWriter, r *http.Request) {
+					waits.Store(true)
+					serveBreak(w, r)
+				}))
+			}
+			// An upstream is being chosen.
+			f.gateway.peers.Delay = func(string, bool) time.Duration {
+				if waits.CompareAndSwap(true, false) && tc.crashes > 0 {
+					f.suspect(tc.path, tc.crashes)
+				}
+				return 0
+			}
+			got, runs := f.ask(tc.path), 0
+			for _, u := range upstreams {
+				runs += u.runs()
+			}
+			if got.status != tc.status || !strings.Contains(got.body, tc.reason) || runs != tc.runs {
+				t.Errorf("status %d, %v, %q, %d runs; want %d, %q and %d", got.status, got.err, got.body, runs, tc.status, tc.reason, tc.runs)
+			}
+		})
+	}
+}
