fix(gateway): connections whose bodies did not arrive in time are kept until the bodies end

After the answer 408, net/http waited for a part of the rest of the body, without a limit, because the deadline of the body had been taken back. It stays now after an error, which ends the connection anyway. TestDeadlinePassesDuringBody reads the connection to its end and failed before for a body in chunks.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -293,12 +293,7 @@
 // readBody reads the whole body before the request is sent, so that the request can be repeated
 // and a slow caller does not occupy a slot of an upstream. A body that has not arrived by the deadline is not awaited.
 func (g *Gateway) readBody(rq *request, r *http.Request) bool {
-	if r.ContentLength != 0 {
-		c := http.NewResponseController(rq.w)
-		_ = c.SetReadDeadline(rq.deadline)
-		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
-	}
-	body, err := g.readRequestBody(rq, http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes), r.ContentLength)
+	body, err := g.readInTime(rq, r)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -321,6 +316,22 @@
 	return true
 }
 
+// readInTime reads the whole body until the deadline. After an error the connection ends, and the deadline stays, so that
+// net/http does not wait for the rest.
+func (g *Gateway) readInTime(rq *request, r *http.Request) ([]byte, error) {
+	limited := http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes)
+	if r.ContentLength == 0 {
+		return g.readRequestBody(rq, limited, 0)
+	}
+	c := http.NewResponseController(rq.w)
+	_ = c.SetReadDeadline(rq.deadline)
+	body, err := g.readRequestBody(rq, limited, r.ContentLength)
+	if err == nil {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // closeIfStopping makes a response the last one on its connection during a planned stop. It must be called right before
 // the response begins, since the stop may begin after the request.
 func (g *Gateway) closeIfStopping(rq *request) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -273,7 +273,8 @@
 mutant late-body-start internal/gateway/choose.go 's/gen\.StartBy = rq\.readAt/gen.StartBy = rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
 mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
 mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
-mutant body-in-time internal/gateway/request.go 's/\t\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
+mutant body-in-time internal/gateway/request.go 's/\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
+mutant body-late-connection internal/gateway/request.go 's/\tif err == nil \{(\n\t\t_ = c\.SetReadDeadline)/\tif true {$1/' internal/gateway TestDeadlinePassesDuringBody
 mutant link-over internal/link/link.go 's/if err := ctx\.Err\(\); err != nil \{\n\t\treturn nil, fmt\.Errorf\("%w: %w", ErrNotSent, err\)/if err := ctx.Err(); false {\n\t\treturn nil, err/' internal/gateway TestDeadlinePassesBeforeSend
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
