fix(gateway): refusals by the headers are sent when the body has arrived

A request that is refused by its headers, because of its key or route or while the keys are not confirmed, got the refusal only when its body had arrived, at any later time: net/http reads up to 256 kB of the body before it sends the response, so that the connection can be kept.

It waits half a second for that now, then it sends the refusal and ends the connection.

The mutants gateway-keys, gateway-unknown-keys, limits-copy and routes-one-reading follow the code that moved. gateway-keys is killed by the new test, since the check before the send refuses the request as well.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -23,9 +23,11 @@
 
 // request is a caller's request that is being served.
 type request struct {
-	call  protocol.Call
-	body  []byte
-	table *routetable.Table
+	call protocol.Call
+	body []byte
+	// bodyUnread is set while the body, if there is one, has not been read to its end.
+	bodyUnread bool
+	table      *routetable.Table
 	// tableTrusted is set if the table was recent enough to check keys with when it was read. tableAge is the time
 	// since it was confirmed, tableRow the store's version of its row, and evidence states who confirmed it.
 	tableTrusted bool
@@ -79,6 +81,8 @@
 	// defaultStartTimeout is the time within which a generation is expected to begin on a route
 	// without an objective.
 	defaultStartTimeout = 5 * time.Second
+	// restOfBodyTime is how long a refusal may wait for the rest of a body, so that the connection can be kept.
+	restOfBodyTime = 500 * time.Millisecond
 	// defaultTimeout is the time limit of requests if neither they nor their route state one.
 	defaultTimeout = time.Minute
 )
@@ -88,7 +92,7 @@
 	g.beginRequest()
 	defer g.endRequest()
 	now := g.now()
-	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), conn: connlimit.From(r.Context()), w: w}
+	rq := &request{call: g.proto.Decode(r, now), start: now, caller: r.Context(), conn: connlimit.From(r.Context()), w: w, bodyUnread: r.ContentLength != 0}
 	rq.conn.SetRequest(rq.call.ID)
 	rq.memory = g.newMemoryHolder(w)
 	defer rq.memory.Close()
@@ -312,7 +316,7 @@
 		g.callerDisconnected(rq, "sending the body", err)
 		panic(http.ErrAbortHandler)
 	}
-	rq.body, rq.readAt = body, g.now()
+	rq.body, rq.bodyUnread, rq.readAt = body, false, g.now()
 	return true
 }
 
@@ -320,7 +324,7 @@
 // net/http does not wait for the rest.
 func (g *Gateway) readInTime(rq *request, r *http.Request) ([]byte, error) {
 	limited := http.MaxBytesReader(rq.w, r.Body, rq.table.Limits().BodyBytes)
-	if r.ContentLength == 0 {
+	if !rq.bodyUnread {
 		return g.readRequestBody(rq, limited, 0)
 	}
 	c := http.NewResponseController(rq.w)
@@ -355,6 +359,10 @@
 	rq.note(g.rec)(events.RequestRefused, rq.call.ID, "status", status, "reason", reason, "fingerprint", rq.fingerprint, "routes", version, "routes-row", rq.tableRow, "routes-age", rq.tableAge, "routes-from", rq.evidence, "back-in", retryAfter, "after", now.Sub(rq.start), "sent", rq.sent)
 	g.met.refused(status)
 	g.closeIfStopping(rq)
+	if rq.bodyUnread {
+		// net/http reads the rest of the body before it sends the response, to keep the connection.
+		_ = http.NewResponseController(rq.w).SetReadDeadline(now.Add(restOfBodyTime))
+	}
 	g.proto.Refuse(rq.w, &rq.call, refusal, now)
 }
 
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -113,26 +113,39 @@
 	}
 }
 
+// answerToPart sends the headers of a call and a part of its body, and reads its connection to the end, for 2 s at most.
+func (f *fixture) answerToPart(deadline time.Duration, part string) (string, error) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: host\r\n%s: r\r\n%s: key\r\n%s: %d\r\n%s", pathOnce, testID, testKey, testDeadline, deadline.Milliseconds(), part)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	got, err := io.ReadAll(conn)
+	return string(got), err
+}
+
 // TestDeadlinePassesDuringBody guards against waiting for a body when nobody waits for the answer any more.
 func TestDeadlinePassesDuringBody(t *testing.T) {
-	const limit = 2 * time.Second
-	for _, rest := range []string{"Content-Length: 4\r\n\r\nbo", "Transfer-Encoding: chunked\r\n\r\n4\r\nbo"} {
+	for _, part := range []string{"Content-Length: 4\r\n\r\nbo", "Transfer-Encoding: chunked\r\n\r\n4\r\nbo"} {
 		f := newFixture(t)
 		app := f.add("app", "a", serveOK)
-		conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: host\r\n%s: r\r\n%s: key\r\n%s: 50\r\n%s", pathOnce, testID, testKey, testDeadline, rest)
-		_ = conn.SetReadDeadline(time.Now().Add(limit))
-		got, err := io.ReadAll(conn)
-		_ = conn.Close()
-		if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 408 ") || app.runs() > 0 {
+		if got, err := f.answerToPart(50*time.Millisecond, part); err != nil || !strings.HasPrefix(got, "HTTP/1.1 408 ") || app.runs() > 0 {
 			t.Errorf("%q, %v; want 408 at the deadline and the end of the connection", got, err)
 		}
 	}
 }
 
+// TestUnconfirmedKeyIsRefusedBeforeBody guards against reading the body of a request that cannot be served.
+func TestUnconfirmedKeyIsRefusedBeforeBody(t *testing.T) {
+	f := newFixture(t, func(s *Settings) { s.HardKeyBound, s.MaxRoutesAge = true, 0 })
+	if got, _ := f.answerToPart(time.Minute, "Content-Length: 4\r\n\r\nbo"); !strings.HasPrefix(got, "HTTP/1.1 503 ") {
+		t.Errorf("%q, want 503 before the body has arrived", got)
+	}
+}
+
 // TestDeadlinePassesBeforeSend guards against a request that is sent when nobody waits for its answer any more.
 func TestDeadlinePassesBeforeSend(t *testing.T) {
 	const deadline = 50 * time.Millisecond
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,8 +31,8 @@
 gateway=internal/gateway
 placement=internal/placement
 mutant gateway-once $gateway/call.go 's/if r\.mayHaveRun\(\) && \(!c\.rq\.route\.Repeats\(\) \|\| /if r.mayHaveRun() \&\& (/' $gateway TestPlainCall
-mutant gateway-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& !ok/' $gateway TestKeyCheckByAgeOfRouteTable
-mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
+mutant gateway-keys $gateway/request.go 's/if !rq\.tableTrusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !rq.tableTrusted \&\& !ok/' $gateway TestUnconfirmedKeyIsRefusedBeforeBody
+mutant gateway-unknown-keys $gateway/request.go 's/if !rq\.tableTrusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !rq.tableTrusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestListFromPeerWhenStoreDoesNotAnswer
 mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/whole := proof != unproven/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
@@ -275,8 +275,10 @@
 mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
 mutant body-in-time internal/gateway/request.go 's/\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
 mutant body-late-connection internal/gateway/request.go 's/\tif err == nil \{(\n\t\t_ = c\.SetReadDeadline)/\tif true {$1/' internal/gateway TestDeadlinePassesDuringBody
+mutant refused-before-body internal/gateway/request.go 's/\t\t_ = http\.NewResponseController\(rq\.w\)\.SetReadDeadline\(now\.Add\(restOfBodyTime\)\)\n//' internal/gateway TestUnconfirmedKeyIsRefusedBeforeBody
 mutant link-over internal/link/link.go 's/if err := ctx\.Err\(\); err != nil \{\n\t\treturn nil, fmt\.Errorf\("%w: %w", ErrNotSent, err\)/if err := ctx.Err(); false {\n\t\treturn nil, err/' internal/gateway TestDeadlinePassesBeforeSend
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
+mutant send-keys $gateway/send.go 's/if rq\.table\.NeedsKey\(rq\.route\) \&\& !g\.servesKeys/if rq.table == nil \&\& !g.servesKeys/' $gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
 mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
 mutant send-repeats internal/gateway/send.go 's/case repeats && /case false \&\& /' internal/gateway TestCrashesWhileRequestWaits
@@ -332,7 +334,7 @@
 mutant limits-stops $limits/peers.go 's/add\(e\.Name, e\.Stops\)/add(e.Name, false)/' $limits TestGranterCandidates
 mutant limits-lay internal/gossip/limits.go 's/at := n\.start\.Add\(time\.Duration\(e\.Sent\) \+ time\.Duration\(e\.HeldUS\)\*time\.Microsecond\)/at := n.now()/' internal/gossip TestSentNotBefore
 mutant limits-no-permit $gateway/permit.go 's/err = g\.limits\.Take\(ctx, u\.ID\)/err = ctx.Err()/' $gateway TestRateLimitOfUpstreamIsObeyed
-mutant limits-copy $gateway/continue.go 's/if err := s\.g\.awaitPermit\(ctx, held\.at\.ID, s\.g\.now\(\)\.Add\(resumeWait\)\); err != nil/if err := ctx.Err(); err != nil/' $gateway TestMovedGenerationNeedsAPermit
+mutant limits-copy $gateway/continue.go 's/return s\.g\.awaitPermit\(ctx, at\.ID, s\.g\.now\(\)\.Add\(resumeWait\)\)/return nil/' $gateway TestMovedGenerationNeedsAPermit
 mutant limits-target $gateway/choose.go 's/g\.chooseTargetAmong\(s, from, g\.excludeLimited\(exclude\)\)/g.chooseTargetAmong(s, from, exclude)/' $gateway TestMovesPreferUnlimitedEngines
 mutant limits-other-answer $gateway/limits.go 's/if h\.header\.Get\(g\.proto\.IDHeader\) != rq\.call\.ID \{/if h.header == nil {/' $gateway 'TestLimitInAnswerToAnotherRequest|TestAnswersThatEndALimit'
 mutant limits-failure $gateway/limits.go 's/ && h\.complete \{/ {/' $gateway TestAnswersThatEndALimit
@@ -687,7 +689,7 @@
 mutant relay-store-older internal/relay/log.go 's/\t\tt\.forget\(\)\n\t\}\n\treturn l\.merge/\t\t_ = t\n\t}\n\treturn l.merge/' internal/relay TestWholeTableOfRestoredStore
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
-mutant routes-one-reading $gateway/request.go 's/rq\.table = read\.Table/rq.table, _ = g.routes.Current()/' $gateway TestRequestReadsTheRouteTableOnce
+mutant routes-one-reading $gateway/request.go 's/rq\.setTable\(read, trusted, g\.now\(\)\)/read.Table, _ = g.routes.Current()\n\trq.setTable(read, trusted, g.now())/' $gateway TestRequestReadsTheRouteTableOnce
 mutant routes-confirm-version internal/belief/routes.go 's/r\.table\.Version\(\) == v && at/at/' internal/belief TestCrossingAnswersConfirm
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
 mutant reload-early internal/reload/reload.go 's/var requests = receive\(\)/var requests <-chan os.Signal/; s/\{ return requests \}/{\n\tif requests == nil {\n\t\trequests = receive()\n\t}\n\treturn requests\n}/' internal/daemon TestScripts
