fix(gateway): a stop refuses streams that another engine would end in time

The engine of a stream is chosen by its load, and the stream was refused if a planned stop would cut it there, or sent there before durations were known by engine, though a faster engine had room. Now, during a stop, the engines at which it is expected to end in time are tried first.

TestStopAvoidsSlowEngines fails without this: with one slow engine of two, 503 instead of 200.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -119,7 +119,15 @@
 	for i := range candidates {
 		candidates[i].CachedTokens = g.prefixes.cachedTokens(candidates[i].ID, s.rq.call.Shared, view.Now)
 	}
-	return view.Admit(candidates, gen, g.usableMemory(s.rq.service, view.Now))
+	usable := g.usableMemory(s.rq.service, view.Now)
+	if !s.headSent {
+		if inTime := g.endingBeforeStop(s.rq, candidates); len(inTime) < len(candidates) {
+			if u, err := view.Admit(inTime, gen, usable); err == nil {
+				return u, nil
+			}
+		}
+	}
+	return view.Admit(candidates, gen, usable)
 }
 
 // usableMemory returns the memory of an engine of a service, in tokens, that new and moved generations may fill.
--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -82,7 +82,7 @@
 		{"begins late", 1001 * ms, 1200 * ms, true},
 	} {
 		rq := &request{service: &routetable.Service{Engine: &routetable.Engine{}}, forecast: forecast{start: tc.start}, expected: tc.expected}
-		if got := f.gateway.stopsBefore(rq); got != tc.refused {
+		if got := f.gateway.stopsBefore(rq, rq.expected, rq.forecast); got != tc.refused {
 			t.Errorf("%s: refused %t, want %t", tc.name, got, tc.refused)
 		}
 	}
@@ -104,11 +104,11 @@
 	now := time.Now()
 	f.gateway.DrainUntil(StopDeadlines{NewRequests: now.Add(time.Minute), NewStreams: now.Add(expected + proofTime/2), Unanswered: now.Add(time.Minute), End: now.Add(time.Minute)})
 	rq := &request{service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{}}, route: &routetable.Route{Objective: time.Millisecond}, expected: expected}
-	if !f.gateway.stopsBefore(rq) {
+	if !f.gateway.stopsBefore(rq, rq.expected, rq.forecast) {
 		t.Error("a stream is accepted whose end is proved after streams are cut")
 	}
 	rq.service = &routetable.Service{Name: "other", Engine: &routetable.Engine{}}
-	if f.gateway.stopsBefore(rq) {
+	if f.gateway.stopsBefore(rq, rq.expected, rq.forecast) {
 		t.Error("a stream of a service whose answers need no proof is refused")
 	}
 }
--- a/internal/gateway/duration.go
+++ b/internal/gateway/duration.go
@@ -341,6 +341,21 @@
 	return (rq.call.MaxOutput + perEvent - 1) / perEvent
 }
 
+// endingBeforeStop returns the candidates at which a request is expected to end before a planned stop: all of them if
+// none is under way.
+func (g *Gateway) endingBeforeStop(rq *request, candidates []placement.Candidate) []placement.Candidate {
+	if g.StopDeadline().IsZero() {
+		return candidates
+	}
+	var out []placement.Candidate
+	for _, c := range candidates {
+		if expected, f := g.expectedDuration(rq, c.Upstream); !g.stopsBefore(rq, expected, f) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // awaitStart records that the generation was sent to an engine. ended is to be called when it has begun, or will not
 // begin there.
 func (s *stream) awaitStart(at fleet.Upstream, sentAt time.Time) (ended func(begun bool)) {
--- a/internal/gateway/duration_test.go
+++ b/internal/gateway/duration_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -97,6 +99,37 @@
 	}
 }
 
+// TestStopAvoidsSlowEngines guards against a stopping entry that refuses a stream, or lets it be cut, because of the engine
+// that it happened to choose.
+func TestStopAvoidsSlowEngines(t *testing.T) {
+	for _, slow := range []int{1, 2} {
+		t.Run(fmt.Sprint(slow, " of 2 are slow"), func(t *testing.T) {
+			f := newFixture(t)
+			a, b := f.addEngine("e-1"), f.addEngine("e-2")
+			for i, id := range []string{"e-1", "e-2"} {
+				interval := time.Millisecond
+				if i < slow {
+					interval = time.Second
+				}
+				for range minPaceEvents + 1 {
+					f.gateway.durations.noteEvents(id, "llm", 1, interval, time.Now())
+				}
+			}
+			f.gateway.durations.sent(awaitedStart{engine: "e-1", service: "llm", sentAt: time.Now().Add(-time.Minute)})
+			f.gateway.Drain(time.Now().Add(6 * time.Second))
+			for range 4 {
+				got := f.ask(pathStream)
+				if slow == 1 && got.status != http.StatusOK || slow == 2 && (got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, errStopsFirst.Error())) {
+					t.Errorf("status %d, %q", got.status, got.body)
+				}
+			}
+			if a.runs() > 0 || slow == 2 && b.runs() > 0 {
+				t.Errorf("%d and %d sends, want none to a slow engine", a.runs(), b.runs())
+			}
+		})
+	}
+}
+
 // TestStreamIsMeasured guards against streams whose starts stay awaited, or whose pace is not measured.
 func TestStreamIsMeasured(t *testing.T) {
 	f := newFixture(t)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -226,7 +226,7 @@
 	}
 	rq.deadline = deadlineOf(rq)
 	rq.expected, rq.forecast = g.leastDuration(rq), forecast{}
-	if g.stopsBefore(rq) {
+	if g.stopsBefore(rq, rq.expected, rq.forecast) {
 		g.refuseSend(rq, errStopsFirst)
 		return false
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	rq.expected, rq.forecast = g.expectedDuration(rq, at)
-	if g.stopsBefore(rq) {
+	if g.stopsBefore(rq, rq.expected, rq.forecast) {
 		return errStopsFirst
 	}
 	return nil
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -178,18 +178,19 @@
 	return t.Sub(balancer.Add(-ReadinessLag)).String()
 }
 
-// stopsBefore reports whether a planned stop would give up a request that is sent now, or cut its answer.
-func (g *Gateway) stopsBefore(rq *request) bool {
+// stopsBefore reports whether a planned stop would give up a request that is sent now, or cut its answer. The request is
+// expected to take a time, by a forecast if it is a generation.
+func (g *Gateway) stopsBefore(rq *request, expected time.Duration, f forecast) bool {
 	by := g.lastAnswer.Load()
 	if by.IsZero() {
 		return false
 	}
 	now := g.now().Add(g.lateness())
 	if rq.service.Engine == nil {
-		return now.Add(rq.expected).After(by)
+		return now.Add(expected).After(by)
 	}
-	end := now.Add(rq.expected + g.endProofTimes.expected(rq.service.Name))
-	return now.Add(rq.forecast.start).After(by) || end.After(g.lastStreamEnd.Load())
+	end := now.Add(expected + g.endProofTimes.expected(rq.service.Name))
+	return now.Add(f.start).After(by) || end.After(g.lastStreamEnd.Load())
 }
 
 // IdleFor returns the time since the last request began or ended; 0 while requests are in
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -107,7 +107,7 @@
 				defer release()
 			}
 			f.gateway.lastAnswer.Store(now.Add(plainCallTime + 100*ms))
-			if got := f.gateway.stopsBefore(&request{service: &routetable.Service{}, expected: plainCallTime}); got != tc.refused {
+			if got := f.gateway.stopsBefore(&request{service: &routetable.Service{}}, plainCallTime, forecast{}); got != tc.refused {
 				t.Errorf("refused %t, want %t", got, tc.refused)
 			}
 		})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -69,6 +69,7 @@
 mutant duration-spread $gateway/duration.go 's/if s\.errors\.n < minErrors \{/if true {/' $gateway TestForecastSpread
 mutant duration-never-ended $gateway/duration.go 's/\te\.awaited = slices\.Delete[^\n]*\n//' $gateway TestStreamIsMeasured
 mutant duration-keep $gateway/gateway.go 's/\tg\.durations\.keep[^\n]*\n//' $gateway TestStreamIsMeasured
+mutant duration-choice $gateway/choose.go 's/len\(inTime\) < len\(candidates\) \{/false \&\& len(inTime) > 0 {/' $gateway TestStopAvoidsSlowEngines
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.anyServes:/case false:/' $gateway TestRetryDelayAfterStop
 mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n|\tgo g\.paceGivingUp\([^\n]*\n//g' $gateway TestStopAnswersRequestsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
@@ -271,8 +272,8 @@
 mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
 mutant stop-takes-given-up internal/daemon/gatewayhttp.go 's/answered - gateway\.AnswerReserve\)/answered)/' internal/daemon TestStopDeadlines
 mutant stop-takes-cut internal/gateway/stop.go 's/end\.After\(g\.lastStreamEnd\.Load\(\)\)/end.IsZero()/' internal/gateway TestStopAcceptsStreamsThatItCuts
-mutant stop-takes-unproved internal/gateway/stop.go 's/rq\.expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/rq.expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
-mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(rq\.forecast\.start\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-unproved internal/gateway/stop.go 's/expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
+mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(f\.start\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
 mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/noticed\.Add\(cut\)/signalled.Add(cut)/' platform/soak TestStopBesidePauseCutsNoStreamEarly
