--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -243,10 +243,10 @@
 	if errors.Is(err, errLimited) {
 		c.limited = err
 	}
-	if err != nil || ctx.Err() != nil {
+	if err != nil {
 		return false
 	}
-	if c.refused = c.g.checkSend(c.rq); c.refused != nil {
+	if c.refused = c.g.checkSend(c.rq, u); c.refused != nil {
 		return false
 	}
 	if c.g.limits.Any() || c.g.fleet.AnyBackOff() {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/quarantine"
 	"github.com/sparshore/sparshore/internal/routetable"
 )
@@ -24,16 +25,16 @@
 // changedRetryDelay is the retry delay of a request whose route has changed. It can be served at once.
 const changedRetryDelay = 50 * time.Millisecond
 
-// checkSend returns why a request must not be sent now, although it was accepted: it may have waited since. It must be
-// called right before each send of a request whose answer has not begun, and does not wait itself.
-func (g *Gateway) checkSend(rq *request) error {
+// checkSend returns why a request must not be sent to an upstream now, although it was accepted: it may have waited
+// since. It must be called right before each send of a request whose answer has not begun, and does not wait itself.
+func (g *Gateway) checkSend(rq *request, at fleet.Upstream) error {
 	if err := g.checkRoutes(rq); err != nil {
 		return err
 	}
 	if err := checkCrashes(rq, rq.sent); err != nil {
 		return err
 	}
-	rq.expected = g.expectedDuration(rq)
+	rq.expected, rq.forecast = g.expectedDuration(rq, at)
 	if g.stopsBefore(rq) {
 		return errStopsFirst
 	}
@@ -102,7 +103,7 @@
 	if s.headSent {
 		return checkCrashes(s.rq, next.from == nil)
 	}
-	return s.g.checkSend(s.rq)
+	return s.g.checkSend(s.rq, next.at)
 }
 
 // refuseAttempt ends a stream whose next attempt checkSend did not allow.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -61,7 +61,14 @@
 mutant placement-kept-room $placement/room.go 's/usable = float64\(e\.MemoryTokens\)/_ = e.Slots/' internal/placement TestRoom
 mutant placement-waiting-prompts $placement/room.go 's/return ErrPrompts/return nil/' internal/placement TestRoom
 mutant gateway-silent-load $gateway/gateway.go 's/g\.loads\.keepPeers\(func/_ = peers\n\t_ = (func/' $gateway TestLoadOfUnreachableEntries
-mutant gateway-stop-longest $gateway/request.go 's/g\.eventInterval\.remaining\(rq\.call\.MaxOutput,/g.eventInterval.remaining(rq.call.Hint,/' $gateway TestStoppingGatewayIgnoresTheHint
+mutant gateway-stop-longest $gateway/duration.go 's/return \(rq\.call\.MaxOutput \+/return (rq.call.Hint +/' $gateway TestStoppingGatewayIgnoresTheHint
+mutant duration-engine $gateway/duration.go 's/if e, ok := d\.engines\[engine\]; ok \{/if e, ok := d.engines[engine]; false \&\& ok {/' $gateway TestForecast
+mutant duration-shift $gateway/duration.go 's/f\.interval = max\(mean, [^\n]*/f.interval = mean/' $gateway TestForecast
+mutant duration-awaited $gateway/duration.go 's/for _, a := range e\.awaited \{/for _, a := range e.awaited[:0] {/' $gateway TestForecast
+mutant duration-unbegun $gateway/duration.go 's/begun \|\| delay > longest \{/begun \&\& delay >= 0*longest {/' $gateway TestForecast
+mutant duration-spread $gateway/duration.go 's/if s\.errors\.n < minErrors \{/if true {/' $gateway TestForecastSpread
+mutant duration-never-ended $gateway/duration.go 's/\te\.awaited = slices\.Delete[^\n]*\n//' $gateway TestStreamIsMeasured
+mutant duration-keep $gateway/gateway.go 's/\tg\.durations\.keep[^\n]*\n//' $gateway TestStreamIsMeasured
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.anyServes:/case false:/' $gateway TestRetryDelayAfterStop
 mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n|\tgo g\.paceGivingUp\([^\n]*\n//g' $gateway TestStopAnswersRequestsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
@@ -252,6 +259,7 @@
 mutant held-entry-generation internal/entry/completions.go 's/\t\te\.reportCrash\(j\.run, part\.EndedIncarnation\(\)\)\n//' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-call internal/sidecar/calls.go 's/\treturn s\.incarnations\.endedDuring\(ctx, sentAt\)\n/\treturn ""\n/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 mutant held-entry-sidecar internal/entry/crashing.go 's/\trun\.ResponseLost\(incarnation\)\n\tgo func/\tgo func/' internal/scenario TestRequestThatCrashesSidecars
+mutant entry-key-after-body internal/entry/entry.go 's/return body, r\.authenticate\(e\.activeConfig\(\)\)/return body, nil/' internal/scenario TestKeyRevokedWhileBodyArrives
 mutant held-entry-told internal/membership/set.go 's/quarantine\.Encode\(status\.Suspects/quarantine.Encode(status.Suspects[:0]/; s/process, r\.Suspects\)/process, r.Suspects[:0])/' internal/scenario 'TestRequestThatCrashesUpstreams$'
 
 mutant stop-noticed-late internal/daemon/gatewayhttp.go 's/signalled, earliest = b\.stalls\.earliestSignal\(\), /signalled, earliest = time.Now(), /' internal/daemon TestStopSignalTimes
@@ -262,8 +270,9 @@
 mutant stop-cuts-with-unanswered internal/daemon/gatewayhttp.go 's/\tb\.gateway\.GiveUpUnanswered\(\)/\tb.gateway.GiveUp()/' platform/soak TestStopCutsStreamsThatCouldStillEnd/4s
 mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
 mutant stop-takes-given-up internal/daemon/gatewayhttp.go 's/answered - gateway\.AnswerReserve\)/answered)/' internal/daemon TestStopDeadlines
-mutant stop-takes-cut internal/gateway/stop.go 's/ \|\| now\.Add\(rq\.expected\)\.After\(g\.lastStreamEnd\.Load\(\)\)//' internal/gateway TestStopAcceptsStreamsThatItCuts
-mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(startTimeout\(rq\.route\)\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-cut internal/gateway/stop.go 's/end\.After\(g\.lastStreamEnd\.Load\(\)\)/end.IsZero()/' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-unproved internal/gateway/stop.go 's/rq\.expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/rq.expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
+mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(rq\.forecast\.start\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
 mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/noticed\.Add\(cut\)/signalled.Add(cut)/' platform/soak TestStopBesidePauseCutsNoStreamEarly
@@ -277,8 +286,8 @@
 mutant late-body-start internal/gateway/choose.go 's/gen\.StartBy = rq\.readAt/gen.StartBy = rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
 mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
 mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
-mutant send-call-in-time internal/gateway/call.go 's/if err != nil \|\| ctx\.Err\(\) != nil \{/if err != nil {/' internal/gateway TestDeadlinePassesDuringBody
-mutant send-stream-in-time internal/gateway/stream.go 's/for ok \&\& ctx\.Err\(\) == nil/for ok/' internal/gateway TestDeadlinePassesDuringBody
+mutant body-in-time internal/gateway/request.go 's/\t\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
+mutant link-over internal/link/link.go 's/if err := ctx\.Err\(\); err != nil \{\n\t\treturn nil, fmt\.Errorf\("%w: %w", ErrNotSent, err\)/if err := ctx.Err(); false {\n\t\treturn nil, err/' internal/gateway TestDeadlinePassesBeforeSend
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
 mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
