--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,8 +31,8 @@
 gateway=internal/gateway
 placement=internal/placement
 mutant gateway-once $gateway/call.go 's/if r\.mayHaveRun\(\) && \(!c\.rq\.route\.Repeats\(\) \|\| /if r.mayHaveRun() \&\& (/' $gateway TestPlainCall
-mutant gateway-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& !ok/' $gateway TestKeyCheckByAgeOfRouteTable
-mutant gateway-unknown-keys $gateway/request.go 's/if !trusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !trusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
+mutant gateway-keys $gateway/request.go 's/if !rq\.tableTrusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !rq.tableTrusted \&\& !ok/' $gateway TestUnconfirmedKeyIsRefusedBeforeBody
+mutant gateway-unknown-keys $gateway/request.go 's/if !rq\.tableTrusted && \(!ok \|\| g\.settings\.HardKeyBound\)/if !rq.tableTrusted \&\& g.settings.HardKeyBound/' $gateway TestKeyCheckByAgeOfRouteTable
 mutant relay-silent-store internal/relay/store.go 's/deadline\.Sub\(s\.now\(\)\)\/2/deadline.Sub(s.now())/' internal/relay TestListFromPeerWhenStoreDoesNotAnswer
 mutant gateway-torn $gateway/eventreader.go 's/if n := e\.wholeEvents\(\); n > 0/if n := e.end - e.start; n > 0/' $gateway TestBrokenStream
 mutant gateway-whole $gateway/relay.go 's/whole := proof != unproven/whole := errors.Is(err, io.EOF) || true/' $gateway TestBrokenStream
@@ -69,6 +69,7 @@
 mutant duration-spread $gateway/duration.go 's/if s\.errors\.n < minErrors \{/if true {/' $gateway TestForecastSpread
 mutant duration-never-ended $gateway/duration.go 's/\te\.awaited = slices\.Delete[^\n]*\n//' $gateway TestStreamIsMeasured
 mutant duration-keep $gateway/gateway.go 's/\tg\.durations\.keep[^\n]*\n//' $gateway TestStreamIsMeasured
+mutant duration-choice $gateway/choose.go 's/len\(inTime\) < len\(candidates\) \{/false \&\& len(inTime) > 0 {/' $gateway TestStopAvoidsSlowEngines
 mutant gateway-back-after-stop $gateway/stop.go 's/case s\.anyServes:/case false:/' $gateway TestRetryDelayAfterStop
 mutant gateway-stop-answers $gateway/stop.go 's/\ttime\.AfterFunc\([^\n]*g\.(giveUpUnanswered|GiveUp)\)\n|\tgo g\.paceGivingUp\([^\n]*\n//g' $gateway TestStopAnswersRequestsInFlight
 mutant gateway-half-closed $gateway/request.go 's/\tg\.proto\.Refuse\(rq\.w, &rq\.call, protocol\.Refusal\{Status: status, Reason: reason\}, g\.now\(\)\)\n\}/\tpanic(http.ErrAbortHandler)\n}/' $gateway TestCallerThatOnlyStopsSending
@@ -271,8 +272,8 @@
 mutant stop-cuts-early internal/daemon/gatewayhttp.go 's/within-exitReserve\n/within-stopReserve\n/' internal/daemon TestStopDeadlines
 mutant stop-takes-given-up internal/daemon/gatewayhttp.go 's/answered - gateway\.AnswerReserve\)/answered)/' internal/daemon TestStopDeadlines
 mutant stop-takes-cut internal/gateway/stop.go 's/end\.After\(g\.lastStreamEnd\.Load\(\)\)/end.IsZero()/' internal/gateway TestStopAcceptsStreamsThatItCuts
-mutant stop-takes-unproved internal/gateway/stop.go 's/rq\.expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/rq.expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
-mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(rq\.forecast\.start\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
+mutant stop-takes-unproved internal/gateway/stop.go 's/expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
+mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(f\.start\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
 mutant stop-begun-by-notice internal/daemon/gatewayhttp.go 's/noticed\.Add\(cut\)/signalled.Add(cut)/' platform/soak TestStopBesidePauseCutsNoStreamEarly
@@ -286,9 +287,12 @@
 mutant late-body-start internal/gateway/choose.go 's/gen\.StartBy = rq\.readAt/gen.StartBy = rq.start/' internal/gateway TestLateBodyLeavesTimeToWait
 mutant stop-ends-connection internal/gateway/request.go 's/if !g\.StopDeadline\(\)\.IsZero\(\) \{(\n\t\trq\.w)/if false {$1/' internal/gateway TestStopDuringBodyEndsConnection
 mutant resume-copy-returned internal/gateway/continue.go 's/\ts\.copies = slices\.Insert\(s\.copies, 0, held\)/\t_ = slices.Insert(s.copies, 0, held)/' internal/gateway TestUnusedCopyIsReleased
-mutant body-in-time internal/gateway/request.go 's/\t\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
+mutant body-in-time internal/gateway/request.go 's/\t_ = c\.SetReadDeadline\(rq\.deadline\)\n//' internal/gateway TestDeadlinePassesDuringBody
+mutant body-late-connection internal/gateway/request.go 's/\tif err == nil \{(\n\t\t_ = c\.SetReadDeadline)/\tif true {$1/' internal/gateway TestDeadlinePassesDuringBody
+mutant refused-before-body internal/gateway/request.go 's/\t\t_ = http\.NewResponseController\(rq\.w\)\.SetReadDeadline\(now\.Add\(restOfBodyTime\)\)\n//' internal/gateway TestUnconfirmedKeyIsRefusedBeforeBody
 mutant link-over internal/link/link.go 's/if err := ctx\.Err\(\); err != nil \{\n\t\treturn nil, fmt\.Errorf\("%w: %w", ErrNotSent, err\)/if err := ctx.Err(); false {\n\t\treturn nil, err/' internal/gateway TestDeadlinePassesBeforeSend
 mutant send-checks-routes internal/gateway/send.go 's/if err := g\.checkRoutes\(rq\); err != nil/if err := g.checkRoutes(rq); false \&\& err != nil/' internal/gateway TestRoutesChangeBeforeSecondAttempt
+mutant send-keys $gateway/send.go 's/if rq\.table\.NeedsKey\(rq\.route\) \&\& !g\.servesKeys/if rq.table == nil \&\& !g.servesKeys/' $gateway TestRoutesChangeBeforeSecondAttempt
 mutant send-begun-goes-on internal/gateway/send.go 's/if s\.headSent \{/if false {/' internal/gateway TestBegunAnswerOutlastsItsKey
 mutant send-quarantine internal/gateway/send.go 's/case !rq\.run\.MaySend\(\):/case false:/' internal/gateway TestCrashesWhileRequestWaits
 mutant send-repeats internal/gateway/send.go 's/case repeats && /case false \&\& /' internal/gateway TestCrashesWhileRequestWaits
@@ -352,7 +356,7 @@
 mutant limits-stops $limits/peers.go 's/add\(e\.Name, e\.Stops\)/add(e.Name, false)/' $limits TestGranterCandidates
 mutant limits-lay internal/gossip/limits.go 's/at := n\.start\.Add\(time\.Duration\(e\.Sent\) \+ time\.Duration\(e\.HeldUS\)\*time\.Microsecond\)/at := n.now()/' internal/gossip TestSentNotBefore
 mutant limits-no-permit $gateway/permit.go 's/err = g\.limits\.Take\(ctx, u\.ID\)/err = ctx.Err()/' $gateway TestRateLimitOfUpstreamIsObeyed
-mutant limits-copy $gateway/continue.go 's/if err := s\.g\.awaitPermit\(ctx, held\.at\.ID, s\.g\.now\(\)\.Add\(resumeWait\)\); err != nil/if err := ctx.Err(); err != nil/' $gateway TestMovedGenerationNeedsAPermit
+mutant limits-copy $gateway/continue.go 's/return s\.g\.awaitPermit\(ctx, at\.ID, s\.g\.now\(\)\.Add\(resumeWait\)\)/return nil/' $gateway TestMovedGenerationNeedsAPermit
 mutant limits-target $gateway/choose.go 's/g\.chooseTargetAmong\(s, from, g\.excludeLimited\(exclude\)\)/g.chooseTargetAmong(s, from, exclude)/' $gateway TestMovesPreferUnlimitedEngines
 mutant limits-other-answer $gateway/limits.go 's/if h\.header\.Get\(g\.proto\.IDHeader\) != rq\.call\.ID \{/if h.header == nil {/' $gateway 'TestLimitInAnswerToAnotherRequest|TestAnswersThatEndALimit'
 mutant limits-failure $gateway/limits.go 's/ && h\.complete \{/ {/' $gateway TestAnswersThatEndALimit
@@ -707,7 +711,7 @@
 mutant relay-store-older internal/relay/log.go 's/\t\tt\.forget\(\)\n\t\}\n\treturn l\.merge/\t\t_ = t\n\t}\n\treturn l.merge/' internal/relay TestWholeTableOfRestoredStore
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
-mutant routes-one-reading $gateway/request.go 's/rq\.table = read\.Table/rq.table, _ = g.routes.Current()/' $gateway TestRequestReadsTheRouteTableOnce
+mutant routes-one-reading $gateway/request.go 's/rq\.setTable\(read, trusted, g\.now\(\)\)/read.Table, _ = g.routes.Current()\n\trq.setTable(read, trusted, g.now())/' $gateway TestRequestReadsTheRouteTableOnce
 mutant routes-confirm-version internal/belief/routes.go 's/r\.table\.Version\(\) == v && at/at/' internal/belief TestCrossingAnswersConfirm
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
 mutant reload-early internal/reload/reload.go 's/var requests = receive\(\)/var requests <-chan os.Signal/; s/\{ return requests \}/{\n\tif requests == nil {\n\t\trequests = receive()\n\t}\n\treturn requests\n}/' internal/daemon TestScripts
