fix(gateway): a stop cuts streams whose first events come late

Callers got the beginning of a stream that a stop had accepted and a closed connection. The stream was accepted by a forecast, its first event came later than that, and its answer began although the rest could not end before the stop.

Whether it can is asked again when the first event comes, by the same forecast and length; if not, the caller gets a 502 at once, and the engine is released. Streams that were read before the stop begin as before: they were not accepted by their longest output and may be much shorter.

Found by review. The deadline of streams is set before the one that tells that a stop is under way.

--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -172,3 +173,49 @@
 	}
 	t.Error("no line of the cut answer")
 }
+
+// TestStopCutsStreamsThatBeginLate guards against an answer that begins so late that a planned stop cuts it.
+func TestStopCutsStreamsThatBeginLate(t *testing.T) {
+	const ms = time.Millisecond
+	const delay, interval, testEvents, left = 700 * ms, 2 * ms, 250, 1000 * ms
+	for _, tc := range []struct {
+		name   string
+		before bool
+		status int
+	}{{"accepted during the stop", false, http.StatusBadGateway}, {"accepted before the stop", true, http.StatusOK}} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, begun := newFixture(t), make(chan struct{}, 1)
+			f.add("llm", "e", func(w http.ResponseWriter, _ *http.Request) {
+				select {
+				case begun <- struct{}{}:
+				default: // The engine is asked for its report as well.
+				}
+				time.Sleep(delay)
+				w.Header().Set(testProof, "p")
+				for i := range testEvents {
+					_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: x\n\n", i+1))
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(interval)
+				}
+			})
+			now := time.Now()
+			for range 20 {
+				f.gateway.durations.noteEvents("e", "llm", 1, interval, now)
+			}
+			f.gateway.durations.ended(f.gateway.durations.sent(awaitedStart{engine: "e", service: "llm", sentAt: now}), true, now)
+			stop := func() { f.gateway.Drain(time.Now().Add(left)) }
+			if tc.before {
+				go func() {
+					f.holdUntil(begun)
+					stop()
+				}()
+			} else {
+				stop()
+			}
+			got := f.ask(pathStream)
+			if got.status != tc.status || !tc.before && got.err != nil {
+				t.Errorf("status %d, %v; want %d", got.status, got.err, tc.status)
+			}
+		})
+	}
+}
--- a/internal/gateway/duration.go
+++ b/internal/gateway/duration.go
@@ -356,6 +356,19 @@
 	return out
 }
 
+// cutByStop reports whether a planned stop would cut the answer of which the first event has come. A stop holds for the
+// requests that it accepted what it accepted them by; those that were read before it may be shorter than they announced.
+func (s *stream) cutByStop() bool {
+	g, rq := s.g, s.rq
+	end, noticed := g.latestEnd.Load(), g.stopNoticedAt.Load().Add(-ReadinessLag)
+	if end.IsZero() || rq.readAt.Before(noticed) || rq.call.MaxOutput <= 0 {
+		return false
+	}
+	rest := rq.forecast
+	rest.start = 0
+	return g.now().Add(rest.total(rq.maxEvents()) + g.endProofTimes.expected(rq.service.Name)).After(end)
+}
+
 // awaitStart records that the generation was sent to an engine. ended is to be called when it has begun, or will not
 // begin there.
 func (s *stream) awaitStart(at fleet.Upstream, sentAt time.Time) (ended func(begun bool)) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,6 +29,11 @@
 		}
 		id, n := lastEventID(b)
 		if first {
+			if !s.headSent && s.cutByStop() {
+				started()
+				g.refuseSend(s.rq, errStopsFirst)
+				return streamFailed
+			}
 			if !s.headSent && !s.rq.beginAnswer() {
 				return streamBroken
 			}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -59,8 +59,9 @@
 func (g *Gateway) DrainUntil(d StopDeadlines) {
 	g.stopNoticedAt.Store(g.now().Add(ReadinessLag))
 	g.latestEnd.Store(d.End)
-	g.lastAnswer.Store(d.NewRequests)
+	// lastAnswer tells that a stop is under way, so it comes last.
 	g.lastStreamEnd.Store(d.NewStreams)
+	g.lastAnswer.Store(d.NewRequests)
 	time.AfterFunc(d.Unanswered.Add(-AnswerReserve).Sub(g.now()), g.giveUpUnanswered)
 	go g.paceGivingUp(d.Unanswered.Add(-AnswerReserve))
 	time.AfterFunc(d.End.Sub(g.now()), g.GiveUp)
