fix(daemon): no line of the log names a stream whose caller does not read at a stop

A stream whose caller does not read is ended by the close of its connection, right before the gateway ends. The process then ended before the handlers noticed, so that no line named the request, or one said that the caller had left.

The gateway waits for the handlers of the connections that it closes, for 5 ms at most, before it closes the log. A write that fails after answers are cut counts as a cut, with the line stream-cut.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -194,8 +194,10 @@
 	// exitReserve is the part of the stop time that remains for the other services and the log once the last
 	// responses have been awaited and the last answers are cut. Most of the services have nothing left to do.
 	exitReserve = 50 * time.Millisecond
-	// logReserve is the part of the stop time that remains to log the end when connections are closed.
-	logReserve = 5 * time.Millisecond
+	// handlerReserve is the part of the stop time in which handlers end once their connections are closed, and
+	// logReserve the part that remains then to write the log.
+	handlerReserve = 5 * time.Millisecond
+	logReserve     = 5 * time.Millisecond
 	// retryBudgetShare is the part of the allowed additional attempts that entries use. The rest
 	// compensates for windows that differ between entries.
 	retryBudgetShare = 0.85
--- a/internal/daemon/gatewayhttp.go
+++ b/internal/daemon/gatewayhttp.go
@@ -71,18 +71,24 @@
 }
 
 // responseService closes the connections of callers. It stops after the services that requests in flight depend
-// on: responses that are not written yet at the end of drain need only the process.
+// on: responses that are not written yet at the end of drain need only the process. It waits a moment for the handlers
+// of connections that it closes, whose last lines belong in the log.
 func (b *gatewayBuilder) responseService() kernel.Service {
 	return kernel.Service{
 		Name:  serviceResponses,
 		Build: func(*kernel.Registry) (any, error) { return b.callers, nil },
 		Stop: func(ctx context.Context, _ *kernel.Registry) error {
-			if end, ok := ctx.Deadline(); ok {
-				var cancel context.CancelFunc
-				ctx, cancel = context.WithDeadline(ctx, end.Add(-logReserve))
-				defer cancel()
+			end, ok := ctx.Deadline()
+			if !ok {
+				b.stopServer(ctx, "--listen", b.callers)
+				return nil
 			}
-			b.stopServer(ctx, "--listen", b.callers)
+			ctx, cancel := context.WithDeadline(ctx, end.Add(-logReserve))
+			defer cancel()
+			closeCtx, cancelClose := context.WithDeadline(ctx, end.Add(-logReserve-handlerReserve))
+			defer cancelClose()
+			b.stopServer(closeCtx, "--listen", b.callers)
+			_ = b.callers.connections.Drain(ctx)
 			return nil
 		},
 	}
--- a/internal/daemon/lateresponse_test.go
+++ b/internal/daemon/lateresponse_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,3 +84,49 @@
 		t.Error(err)
 	}
 }
+
+// TestLinesOfClosedConnectionsAreLost guards against requests that no line of the log names, because the process ends
+// before the handlers notice that it closed their connections.
+func TestLinesOfClosedConnectionsAreLost(t *testing.T) {
+	t.Parallel()
+	b := &gatewayBuilder{stalls: startStallDetector(t), gateway: newGatewayWithoutRoutes(), rec: events.Nop(), routes: belief.NewRoutes("", nil, events.Nop(), time.Now), settings: GatewaySettings{Listen: "127.0.0.1:0", StopWithin: 500 * time.Millisecond}}
+	var ended atomic.Bool
+	begun := make(chan struct{})
+	callers, listening := listenForCallers(b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(make([]byte, 1<<16))
+		}
+		time.Sleep(handlerReserve / 5)
+		ended.Store(true)
+	}))
+	log := kernel.Service{
+		Name:  "log",
+		Build: func(*kernel.Registry) (any, error) { return 0, nil },
+		Stop: func(context.Context, *kernel.Registry) error {
+			if !ended.Load() {
+				t.Error("the log is closed before the handler has ended")
+			}
+			return nil
+		},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	stopped := make(chan error, 1)
+	go func() {
+		stopped <- kernel.Run(ctx, kernel.Limits{Start: time.Minute, Stop: time.Second}, []kernel.Service{log, b.responseService(), callers, b.gatewayService()})
+	}()
+	c, err := net.Dial("tcp", (<-listening).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	stop()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/gateway/drainuntil_test.go
+++ b/internal/gateway/drainuntil_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +173,32 @@
 	}
 	t.Error("no line of the cut answer")
 }
+
+// TestStopClosesUnreadAnswerWithoutALine guards against a stream that a planned stop ends while its caller does not read,
+// and that no line of the log names as cut.
+func TestStopClosesUnreadAnswerWithoutALine(t *testing.T) {
+	f := newFixture(t)
+	var sent atomic.Int64
+	f.add("llm", "eng-1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testProof, "p")
+		data := strings.Repeat("x", 16<<10)
+		for err := error(nil); err == nil; sent.Add(1) {
+			_, err = io.WriteString(w, "data: "+data+"\n\n")
+		}
+	})
+	resp, err := f.open(t.Context(), pathStream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	before := int64(-1)
+	f.waitUntil("the caller does not take more", func() bool {
+		time.Sleep(50 * time.Millisecond)
+		now := sent.Load()
+		defer func() { before = now }()
+		return now == before
+	})
+	f.gateway.GiveUp()
+	f.server.CloseClientConnections()
+	f.waitUntil("the cut is logged", func() bool { return f.recorded(events.StreamCut) })
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,8 +42,7 @@
 		err = s.writeEvents(b)
 		r.endWrite()
 		if err != nil {
-			g.callerDisconnected(s.rq, "getting events", err)
-			panic(http.ErrAbortHandler)
+			s.abortWrite(err)
 		}
 		s.advance(id, n)
 		s.recordPause()
@@ -55,6 +54,18 @@
 	}
 }
 
+// abortWrite ends a request after a write to its caller failed. At the end of a planned stop the gateway itself closes
+// the connections of callers that do not read.
+func (s *stream) abortWrite(err error) {
+	if s.g.stopping.Err() != nil {
+		s.g.met.ended("cut")
+		s.noteCut(errStopped.Error())
+	} else {
+		s.g.callerDisconnected(s.rq, "getting events", err)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // attemptBegan handles the first event of an attempt.
 func (s *stream) attemptBegan(ctx context.Context, st step, answer *link.Answer, sent time.Time) {
 	s.recordFirstEvent(ctx, st, answer, sent)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -285,6 +285,8 @@
 mutant stop-closes-last internal/daemon/gatewayhttp.go 's/\(b\.callers\.connections\.Open\(\)\)\n\treturn nil/(b.callers.connections.Open())\n\treturn b.callers.server.Close()/' internal/daemon TestResponsesAreWrittenWhileOtherServicesStop
 mutant link-drain-large internal/link/late.go 's/firstDrainChunk = 1 << 10/firstDrainChunk = 64 << 10/' internal/link TestRequestsThatEndTogetherNeedLittleMemory
 mutant link-drain-once internal/link/late.go 's/chunk = make\(\[\]byte, drainChunk\)/return/' internal/link TestLongReceivedAnswerIsReadWhole
+mutant stop-log-awaits-handlers internal/daemon/gatewayhttp.go 's/\t_ = b\.callers\.connections\.Drain\(ctx\)\n//' internal/daemon TestLinesOfClosedConnectionsAreLost
+mutant stop-unread-cut internal/gateway/relay.go 's/if s\.g\.stopping\.Err\(\) != nil/if false/' internal/gateway TestStopClosesUnreadAnswerWithoutALine
 mutant stop-takes-by-last internal/gateway/stop.go 's/g\.lastAnswer\.Store\(d\.NewRequests\)/g.lastAnswer.Store(d.End)/' internal/gateway TestDrainUntilKeepsRequestsInFlight
 mutant stop-return-early internal/gateway/stop.go 's/g\.latestEnd\.Store\(d\.End\)/g.latestEnd.Store(d.NewRequests)/' internal/gateway TestRetryDelayAfterLateNoticedStop
 mutant stop-waits-entry internal/daemon/entry.go 's/if !b\.entry\.WaitIdle\(ctx\) \{/if _ = ctx; false {/' internal/scenario 'TestScripts/entry_stop'
