fix(gateway): a stream is resumed from a copy that was lost while it waited

Whether an engine still has a copy of a generation was asked before the wait for the retry budget and a permit, up to four seconds. The engine refused the attempt unrun, which cost time and one arrival of the budget.

It is asked again after the wait, and the attempt is kept for the next copy. Found by review.

--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -52,6 +52,10 @@
 			s.returnCopy(held)
 			return step{}, false
 		}
+		if !s.holds(held) {
+			s.keepAttempt()
+			return s.nextAfterBreak(ctx, exclude)
+		}
 		return step{at: held.at, from: &held.copy, why: "copy"}, true
 	}
 	if !s.rq.route.Repeats() || s.rq.attempts >= s.rq.route.MaxAttempts || !s.rq.run.MayRepeat() || !s.g.takeExtra(s.rq.service.Name, 0) {
@@ -107,16 +111,31 @@
 // the copies that were lost when their engine restarted, where an attempt would be refused and still
 // count as a repeat, and those at engines of another software version.
 func (s *stream) takeCopy() (held heldCopy, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for len(s.copies) > 0 {
+	for {
+		s.mu.Lock()
+		if len(s.copies) == 0 {
+			s.mu.Unlock()
+			return heldCopy{}, false
+		}
 		held = s.copies[0]
 		s.copies = s.copies[1:]
-		if s.g.incarnationKnown(held.at.ID) && s.software.fits(held.at) {
+		s.mu.Unlock()
+		if s.holds(held) {
 			return held, true
 		}
 	}
-	return heldCopy{}, false
+}
+
+// holds reports whether an engine still has a copy of the generation that it can go on from.
+func (s *stream) holds(held heldCopy) bool {
+	return s.g.incarnationKnown(held.at.ID) && s.fits(held.at)
+}
+
+// keepAttempt keeps an attempt that was taken from the retry budget and not used for the next one.
+func (s *stream) keepAttempt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attemptTaken = true
 }
 
 // returnCopy undoes takeCopy for a copy that was not used, so that it is tried next or released. It ignores the zero value.
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -105,3 +105,23 @@
 		})
 	}
 }
+
+// TestCopyIsLostWhileResumptionWaits guards against resuming from a copy whose engine started again while the generation
+// waited for its next attempt.
+func TestCopyIsLostWhileResumptionWaits(t *testing.T) {
+	f := newFixture(t)
+	f.addEngine("e")
+	at, _ := f.fleet.Get("e")
+	f.gateway.limits.NoteLimit("e", 2)
+	for f.gateway.limits.Take(t.Context(), "e") == nil {
+	}
+	rq := &request{caller: t.Context(), run: newQuarantineRun(), start: time.Now(), readAt: time.Now(), route: &routetable.Route{}, service: &routetable.Service{Name: "llm", Engine: &routetable.Engine{EventTokens: 4}}}
+	s := &stream{g: f.gateway, rq: rq, headSent: true, copies: []heldCopy{{at: at, copy: protocol.Copy{Handle: "h"}}}}
+	time.AfterFunc(100*time.Millisecond, func() { f.restart("e", 200) })
+	if st, ok := s.nextAfterBreak(t.Context(), nil); ok {
+		t.Errorf("the generation is resumed at %q", st.at.ID)
+	}
+	if !s.attemptTaken {
+		t.Error("the attempt is lost")
+	}
+}
