--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -275,7 +275,7 @@
 mutant stop-takes-unproved internal/gateway/stop.go 's/expected \+ g\.endProofTimes\.expected\(rq\.service\.Name\)/expected/' internal/gateway TestStopAcceptsStreamsWhoseEndsAreProvedLate
 mutant stop-takes-unbegun internal/gateway/stop.go 's/now\.Add\(f\.start\)\.After\(by\) \|\| //' internal/gateway TestStopAcceptsStreamsThatItCuts
 mutant stop-begins-late internal/gateway/relay.go 's/if !s\.headSent && s\.cutByStop\(\)/if false/' internal/gateway TestStopCutsStreamsThatBeginLate
-mutant stop-early-begins internal/gateway/duration.go 's/ \|\| rq\.readAt\.Before\(noticed\)//' internal/gateway TestStopCutsStreamsThatBeginLate
+mutant stop-early-begins internal/gateway/duration.go 's/rq\.readAt\.Before\(noticed\)/rq.readAt.Before(noticed.Add(-time.Hour))/' internal/gateway TestStopCutsStreamsThatBeginLate
 mutant copy-lost-waiting internal/gateway/continue.go 's/if !s\.holds\(held\) \{\n\t\t\ts\.keepAttempt/if false {\n\t\t\ts.keepAttempt/' internal/gateway TestCopyIsLostWhileResumptionWaits
 mutant stop-begun-counted internal/gateway/relay.go 's/!s\.headSent && !s\.rq\.beginAnswer\(\)/false/' internal/gateway TestBegunAnswerOutlastsUnansweredDeadline
 mutant stop-unanswered-first internal/gateway/stop.go 's/\(d\.Unanswered\.Add/(d.End.Add/g' internal/gateway TestUnansweredRequestsAreGivenUpFirst
