fix(gateway): requests are refused because their route moves as they are sent

A request is decided by the routes in force when its body has arrived, and goes on by them. Before each send only its key is asked for again, since a revoked key has a bound that waits must not exceed. The row of TestRoutesChangeBeforeSecondAttempt that wanted the refusal wants the second send now.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sparshore/sparshore/internal/fleet"
 	"github.com/sparshore/sparshore/internal/quarantine"
-	"github.com/sparshore/sparshore/internal/routetable"
 )
 
 // The reasons for not sending a request that was accepted.
@@ -18,17 +16,16 @@
 	errStopsFirst      = errors.New("this entry stops before the request would end")
 	errKeyRevoked      = errors.New("no account holds this key any more")
 	errKeysUnconfirmed = errors.New("the keys are not confirmed")
-	// errRouteChanged means that the routes in force would decide otherwise.
-	errRouteChanged = errors.New("the route changed while the request waited")
+	errKeyMoved        = errors.New("another account holds this key now")
 )
 
-// changedRetryDelay is the retry delay of a request whose route has changed. It can be served at once.
-const changedRetryDelay = 50 * time.Millisecond
+// keyMovedRetryDelay is the retry delay of a request whose key has moved. It can be served at once.
+const keyMovedRetryDelay = 50 * time.Millisecond
 
 // checkSend returns why a request must not be sent to an upstream now, although it was accepted: it may have waited
 // since. It must be called right before each send of a request whose answer has not begun, and does not wait itself.
 func (g *Gateway) checkSend(rq *request, at fleet.Upstream) error {
-	if err := g.checkRoutes(rq); err != nil {
+	if err := g.checkKey(rq); err != nil {
 		return err
 	}
 	if err := checkCrashes(rq, rq.sent); err != nil {
@@ -41,50 +38,28 @@
 	return nil
 }
 
-// checkRoutes returns why the routes in force do not allow a request that earlier ones allowed.
-func (g *Gateway) checkRoutes(rq *request) error {
-	read, trusted := g.readRoutes()
-	if rq.table.NeedsKey(rq.route) && !g.servesKeys(read, trusted) {
-		return errKeysUnconfirmed
-	}
-	if read.Table == rq.table {
+// checkKey returns why the keys in force do not allow a request that earlier ones allowed. It goes on by its route even if
+// that has changed since it was accepted.
+func (g *Gateway) checkKey(rq *request) error {
+	if !rq.table.NeedsKey(rq.route) {
 		return nil
 	}
-	switch err := checkTable(rq, read.Table); {
-	case errors.Is(err, errKeyRevoked) && !trusted:
+	read, trusted := g.readRoutes()
+	if !g.servesKeys(read, trusted) {
 		return errKeysUnconfirmed
-	case err != nil:
-		return err
-	}
-	rq.setTable(read, trusted, g.now())
-	return nil
-}
-
-// checkTable returns why a later route table does not allow a request to be sent as it was accepted.
-func checkTable(rq *request, later *routetable.Table) error {
-	route, ok := later.Match(rq.call.Host, rq.path())
-	if !ok || route.Repeats() != rq.route.Repeats() || !leadsTo(later, route, rq.service) {
-		return errRouteChanged
-	}
-	if !later.NeedsKey(route) {
-		return nil
 	}
-	account, ok := later.AccountOf(rq.call.Key)
+	account, ok := read.Table.AccountOf(rq.call.Key)
 	switch {
+	case !ok && !trusted:
+		return errKeysUnconfirmed
 	case !ok:
 		return errKeyRevoked
 	case account.Name != rq.account:
-		return errRouteChanged
+		return errKeyMoved
 	}
 	return nil
 }
 
-// leadsTo reports whether a route of a table leads to a service that is known from an earlier table.
-func leadsTo(table *routetable.Table, route *routetable.Route, earlier *routetable.Service) bool {
-	service, ok := table.Service(earlier.Name)
-	return ok && (service.Engine == nil) == (earlier.Engine == nil) && slices.ContainsFunc(route.Shares, func(s routetable.Share) bool { return s.Service == earlier.Name })
-}
-
 // checkCrashes returns why the crashes of upstreams during a request do not allow to send it. repeats is set if it may
 // have run.
 func checkCrashes(rq *request, repeats bool) error {
@@ -133,8 +108,8 @@
 		status = http.StatusUnauthorized
 	case errors.Is(why, errKeysUnconfirmed):
 		retryAfter = unreadyRetryDelay
-	case errors.Is(why, errRouteChanged):
-		retryAfter = changedRetryDelay
+	case errors.Is(why, errKeyMoved):
+		retryAfter = keyMovedRetryDelay
 	}
 	g.refuse(rq, status, why.Error(), retryAfter)
 }
