--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,6 +48,9 @@
 	if !g.servesKeys(read, trusted) {
 		return errKeysUnconfirmed
 	}
+	if read.Table == rq.table {
+		return nil
+	}
 	account, ok := read.Table.AccountOf(rq.call.Key)
 	switch {
 	case !ok && !trusted:
