gateway: two functions with one caller each are part of it

The table of a request is set and its path is matched in one place only, since the check before a send does not match routes any more. Behaviour is unchanged.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -183,14 +183,9 @@
 		g.refuse(rq, http.StatusServiceUnavailable, "no routes are known yet", unreadyRetryDelay)
 		return false
 	}
-	rq.setTable(read, trusted, g.now())
-	return true
-}
-
-// setTable makes a route table the one of the request.
-func (rq *request) setTable(read belief.Reading, trusted bool, now time.Time) {
 	rq.table, rq.tableTrusted, rq.tableRow, rq.evidence = read.Table, trusted, read.Row, read.Evidence
-	rq.tableAge = now.Sub(read.Confirmed)
+	rq.tableAge = g.now().Sub(read.Confirmed)
+	return true
 }
 
 // checkHeaders refuses a request whose headers are too large.
@@ -205,7 +200,8 @@
 // decide determines the route, account and service of a request by its route table. It does not wait. If the request
 // cannot be served, decide answers it and returns false.
 func (g *Gateway) decide(rq *request) bool {
-	route, ok := rq.table.Match(rq.call.Host, rq.path())
+	path, _, _ := strings.Cut(rq.call.Target, "?")
+	route, ok := rq.table.Match(rq.call.Host, path)
 	switch {
 	case !ok && !rq.tableTrusted:
 		g.refuse(rq, http.StatusServiceUnavailable, "the routes are not confirmed", unreadyRetryDelay)
@@ -233,12 +229,6 @@
 	return true
 }
 
-// path returns the path of the request without its query.
-func (rq *request) path() string {
-	path, _, _ := strings.Cut(rq.call.Target, "?")
-	return path
-}
-
 // headerBytes returns the size of the request line and headers on the wire.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
