--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -716,7 +716,7 @@
 mutant relay-store-older internal/relay/log.go 's/\t\tt\.forget\(\)\n\t\}\n\treturn l\.merge/\t\t_ = t\n\t}\n\treturn l.merge/' internal/relay TestWholeTableOfRestoredStore
 mutant retryuse-read-clock internal/retryuse/retryuse.go 's/s\.Clock, sent\n/s.Clock, k.now()\n\t\t_ = sent\n/' internal/retryuse TestSlowReadDoesNotAgeStoredUse
 mutant routes-only-gossip internal/belief/routes.go 's/r\.answeredAt, r\.onlyGossip = at, false/r.answeredAt = at/' internal/belief TestEvidenceOfConfirmations
-mutant routes-one-reading $gateway/request.go 's/rq\.setTable\(read, trusted, g\.now\(\)\)/read.Table, _ = g.routes.Current()\n\trq.setTable(read, trusted, g.now())/' $gateway TestRequestReadsTheRouteTableOnce
+mutant routes-one-reading $gateway/request.go 's/\trq\.table, rq\.tableTrusted, /\tread.Table, _ = g.routes.Current()\n\trq.table, rq.tableTrusted, /' $gateway TestRequestReadsTheRouteTableOnce
 mutant routes-confirm-version internal/belief/routes.go 's/r\.table\.Version\(\) == v && at/at/' internal/belief TestCrossingAnswersConfirm
 mutant clock-watch internal/daemon/clockwatch.go 's/by\.Abs\(\) < clockTolerance/by < clockTolerance/' internal/daemon TestClockWatch
 mutant reload-early internal/reload/reload.go 's/var requests = receive\(\)/var requests <-chan os.Signal/; s/\{ return requests \}/{\n\tif requests == nil {\n\t\trequests = receive()\n\t}\n\treturn requests\n}/' internal/daemon TestScripts
