--- /dev/null
+++ b/review/standin-2/config.go
@@ -0,0 +1,81 @@
+package main
+
+// The operator's configuration and the workers' rows, in the form of the pages.
+
+type wireRoute struct {
+	Name          string `json:"name"`
+	Host          string `json:"host"`
+	PathPrefix    string `json:"path_prefix"`
+	RouteType     string `json:"route_type"`
+	TimeoutMS     int    `json:"timeout_ms"`
+	TargetLatency int    `json:"target_latency_ms"`
+	Priority      int    `json:"priority"`
+	Service       string `json:"service"`
+	MaxAttempts   int    `json:"max_attempts"`
+	Public        bool   `json:"public"`
+	Sticky        bool   `json:"sticky,omitempty"`
+	Resumable     bool   `json:"resumable,omitempty"`
+	GapAimMS      int    `json:"gap_aim_ms,omitempty"`
+}
+
+type wireService struct {
+	Name           string      `json:"name"`
+	HealthPath     string      `json:"health_path"`
+	MaxConnections int         `json:"max_connections"`
+	Protocol       string      `json:"protocol"`
+	TLS            bool        `json:"tls"`
+	Engine         *wireEngine `json:"engine,omitempty"`
+}
+
+type wireEngine struct {
+	Slots            int     `json:"slots"`
+	KVCapacityTokens int     `json:"kv_capacity_tokens"`
+	KVTokenBytes     int     `json:"kv_token_bytes"`
+	LinkMbps         float64 `json:"link_mbps"`
+	Moves            bool    `json:"moves"`
+	Stride           int     `json:"stride"`
+}
+
+type wireLimits struct {
+	MaxHeaderBytes  int `json:"max_header_bytes"`
+	MaxBodyBytes    int `json:"max_body_bytes"`
+	HeaderTimeoutMS int `json:"header_timeout_ms"`
+	IdleTimeoutMS   int `json:"idle_timeout_ms"`
+}
+
+type wireTenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"api_keys"`
+	Priority int      `json:"priority"`
+}
+
+type wireConfig struct {
+	Version  int           `json:"version"`
+	Routes   []wireRoute   `json:"routes"`
+	Services []wireService `json:"services"`
+	Limits   wireLimits    `json:"limits"`
+	Tenants  []wireTenant  `json:"tenants"`
+}
+
+// usualLimits are the limits of the pages' example.
+var usualLimits = wireLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000}
+
+const (
+	host   = "ficu95.example"
+	tenant = "huka270"
+	key    = "xd9dnn2ctnfzs989anu6"
+)
+
+var usualTenants = []wireTenant{{Name: tenant, APIKeys: []string{key}, Priority: 1}}
+
+// wireBeat is the row of a worker.
+type wireBeat struct {
+	Service         string `json:"service"`
+	Address         string `json:"address"`
+	Zone            string `json:"zone"`
+	Version         string `json:"version"`
+	Slots           int    `json:"slots"`
+	State           string `json:"state"`
+	ColdRemainingMS int    `json:"cold_remaining_ms"`
+	Sequence        int    `json:"sequence"`
+}
