--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(s setup) error{
 	"reset-upload": resetUpload,
+	"late-streams": lateStreams,
 }
 
 func main() {
