review: answers of workers that read on later are cut and passed on as whole (case 7)

A script with stand-ins: workers that begin their answer, read no more of a long body for 5 s and then read on.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,8 +28,9 @@
 }
 
 var cases = map[string]func(s setup) error{
-	"reset-upload": resetUpload,
-	"late-streams": lateStreams,
+	"reset-upload":  resetUpload,
+	"late-streams":  lateStreams,
+	"paused-upload": pausedUpload,
 }
 
 func main() {
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"io"
 	"net"
 	"sync"
-	"syscall"
 )
 
 // proxy forwards connections to one address and can reset them, as a network does.
@@ -18,25 +15,9 @@
 	conns []*net.TCPConn
 }
 
-// window is the size in bytes of the buffers of a proxy's sockets: windows of the platform's links are small.
-const window = 32 << 10
-
-// segment is the largest segment in bytes that the peers of a proxy send, as on an Ethernet link. Loopback has segments
-// of 64 KB, with which the kernel would take a body of some megabytes into its send buffer at once.
-const segment = 1460
-
 // newProxy starts a proxy to a target on a free port of the loopback address.
 func newProxy(target string) (*proxy, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var optErr error
-		err := c.Control(func(fd uintptr) {
-			optErr = errors.Join(
-				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segment),
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window))
-		})
-		return errors.Join(err, optErr)
-	}}
-	l, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	l, err := listenNarrow()
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-2/resetupload.go
+++ b/review/standin-2/resetupload.go
@@ -40,7 +40,7 @@
 	}
 	var links proxies
 	for i := range uploadWorkers {
-		w, err := newUploadWorker(fmt.Sprintf("i-7f3a00%02d", i), s.rec)
+		w, err := newUploadWorker(fmt.Sprintf("i-7f3a00%02d", i), 0, s.rec)
 		if err != nil {
 			return err
 		}
@@ -51,12 +51,7 @@
 		links = append(links, p)
 		st.put("servers", w.id, wireBeat{Service: "wuno96b", Address: p.address, Zone: "bne-a", Version: "v1", Slots: 6, State: "ready"})
 	}
-	st.put("op", "config", wireConfig{
-		Version:  7,
-		Routes:   []wireRoute{{Name: "r-1", Host: host, PathPrefix: uploadPath, RouteType: "unsafe", TimeoutMS: 15000, TargetLatency: 5000, Priority: 2, Service: "wuno96b", MaxAttempts: 1}},
-		Services: []wireService{{Name: "wuno96b", HealthPath: "/health", MaxConnections: 100, Protocol: "h1"}},
-		Limits:   usualLimits, Tenants: usualTenants,
-	})
+	st.put("op", "config", uploadConfig())
 	g, err := startGateway(s.root, s.logs, "front-bne-a-1", "bne-a", st.address, binday, true)
 	if err != nil {
 		return err
@@ -87,8 +82,23 @@
 		})
 	}
 	clients.Wait()
+	return judgeUploads(s.rec, &outcomes)
+}
+
+// uploadConfig is the configuration of a service that takes long bodies.
+func uploadConfig() wireConfig {
+	return wireConfig{
+		Version:  7,
+		Routes:   []wireRoute{{Name: "r-1", Host: host, PathPrefix: uploadPath, RouteType: "unsafe", TimeoutMS: 15000, TargetLatency: 5000, Priority: 2, Service: "wuno96b", MaxAttempts: 1}},
+		Services: []wireService{{Name: "wuno96b", HealthPath: "/health", MaxConnections: 100, Protocol: "h1"}},
+		Limits:   usualLimits, Tenants: usualTenants,
+	}
+}
+
+// judgeUploads returns an error if a success lacked a part of its answer.
+func judgeUploads(rec *record, outcomes *[3]atomic.Int64) error {
 	whole, wrong, failed := outcomes[answeredWhole].Load(), outcomes[answeredWrong].Load(), outcomes[notAnswered].Load()
-	s.rec.note("%d answers were whole, %d requests failed, %d successes lacked a part of the answer", whole, failed, wrong)
+	rec.note("%d answers were whole, %d requests failed, %d successes lacked a part of the answer", whole, failed, wrong)
 	switch {
 	case wrong > 0:
 		return fmt.Errorf("%w: MIXED: %d successes lacked a part of the worker's answer", errBroken, wrong)
@@ -159,14 +169,16 @@
 	id      string
 	address string
 	rec     *record
+	// pause is how long it stops to read after the first chunk, while it goes on to answer.
+	pause time.Duration
 }
 
-func newUploadWorker(id string, rec *record) (*uploadWorker, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+func newUploadWorker(id string, pause time.Duration, rec *record) (*uploadWorker, error) {
+	l, err := listenNarrow()
 	if err != nil {
 		return nil, err
 	}
-	w := &uploadWorker{id: id, address: l.Addr().String(), rec: rec}
+	w := &uploadWorker{id: id, address: l.Addr().String(), rec: rec, pause: pause}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -223,5 +235,9 @@
 			w.rec.note("worker %s lost the channel of %s after %d lines: %v", w.id, id, n, err)
 			return
 		}
+		if n == 0 && w.pause > 0 {
+			w.rec.note("worker %s reads on in %v", w.id, w.pause)
+			time.Sleep(w.pause)
+		}
 	}
 }
