review: whole streams of workers that end after them are cut (case 9)

A script with stand-ins: workers that are released end after their last answer, which has no length, while the gateway is told to stop.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,9 +28,10 @@
 }
 
 var cases = map[string]func(s setup) error{
-	"reset-upload":  resetUpload,
-	"late-streams":  lateStreams,
-	"paused-upload": pausedUpload,
+	"reset-upload":   resetUpload,
+	"ending-workers": endingWorkers,
+	"late-streams":   lateStreams,
+	"paused-upload":  pausedUpload,
 }
 
 func main() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -68,6 +68,11 @@
 	return ver
 }
 
+// remove removes a row as a worker that has left does.
+func (s *store) remove(table, key string) {
+	s.apply(transaction{Remove: []row{{Table: table, Key: key}}})
+}
+
 // apply applies a transaction if its conditions hold.
 func (s *store) apply(t transaction) (ver int64, ok bool) {
 	s.mu.Lock()
