--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -28,6 +28,13 @@
 	// events receives the number of each event, and is closed at the end.
 	events chan int
 	gone   bool
+	work   *work
+}
+
+// work is the time in which a worker works on a request.
+type work struct {
+	request, worker string
+	from, to        time.Time
 }
 
 // engine is a sound model worker: it reads one prompt after another in pieces between the tokens of the running
@@ -37,9 +44,16 @@
 	figures     engineFigures
 	rec         *record
 
+	// goesOn is set for a worker that does not drop a request whose channel closes, and spoils tells of which requests, by
+	// their number, it spoils the answer; nil for none.
+	goesOn bool
+	spoils func(n int) bool
+
 	mu   sync.Mutex
 	runs []*engineRun
 	wake chan struct{}
+	// worked holds what the worker has worked on.
+	worked []*work
 }
 
 func newEngine(id string, f engineFigures, rec *record) (*engine, error) {
@@ -51,6 +65,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire("headerOwnID"), e.id) })
 	mux.HandleFunc("GET "+wire("pathReport"), e.report)
+	mux.HandleFunc("POST "+wire("pathCopy"), e.copyRun)
 	mux.HandleFunc("POST /", e.generate)
 	go func() { _ = http.Serve(l, mux) }()
 	go e.loop()
@@ -89,6 +104,7 @@
 			}
 		}
 		if r.gone || r.left == 0 {
+			r.work.to = time.Now()
 			close(r.events)
 			continue
 		}
@@ -130,14 +146,25 @@
 	in, out, _ := strings.Cut(req.Header.Get(wire("headerUsage")), ",")
 	prompt, _ := strconv.Atoi(in)
 	most, _ := strconv.Atoi(out)
-	r := &engineRun{id: id, unread: prompt, left: most, events: make(chan int, most+1)}
+	r := &engineRun{id: id, unread: prompt, left: most, events: make(chan int, most+1), work: &work{request: id, worker: e.id, from: time.Now()}}
 	e.mu.Lock()
 	e.runs = append(e.runs, r)
+	e.worked = append(e.worked, r.work)
+	n := len(e.worked)
 	e.mu.Unlock()
 	select {
 	case e.wake <- struct{}{}:
 	default:
 	}
+	if e.spoils != nil && e.spoils(n) {
+		e.rec.note("worker %s sends bytes that are no answer to %s, closes the channel and works on", e.id, id)
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = c.Write([]byte("\x01\x02 no answer\r\n\r\n"))
+			_ = c.Close()
+		}
+		e.finish(r)
+		return
+	}
 	began := false
 	for {
 		select {
@@ -156,6 +183,10 @@
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
 			_ = http.NewResponseController(w).Flush()
 		case <-req.Context().Done():
+			if e.goesOn {
+				e.finish(r)
+				return
+			}
 			e.mu.Lock()
 			r.gone = true
 			e.rec.note("worker %s drops %s, whose channel has closed, after %d events of %d", e.id, id, r.made/e.figures.stride, most/e.figures.stride)
@@ -165,6 +196,44 @@
 	}
 }
 
+// finish works on a request whose channel has closed until it is made or stopped.
+func (e *engine) finish(r *engineRun) {
+	for range r.events {
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rec.note("worker %s has worked on %s for %.2f s, %d tokens made", e.id, r.id, r.work.to.Sub(r.work.from).Seconds(), r.made)
+}
+
+// copyRun answers the command to copy a run: no other worker has room. With the last part the run stops first.
+func (e *engine) copyRun(w http.ResponseWriter, req *http.Request) {
+	var command struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+	}
+	body, err := io.ReadAll(req.Body)
+	if err == nil {
+		err = decode(body, &command)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	status := http.StatusNotFound
+	for _, r := range e.runs {
+		// A request runs with its first token.
+		if r.id == command.ID && r.made > 0 {
+			r.gone = command.Last
+			status = http.StatusServiceUnavailable
+		}
+	}
+	e.rec.note("worker %s answers %d to the command to copy %s, last %t", e.id, status, command.ID, command.Last)
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte("{}"))
+}
+
 // plainWorker is a sound worker of a plain service.
 type plainWorker struct{ id, address string }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(s setup) error{
 	"reset-upload":   resetUpload,
 	"ending-workers": endingWorkers,
+	"earlier-run":    earlierRun,
 	"late-streams":   lateStreams,
 	"paused-upload":  pausedUpload,
 }
