--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../target/review-2
-go build -o ../../target/review-2/standin2 .
+go build -buildvcs=false -o ../../target/review-2/standin2 .
